--- /dev/null
+++ b/crates/ragwortroad_bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! The decision bench: real decision code, small fakes, seeded workloads.
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Leader election and log replication as pure state.
--- /dev/null
+++ b/crates/ragwortroad_language/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' query and command language.
--- /dev/null
+++ b/crates/ragwortroad_log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Append-only log and snapshots on one data folder, durable once synced.
--- /dev/null
+++ b/crates/ragwortroad_membership/src/lib.rs
@@ -0,0 +1,1 @@
+//! Which nodes and endpoints exist: gossip, suspicion, homes.
--- /dev/null
+++ b/crates/ragwortroad_node/src/lib.rs
@@ -0,0 +1,1 @@
+//! One process of the fleet: supervisor, control thread, traffic threads.
--- /dev/null
+++ b/crates/ragwortroad_report/src/lib.rs
@@ -0,0 +1,1 @@
+//! Self-contained HTML and SVG pages from measurement files.
--- /dev/null
+++ b/crates/ragwortroad_routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Decisions about requests: placement, load bounds, limits, retries.
--- /dev/null
+++ b/crates/ragwortroad_settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of one process: INI, checked as a whole.
--- /dev/null
+++ b/crates/ragwortroad_state/src/lib.rs
@@ -0,0 +1,1 @@
+//! The replicated state: customers, models, leases, claims, and operators' changes.
--- /dev/null
+++ b/crates/ragwortroad_timeline/src/lib.rs
@@ -0,0 +1,1 @@
+//! Typed events, hybrid logical clock, and the time line over all processes.
--- /dev/null
+++ b/crates/ragwortroad_transport/src/lib.rs
@@ -0,0 +1,1 @@
+//! QUIC with mutual TLS between the processes of one fleet.
--- /dev/null
+++ b/crates/ragwortroad_types/src/announce_answer.rs
@@ -0,0 +1,13 @@
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// The answer to an endpoint's announcement.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnnounceAnswer {
+    /// `IP:port` of the nodes to announce to from now on, the home node first.
+    pub announce_to: Vec<String>,
+    /// Milliseconds until the next announcement is wanted.
+    pub every_ms: u64,
+}
--- /dev/null
+++ b/crates/ragwortroad_types/src/fence_number.rs
@@ -0,0 +1,18 @@
+use std::fmt;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Fencing number of an order to an endpoint: grows with every change of who may give orders.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct FenceNumber(pub u64);
+
+impl fmt::Display for FenceNumber {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_types/src/lib.rs
@@ -0,0 +1,64 @@
+//! Identifiers, time, and the wire types every ragwortroad crate shares.
+//!
+//! Nothing here does input or output, reads a clock, or draws randomness: these are the words in
+//! which the other crates talk to each other, to endpoints and to callers.
+//!
+//! ```
+//! use ragwortroad_types::prelude::*;
+//!
+//! let chat = ChatKey::from_parts("studio-north", "chat-17");
+//! assert_ne!(chat, ChatKey::from_parts("studio-south", "chat-17"));
+//! ```
+
+mod address_answer;
+mod announce_answer;
+mod announce_wire;
+mod cache_event;
+mod chat_key;
+mod clock_time;
+mod endpoint_id;
+mod endpoint_kind;
+mod fence_number;
+mod load_report;
+mod model_offer;
+mod node_id;
+mod prefix_key;
+mod refusal_code;
+mod refusal_wire;
+mod request_id;
+mod request_outcome;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        address_answer::AddressAnswer,
+        announce_answer::AnnounceAnswer,
+        announce_wire::AnnounceWire,
+        cache_event::{
+            CacheChange,
+            CacheEvent, //
+        },
+        chat_key::ChatKey,
+        clock_time::ClockTime,
+        endpoint_id::EndpointId,
+        endpoint_kind::EndpointKind,
+        fence_number::FenceNumber,
+        load_report::LoadReport,
+        model_offer::ModelOffer,
+        node_id::NodeId,
+        prefix_key::{
+            PREFIX_BLOCK_BYTES,
+            PrefixKey,
+            prefix_chain, //
+        },
+        refusal_code::RefusalCode,
+        refusal_wire::{
+            RefusalDetail,
+            RefusalWire, //
+        },
+        request_id::RequestId,
+        request_outcome::RequestOutcome, //
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_types/src/refusal_code.rs
@@ -0,0 +1,94 @@
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// The stable reason for a refusal, for programs to act upon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalCode {
+    /// The request could not be read as HTTP or as the body its path wants.
+    MalformedRequest,
+    /// Body or headers are larger than the settings allow.
+    TooLarge,
+    /// No customer, operator or endpoint has this key.
+    WrongKey,
+    /// No such path here.
+    UnknownPath,
+    /// No model of this name serves this customer.
+    UnknownModel,
+    /// No service of this name serves this customer.
+    UnknownService,
+    /// No endpoint that could take the request is present.
+    NoEndpoint,
+    /// Every endpoint that could take the request is at its bound.
+    Overloaded,
+    /// The customer is over its own limit.
+    CustomerLimit,
+    /// The node is shutting down; the addresses in the refusal take over.
+    NodeDraining,
+    /// The node cannot confirm that its configuration is current.
+    NotCurrent,
+    /// The claim of a non-idempotent request could not be made durable.
+    ClaimUnavailable,
+    /// The same idempotency key came before with another body.
+    KeyReused,
+    /// The same idempotency key is running now.
+    KeyInProgress,
+    /// The idempotency key is older than the window in which keys are remembered.
+    KeyExpired,
+    /// The endpoint ended its answer early, or answered another request.
+    BrokenAnswer,
+    /// The deadline passed first.
+    DeadlinePassed,
+    /// A fault in this node.
+    InternalFault,
+}
+
+impl RefusalCode {
+    /// The HTTP status that goes with the reason.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::MalformedRequest => 400,
+            Self::WrongKey => 401,
+            Self::UnknownPath | Self::UnknownModel | Self::UnknownService => 404,
+            Self::KeyInProgress => 409,
+            Self::KeyExpired => 410,
+            Self::TooLarge => 413,
+            Self::KeyReused => 422,
+            Self::CustomerLimit => 429,
+            Self::InternalFault => 500,
+            Self::BrokenAnswer => 502,
+            Self::NoEndpoint
+            | Self::Overloaded
+            | Self::NodeDraining
+            | Self::NotCurrent
+            | Self::ClaimUnavailable => 503,
+            Self::DeadlinePassed => 504,
+        }
+    }
+
+    /// What the caller can do about it.
+    pub fn remedy(self) -> &'static str {
+        match self {
+            Self::MalformedRequest => "send well-formed HTTP/1.1 with a JSON body",
+            Self::TooLarge => "shorten the request, or ask the operator to raise the limit",
+            Self::WrongKey => "send the customer's key as 'Authorization: Bearer KEY'",
+            Self::UnknownPath => "see the interface page for the paths this node serves",
+            Self::UnknownModel => "name a model that the operator declared for this customer",
+            Self::UnknownService => "name a service that the operator declared for this customer",
+            Self::NoEndpoint => "retry after the time given; the operator sees which are missing",
+            Self::Overloaded => "retry after the time given",
+            Self::CustomerLimit => "retry after the time given, or ask for a higher limit",
+            Self::NodeDraining => "send the request to one of the addresses given",
+            Self::NotCurrent => "send the request to one of the addresses given",
+            Self::ClaimUnavailable => "retry with the same idempotency key after the time given",
+            Self::KeyReused => "use a new idempotency key for a new request",
+            Self::KeyInProgress => "ask again with the same key after the time given",
+            Self::KeyExpired => "look up whether the request ran, then use a new idempotency key",
+            Self::BrokenAnswer => "retry if the request is idempotent, else look up whether it ran",
+            Self::DeadlinePassed => "allow a longer deadline, or look up whether the request ran",
+            Self::InternalFault => "send the request id to the operator",
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_types/src/request_id.rs
@@ -0,0 +1,18 @@
+use std::fmt;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// Identity of one caller's request, drawn at random by the node that took it in.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RequestId(pub u64);
+
+impl fmt::Display for RequestId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `ragwortroad` command.
+
+fn main() {}
