Read and check the settings of a process as a whole

Cause: an operator who learns of one fault at a time edits the file as often as it has faults. Change: INI settings with defaults and bounds; every fault is reported at once with line, key and remedy, unknown names with the nearest known one. The INI library reports no lines and merges repeated sections, so a line index stands beside it.

--- a/crates/ragwortroad_settings/src/lib.rs
+++ b/crates/ragwortroad_settings/src/lib.rs
@@ -1,1 +1,49 @@
 //! Settings of one process: INI, checked as a whole.
+//!
+//! [`ProcessSettings::from_bytes`] reports every fault of a file at once, each with its line, its
+//! key and a remedy, so that an operator mends a file in one go.
+//!
+//! ```
+//! use ragwortroad_settings::prelude::*;
+//!
+//! let faults = ProcessSettings::from_bytes(b"[node]\nnaem = rvk-a-1\n").unwrap_err();
+//! assert!(faults.to_string().contains("did you mean 'name'"));
+//! ```
+
+mod fleet_settings;
+mod limit_settings;
+mod line_index;
+mod log_settings;
+mod node_settings;
+mod process_settings;
+mod seed_address;
+mod settings_error;
+mod settings_fault;
+mod settings_reader;
+mod state_settings;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        fleet_settings::FleetSettings,
+        limit_settings::LimitSettings,
+        log_settings::{
+            LogFormat,
+            LogSettings, //
+        },
+        node_settings::NodeSettings,
+        process_settings::ProcessSettings,
+        seed_address::SeedAddress,
+        settings_error::SettingsError,
+        settings_fault::{
+            FaultList,
+            SettingsFault, //
+        },
+        state_settings::{
+            QuorumPolicy,
+            StateSettings, //
+        },
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_settings/src/limit_settings.rs
@@ -0,0 +1,68 @@
+use std::time::Duration;
+
+use crate::settings_reader::SettingsReader;
+
+/// `[limits]`: what one node takes from callers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LimitSettings {
+    /// Longest request body in bytes.
+    pub max_body: u64,
+    /// Longest request head in bytes.
+    pub max_header: u64,
+    /// Connections at once.
+    pub max_connections: u64,
+    /// How long a connection may stay without a request.
+    pub idle_timeout: Duration,
+    /// How long a request's head may take to arrive.
+    pub header_timeout: Duration,
+    /// How long a request's body may take to arrive.
+    pub body_timeout: Duration,
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// Longest deadline a request may name.
+    pub max_deadline: Duration,
+    /// How long a shutdown waits for requests in flight.
+    pub drain_timeout: Duration,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            max_body: 4 << 20,
+            max_header: 16 << 10,
+            max_connections: 4096,
+            idle_timeout: Duration::from_secs(60),
+            header_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(30),
+            default_deadline: Duration::from_secs(120),
+            max_deadline: Duration::from_secs(900),
+            drain_timeout: Duration::from_secs(900),
+        }
+    }
+}
+
+/// One day in milliseconds, the longest span any limit takes.
+const DAY_MS: u64 = 86_400_000;
+
+impl LimitSettings {
+    pub(crate) fn read(reader: &mut SettingsReader<'_>) -> Self {
+        let base = Self::default();
+        let mut span = |key, default| reader.span("limits", key, default, (1, DAY_MS));
+        let spans = Self {
+            idle_timeout: span("idle_timeout_ms", base.idle_timeout),
+            header_timeout: span("header_timeout_ms", base.header_timeout),
+            body_timeout: span("body_timeout_ms", base.body_timeout),
+            default_deadline: span("default_deadline_ms", base.default_deadline),
+            max_deadline: span("max_deadline_ms", base.max_deadline),
+            drain_timeout: span("drain_timeout_ms", base.drain_timeout),
+            ..base
+        };
+        let mut number = |key, default, most| reader.number("limits", key, default, (1, most));
+        Self {
+            max_body: number("max_body_bytes", spans.max_body, 1 << 30),
+            max_header: number("max_header_bytes", spans.max_header, 1 << 20),
+            max_connections: number("max_connections", spans.max_connections, 1 << 20),
+            ..spans
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_settings/src/process_settings.rs
@@ -0,0 +1,125 @@
+use std::{
+    fs,
+    path::Path, //
+};
+
+use ini::Ini;
+use snafu::ResultExt;
+
+use crate::{
+    fleet_settings::FleetSettings,
+    limit_settings::LimitSettings,
+    line_index::LineIndex,
+    log_settings::LogSettings,
+    node_settings::NodeSettings,
+    settings_error::{
+        FaultySnafu,
+        SettingsError,
+        UnreadableSnafu, //
+    },
+    settings_fault::{
+        FaultList,
+        SettingsFault, //
+    },
+    settings_reader::SettingsReader,
+    state_settings::StateSettings, //
+};
+
+/// Everything one process learns from its settings file.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ProcessSettings {
+    /// `[node]`.
+    pub node: NodeSettings,
+    /// `[fleet]`.
+    pub fleet: FleetSettings,
+    /// `[state]`.
+    pub state: StateSettings,
+    /// `[limits]`.
+    pub limits: LimitSettings,
+    /// `[log]`.
+    pub log: LogSettings,
+}
+
+impl ProcessSettings {
+    /// Reads and checks the file at `path`; starts nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Unreadable`] where the file cannot be read, and
+    /// [`SettingsError::Faulty`] with every fault where it can.
+    pub fn from_file(path: &Path) -> Result<Self, SettingsError> {
+        let bytes = fs::read(path).context(UnreadableSnafu { path })?;
+        Self::from_bytes(&bytes).context(FaultySnafu { path })
+    }
+
+    /// Checks the bytes of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults, in the order of their lines.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, FaultList> {
+        let text = utf8_text(bytes).map_err(|fault| FaultList(vec![fault]))?;
+        let file = Ini::load_from_str_noescape(text).map_err(|error| {
+            FaultList(vec![SettingsFault {
+                line: error.line,
+                key: "file".to_owned(),
+                message: format!("is not INI here ({})", error.msg),
+                remedy: "write '[section]', 'key = value', or a comment after '#'".to_owned(),
+            }])
+        })?;
+        let mut reader = SettingsReader::new(&file, LineIndex::new(text));
+        let settings = Self {
+            node: NodeSettings::read(&mut reader),
+            fleet: FleetSettings::read(&mut reader),
+            state: StateSettings::read(&mut reader),
+            limits: LimitSettings::read(&mut reader),
+            log: LogSettings::read(&mut reader),
+        };
+        settings.check_together(&mut reader);
+        let faults = reader.finish();
+        if faults.is_empty() {
+            return Ok(settings);
+        }
+        Err(FaultList(faults))
+    }
+
+    /// Whether this process holds a part of the replicated state.
+    pub fn is_member(&self) -> bool {
+        self.state.data_folder.is_some()
+    }
+
+    /// Faults that show only where two keys are seen together.
+    fn check_together(&self, reader: &mut SettingsReader<'_>) {
+        if !reader.has_section("state") {
+            let remedy = "add a [state] section with 'members = ...'".to_owned();
+            reader.fault("state", "members", "is missing".to_owned(), remedy);
+        }
+        if self.state.lease >= self.state.follow_bound {
+            let message = format!(
+                "{} ms is not below follow_bound_ms = {}",
+                self.state.lease.as_millis(),
+                self.state.follow_bound.as_millis()
+            );
+            let remedy = "shorten lease_ms, or a failover makes every node stop".to_owned();
+            reader.fault("state", "lease_ms", message, remedy);
+        }
+        if self.limits.default_deadline > self.limits.max_deadline {
+            let message = "is longer than max_deadline_ms".to_owned();
+            let remedy = "shorten it or lengthen max_deadline_ms".to_owned();
+            reader.fault("limits", "default_deadline_ms", message, remedy);
+        }
+    }
+}
+
+/// The text of a file, or the fault with the line of the first byte that is not UTF-8.
+fn utf8_text(bytes: &[u8]) -> Result<&str, SettingsFault> {
+    std::str::from_utf8(bytes).map_err(|error| {
+        let before = &bytes[..error.valid_up_to()];
+        SettingsFault {
+            line: 1 + before.iter().filter(|byte| **byte == b'\n').count(),
+            key: "file".to_owned(),
+            message: "is not UTF-8 here".to_owned(),
+            remedy: "save the file as UTF-8".to_owned(),
+        }
+    })
+}
--- /dev/null
+++ b/crates/ragwortroad_settings/src/settings_reader.rs
@@ -0,0 +1,247 @@
+use std::{
+    collections::BTreeMap,
+    fmt::Display,
+    str::FromStr,
+    time::Duration, //
+};
+
+use ini::Ini;
+
+use crate::{
+    line_index::LineIndex,
+    settings_fault::SettingsFault, //
+};
+
+/// Reads keys out of one parsed file and collects what is wrong with them.
+pub(crate) struct SettingsReader<'a> {
+    file: &'a Ini,
+    index: LineIndex,
+    /// Keys asked for so far, by section; all others in the file are unknown.
+    known: BTreeMap<&'static str, Vec<&'static str>>,
+    faults: Vec<SettingsFault>,
+}
+
+impl<'a> SettingsReader<'a> {
+    pub(crate) fn new(file: &'a Ini, index: LineIndex) -> Self {
+        Self {
+            file,
+            index,
+            known: BTreeMap::new(),
+            faults: Vec::new(),
+        }
+    }
+
+    /// Whether the file has `section` at all.
+    pub(crate) fn has_section(&self, section: &str) -> bool {
+        self.file.section(Some(section)).is_some()
+    }
+
+    /// The text of a key that must be there.
+    pub(crate) fn required(&mut self, section: &'static str, key: &'static str) -> String {
+        let text = self.text(section, key);
+        if text.is_none() {
+            let remedy = format!("add '{key} = ...' under [{section}]");
+            self.fault(section, key, "is missing".to_owned(), remedy);
+        }
+        text.unwrap_or_default()
+    }
+
+    /// The parsed value of a key that must be there.
+    pub(crate) fn required_value<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        example: &str,
+    ) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let text = self.required(section, key);
+        if text.is_empty() {
+            return None;
+        }
+        self.parse(section, key, &text, example)
+    }
+
+    /// The parsed value of a key that may be missing.
+    pub(crate) fn optional_value<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        example: &str,
+    ) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let text = self.text(section, key)?;
+        self.parse(section, key, &text, example)
+    }
+
+    /// A whole number between `least` and `most`, or `default` where the key is missing.
+    pub(crate) fn number(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: u64,
+        (least, most): (u64, u64),
+    ) -> u64 {
+        let example = default.to_string();
+        let Some(value) = self.optional_value::<u64>(section, key, &example) else {
+            return default;
+        };
+        if (least..=most).contains(&value) {
+            return value;
+        }
+        let message = format!("{value} is out of range");
+        let remedy = format!("give a whole number from {least} to {most}");
+        self.fault(section, key, message, remedy);
+        default
+    }
+
+    /// A span in milliseconds between `least` and `most`, or `default`.
+    pub(crate) fn span(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        default: Duration,
+        bounds: (u64, u64),
+    ) -> Duration {
+        let default = default.as_millis() as u64;
+        Duration::from_millis(self.number(section, key, default, bounds))
+    }
+
+    /// A comma-separated list; empty where the key is missing.
+    pub(crate) fn list<T>(
+        &mut self,
+        section: &'static str,
+        key: &'static str,
+        example: &str,
+    ) -> Vec<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        let text = self.text(section, key).unwrap_or_default();
+        let parts = text.split(',').map(str::trim);
+        let parts: Vec<&str> = parts.filter(|part| !part.is_empty()).collect();
+        let parse = |part: &&str| self.parse(section, key, part, example);
+        parts.iter().filter_map(parse).collect()
+    }
+
+    /// The raw text of a key.
+    pub(crate) fn text(&mut self, section: &'static str, key: &'static str) -> Option<String> {
+        let known = self.known.entry(section).or_default();
+        known.push(key);
+        let text = self.file.get_from(Some(section), key)?;
+        Some(text.trim().to_owned())
+    }
+
+    /// Notes a fault of a key.
+    pub(crate) fn fault(&mut self, section: &str, key: &str, message: String, remedy: String) {
+        self.faults.push(SettingsFault {
+            line: self.index.key_line(section, key),
+            key: format!("{section}.{key}"),
+            message,
+            remedy,
+        });
+    }
+
+    /// All faults, with those of unknown and repeated names, in the order of their lines.
+    pub(crate) fn finish(mut self) -> Vec<SettingsFault> {
+        self.find_unknown();
+        self.find_repeated();
+        self.faults.sort_by_key(|fault| fault.line);
+        self.faults
+    }
+
+    fn parse<T>(&mut self, section: &str, key: &str, text: &str, example: &str) -> Option<T>
+    where
+        T: FromStr,
+        T::Err: Display,
+    {
+        match text.parse() {
+            Ok(value) => Some(value),
+            Err(error) => {
+                let message = format!("'{text}' cannot be read ({error})");
+                let remedy = format!("write it like '{example}'");
+                self.fault(section, key, message, remedy);
+                None
+            }
+        }
+    }
+
+    fn find_unknown(&mut self) {
+        let mut found = Vec::new();
+        for (section, properties) in self.file.iter() {
+            let section = section.unwrap_or("");
+            let Some(known) = self.known.get(section) else {
+                let names = self.known.keys().copied();
+                found.extend(self.unknown_section(section, names, properties.is_empty()));
+                continue;
+            };
+            for (key, _) in properties.iter() {
+                if !known.contains(&key) {
+                    found.push(self.unknown_key(section, key, known));
+                }
+            }
+        }
+        self.faults.extend(found);
+    }
+
+    fn unknown_section(
+        &self,
+        section: &str,
+        names: impl Iterator<Item = &'static str>,
+        is_empty: bool,
+    ) -> Option<SettingsFault> {
+        // The library always yields the nameless section before the first header.
+        if section.is_empty() && is_empty {
+            return None;
+        }
+        Some(SettingsFault {
+            line: self.index.section_line(section),
+            key: format!("[{section}]"),
+            message: "is not a section".to_owned(),
+            remedy: nearest_remedy(section, names),
+        })
+    }
+
+    fn unknown_key(&self, section: &str, key: &str, known: &[&'static str]) -> SettingsFault {
+        SettingsFault {
+            line: self.index.key_line(section, key),
+            key: format!("{section}.{key}"),
+            message: "is not a key".to_owned(),
+            remedy: nearest_remedy(key, known.iter().copied()),
+        }
+    }
+
+    fn find_repeated(&mut self) {
+        for (section, line) in &self.index.repeated_sections {
+            self.faults.push(SettingsFault {
+                line: *line,
+                key: format!("[{section}]"),
+                message: "stands twice".to_owned(),
+                remedy: "merge it into the first one".to_owned(),
+            });
+        }
+        for (section, key, line) in &self.index.repeated_keys {
+            self.faults.push(SettingsFault {
+                line: *line,
+                key: format!("{section}.{key}"),
+                message: "stands twice".to_owned(),
+                remedy: "remove one of the two lines".to_owned(),
+            });
+        }
+    }
+}
+
+/// Names the known word nearest to `word`.
+fn nearest_remedy(word: &str, known: impl Iterator<Item = &'static str>) -> String {
+    let nearest = known.min_by_key(|name| strsim::damerau_levenshtein(word, name));
+    match nearest {
+        Some(name) => format!("did you mean '{name}'?"),
+        None => "remove it".to_owned(),
+    }
+}
