--- /dev/null
+++ b/src/command_line.rs
@@ -0,0 +1,266 @@
+use std::path::PathBuf;
+
+use clap::{
+    Args,
+    Parser,
+    Subcommand, //
+};
+use clap_complete::Shell;
+
+/// A router fleet for very many returning chats.
+#[derive(Debug)]
+#[derive(Parser)]
+#[command(name = "ragwortroad", version, max_term_width = 100)]
+#[command(after_help = "\
+Exit status:
+  0  done
+  1  something that must hold did not, or the fleet refused
+  2  the command line or the settings have faults; nothing was started
+  3  a network address, file or key could not be used
+
+Examples:
+  ragwortroad demo
+  ragwortroad keys --fleet lagos --out keys node-1 node-2 node-3
+  ragwortroad check --settings node-1.ini
+  ragwortroad serve --settings node-1.ini
+  ragwortroad ask --node 127.0.0.1:8001 --key operator.key 'show endpoints'")]
+pub(crate) struct CommandLine {
+    /// What to do.
+    #[command(subcommand)]
+    pub(crate) command: CommandKind,
+}
+
+/// The subcommands.
+#[derive(Debug)]
+#[derive(Subcommand)]
+pub(crate) enum CommandKind {
+    /// Run one node of the fleet; SIGTERM or SIGINT drains it.
+    Serve(SettingsFile),
+    /// Report every fault of a settings file; start nothing.
+    Check(SettingsFile),
+    /// Run three nodes with stand-in endpoints on loopback, and check what callers saw.
+    Demo(DemoOptions),
+    /// Run stand-in engines and services that announce themselves to a fleet.
+    Standin(StandinOptions),
+    /// Send open-loop load to a fleet and report what callers saw.
+    Load(LoadOptions),
+    /// Ask the fleet what is true now.
+    Ask(OperatorOptions),
+    /// Change the fleet's configuration; returns once the change is in force everywhere.
+    Change(ChangeOptions),
+    /// Gather the time line of events from all nodes that can be reached.
+    Timeline(TimelineOptions),
+    /// Make the certificates and keys with which nodes prove themselves to each other.
+    Keys(KeyOptions),
+    /// Run the decision bench: real decision code, small fakes, one seed.
+    Bench(BenchOptions),
+    /// Make one self-contained page with plots out of JSON reports.
+    Report(ReportOptions),
+    /// Print shell completions.
+    Completions(CompletionOptions),
+}
+
+/// Which settings to use.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct SettingsFile {
+    /// INI file of this process.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) settings: PathBuf,
+}
+
+/// How to reach the fleet as an operator.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct OperatorAccess {
+    /// Any node, as IP:port; the next one given is asked where one does not answer.
+    #[arg(long, value_name = "IP:PORT", required = true)]
+    pub(crate) node: Vec<String>,
+    /// File with the operator's key.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) key: PathBuf,
+}
+
+/// A question.
+#[derive(Debug)]
+#[derive(Args)]
+#[command(after_help = "\
+Examples:
+  ragwortroad ask --node 127.0.0.1:8001 --key operator.key 'show customers'
+  ragwortroad ask --node 127.0.0.1:8001 --key operator.key 'show engines where zone = lagos-yaba'")]
+pub(crate) struct OperatorOptions {
+    #[command(flatten)]
+    pub(crate) access: OperatorAccess,
+    /// The question, in the operators' language.
+    pub(crate) line: String,
+    /// Print the answer as JSON.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// A change.
+#[derive(Debug)]
+#[derive(Args)]
+#[command(after_help = "\
+A change whose answer was lost may be sent again with the same --id: it is made once, and the
+resend returns the first outcome.
+
+Examples:
+  ragwortroad change --node 127.0.0.1:8001 --key operator.key 'set multiple 1.25'
+  ragwortroad change --node 127.0.0.1:8001 --key operator.key --id drain-7 'drain endpoint tutor-7'")]
+pub(crate) struct ChangeOptions {
+    #[command(flatten)]
+    pub(crate) question: OperatorOptions,
+    /// Identity of the change; drawn at random and printed where it is not given.
+    #[arg(long, value_name = "ID")]
+    pub(crate) id: Option<String>,
+}
+
+/// The demonstration.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct DemoOptions {
+    /// Seed of all that is random in it.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+    /// Chats to send.
+    #[arg(long, default_value_t = 300)]
+    pub(crate) chats: u32,
+    /// Bookings to send.
+    #[arg(long, default_value_t = 60)]
+    pub(crate) bookings: u32,
+    /// Print the report as JSON.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// Stand-ins.
+#[derive(Debug)]
+#[derive(Args)]
+#[command(after_help = "\
+Example:
+  ragwortroad standin --announce 127.0.0.1:8001 --join-secret join.secret --engines 12 --services 3")]
+pub(crate) struct StandinOptions {
+    /// Nodes to announce to first, as IP:port.
+    #[arg(long, value_name = "IP:PORT", required = true)]
+    pub(crate) announce: Vec<String>,
+    /// File with the join secret.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) join_secret: PathBuf,
+    /// Engines to run.
+    #[arg(long, default_value_t = 4)]
+    pub(crate) engines: u32,
+    /// Model the engines hold.
+    #[arg(long, default_value = "caption-llm")]
+    pub(crate) model: String,
+    /// Replicas of the plain service to run.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) services: u32,
+    /// Name of the plain service.
+    #[arg(long, default_value = "studio-desk")]
+    pub(crate) service: String,
+    /// Zones to spread them over.
+    #[arg(long, value_delimiter = ',', default_value = "zone-a,zone-b,zone-c")]
+    pub(crate) zones: Vec<String>,
+    /// Prefix of the endpoints' names.
+    #[arg(long, default_value = "standin")]
+    pub(crate) name: String,
+    /// Stop after this many seconds; 0 waits for SIGTERM.
+    #[arg(long, default_value_t = 0)]
+    pub(crate) seconds: u64,
+}
+
+/// Load.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct LoadOptions {
+    /// Nodes to ask for addresses, as IP:port.
+    #[arg(long, value_name = "IP:PORT", required = true)]
+    pub(crate) node: Vec<String>,
+    /// File with one 'customer key' a line.
+    #[arg(long, value_name = "FILE")]
+    pub(crate) customers: PathBuf,
+    /// Arrivals a second.
+    #[arg(long, default_value_t = 20.0)]
+    pub(crate) rate: f64,
+    /// How long to send.
+    #[arg(long, default_value_t = 10)]
+    pub(crate) seconds: u64,
+    /// Model to ask.
+    #[arg(long, default_value = "caption-llm")]
+    pub(crate) model: String,
+    /// Plain service to book at.
+    #[arg(long, default_value = "studio-desk")]
+    pub(crate) service: String,
+    /// Seed of the arrivals.
+    #[arg(long, default_value_t = 1)]
+    pub(crate) seed: u64,
+    /// Print the report as JSON.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// Time line.
+#[derive(Debug)]
+#[derive(Args)]
+#[command(after_help = "\
+Examples:
+  ragwortroad timeline --node 127.0.0.1:8001 --key operator.key --format html > line.html
+  ragwortroad timeline --node 127.0.0.1:8001 --key operator.key --filter 'request=00000000000000ab'")]
+pub(crate) struct TimelineOptions {
+    #[command(flatten)]
+    pub(crate) access: OperatorAccess,
+    /// text, json, trace (for trace viewers) or html.
+    #[arg(long, default_value = "text")]
+    pub(crate) format: String,
+    /// Keep only events with field=value; fields: request, chat, customer, endpoint, kind.
+    #[arg(long, value_name = "FIELD=VALUE")]
+    pub(crate) filter: Vec<String>,
+}
+
+/// Keys.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct KeyOptions {
+    /// The fleet's name.
+    #[arg(long)]
+    pub(crate) fleet: String,
+    /// Folder to write to; one folder a node is made in it.
+    #[arg(long, value_name = "FOLDER")]
+    pub(crate) out: PathBuf,
+    /// Names of the nodes.
+    #[arg(required = true)]
+    pub(crate) nodes: Vec<String>,
+}
+
+/// Decision bench.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct BenchOptions {
+    /// ljosmynd, splashmark or target.
+    #[arg(long, default_value = "ljosmynd")]
+    pub(crate) workload: String,
+    /// Seed of the run.
+    #[arg(long, default_value_t = 7)]
+    pub(crate) seed: u64,
+    /// Print the report as JSON.
+    #[arg(long)]
+    pub(crate) json: bool,
+}
+
+/// Report page.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct ReportOptions {
+    /// JSON files written by `load --json` or `bench --json`.
+    #[arg(required = true)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
+/// Shell completions.
+#[derive(Debug)]
+#[derive(Args)]
+pub(crate) struct CompletionOptions {
+    /// The shell.
+    pub(crate) shell: Shell,
+}
--- /dev/null
+++ b/src/commands/mod.rs
@@ -0,0 +1,37 @@
+//! One module a subcommand.
+
+mod bench;
+mod check;
+mod completions;
+mod demo;
+mod keys;
+mod load;
+mod operator;
+mod report;
+mod secret_file;
+mod serve;
+mod standin;
+mod timeline;
+
+use crate::{
+    command_line::CommandKind,
+    exit_status::ExitStatus, //
+};
+
+/// Runs one subcommand to its end.
+pub(crate) fn run(command: CommandKind) -> ExitStatus {
+    match command {
+        CommandKind::Serve(file) => serve::run(&file.settings),
+        CommandKind::Check(file) => check::run(&file.settings),
+        CommandKind::Demo(options) => demo::run(&options),
+        CommandKind::Standin(options) => standin::run(&options),
+        CommandKind::Load(options) => load::run(&options),
+        CommandKind::Ask(options) => operator::ask(&options),
+        CommandKind::Change(options) => operator::change(&options),
+        CommandKind::Timeline(options) => timeline::run(&options),
+        CommandKind::Keys(options) => keys::run(&options),
+        CommandKind::Bench(options) => bench::run(&options),
+        CommandKind::Report(options) => report::run(&options),
+        CommandKind::Completions(options) => completions::run(&options),
+    }
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,17 @@
-//! The `ragwortroad` command.
+//! The `ragwortroad` command: every process of the fleet, and the tools around it.
 
-fn main() {}
+mod command_line;
+mod commands;
+mod exit_status;
+mod log_output;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::command_line::CommandLine;
+
+fn main() -> ExitCode {
+    let line = CommandLine::parse();
+    commands::run(line.command).into()
+}
