Add QUIC transport with mutual TLS between nodes

Nodes need to talk to each other without waiting, and only to nodes of their own fleet.

PeerTransport sends from a synchronous thread into a bounded queue per peer, connects on demand, and proves each sender by a certificate of the fleet's authority. make_keys and add_keys issue the certificates; the node's identity stands in them as a subject name, so the TLS library itself checks that the expected node answers. The stateless reset key follows from the private key, so a peer that still holds the connection of a process before a restart is told at once.

Seven tests over loopback: whole messages on all channels up to 1 MiB, another authority gets nothing, a message for one node is not given to another, oversized refused by both sides, restart reached again, a silent peer does not block, later nodes join.

--- /dev/null
+++ b/crates/ragwortroad_transport/src/key_files.rs
@@ -0,0 +1,211 @@
+use std::{
+    fs::{
+        self,
+        OpenOptions, //
+    },
+    io::Write,
+    os::unix::fs::OpenOptionsExt,
+    path::Path, //
+};
+
+use ragwortroad_types::prelude::*;
+use rcgen::{
+    BasicConstraints,
+    CertificateParams,
+    DistinguishedName,
+    DnType,
+    ExtendedKeyUsagePurpose,
+    IsCa,
+    Issuer,
+    KeyPair,
+    KeyUsagePurpose, //
+};
+use snafu::{
+    ResultExt,
+    ensure, //
+};
+
+use crate::{
+    PeerKeys, TransportError,
+    peer_identity::subject_name,
+    transport_error::{
+        BadNameSnafu,
+        KeyFileSnafu,
+        MakeCertificateSnafu,
+        NoNodesSnafu,
+        NoSuchNodeSnafu,
+        SameNameSnafu, //
+    },
+};
+
+/// File name of the authority's certificate.
+const AUTHORITY_FILE: &str = "authority.pem";
+/// File name of the authority's private key.
+const AUTHORITY_KEY_FILE: &str = "authority.key";
+
+/// All keys of one fleet as PEM text.
+#[derive(Clone)]
+pub struct KeyFiles {
+    /// The authority's certificate; every node has it.
+    pub authority: String,
+    /// The authority's private key; it stays with the operators and is on no node.
+    pub authority_key: String,
+    /// Certificate and key of each node.
+    pub nodes: Vec<NodeKeys>,
+}
+
+/// Certificate and key of one node as PEM text.
+#[derive(Clone)]
+pub struct NodeKeys {
+    /// The node's name.
+    pub name: String,
+    /// Its certificate.
+    pub certificate: String,
+    /// Its private key.
+    pub private_key: String,
+}
+
+/// Makes an authority for `fleet`, and certificate and key for each of `nodes`.
+pub fn make_keys(fleet: &str, nodes: &[&str]) -> Result<KeyFiles, TransportError> {
+    check_name(fleet)?;
+    let key = KeyPair::generate().context(MakeCertificateSnafu)?;
+    let authority = authority_params(fleet)
+        .self_signed(&key)
+        .context(MakeCertificateSnafu)?;
+    let authority_key = key.serialize_pem();
+    let nodes = add_keys(fleet, &authority_key, nodes)?;
+    Ok(KeyFiles {
+        authority: authority.pem(),
+        authority_key,
+        nodes,
+    })
+}
+
+/// Makes certificate and key for further nodes of a fleet whose authority exists already.
+///
+/// A VM that replaces a lost one gets a name, and so an identity, of its own.
+pub fn add_keys(
+    fleet: &str,
+    authority_key: &str,
+    nodes: &[&str],
+) -> Result<Vec<NodeKeys>, TransportError> {
+    check_name(fleet)?;
+    ensure!(!nodes.is_empty(), NoNodesSnafu);
+    let key = KeyPair::from_pem(authority_key).context(MakeCertificateSnafu)?;
+    let issuer = Issuer::new(authority_params(fleet), key);
+    let mut made: Vec<NodeKeys> = Vec::with_capacity(nodes.len());
+    for name in nodes {
+        check_name(name)?;
+        let known = made.iter().any(|node| node.name == *name);
+        ensure!(!known, SameNameSnafu { name: *name });
+        made.push(node_keys(name, &issuer)?);
+    }
+    Ok(made)
+}
+
+impl KeyFiles {
+    /// What the node called `name` needs.
+    pub fn peer_keys(&self, name: &str) -> Result<PeerKeys, TransportError> {
+        let Some(node) = self.nodes.iter().find(|node| node.name == name) else {
+            return NoSuchNodeSnafu { name }.fail();
+        };
+        Ok(PeerKeys {
+            authority: self.authority.clone(),
+            certificate: node.certificate.clone(),
+            private_key: node.private_key.clone(),
+        })
+    }
+
+    /// Writes all files into `folder`; private keys are readable by their owner alone.
+    ///
+    /// Refuses to replace a file: a second authority under the first one's name would cut the
+    /// nodes off from each other one by one as they restart.
+    pub fn write_to(&self, folder: &Path) -> Result<(), TransportError> {
+        fs::create_dir_all(folder).context(KeyFileSnafu { path: folder })?;
+        write_file(&folder.join(AUTHORITY_FILE), &self.authority, 0o644)?;
+        write_file(&folder.join(AUTHORITY_KEY_FILE), &self.authority_key, 0o600)?;
+        for node in &self.nodes {
+            node.write_to(folder)?;
+        }
+        Ok(())
+    }
+}
+
+impl NodeKeys {
+    /// Writes `NAME.pem` and `NAME.key` into `folder`.
+    pub fn write_to(&self, folder: &Path) -> Result<(), TransportError> {
+        let name = &self.name;
+        write_file(
+            &folder.join(format!("{name}.pem")),
+            &self.certificate,
+            0o644,
+        )?;
+        write_file(
+            &folder.join(format!("{name}.key")),
+            &self.private_key,
+            0o600,
+        )
+    }
+}
+
+/// Certificate and key of one node.
+fn node_keys(name: &str, issuer: &Issuer<'_, KeyPair>) -> Result<NodeKeys, TransportError> {
+    let key = KeyPair::generate().context(MakeCertificateSnafu)?;
+    let identity = subject_name(NodeId::from_name(name));
+    let mut params =
+        CertificateParams::new(vec![name.to_owned(), identity]).context(MakeCertificateSnafu)?;
+    params.distinguished_name = common_name(name);
+    params.use_authority_key_identifier_extension = true;
+    params.key_usages = vec![KeyUsagePurpose::DigitalSignature];
+    params.extended_key_usages = vec![
+        ExtendedKeyUsagePurpose::ServerAuth,
+        ExtendedKeyUsagePurpose::ClientAuth,
+    ];
+    let certificate = params
+        .signed_by(&key, issuer)
+        .context(MakeCertificateSnafu)?;
+    Ok(NodeKeys {
+        name: name.to_owned(),
+        certificate: certificate.pem(),
+        private_key: key.serialize_pem(),
+    })
+}
+
+/// What the authority's certificate says; the same for the same fleet, so that its key suffices
+/// to issue further certificates.
+fn authority_params(fleet: &str) -> CertificateParams {
+    let mut params = CertificateParams::default();
+    params.distinguished_name = common_name(fleet);
+    params.is_ca = IsCa::Ca(BasicConstraints::Constrained(0));
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign, KeyUsagePurpose::CrlSign];
+    params
+}
+
+/// A distinguished name that consists of a common name.
+fn common_name(name: &str) -> DistinguishedName {
+    let mut distinguished = DistinguishedName::new();
+    distinguished.push(DnType::CommonName, name);
+    distinguished
+}
+
+/// Refuses what cannot stand in a certificate as one label of a domain name.
+fn check_name(name: &str) -> Result<(), TransportError> {
+    let allowed = |byte: u8| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-';
+    let edges = name.starts_with('-') || name.ends_with('-');
+    let sound = (1..=63).contains(&name.len()) && name.bytes().all(allowed) && !edges;
+    ensure!(sound, BadNameSnafu { name });
+    Ok(())
+}
+
+/// Writes a new file that has `mode` from its first moment.
+fn write_file(path: &Path, text: &str, mode: u32) -> Result<(), TransportError> {
+    let mut file = OpenOptions::new()
+        .write(true)
+        .create_new(true)
+        .mode(mode)
+        .open(path)
+        .context(KeyFileSnafu { path })?;
+    file.write_all(text.as_bytes())
+        .context(KeyFileSnafu { path })?;
+    file.sync_all().context(KeyFileSnafu { path })
+}
--- /dev/null
+++ b/crates/ragwortroad_transport/src/peer_book.rs
@@ -0,0 +1,123 @@
+use std::{
+    collections::HashMap,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{
+            AtomicU64,
+            Ordering, //
+        }, //
+    }, //
+};
+
+use quinn::Connection;
+use ragwortroad_types::prelude::*;
+
+use crate::TransportStats;
+
+/// The open connections and the counters, shared by all tasks of one transport.
+#[derive(Default)]
+pub(crate) struct PeerBook {
+    /// Held for a few instructions only, never across an await.
+    connections: Mutex<ConnectionMap>,
+    /// See [`TransportStats::messages_queued`].
+    pub(crate) messages_queued: AtomicU64,
+    /// See [`TransportStats::messages_dropped`].
+    pub(crate) messages_dropped: AtomicU64,
+    /// See [`TransportStats::messages_too_large`].
+    pub(crate) messages_too_large: AtomicU64,
+    /// See [`TransportStats::messages_received`].
+    pub(crate) messages_received: AtomicU64,
+    /// See [`TransportStats::handshakes_refused`].
+    pub(crate) handshakes_refused: AtomicU64,
+}
+
+/// Connections whose peer is proved.
+#[derive(Default)]
+struct ConnectionMap {
+    /// All open connections by the library's stable number.
+    open: HashMap<usize, Connection>,
+    /// The connection to send on.
+    ///
+    /// Invariant: each value is a key of `open`.
+    current: HashMap<NodeId, usize>,
+    /// Traffic of connections closed already.
+    closed: TransportStats,
+}
+
+impl PeerBook {
+    /// Makes `connection` the one to send to `peer` on.
+    ///
+    /// Two nodes that dial each other at once have two connections for a while; the one not used
+    /// falls idle and closes.
+    pub(crate) fn insert(&self, peer: NodeId, connection: Connection) {
+        let mut map = self.lock();
+        map.current.insert(peer, connection.stable_id());
+        map.open.insert(connection.stable_id(), connection);
+    }
+
+    /// Forgets a closed connection and keeps its counters.
+    pub(crate) fn remove(&self, peer: NodeId, connection: &Connection) {
+        let mut map = self.lock();
+        let number = connection.stable_id();
+        if map.current.get(&peer) == Some(&number) {
+            map.current.remove(&peer);
+        }
+        if map.open.remove(&number).is_some() {
+            add_traffic(&mut map.closed, connection);
+        }
+    }
+
+    /// The connection to send to `peer` on, where one is open.
+    pub(crate) fn current(&self, peer: NodeId) -> Option<Connection> {
+        let map = self.lock();
+        let connection = map.open.get(map.current.get(&peer)?)?;
+        connection
+            .close_reason()
+            .is_none()
+            .then(|| connection.clone())
+    }
+
+    /// Number of open connections.
+    pub(crate) fn open_count(&self) -> usize {
+        self.lock().open.len()
+    }
+
+    /// All counters.
+    pub(crate) fn stats(&self) -> TransportStats {
+        let map = self.lock();
+        let mut stats = map.closed;
+        for connection in map.open.values() {
+            add_traffic(&mut stats, connection);
+        }
+        stats.connections = map.open.len() as u64;
+        stats.messages_queued = self.messages_queued.load(Ordering::Relaxed);
+        stats.messages_dropped = self.messages_dropped.load(Ordering::Relaxed);
+        stats.messages_too_large = self.messages_too_large.load(Ordering::Relaxed);
+        stats.messages_received = self.messages_received.load(Ordering::Relaxed);
+        stats.handshakes_refused = self.handshakes_refused.load(Ordering::Relaxed);
+        stats
+    }
+
+    /// The map; no task panics while it holds the lock, so a poisoned one is sound.
+    fn lock(&self) -> MutexGuard<'_, ConnectionMap> {
+        self.connections
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Counts one event.
+pub(crate) fn count(counter: &AtomicU64) {
+    counter.fetch_add(1, Ordering::Relaxed);
+}
+
+/// Adds the traffic of `connection` to `stats`.
+fn add_traffic(stats: &mut TransportStats, connection: &Connection) {
+    let traffic = connection.stats();
+    stats.bytes_sent += traffic.udp_tx.bytes;
+    stats.bytes_received += traffic.udp_rx.bytes;
+    stats.datagrams_sent += traffic.udp_tx.datagrams;
+    stats.datagrams_received += traffic.udp_rx.datagrams;
+}
--- /dev/null
+++ b/crates/ragwortroad_transport/src/peer_keys.rs
@@ -0,0 +1,46 @@
+use std::{
+    fmt,
+    fs,
+    path::Path, //
+};
+
+use snafu::ResultExt;
+
+use crate::{
+    TransportError,
+    transport_error::KeyFileSnafu, //
+};
+
+/// What one node needs to prove itself and to check its peers, as PEM text.
+#[derive(Clone, Default)]
+pub struct PeerKeys {
+    /// The fleet's authority.
+    pub authority: String,
+    /// This node's certificate.
+    pub certificate: String,
+    /// This node's private key.
+    pub private_key: String,
+}
+
+impl PeerKeys {
+    /// Reads the three files named in the settings.
+    pub fn read(
+        authority: &Path,
+        certificate: &Path,
+        private_key: &Path,
+    ) -> Result<Self, TransportError> {
+        let read = |path: &Path| fs::read_to_string(path).context(KeyFileSnafu { path });
+        Ok(Self {
+            authority: read(authority)?,
+            certificate: read(certificate)?,
+            private_key: read(private_key)?,
+        })
+    }
+}
+
+/// The private key must not reach a log by way of the settings' debug output.
+impl fmt::Debug for PeerKeys {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("PeerKeys").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_transport/src/tls_setup.rs
@@ -0,0 +1,187 @@
+//! TLS and QUIC configuration from a node's keys.
+
+use std::sync::Arc;
+
+use quinn::{
+    ClientConfig,
+    EndpointConfig,
+    IdleTimeout,
+    ServerConfig,
+    TransportConfig,
+    VarInt,
+    crypto::rustls::{
+        QuicClientConfig,
+        QuicServerConfig, //
+    }, //
+};
+use quinn_proto::RandomConnectionIdGenerator;
+use ragwortroad_types::prelude::*;
+use ring::hmac;
+use rustls::{
+    RootCertStore,
+    crypto::CryptoProvider,
+    server::WebPkiClientVerifier, //
+};
+use rustls_pki_types::{
+    CertificateDer,
+    PrivateKeyDer,
+    pem::PemObject, //
+};
+use snafu::ResultExt;
+
+use crate::{
+    PeerKeys, TransportError, TransportSettings,
+    peer_identity::certificate_node,
+    transport_error::{
+        KeyTextSnafu,
+        KeysRefusedSnafu, //
+    },
+};
+
+/// The application protocol both sides must name.
+const PROTOCOL: &[u8] = b"ragwortroad/1";
+/// Sets the key for stateless resets apart from other uses of the private key.
+const RESET_PURPOSE: &[u8] = b"ragwortroad stateless reset";
+/// Length of connection identifiers in bytes.
+const CONNECTION_ID_BYTES: usize = 8;
+/// Bytes of datagrams that wait to be sent on one connection; older ones make room.
+const DATAGRAM_BUFFER: usize = 64 << 10;
+
+/// Everything an endpoint is made from.
+pub(crate) struct TlsSetup {
+    /// The node the keys belong to.
+    pub(crate) node: NodeId,
+    /// For connections peers make to us.
+    pub(crate) server: ServerConfig,
+    /// For connections we make.
+    pub(crate) client: ClientConfig,
+    /// For the socket.
+    pub(crate) endpoint: EndpointConfig,
+}
+
+/// A node's keys, decoded.
+struct DecodedKeys {
+    /// The fleet's authority.
+    roots: Arc<RootCertStore>,
+    /// The node's certificate.
+    certificate: CertificateDer<'static>,
+    /// The node's private key.
+    private_key: PrivateKeyDer<'static>,
+}
+
+impl TlsSetup {
+    /// Decodes and checks the keys, and applies the settings' limits.
+    pub(crate) fn new(settings: &TransportSettings) -> Result<Self, TransportError> {
+        let keys = DecodedKeys::new(&settings.keys)?;
+        let node = certificate_node(&keys.certificate)?;
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let transport = Arc::new(transport_config(settings));
+        let endpoint = endpoint_config(&keys.private_key);
+        let mut client = client_config(&keys, provider.clone())?;
+        client.transport_config(transport.clone());
+        let mut server = server_config(keys, provider)?;
+        server.transport_config(transport);
+        server.max_incoming(settings.max_handshakes);
+        server.migration(false);
+        Ok(Self {
+            node,
+            server,
+            client,
+            endpoint,
+        })
+    }
+}
+
+impl DecodedKeys {
+    /// Decodes the PEM texts.
+    fn new(keys: &PeerKeys) -> Result<Self, TransportError> {
+        let authority = certificate("authority's certificate", &keys.authority)?;
+        let mut roots = RootCertStore::empty();
+        roots.add(authority).context(KeysRefusedSnafu)?;
+        let private_key =
+            PrivateKeyDer::from_pem_slice(keys.private_key.as_bytes()).context(KeyTextSnafu {
+                what: "node's private key",
+            })?;
+        Ok(Self {
+            roots: Arc::new(roots),
+            certificate: certificate("node's certificate", &keys.certificate)?,
+            private_key,
+        })
+    }
+}
+
+/// Decodes one certificate.
+fn certificate(what: &'static str, text: &str) -> Result<CertificateDer<'static>, TransportError> {
+    CertificateDer::from_pem_slice(text.as_bytes()).context(KeyTextSnafu { what })
+}
+
+/// TLS for connections peers make to us: they must show a certificate of our authority.
+fn server_config(
+    keys: DecodedKeys,
+    provider: Arc<CryptoProvider>,
+) -> Result<ServerConfig, TransportError> {
+    let verifier = WebPkiClientVerifier::builder_with_provider(keys.roots, provider.clone())
+        .build()
+        .map_err(|error| refused(&error))?;
+    let mut config = rustls::ServerConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .context(KeysRefusedSnafu)?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(vec![keys.certificate], keys.private_key)
+        .context(KeysRefusedSnafu)?;
+    config.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let config = QuicServerConfig::try_from(config).map_err(|error| refused(&error))?;
+    Ok(ServerConfig::with_crypto(Arc::new(config)))
+}
+
+/// TLS for connections we make.
+fn client_config(
+    keys: &DecodedKeys,
+    provider: Arc<CryptoProvider>,
+) -> Result<ClientConfig, TransportError> {
+    let mut config = rustls::ClientConfig::builder_with_provider(provider)
+        .with_protocol_versions(&[&rustls::version::TLS13])
+        .context(KeysRefusedSnafu)?
+        .with_root_certificates(keys.roots.clone())
+        .with_client_auth_cert(vec![keys.certificate.clone()], keys.private_key.clone_key())
+        .context(KeysRefusedSnafu)?;
+    config.alpn_protocols = vec![PROTOCOL.to_vec()];
+    let config = QuicClientConfig::try_from(config).map_err(|error| refused(&error))?;
+    Ok(ClientConfig::new(Arc::new(config)))
+}
+
+/// The error for an authority the TLS library does not accept.
+fn refused(error: &dyn std::error::Error) -> TransportError {
+    TransportError::AuthorityRefused {
+        reason: error.to_string(),
+    }
+}
+
+/// The socket's configuration.
+///
+/// The key for stateless resets follows from the private key, so that it outlives a restart: a
+/// peer that still sends on a connection of the process before is told at once. With a random key
+/// it would go on sending into nothing until its idle timeout, which shows as a node that is up
+/// and yet not heard for that long.
+fn endpoint_config(private_key: &PrivateKeyDer<'_>) -> EndpointConfig {
+    let purpose = hmac::Key::new(hmac::HMAC_SHA256, RESET_PURPOSE);
+    let derived = hmac::sign(&purpose, private_key.secret_der());
+    let key = hmac::Key::new(hmac::HMAC_SHA256, derived.as_ref());
+    let mut config = EndpointConfig::new(Arc::new(key));
+    config.cid_generator(|| Box::new(RandomConnectionIdGenerator::new(CONNECTION_ID_BYTES)));
+    config
+}
+
+/// Limits of one connection.
+fn transport_config(settings: &TransportSettings) -> TransportConfig {
+    let window = VarInt::try_from(settings.max_message as u64 + 1).unwrap_or(VarInt::MAX);
+    let mut config = TransportConfig::default();
+    config.max_concurrent_bidi_streams(VarInt::from_u32(0));
+    config.max_concurrent_uni_streams(VarInt::from_u32(settings.streams_per_peer));
+    config.stream_receive_window(window);
+    config.receive_window(window);
+    config.datagram_send_buffer_size(DATAGRAM_BUFFER);
+    config.datagram_receive_buffer_size(Some(DATAGRAM_BUFFER));
+    config.max_idle_timeout(IdleTimeout::try_from(settings.idle_timeout).ok());
+    config
+}
--- /dev/null
+++ b/crates/ragwortroad_transport/src/transport_root.rs
@@ -0,0 +1,165 @@
+//! The transport's root task, parent of all others.
+
+use std::sync::Arc;
+
+use flume::{
+    Receiver,
+    Sender, //
+};
+use quinn::{
+    Endpoint,
+    Incoming,
+    VarInt, //
+};
+use tokio::{
+    task::JoinSet,
+    time::{
+        Instant,
+        timeout, //
+    }, //
+};
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    PeerEvent,
+    TransportSettings,
+    connection_reader::ConnectionReader,
+    peer_book::{
+        PeerBook,
+        count, //
+    },
+    peer_queue::QueuedMessage,
+    peer_writer::PeerWriter, //
+};
+
+/// The QUIC error code of an orderly close.
+const CLOSE_ORDERLY: VarInt = VarInt::from_u32(0);
+/// The QUIC error code for a peer whose certificate names no node.
+const CLOSE_UNKNOWN: VarInt = VarInt::from_u32(1);
+
+/// A new peer's queue, whose writer the root is to start.
+pub(crate) struct StartWriter {
+    /// The peer.
+    pub(crate) peer: NodeId,
+    /// Its queue.
+    pub(crate) queue: Receiver<QueuedMessage>,
+}
+
+/// Accepts connections, starts writers, and joins both.
+pub(crate) struct TransportRoot {
+    /// The socket.
+    pub(crate) endpoint: Endpoint,
+    /// Shared connections and counters.
+    pub(crate) book: Arc<PeerBook>,
+    /// Where messages and losses go.
+    pub(crate) events: Sender<PeerEvent>,
+    /// Limits.
+    pub(crate) settings: Arc<TransportSettings>,
+    /// Writers to start; shutdown begins when the sending side is dropped.
+    pub(crate) starts: Receiver<StartWriter>,
+    /// Connections peers made to us.
+    pub(crate) readers: JoinSet<()>,
+    /// Writers by peer.
+    pub(crate) writers: JoinSet<()>,
+}
+
+impl TransportRoot {
+    /// Runs until shutdown, then closes every connection and joins every task.
+    pub(crate) async fn run(mut self) {
+        loop {
+            tokio::select! {
+                start = self.starts.recv_async() => match start {
+                    Ok(start) => self.start_writer(start),
+                    Err(_shutdown) => break,
+                },
+                incoming = self.endpoint.accept() => match incoming {
+                    Some(incoming) => self.accept(incoming),
+                    None => break,
+                },
+                Some(_ended) = self.readers.join_next() => {}
+                Some(_ended) = self.writers.join_next() => {}
+            }
+        }
+        self.stop().await;
+    }
+
+    /// Starts the writer of a new peer.
+    fn start_writer(&mut self, start: StartWriter) {
+        let writer = PeerWriter {
+            peer: start.peer,
+            queue: start.queue,
+            endpoint: self.endpoint.clone(),
+            book: self.book.clone(),
+            events: self.events.clone(),
+            settings: self.settings.clone(),
+            readers: JoinSet::new(),
+            writes: JoinSet::new(),
+            retry_at: Instant::now(),
+        };
+        self.writers.spawn(writer.run());
+    }
+
+    /// Starts the handshake with a peer, unless too many connections are open.
+    fn accept(&mut self, incoming: Incoming) {
+        let open = self.readers.len().max(self.book.open_count());
+        if open >= self.settings.max_connections {
+            count(&self.book.handshakes_refused);
+            incoming.refuse();
+            return;
+        }
+        let book = self.book.clone();
+        let events = self.events.clone();
+        let settings = self.settings.clone();
+        self.readers.spawn(async move {
+            match shake_hands(incoming, &book, &events, &settings).await {
+                Some(reader) => reader.run().await,
+                None => count(&book.handshakes_refused),
+            }
+        });
+    }
+
+    /// Closes every connection and joins every task.
+    async fn stop(mut self) {
+        // Writers end by themselves once their queues' sending sides are gone; what they took
+        // from the queue already is written out first.
+        let limit = self.settings.message_timeout;
+        if timeout(limit, join_all(&mut self.writers)).await.is_err() {
+            self.writers.shutdown().await;
+        }
+        self.endpoint.close(CLOSE_ORDERLY, b"shutdown");
+        self.readers.shutdown().await;
+        if timeout(limit, self.endpoint.wait_idle()).await.is_err() {
+            tracing::debug!("connections did not close in time");
+        }
+    }
+}
+
+/// Joins all tasks of `tasks`.
+async fn join_all(tasks: &mut JoinSet<()>) {
+    while tasks.join_next().await.is_some() {}
+}
+
+/// Completes the handshake with a peer; nothing unless it proves to be a node of the fleet.
+async fn shake_hands(
+    incoming: Incoming,
+    book: &Arc<PeerBook>,
+    events: &Sender<PeerEvent>,
+    settings: &TransportSettings,
+) -> Option<ConnectionReader> {
+    let address = incoming.remote_address();
+    let connected = timeout(settings.handshake_timeout, incoming).await.ok()?;
+    let connection = match connected {
+        Ok(connection) => connection,
+        Err(error) => {
+            tracing::warn!(%address, %error, "refused a peer in the handshake");
+            return None;
+        }
+    };
+    let reader = ConnectionReader::register(connection.clone(), book, events, settings);
+    if reader.is_none() {
+        tracing::warn!(%address, "refused a peer whose certificate names no node");
+        connection.close(CLOSE_UNKNOWN, b"the certificate names no node");
+    }
+    reader
+}
--- /dev/null
+++ b/crates/ragwortroad_transport/tests/loopback.rs
@@ -0,0 +1,280 @@
+//! Transports of several nodes talk over loopback.
+
+use std::{
+    net::{
+        SocketAddr,
+        UdpSocket, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use flume::Receiver;
+use ragwortroad_transport::prelude::*;
+use ragwortroad_types::prelude::*;
+
+/// Generous: only a hang reaches it.
+const PATIENCE: Duration = Duration::from_secs(20);
+
+fn start_at(
+    files: &KeyFiles,
+    name: &str,
+    listen: SocketAddr,
+) -> (PeerTransport, Receiver<PeerEvent>) {
+    let settings = TransportSettings {
+        listen,
+        keys: files.peer_keys(name).expect("keys of the node"),
+        max_message: 1 << 20,
+        queue_length: 16,
+        retry_pause: Duration::from_millis(20),
+        handshake_timeout: Duration::from_secs(1),
+        message_timeout: Duration::from_secs(2),
+        ..TransportSettings::default()
+    };
+    PeerTransport::start(settings).expect("the transport starts")
+}
+
+fn start(files: &KeyFiles, name: &str) -> (PeerTransport, Receiver<PeerEvent>) {
+    start_at(files, name, SocketAddr::from(([127, 0, 0, 1], 0)))
+}
+
+fn next_message(events: &Receiver<PeerEvent>) -> PeerMessage {
+    loop {
+        let event = events.recv_timeout(PATIENCE).expect("an event comes");
+        if let PeerEvent::Received(message) = event {
+            return message;
+        }
+    }
+}
+
+fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !holds() {
+        assert!(start.elapsed() < PATIENCE, "never came: {what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn id(name: &str) -> NodeId {
+    NodeId::from_name(name)
+}
+
+#[test]
+fn messages_arrive_whole_on_every_channel_over_one_connection() {
+    let files = make_keys("fleet", &["a", "b"]).unwrap();
+    let ((a, a_events), (b, b_events)) = (start(&files, "a"), start(&files, "b"));
+    assert_eq!(a.node(), id("a"));
+    let channels = [
+        PeerChannel::Gossip,
+        PeerChannel::Consensus,
+        PeerChannel::Slots,
+        PeerChannel::Follow,
+        PeerChannel::Timeline,
+    ];
+    for (index, channel) in channels.into_iter().enumerate() {
+        for length in [0, 1, 1_000, 70_000, 1 << 20] {
+            let bytes: Vec<u8> = (0..length).map(|at| (at * 7 + index) as u8).collect();
+            assert_eq!(
+                a.send(b.local_address(), id("b"), channel, bytes.clone()),
+                SendOutcome::Queued
+            );
+            let message = next_message(&b_events);
+            assert_eq!((message.from, message.channel), (id("a"), channel));
+            assert!(
+                message.bytes == bytes,
+                "{channel:?} of {length} bytes was changed"
+            );
+            // The answer goes back over the connection the other side made.
+            b.send(a.local_address(), id("a"), channel, bytes.clone());
+            assert!(next_message(&a_events).bytes == bytes);
+        }
+    }
+    assert_eq!((a.stats().connections, b.stats().connections), (1, 1));
+    assert!(a.bytes_sent() > 5 << 20 && b.bytes_received() > 5 << 20);
+    a.shutdown();
+    b.shutdown();
+}
+
+/// Somebody in the network has keys, but of another authority, and talks to a node or waits for a
+/// node to talk to it. Nobody may notice anything: it gets no message and its own are not read.
+#[test]
+fn a_peer_of_another_authority_gets_nothing() {
+    let files = make_keys("fleet", &["a", "b"]).unwrap();
+    let foreign = make_keys("fleet", &["a", "b"]).unwrap();
+    let (a, a_events) = start(&files, "a");
+    let (b, _b_events) = start(&files, "b");
+    let (stranger, stranger_events) = start(&foreign, "b");
+    stranger.send(
+        a.local_address(),
+        id("a"),
+        PeerChannel::Consensus,
+        b"let me in".to_vec(),
+    );
+    a.send(
+        stranger.local_address(),
+        id("b"),
+        PeerChannel::Consensus,
+        b"secret".to_vec(),
+    );
+    for events in [&a_events, &stranger_events] {
+        let event = events.recv_timeout(PATIENCE).unwrap();
+        assert!(matches!(event, PeerEvent::PeerLost { .. }), "{event:?}");
+    }
+    // The first sound message a hears is b's, so the stranger's was never taken.
+    b.send(
+        a.local_address(),
+        id("a"),
+        PeerChannel::Consensus,
+        b"sound".to_vec(),
+    );
+    assert_eq!(next_message(&a_events).bytes, b"sound");
+    wait_for("the refusal is counted", || {
+        stranger.stats().handshakes_refused > 0
+    });
+    assert_eq!(stranger.stats().messages_received, 0);
+    for transport in [a, b, stranger] {
+        transport.shutdown();
+    }
+}
+
+/// An address was given to another node of the same fleet, as happens when VMs are replaced. A
+/// message for the former holder must not reach the present one.
+#[test]
+fn a_message_for_one_node_is_not_given_to_another() {
+    let files = make_keys("fleet", &["a", "b"]).unwrap();
+    let ((a, a_events), (b, b_events)) = (start(&files, "a"), start(&files, "b"));
+    a.send(
+        b.local_address(),
+        id("c"),
+        PeerChannel::Slots,
+        b"for c".to_vec(),
+    );
+    let event = a_events.recv_timeout(PATIENCE).unwrap();
+    assert!(matches!(event, PeerEvent::PeerLost { peer, .. } if peer == id("c")));
+    a.send(
+        b.local_address(),
+        id("b"),
+        PeerChannel::Slots,
+        b"for b".to_vec(),
+    );
+    assert_eq!(next_message(&b_events).bytes, b"for b");
+    a.shutdown();
+    b.shutdown();
+}
+
+#[test]
+fn an_oversized_message_is_refused_by_sender_and_receiver() {
+    let files = make_keys("fleet", &["a", "b"]).unwrap();
+    let (a, _a_events) = start(&files, "a");
+    let settings = TransportSettings {
+        keys: files.peer_keys("b").unwrap(),
+        max_message: 1_000,
+        ..TransportSettings::default()
+    };
+    let (b, b_events) = PeerTransport::start(settings).unwrap();
+    let to_b = |bytes| a.send(b.local_address(), id("b"), PeerChannel::Follow, bytes);
+    assert_eq!(to_b(vec![0; (1 << 20) + 1]), SendOutcome::TooLarge);
+    assert_eq!(to_b(vec![0; 5_000]), SendOutcome::Queued);
+    wait_for("the receiver refuses it", || {
+        b.stats().messages_too_large == 1
+    });
+    to_b(vec![1; 1_000]);
+    assert_eq!(next_message(&b_events).bytes, vec![1; 1_000]);
+    a.shutdown();
+    b.shutdown();
+}
+
+/// A process is killed and started again on the same address while its peer still holds the old
+/// connection. The peer's messages must get through again long before an idle timeout.
+#[test]
+fn a_restarted_peer_is_reached_again_before_the_idle_timeout() {
+    let files = make_keys("fleet", &["a", "b"]).unwrap();
+    let (a, _a_events) = start(&files, "a");
+    let (b, b_events) = start(&files, "b");
+    let address = b.local_address();
+    a.send(address, id("b"), PeerChannel::Consensus, b"before".to_vec());
+    assert_eq!(next_message(&b_events).bytes, b"before");
+    b.shutdown();
+    let (b, b_events) = start_at(&files, "b", address);
+    let began = Instant::now();
+    wait_for("a message after the restart", || {
+        a.send(address, id("b"), PeerChannel::Consensus, b"after".to_vec());
+        b_events.recv_timeout(Duration::from_millis(50)).is_ok()
+    });
+    assert!(began.elapsed() < TransportSettings::default().idle_timeout);
+    a.shutdown();
+    b.shutdown();
+}
+
+/// A VM vanishes without a word: its address swallows everything. The control thread goes on
+/// sending to it; it must never wait, and the other peers must notice nothing.
+#[test]
+fn a_silent_peer_neither_blocks_the_sender_nor_delays_others() {
+    let files = make_keys("fleet", &["a", "b", "gone"]).unwrap();
+    let ((a, _a_events), (b, b_events)) = (start(&files, "a"), start(&files, "b"));
+    let hole = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let gone = hole.local_addr().unwrap();
+    let mut full = 0;
+    for _ in 0..100 {
+        match a.send(gone, id("gone"), PeerChannel::Slots, vec![0; 100]) {
+            SendOutcome::QueueFull => full += 1,
+            outcome => assert_eq!(outcome, SendOutcome::Queued),
+        }
+    }
+    // One may be in the writer's hands beside the sixteen in the queue.
+    assert!(full >= 100 - 17, "the queue took too much: {full} refused");
+    a.send(
+        b.local_address(),
+        id("b"),
+        PeerChannel::Slots,
+        b"still here".to_vec(),
+    );
+    assert_eq!(next_message(&b_events).bytes, b"still here");
+    assert!(a.stats().messages_dropped >= full);
+    a.shutdown();
+    b.shutdown();
+}
+
+#[test]
+fn keys_are_written_once_and_later_nodes_join_the_same_fleet() {
+    use std::os::unix::fs::PermissionsExt;
+
+    let folder = tempfile::tempdir().unwrap();
+    let files = make_keys("fleet", &["a"]).unwrap();
+    files.write_to(folder.path()).unwrap();
+    assert!(
+        files.write_to(folder.path()).is_err(),
+        "keys must not be replaced"
+    );
+    let path = |name: &str| folder.path().join(name);
+    let mode = std::fs::metadata(path("a.key"))
+        .unwrap()
+        .permissions()
+        .mode();
+    assert_eq!(mode & 0o777, 0o600);
+    let read = PeerKeys::read(&path("authority.pem"), &path("a.pem"), &path("a.key")).unwrap();
+    let settings = TransportSettings {
+        keys: read,
+        ..TransportSettings::default()
+    };
+    let (a, a_events) = PeerTransport::start(settings).unwrap();
+
+    let mut later = files.clone();
+    later.nodes = add_keys("fleet", &files.authority_key, &["b"]).unwrap();
+    let (b, _b_events) = start(&later, "b");
+    b.send(
+        a.local_address(),
+        id("a"),
+        PeerChannel::Gossip,
+        b"new here".to_vec(),
+    );
+    assert_eq!(next_message(&a_events).from, id("b"));
+    a.shutdown();
+    b.shutdown();
+
+    for names in [&["a", "a"][..], &[], &["Upper"], &["-a"], &["a.b"]] {
+        assert!(make_keys("fleet", names).is_err(), "{names:?}");
+    }
+}
