--- /dev/null
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -0,0 +1,344 @@
+//! Reading a data folder back, and deciding whether it can be trusted.
+
+use std::io;
+
+use snafu::{
+    OptionExt,
+    ResultExt,
+    ensure, //
+};
+
+use crate::{
+    DiskPort, FolderSettings, LogError, LogFolder, StoredEntry, StoredSnapshot, StoredState,
+    folder_files::{
+        IDENTITY_NAME,
+        LOG_START,
+        SNAPSHOT_START,
+        TEMP_ENDING,
+        VOTE_NAME,
+        generation_of,
+        log_name,
+        snapshot_name,
+        write_frame,
+        write_vote,
+        write_whole, //
+    },
+    log_error::{
+        CorruptSnafu,
+        DiskSnafu,
+        RolledBackSnafu, //
+    },
+    log_record::{
+        CountedVote,
+        LogHeader,
+        LogRecord, //
+    },
+    record_frame::RecordFrame,
+    record_scan::RecordScan,
+};
+
+/// Layout of the files this program writes and reads.
+pub(crate) const VERSION: u32 = 1;
+
+pub(crate) fn open(
+    mut port: DiskPort,
+    settings: &FolderSettings,
+) -> Result<(LogFolder, StoredState), LogError> {
+    let names = list_files(&mut port)?;
+    if names.iter().any(|name| name == IDENTITY_NAME) {
+        return open_existing(port, settings, &names);
+    }
+    refuse_if_used(&port, &names)?;
+    create(port, settings)
+}
+
+/// Names of all whole files; removes what a crash left unfinished.
+fn list_files(port: &mut DiskPort) -> Result<Vec<String>, LogError> {
+    let name = "the folder";
+    let action = "list";
+    let mut names = port.list().context(DiskSnafu { action, name })?;
+    for name in names.extract_if(.., |name| name.ends_with(TEMP_ENDING)) {
+        let action = "remove";
+        port.remove(&name).context(DiskSnafu { action, name })?;
+    }
+    names.sort();
+    Ok(names)
+}
+
+/// A folder without an identity file is empty, or was left in the middle of being created.
+///
+/// If the file of a folder in use were lost and the folder taken for empty, the member would
+/// forget its vote and vote again. So anything but the files of an unused folder is refused.
+fn refuse_if_used(port: &DiskPort, names: &[String]) -> Result<(), LogError> {
+    let used = names.iter().any(|name| {
+        let is_snapshot = name.starts_with(SNAPSHOT_START);
+        let is_log = name.starts_with(LOG_START);
+        is_snapshot || is_log && !is_unused_log(port, name)
+    });
+    let detail = "the identity file is missing, but there is a log";
+    ensure!(!used, RolledBackSnafu { detail });
+    Ok(())
+}
+
+fn is_unused_log(port: &DiskPort, name: &str) -> bool {
+    let bytes = port.read(name).unwrap_or_default();
+    let whole = RecordFrame::read(&bytes);
+    whole.is_some_and(|(frame, length)| {
+        let unused = matches!(&frame.record, LogRecord::Header(header)
+            if header.generation == 0 && header.vote.count == 0);
+        unused && length == bytes.len()
+    })
+}
+
+/// Writes the identity last, so that a folder with one has all other files.
+fn create(
+    mut port: DiskPort,
+    settings: &FolderSettings,
+) -> Result<(LogFolder, StoredState), LogError> {
+    write_vote(&mut port, CountedVote::default())?;
+    let identity = settings.fresh_identity;
+    let mut folder = LogFolder {
+        port,
+        identity,
+        max_entry_bytes: settings.max_entry_bytes,
+        generation: 0,
+        next_sequence: 0,
+        synced_sequence: 0,
+        buffer: Vec::new(),
+        vote: CountedVote::default(),
+        vote_file_count: 0,
+        last_index: 0,
+        snapshot_index: 0,
+        writes_refused: false,
+    };
+    folder.write_log(&[])?;
+    let frame = identity_frame(identity);
+    let mut bytes = Vec::new();
+    write_frame(&frame, &mut bytes)?;
+    write_whole(&mut folder.port, IDENTITY_NAME, &bytes)?;
+    let state = StoredState {
+        identity,
+        is_new: true,
+        ..StoredState::default()
+    };
+    Ok((folder, state))
+}
+
+fn identity_frame(identity: u64) -> RecordFrame {
+    let header = LogHeader {
+        version: VERSION,
+        identity,
+        generation: 0,
+        vote: CountedVote::default(),
+        snapshot_index: 0,
+    };
+    RecordFrame {
+        sequence: 0,
+        synced: 0,
+        record: LogRecord::Header(header),
+    }
+}
+
+fn open_existing(
+    mut port: DiskPort,
+    settings: &FolderSettings,
+    names: &[String],
+) -> Result<(LogFolder, StoredState), LogError> {
+    let identity = match read_single(&port, IDENTITY_NAME)? {
+        LogRecord::Header(header) => header.identity,
+        _ => return corrupt(IDENTITY_NAME, 0, "it holds something else"),
+    };
+    let vote_copy = match read_single(&port, VOTE_NAME)? {
+        LogRecord::Vote(vote) => vote,
+        _ => return corrupt(VOTE_NAME, 0, "it holds something else"),
+    };
+    let generations = names
+        .iter()
+        .filter_map(|name| generation_of(name, LOG_START));
+    let detail = "the log file is missing";
+    let generation = generations.max().context(RolledBackSnafu { detail })?;
+
+    let name = log_name(generation);
+    let bytes = read_file(&port, &name)?;
+    let scan = RecordScan::read(&name, &bytes)?;
+    let header = check_header(&scan, &name, identity, generation)?;
+    let vote = last_vote(&scan.frames, header.vote);
+    check_vote(vote, vote_copy)?;
+    let snapshot = read_snapshot(&port, &header)?;
+    let entries = replay_entries(&scan.frames);
+    check_entries(&entries, &header, &name)?;
+
+    let cut_bytes = (bytes.len() - scan.intact_bytes) as u64;
+    cut_tail(&mut port, &name, &scan, cut_bytes)?;
+    remove_leftovers(&mut port, names, generation)?;
+    let next_sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
+    let mut folder = LogFolder {
+        port,
+        identity,
+        max_entry_bytes: settings.max_entry_bytes,
+        generation,
+        next_sequence,
+        synced_sequence: next_sequence,
+        buffer: Vec::new(),
+        vote,
+        vote_file_count: vote_copy.count,
+        last_index: header.snapshot_index + entries.len() as u64,
+        snapshot_index: header.snapshot_index,
+        writes_refused: false,
+    };
+    folder.write_vote_copy()?;
+    let state = StoredState {
+        identity,
+        is_new: false,
+        vote: vote.vote,
+        snapshot,
+        entries,
+        cut_bytes,
+    };
+    Ok((folder, state))
+}
+
+/// The entries that `frames` leave in the log.
+pub(crate) fn replay_entries(frames: &[RecordFrame]) -> Vec<StoredEntry> {
+    let mut entries: Vec<StoredEntry> = Vec::new();
+    for frame in frames {
+        match &frame.record {
+            LogRecord::Entry(entry) => entries.push(entry.clone()),
+            LogRecord::Truncate(from) => entries.retain(|entry| entry.index < *from),
+            _ => {}
+        }
+    }
+    entries
+}
+
+fn last_vote(frames: &[RecordFrame], first: CountedVote) -> CountedVote {
+    let mut votes = frames.iter().filter_map(|frame| match frame.record {
+        LogRecord::Vote(vote) => Some(vote),
+        _ => None,
+    });
+    votes.next_back().unwrap_or(first)
+}
+
+/// Compares the log's vote with the vote file's: see [`CountedVote`].
+fn check_vote(vote: CountedVote, copy: CountedVote) -> Result<(), LogError> {
+    let same = vote == copy;
+    let ahead = vote.count == copy.count + 1 && vote.vote.term >= copy.vote.term;
+    let detail = format!(
+        "the log's vote has number {} and the vote file's {}",
+        vote.count, copy.count
+    );
+    ensure!(same || ahead, RolledBackSnafu { detail });
+    Ok(())
+}
+
+fn check_header(
+    scan: &RecordScan,
+    name: &str,
+    identity: u64,
+    generation: u64,
+) -> Result<LogHeader, LogError> {
+    let first = scan.frames.first().map(|frame| &frame.record);
+    let Some(LogRecord::Header(header)) = first else {
+        return corrupt(name, 0, "the header cannot be read");
+    };
+    if header.version != VERSION {
+        return corrupt(name, 0, "another version of this program wrote it");
+    }
+    if header.identity != identity || header.generation != generation {
+        return corrupt(name, 0, "it belongs to another data folder");
+    }
+    Ok(header.clone())
+}
+
+fn check_entries(entries: &[StoredEntry], header: &LogHeader, name: &str) -> Result<(), LogError> {
+    let indexes = header.snapshot_index + 1..;
+    let contiguous = indexes
+        .zip(entries)
+        .all(|(index, entry)| index == entry.index);
+    if !contiguous {
+        return corrupt(name, 0, "entries are missing between others");
+    }
+    Ok(())
+}
+
+fn read_snapshot(port: &DiskPort, header: &LogHeader) -> Result<Option<StoredSnapshot>, LogError> {
+    if header.snapshot_index == 0 {
+        return Ok(None);
+    }
+    let name = snapshot_name(header.generation);
+    match read_single(port, &name)? {
+        LogRecord::Snapshot(identity, snapshot)
+            if identity == header.identity && snapshot.index == header.snapshot_index =>
+        {
+            Ok(Some(snapshot))
+        }
+        _ => corrupt(&name, 0, "it belongs to another log"),
+    }
+}
+
+/// The record of a file that holds just one.
+fn read_single(port: &DiskPort, name: &str) -> Result<LogRecord, LogError> {
+    let bytes = read_file(port, name)?;
+    match RecordFrame::read(&bytes) {
+        Some((frame, length)) if length == bytes.len() => Ok(frame.record),
+        _ => corrupt(name, 0, "its checksum does not fit"),
+    }
+}
+
+fn read_file(port: &DiskPort, name: &str) -> Result<Vec<u8>, LogError> {
+    let outcome = port.read(name);
+    if let Err(error) = &outcome
+        && error.kind() == io::ErrorKind::NotFound
+    {
+        let detail = format!("'{name}' is missing");
+        return RolledBackSnafu { detail }.fail();
+    }
+    let action = "read";
+    outcome.context(DiskSnafu { action, name })
+}
+
+/// Cuts an unfinished write from the log's end, so that the next record follows an intact one.
+///
+/// What is intact need not be durable yet: after a crash of the process alone the page cache
+/// holds it. It is synced here, for it will count as acknowledged.
+fn cut_tail(
+    port: &mut DiskPort,
+    name: &str,
+    scan: &RecordScan,
+    cut_bytes: u64,
+) -> Result<(), LogError> {
+    if cut_bytes > 0 {
+        let action = "cut";
+        port.truncate(name, scan.intact_bytes as u64)
+            .context(DiskSnafu { action, name })?;
+    }
+    let action = "sync";
+    port.sync(name).context(DiskSnafu { action, name })
+}
+
+fn remove_leftovers(
+    port: &mut DiskPort,
+    names: &[String],
+    generation: u64,
+) -> Result<(), LogError> {
+    for name in names {
+        let of_log = generation_of(name, LOG_START);
+        let of_snapshot = generation_of(name, SNAPSHOT_START);
+        if of_log.or(of_snapshot).is_some_and(|of| of != generation) {
+            let action = "remove";
+            port.remove(name).context(DiskSnafu { action, name })?;
+        }
+    }
+    let action = "sync";
+    let name = "the folder";
+    port.sync_folder().context(DiskSnafu { action, name })
+}
+
+fn corrupt<T>(name: &str, offset: u64, detail: &str) -> Result<T, LogError> {
+    CorruptSnafu {
+        name,
+        offset,
+        detail,
+    }
+    .fail()
+}
--- /dev/null
+++ b/crates/ragwortroad_log/src/folder_settings.rs
@@ -0,0 +1,22 @@
+use std::path::PathBuf;
+
+/// Settings of one data folder.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FolderSettings {
+    /// The folder; it is created if it is missing.
+    pub path: PathBuf,
+    /// Identity the folder gets if it is empty: random, and never used before.
+    pub fresh_identity: u64,
+    /// Largest content of one entry in bytes.
+    pub max_entry_bytes: usize,
+}
+
+impl Default for FolderSettings {
+    fn default() -> Self {
+        Self {
+            path: PathBuf::from("data"),
+            fresh_identity: 0,
+            max_entry_bytes: 4 << 20,
+        }
+    }
+}
--- a/crates/ragwortroad_log/src/lib.rs
+++ b/crates/ragwortroad_log/src/lib.rs
@@ -1,1 +1,65 @@
 //! Append-only log and snapshots on one data folder, durable once synced.
+//!
+//! A [`LogFolder`] holds what one member of a replicated group must not forget: its identity, its
+//! vote, the log's entries and the last snapshot. Changes are collected with
+//! [`append`](LogFolder::append) and become durable together with one [`sync`](LogFolder::sync);
+//! nothing may be acknowledged before that call has returned without an error.
+//!
+//! ```
+//! use ragwortroad_log::prelude::*;
+//!
+//! let disk = FakeDisk::default();
+//! let settings = FolderSettings { fresh_identity: 17, ..FolderSettings::default() };
+//! let (mut folder, state) = LogFolder::open_on(DiskPort::Fake(disk.clone()), &settings)?;
+//! assert_eq!(state.identity, 17);
+//! folder.append(&LogChange {
+//!     entries: vec![StoredEntry { index: 1, term: 1, bytes: b"first".to_vec() }],
+//!     ..LogChange::default()
+//! })?;
+//! folder.sync()?;
+//! drop(folder);
+//!
+//! disk.crash(|_| 0);
+//! let (_, state) = LogFolder::open_on(DiskPort::Fake(disk), &settings)?;
+//! assert_eq!(state.entries[0].bytes, b"first");
+//! # Ok::<(), LogError>(())
+//! ```
+
+mod disk_port;
+mod fake_disk;
+mod folder_files;
+mod folder_open;
+mod folder_settings;
+mod log_change;
+mod log_error;
+mod log_folder;
+mod log_record;
+mod real_disk;
+mod record_frame;
+mod record_scan;
+mod stored_entry;
+mod stored_snapshot;
+mod stored_state;
+mod vote_record;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        disk_port::DiskPort,
+        fake_disk::{
+            DiskImage,
+            FakeDisk, //
+        },
+        folder_settings::FolderSettings,
+        log_change::LogChange,
+        log_error::LogError,
+        log_folder::LogFolder,
+        real_disk::RealDisk,
+        stored_entry::StoredEntry,
+        stored_snapshot::StoredSnapshot,
+        stored_state::StoredState,
+        vote_record::VoteRecord, //
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_log/src/log_record.rs
@@ -0,0 +1,51 @@
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    StoredEntry,
+    StoredSnapshot,
+    VoteRecord, //
+};
+
+/// What one record of a file says.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum LogRecord {
+    /// First record of a log file.
+    Header(LogHeader),
+    /// The member's vote.
+    Vote(CountedVote),
+    /// Entries from this index on are dropped.
+    Truncate(u64),
+    /// One more entry.
+    Entry(StoredEntry),
+    /// The one record of a snapshot file.
+    Snapshot(u64, StoredSnapshot),
+}
+
+/// What a log file starts with.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LogHeader {
+    /// Layout of the files.
+    pub(crate) version: u32,
+    /// The folder's identity.
+    pub(crate) identity: u64,
+    /// Counts up with every snapshot; part of the file's name.
+    pub(crate) generation: u64,
+    /// The vote when the file was created.
+    pub(crate) vote: CountedVote,
+    /// Index of the snapshot the file continues from, 0 for none.
+    pub(crate) snapshot_index: u64,
+}
+
+/// A vote with the number of times the vote file had been written before it, plus one.
+///
+/// The vote is in the log and, right after, in a file of its own. If the log alone goes back to an
+/// older copy, the vote file's count is ahead of the log's; if the vote file goes back, it is more
+/// than one behind. Either would let the member vote twice in a term, so neither folder opens.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CountedVote {
+    pub(crate) count: u64,
+    pub(crate) vote: VoteRecord,
+}
--- /dev/null
+++ b/crates/ragwortroad_log/src/real_disk.rs
@@ -0,0 +1,109 @@
+use std::{
+    fs::{
+        self,
+        File,
+        OpenOptions,
+        TryLockError, //
+    },
+    io::{
+        self,
+        Write, //
+    },
+    path::PathBuf,
+};
+
+/// Files of the operating system in one folder.
+#[derive(Debug)]
+pub struct RealDisk {
+    path: PathBuf,
+    /// Held for as long as the folder is open.
+    ///
+    /// Two processes on one folder would each vote from their own memory of it; a second process
+    /// fails to take the lock instead.
+    _lock: File,
+    /// The file written last, kept open because the log is appended to all the time.
+    open: Option<(String, File)>,
+}
+
+/// Name of the file whose lock says that a process uses the folder.
+pub(crate) const LOCK_NAME: &str = "lock";
+
+impl RealDisk {
+    /// Opens the folder at `path`, or creates it; nothing if another process has it open.
+    pub fn open(path: PathBuf) -> io::Result<Option<Self>> {
+        fs::create_dir_all(&path)?;
+        if let Some(parent) = path.parent().filter(|parent| parent.is_dir()) {
+            File::open(parent)?.sync_all()?;
+        }
+        let lock = File::create(path.join(LOCK_NAME))?;
+        match lock.try_lock() {
+            Ok(()) => Ok(Some(Self {
+                path,
+                _lock: lock,
+                open: None,
+            })),
+            Err(TryLockError::WouldBlock) => Ok(None),
+            Err(TryLockError::Error(error)) => Err(error),
+        }
+    }
+
+    pub(crate) fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for item in fs::read_dir(&self.path)? {
+            if let Ok(name) = item?.file_name().into_string() {
+                names.push(name);
+            }
+        }
+        Ok(names)
+    }
+
+    pub(crate) fn read(&self, name: &str) -> io::Result<Vec<u8>> {
+        fs::read(self.path.join(name))
+    }
+
+    pub(crate) fn create(&mut self, name: &str) -> io::Result<()> {
+        let file = File::create(self.path.join(name))?;
+        self.open = Some((name.to_owned(), file));
+        Ok(())
+    }
+
+    pub(crate) fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    pub(crate) fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
+        self.open = None;
+        self.file(name)?.set_len(length)
+    }
+
+    pub(crate) fn sync(&mut self, name: &str) -> io::Result<()> {
+        self.file(name)?.sync_data()
+    }
+
+    pub(crate) fn rename(&mut self, from: &str, to: &str) -> io::Result<()> {
+        self.open = None;
+        fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    pub(crate) fn remove(&mut self, name: &str) -> io::Result<()> {
+        self.open = None;
+        fs::remove_file(self.path.join(name))
+    }
+
+    pub(crate) fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+
+    fn file(&mut self, name: &str) -> io::Result<&mut File> {
+        let is_open = self.open.as_ref().is_some_and(|(open, _)| open == name);
+        if !is_open {
+            let path = self.path.join(name);
+            let file = OpenOptions::new().append(true).open(path)?;
+            self.open = Some((name.to_owned(), file));
+        }
+        match &mut self.open {
+            Some((_, file)) => Ok(file),
+            None => Err(io::ErrorKind::NotFound.into()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_log/src/stored_state.rs
@@ -0,0 +1,24 @@
+use crate::{
+    StoredEntry,
+    StoredSnapshot,
+    VoteRecord, //
+};
+
+/// What a data folder held when it was opened.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct StoredState {
+    /// The folder's identity, drawn when the folder was first used.
+    pub identity: u64,
+    /// Whether this opening created the folder's content.
+    pub is_new: bool,
+    /// The last durable vote.
+    pub vote: VoteRecord,
+    /// The last durable snapshot.
+    pub snapshot: Option<StoredSnapshot>,
+    /// The entries after the snapshot.
+    ///
+    /// Invariant: indexes are contiguous and start right after the snapshot's.
+    pub entries: Vec<StoredEntry>,
+    /// Bytes of an unfinished write that were cut from the log's end.
+    pub cut_bytes: u64,
+}
