Serve callers, endpoints and operators over HTTP

Cause: the product needs its spine, from a caller's question to its complete answer. Change: a hyper server on its own traffic threads; whole and streamed chats, plain services, announcements, operators, typed refusals, drain; exactly one finish for each grant. The types crate gains ChatBody, over whose text nodes and engines compute prefix keys.

--- /dev/null
+++ b/crates/ragwortroad_gateway/src/admit_wait.rs
@@ -0,0 +1,88 @@
+use flume::{
+    Receiver,
+    WeakSender, //
+};
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    AdmitCall,
+    AdmitReply,
+    AttemptOutcome,
+    ControlCall,
+    FinishCall,
+    gateway_state::GatewayState, //
+};
+
+/// The wait for the control thread's reply to one [`AdmitCall`].
+///
+/// A caller can leave between the moment the control thread grants and the moment this side reads
+/// the grant. The grant would then never be given back and count as load for ever. So a dropped
+/// wait reads what is there, and else fills the channel's one place: a later reply fails at the
+/// control thread, which then takes its grant back itself.
+pub(crate) struct AdmitWait<'state> {
+    state: &'state GatewayState,
+    replies: Receiver<AdmitReply>,
+    sender: WeakSender<AdmitReply>,
+    read: bool,
+}
+
+/// The control thread ended before it replied.
+pub(crate) struct ControlGone;
+
+impl<'state> AdmitWait<'state> {
+    pub(crate) async fn ask(
+        state: &'state GatewayState,
+        call: AdmitCall,
+    ) -> Result<AdmitReply, ControlGone> {
+        let (sender, replies) = flume::bounded(1);
+        let mut wait = Self {
+            state,
+            replies,
+            sender: sender.downgrade(),
+            read: false,
+        };
+        state
+            .calls
+            .send_async(ControlCall::Admit(call, sender))
+            .await
+            .map_err(|_| ControlGone)?;
+        let reply = wait.replies.recv_async().await.map_err(|_| ControlGone)?;
+        wait.read = true;
+        Ok(reply)
+    }
+
+    /// Gives back a grant that nobody read; true if there was a reply.
+    fn give_back(&self) -> bool {
+        match self.replies.try_recv() {
+            Ok(AdmitReply::Granted(grant)) => {
+                let finish = FinishCall {
+                    ticket: grant.ticket,
+                    outcome: AttemptOutcome::NotSent,
+                    took: std::time::Duration::ZERO,
+                };
+                if self.state.calls.send(ControlCall::Finish(finish)).is_err() {
+                    tracing::error!("the control thread is gone");
+                }
+                true
+            }
+            Ok(_) => true,
+            Err(_) => false,
+        }
+    }
+}
+
+impl Drop for AdmitWait<'_> {
+    fn drop(&mut self) {
+        if self.read || self.give_back() {
+            return;
+        }
+        if let Some(sender) = self.sender.upgrade() {
+            let code = RefusalCode::InternalFault;
+            let plug = RefusalWire::new(RequestOutcome::NotRun, code, "", RequestId::default());
+            if sender.try_send(AdmitReply::Refused(plug)).is_ok() {
+                return;
+            }
+        }
+        self.give_back();
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/answer_check.rs
@@ -0,0 +1,61 @@
+//! Checks that an endpoint's answer is whole and belongs to the request.
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Limited, //
+};
+use hyper::{
+    Method, Response, StatusCode,
+    body::Incoming,
+    header::{
+        CONTENT_LENGTH,
+        TRANSFER_ENCODING, //
+    },
+};
+use ragwortroad_types::prelude::*;
+
+use crate::reply_maker::REQUEST_ID;
+
+/// Checks that the answer names this request, or, where `must_echo` allows it, none.
+pub(crate) fn check_owner(
+    answer: &Response<Incoming>,
+    request: RequestId,
+    must_echo: bool,
+) -> Result<(), String> {
+    let Some(echo) = answer.headers().get(REQUEST_ID) else {
+        return match must_echo {
+            true => Err("the answer does not name its request".to_owned()),
+            false => Ok(()),
+        };
+    };
+    if echo.as_bytes() == request.to_string().as_bytes() {
+        return Ok(());
+    }
+    Err("the answer belongs to another request".to_owned())
+}
+
+/// Reads a whole body whose end the endpoint marked.
+///
+/// A body that ends with its connection cannot be told from one cut short, so it counts as broken.
+pub(crate) async fn read_whole(
+    method: &Method,
+    answer: Response<Incoming>,
+    limit: usize,
+) -> Result<Bytes, String> {
+    let headers = answer.headers();
+    let marked = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let bodiless = method == Method::HEAD
+        || matches!(
+            answer.status(),
+            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
+        );
+    if !marked && !bodiless {
+        return Err("the answer does not mark its end".to_owned());
+    }
+    let body = Limited::new(answer.into_body(), limit);
+    match body.collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) => Err(format!("the answer is not whole: {error}")),
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/attempt_guard.rs
@@ -0,0 +1,126 @@
+use std::{
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use ragwortroad_types::prelude::*;
+use tokio::time::Instant;
+
+use crate::{
+    AdmitGrant,
+    AttemptOutcome,
+    ControlCall,
+    FinishCall,
+    TicketId,
+    cancel_worker::CancelOrder,
+    gateway_state::GatewayState, //
+};
+
+/// Gives a grant back exactly once, also when the task that holds it is dropped.
+///
+/// A connection's task is dropped in the middle when its caller goes away. Without this guard the
+/// grant would count as load for ever, and the engine would go on with work nobody waits for.
+pub(crate) struct AttemptGuard {
+    state: Arc<GatewayState>,
+    ticket: TicketId,
+    address: SocketAddr,
+    request: RequestId,
+    started: Instant,
+    deadline: Instant,
+    /// Whether bytes may have been sent.
+    sent: bool,
+    /// Whether the endpoint knows `POST /v1/cancel`.
+    cancels: bool,
+    /// Invariant: true once the finish was sent.
+    finished: bool,
+}
+
+impl AttemptGuard {
+    pub(crate) fn new(
+        state: Arc<GatewayState>,
+        grant: &AdmitGrant,
+        request: RequestId,
+        deadline: Instant,
+        cancels: bool,
+    ) -> Self {
+        Self {
+            state,
+            ticket: grant.ticket,
+            address: grant.address,
+            request,
+            started: Instant::now(),
+            deadline,
+            sent: false,
+            cancels,
+            finished: false,
+        }
+    }
+
+    pub(crate) fn mark_sent(&mut self) {
+        self.sent = true;
+    }
+
+    /// Reports the end of the attempt.
+    pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
+        self.report(outcome);
+    }
+
+    fn report(&mut self, outcome: AttemptOutcome) {
+        if self.finished {
+            return;
+        }
+        self.finished = true;
+        let took = self.started.elapsed();
+        let abandoned = matches!(
+            outcome,
+            AttemptOutcome::Cancelled | AttemptOutcome::TimedOut | AttemptOutcome::Broken
+        );
+        metrics::counter!("ragwortroad_attempts_total", "outcome" => outcome_name(&outcome))
+            .increment(1);
+        metrics::histogram!("ragwortroad_attempt_seconds").record(took.as_secs_f64());
+        let finish = FinishCall {
+            ticket: self.ticket,
+            outcome,
+            took,
+        };
+        if self.state.calls.send(ControlCall::Finish(finish)).is_err() {
+            tracing::error!(request = %self.request, "the control thread is gone");
+        }
+        if abandoned && self.sent && self.cancels {
+            self.order_cancel();
+        }
+    }
+
+    fn order_cancel(&self) {
+        let order = CancelOrder {
+            address: self.address,
+            request: self.request,
+        };
+        if self.state.cancels.send(order).is_err() {
+            tracing::debug!(request = %self.request, "no cancel after the gateway's end");
+        }
+    }
+}
+
+impl Drop for AttemptGuard {
+    fn drop(&mut self) {
+        let outcome = if !self.sent {
+            AttemptOutcome::NotSent
+        } else if Instant::now() >= self.deadline {
+            AttemptOutcome::TimedOut
+        } else {
+            AttemptOutcome::Cancelled
+        };
+        self.report(outcome);
+    }
+}
+
+fn outcome_name(outcome: &AttemptOutcome) -> &'static str {
+    match outcome {
+        AttemptOutcome::NotSent => "not_sent",
+        AttemptOutcome::Completed { .. } => "completed",
+        AttemptOutcome::Broken => "broken",
+        AttemptOutcome::Cancelled => "cancelled",
+        AttemptOutcome::TimedOut => "timed_out",
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/caller_socket.rs
@@ -0,0 +1,226 @@
+use std::{
+    future::Future,
+    io,
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
+    time::Duration,
+};
+
+use ragwortroad_types::prelude::*;
+use tokio::{
+    io::{
+        AsyncRead,
+        AsyncWrite,
+        ReadBuf, //
+    },
+    net::TcpStream,
+    time::{
+        Instant,
+        Sleep,
+        sleep_until, //
+    },
+};
+
+use crate::exchange_phase::ExchangePhase;
+
+/// Time limits of a caller's connection.
+#[derive(Clone, Copy)]
+pub(crate) struct SocketLimits {
+    /// Without any byte of a request.
+    pub(crate) idle: Duration,
+    /// From a request's first byte to the end of its head.
+    pub(crate) header: Duration,
+    /// With bytes that the caller does not take.
+    pub(crate) write: Duration,
+}
+
+/// A caller's connection that ends itself when the caller is silent or slow for too long.
+///
+/// Without the limits a caller that opens connections and sends nothing, sends a head one byte at
+/// a time, or never reads its answer holds a connection for ever, and with enough of them shuts
+/// everybody else out. The reply that the HTTP library gives by itself to a head it cannot read is
+/// replaced by a typed refusal, so that every refusal looks the same to a caller.
+pub(crate) struct CallerSocket {
+    stream: TcpStream,
+    limits: SocketLimits,
+    phase: ExchangePhase,
+    request: RequestId,
+    read_timer: Option<Pin<Box<Sleep>>>,
+    write_timer: Option<Pin<Box<Sleep>>>,
+    /// Whether bytes of the request now being read have come.
+    head_begun: bool,
+    /// A refusal that is being written in place of the library's own reply.
+    refusal: Option<RefusalWrite>,
+}
+
+/// A replacement on its way out.
+struct RefusalWrite {
+    bytes: Vec<u8>,
+    written: usize,
+    /// Length of what it replaces.
+    replaced: usize,
+}
+
+impl CallerSocket {
+    pub(crate) fn new(
+        stream: TcpStream,
+        limits: SocketLimits,
+        phase: ExchangePhase,
+        request: RequestId,
+    ) -> Self {
+        Self {
+            stream,
+            limits,
+            phase,
+            request,
+            read_timer: None,
+            write_timer: None,
+            head_begun: false,
+            refusal: None,
+        }
+    }
+
+    /// Fails once the caller has been silent for longer than the present phase allows.
+    fn poll_read_limit(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        if !self.phase.is_reading() {
+            self.head_begun = false;
+            self.read_timer = None;
+            return Poll::Pending;
+        }
+        let limit = match self.head_begun {
+            true => self.limits.header,
+            false => self.limits.idle,
+        };
+        let timer = self
+            .read_timer
+            .get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + limit)));
+        match timer.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(io::ErrorKind::TimedOut.into()),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    /// Notes that bytes came: the head's time runs from its first byte, not from each one.
+    fn note_read(&mut self) {
+        if !self.phase.is_reading() || !self.head_begun {
+            self.read_timer = None;
+        }
+        self.head_begun = self.phase.is_reading();
+    }
+
+    fn poll_write_limit(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
+        let limit = self.limits.write;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + limit)));
+        match timer.as_mut().poll(context) {
+            Poll::Ready(()) => Poll::Ready(io::ErrorKind::TimedOut.into()),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+
+    /// Writes the replacement, and then tells the library that its own bytes are written.
+    fn poll_refusal(&mut self, context: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        while let Some(refusal) = &mut self.refusal {
+            let rest = &refusal.bytes[refusal.written..];
+            if rest.is_empty() {
+                let replaced = refusal.replaced;
+                self.refusal = None;
+                return Poll::Ready(Ok(replaced));
+            }
+            match Pin::new(&mut self.stream).poll_write(context, rest) {
+                Poll::Ready(Ok(count)) => refusal.written += count,
+                Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+                Poll::Pending => return Poll::Pending,
+            }
+        }
+        Poll::Ready(Ok(0))
+    }
+}
+
+/// The typed refusal for a reply of the library's own, if `bytes` are one.
+fn own_refusal(bytes: &[u8], request: RequestId) -> Option<Vec<u8>> {
+    let status = bytes.strip_prefix(b"HTTP/1.1 ")?.get(..3)?;
+    let (code, message) = match status {
+        b"431" | b"414" => (RefusalCode::TooLarge, "the request's head is too large"),
+        [b'4', ..] => (RefusalCode::MalformedRequest, "this is not HTTP/1.1"),
+        _ => return None,
+    };
+    let refusal = RefusalWire::new(RequestOutcome::NotRun, code, message, request);
+    let body = serde_json::to_string(&refusal).ok()?;
+    let status = code.status();
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status} Refused\r\ncontent-type: application/json\r\n\
+         x-request-id: {request}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n"
+    );
+    Some((head + &body).into_bytes())
+}
+
+impl AsyncRead for CallerSocket {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let socket = self.get_mut();
+        match Pin::new(&mut socket.stream).poll_read(context, buffer) {
+            Poll::Ready(done) => {
+                socket.note_read();
+                // A head that trickles in must not restart its own limit with every byte.
+                match socket.head_begun {
+                    true => match socket.poll_read_limit(context) {
+                        Poll::Ready(error) => Poll::Ready(Err(error)),
+                        Poll::Pending => Poll::Ready(done),
+                    },
+                    false => Poll::Ready(done),
+                }
+            }
+            Poll::Pending => socket.poll_read_limit(context).map(Err),
+        }
+    }
+}
+
+impl AsyncWrite for CallerSocket {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let socket = self.get_mut();
+        if socket.refusal.is_none() && socket.phase.is_reading() {
+            socket.refusal = own_refusal(bytes, socket.request).map(|refusal| RefusalWrite {
+                bytes: refusal,
+                written: 0,
+                replaced: bytes.len(),
+            });
+        }
+        let written = match socket.refusal.is_some() {
+            true => socket.poll_refusal(context),
+            false => Pin::new(&mut socket.stream).poll_write(context, bytes),
+        };
+        match written {
+            Poll::Ready(done) => {
+                socket.write_timer = None;
+                Poll::Ready(done)
+            }
+            Poll::Pending => socket.poll_write_limit(context).map(Err),
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let socket = self.get_mut();
+        let flushed = Pin::new(&mut socket.stream).poll_flush(context);
+        if flushed.is_ready() {
+            socket.phase.flushed();
+        }
+        flushed
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.get_mut().stream).poll_shutdown(context)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/connection_loop.rs
@@ -0,0 +1,140 @@
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
+
+use hyper::{
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use ragwortroad_types::prelude::*;
+use tokio::{
+    io::AsyncWriteExt,
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    sync::watch,
+    task::JoinSet,
+    time::{
+        sleep,
+        timeout, //
+    },
+};
+
+use crate::{
+    caller_socket::{
+        CallerSocket,
+        SocketLimits, //
+    },
+    exchange_phase::ExchangePhase,
+    gateway_state::GatewayState,
+    request_router::route_request,
+    stop_signal::until_stopped, //
+};
+
+/// Pause after an accept that failed, for example for want of file descriptors: without it the
+/// loop would spin on the same error.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Time to tell a caller that there are too many connections.
+const TURN_AWAY_TIME: Duration = Duration::from_millis(200);
+
+/// Most callers turned away at once; beyond that they are closed without a word.
+const TURNED_AWAY_AT_ONCE: usize = 64;
+
+/// Accepts callers until `stop` turns true, then ends the connections that are idle and awaits
+/// the others.
+pub(crate) async fn run_connections(
+    state: Arc<GatewayState>,
+    listener: TcpListener,
+    mut stop: watch::Receiver<bool>,
+) {
+    let mut connections = JoinSet::new();
+    let mut turned_away = JoinSet::new();
+    let watch = stop.clone();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) if connections.len() < state.settings.max_connections => {
+                    connections.spawn(serve_caller(Arc::clone(&state), stream, watch.clone()));
+                }
+                Ok((stream, _)) => {
+                    metrics::counter!("ragwortroad_connections_refused_total").increment(1);
+                    if turned_away.len() < TURNED_AWAY_AT_ONCE {
+                        turned_away.spawn(timeout(TURN_AWAY_TIME, turn_away(state.draw_request(), stream)));
+                    }
+                }
+                Err(error) => {
+                    tracing::warn!(%error, "a connection could not be accepted");
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+            Some(_) = turned_away.join_next() => {}
+            () = until_stopped(&mut stop) => {
+                break;
+            }
+        }
+        metrics::gauge!("ragwortroad_connections").set(connections.len() as f64);
+    }
+    drop(listener);
+    while connections.join_next().await.is_some() {}
+    while turned_away.join_next().await.is_some() {}
+}
+
+async fn serve_caller(
+    state: Arc<GatewayState>,
+    stream: TcpStream,
+    mut stop: watch::Receiver<bool>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "a caller's socket is gone");
+        return;
+    }
+    let settings = &state.settings;
+    let limits = SocketLimits {
+        idle: settings.idle_timeout,
+        header: settings.header_timeout,
+        write: settings.write_timeout,
+    };
+    let max_header = settings.max_header.max(8192);
+    let phase = ExchangePhase::default();
+    let socket = CallerSocket::new(stream, limits, phase.clone(), state.draw_request());
+    let service = service_fn(|request| route_request(Arc::clone(&state), phase.clone(), request));
+    let connection = http1::Builder::new()
+        .max_buf_size(max_header)
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => ended,
+        () = until_stopped(&mut stop) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        tracing::debug!(%error, "a caller's connection ended");
+    }
+}
+
+/// Tells a caller beyond the limit of connections so, and closes.
+async fn turn_away(request: RequestId, mut stream: TcpStream) {
+    let code = RefusalCode::Overloaded;
+    let message = "this node has no room for another connection";
+    let mut refusal = RefusalWire::new(RequestOutcome::NotRun, code, message, request);
+    refusal.error.retry_after_ms = Some(1000);
+    let Ok(body) = serde_json::to_string(&refusal) else {
+        return;
+    };
+    let status = code.status();
+    let length = body.len();
+    let head = format!(
+        "HTTP/1.1 {status} Refused\r\ncontent-type: application/json\r\nretry-after: 1\r\n\
+         content-length: {length}\r\nconnection: close\r\n\r\n"
+    );
+    if let Err(error) = stream.write_all((head + &body).as_bytes()).await {
+        tracing::debug!(%error, "a caller turned away was gone");
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/control_ask.rs
@@ -0,0 +1,33 @@
+use flume::Sender;
+use ragwortroad_types::prelude::*;
+use tokio::time::timeout_at;
+
+use crate::{
+    ControlCall,
+    gateway_state::GatewayState,
+    request_context::RequestContext, //
+};
+
+/// Sends a call that takes nothing from the control thread, and awaits its reply.
+pub(crate) async fn ask_control<Reply>(
+    state: &GatewayState,
+    context: &RequestContext,
+    make: impl FnOnce(Sender<Reply>) -> ControlCall,
+) -> Result<Reply, RefusalWire> {
+    let (sender, replies) = flume::bounded(1);
+    let asked = async {
+        state.calls.send_async(make(sender)).await.ok()?;
+        replies.recv_async().await.ok()
+    };
+    match timeout_at(context.deadline, asked).await {
+        Ok(Some(reply)) => Ok(reply),
+        Ok(None) => {
+            let message = "the node's control thread has ended";
+            Err(context.not_run(RefusalCode::InternalFault, message))
+        }
+        Err(_) => {
+            let message = "the node did not decide in time";
+            Err(context.not_run(RefusalCode::DeadlinePassed, message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/engine_request.rs
@@ -0,0 +1,57 @@
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Method,
+    Request, //
+};
+use ragwortroad_types::prelude::*;
+use serde_json::Value;
+
+use crate::{
+    AdmitGrant,
+    reply_maker::REQUEST_ID,
+    request_context::{
+        DEADLINE,
+        RequestContext, //
+    },
+    stream_cursor::StreamCursor,
+};
+
+/// The engines' path for chats.
+const ENGINE_PATH: &str = "/v1/chat/completions";
+
+/// A model request as the engine gets it: the caller's body, and headers from the grant.
+pub(crate) fn engine_request(
+    context: &RequestContext,
+    grant: &AdmitGrant,
+    body: Bytes,
+) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::builder()
+        .method(Method::POST)
+        .uri(ENGINE_PATH)
+        .header("host", grant.address.to_string())
+        .header("content-type", "application/json")
+        .header(REQUEST_ID, context.request.to_string())
+        .header("x-customer", grant.customer.as_str())
+        .header("x-priority", grant.priority.to_string())
+        .header(DEADLINE, context.time_left().as_millis().to_string());
+    if let Some(version) = &grant.version {
+        request = request.header("x-model-version", version.as_str());
+    }
+    request.body(Full::new(body)).ok()
+}
+
+/// The body for an engine that is to go on behind the tokens the caller has.
+pub(crate) fn resume_body(body: &Bytes, cursor: &StreamCursor) -> Bytes {
+    if cursor.tokens == 0 {
+        return body.clone();
+    }
+    let Ok(mut chat) = serde_json::from_slice::<ChatBody>(body) else {
+        return body.clone();
+    };
+    chat.resume_from = Some(cursor.tokens);
+    chat.resume_text = Some(cursor.text.clone());
+    // The serialised form of a body that was parsed from JSON is JSON again.
+    let value = serde_json::to_value(&chat).unwrap_or(Value::Null);
+    Bytes::from(value.to_string())
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/gateway_server.rs
@@ -0,0 +1,159 @@
+use std::{
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    sync::Arc,
+    time::Duration,
+};
+
+use flume::Sender;
+use snafu::ResultExt;
+use socket2::{
+    Domain,
+    Protocol,
+    Socket,
+    Type, //
+};
+use tokio::{
+    runtime::{
+        Builder,
+        Runtime, //
+    },
+    sync::{
+        mpsc,
+        watch, //
+    },
+    task::JoinHandle,
+    time::timeout,
+};
+
+use crate::{
+    ControlCall,
+    GatewayError,
+    GatewayPages,
+    GatewaySettings,
+    cancel_worker::run_cancels,
+    connection_loop::run_connections,
+    gateway_error::{
+        ListenSnafu,
+        ThreadsSnafu, //
+    },
+    gateway_state::GatewayState, //
+};
+
+/// Connections that wait to be accepted.
+const BACKLOG: i32 = 1024;
+
+/// Time for connections to close once no request is in flight.
+const CLOSE_TIME: Duration = Duration::from_secs(5);
+
+/// HTTP towards callers, endpoints and operators, on its own traffic threads.
+pub struct GatewayServer {
+    state: Arc<GatewayState>,
+    address: SocketAddr,
+    runtime: Runtime,
+    stop: watch::Sender<bool>,
+    connections: JoinHandle<()>,
+    cancels: JoinHandle<()>,
+}
+
+impl GatewayServer {
+    /// Listens and serves. Every decision is asked for over `calls`, which should be unbounded:
+    /// a traffic thread that ends an attempt sends without waiting.
+    pub fn start(
+        settings: GatewaySettings,
+        calls: Sender<ControlCall>,
+        pages: GatewayPages,
+    ) -> Result<Self, GatewayError> {
+        let listener = bind_listener(settings.listen).context(ListenSnafu {
+            address: settings.listen,
+        })?;
+        let address = listener.local_addr().context(ListenSnafu {
+            address: settings.listen,
+        })?;
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(settings.traffic_threads.max(1))
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .context(ThreadsSnafu)?;
+        let listener = {
+            let _entered = runtime.enter();
+            tokio::net::TcpListener::from_std(listener).context(ListenSnafu { address })?
+        };
+        let (orders, order_queue) = mpsc::unbounded_channel();
+        let (stop, stopped) = watch::channel(false);
+        let state = Arc::new(GatewayState::new(settings, calls, pages, orders));
+        let accept = run_connections(Arc::clone(&state), listener, stopped.clone());
+        let connections = runtime.spawn(accept);
+        let cancels = runtime.spawn(run_cancels(order_queue, stopped));
+        Ok(Self {
+            state,
+            address,
+            runtime,
+            stop,
+            connections,
+            cancels,
+        })
+    }
+
+    /// The address it listens on.
+    pub fn local_address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// From now on refuses new requests with other nodes' addresses; those in flight go on.
+    pub fn begin_drain(&self) {
+        self.state.begin_drain();
+    }
+
+    /// Requests between their head and the last byte of their answer.
+    pub fn in_flight(&self) -> usize {
+        self.state.in_flight()
+    }
+
+    /// Drains, waits for every request in flight, and joins all tasks and threads.
+    ///
+    /// The control thread must answer until this returns. No request waits longer than its
+    /// deadline, so neither does this.
+    pub fn join(self) {
+        self.begin_drain();
+        let Self {
+            state,
+            runtime,
+            stop,
+            connections,
+            cancels,
+            ..
+        } = self;
+        runtime.block_on(async {
+            state.all_landed().await;
+            stop.send_replace(true);
+            let closing = async {
+                for task in [connections, cancels] {
+                    if let Err(error) = task.await {
+                        tracing::error!(%error, "a task of the gateway failed");
+                    }
+                }
+            };
+            if timeout(CLOSE_TIME, closing).await.is_err() {
+                tracing::warn!("connections without a request were cut");
+            }
+            state.pool.clear();
+        });
+        // Dropping the runtime joins its threads; tasks that are left are dropped at once.
+        drop(runtime);
+    }
+}
+
+/// A listener that can take the address of a process that ended a moment ago.
+fn bind_listener(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    Ok(socket.into())
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/gateway_settings.rs
@@ -0,0 +1,70 @@
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    time::Duration,
+};
+
+/// How a [`GatewayServer`](crate::GatewayServer) listens and what it allows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct GatewaySettings {
+    /// Where to listen; port 0 takes a free one.
+    pub listen: SocketAddr,
+    /// Number of traffic threads.
+    pub traffic_threads: usize,
+    /// Longest request body in bytes.
+    pub max_body: usize,
+    /// Longest request head in bytes.
+    pub max_header: usize,
+    /// Longest answer of an endpoint, in bytes, that is not a stream.
+    pub max_answer: usize,
+    /// Longest answer that is handed to the control thread to be kept under its key.
+    pub max_recorded: usize,
+    /// Connections of callers at once.
+    pub max_connections: usize,
+    /// How long a connection may stay without a request.
+    pub idle_timeout: Duration,
+    /// How long a caller may take over a request's head.
+    pub header_timeout: Duration,
+    /// How long a caller may take over a request's body.
+    pub body_timeout: Duration,
+    /// How long a caller may leave bytes of its answer unread.
+    pub write_timeout: Duration,
+    /// How long a connection to an endpoint may take to open.
+    pub connect_timeout: Duration,
+    /// How long a stream may stay without a byte before it counts as broken.
+    pub stream_timeout: Duration,
+    /// Deadline of a request that names none.
+    pub default_deadline: Duration,
+    /// Longest deadline a request may name.
+    pub max_deadline: Duration,
+    /// Attempts for one request, whatever the control thread would grant.
+    pub max_attempts: u32,
+    /// Whether an engine's answer without `X-Request-Id` counts as broken.
+    pub engines_must_echo: bool,
+}
+
+impl Default for GatewaySettings {
+    fn default() -> Self {
+        Self {
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            traffic_threads: 2,
+            max_body: 4 << 20,
+            max_header: 16 << 10,
+            max_answer: 16 << 20,
+            max_recorded: 64 << 10,
+            max_connections: 4096,
+            idle_timeout: Duration::from_secs(60),
+            header_timeout: Duration::from_secs(10),
+            body_timeout: Duration::from_secs(30),
+            write_timeout: Duration::from_secs(20),
+            connect_timeout: Duration::from_secs(1),
+            stream_timeout: Duration::from_secs(30),
+            default_deadline: Duration::from_secs(120),
+            max_deadline: Duration::from_secs(900),
+            max_attempts: 6,
+            engines_must_echo: true,
+        }
+    }
+}
--- a/crates/ragwortroad_gateway/src/lib.rs
+++ b/crates/ragwortroad_gateway/src/lib.rs
@@ -12,7 +12,38 @@
 //! drop(calls);
 //! ```
 
+mod admit_wait;
+mod answer_check;
+mod attempt_guard;
+mod body_reader;
 mod call;
+mod caller_socket;
+mod cancel_worker;
+mod chunk_wire;
+mod connection_loop;
+mod control_ask;
+mod endpoint_link;
+mod endpoint_pool;
+mod engine_request;
+mod exchange_phase;
+mod gateway_error;
+mod gateway_pages;
+mod gateway_server;
+mod gateway_settings;
+mod gateway_state;
+mod model_relay;
+mod page_handlers;
+mod query_values;
+mod reply_body;
+mod reply_maker;
+mod request_context;
+mod request_flow;
+mod request_router;
+mod service_relay;
+mod sse_splitter;
+mod stop_signal;
+mod stream_cursor;
+mod stream_relay;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
@@ -37,6 +68,12 @@
         },
         ticket_id::TicketId,
     };
+    pub use crate::{
+        gateway_error::GatewayError,
+        gateway_pages::GatewayPages,
+        gateway_server::GatewayServer,
+        gateway_settings::GatewaySettings, //
+    };
 }
 
 pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -0,0 +1,226 @@
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyper::{
+    Method,
+    Response,
+    StatusCode,
+    body::Incoming, //
+};
+use ragwortroad_types::prelude::*;
+use tokio::time::timeout_at;
+
+use crate::{
+    AdmitCall, AttemptOutcome, RequestTarget,
+    answer_check::{
+        check_owner,
+        read_whole, //
+    },
+    chunk_wire::UsageWire,
+    engine_request::engine_request,
+    gateway_state::GatewayState,
+    reply_body::ReplyBody,
+    reply_maker::{
+        PLACEMENT_HINT,
+        recorded_reply,
+        set_header,
+        text_reply, //
+    },
+    request_context::{
+        RequestContext,
+        hash_request, //
+    },
+    request_flow::{
+        FlowEnd,
+        OpenAttempt,
+        RequestFlow, //
+    },
+    stream_relay::stream_reply,
+};
+
+/// A whole answer's parts that the gateway reads.
+#[derive(Debug, serde::Deserialize)]
+struct WholeWire {
+    #[serde(default)]
+    usage: Option<UsageWire>,
+}
+
+/// Serves `POST /v1/chat/completions`.
+pub(crate) async fn relay_model(
+    state: Arc<GatewayState>,
+    context: RequestContext,
+    body: Bytes,
+) -> Result<Response<ReplyBody>, RefusalWire> {
+    let chat: ChatBody = serde_json::from_slice(&body).map_err(|error| {
+        let message = format!("the body is not a chat in the OpenAI format: {error}");
+        context.not_run(RefusalCode::MalformedRequest, message)
+    })?;
+    if chat.resume_from.is_some() || chat.resume_text.is_some() {
+        let message = "'resume_from' and 'resume_text' are between nodes and engines only";
+        return Err(context.not_run(RefusalCode::MalformedRequest, message));
+    }
+    let call = admit_call(&context, &chat, &body)?;
+    let streamed = chat.stream;
+    drop(chat);
+    let deadline = context.deadline;
+    let mut flow = RequestFlow::new(state, context, call);
+    let served = match streamed {
+        false => timeout_at(deadline, serve_whole(&mut flow, &body)).await,
+        true => match timeout_at(deadline, open_engine(&mut flow, &body)).await {
+            Ok(Ok(EngineAnswer::Good(good))) => {
+                return Ok(stream_reply(flow, body, *good));
+            }
+            Ok(Ok(EngineAnswer::Refusal(reply))) => Ok(Ok(reply)),
+            Ok(Err(end)) => Ok(Err(end)),
+            Err(elapsed) => Err(elapsed),
+        },
+    };
+    match served {
+        Ok(Ok(reply)) => Ok(reply),
+        Ok(Err(FlowEnd::Recorded(answer))) => Ok(recorded_reply(answer)),
+        Ok(Err(FlowEnd::Refused(refusal))) => Err(*refusal),
+        Err(_) => Err(flow.overdue()),
+    }
+}
+
+fn admit_call(
+    context: &RequestContext,
+    chat: &ChatBody,
+    body: &Bytes,
+) -> Result<AdmitCall, RefusalWire> {
+    let (model, adapter) = chat.model_parts();
+    Ok(AdmitCall {
+        request: context.request,
+        key_hash: context.require_key()?,
+        target: RequestTarget::Model {
+            model: model.to_owned(),
+            adapter: adapter.map(str::to_owned),
+        },
+        chat: chat.chat_id.clone().or_else(|| context.chat.clone()),
+        hint: context.hint.clone(),
+        prompt: chat.prompt_text(),
+        idempotent: true,
+        idempotency_key: context.idempotency_key.clone(),
+        body_hash: hash_request("POST", "/v1/chat/completions", body),
+        body_length: body.len() as u64,
+        token_limit: chat.max_tokens,
+        time_left: context.time_left(),
+        retry_of: None,
+        excluded: Vec::new(),
+    })
+}
+
+/// What an engine said in its answer's head.
+pub(crate) enum EngineAnswer {
+    /// The answer follows.
+    Good(Box<GoodAnswer>),
+    /// The engine refused the request itself, for example as malformed.
+    Refusal(Response<ReplyBody>),
+}
+
+/// An answer that began well, with the attempt that it belongs to.
+pub(crate) struct GoodAnswer {
+    pub(crate) attempt: OpenAttempt,
+    pub(crate) answer: Response<Incoming>,
+}
+
+/// Opens attempts until an engine's answer begins well.
+pub(crate) async fn open_engine(
+    flow: &mut RequestFlow,
+    body: &Bytes,
+) -> Result<EngineAnswer, FlowEnd> {
+    loop {
+        let mut attempt = flow.open().await?;
+        let context = flow.context.clone();
+        let make = |grant: &crate::AdmitGrant| engine_request(&context, grant, body.clone());
+        let must_echo = flow.state.settings.engines_must_echo;
+        let answer = flow.exchange(&mut attempt, make).await;
+        let answer = answer.and_then(|answer| {
+            check_owner(&answer, context.request, must_echo)?;
+            Ok(answer)
+        });
+        let why = match answer {
+            Ok(answer) if answer.status() == StatusCode::OK => {
+                return Ok(EngineAnswer::Good(Box::new(GoodAnswer { attempt, answer })));
+            }
+            Ok(answer) if is_callers_fault(answer.status()) => {
+                match pass_refusal(flow, attempt, answer).await? {
+                    Some(reply) => return Ok(EngineAnswer::Refusal(reply)),
+                    None => continue,
+                }
+            }
+            Ok(answer) => format!("the engine answered with status {}", answer.status()),
+            Err(why) => why,
+        };
+        flow.broken(&attempt.grant, attempt.guard, &why)?;
+    }
+}
+
+/// Whether another engine would refuse the request as well.
+fn is_callers_fault(status: StatusCode) -> bool {
+    let elsewhere = [
+        StatusCode::NOT_FOUND,
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::CONFLICT,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    status.is_client_error() && !elsewhere.contains(&status)
+}
+
+/// Hands an engine's own refusal to the caller, or nothing where the refusal broke off.
+async fn pass_refusal(
+    flow: &mut RequestFlow,
+    attempt: OpenAttempt,
+    answer: Response<Incoming>,
+) -> Result<Option<Response<ReplyBody>>, FlowEnd> {
+    let status = answer.status().as_u16();
+    let limit = flow.state.settings.max_answer;
+    match read_whole(&Method::POST, answer, limit).await {
+        Ok(bytes) => {
+            attempt.guard.finish(AttemptOutcome::Completed {
+                status,
+                answer: None,
+                cached_tokens: None,
+            });
+            let text = String::from_utf8_lossy(&bytes).into_owned();
+            Ok(Some(text_reply(status, "application/json", text)))
+        }
+        Err(why) => {
+            flow.broken(&attempt.grant, attempt.guard, &why)?;
+            Ok(None)
+        }
+    }
+}
+
+async fn serve_whole(flow: &mut RequestFlow, body: &Bytes) -> Result<Response<ReplyBody>, FlowEnd> {
+    loop {
+        let GoodAnswer { attempt, answer } = match open_engine(flow, body).await? {
+            EngineAnswer::Good(good) => *good,
+            EngineAnswer::Refusal(reply) => return Ok(reply),
+        };
+        let limit = flow.state.settings.max_answer;
+        let whole = read_whole(&Method::POST, answer, limit).await;
+        let parsed = whole.and_then(|bytes| {
+            let wire = serde_json::from_slice::<WholeWire>(&bytes)
+                .map_err(|error| format!("the answer is not JSON: {error}"))?;
+            Ok((bytes, wire))
+        });
+        let (bytes, wire) = match parsed {
+            Ok(parsed) => parsed,
+            Err(why) => {
+                flow.broken(&attempt.grant, attempt.guard, &why)?;
+                continue;
+            }
+        };
+        let mut reply = Response::new(ReplyBody::whole(bytes));
+        set_header(&mut reply, "content-type", "application/json");
+        set_header(&mut reply, PLACEMENT_HINT, &attempt.grant.hint);
+        attempt.guard.finish(AttemptOutcome::Completed {
+            status: 200,
+            answer: None,
+            cached_tokens: wire.usage.and_then(|usage| usage.cached_tokens()),
+        });
+        flow.state.pool.put(attempt.link);
+        return Ok(reply);
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/reply_body.rs
@@ -0,0 +1,119 @@
+use std::{
+    convert::Infallible,
+    future::Future,
+    pin::Pin,
+    task::{
+        Context,
+        Poll, //
+    },
+};
+
+use bytes::Bytes;
+use hyper::body::{
+    Body,
+    Frame,
+    SizeHint, //
+};
+use tokio::sync::mpsc;
+
+use crate::{
+    exchange_phase::PhaseGuard,
+    gateway_state::FlightGuard, //
+};
+
+/// The work that feeds a stream.
+type RelayFuture = Pin<Box<dyn Future<Output = ()> + Send>>;
+
+/// The body of an answer to a caller.
+///
+/// A stream's relay runs inside the body: the connection that writes the answer owns the work that
+/// makes it, so a caller that goes away ends the work with no task left behind.
+pub(crate) struct ReplyBody {
+    source: BodySource,
+    /// Keeps the request counted as in flight until the connection has taken the last byte.
+    guards: Option<(FlightGuard, PhaseGuard)>,
+}
+
+/// Where the bytes come from.
+enum BodySource {
+    Whole(Option<Bytes>),
+    Stream {
+        events: mpsc::Receiver<Bytes>,
+        relay: Option<RelayFuture>,
+    },
+}
+
+impl ReplyBody {
+    pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self {
+            source: BodySource::Whole(Some(bytes.into())),
+            guards: None,
+        }
+    }
+
+    /// A body that `relay` feeds through the channel's other end.
+    pub(crate) fn stream(
+        events: mpsc::Receiver<Bytes>,
+        relay: impl Future<Output = ()> + Send + 'static,
+    ) -> Self {
+        Self {
+            source: BodySource::Stream {
+                events,
+                relay: Some(Box::pin(relay)),
+            },
+            guards: None,
+        }
+    }
+
+    pub(crate) fn with_guards(mut self, flight: FlightGuard, phase: PhaseGuard) -> Self {
+        self.guards = Some((flight, phase));
+        self
+    }
+}
+
+/// The next piece of a stream: what is in the channel first, else what the relay makes now.
+fn poll_stream(
+    events: &mut mpsc::Receiver<Bytes>,
+    relay: &mut Option<RelayFuture>,
+    context: &mut Context<'_>,
+) -> Poll<Option<Bytes>> {
+    if let Poll::Ready(event) = events.poll_recv(context) {
+        return Poll::Ready(event);
+    }
+    if let Some(work) = relay {
+        if work.as_mut().poll(context).is_ready() {
+            *relay = None;
+        }
+        return events.poll_recv(context);
+    }
+    Poll::Pending
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        let bytes = match &mut self.source {
+            BodySource::Whole(bytes) => Poll::Ready(bytes.take()),
+            BodySource::Stream { events, relay } => poll_stream(events, relay, context),
+        };
+        bytes.map(|bytes| bytes.map(|bytes| Ok(Frame::data(bytes))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(&self.source, BodySource::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            BodySource::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
+            }
+            BodySource::Stream { .. } => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/request_context.rs
@@ -0,0 +1,104 @@
+use std::time::Duration;
+
+use data_encoding::HEXLOWER;
+use hyper::{
+    HeaderMap,
+    header::AUTHORIZATION, //
+};
+use ragwortroad_types::prelude::*;
+use sha2::{
+    Digest,
+    Sha256, //
+};
+use tokio::time::Instant;
+
+use crate::{
+    GatewaySettings,
+    reply_maker::PLACEMENT_HINT, //
+};
+
+/// Header with the milliseconds that the caller gives the request.
+pub(crate) const DEADLINE: &str = "x-deadline-ms";
+
+/// Header with the chat that a request continues.
+pub(crate) const CHAT_ID: &str = "x-chat-id";
+
+/// Header with the caller's idempotency key.
+pub(crate) const IDEMPOTENCY_KEY: &str = "idempotency-key";
+
+/// What every request brings besides its body.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestContext {
+    pub(crate) request: RequestId,
+    /// SHA-256 of the bearer key, if one was sent.
+    pub(crate) key_hash: Option<[u8; 32]>,
+    pub(crate) deadline: Instant,
+    pub(crate) chat: Option<String>,
+    pub(crate) hint: Option<String>,
+    pub(crate) idempotency_key: Option<String>,
+}
+
+impl RequestContext {
+    pub(crate) fn new(request: RequestId, headers: &HeaderMap, settings: &GatewaySettings) -> Self {
+        let text = |name: &str| {
+            let value = headers.get(name)?.to_str().ok()?;
+            Some(value.to_owned())
+        };
+        let named = text(DEADLINE).and_then(|value| value.parse().ok());
+        let allowed = named.map_or(settings.default_deadline, Duration::from_millis);
+        Self {
+            request,
+            key_hash: bearer_hash(headers),
+            deadline: Instant::now() + allowed.min(settings.max_deadline),
+            chat: text(CHAT_ID),
+            hint: text(PLACEMENT_HINT),
+            idempotency_key: text(IDEMPOTENCY_KEY),
+        }
+    }
+
+    pub(crate) fn time_left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// The key's hash, or the refusal for a request without a key.
+    pub(crate) fn require_key(&self) -> Result<[u8; 32], RefusalWire> {
+        self.key_hash
+            .ok_or_else(|| self.not_run(RefusalCode::WrongKey, "no key was sent"))
+    }
+
+    /// A refusal for a request of which nothing can have reached an endpoint.
+    pub(crate) fn not_run(&self, code: RefusalCode, message: impl Into<String>) -> RefusalWire {
+        RefusalWire::new(RequestOutcome::NotRun, code, message, self.request)
+    }
+
+    /// A refusal for a request that may have run.
+    pub(crate) fn unknown(&self, code: RefusalCode, message: impl Into<String>) -> RefusalWire {
+        RefusalWire::new(RequestOutcome::Unknown, code, message, self.request)
+    }
+}
+
+/// SHA-256 of the key in `Authorization: Bearer KEY`; the key itself is never kept.
+fn bearer_hash(headers: &HeaderMap) -> Option<[u8; 32]> {
+    let value = headers.get(AUTHORIZATION)?.to_str().ok()?;
+    let (scheme, key) = value.split_once(' ')?;
+    if !scheme.eq_ignore_ascii_case("bearer") {
+        return None;
+    }
+    Some(Sha256::digest(key.trim().as_bytes()).into())
+}
+
+/// SHA-256 over method, path and body, by which a repeated request is told from a reused key.
+pub(crate) fn hash_request(method: &str, path: &str, body: &[u8]) -> [u8; 32] {
+    let mut hasher = Sha256::new();
+    for part in [method.as_bytes(), path.as_bytes()] {
+        hasher.update((part.len() as u64).to_le_bytes());
+        hasher.update(part);
+    }
+    hasher.update(body);
+    hasher.finalize().into()
+}
+
+/// A short form of a key's hash for the log, which must not help anyone to guess the key.
+pub(crate) fn short_hash(hash: &[u8; 32]) -> String {
+    HEXLOWER.encode(&hash[..4])
+}
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/stream_cursor.rs
@@ -0,0 +1,135 @@
+use crate::{
+    chunk_wire::{
+        ChunkChoice,
+        ChunkWire, //
+    },
+    sse_splitter::event_data, //
+};
+
+/// The caller's place in a streamed answer, kept over all attempts.
+///
+/// A stream that breaks goes on at another engine. Whether a token was handed over is known here
+/// and nowhere else, so here it is decided which events of which attempt the caller gets.
+#[derive(Debug, Default)]
+pub(crate) struct StreamCursor {
+    /// Tokens handed to the caller.
+    pub(crate) tokens: u32,
+    /// Their text.
+    pub(crate) text: String,
+    /// Prompt tokens the engine found in its cache.
+    pub(crate) cached_tokens: Option<u32>,
+    /// Whether an event of any kind was handed to the caller.
+    begun: bool,
+    /// Whether the event with the reason for the end was handed over.
+    finished: bool,
+    /// Whether the answer has parts that cannot be counted as tokens of one text.
+    uncounted: bool,
+    /// Identity in the chunks of the present attempt.
+    ///
+    /// Invariant: set by an attempt's first chunk, equal in all that follow.
+    attempt_id: Option<String>,
+    /// Whether the present attempt is not the first.
+    resumed: bool,
+}
+
+/// What to do with one event.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum EventStep {
+    /// Hand it to the caller.
+    Forward,
+    /// The caller has it already, or needs it once only.
+    Skip,
+    /// The answer's final marker.
+    Done,
+    /// The stream is not what it should be.
+    Broken(&'static str),
+}
+
+impl StreamCursor {
+    /// Whether another engine can go on where this stream stands.
+    pub(crate) fn can_resume(&self) -> bool {
+        !self.uncounted
+    }
+
+    /// Readies the cursor for the next attempt.
+    pub(crate) fn begin_attempt(&mut self) {
+        self.attempt_id = None;
+        self.resumed = self.begun;
+    }
+
+    /// Judges the next event, and counts it where it goes to the caller.
+    pub(crate) fn step(&mut self, event: &[u8]) -> EventStep {
+        let Some(data) = event_data(event) else {
+            return EventStep::Forward;
+        };
+        if data == b"[DONE]" {
+            return EventStep::Done;
+        }
+        let Ok(chunk) = serde_json::from_slice::<ChunkWire<'_>>(data) else {
+            return EventStep::Broken("an event is not a chunk in JSON");
+        };
+        if chunk.error.is_some() {
+            return EventStep::Broken("the engine reported an error in the stream");
+        }
+        if !self.same_answer(&chunk) {
+            return EventStep::Broken("the stream went over to another answer");
+        }
+        if let Some(usage) = &chunk.usage {
+            self.cached_tokens = self.cached_tokens.or(usage.cached_tokens());
+        }
+        let step = self.judge(&chunk);
+        self.begun |= step == EventStep::Forward;
+        step
+    }
+
+    fn same_answer(&mut self, chunk: &ChunkWire<'_>) -> bool {
+        let Some(id) = chunk.id.as_deref() else {
+            return true;
+        };
+        match &self.attempt_id {
+            Some(first) => first == id,
+            None => {
+                self.attempt_id = Some(id.to_owned());
+                true
+            }
+        }
+    }
+
+    fn judge(&mut self, chunk: &ChunkWire<'_>) -> EventStep {
+        let odd = |choice: &ChunkChoice<'_>| choice.index > 0 || choice.delta.tool_calls.is_some();
+        if chunk.choices.iter().any(odd) {
+            self.uncounted = true;
+        }
+        let first = chunk.choices.first();
+        let content = first.and_then(|choice| choice.delta.content.as_deref());
+        let ends = first.is_some_and(|choice| choice.finish_reason.is_some());
+        match content {
+            Some(content) if !content.is_empty() => self.take_tokens(chunk, content, ends),
+            _ if ends => self.take_end(),
+            _ if self.resumed && chunk.usage.is_none() => EventStep::Skip,
+            _ => EventStep::Forward,
+        }
+    }
+
+    fn take_tokens(&mut self, chunk: &ChunkWire<'_>, content: &str, ends: bool) -> EventStep {
+        match chunk.token_index {
+            Some(index) if index < self.tokens => return EventStep::Skip,
+            Some(index) if index > self.tokens => {
+                return EventStep::Broken("a token is missing in the stream");
+            }
+            _ => {}
+        }
+        self.tokens += chunk.token_count.unwrap_or(1);
+        self.text.push_str(content);
+        self.finished |= ends;
+        EventStep::Forward
+    }
+
+    fn take_end(&mut self) -> EventStep {
+        if self.finished {
+            return EventStep::Skip;
+        }
+        self.finished = true;
+        EventStep::Forward
+    }
+}
--- a/crates/ragwortroad_types/src/lib.rs
+++ b/crates/ragwortroad_types/src/lib.rs
@@ -14,6 +14,7 @@
 mod announce_answer;
 mod announce_wire;
 mod cache_event;
+mod chat_body;
 mod chat_key;
 mod clock_time;
 mod endpoint_id;
@@ -38,6 +39,10 @@
             CacheChange,
             CacheEvent, //
         },
+        chat_body::{
+            ChatBody,
+            ChatMessage, //
+        },
         chat_key::ChatKey,
         clock_time::ClockTime,
         endpoint_id::EndpointId,
