Add stand-ins for engines and services

Cause: the product must be run and tested against endpoints that answer, and misanswer, over sockets. Change: engines that batch, cache, stream, resume, cancel and take orders; services that run whatever they get; both announce themselves and record what they ran; faults are settable. They serve with hyper: tiny_http gives no hold on its connections, so it cannot die in mid-answer.

--- /dev/null
+++ b/crates/ragwortroad_standin/src/engine_state.rs
@@ -0,0 +1,158 @@
+use std::{
+    collections::{
+        HashMap,
+        VecDeque, //
+    },
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{
+            AtomicBool,
+            AtomicU32,
+            Ordering, //
+        },
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use ragwortroad_types::prelude::*;
+use tokio::sync::{
+    Notify,
+    Semaphore, //
+};
+
+use crate::{
+    EngineSettings,
+    prefix_cache::PrefixCache,
+    standin_shell::ShellState, //
+};
+
+/// What all requests of one stand-in engine share.
+pub(crate) struct EngineState {
+    pub(crate) settings: EngineSettings,
+    pub(crate) shell: Arc<ShellState>,
+    pub(crate) slots: Semaphore,
+    pub(crate) leaving: AtomicBool,
+    pub(crate) queued: AtomicU32,
+    pub(crate) running: AtomicU32,
+    changing: Mutex<EngineParts>,
+}
+
+/// The parts of an engine that change under a lock, each for a moment only.
+pub(crate) struct EngineParts {
+    pub(crate) cache: PrefixCache,
+    pub(crate) offers: Vec<ModelOffer>,
+    /// Highest fencing number of an order taken.
+    pub(crate) fence: FenceNumber,
+    /// Who to wake when a request is cancelled, by its id.
+    pub(crate) cancels: HashMap<String, Arc<Notify>>,
+    sequence: u64,
+    /// Loads seen, oldest first, for reports that come late.
+    loads: VecDeque<(Instant, LoadReport)>,
+}
+
+impl EngineState {
+    pub(crate) fn new(settings: EngineSettings, shell: Arc<ShellState>) -> Self {
+        let parts = EngineParts {
+            cache: PrefixCache::new(settings.cache_blocks),
+            offers: settings.offers.clone(),
+            fence: FenceNumber::default(),
+            cancels: HashMap::new(),
+            sequence: 0,
+            loads: VecDeque::new(),
+        };
+        Self {
+            slots: Semaphore::new(settings.capacity as usize),
+            settings,
+            shell,
+            leaving: AtomicBool::new(false),
+            queued: AtomicU32::new(0),
+            running: AtomicU32::new(0),
+            changing: Mutex::new(parts),
+        }
+    }
+
+    pub(crate) fn parts(&self) -> MutexGuard<'_, EngineParts> {
+        self.changing.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Time to the next token with the present batch.
+    pub(crate) fn token_gap(&self) -> Duration {
+        let running = self.running.load(Ordering::Relaxed);
+        let capacity = self.settings.capacity.max(1);
+        let growth = self.settings.gap_growth * running.min(capacity) / capacity;
+        self.settings.token_gap * (100 + growth) / 100
+    }
+
+    /// The next announcement.
+    pub(crate) fn announce(&self, address: &str, home_epoch: u64) -> AnnounceWire {
+        let settings = &self.settings;
+        let now = Instant::now();
+        let load = LoadReport {
+            running: self.running.load(Ordering::Relaxed),
+            queued: self.queued.load(Ordering::Relaxed),
+            age_ms: 0,
+        };
+        let mut parts = self.parts();
+        parts.sequence += 1;
+        parts.loads.push_back((now, load));
+        let mut events = parts.cache.take_events();
+        if settings.event_loss > 0 {
+            events.retain(|event| event.sequence % settings.event_loss != 0);
+        }
+        AnnounceWire {
+            name: settings.name.clone(),
+            address: address.to_owned(),
+            kind: EndpointKind::Engine,
+            zone: settings.zone.clone(),
+            service: None,
+            models: parts.offers.clone(),
+            capacity: settings.capacity,
+            checks_fencing: settings.checks_fencing,
+            incarnation: settings.incarnation,
+            sequence: parts.sequence,
+            home_epoch,
+            load: parts.late_load(now, settings.load_lag),
+            cache_events: events,
+            leaving: self.leaving.load(Ordering::Relaxed),
+        }
+    }
+}
+
+impl EngineParts {
+    /// The youngest load that is at least `lag` old, or the oldest there is.
+    fn late_load(&mut self, now: Instant, lag: Duration) -> LoadReport {
+        let aged = |at: &Instant| now.saturating_duration_since(*at);
+        while let Some((next, _)) = self.loads.get(1) {
+            if aged(next) < lag {
+                break;
+            }
+            self.loads.pop_front();
+        }
+        let Some((at, load)) = self.loads.front() else {
+            return LoadReport::default();
+        };
+        LoadReport {
+            age_ms: aged(at).as_millis() as u32,
+            ..*load
+        }
+    }
+}
+
+/// Counts a request in one of an engine's gauges until it drops.
+pub(crate) struct CountGuard<'gauge>(&'gauge AtomicU32);
+
+impl<'gauge> CountGuard<'gauge> {
+    pub(crate) fn new(gauge: &'gauge AtomicU32) -> Self {
+        gauge.fetch_add(1, Ordering::Relaxed);
+        Self(gauge)
+    }
+}
+
+impl Drop for CountGuard<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/ragwortroad_standin/src/lib.rs
+++ b/crates/ragwortroad_standin/src/lib.rs
@@ -1,1 +1,55 @@
 //! Stand-ins for model engines and plain services, well behaved and not.
+//!
+//! They speak the real interfaces over real sockets, announce themselves, and write down what they
+//! ran, so that a check rests on what endpoints saw and not on what the fleet says of itself.
+//! Faults can be set at any time through a [`FaultPlan`].
+//!
+//! ```
+//! use ragwortroad_standin::prelude::*;
+//!
+//! let engine = StandinEngine::start(EngineSettings::default())?;
+//! assert!(engine.records().is_empty());
+//! engine.stop();
+//! # Ok::<(), StandinError>(())
+//! ```
+
+mod announce_loop;
+mod answer_tokens;
+mod engine_handler;
+mod engine_pages;
+mod engine_settings;
+mod engine_state;
+mod engine_stream;
+mod fault_plan;
+mod order_wire;
+mod prefix_cache;
+mod run_record;
+mod service_settings;
+mod standin_engine;
+mod standin_error;
+mod standin_reply;
+mod standin_service;
+mod standin_shell;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        answer_tokens::answer_tokens,
+        engine_settings::EngineSettings,
+        fault_plan::FaultPlan,
+        order_wire::{
+            OrderAction,
+            OrderWire, //
+        },
+        run_record::{
+            RunEnd,
+            RunRecord, //
+        },
+        service_settings::ServiceSettings,
+        standin_engine::StandinEngine,
+        standin_error::StandinError,
+        standin_service::StandinService, //
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_standin/src/standin_engine.rs
@@ -0,0 +1,106 @@
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
+};
+
+use ragwortroad_types::prelude::*;
+use snafu::ResultExt;
+
+use crate::{
+    EngineSettings, FaultPlan, RunRecord, StandinError,
+    announce_loop::AnnounceLoop,
+    engine_handler::handle_engine,
+    engine_state::EngineState,
+    standin_error::ThreadsSnafu,
+    standin_shell::{
+        ShellState,
+        StandinShell, //
+    },
+};
+
+/// A stand-in for a model engine.
+///
+/// It batches continuously, caches prompt prefixes in limited memory, streams, resumes and
+/// cancels, takes orders, and announces itself with a late load and with gaps in its cache events.
+pub struct StandinEngine {
+    state: Arc<EngineState>,
+    shell: StandinShell,
+    announcer: Option<AnnounceLoop>,
+}
+
+impl StandinEngine {
+    /// Listens, and announces itself if it was told to whom.
+    pub fn start(settings: EngineSettings) -> Result<Self, StandinError> {
+        let record = Arc::new(ShellState::new());
+        let state = Arc::new(EngineState::new(settings, Arc::clone(&record)));
+        let settings = &state.settings;
+        let handled = Arc::clone(&state);
+        let handle = move |request| handle_engine(Arc::clone(&handled), request);
+        let shell = StandinShell::start(settings.listen, settings.threads, record, handle)?;
+        let address = shell.address().to_string();
+        let announced = Arc::clone(&state);
+        let announcer = AnnounceLoop::start(
+            settings.announce_to.clone(),
+            settings.join_secret.clone(),
+            move |epoch| announced.announce(&address, epoch),
+        )
+        .context(ThreadsSnafu)?;
+        Ok(Self {
+            state,
+            shell,
+            announcer,
+        })
+    }
+
+    /// The name it announces itself by.
+    pub fn name(&self) -> &str {
+        &self.state.settings.name
+    }
+
+    /// Where it takes requests.
+    pub fn address(&self) -> SocketAddr {
+        self.shell.address()
+    }
+
+    /// From now on misbehaves in this way.
+    pub fn set_faults(&self, plan: FaultPlan) {
+        self.state.shell.set_faults(plan);
+    }
+
+    /// From now on announces that it will stop.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Every chat it began, in order.
+    pub fn records(&self) -> Vec<RunRecord> {
+        self.state.shell.records()
+    }
+
+    /// Requests it works on now, and requests that wait.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            running: self.state.running.load(Ordering::Relaxed),
+            queued: self.state.queued.load(Ordering::Relaxed),
+            age_ms: 0,
+        }
+    }
+
+    /// Models it holds now.
+    pub fn offers(&self) -> Vec<ModelOffer> {
+        self.state.parts().offers.clone()
+    }
+
+    /// Cuts every connection and joins its threads, as a VM that is lost would. Returns what it
+    /// ran.
+    pub fn stop(self) -> Vec<RunRecord> {
+        if let Some(announcer) = self.announcer {
+            announcer.stop();
+        }
+        self.shell.stop();
+        self.state.shell.records()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_standin/src/standin_reply.rs
@@ -0,0 +1,73 @@
+//! Answers of stand-ins.
+
+use std::io;
+
+use bytes::Bytes;
+use http_body_util::{
+    Either,
+    Full,
+    channel::Channel, //
+};
+use hyper::{
+    HeaderMap,
+    Response,
+    StatusCode, //
+};
+use serde_json::Value;
+
+/// A body that is there as a whole, or one that is fed and may be cut.
+pub(crate) type StandinBody = Either<Full<Bytes>, Channel<Bytes, io::Error>>;
+
+/// An answer, or an error that closes the connection without one.
+pub(crate) type StandinReply = io::Result<Response<StandinBody>>;
+
+pub(crate) fn json_reply(status: u16, request_id: &str, value: &Value) -> Response<StandinBody> {
+    let body = Full::new(Bytes::from(value.to_string()));
+    let mut reply = Response::new(Either::Left(body));
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or(StatusCode::OK);
+    mark_reply(&mut reply, "application/json", request_id);
+    reply
+}
+
+/// An answer that promises more bytes than it has.
+pub(crate) fn short_reply(request_id: &str, value: &Value) -> Response<StandinBody> {
+    let text = value.to_string();
+    let promised = (text.len() + 10).to_string();
+    let (mut sender, body) = Channel::new(1);
+    if sender
+        .try_send(hyper::body::Frame::data(Bytes::from(text)))
+        .is_err()
+    {
+        tracing::debug!("a new channel had no room");
+    }
+    let mut reply = Response::new(Either::Right(body));
+    mark_reply(&mut reply, "application/json", request_id);
+    if let Ok(value) = promised.parse() {
+        reply.headers_mut().insert("content-length", value);
+    }
+    reply
+}
+
+pub(crate) fn redirect_reply(request_id: &str, location: &str) -> Response<StandinBody> {
+    let mut reply = json_reply(307, request_id, &Value::Null);
+    if let Ok(location) = location.parse() {
+        reply.headers_mut().insert("location", location);
+    }
+    reply
+}
+
+pub(crate) fn mark_reply(reply: &mut Response<StandinBody>, content_type: &str, request_id: &str) {
+    let headers = reply.headers_mut();
+    for (name, value) in [("content-type", content_type), ("x-request-id", request_id)] {
+        if let Ok(value) = value.parse()
+            && !request_id.is_empty()
+        {
+            headers.insert(name, value);
+        }
+    }
+}
+
+/// A header's text, or nothing.
+pub(crate) fn header_text<'map>(headers: &'map HeaderMap, name: &str) -> Option<&'map str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/ragwortroad_standin/src/standin_service.rs
@@ -0,0 +1,221 @@
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{
+            AtomicBool,
+            AtomicU32,
+            AtomicU64,
+            Ordering, //
+        },
+    },
+};
+
+use http_body_util::BodyExt;
+use hyper::{
+    Request,
+    body::Incoming, //
+};
+use ragwortroad_types::prelude::*;
+use serde_json::json;
+use snafu::ResultExt;
+use tokio::time::sleep;
+
+use crate::{
+    FaultPlan, RunEnd, RunRecord, ServiceSettings, StandinError,
+    announce_loop::AnnounceLoop,
+    engine_state::CountGuard,
+    standin_error::ThreadsSnafu,
+    standin_reply::{
+        StandinReply,
+        header_text,
+        json_reply,
+        redirect_reply,
+        short_reply, //
+    },
+    standin_shell::{
+        ShellState,
+        StandinShell, //
+    },
+};
+
+/// What all requests of one stand-in service share.
+struct ServiceState {
+    settings: ServiceSettings,
+    shell: Arc<ShellState>,
+    leaving: AtomicBool,
+    running: AtomicU32,
+    sequence: AtomicU64,
+}
+
+/// A stand-in for a plain service, such as bookings.
+///
+/// It runs whatever it gets, as often as it gets it: that nothing runs twice is for the fleet to
+/// see to, and its records show whether it did.
+pub struct StandinService {
+    state: Arc<ServiceState>,
+    shell: StandinShell,
+    announcer: Option<AnnounceLoop>,
+}
+
+impl StandinService {
+    /// Listens, and announces itself if it was told to whom.
+    pub fn start(settings: ServiceSettings) -> Result<Self, StandinError> {
+        let record = Arc::new(ShellState::new());
+        let state = Arc::new(ServiceState {
+            settings,
+            shell: Arc::clone(&record),
+            leaving: AtomicBool::new(false),
+            running: AtomicU32::new(0),
+            sequence: AtomicU64::new(0),
+        });
+        let settings = &state.settings;
+        let handled = Arc::clone(&state);
+        let handle = move |request| handle_service(Arc::clone(&handled), request);
+        let shell = StandinShell::start(settings.listen, settings.threads, record, handle)?;
+        let address = shell.address().to_string();
+        let announced = Arc::clone(&state);
+        let announcer = AnnounceLoop::start(
+            settings.announce_to.clone(),
+            settings.join_secret.clone(),
+            move |epoch| announced.announce(&address, epoch),
+        )
+        .context(ThreadsSnafu)?;
+        Ok(Self {
+            state,
+            shell,
+            announcer,
+        })
+    }
+
+    /// The name it announces itself by.
+    pub fn name(&self) -> &str {
+        &self.state.settings.name
+    }
+
+    /// Where it takes requests.
+    pub fn address(&self) -> SocketAddr {
+        self.shell.address()
+    }
+
+    /// From now on misbehaves in this way.
+    pub fn set_faults(&self, plan: FaultPlan) {
+        self.state.shell.set_faults(plan);
+    }
+
+    /// From now on announces that it will stop.
+    pub fn leave(&self) {
+        self.state.leaving.store(true, Ordering::Relaxed);
+    }
+
+    /// Every request it ran, in order.
+    pub fn records(&self) -> Vec<RunRecord> {
+        self.state.shell.records()
+    }
+
+    /// Cuts every connection and joins its threads. Returns what it ran.
+    pub fn stop(self) -> Vec<RunRecord> {
+        if let Some(announcer) = self.announcer {
+            announcer.stop();
+        }
+        self.shell.stop();
+        self.state.shell.records()
+    }
+}
+
+impl ServiceState {
+    fn announce(&self, address: &str, home_epoch: u64) -> AnnounceWire {
+        let settings = &self.settings;
+        AnnounceWire {
+            name: settings.name.clone(),
+            address: address.to_owned(),
+            kind: EndpointKind::Service,
+            zone: settings.zone.clone(),
+            service: Some(settings.service.clone()),
+            models: Vec::new(),
+            capacity: settings.capacity,
+            checks_fencing: false,
+            incarnation: settings.incarnation,
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed) + 1,
+            home_epoch,
+            load: LoadReport {
+                running: self.running.load(Ordering::Relaxed),
+                queued: 0,
+                age_ms: 0,
+            },
+            cache_events: Vec::new(),
+            leaving: self.leaving.load(Ordering::Relaxed),
+        }
+    }
+}
+
+async fn handle_service(state: Arc<ServiceState>, request: Request<Incoming>) -> StandinReply {
+    let _running = CountGuard::new(&state.running);
+    let (parts, body) = request.into_parts();
+    let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+    let faults = state.shell.next_faults();
+    let text = |name| header_text(&parts.headers, name).map(str::to_owned);
+    let request_id = text("x-request-id").unwrap_or_default();
+    if let Some(status) = faults.status {
+        return Ok(json_reply(
+            status,
+            &request_id,
+            &json!({"error": "set as a fault"}),
+        ));
+    }
+    let body_hash = xxhash_rust::xxh3::xxh3_64(&body);
+    let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
+    let place = state.shell.begin_run(RunRecord {
+        endpoint: state.settings.name.clone(),
+        request_id: request_id.clone(),
+        customer: text("x-customer").unwrap_or_default(),
+        method: parts.method.to_string(),
+        path: path.to_owned(),
+        idempotency_key: text("idempotency-key"),
+        body_hash,
+        began_ms: state.shell.elapsed_ms(),
+        ended_ms: None,
+        end: RunEnd::Running,
+        from_token: 0,
+        tokens: 0,
+        cached_tokens: 0,
+        prompt_tokens: 0,
+    });
+    sleep(state.settings.work_time + faults.answer_delay).await;
+    let echo = faults.echo_id.as_deref().unwrap_or(&request_id);
+    let answer = json!({
+        "service": state.settings.service,
+        "endpoint": state.settings.name,
+        "method": parts.method.as_str(),
+        "path": path,
+        "body_hash": format!("{body_hash:016x}"),
+        "body_length": body.len(),
+        "idempotency_key": text("idempotency-key"),
+        "run": place,
+    });
+    finish_call(&state, place, &faults, echo, &answer)
+}
+
+fn finish_call(
+    state: &ServiceState,
+    place: usize,
+    faults: &FaultPlan,
+    echo: &str,
+    answer: &serde_json::Value,
+) -> StandinReply {
+    if faults.close_unanswered {
+        state.shell.end_run(place, RunEnd::Cut);
+        return Err(io::ErrorKind::ConnectionReset.into());
+    }
+    if let Some(location) = &faults.redirect_to {
+        state.shell.end_run(place, RunEnd::Completed);
+        return Ok(redirect_reply(echo, location));
+    }
+    if faults.short_body {
+        state.shell.end_run(place, RunEnd::Cut);
+        return Ok(short_reply(echo, answer));
+    }
+    state.shell.end_run(place, RunEnd::Completed);
+    Ok(json_reply(200, echo, answer))
+}
--- /dev/null
+++ b/crates/ragwortroad_standin/src/standin_shell.rs
@@ -0,0 +1,236 @@
+use std::{
+    future::Future,
+    net::{
+        SocketAddr,
+        TcpListener, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        PoisonError, //
+    },
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use hyper::{
+    Request,
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use snafu::ResultExt;
+use socket2::{
+    Domain,
+    Protocol,
+    Socket,
+    Type, //
+};
+use tokio::{
+    runtime::{
+        Builder,
+        Runtime, //
+    },
+    task::JoinSet,
+    time::sleep,
+};
+
+use crate::{
+    FaultPlan, RunEnd, RunRecord, StandinError,
+    standin_error::{
+        ListenSnafu,
+        ThreadsSnafu, //
+    },
+    standin_reply::StandinReply,
+};
+
+/// How often a stand-in that refuses connections looks whether it may listen again.
+const LISTEN_POLL: Duration = Duration::from_millis(20);
+
+/// What every stand-in has: faults that are set, and records of what it ran.
+pub(crate) struct ShellState {
+    started: Instant,
+    faults: Mutex<FaultPlan>,
+    records: Mutex<Vec<RunRecord>>,
+}
+
+impl ShellState {
+    pub(crate) fn new() -> Self {
+        Self {
+            started: Instant::now(),
+            faults: Mutex::default(),
+            records: Mutex::default(),
+        }
+    }
+
+    pub(crate) fn elapsed_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    pub(crate) fn set_faults(&self, plan: FaultPlan) {
+        *self.faults.lock().unwrap_or_else(PoisonError::into_inner) = plan;
+    }
+
+    /// The faults for one more request, which counts as one of those they apply to.
+    pub(crate) fn next_faults(&self) -> FaultPlan {
+        let mut plan = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        match &mut plan.requests {
+            None => plan.clone(),
+            Some(0) => FaultPlan::default(),
+            Some(left) => {
+                *left -= 1;
+                plan.clone()
+            }
+        }
+    }
+
+    pub(crate) fn refuses_connections(&self) -> bool {
+        let plan = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        plan.refuse_connections
+    }
+
+    pub(crate) fn records(&self) -> Vec<RunRecord> {
+        let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        records.clone()
+    }
+
+    /// Writes down that a run begins, and returns its place.
+    pub(crate) fn begin_run(&self, record: RunRecord) -> usize {
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        records.push(record);
+        records.len() - 1
+    }
+
+    pub(crate) fn change_run(&self, place: usize, change: impl FnOnce(&mut RunRecord)) {
+        let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(record) = records.get_mut(place) {
+            change(record);
+        }
+    }
+
+    /// Writes down how a run ended, once.
+    pub(crate) fn end_run(&self, place: usize, end: RunEnd) {
+        let now = self.elapsed_ms();
+        self.change_run(place, |record| {
+            if record.end == RunEnd::Running {
+                record.end = end;
+                record.ended_ms = Some(now);
+            }
+        });
+    }
+}
+
+/// The threads and sockets of one stand-in.
+///
+/// The stand-ins are servers on `hyper`: `tiny_http` gives no hold on its connections, so a
+/// stand-in on it could neither break off in the middle of an answer nor stop serving connections
+/// that are open, and those are the faults that matter most.
+pub(crate) struct StandinShell {
+    address: SocketAddr,
+    runtime: Runtime,
+}
+
+impl StandinShell {
+    /// Listens, and serves each request by `handle`.
+    pub(crate) fn start<Handle, Reply>(
+        listen: SocketAddr,
+        threads: usize,
+        state: Arc<ShellState>,
+        handle: Handle,
+    ) -> Result<Self, StandinError>
+    where
+        Handle: Fn(Request<Incoming>) -> Reply + Clone + Send + Sync + 'static,
+        Reply: Future<Output = StandinReply> + Send + 'static,
+    {
+        let listener = bind(listen).context(ListenSnafu { address: listen })?;
+        let address = listener
+            .local_addr()
+            .context(ListenSnafu { address: listen })?;
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(threads.max(1))
+            .thread_name("standin")
+            .enable_all()
+            .build()
+            .context(ThreadsSnafu)?;
+        runtime.spawn(serve(listener, address, state, handle));
+        Ok(Self { address, runtime })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Cuts every connection and joins the threads.
+    pub(crate) fn stop(self) {
+        drop(self.runtime);
+    }
+}
+
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(1024)?;
+    Ok(socket.into())
+}
+
+async fn serve<Handle, Reply>(
+    listener: TcpListener,
+    address: SocketAddr,
+    state: Arc<ShellState>,
+    handle: Handle,
+) where
+    Handle: Fn(Request<Incoming>) -> Reply + Clone + Send + Sync + 'static,
+    Reply: Future<Output = StandinReply> + Send + 'static,
+{
+    let mut waiting = Some(listener);
+    loop {
+        let bound = waiting.take().map_or_else(|| bind(address), Ok);
+        let listener = bound.and_then(tokio::net::TcpListener::from_std);
+        let Ok(listener) = listener else {
+            sleep(LISTEN_POLL).await;
+            continue;
+        };
+        accept(listener, &state, &handle).await;
+        while state.refuses_connections() {
+            sleep(LISTEN_POLL).await;
+        }
+    }
+}
+
+/// Accepts connections until the faults say to refuse them; that also cuts those that are open.
+async fn accept<Handle, Reply>(
+    listener: tokio::net::TcpListener,
+    state: &Arc<ShellState>,
+    handle: &Handle,
+) where
+    Handle: Fn(Request<Incoming>) -> Reply + Clone + Send + Sync + 'static,
+    Reply: Future<Output = StandinReply> + Send + 'static,
+{
+    let mut connections = JoinSet::new();
+    while !state.refuses_connections() {
+        tokio::select! {
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                if stream.set_nodelay(true).is_err() {
+                    continue;
+                }
+                let service = service_fn(handle.clone());
+                let connection = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
+                connections.spawn(async move {
+                    if let Err(error) = connection.await {
+                        tracing::debug!(%error, "a stand-in's connection ended");
+                    }
+                });
+            }
+            Some(_) = connections.join_next() => {}
+            () = sleep(LISTEN_POLL) => {}
+        }
+    }
+}
