--- /dev/null
+++ b/crates/ragwortroad_routing/src/key/customer_key.rs
@@ -0,0 +1,10 @@
+/// A customer, as the hash of its name.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CustomerKey(pub u64);
+
+impl CustomerKey {
+    /// The key of the customer called `name`.
+    pub fn from_name(name: &str) -> Self {
+        Self(xxhash_rust::xxh3::xxh3_64(name.as_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/key/mod.rs
@@ -0,0 +1,8 @@
+//! Small `Copy` keys by which decisions name things.
+
+pub(crate) mod customer_key;
+pub(crate) mod endpoint_key;
+pub(crate) mod fleet_key;
+pub(crate) mod offer_key;
+pub(crate) mod slot_id;
+pub(crate) mod zone_key;
--- /dev/null
+++ b/crates/ragwortroad_routing/src/key/slot_id.rs
@@ -0,0 +1,5 @@
+/// One granted slot of one endpoint, numbered by the endpoint's home node.
+///
+/// Invariant: unique among the slots that one node has granted since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SlotId(pub u64);
--- /dev/null
+++ b/crates/ragwortroad_routing/src/limit/customer_limiter.rs
@@ -0,0 +1,187 @@
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use ragwortroad_types::{
+    ClockTime,
+    NodeId, //
+};
+
+use crate::{
+    CustomerKey,
+    CustomerLimit,
+    DemandDigest,
+    DemandEntry,
+    LimitAnswer,
+    LimiterSettings,
+    ShareDigest,
+    limit::{
+        customer_entry::CustomerEntry,
+        demand_keeper::DemandKeeper, //
+    },
+    table::ranking::score, //
+};
+
+/// Holds every customer's limits over the whole fleet, from one node's part of it.
+///
+/// Every customer has a *keeper*: the node that a hash of the customer leads to. About once a
+/// second a node tells the keepers of the customers that asked it for something how much
+/// ([`Self::demands`]); the keeper divides the limit by these demands and answers with shares
+/// ([`Self::shares`]). No request waits for a message. A small even part of each limit needs no
+/// share, so that a customer is served wherever it turns up, also while its keeper is gone.
+#[derive(Clone, Debug)]
+pub struct CustomerLimiter {
+    settings: LimiterSettings,
+    nodes: Vec<NodeId>,
+    entries: BTreeMap<CustomerKey, CustomerEntry>,
+    keeper: DemandKeeper,
+}
+
+/// How long a caller waits for a place among its own requests.
+const PLACE_WAIT: Duration = Duration::from_millis(500);
+
+impl CustomerLimiter {
+    /// A limiter that knows no customers and no nodes but its own.
+    pub fn new(settings: LimiterSettings) -> Self {
+        Self {
+            nodes: vec![settings.node],
+            settings,
+            entries: BTreeMap::new(),
+            keeper: DemandKeeper::default(),
+        }
+    }
+
+    /// Declares or changes a customer's limit.
+    pub fn set_limit(&mut self, customer: CustomerKey, limit: CustomerLimit, now: ClockTime) {
+        let entry = self
+            .entries
+            .entry(customer)
+            .or_insert_with(|| CustomerEntry::new(limit, now));
+        entry.limit = limit;
+        entry.apply(&self.settings, self.nodes.len(), now);
+    }
+
+    /// Forgets a customer.
+    pub fn remove(&mut self, customer: CustomerKey) {
+        self.entries.remove(&customer);
+    }
+
+    /// The nodes among which limits are divided.
+    pub fn set_nodes(&mut self, nodes: &[NodeId], now: ClockTime) {
+        self.nodes = nodes.to_vec();
+        for entry in self.entries.values_mut() {
+            entry.apply(&self.settings, nodes.len(), now);
+        }
+    }
+
+    /// Whether `customer` may run one more request of about `tokens` tokens. A customer that was
+    /// never declared may not.
+    pub fn admit(&mut self, customer: CustomerKey, tokens: u32, now: ClockTime) -> LimitAnswer {
+        let Some(entry) = self.entries.get_mut(&customer) else {
+            let retry_after = Duration::from_secs(1);
+            return LimitAnswer::Refused { retry_after };
+        };
+        entry.apply(&self.settings, self.nodes.len(), now);
+        entry.wanted_count += 1;
+        entry.wanted_places = entry.wanted_places.max(entry.running + 1);
+        let mut wait = entry.requests.wait_for(1.0, now);
+        wait = wait.max(entry.tokens.wait_for(f64::from(tokens), now));
+        if entry.running >= entry.places {
+            wait = wait.max(PLACE_WAIT);
+        }
+        if !wait.is_zero() {
+            return LimitAnswer::Refused { retry_after: wait };
+        }
+        entry.requests.take(1.0);
+        entry.tokens.take(f64::from(tokens));
+        entry.running += 1;
+        let priority = entry.limit.priority;
+        LimitAnswer::Admitted { priority }
+    }
+
+    /// Ends an admitted request that was foreseen with `foreseen` tokens and took `used`.
+    pub fn finish(&mut self, customer: CustomerKey, foreseen: u32, used: u32) {
+        if let Some(entry) = self.entries.get_mut(&customer) {
+            entry.running = entry.running.saturating_sub(1);
+            entry.tokens.take(f64::from(used) - f64::from(foreseen));
+        }
+    }
+
+    /// What to tell each keeper; to be sent about once a second. This node's own part, if it is a
+    /// keeper itself, is taken in at once.
+    pub fn demands(&mut self, now: ClockTime) -> BTreeMap<NodeId, DemandDigest> {
+        let mut digests: BTreeMap<NodeId, DemandDigest> = BTreeMap::new();
+        for (customer, entry) in &mut self.entries {
+            entry.average(&self.settings, now);
+            let requests = (entry.wanted_rate * 10.0).round().min(f64::from(u16::MAX)) as u16;
+            let concurrent = entry.wanted_places.max(entry.running);
+            entry.wanted_places = entry.running;
+            if requests == 0 && concurrent == 0 {
+                continue;
+            }
+            let demand = DemandEntry {
+                customer: *customer,
+                requests_per_10_s: requests,
+                concurrent: concurrent.min(u32::from(u16::MAX)) as u16,
+            };
+            if let Some(keeper) = keeper_of(&self.nodes, *customer) {
+                digests.entry(keeper).or_default().entries.push(demand);
+            }
+        }
+        if let Some(own) = digests.remove(&self.settings.node) {
+            self.merge_demand(self.settings.node, &own, now);
+        }
+        digests
+    }
+
+    /// Takes in, as keeper, what another node's callers wanted.
+    pub fn merge_demand(&mut self, node: NodeId, digest: &DemandDigest, now: ClockTime) {
+        for entry in &digest.entries {
+            self.keeper.observe(node, *entry, now);
+        }
+    }
+
+    /// The shares this node gives as keeper; to be sent about once a second.
+    pub fn shares(&mut self, now: ClockTime) -> BTreeMap<NodeId, ShareDigest> {
+        self.keeper.expire(now, self.settings.demand_life);
+        let mut digests: BTreeMap<NodeId, ShareDigest> = BTreeMap::new();
+        for customer in self.keeper.customers() {
+            let Some(entry) = self.entries.get(&customer) else {
+                continue;
+            };
+            let places = entry.divided_places(&self.settings, self.nodes.len());
+            for (node, share) in self.keeper.divide(customer, places) {
+                digests.entry(node).or_default().entries.push(share);
+            }
+        }
+        if let Some(own) = digests.remove(&self.settings.node) {
+            self.merge_share(&own, now);
+        }
+        digests
+    }
+
+    /// Takes in the shares a keeper gave to this node.
+    pub fn merge_share(&mut self, digest: &ShareDigest, now: ClockTime) {
+        let ends_at = now.after(self.settings.share_life);
+        for share in &digest.entries {
+            if let Some(entry) = self.entries.get_mut(&share.customer) {
+                entry.share = Some((*share, ends_at));
+                entry.apply(&self.settings, self.nodes.len(), now);
+            }
+        }
+    }
+
+    /// Requests of a customer at work through this node.
+    pub fn running(&self, customer: CustomerKey) -> u32 {
+        self.entries.get(&customer).map_or(0, |entry| entry.running)
+    }
+}
+
+/// The node that divides `customer`'s limit.
+fn keeper_of(nodes: &[NodeId], customer: CustomerKey) -> Option<NodeId> {
+    nodes
+        .iter()
+        .max_by_key(|node| score(node.0, customer.0))
+        .copied()
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/limit/limiter_settings.rs
@@ -0,0 +1,37 @@
+use std::time::Duration;
+
+use ragwortroad_types::NodeId;
+
+/// What a [`CustomerLimiter`](crate::CustomerLimiter) is made from.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimiterSettings {
+    /// The node it limits for.
+    pub node: NodeId,
+    /// Part of each limit that is divided evenly among all nodes, so that a node which a customer
+    /// just came to may serve it before the keeper has heard of it.
+    pub even_share: f64,
+    /// Seconds of a rate that may be used at once.
+    pub burst_s: f64,
+    /// How long a keeper's share is good for.
+    pub share_life: Duration,
+    /// How long a node's demand counts at the keeper after its last digest.
+    ///
+    /// Invariant: longer than `share_life`, or the keeper would give to others what a node that
+    /// went silent may still use.
+    pub demand_life: Duration,
+    /// Time over which demand is averaged.
+    pub demand_span: Duration,
+}
+
+impl Default for LimiterSettings {
+    fn default() -> Self {
+        Self {
+            node: NodeId::default(),
+            even_share: 0.2,
+            burst_s: 2.0,
+            share_life: Duration::from_secs(5),
+            demand_life: Duration::from_secs(8),
+            demand_span: Duration::from_secs(2),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/place/placement_input.rs
@@ -0,0 +1,45 @@
+use ragwortroad_types::EndpointId;
+
+use crate::{
+    OfferKey,
+    ZoneKey, //
+};
+
+/// What is observed and wanted, for [`PlacementPlan::of`](crate::PlacementPlan::of).
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct PlacementInput {
+    /// What is to be served, the most urgent first where two want the same engine.
+    pub wants: Vec<OfferWant>,
+    /// The engines there are, and what each holds.
+    pub engines: Vec<EngineHolding>,
+    /// Loads the weight store and the engines may begin now.
+    pub loads: usize,
+}
+
+/// How much one offer is wanted.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OfferWant {
+    /// The model, version and adapter.
+    pub offer: OfferKey,
+    /// Requests at work on average, refused ones included.
+    pub demand: f64,
+    /// Engines that hold it whatever the demand; 0 for one that is no longer declared.
+    pub least: usize,
+}
+
+/// One engine.
+#[derive(Clone, Debug, PartialEq)]
+pub struct EngineHolding {
+    /// The engine.
+    pub id: EndpointId,
+    /// Its failure domain.
+    pub zone: ZoneKey,
+    /// Requests it works on at once.
+    pub capacity: u32,
+    /// Offers it has room for.
+    pub room: usize,
+    /// Offers it holds or is loading.
+    pub holds: Vec<OfferKey>,
+    /// Whether it takes work.
+    pub open: bool,
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/place/placement_plan.rs
@@ -0,0 +1,201 @@
+use std::collections::BTreeMap;
+
+use ragwortroad_types::EndpointId;
+
+use crate::{
+    EngineHolding,
+    OfferKey,
+    OfferWant,
+    PlacementInput,
+    ZoneKey, //
+};
+
+/// Orders that bring what engines hold nearer to what is wanted.
+///
+/// A pure function of what is observed: whoever holds the lease computes it again and again, and an
+/// order that was lost or came late only appears again.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct PlacementPlan {
+    /// Offers to load, the most needed first, within the rate given.
+    pub loads: Vec<PlacementOrder>,
+    /// Offers to drop; each makes room for a load above or is no longer declared.
+    pub drops: Vec<PlacementOrder>,
+}
+
+/// One order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct PlacementOrder {
+    /// The engine.
+    pub engine: EndpointId,
+    /// What it is to load or drop.
+    pub offer: OfferKey,
+}
+
+/// How full engines are meant to be, and how far from it nothing is done.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementSettings {
+    /// Use of capacity above which an offer gets another engine.
+    pub high: f64,
+    /// Use of capacity, with one engine fewer, below which it gives one up.
+    /// Invariant: below `high`, or demand that stands still would move engines to and fro.
+    pub low: f64,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        Self {
+            high: 0.7,
+            low: 0.45,
+        }
+    }
+}
+
+impl PlacementPlan {
+    /// The orders for `input`.
+    pub fn of(input: &PlacementInput, settings: &PlacementSettings) -> Self {
+        let mut draft = PlacementDraft::new(input);
+        draft.drop_undeclared();
+        let mut wants: Vec<&OfferWant> = input.wants.iter().collect();
+        // The most overfull first; the order of the input decides between equals.
+        wants.sort_by(|left, right| {
+            let (left, right) = (draft.fullness(left), draft.fullness(right));
+            right.total_cmp(&left)
+        });
+        for want in wants {
+            while draft.plan.loads.len() < input.loads && draft.is_short(want, settings) {
+                if !draft.add_one(want, settings) {
+                    break;
+                }
+            }
+        }
+        draft.plan
+    }
+}
+
+/// The holdings as they will be after the orders so far.
+struct PlacementDraft<'input> {
+    input: &'input PlacementInput,
+    holds: BTreeMap<EndpointId, Vec<OfferKey>>,
+    plan: PlacementPlan,
+}
+
+impl<'input> PlacementDraft<'input> {
+    fn new(input: &'input PlacementInput) -> Self {
+        let holds = input
+            .engines
+            .iter()
+            .map(|engine| (engine.id, engine.holds.clone()))
+            .collect();
+        Self {
+            input,
+            holds,
+            plan: PlacementPlan::default(),
+        }
+    }
+
+    /// Drops what nobody wants any more.
+    fn drop_undeclared(&mut self) {
+        for (engine, holds) in &mut self.holds {
+            holds.retain(|offer| {
+                let wanted = self
+                    .input
+                    .wants
+                    .iter()
+                    .any(|want| want.offer == *offer && (want.least > 0 || want.demand > 0.0));
+                if !wanted {
+                    let (engine, offer) = (*engine, *offer);
+                    self.plan.drops.push(PlacementOrder { engine, offer });
+                }
+                wanted
+            });
+        }
+    }
+
+    fn holders(&self, offer: OfferKey) -> impl Iterator<Item = &'input EngineHolding> {
+        self.input
+            .engines
+            .iter()
+            .filter(move |engine| engine.open && self.holds[&engine.id].contains(&offer))
+    }
+
+    /// Capacity that serves `offer`: an engine with several offers counts for each in part.
+    fn capacity(&self, offer: OfferKey) -> f64 {
+        self.holders(offer)
+            .map(|engine| f64::from(engine.capacity) / self.holds[&engine.id].len() as f64)
+            .sum()
+    }
+
+    fn fullness(&self, want: &OfferWant) -> f64 {
+        want.demand / self.capacity(want.offer).max(1e-3)
+    }
+
+    fn is_short(&self, want: &OfferWant, settings: &PlacementSettings) -> bool {
+        let count = self.holders(want.offer).count();
+        count < want.least || (want.demand > 0.0 && self.fullness(want) > settings.high)
+    }
+
+    /// Whether `offer` can do with one engine less.
+    fn can_spare(
+        &self,
+        offer: OfferKey,
+        engine: &EngineHolding,
+        settings: &PlacementSettings,
+    ) -> bool {
+        let Some(want) = self.input.wants.iter().find(|want| want.offer == offer) else {
+            return true;
+        };
+        let count = self.holders(offer).count();
+        let part = f64::from(engine.capacity) / self.holds[&engine.id].len() as f64;
+        let left = self.capacity(offer) - part;
+        count > want.least.max(1) && want.demand <= settings.low * left
+    }
+
+    /// Puts `want` on one more engine: one with room if there is any, else in the place of an offer
+    /// that can spare it; the failure domain with the fewest holders goes first.
+    fn add_one(&mut self, want: &OfferWant, settings: &PlacementSettings) -> bool {
+        let mut zones: BTreeMap<ZoneKey, usize> = BTreeMap::new();
+        for engine in self.holders(want.offer) {
+            *zones.entry(engine.zone).or_insert(0) += 1;
+        }
+        let mut best = None;
+        for engine in self.input.engines.iter().filter(|engine| engine.open) {
+            let holds = &self.holds[&engine.id];
+            if holds.contains(&want.offer) || engine.room == 0 {
+                continue;
+            }
+            let victim = if holds.len() < engine.room {
+                None
+            } else {
+                let spare = holds
+                    .iter()
+                    .find(|offer| self.can_spare(**offer, engine, settings));
+                match spare {
+                    Some(offer) => Some(*offer),
+                    None => continue,
+                }
+            };
+            let near = zones.get(&engine.zone).copied().unwrap_or(0);
+            let rank = (victim.is_some(), near, holds.len(), engine.id);
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, victim));
+            }
+        }
+        let Some(((_, _, _, engine), victim)) = best else {
+            return false;
+        };
+        self.place(engine, want.offer, victim);
+        true
+    }
+
+    fn place(&mut self, engine: EndpointId, offer: OfferKey, victim: Option<OfferKey>) {
+        if let Some(holds) = self.holds.get_mut(&engine) {
+            holds.retain(|held| Some(*held) != victim);
+            holds.push(offer);
+        }
+        if let Some(dropped) = victim {
+            let offer = dropped;
+            self.plan.drops.push(PlacementOrder { engine, offer });
+        }
+        self.plan.loads.push(PlacementOrder { engine, offer });
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/retry/outlier_table.rs
@@ -0,0 +1,105 @@
+use std::collections::BTreeMap;
+
+use ragwortroad_types::{
+    ClockTime,
+    EndpointId, //
+};
+
+use crate::OutlierSettings;
+
+/// Endpoints that failed lately, and those set aside for it.
+///
+/// An endpoint that fails fast has few requests at any moment and would look idle, so that load
+/// alone sends it ever more. It is set aside after a few failures in a row, comes back with a small
+/// share of its work, and goes for longer when it fails again. Never more than a set share of a
+/// fleet is aside: where most fail, the cause is elsewhere, and leaving few endpoints with all the
+/// work would add an overload to it.
+#[derive(Clone, Debug)]
+pub struct OutlierTable {
+    settings: OutlierSettings,
+    /// Invariant: an endpoint without recent failures has no entry.
+    entries: BTreeMap<EndpointId, OutlierEntry>,
+}
+
+/// One endpoint that failed lately.
+#[derive(Clone, Copy, Debug, Default)]
+struct OutlierEntry {
+    /// Failures since the last success.
+    in_a_row: u32,
+    /// Times it was set aside.
+    times: u32,
+    /// The end of the last time.
+    out_until: ClockTime,
+}
+
+impl OutlierTable {
+    /// A table in which nothing has failed.
+    pub fn new(settings: OutlierSettings) -> Self {
+        Self {
+            settings,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Whether the endpoint is set aside now.
+    pub fn is_out(&self, endpoint: EndpointId, now: ClockTime) -> bool {
+        self.entries
+            .get(&endpoint)
+            .is_some_and(|entry| entry.out_until > now)
+    }
+
+    /// The part of `limit` that the endpoint may carry now: nothing while it is aside, then growing
+    /// from one request to all.
+    pub fn limit(&self, endpoint: EndpointId, limit: u32, now: ClockTime) -> u32 {
+        let Some(entry) = self.entries.get(&endpoint).filter(|entry| entry.times > 0) else {
+            return limit;
+        };
+        if entry.out_until > now {
+            return 0;
+        }
+        let back = now.since(entry.out_until).as_secs_f64();
+        let share = back / self.settings.return_span.as_secs_f64().max(0.001);
+        ((f64::from(limit) * share.min(1.0)).round() as u32).max(1)
+    }
+
+    /// Notes a success.
+    pub fn succeeded(&mut self, endpoint: EndpointId, now: ClockTime) {
+        let return_span = self.settings.return_span;
+        let Some(entry) = self.entries.get_mut(&endpoint) else {
+            return;
+        };
+        entry.in_a_row = 0;
+        if entry.out_until.after(return_span) <= now {
+            self.entries.remove(&endpoint);
+        }
+    }
+
+    /// Notes a failure; `out` of the fleet's `count` endpoints are aside now.
+    pub fn failed(&mut self, endpoint: EndpointId, out: usize, count: usize, now: ClockTime) {
+        let settings = self.settings;
+        let entry = self.entries.entry(endpoint).or_default();
+        entry.in_a_row += 1;
+        let returning = entry.times > 0;
+        if entry.out_until > now || (entry.in_a_row < settings.failures && !returning) {
+            return;
+        }
+        if out >= most_aside(settings.share, count) {
+            return;
+        }
+        let span = settings.first_span * 2_u32.saturating_pow(entry.times.min(16));
+        entry.out_until = now.after(span.min(settings.longest_span));
+        entry.times += 1;
+        entry.in_a_row = 0;
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove(&mut self, endpoint: EndpointId) {
+        self.entries.remove(&endpoint);
+    }
+}
+
+/// How many of `count` endpoints may be aside at once.
+fn most_aside(share: f64, count: usize) -> usize {
+    let most = (share * count as f64).floor() as usize;
+    most.max(usize::from(count >= 2))
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/retry/retry_rule.rs
@@ -0,0 +1,47 @@
+use std::time::Duration;
+
+use ragwortroad_types::RequestOutcome;
+
+use crate::RetryBudget;
+
+/// Whether a failed attempt may be followed by another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryRule {
+    /// Attempts of one request, the first included.
+    pub attempts: u32,
+    /// Time to the deadline below which another attempt is not worth its load.
+    pub least_time: Duration,
+}
+
+impl Default for RetryRule {
+    fn default() -> Self {
+        Self {
+            attempts: 3,
+            least_time: Duration::from_millis(200),
+        }
+    }
+}
+
+/// An attempt that failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct FailedAttempt {
+    /// What is known of it.
+    pub outcome: RequestOutcome,
+    /// Whether running the request twice does the same as running it once.
+    pub idempotent: bool,
+    /// Attempts made so far, this one included.
+    pub attempts: u32,
+    /// Time left to the caller's deadline.
+    pub time_left: Duration,
+}
+
+impl RetryRule {
+    /// Whether to try again; pays from `budget` if so.
+    ///
+    /// A request that is not idempotent is repeated only where not one byte of it was sent.
+    pub fn may_retry(&self, failed: FailedAttempt, budget: &mut RetryBudget) -> bool {
+        let harmless = failed.idempotent || failed.outcome == RequestOutcome::NotRun;
+        let in_time = failed.time_left >= self.least_time;
+        harmless && in_time && failed.attempts < self.attempts && budget.try_retry()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -0,0 +1,199 @@
+use std::time::Duration;
+
+use ragwortroad_types::{
+    ChatKey,
+    ClockTime,
+    EndpointId,
+    NodeId,
+    RefusalCode, //
+};
+
+use crate::{
+    CustomerKey, EndpointKey, RouteDecision, RouteQuery, RouteReason, RouteTable, SlotAnswer,
+    SlotId, SlotOutcome,
+    table::ranking::{
+        Ranking,
+        score, //
+    },
+};
+
+/// Places tried before a request is refused: the first refusals come from this node's own account
+/// or memory and cost no message.
+const TRIES: usize = 4;
+
+/// What the table decides.
+impl RouteTable {
+    /// Where a request goes now.
+    pub fn choose(&mut self, query: &RouteQuery<'_>, now: ClockTime) -> RouteDecision {
+        if !self.pools.contains_key(&query.offer) {
+            return self.refuse(RefusalCode::NoEndpoint);
+        }
+        let mut known = false;
+        for (endpoint, reason) in self.known_places(query) {
+            let Some(key) = self.usable(endpoint, query) else {
+                continue;
+            };
+            known = true;
+            if let Some(decision) = self.try_place(key, reason, query, now) {
+                return decision;
+            }
+        }
+        let mut ranking = Ranking::new(query, &self.settings, known);
+        for _ in 0..TRIES {
+            let Some(key) = self.best_of(&mut ranking, query, now) else {
+                break;
+            };
+            if let Some(decision) = self.try_place(key, RouteReason::Hash, query, now) {
+                return decision;
+            }
+            ranking.skip(key);
+        }
+        self.refuse(RefusalCode::Overloaded)
+    }
+
+    /// The nodes a caller should use, best first.
+    ///
+    /// The first is the home of the engine that the chat was last on, so that most requests arrive
+    /// where they can be admitted without a message. The rest follow a hash of the chat over the
+    /// nodes, which stays the same as long as those nodes live.
+    pub fn addresses_for(
+        &self,
+        chat: Option<ChatKey>,
+        hint: Option<EndpointId>,
+        salt: u64,
+        count: usize,
+    ) -> Vec<NodeId> {
+        let key = chat.map_or(salt, |chat| chat.0);
+        let mut ranked: Vec<(u64, NodeId)> = self
+            .nodes
+            .iter()
+            .map(|node| (score(node.0, key), *node))
+            .collect();
+        ranked.sort_unstable_by(|left, right| right.cmp(left));
+        let place = hint.or_else(|| self.remembered(chat?));
+        let first = place
+            .and_then(|endpoint| self.state_of(endpoint))
+            .map(|state| state.facts.home)
+            .filter(|home| self.nodes.binary_search(home).is_ok());
+        let mut nodes: Vec<NodeId> = first.into_iter().collect();
+        let rest = ranked.into_iter().map(|(_, node)| node);
+        nodes.extend(rest.filter(|node| Some(*node) != first));
+        nodes.truncate(count);
+        nodes
+    }
+
+    fn remembered(&self, chat: ChatKey) -> Option<EndpointId> {
+        self.memory.get(chat.0).map(EndpointId)
+    }
+
+    /// Places that may hold the request's context, the likeliest first.
+    fn known_places(
+        &self,
+        query: &RouteQuery<'_>,
+    ) -> impl Iterator<Item = (EndpointId, RouteReason)> + use<> {
+        let hint = query.hint.map(|endpoint| (endpoint, RouteReason::Hint));
+        let memory = query
+            .chat
+            .and_then(|chat| self.remembered(chat))
+            .map(|endpoint| (endpoint, RouteReason::Memory));
+        // A short match is the text that many prompts begin with; the hash knows better than one
+        // engine's event where to spread those.
+        let prefix = self
+            .prefixes
+            .longest(query.prefixes)
+            .filter(|(_, blocks)| *blocks > self.settings.plan_block)
+            .map(|(endpoint, _)| (endpoint, RouteReason::Prefix));
+        [hint, memory, prefix].into_iter().flatten()
+    }
+
+    /// The endpoint's key, if it may take this request.
+    fn usable(&self, endpoint: EndpointId, query: &RouteQuery<'_>) -> Option<EndpointKey> {
+        let key = *self.ids.get(&endpoint)?;
+        let state = self.arena[key.index()].as_ref()?;
+        let serves = state.facts.offers.contains(&query.offer);
+        let open = state.facts.takes_work() && !query.excluded.contains(&endpoint);
+        (serves && open).then_some(key)
+    }
+
+    /// The best place of the ranking that seems to have room.
+    fn best_of(
+        &self,
+        ranking: &mut Ranking,
+        query: &RouteQuery<'_>,
+        now: ClockTime,
+    ) -> Option<EndpointKey> {
+        let pool = self.pools.get(&query.offer)?;
+        ranking.best(
+            pool,
+            |key| self.looks_open(key, query, now),
+            |key| self.fill_of(key),
+        )
+    }
+
+    /// Whether an endpoint seems able to take one more request.
+    fn looks_open(&self, key: EndpointKey, query: &RouteQuery<'_>, now: ClockTime) -> bool {
+        let Some(state) = self.arena[key.index()].as_ref() else {
+            return false;
+        };
+        if query.excluded.contains(&state.facts.id) {
+            return false;
+        }
+        let limit = self.limit_of(state, now);
+        if self.is_home(state) {
+            return state.ledger.load() < limit && state.is_exclusive(now);
+        }
+        state.view.expected() < limit && state.view.full_until <= now && !state.set_aside
+    }
+
+    /// How full an endpoint seems, relative to its capacity.
+    fn fill_of(&self, key: EndpointKey) -> f64 {
+        let Some(state) = self.arena[key.index()].as_ref() else {
+            return f64::MAX;
+        };
+        let load = if self.is_home(state) {
+            state.ledger.load()
+        } else {
+            state.view.expected()
+        };
+        f64::from(load) / f64::from(state.facts.capacity.max(1))
+    }
+
+    /// Grants a slot here, or names the home to ask, or finds the place full.
+    fn try_place(
+        &mut self,
+        key: EndpointKey,
+        reason: RouteReason,
+        query: &RouteQuery<'_>,
+        now: ClockTime,
+    ) -> Option<RouteDecision> {
+        if !self.looks_open(key, query, now) {
+            return None;
+        }
+        let state = self.arena[key.index()].as_ref()?;
+        let (endpoint, home) = (state.facts.id, state.facts.home);
+        if !self.is_home(state) {
+            return Some(RouteDecision::AskHome {
+                endpoint,
+                home,
+                reason,
+            });
+        }
+        let slot = self.take_slot(key, self.settings.node, query.customer, now)?;
+        if let Some(chat) = query.chat {
+            self.memory.put(chat.0, endpoint.0, now);
+        }
+        Some(RouteDecision::Admit {
+            endpoint,
+            slot,
+            reason,
+        })
+    }
+
+    fn refuse(&self, code: RefusalCode) -> RouteDecision {
+        const REFUSED_WAIT: Duration = Duration::from_secs(1);
+        RouteDecision::Refuse {
+            code,
+            retry_after: REFUSED_WAIT,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/table/route_settings.rs
@@ -0,0 +1,70 @@
+use std::time::Duration;
+
+use ragwortroad_types::NodeId;
+
+use crate::{
+    LoadBound,
+    OutlierSettings,
+    ZoneKey, //
+};
+
+/// What a [`RouteTable`](crate::RouteTable) is made from.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteSettings {
+    /// The node that decides.
+    pub node: NodeId,
+    /// The node's own failure domain.
+    pub zone: ZoneKey,
+    /// The bound no endpoint may pass.
+    pub bound: LoadBound,
+    /// Share of the way from mean to bound that an admission may use.
+    pub admit_share: f64,
+    /// Requests an endpoint may hold, as a multiple of its capacity; the part above 1 is its queue.
+    pub queue_multiple: f64,
+    /// Share of an endpoint's room kept for customers that use less than an equal part of it.
+    pub fair_reserve: f64,
+    /// The block of the prompt whose prefix key stands for a shared text (a school's plan).
+    pub plan_block: usize,
+    /// Engines among which the chats of one shared text are spread, while they have room.
+    pub plan_width: usize,
+    /// Whether a chat that nothing is known of goes to the less loaded of its two best places.
+    pub two_choices: bool,
+    /// Chats whose last place a node remembers.
+    pub chat_entries: usize,
+    /// Prefixes whose place a node remembers from the cache events of its own engines.
+    pub prefix_entries: usize,
+    /// How long a home that answered "full" is not asked again.
+    pub full_pause: Duration,
+    /// How long slots of a node that is gone stay counted, since its requests may still run.
+    pub gone_hold: Duration,
+    /// How long the slot of a failed request stays counted, so that an endpoint which fails fast
+    /// looks as busy as one that works.
+    pub failure_hold: Duration,
+    /// Longest life of a slot that is never given back.
+    pub slot_life: Duration,
+    /// When endpoints are set aside.
+    pub outlier: OutlierSettings,
+}
+
+impl Default for RouteSettings {
+    fn default() -> Self {
+        Self {
+            node: NodeId::default(),
+            zone: ZoneKey::default(),
+            bound: LoadBound::default(),
+            admit_share: 0.6,
+            queue_multiple: 1.25,
+            fair_reserve: 0.2,
+            plan_block: 8,
+            plan_width: 2,
+            two_choices: true,
+            chat_entries: 64 * 1024,
+            prefix_entries: 64 * 1024,
+            full_pause: Duration::from_millis(250),
+            gone_hold: Duration::from_secs(5),
+            failure_hold: Duration::from_secs(2),
+            slot_life: Duration::from_secs(600),
+            outlier: OutlierSettings::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/table/route_table.rs
@@ -0,0 +1,150 @@
+use std::collections::BTreeMap;
+
+use ragwortroad_types::{
+    ClockTime,
+    EndpointId,
+    NodeId, //
+};
+
+use crate::{
+    EndpointKey, FleetKey, OfferKey, OutlierTable, RouteSettings,
+    table::{
+        chat_memory::ChatMemory,
+        endpoint_state::EndpointState,
+        fleet_load::FleetLoad,
+        prefix_memory::PrefixMemory, //
+    },
+};
+
+/// All that one node knows of the endpoints, and its decisions about them.
+///
+/// The table is fed by membership ([`Self::upsert_endpoint`], [`Self::set_home`],
+/// [`Self::observe_digest`]) and by endpoints that announce themselves to this node
+/// ([`Self::observe_report`], [`Self::observe_cache`]). It decides where a request goes
+/// ([`Self::choose`]), and, as the home node of some endpoints, who may send to them
+/// ([`Self::grant_slot`]).
+///
+/// Every request is admitted by the home of its endpoint, which therefore knows the load exactly;
+/// the bound is enforced there and nowhere else.
+#[derive(Clone, Debug)]
+pub struct RouteTable {
+    pub(crate) settings: RouteSettings,
+    /// Invariant: an index is reused only after the endpoint in it was removed from `ids` and from
+    /// every pool.
+    pub(crate) arena: Vec<Option<EndpointState>>,
+    pub(crate) vacant: Vec<EndpointKey>,
+    pub(crate) ids: BTreeMap<EndpointId, EndpointKey>,
+    /// For each thing served, who serves it. Invariant: holds only endpoints that take work.
+    pub(crate) pools: BTreeMap<OfferKey, Vec<PoolEntry>>,
+    /// Invariant: the sum of `counted` over members that take work.
+    pub(crate) fleets: BTreeMap<FleetKey, FleetLoad>,
+    /// Nodes that callers may be sent to.
+    pub(crate) nodes: Vec<NodeId>,
+    pub(crate) memory: ChatMemory,
+    pub(crate) prefixes: PrefixMemory,
+    pub(crate) outliers: OutlierTable,
+    pub(crate) next_slot: u64,
+}
+
+/// One endpoint of a pool, with what the hash needs beside it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PoolEntry {
+    /// The endpoint's own hash seed; the same on every node.
+    pub(crate) seed: u64,
+    /// Where it is in the arena.
+    pub(crate) key: EndpointKey,
+}
+
+impl RouteTable {
+    /// A table that knows no endpoints.
+    pub fn new(settings: RouteSettings) -> Self {
+        let memory = ChatMemory::new(settings.chat_entries);
+        let prefixes = PrefixMemory::new(settings.prefix_entries);
+        let outliers = OutlierTable::new(settings.outlier);
+        Self {
+            settings,
+            arena: Vec::new(),
+            vacant: Vec::new(),
+            ids: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            fleets: BTreeMap::new(),
+            nodes: Vec::new(),
+            memory,
+            prefixes,
+            outliers,
+            next_slot: 0,
+        }
+    }
+
+    /// What the table was made from.
+    pub fn settings(&self) -> &RouteSettings {
+        &self.settings
+    }
+
+    /// The load an endpoint is known or believed to carry.
+    pub fn load_of(&self, endpoint: EndpointId) -> Option<u32> {
+        self.state_of(endpoint).map(|state| state.counted)
+    }
+
+    /// The mean load of a fleet, by this node's knowledge.
+    pub fn fleet_mean(&self, fleet: FleetKey) -> f64 {
+        self.fleets.get(&fleet).map_or(0.0, FleetLoad::mean)
+    }
+
+    /// Cache events known to be lost.
+    pub fn lost_events(&self) -> u64 {
+        self.prefixes.lost()
+    }
+
+    /// The endpoint with this identity.
+    pub(crate) fn state_of(&self, endpoint: EndpointId) -> Option<&EndpointState> {
+        let key = self.ids.get(&endpoint)?;
+        self.arena[key.index()].as_ref()
+    }
+
+    /// Whether this node admits work to the endpoint.
+    pub(crate) fn is_home(&self, state: &EndpointState) -> bool {
+        state.facts.home == self.settings.node
+    }
+
+    /// Changes an endpoint's state, keeping the fleet's sum and the pools true to it.
+    pub(crate) fn change<T>(
+        &mut self,
+        key: EndpointKey,
+        change: impl FnOnce(&mut EndpointState) -> T,
+    ) -> Option<T> {
+        let node = self.settings.node;
+        let state = self.arena[key.index()].as_mut()?;
+        let (before, took_work) = (state.counted, state.facts.takes_work());
+        let result = change(state);
+        state.counted = if state.facts.home == node {
+            state.ledger.load()
+        } else {
+            state.view.load
+        };
+        let after = state.counted;
+        let fleet = self.fleets.entry(state.facts.fleet).or_default();
+        match (took_work, state.facts.takes_work()) {
+            (true, true) => fleet.replace(before, after),
+            (true, false) => fleet.remove(before),
+            (false, true) => fleet.add(after),
+            (false, false) => {}
+        }
+        Some(result)
+    }
+
+    /// The most requests the endpoint may carry now.
+    pub(crate) fn limit_of(&self, state: &EndpointState, now: ClockTime) -> u32 {
+        let settings = &self.settings;
+        let mean = self.fleet_mean(state.facts.fleet);
+        let bound = settings.bound.for_admission(mean, settings.admit_share);
+        let limit = bound.min(self.room_of(state));
+        self.outliers.limit(state.facts.id, limit, now)
+    }
+
+    /// The most requests an endpoint may carry whatever the mean: its capacity and its queue.
+    pub(crate) fn room_of(&self, state: &EndpointState) -> u32 {
+        let room = f64::from(state.facts.capacity) * self.settings.queue_multiple;
+        (room.floor() as u32).max(1)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -0,0 +1,148 @@
+use ragwortroad_types::{
+    ChatKey,
+    ClockTime,
+    EndpointId,
+    NodeId, //
+};
+
+use crate::{
+    CustomerKey,
+    EndpointKey,
+    RouteTable,
+    SlotAnswer,
+    SlotId,
+    SlotOutcome,
+    table::endpoint_state::EndpointState, //
+};
+
+/// Slots of endpoints: granted and ended at the home, noted at the node that asked.
+impl RouteTable {
+    /// The home's answer to a node that wants to send to `endpoint`.
+    pub fn grant_slot(
+        &mut self,
+        endpoint: EndpointId,
+        asker: NodeId,
+        customer: CustomerKey,
+        now: ClockTime,
+    ) -> SlotAnswer {
+        let Some(key) = self.ids.get(&endpoint).copied() else {
+            return SlotAnswer::NotHome { home: None };
+        };
+        let home = self.state_of(endpoint).map(|state| state.facts.home);
+        if home != Some(self.settings.node) {
+            return SlotAnswer::NotHome { home };
+        }
+        match self.take_slot(key, asker, customer, now) {
+            Some(slot) => SlotAnswer::Granted { slot },
+            None => SlotAnswer::Full {
+                retry_after: self.settings.full_pause,
+            },
+        }
+    }
+
+    /// Gives a slot back at the endpoint's home, whoever had asked for it.
+    pub fn release(
+        &mut self,
+        endpoint: EndpointId,
+        slot: SlotId,
+        outcome: SlotOutcome,
+        now: ClockTime,
+    ) {
+        let hold = self.settings.failure_hold;
+        self.observe_outcome(endpoint, outcome, now);
+        let Some(key) = self.ids.get(&endpoint).copied() else {
+            return;
+        };
+        self.change(key, |state| match outcome {
+            SlotOutcome::Failed => state.ledger.hold(slot, now, hold),
+            SlotOutcome::Succeeded | SlotOutcome::Neutral => state.ledger.end(slot, now),
+        });
+    }
+
+    /// Notes at the asking node what the home said to its question.
+    pub fn note_answer(
+        &mut self,
+        endpoint: EndpointId,
+        answer: SlotAnswer,
+        chat: Option<ChatKey>,
+        now: ClockTime,
+    ) {
+        let Some(key) = self.ids.get(&endpoint).copied() else {
+            return;
+        };
+        let pause = self.settings.full_pause;
+        self.change(key, |state| match answer {
+            SlotAnswer::Granted { .. } => state.view.sent_since += 1,
+            SlotAnswer::Full { retry_after } => state.view.full_until = now.after(retry_after),
+            SlotAnswer::NotHome { .. } => state.view.full_until = now.after(pause),
+        });
+        if let (SlotAnswer::Granted { .. }, Some(chat)) = (answer, chat) {
+            self.memory.put(chat.0, endpoint.0, now);
+        }
+    }
+
+    /// Notes how a request of this node ended at an endpoint whose home is elsewhere.
+    pub fn observe_outcome(&mut self, endpoint: EndpointId, outcome: SlotOutcome, now: ClockTime) {
+        let Some(state) = self.state_of(endpoint) else {
+            return;
+        };
+        let fleet = state.facts.fleet;
+        let members = self
+            .arena
+            .iter()
+            .flatten()
+            .filter(|state| state.facts.fleet == fleet);
+        match outcome {
+            SlotOutcome::Neutral => {}
+            SlotOutcome::Succeeded => self.outliers.succeeded(endpoint, now),
+            SlotOutcome::Failed => {
+                let (mut count, mut out) = (0, 0);
+                for member in members {
+                    count += 1;
+                    let id = member.facts.id;
+                    out += usize::from(member.set_aside || self.outliers.is_out(id, now));
+                }
+                self.outliers.failed(endpoint, out, count, now);
+            }
+        }
+    }
+
+    /// Grants a slot of an endpoint this node is home of, within the bound and the fair share.
+    pub(crate) fn take_slot(
+        &mut self,
+        key: EndpointKey,
+        asker: NodeId,
+        customer: CustomerKey,
+        now: ClockTime,
+    ) -> Option<SlotId> {
+        self.change(key, |state| state.ledger.sweep(now));
+        let state = self.arena[key.index()].as_ref()?;
+        if !self.may_admit(state, customer, now) {
+            return None;
+        }
+        let slot = SlotId(self.next_slot);
+        self.next_slot += 1;
+        let life = self.settings.slot_life;
+        self.change(key, |state| {
+            state.ledger.grant(slot, asker, customer, now, life);
+        });
+        Some(slot)
+    }
+
+    fn may_admit(&self, state: &EndpointState, customer: CustomerKey, now: ClockTime) -> bool {
+        // Before that moment an earlier home may still admit up to the bound on its own.
+        if !state.is_exclusive(now) || !state.facts.takes_work() {
+            return false;
+        }
+        let load = state.ledger.load();
+        if load >= self.limit_of(state, now) {
+            return false;
+        }
+        let room = f64::from(self.room_of(state));
+        if f64::from(load) < room * (1.0 - self.settings.fair_reserve) {
+            return true;
+        }
+        let (own, customers) = state.ledger.share_of(customer);
+        f64::from(own) < room / f64::from(customers)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/table/slot_ledger.rs
@@ -0,0 +1,167 @@
+use std::{
+    collections::{
+        BTreeMap,
+        VecDeque, //
+    },
+    time::Duration, //
+};
+
+use ragwortroad_types::{
+    ClockTime,
+    LoadReport,
+    NodeId, //
+};
+
+use crate::{
+    CustomerKey,
+    SlotId, //
+};
+
+/// The home node's exact account of what one endpoint is working on.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct SlotLedger {
+    /// Slots granted and not yet given back.
+    slots: BTreeMap<SlotId, SlotRecord>,
+    /// Slots held by each customer.
+    /// Invariant: no count is zero, and their sum is the number of slots.
+    customers: BTreeMap<CustomerKey, u32>,
+    /// Recently ended slots, to tell what a late report still included.
+    ended: VecDeque<(ClockTime, ClockTime)>,
+    /// Work that an earlier home admitted, by the endpoint's reports.
+    inherited: u32,
+}
+
+/// One slot.
+#[derive(Clone, Copy, Debug)]
+struct SlotRecord {
+    asker: NodeId,
+    customer: CustomerKey,
+    granted_at: ClockTime,
+    /// The slot ends by itself then.
+    ends_at: ClockTime,
+}
+
+/// How long ended slots are kept; reports older than that say nothing.
+const ENDED_SPAN: Duration = Duration::from_secs(5);
+
+impl SlotLedger {
+    /// Requests at the endpoint, as far as admission is concerned.
+    pub(crate) fn load(&self) -> u32 {
+        self.slots.len() as u32 + self.inherited
+    }
+
+    /// Slots of `customer`, and the number of customers that would hold one with it.
+    pub(crate) fn share_of(&self, customer: CustomerKey) -> (u32, u32) {
+        let own = self.customers.get(&customer).copied().unwrap_or(0);
+        let others = self.customers.len() as u32 - u32::from(own > 0);
+        (own, others + 1)
+    }
+
+    /// Starts over as a new home: everything reported counts as an earlier home's work.
+    pub(crate) fn inherit(&mut self, load: u32) {
+        *self = Self {
+            inherited: load,
+            ..Self::default()
+        };
+    }
+
+    /// Grants `slot`.
+    pub(crate) fn grant(
+        &mut self,
+        slot: SlotId,
+        asker: NodeId,
+        customer: CustomerKey,
+        now: ClockTime,
+        life: Duration,
+    ) {
+        let record = SlotRecord {
+            asker,
+            customer,
+            granted_at: now,
+            ends_at: now.after(life),
+        };
+        self.slots.insert(slot, record);
+        *self.customers.entry(customer).or_insert(0) += 1;
+    }
+
+    /// Ends `slot`; one that ended before is left alone.
+    pub(crate) fn end(&mut self, slot: SlotId, now: ClockTime) -> bool {
+        let Some(record) = self.slots.remove(&slot) else {
+            return false;
+        };
+        if let Some(count) = self.customers.get_mut(&record.customer) {
+            *count -= 1;
+            if *count == 0 {
+                self.customers.remove(&record.customer);
+            }
+        }
+        self.ended.push_back((record.granted_at, now));
+        true
+    }
+
+    /// Lets `slot` end by itself after `hold`.
+    pub(crate) fn hold(&mut self, slot: SlotId, now: ClockTime, hold: Duration) -> bool {
+        let Some(record) = self.slots.get_mut(&slot) else {
+            return false;
+        };
+        record.ends_at = record.ends_at.min(now.after(hold));
+        true
+    }
+
+    /// Lets all slots of `asker` end by themselves after `hold`.
+    pub(crate) fn hold_all(&mut self, asker: NodeId, now: ClockTime, hold: Duration) {
+        for record in self.slots.values_mut() {
+            if record.asker == asker {
+                record.ends_at = record.ends_at.min(now.after(hold));
+            }
+        }
+    }
+
+    /// Ends the slots whose time is over.
+    pub(crate) fn sweep(&mut self, now: ClockTime) {
+        let over: Vec<SlotId> = self
+            .slots
+            .iter()
+            .filter(|(_, record)| record.ends_at <= now)
+            .map(|(slot, _)| *slot)
+            .collect();
+        for slot in over {
+            self.end(slot, now);
+        }
+        let horizon = now.before(ENDED_SPAN);
+        while self
+            .ended
+            .front()
+            .is_some_and(|(_, ended)| *ended < horizon)
+        {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Takes the endpoint's report of an earlier `moment` into the inherited work: what the slots
+    /// this ledger had then leave unexplained.
+    ///
+    /// Once `settled` it never raises the account: every request since is known exactly.
+    pub(crate) fn observe(&mut self, report: LoadReport, moment: ClockTime, settled: bool) {
+        if settled && self.inherited == 0 {
+            return;
+        }
+        let running = self
+            .slots
+            .values()
+            .filter(|record| record.granted_at <= moment)
+            .count();
+        let ended = self
+            .ended
+            .iter()
+            .filter(|(granted, ended)| *granted <= moment && *ended > moment)
+            .count();
+        let reported = report.running.saturating_add(report.queued);
+        let unexplained = reported.saturating_sub((running + ended) as u32);
+        self.inherited = if settled {
+            self.inherited.min(unexplained)
+        } else {
+            unexplained
+        };
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/src/table/table_inputs.rs
@@ -0,0 +1,192 @@
+use ragwortroad_types::{
+    CacheEvent,
+    ClockTime,
+    EndpointId,
+    LoadReport,
+    NodeId, //
+};
+
+use crate::{
+    EndpointFacts, EndpointKey, LoadDigest, RouteTable,
+    table::{
+        endpoint_state::EndpointState,
+        route_table::PoolEntry, //
+    },
+};
+
+/// What the table is told.
+impl RouteTable {
+    /// Adds an endpoint or changes what is known of it.
+    ///
+    /// `exclusive_from` is used where the home is new: from then on, and not before, the home may
+    /// admit work, because an earlier home may still do so until then. It also waits for a report
+    /// of the endpoint's load from after that moment, which shows what the earlier home left.
+    /// [`ClockTime::ZERO`] stands for an endpoint that just started and never had another home.
+    pub fn upsert_endpoint(&mut self, facts: EndpointFacts, exclusive_from: ClockTime) {
+        match self.ids.get(&facts.id).copied() {
+            None => self.insert_endpoint(facts, exclusive_from),
+            Some(key) => self.update_endpoint(key, facts, exclusive_from),
+        }
+    }
+
+    /// Forgets an endpoint.
+    pub fn remove_endpoint(&mut self, endpoint: EndpointId) {
+        let Some(key) = self.ids.remove(&endpoint) else {
+            return;
+        };
+        if let Some(state) = self.arena[key.index()].take() {
+            if state.facts.takes_work() {
+                let fleet = self.fleets.entry(state.facts.fleet).or_default();
+                fleet.remove(state.counted);
+            }
+            self.leave_pools(key, &state.facts);
+        }
+        self.vacant.push(key);
+        self.prefixes.remove(endpoint);
+        self.outliers.remove(endpoint);
+    }
+
+    /// Changes an endpoint's home; see [`Self::upsert_endpoint`] for `exclusive_from`.
+    pub fn set_home(&mut self, endpoint: EndpointId, home: NodeId, exclusive_from: ClockTime) {
+        let Some(state) = self.state_of(endpoint) else {
+            return;
+        };
+        let facts = EndpointFacts {
+            home,
+            ..state.facts.clone()
+        };
+        self.upsert_endpoint(facts, exclusive_from);
+    }
+
+    /// Takes in an endpoint's own report of its load; for its home only.
+    pub fn observe_report(&mut self, endpoint: EndpointId, report: LoadReport, now: ClockTime) {
+        if let Some(key) = self.ids.get(&endpoint).copied() {
+            self.change(key, |state| state.observe(report, now));
+        }
+    }
+
+    /// Takes in cache events of an engine that announces itself to this node.
+    pub fn observe_cache(&mut self, endpoint: EndpointId, events: &[CacheEvent], now: ClockTime) {
+        self.prefixes.observe(endpoint, events, now);
+    }
+
+    /// Takes in the digest that an endpoint's home gives of it.
+    pub fn observe_digest(&mut self, endpoint: EndpointId, digest: LoadDigest) {
+        if let Some(key) = self.ids.get(&endpoint).copied() {
+            self.change(key, |state| {
+                state.view.observe(digest.load);
+                state.set_aside = digest.set_aside;
+            });
+        }
+    }
+
+    /// What this node, as its home, tells others of an endpoint.
+    pub fn digest_of(&self, endpoint: EndpointId, now: ClockTime) -> Option<LoadDigest> {
+        let state = self.state_of(endpoint)?;
+        if !self.is_home(state) {
+            return None;
+        }
+        Some(LoadDigest {
+            load: state.ledger.load(),
+            set_aside: self.outliers.is_out(endpoint, now),
+        })
+    }
+
+    /// A node is gone: its slots end after a while, since its requests may still run until the
+    /// endpoints notice.
+    pub fn node_gone(&mut self, node: NodeId, now: ClockTime) {
+        let hold = self.settings.gone_hold;
+        for key in self.keys() {
+            self.change(key, |state| state.ledger.hold_all(node, now, hold));
+        }
+    }
+
+    /// The nodes that callers may be sent to.
+    pub fn set_nodes(&mut self, nodes: &[NodeId]) {
+        self.nodes = nodes.to_vec();
+        self.nodes.sort_unstable();
+        self.nodes.dedup();
+    }
+
+    /// Ends slots whose time is over; to be called about once a second.
+    pub fn tick(&mut self, now: ClockTime) {
+        for key in self.keys() {
+            self.change(key, |state| state.ledger.sweep(now));
+        }
+    }
+
+    fn keys(&self) -> Vec<EndpointKey> {
+        self.ids.values().copied().collect()
+    }
+
+    fn insert_endpoint(&mut self, facts: EndpointFacts, exclusive_from: ClockTime) {
+        let key = match self.vacant.pop() {
+            Some(key) => key,
+            None => {
+                self.arena.push(None);
+                EndpointKey(self.arena.len() as u32 - 1)
+            }
+        };
+        self.ids.insert(facts.id, key);
+        if facts.takes_work() {
+            self.join_pools(key, &facts);
+            self.fleets.entry(facts.fleet).or_default().add(0);
+        }
+        self.arena[key.index()] = Some(EndpointState::new(facts, exclusive_from));
+    }
+
+    fn update_endpoint(
+        &mut self,
+        key: EndpointKey,
+        facts: EndpointFacts,
+        exclusive_from: ClockTime,
+    ) {
+        let node = self.settings.node;
+        let Some(state) = self.arena[key.index()].as_ref() else {
+            return;
+        };
+        if state.facts == facts {
+            return;
+        }
+        let (before, counted) = (state.facts.clone(), state.counted);
+        self.leave_pools(key, &before);
+        if before.fleet != facts.fleet && before.takes_work() {
+            self.fleets.entry(before.fleet).or_default().remove(counted);
+            self.fleets.entry(facts.fleet).or_default().add(counted);
+        }
+        if facts.takes_work() {
+            self.join_pools(key, &facts);
+        }
+        self.change(key, |state| {
+            if facts.home != before.home {
+                state.exclusive_from = exclusive_from;
+                state.settled = exclusive_from == ClockTime::ZERO;
+                // An earlier home's work is what was last heard of it, until a report says less.
+                let heard = if before.home == node {
+                    0
+                } else {
+                    state.view.load
+                };
+                state.ledger.inherit(heard);
+            }
+            state.facts = facts;
+        });
+    }
+
+    fn join_pools(&mut self, key: EndpointKey, facts: &EndpointFacts) {
+        let seed = facts.id.0;
+        for offer in &facts.offers {
+            let pool = self.pools.entry(*offer).or_default();
+            pool.push(PoolEntry { seed, key });
+        }
+    }
+
+    fn leave_pools(&mut self, key: EndpointKey, facts: &EndpointFacts) {
+        for offer in &facts.offers {
+            if let Some(pool) = self.pools.get_mut(offer) {
+                pool.retain(|entry| entry.key != key);
+            }
+        }
+        self.pools.retain(|_, pool| !pool.is_empty());
+    }
+}
