--- a/crates/ragwortroad_routing/src/table/route_choice.rs
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -9,8 +9,7 @@
 };
 
 use crate::{
-    CustomerKey, EndpointKey, RouteDecision, RouteQuery, RouteReason, RouteTable, SlotAnswer,
-    SlotId, SlotOutcome,
+    EndpointKey, RouteDecision, RouteQuery, RouteReason, RouteTable,
     table::ranking::{
         Ranking,
         score, //
