--- a/crates/ragwortroad_routing/src/table/endpoint_state.rs
+++ b/crates/ragwortroad_routing/src/table/endpoint_state.rs
@@ -10,7 +10,7 @@
     table::{
         remote_view::RemoteView,
         slot_ledger::SlotLedger, //
-    },
+    }, //
 };
 
 /// One endpoint in a node's arena.
--- a/crates/ragwortroad_routing/src/table/route_choice.rs
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -9,11 +9,15 @@
 };
 
 use crate::{
-    EndpointKey, RouteDecision, RouteQuery, RouteReason, RouteTable,
+    EndpointKey,
+    RouteDecision,
+    RouteQuery,
+    RouteReason,
+    RouteTable,
     table::ranking::{
         Ranking,
         score, //
-    },
+    }, //
 };
 
 /// Places tried before a request is refused: the first refusals come from this node's own account
--- a/crates/ragwortroad_routing/src/table/route_table.rs
+++ b/crates/ragwortroad_routing/src/table/route_table.rs
@@ -7,13 +7,17 @@
 };
 
 use crate::{
-    EndpointKey, FleetKey, OfferKey, OutlierTable, RouteSettings,
+    EndpointKey,
+    FleetKey,
+    OfferKey,
+    OutlierTable,
+    RouteSettings,
     table::{
         chat_memory::ChatMemory,
         endpoint_state::EndpointState,
         fleet_load::FleetLoad,
         prefix_memory::PrefixMemory, //
-    },
+    }, //
 };
 
 /// All that one node knows of the endpoints, and its decisions about them.
--- a/crates/ragwortroad_routing/src/table/table_inputs.rs
+++ b/crates/ragwortroad_routing/src/table/table_inputs.rs
@@ -7,11 +7,14 @@
 };
 
 use crate::{
-    EndpointFacts, EndpointKey, LoadDigest, RouteTable,
+    EndpointFacts,
+    EndpointKey,
+    LoadDigest,
+    RouteTable,
     table::{
         endpoint_state::EndpointState,
         route_table::PoolEntry, //
-    },
+    }, //
 };
 
 /// What the table is told.
