--- /dev/null
+++ b/crates/ragwortroad_node/src/wire/mod.rs
@@ -0,0 +1,4 @@
+//! What nodes tell each other beside gossip and the replicated log.
+
+pub(crate) mod message_codec;
+pub(crate) mod slot_message;
