--- /dev/null
+++ b/crates/ragwortroad_consensus/src/applying.rs
@@ -0,0 +1,72 @@
+//! Commits: entries that are durable on a quorum go out to the state.
+
+use crate::{
+    ConsensusCore,
+    CoreAction,
+    EntryPayload,
+    ProposeResult,
+    core_new::decode_payload, //
+};
+
+impl ConsensusCore {
+    /// Everything up to `index` is durable on a quorum.
+    pub(crate) fn commit_to(&mut self, index: u64) {
+        let index = index.min(self.log.last().index);
+        self.commit = self.commit.max(index);
+        while self.applied < self.commit && !self.has_failed {
+            self.apply_next();
+        }
+        self.want_snapshot();
+    }
+
+    fn apply_next(&mut self) {
+        let index = self.applied + 1;
+        let Some(entry) = self.log.entry(index) else {
+            return self.stop_applying();
+        };
+        let term = entry.term;
+        self.applied_bytes += entry.bytes.len();
+        match decode_payload(&entry.bytes) {
+            Ok(EntryPayload::Noop) => {}
+            Ok(EntryPayload::Command(command)) => {
+                self.out.push(CoreAction::Apply {
+                    index,
+                    term,
+                    command,
+                });
+            }
+            Ok(EntryPayload::Members(members)) => {
+                self.out.push(CoreAction::MembersChanged { index, members });
+            }
+            Err(_) => return self.stop_applying(),
+        }
+        self.applied = index;
+        self.finish_proposal(index, term);
+    }
+
+    /// An entry cannot be read: going on without it would fork the state.
+    fn stop_applying(&mut self) {
+        self.step_down();
+        self.has_failed = true;
+    }
+
+    fn finish_proposal(&mut self, index: u64, term: u64) {
+        let state = self.leading_mut();
+        let token = state.and_then(|state| state.proposals.remove(&index));
+        if let Some(token) = token {
+            let result = ProposeResult::Committed { index, term };
+            self.out.push(CoreAction::ProposeDone { token, result });
+        }
+    }
+
+    fn want_snapshot(&mut self) {
+        let since = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let is_due = self.applied - since >= self.settings.snapshot_entries
+            || self.applied_bytes >= self.settings.snapshot_bytes;
+        if is_due && !self.snapshot_wanted {
+            self.snapshot_wanted = true;
+            let index = self.applied;
+            self.out.push(CoreAction::WantSnapshot { index });
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/changing.rs
@@ -0,0 +1,134 @@
+//! Changes of who is a member, and of who leads.
+
+use ragwortroad_types::ClockTime;
+
+use crate::{
+    ChangeRefusal,
+    ConsensusCore,
+    CoreAction,
+    EntryPayload,
+    MemberChange,
+    MemberId,
+    MemberProgress,
+    MemberSet,
+    PeerMessage,
+    ProposeResult, //
+};
+
+impl ConsensusCore {
+    pub(crate) fn change_member(&mut self, token: u64, change: &MemberChange, now: ClockTime) {
+        let result = if self.is_leader() {
+            let checked = self.check_change(change, now);
+            checked.map_err(ProposeResult::Refused)
+        } else {
+            let leader = self.leader;
+            Err(ProposeResult::NotLeader { leader })
+        };
+        match result {
+            Ok(set) => self.append_members(token, set, now),
+            Err(result) => self.out.push(CoreAction::ProposeDone { token, result }),
+        }
+    }
+
+    /// The set after `change`, if it may be made now.
+    ///
+    /// One at a time, and only once the leader has committed an entry of its own term: two leaders
+    /// that each made a change of the same set could otherwise each find a quorum in theirs.
+    fn check_change(
+        &self,
+        change: &MemberChange,
+        now: ClockTime,
+    ) -> Result<MemberSet, ChangeRefusal> {
+        let first_index = self.leading().map_or(u64::MAX, |state| state.first_index);
+        if self.commit < first_index.max(self.members.latest_index()) {
+            return Err(ChangeRefusal::ChangeUnderWay);
+        }
+        let set = self.members().changed(change)?;
+        match *change {
+            MemberChange::Promote { member } if !self.has_caught_up(member, now) => {
+                Err(ChangeRefusal::NotCaughtUp)
+            }
+            MemberChange::Remove { member } if member == self.id => Err(ChangeRefusal::IsLeader),
+            _ => Ok(set),
+        }
+    }
+
+    /// Whether `member` has nearly all entries and has been heard of lately.
+    ///
+    /// A voter that lacks much counts in the quorum without being able to confirm anything; the
+    /// loss of one more member would stop the group.
+    pub fn has_caught_up(&self, member: MemberId, now: ClockTime) -> bool {
+        let last = self.log.last().index;
+        let settings = &self.settings;
+        let progress = self.leading().and_then(|state| state.progress.get(&member));
+        progress.is_some_and(|progress| {
+            let acked = progress.acked_at;
+            let is_near = progress.match_index + settings.promote_lag >= last;
+            let is_present = acked.is_some_and(|at| now < at.after(settings.election_timeout));
+            progress.match_index > 0 && is_near && is_present
+        })
+    }
+
+    fn append_members(&mut self, token: u64, set: MemberSet, now: ClockTime) {
+        let own = self.id;
+        let next_index = self.log.last().index + 1;
+        if let Some(state) = self.leading_mut() {
+            state
+                .progress
+                .retain(|member, _| set.find(*member).is_some());
+            for record in set.records() {
+                let fresh = || MemberProgress::new(next_index, now);
+                state.progress.entry(record.member).or_insert_with(fresh);
+            }
+            state.progress.remove(&own);
+        }
+        let index = self.append_own(&EntryPayload::Members(set), now);
+        if let Some(state) = self.leading_mut() {
+            state.proposals.insert(index, token);
+        }
+    }
+
+    /// Starts to hand over to a member that has everything.
+    pub(crate) fn hand_over(&mut self, now: ClockTime) {
+        let until = now.after(self.settings.election_timeout);
+        if let Some(state) = self.leading_mut() {
+            state.handover_until = Some(until);
+        }
+        self.try_hand_over(now);
+    }
+
+    /// Hands over if some voter has all entries.
+    ///
+    /// The leader stops acting for good before it asks for the election, and so its lease is over
+    /// and voters need not wait for it. If the request is lost, an ordinary election follows.
+    pub(crate) fn try_hand_over(&mut self, now: ClockTime) {
+        let Some(until) = self.leading().and_then(|state| state.handover_until) else {
+            return;
+        };
+        if now >= until {
+            if let Some(state) = self.leading_mut() {
+                state.handover_until = None;
+            }
+            return;
+        }
+        if let Some(heir) = self.find_heir() {
+            let term = self.vote.term;
+            self.step_down();
+            self.set_leader(None);
+            self.draw_election(now);
+            self.send(heir, PeerMessage::Handover { term });
+        }
+    }
+
+    fn find_heir(&self) -> Option<MemberId> {
+        let last = self.log.last().index;
+        let progress = &self.leading()?.progress;
+        let voters = self.other_voters().into_iter();
+        let complete = voters.filter_map(|voter| {
+            let progress = progress.get(&voter)?;
+            let acked = progress.acked_at?;
+            (progress.match_index == last).then_some((acked, voter))
+        });
+        complete.max().map(|(_, voter)| voter)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -0,0 +1,228 @@
+use std::sync::Arc;
+
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+use ragwortroad_log::{
+    StoredSnapshot,
+    VoteRecord, //
+};
+use ragwortroad_types::ClockTime;
+
+use crate::{
+    BrokenRule,
+    CoreAction,
+    CoreInput,
+    CoreSettings,
+    EntryLog,
+    LeaderState,
+    MemberHistory,
+    MemberId,
+    MemberSet,
+    MemberState,
+    PeerFrame,
+    PeerMessage,
+    PersistGate,
+    ProposeResult,
+    RestartCheck,
+    SnapshotAssembly,
+    StartTable, //
+    persist_gate::HeldEffect,
+};
+
+/// One member of a group that agrees on a log, as pure state.
+///
+/// Inputs go in with the time, actions come out; time, randomness, disk and messages belong to the
+/// caller. The caller does the actions in their order, writes batches in their order, and applies
+/// commands as they come out.
+#[derive(Debug)]
+pub struct ConsensusCore {
+    pub(crate) settings: CoreSettings,
+    pub(crate) id: MemberId,
+    pub(crate) start: u64,
+    pub(crate) rng: Pcg64Mcg,
+    /// Invariant: `vote.term` never goes down, and `voted_for` changes only with the term or from
+    /// none.
+    pub(crate) vote: VoteRecord,
+    pub(crate) leader: Option<MemberId>,
+    pub(crate) log: EntryLog,
+    pub(crate) members: MemberHistory,
+    pub(crate) snapshot: Option<Arc<StoredSnapshot>>,
+    /// Entries up to here are durable on a quorum.
+    pub(crate) commit: u64,
+    /// Entries up to here went out as actions.
+    ///
+    /// Invariant: not above `commit`.
+    pub(crate) applied: u64,
+    /// Bytes of the entries applied since the last snapshot.
+    pub(crate) applied_bytes: usize,
+    pub(crate) snapshot_wanted: bool,
+    /// The log equals the leader's up to here.
+    ///
+    /// A heartbeat's commit index says nothing about entries beyond: they may be leftovers of an
+    /// earlier term, and applying one would fork the state.
+    pub(crate) agreed: u64,
+    pub(crate) state: MemberState,
+    pub(crate) gate: PersistGate,
+    pub(crate) check: RestartCheck,
+    pub(crate) starts: StartTable,
+    pub(crate) assembly: Option<SnapshotAssembly>,
+    /// Before this, no vote is given: a leader may rely on this member for its lease.
+    pub(crate) no_vote_until: ClockTime,
+    /// When an election starts if nothing is heard.
+    pub(crate) election_at: ClockTime,
+    /// A write failed; this member promises nothing any more.
+    pub(crate) has_failed: bool,
+    pub(crate) out: Vec<CoreAction>,
+}
+
+impl ConsensusCore {
+    /// Handles one input at the time `now`; returns what is to be done.
+    pub fn handle(&mut self, input: CoreInput, now: ClockTime) -> Vec<CoreAction> {
+        if self.has_failed {
+            self.refuse(input);
+        } else {
+            self.take(input, now);
+            self.flush(now);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    fn take(&mut self, input: CoreInput, now: ClockTime) {
+        match input {
+            CoreInput::Tick => self.tick(now),
+            CoreInput::Frame(frame) => self.take_frame(frame, now),
+            CoreInput::Propose { token, command } => self.propose(token, command, now),
+            CoreInput::ReadRequest { token } => self.read(token, now),
+            CoreInput::Persisted { batch } => self.gate.persisted(batch),
+            CoreInput::PersistFailed => self.fail(),
+            CoreInput::SnapshotTaken { index, bytes } => self.take_snapshot(index, bytes),
+            CoreInput::ChangeMember { token, change } => self.change_member(token, &change, now),
+            CoreInput::HandOver => self.hand_over(now),
+            CoreInput::TrustDisk => self.check.is_done = true,
+        }
+    }
+
+    /// Ends an input: what changed goes to the disk, what is durable takes effect.
+    fn flush(&mut self, now: ClockTime) {
+        loop {
+            if let Some((batch, mut change)) = self.gate.take_batch() {
+                if self.settings.breaks(BrokenRule::ForgetVote) {
+                    change.vote = None;
+                }
+                self.out.push(CoreAction::Persist { batch, change });
+                if self.settings.breaks(BrokenRule::ActBeforeSync) {
+                    self.gate.persisted(batch);
+                }
+            }
+            let Some(effect) = self.gate.release() else {
+                break;
+            };
+            self.do_held(effect, now);
+        }
+    }
+
+    fn do_held(&mut self, effect: HeldEffect, now: ClockTime) {
+        match effect {
+            HeldEffect::Send(to, message) => self.send(to, message),
+            HeldEffect::OwnVote(term) => self.count_own_vote(term, now),
+            HeldEffect::OwnMatch(term, index) => self.count_own_match(term, index, now),
+        }
+    }
+
+    fn take_frame(&mut self, frame: PeerFrame, now: ClockTime) {
+        if frame.to != self.id || frame.from == self.id {
+            return;
+        }
+        if !self.learn_start(frame.from, frame.start, now) {
+            return;
+        }
+        self.take_message(frame.from, frame.message, now);
+    }
+
+    /// Answers an input after a failed write.
+    fn refuse(&mut self, input: CoreInput) {
+        let leader = None;
+        match input {
+            CoreInput::Propose { token, .. } | CoreInput::ChangeMember { token, .. } => {
+                let result = ProposeResult::NotLeader { leader };
+                self.out.push(CoreAction::ProposeDone { token, result });
+            }
+            CoreInput::ReadRequest { token } => {
+                self.out.push(CoreAction::ReadRefused { token, leader });
+            }
+            _ => {}
+        }
+    }
+
+    /// A write failed: what reached the disk is unknown, so nothing more is promised from here.
+    ///
+    /// The process goes on; a new core may start once the folder has been opened anew.
+    fn fail(&mut self) {
+        self.step_down();
+        self.leader = None;
+        self.gate.clear();
+        self.has_failed = true;
+    }
+
+    pub(crate) fn send(&mut self, to: MemberId, message: PeerMessage) {
+        self.out.push(CoreAction::Send(PeerFrame {
+            from: self.id,
+            to,
+            start: self.start,
+            message,
+        }));
+    }
+
+    /// Sends once everything changed so far is durable.
+    pub(crate) fn send_held(&mut self, to: MemberId, message: PeerMessage) {
+        self.gate.hold(HeldEffect::Send(to, message));
+    }
+
+    pub(crate) fn draw_election(&mut self, now: ClockTime) {
+        let span = self.settings.election_timeout;
+        let extra = self.rng.random_range(0..=span.as_millis() as u64);
+        let spread = std::time::Duration::from_millis(extra);
+        self.election_at = now.after(span).after(spread);
+    }
+
+    pub(crate) fn set_leader(&mut self, leader: Option<MemberId>) {
+        if self.leader != leader {
+            self.leader = leader;
+            let term = self.vote.term;
+            self.out.push(CoreAction::LeaderChanged { term, leader });
+        }
+    }
+
+    /// Whether this member may vote or be elected.
+    pub(crate) fn is_electable(&self) -> bool {
+        self.check.is_done && self.members().is_voter(self.id)
+    }
+
+    /// The state of the leader, if this member is one.
+    pub(crate) fn leading(&self) -> Option<&LeaderState> {
+        match &self.state {
+            MemberState::Leader(state) => Some(state),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn leading_mut(&mut self) -> Option<&mut LeaderState> {
+        match &mut self.state {
+            MemberState::Leader(state) => Some(state),
+            _ => None,
+        }
+    }
+
+    pub(crate) fn seeded(seed: u64) -> Pcg64Mcg {
+        Pcg64Mcg::seed_from_u64(seed)
+    }
+
+    /// The members in force here, committed or not.
+    pub fn members(&self) -> &MemberSet {
+        self.members.latest()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/core_new.rs
@@ -0,0 +1,145 @@
+//! Starting a member from what its data folder holds.
+
+use std::sync::Arc;
+
+use ragwortroad_log::{
+    StoredEntry,
+    StoredState,
+    VoteRecord, //
+};
+use ragwortroad_types::ClockTime;
+use snafu::{
+    ResultExt,
+    ensure, //
+};
+
+use crate::{
+    ConsensusCore, CoreAction, CoreError, CoreSettings, CoreStart, EntryLog, EntryPayload,
+    LogPosition, MemberHistory, MemberId, MemberSet, MemberState, PersistGate, RestartCheck,
+    StartTable,
+    core_error::{
+        AlreadyFoundedSnafu,
+        NotFounderSnafu,
+        UndecodableSnafu, //
+    },
+};
+
+impl ConsensusCore {
+    /// A member as of `start`, and what is to be done first.
+    pub fn new(
+        settings: CoreSettings,
+        start: CoreStart,
+        now: ClockTime,
+        seed: u64,
+    ) -> Result<(Self, Vec<CoreAction>), CoreError> {
+        let stored = start.stored;
+        let (base, members) = read_snapshot(&stored)?;
+        let mut history = MemberHistory::new(base.index, members);
+        for entry in &stored.entries {
+            if let EntryPayload::Members(set) = decode_payload(&entry.bytes)? {
+                history.push(entry.index, set);
+            }
+        }
+        let is_trusted = stored.is_new || settings.trust_disk || start.founders.is_some();
+        let check = if is_trusted {
+            RestartCheck::skipped()
+        } else {
+            RestartCheck::new(history.latest_index(), history.latest().clone())
+        };
+        // A leader may rely for its lease on what this member promised before it restarted.
+        let promised = if stored.is_new {
+            now
+        } else {
+            now.after(settings.election_timeout)
+        };
+        let is_unused = stored.snapshot.is_none() && stored.entries.is_empty();
+        let mut core = Self {
+            settings,
+            id: MemberId(stored.identity),
+            start: start.start,
+            rng: Self::seeded(seed),
+            vote: stored.vote,
+            leader: None,
+            log: EntryLog::new(base, stored.entries),
+            members: history,
+            snapshot: stored.snapshot.map(Arc::new),
+            commit: base.index,
+            applied: base.index,
+            applied_bytes: 0,
+            snapshot_wanted: false,
+            agreed: base.index,
+            state: MemberState::Follower,
+            gate: PersistGate::default(),
+            check,
+            starts: StartTable::default(),
+            assembly: None,
+            no_vote_until: promised,
+            election_at: now,
+            has_failed: false,
+            out: Vec::new(),
+        };
+        core.draw_election(now);
+        if let Some(founders) = start.founders {
+            ensure!(is_unused, AlreadyFoundedSnafu);
+            ensure!(founders.is_voter(core.id), NotFounderSnafu);
+            core.found(founders, now);
+        }
+        core.restore();
+        core.say_hello(now);
+        let first = core.handle(crate::CoreInput::Tick, now);
+        Ok((core, first))
+    }
+
+    /// Writes the first entry, as if this member had been elected in term 1.
+    fn found(&mut self, founders: MemberSet, now: ClockTime) {
+        let vote = VoteRecord {
+            term: self.vote.term.max(1),
+            voted_for: self.vote.voted_for.or(Some(self.id.0)),
+        };
+        self.vote = vote;
+        self.gate.change().vote = Some(vote);
+        let payload = EntryPayload::Members(founders.clone());
+        let entry = StoredEntry {
+            index: 1,
+            term: 1,
+            bytes: encode_payload(&payload),
+        };
+        self.gate.change().entries.push(entry.clone());
+        self.log.push(entry);
+        self.members.push(1, founders);
+        self.election_at = now;
+    }
+
+    /// Hands out the state of the stored snapshot.
+    fn restore(&mut self) {
+        if let Some(snapshot) = &self.snapshot {
+            let index = snapshot.index;
+            let bytes = snapshot.bytes.clone();
+            self.out.push(CoreAction::RestoreSnapshot { index, bytes });
+        }
+    }
+}
+
+fn read_snapshot(stored: &StoredState) -> Result<(LogPosition, MemberSet), CoreError> {
+    let Some(snapshot) = &stored.snapshot else {
+        return Ok((LogPosition::default(), MemberSet::default()));
+    };
+    let what = "the members in the snapshot";
+    let members = postcard::from_bytes(&snapshot.members).context(UndecodableSnafu { what })?;
+    let base = LogPosition {
+        term: snapshot.term,
+        index: snapshot.index,
+    };
+    Ok((base, members))
+}
+
+/// The payload that the bytes of an entry stand for.
+pub(crate) fn decode_payload(bytes: &[u8]) -> Result<EntryPayload, CoreError> {
+    let what = "a log entry";
+    postcard::from_bytes(bytes).context(UndecodableSnafu { what })
+}
+
+/// The bytes of `payload`; encoding into memory of plain types does not fail.
+pub(crate) fn encode_payload(payload: &EntryPayload) -> Vec<u8> {
+    postcard::to_stdvec(payload).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/core_settings.rs
@@ -0,0 +1,106 @@
+use std::time::Duration;
+
+/// Settings of the agreement; the same on all members.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CoreSettings {
+    /// A member that has heard from a leader votes for no other for this long, and a leader that
+    /// has not heard from a quorum for this long steps down.
+    pub election_timeout: Duration,
+    /// Time between heartbeats.
+    pub heartbeat_every: Duration,
+    /// Assumed bound on how much faster or slower than true time a member's clock runs, in
+    /// millionths. The lease is shorter than the election timeout by twice this.
+    pub clock_drift_ppm: u32,
+    /// Time after which something unanswered is sent again.
+    pub resend_after: Duration,
+    /// Bytes of entries in one message; a single larger entry still goes.
+    pub max_append_bytes: usize,
+    /// Messages with entries under way to one member.
+    pub max_in_flight: usize,
+    /// Bytes of one command.
+    pub max_command_bytes: usize,
+    /// Commands proposed and not committed yet.
+    pub max_proposals: usize,
+    /// Reads waiting for proof that they are current.
+    pub max_reads: usize,
+    /// A snapshot is wanted after this many entries.
+    pub snapshot_entries: u64,
+    /// A snapshot is wanted after this many bytes of entries.
+    pub snapshot_bytes: usize,
+    /// Entries kept in memory behind a snapshot, for members that are a little late.
+    pub keep_entries: u64,
+    /// Bytes of snapshot in one message.
+    pub chunk_bytes: usize,
+    /// A learner may be promoted when it lacks no more than this many entries.
+    pub promote_lag: u64,
+    /// Skip the check with other members after a restart.
+    ///
+    /// The check is what notices that a disk went back to an older state as a whole, as when a VM
+    /// is restored from a backup: the member would vote again in a term in which it has voted.
+    /// With it, a restarted member of three needs an answer from both others before it counts.
+    pub trust_disk: bool,
+    /// A rule to break, so that tests can show that their checks fail.
+    #[doc(hidden)]
+    pub broken_rule: Option<BrokenRule>,
+}
+
+/// A rule that a test has the core break.
+#[doc(hidden)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BrokenRule {
+    /// Effects go out before what they depend on is durable.
+    ActBeforeSync,
+    /// Votes are not written.
+    ForgetVote,
+    /// A member votes although it has heard from a leader just now.
+    VoteAtOnce,
+    /// Entries of earlier terms are committed by counting.
+    CommitOldTerms,
+    /// Acknowledgements of a member's earlier start still count.
+    CountOldStarts,
+}
+
+impl Default for CoreSettings {
+    fn default() -> Self {
+        Self {
+            election_timeout: Duration::from_millis(1200),
+            heartbeat_every: Duration::from_millis(300),
+            clock_drift_ppm: 10_000,
+            resend_after: Duration::from_millis(600),
+            max_append_bytes: 64 << 10,
+            max_in_flight: 8,
+            max_command_bytes: 256 << 10,
+            max_proposals: 4096,
+            max_reads: 4096,
+            snapshot_entries: 10_000,
+            snapshot_bytes: 8 << 20,
+            keep_entries: 1000,
+            chunk_bytes: 128 << 10,
+            promote_lag: 64,
+            trust_disk: false,
+            broken_rule: None,
+        }
+    }
+}
+
+/// Readings are cut to whole milliseconds, so a span between two can be off by one at each end.
+const READING_ERROR: Duration = Duration::from_millis(2);
+
+impl CoreSettings {
+    /// How long after sending a heartbeat that a quorum confirmed its sender may act as leader.
+    ///
+    /// The members count `election_timeout` on clocks that may run fast, the leader counts this on
+    /// one that may run slow; with rates within `1 ± d` it ends first if it is no longer than
+    /// `election_timeout * (1 - d) / (1 + d)`.
+    pub fn lease_span(&self) -> Duration {
+        let million = 1_000_000_u64;
+        let drift = u64::from(self.clock_drift_ppm).min(million);
+        let full = self.election_timeout.as_micros() as u64;
+        let span = full * (million - drift) / (million + drift);
+        Duration::from_micros(span).saturating_sub(READING_ERROR)
+    }
+
+    pub(crate) fn breaks(&self, rule: BrokenRule) -> bool {
+        self.broken_rule == Some(rule)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -0,0 +1,226 @@
+//! Elections: who asks for votes, and who gets one.
+
+use ragwortroad_log::VoteRecord;
+use ragwortroad_types::ClockTime;
+
+use crate::{
+    ConsensusCore,
+    CoreAction,
+    LogPosition,
+    MemberId,
+    MemberState,
+    PeerMessage,
+    ProposeResult,
+    VoteTally,
+    persist_gate::HeldEffect, //
+};
+
+impl ConsensusCore {
+    pub(crate) fn tick(&mut self, now: ClockTime) {
+        self.say_hello(now);
+        if self.is_leader() {
+            self.lead(now);
+        } else if self.may_campaign(now) {
+            self.start_pre_vote(now);
+        }
+    }
+
+    fn may_campaign(&self, now: ClockTime) -> bool {
+        let is_late = now >= self.election_at && now >= self.no_vote_until;
+        is_late && self.is_electable() && self.log.last() >= self.check.log_floor
+    }
+
+    /// Asks who would vote for this member before it disturbs anyone.
+    ///
+    /// A member that is cut off time and again would otherwise come back each time with a higher
+    /// term and depose a leader that everybody else hears well.
+    fn start_pre_vote(&mut self, now: ClockTime) {
+        self.draw_election(now);
+        self.set_leader(None);
+        let mut tally = VoteTally::default();
+        tally.granted.insert(self.id);
+        let is_alone = tally.has_quorum(self.members());
+        self.state = MemberState::PreCandidate(tally);
+        if is_alone {
+            return self.start_vote(false, now);
+        }
+        let term = self.vote.term + 1;
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            self.send(voter, PeerMessage::PreVote { term, last });
+        }
+    }
+
+    /// Votes for itself and, once that is durable, asks the others.
+    pub(crate) fn start_vote(&mut self, handover: bool, now: ClockTime) {
+        self.draw_election(now);
+        self.set_leader(None);
+        self.agreed = self.commit;
+        let term = self.vote.term + 1;
+        self.set_vote(VoteRecord {
+            term,
+            voted_for: Some(self.id.0),
+        });
+        self.state = MemberState::Candidate(VoteTally::default());
+        self.gate.hold(HeldEffect::OwnVote(term));
+        let last = self.log.last();
+        for voter in self.other_voters() {
+            let message = PeerMessage::Vote {
+                term,
+                last,
+                handover,
+            };
+            self.send_held(voter, message);
+        }
+    }
+
+    pub(crate) fn count_own_vote(&mut self, term: u64, now: ClockTime) {
+        if term == self.vote.term {
+            self.count_vote(self.id, now);
+        }
+    }
+
+    fn count_vote(&mut self, from: MemberId, now: ClockTime) {
+        if let MemberState::Candidate(tally) = &mut self.state {
+            tally.granted.insert(from);
+            if tally.has_quorum(self.members.latest()) {
+                self.become_leader(now);
+            }
+        }
+    }
+
+    pub(crate) fn take_pre_vote(
+        &mut self,
+        from: MemberId,
+        asked: u64,
+        last: LogPosition,
+        now: ClockTime,
+    ) {
+        let term = self.vote.term;
+        let granted = asked > term && self.is_free_to_vote(now) && self.is_new_enough(last);
+        let reply = PeerMessage::PreVoteReply {
+            asked,
+            term,
+            granted,
+        };
+        self.send(from, reply);
+    }
+
+    pub(crate) fn take_pre_vote_reply(
+        &mut self,
+        from: MemberId,
+        asked: u64,
+        granted: bool,
+        now: ClockTime,
+    ) {
+        if !granted || asked != self.vote.term + 1 {
+            return;
+        }
+        if let MemberState::PreCandidate(tally) = &mut self.state {
+            tally.granted.insert(from);
+            if tally.has_quorum(self.members.latest()) {
+                self.start_vote(false, now);
+            }
+        }
+    }
+
+    /// Gives a vote, or refuses it, or stays silent while a leader may rely on this member.
+    ///
+    /// A leader that hands over has stopped acting before it asked for the election, so there is
+    /// no lease to wait for.
+    pub(crate) fn take_vote(
+        &mut self,
+        from: MemberId,
+        term: u64,
+        last: LogPosition,
+        handover: bool,
+        now: ClockTime,
+    ) {
+        if term >= self.vote.term && !handover && !self.is_free_to_vote(now) {
+            return;
+        }
+        if term > self.vote.term {
+            self.adopt_term(term, now);
+        }
+        let granted = term == self.vote.term && self.may_vote_for(from) && self.is_new_enough(last);
+        if granted {
+            self.draw_election(now);
+            self.set_vote(VoteRecord {
+                term,
+                voted_for: Some(from.0),
+            });
+        }
+        let reply = PeerMessage::VoteReply {
+            term: self.vote.term,
+            granted,
+            starts: self.starts.wire(from, self.members.latest()),
+        };
+        self.send_held(from, reply);
+    }
+
+    fn may_vote_for(&self, candidate: MemberId) -> bool {
+        match self.vote.voted_for {
+            Some(voted_for) => voted_for == candidate.0,
+            None => self.vote.term > self.check.vote_floor,
+        }
+    }
+
+    fn is_new_enough(&self, last: LogPosition) -> bool {
+        last >= self.log.last() && last >= self.check.log_floor
+    }
+
+    pub(crate) fn take_vote_reply(&mut self, from: MemberId, granted: bool, now: ClockTime) {
+        if granted {
+            self.count_vote(from, now);
+        }
+    }
+
+    pub(crate) fn take_handover(&mut self, from: MemberId, now: ClockTime) {
+        let is_from_leader = self.leader == Some(from);
+        let is_new = self.log.last() >= self.check.log_floor;
+        if is_from_leader && is_new && self.is_electable() {
+            self.start_vote(true, now);
+        }
+    }
+
+    /// Goes on to a later term.
+    pub(crate) fn adopt_term(&mut self, term: u64, now: ClockTime) {
+        self.step_down();
+        self.set_leader(None);
+        self.agreed = self.commit;
+        self.draw_election(now);
+        self.set_vote(VoteRecord {
+            term,
+            voted_for: None,
+        });
+    }
+
+    fn set_vote(&mut self, vote: VoteRecord) {
+        if self.vote != vote {
+            self.vote = vote;
+            self.gate.change().vote = Some(vote);
+        }
+    }
+
+    /// Stops leading or asking for votes; the term stays.
+    pub(crate) fn step_down(&mut self) {
+        let state = std::mem::replace(&mut self.state, MemberState::Follower);
+        let MemberState::Leader(state) = state else {
+            return;
+        };
+        for &token in state.proposals.values() {
+            let result = ProposeResult::Unknown;
+            self.out.push(CoreAction::ProposeDone { token, result });
+        }
+        for read in &state.reads {
+            let token = read.token;
+            let leader = None;
+            self.out.push(CoreAction::ReadRefused { token, leader });
+        }
+    }
+
+    pub(crate) fn other_voters(&self) -> Vec<MemberId> {
+        let voters = self.members().voters();
+        voters.filter(|voter| *voter != self.id).collect()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/following.rs
@@ -0,0 +1,147 @@
+//! What a member does with what comes from the leader.
+
+use ragwortroad_log::StoredEntry;
+use ragwortroad_types::ClockTime;
+
+use crate::{
+    AppendOutcome,
+    ConsensusCore,
+    EntryPayload,
+    LogPosition,
+    MemberId,
+    PeerMessage,
+    WireEntry,
+    core_new::decode_payload, //
+};
+
+impl ConsensusCore {
+    /// Takes a message of the leader of the term at hand.
+    pub(crate) fn take_from_leader(
+        &mut self,
+        from: MemberId,
+        message: PeerMessage,
+        now: ClockTime,
+    ) {
+        if self.is_leader() {
+            return;
+        }
+        self.step_down();
+        self.set_leader(Some(from));
+        self.no_vote_until = now.after(self.settings.election_timeout);
+        self.draw_election(now);
+        match message {
+            PeerMessage::Heartbeat {
+                commit, sent_at, ..
+            } => self.take_heartbeat(from, commit, sent_at),
+            PeerMessage::Append {
+                prev,
+                commit,
+                sent_at,
+                entries,
+                ..
+            } => self.take_append(from, prev, commit, sent_at, entries),
+            PeerMessage::Chunk(chunk) => self.take_chunk(from, chunk),
+            _ => {}
+        }
+    }
+
+    fn take_heartbeat(&mut self, from: MemberId, commit: u64, sent_at: ClockTime) {
+        self.commit_to(commit.min(self.agreed));
+        let term = self.vote.term;
+        let reply = PeerMessage::HeartbeatReply { term, sent_at };
+        // The answer depends on nothing but the term: waiting for entries would cost the leader
+        // its lease whenever a disk is slow.
+        if self.gate.is_vote_durable() {
+            self.send(from, reply);
+        } else {
+            self.send_held(from, reply);
+        }
+    }
+
+    fn take_append(
+        &mut self,
+        from: MemberId,
+        prev: LogPosition,
+        commit: u64,
+        sent_at: ClockTime,
+        entries: Vec<WireEntry>,
+    ) {
+        let outcome = match self.conflict_hint(prev) {
+            Some(hint) => AppendOutcome::Conflict {
+                prev: prev.index,
+                hint,
+            },
+            None => {
+                let matched = prev.index + entries.len() as u64;
+                self.merge_entries(prev.index, entries);
+                self.agreed = self.agreed.max(matched);
+                self.commit_to(commit.min(self.agreed));
+                AppendOutcome::Matched(matched)
+            }
+        };
+        self.reply_append(from, sent_at, outcome);
+    }
+
+    pub(crate) fn reply_append(
+        &mut self,
+        to: MemberId,
+        sent_at: ClockTime,
+        outcome: AppendOutcome,
+    ) {
+        let reply = PeerMessage::AppendReply {
+            term: self.vote.term,
+            sent_at,
+            outcome,
+            starts: self.starts.wire(to, self.members.latest()),
+        };
+        self.send_held(to, reply);
+    }
+
+    /// Where the logs may agree, if `prev` is not in this one.
+    fn conflict_hint(&self, prev: LogPosition) -> Option<u64> {
+        let base = self.log.base();
+        // What lies before the base is committed, so every leader has the same.
+        if prev.index <= base.index.max(self.commit) {
+            return None;
+        }
+        match self.log.term_at(prev.index) {
+            Some(term) if term == prev.term => None,
+            Some(_) => {
+                let first = self.log.first_of_term(prev.index);
+                Some((first - 1).max(self.commit))
+            }
+            None => Some(self.log.last().index),
+        }
+    }
+
+    /// Adds entries that follow `prev_index`, dropping what contradicts them.
+    fn merge_entries(&mut self, prev_index: u64, entries: Vec<WireEntry>) {
+        for (index, entry) in (prev_index + 1..).zip(entries) {
+            if index <= self.commit || self.log.term_at(index) == Some(entry.term) {
+                continue;
+            }
+            if index <= self.log.last().index {
+                self.drop_entries(index);
+            }
+            self.add_entry(StoredEntry {
+                index,
+                term: entry.term,
+                bytes: entry.bytes,
+            });
+        }
+    }
+
+    fn drop_entries(&mut self, from: u64) {
+        self.log.truncate_from(from);
+        self.members.truncate_from(from);
+        self.gate.change().truncate_from = Some(from);
+    }
+
+    fn add_entry(&mut self, entry: StoredEntry) {
+        if let Ok(EntryPayload::Members(set)) = decode_payload(&entry.bytes) {
+            self.members.push(entry.index, set);
+        }
+        self.gate.change().entries.push(entry.clone());
+        self.log.push(entry);
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/leading.rs
@@ -0,0 +1,232 @@
+//! What a leader does: heartbeats, entries to the others, commits, and reads.
+
+use std::collections::BTreeMap;
+
+use ragwortroad_log::StoredEntry;
+use ragwortroad_types::ClockTime;
+
+use crate::{
+    BrokenRule,
+    ConsensusCore,
+    CoreAction,
+    EntryPayload,
+    LeaderState,
+    MemberId,
+    MemberProgress,
+    MemberState,
+    PeerMessage,
+    PendingRead,
+    ProposeResult,
+    core_new::encode_payload,
+    persist_gate::HeldEffect, //
+};
+
+impl ConsensusCore {
+    pub(crate) fn become_leader(&mut self, now: ClockTime) {
+        let next_index = self.log.last().index + 1;
+        let mut progress = BTreeMap::new();
+        for record in self.members().records() {
+            if record.member != self.id {
+                progress.insert(record.member, MemberProgress::new(next_index, now));
+            }
+        }
+        self.state = MemberState::Leader(Box::new(LeaderState {
+            progress,
+            first_index: next_index,
+            since: now,
+            beat_at: now,
+            ..LeaderState::default()
+        }));
+        self.agreed = next_index;
+        self.set_leader(Some(self.id));
+        self.append_own(&EntryPayload::Noop, now);
+    }
+
+    /// What a leader does as time passes.
+    pub(crate) fn lead(&mut self, now: ClockTime) {
+        if self.is_cut_off(now) {
+            self.step_down();
+            self.set_leader(None);
+            return self.draw_election(now);
+        }
+        self.try_hand_over(now);
+        self.resend_stalled(now);
+        self.beat(now);
+        self.finish_reads(now);
+    }
+
+    /// No quorum has been heard for an election timeout: others may have elected a leader by now,
+    /// and callers should look for it.
+    fn is_cut_off(&self, now: ClockTime) -> bool {
+        self.leading().is_some_and(|state| {
+            let heard = self.quorum_acked_at(state).unwrap_or(state.since);
+            now >= heard.max(state.since).after(self.settings.election_timeout)
+        })
+    }
+
+    fn beat(&mut self, now: ClockTime) {
+        let every = self.settings.heartbeat_every;
+        let Some(state) = self.leading_mut() else {
+            return;
+        };
+        if now < state.beat_at.after(every) {
+            return;
+        }
+        state.beat_at = now;
+        let members: Vec<_> = state.progress.keys().copied().collect();
+        for member in members {
+            self.send_heartbeat(member, now);
+        }
+    }
+
+    fn send_heartbeat(&mut self, member: MemberId, now: ClockTime) {
+        let term = self.vote.term;
+        let commit = self.commit;
+        let progress = self.leading().and_then(|state| state.progress.get(&member));
+        let Some(progress) = progress else {
+            return;
+        };
+        let message = PeerMessage::Heartbeat {
+            term,
+            commit: commit.min(progress.match_index),
+            sent_at: now,
+        };
+        self.send(member, message);
+    }
+
+    /// Adds an entry of its own term; returns its index.
+    pub(crate) fn append_own(&mut self, payload: &EntryPayload, now: ClockTime) -> u64 {
+        let term = self.vote.term;
+        let index = self.log.last().index + 1;
+        let bytes = encode_payload(payload);
+        let entry = StoredEntry { index, term, bytes };
+        self.gate.change().entries.push(entry.clone());
+        self.gate.hold(HeldEffect::OwnMatch(term, index));
+        self.log.push(entry);
+        if let EntryPayload::Members(set) = payload {
+            self.members.push(index, set.clone());
+        }
+        self.send_all(now);
+        index
+    }
+
+    pub(crate) fn propose(&mut self, token: u64, command: Vec<u8>, now: ClockTime) {
+        let max_bytes = self.settings.max_command_bytes;
+        let max_proposals = self.settings.max_proposals;
+        let leader = self.leader;
+        let refusal = match self.leading() {
+            None => Some(ProposeResult::NotLeader { leader }),
+            Some(_) if command.len() > max_bytes => Some(ProposeResult::TooLarge),
+            Some(state) => {
+                let is_full = state.proposals.len() >= max_proposals;
+                let is_leaving = state.handover_until.is_some();
+                (is_full || is_leaving).then_some(ProposeResult::Busy)
+            }
+        };
+        if let Some(result) = refusal {
+            return self.out.push(CoreAction::ProposeDone { token, result });
+        }
+        let index = self.append_own(&EntryPayload::Command(command), now);
+        if let Some(state) = self.leading_mut() {
+            state.proposals.insert(index, token);
+        }
+    }
+
+    pub(crate) fn count_own_match(&mut self, term: u64, index: u64, now: ClockTime) {
+        if term != self.vote.term {
+            return;
+        }
+        if let Some(state) = self.leading_mut() {
+            state.own_match = state.own_match.max(index);
+            self.advance_commit(now);
+        }
+    }
+
+    /// Commits what a quorum has, as soon as that includes an entry of this term.
+    ///
+    /// An entry of an earlier term on a quorum can still be replaced by a later leader that never
+    /// had it, so counting alone must not commit it.
+    pub(crate) fn advance_commit(&mut self, now: ClockTime) {
+        let Some(state) = self.leading() else {
+            return;
+        };
+        let matched = |member: MemberId| match state.progress.get(&member) {
+            Some(progress) => progress.match_index,
+            None if member == self.id => state.own_match,
+            None => 0,
+        };
+        let reached = self.members().quorum_value(matched).unwrap_or(0);
+        let is_own = self.log.term_at(reached) == Some(self.vote.term);
+        let may_commit = is_own || self.settings.breaks(BrokenRule::CommitOldTerms);
+        if reached > self.commit && may_commit {
+            self.commit_to(reached);
+            self.tell_commit(now);
+            self.finish_reads(now);
+        }
+    }
+
+    /// Tells members to which no entries are on their way, so that they apply at once, too.
+    fn tell_commit(&mut self, now: ClockTime) {
+        let commit = self.commit;
+        let Some(state) = self.leading() else {
+            return;
+        };
+        let idle = state
+            .progress
+            .iter()
+            .filter(|(_, progress)| progress.in_flight == 0 && progress.match_index >= commit);
+        let members: Vec<_> = idle.map(|(&member, _)| member).collect();
+        for member in members {
+            self.send_heartbeat(member, now);
+        }
+    }
+
+    pub(crate) fn take_ack(&mut self, from: MemberId, sent_at: ClockTime, now: ClockTime) {
+        let Some(state) = self.leading_mut() else {
+            return;
+        };
+        if let Some(progress) = state.progress.get_mut(&from) {
+            progress.acked(sent_at, now);
+            self.finish_reads(now);
+        }
+    }
+
+    pub(crate) fn read(&mut self, token: u64, now: ClockTime) {
+        let max_reads = self.settings.max_reads;
+        let leader = self.leader;
+        let state = self.leading_mut();
+        let Some(state) = state.filter(|state| state.reads.len() < max_reads) else {
+            return self.out.push(CoreAction::ReadRefused { token, leader });
+        };
+        let asked_at = now;
+        state.reads.push_back(PendingRead { token, asked_at });
+        self.finish_reads(now);
+    }
+
+    /// Answers reads that are proved: by the lease, or by a message that left after the read came
+    /// and that a quorum has confirmed.
+    pub(crate) fn finish_reads(&mut self, now: ClockTime) {
+        let Some(state) = self.leading() else {
+            return;
+        };
+        if self.commit < state.first_index || state.reads.is_empty() {
+            return;
+        }
+        let has_lease = self.may_act_as_leader(now);
+        let acked = self.quorum_acked_at(state);
+        let index = self.commit;
+        let mut ready = Vec::new();
+        if let Some(state) = self.leading_mut() {
+            while let Some(read) = state.reads.front() {
+                if !has_lease && acked.is_none_or(|acked| acked <= read.asked_at) {
+                    break;
+                }
+                ready.push(read.token);
+                state.reads.pop_front();
+            }
+        }
+        for token in ready {
+            self.out.push(CoreAction::ReadReady { token, index });
+        }
+    }
+}
--- a/crates/ragwortroad_consensus/src/lib.rs
+++ b/crates/ragwortroad_consensus/src/lib.rs
@@ -1,1 +1,130 @@
 //! Leader election and log replication as pure state.
+//!
+//! A [`ConsensusCore`] is one member of a group that agrees on the order of commands. It reads no
+//! clock, draws no unseeded randomness and touches no disk or network: inputs go in with the time,
+//! and actions come out for the caller to do, so that every schedule can be replayed.
+//!
+//! ```
+//! use ragwortroad_consensus::prelude::*;
+//! use ragwortroad_log::prelude::*;
+//! use ragwortroad_types::prelude::*;
+//!
+//! let stored = StoredState { identity: 17, is_new: true, ..StoredState::default() };
+//! let founders = MemberSet::from_voters([(MemberId(17), NodeId::from_name("rvk-1"))]);
+//! let start = CoreStart { stored, start: 1, founders: Some(founders) };
+//! let now = ClockTime(1000);
+//! let (mut core, mut actions) = ConsensusCore::new(CoreSettings::default(), start, now, 1)?;
+//! actions.extend(core.handle(CoreInput::Propose { token: 1, command: b"on".to_vec() }, now));
+//! // A group of one leads as soon as its own vote is durable.
+//! while let Some(action) = actions.pop() {
+//!     if let CoreAction::Persist { batch, .. } = action {
+//!         actions.extend(core.handle(CoreInput::Persisted { batch }, now));
+//!     }
+//! }
+//! assert!(core.may_act_as_leader(now));
+//! # Ok::<(), CoreError>(())
+//! ```
+
+mod applying;
+mod changing;
+mod consensus_core;
+mod core_action;
+mod core_error;
+mod core_input;
+mod core_new;
+mod core_settings;
+mod core_start;
+mod core_view;
+mod election;
+mod entry_log;
+mod entry_payload;
+mod following;
+mod founding_table;
+mod leader_state;
+mod leading;
+mod log_position;
+mod member_change;
+mod member_history;
+mod member_id;
+mod member_progress;
+mod member_record;
+mod member_set;
+mod member_state;
+mod peer_frame;
+mod peer_message;
+mod persist_gate;
+mod receiving;
+mod rejoining;
+mod replicating;
+mod restart_check;
+mod snapshot_assembly;
+mod snapshotting;
+mod start_table;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        consensus_core::ConsensusCore,
+        core_action::{
+            CoreAction,
+            ProposeResult, //
+        },
+        core_error::CoreError,
+        core_input::CoreInput,
+        core_settings::CoreSettings,
+        core_start::CoreStart,
+        entry_payload::EntryPayload,
+        founding_table::{
+            FoundingHello,
+            FoundingStep,
+            FoundingTable, //
+        },
+        log_position::LogPosition,
+        member_change::{
+            ChangeRefusal,
+            MemberChange, //
+        },
+        member_id::MemberId,
+        member_record::{
+            MemberRecord,
+            MemberRole, //
+        },
+        member_set::MemberSet,
+        peer_frame::{
+            FrameError,
+            MAX_FRAME_BYTES,
+            PeerFrame, //
+        },
+        peer_message::{
+            AppendOutcome,
+            MemberStart,
+            PeerMessage,
+            SnapshotChunk,
+            WireEntry, //
+        },
+    };
+}
+
+#[doc(hidden)]
+pub use core_settings::BrokenRule;
+pub use prelude::*;
+
+use entry_log::EntryLog;
+use leader_state::{
+    LeaderState,
+    PendingRead, //
+};
+use member_history::MemberHistory;
+use member_progress::{
+    MemberProgress,
+    SendMode,
+    SnapshotTransfer, //
+};
+use member_state::{
+    MemberState,
+    VoteTally, //
+};
+use persist_gate::PersistGate;
+use restart_check::RestartCheck;
+use snapshot_assembly::SnapshotAssembly;
+use start_table::StartTable;
--- /dev/null
+++ b/crates/ragwortroad_consensus/src/snapshotting.rs
@@ -0,0 +1,114 @@
+//! Snapshots: taking them, and taking over one that comes from the leader.
+
+use std::sync::Arc;
+
+use ragwortroad_log::StoredSnapshot;
+
+use crate::{
+    AppendOutcome,
+    ConsensusCore,
+    CoreAction,
+    MemberHistory,
+    MemberId,
+    MemberSet,
+    PeerMessage,
+    SnapshotAssembly,
+    SnapshotChunk, //
+};
+
+impl ConsensusCore {
+    /// The state after `index` replaces the entries up to it, but for a few that members who are a
+    /// little late may need.
+    pub(crate) fn take_snapshot(&mut self, index: u64, bytes: Vec<u8>) {
+        self.snapshot_wanted = false;
+        let since = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        if index <= since || index > self.applied {
+            return;
+        }
+        let members = encode_members(self.members.at(index));
+        self.keep_snapshot(StoredSnapshot {
+            index,
+            term,
+            members,
+            bytes,
+        });
+        self.applied_bytes = 0;
+        let kept = self.settings.keep_entries;
+        let dropped = index.saturating_sub(kept);
+        self.log.drop_until(dropped);
+        self.members.drop_until(self.log.base().index);
+    }
+
+    fn keep_snapshot(&mut self, snapshot: StoredSnapshot) {
+        self.gate.change().snapshot = Some(snapshot.clone());
+        self.snapshot = Some(Arc::new(snapshot));
+    }
+
+    pub(crate) fn take_chunk(&mut self, from: MemberId, chunk: SnapshotChunk) {
+        let index = chunk.last.index;
+        if index <= self.commit {
+            let outcome = AppendOutcome::Matched(index);
+            self.agreed = self.agreed.max(index);
+            return self.reply_append(from, chunk.sent_at, outcome);
+        }
+        let assembly = self
+            .assembly
+            .take()
+            .filter(|assembly| assembly.is_of(&chunk));
+        let mut assembly = assembly.unwrap_or_else(|| SnapshotAssembly::new(&chunk));
+        assembly.add(&chunk);
+        if assembly.is_whole() {
+            let outcome = AppendOutcome::Matched(index);
+            let sent_at = chunk.sent_at;
+            self.install_snapshot(chunk, assembly.bytes);
+            return self.reply_append(from, sent_at, outcome);
+        }
+        let received = assembly.bytes.len() as u64;
+        self.assembly = Some(assembly);
+        let reply = PeerMessage::ChunkReply {
+            term: self.vote.term,
+            sent_at: chunk.sent_at,
+            index,
+            received,
+        };
+        self.send_held(from, reply);
+    }
+
+    fn install_snapshot(&mut self, chunk: SnapshotChunk, bytes: Vec<u8>) {
+        let last = chunk.last;
+        let index = last.index;
+        let is_known = self.log.term_at(index) == Some(last.term);
+        if is_known {
+            self.log.drop_until(index);
+            self.members.drop_until(index);
+        } else {
+            self.log.reset(last);
+            self.members = MemberHistory::new(index, chunk.members.clone());
+        }
+        self.commit = index;
+        self.applied = index;
+        self.applied_bytes = 0;
+        self.snapshot_wanted = false;
+        self.agreed = self.agreed.max(index);
+        self.out.push(CoreAction::RestoreSnapshot {
+            index,
+            bytes: bytes.clone(),
+        });
+        let members = chunk.members;
+        self.keep_snapshot(StoredSnapshot {
+            index,
+            term: last.term,
+            members: encode_members(&members),
+            bytes,
+        });
+        self.out.push(CoreAction::MembersChanged { index, members });
+    }
+}
+
+/// The bytes of `members`; encoding into memory of plain types does not fail.
+fn encode_members(members: &MemberSet) -> Vec<u8> {
+    postcard::to_stdvec(members).unwrap_or_default()
+}
