--- /dev/null
+++ b/crates/ragwortroad_state/src/claim/claim_key.rs
@@ -0,0 +1,73 @@
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use sha2::{
+    Digest,
+    Sha256, //
+};
+
+/// A customer's idempotency key for one service, as the state keeps it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ClaimKey {
+    /// The customer's name.
+    pub customer: String,
+    /// Half of SHA-256 over service and key.
+    pub digest: [u8; 16],
+    /// When the key was issued, in milliseconds since 1970, where it says so: a UUID of version 7
+    /// begins with it. Such keys need no memory to be known as too old.
+    pub issued_ms: Option<u64>,
+}
+
+impl ClaimKey {
+    /// The claim key of a request of `customer` to `service` with the header value `key`.
+    pub fn new(customer: &str, service: &str, key: &str) -> Self {
+        let mut hash = Sha256::new();
+        hash.update((service.len() as u64).to_le_bytes());
+        hash.update(service.as_bytes());
+        hash.update(key.as_bytes());
+        Self {
+            customer: customer.to_owned(),
+            digest: half(hash.finalize().into()),
+            issued_ms: issue_time(key),
+        }
+    }
+
+    /// The 8 bytes by which an undated key is remembered past the window.
+    pub(crate) fn fingerprint(&self) -> u64 {
+        fingerprint(&self.digest)
+    }
+}
+
+/// The 8 bytes of a digest by which an undated key is remembered past the window.
+pub(crate) fn fingerprint(digest: &[u8; 16]) -> u64 {
+    let mut bytes = [0; 8];
+    bytes.copy_from_slice(&digest[..8]);
+    u64::from_le_bytes(bytes)
+}
+
+/// Half of a SHA-256, which is enough to tell requests apart.
+pub(crate) fn half(hash: [u8; 32]) -> [u8; 16] {
+    let mut bytes = [0; 16];
+    bytes.copy_from_slice(&hash[..16]);
+    bytes
+}
+
+/// The time in a UUID of version 7 in its usual spelling.
+fn issue_time(key: &str) -> Option<u64> {
+    let bytes = key.as_bytes();
+    let dashes = [8, 13, 18, 23];
+    let shaped = bytes.len() == 36
+        && bytes.iter().enumerate().all(|(place, byte)| {
+            if dashes.contains(&place) {
+                *byte == b'-'
+            } else {
+                byte.is_ascii_hexdigit()
+            }
+        });
+    if !shaped || bytes[14] != b'7' || !b"89abAB".contains(&bytes[19]) {
+        return None;
+    }
+    let digits = format!("{}{}", &key[..8], &key[9..13]);
+    u64::from_str_radix(&digits, 16).ok()
+}
--- /dev/null
+++ b/crates/ragwortroad_state/src/claim/customer_claims.rs
@@ -0,0 +1,149 @@
+use std::collections::{
+    BTreeMap,
+    BTreeSet,
+    VecDeque, //
+};
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    ClaimRules,
+    StateTime,
+    claim::{
+        claim_entry::{
+            ClaimEntry,
+            ClaimPhase, //
+        },
+        claim_key::fingerprint, //
+    }, //
+};
+
+/// One customer's keys.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CustomerClaims {
+    pub(crate) entries: BTreeMap<[u8; 16], ClaimEntry>,
+    /// Keys in the order in which they were claimed.
+    ///
+    /// Invariant: has every entry under its `claimed_at`; may also have times of earlier claims.
+    queue: VecDeque<(StateTime, [u8; 16])>,
+    /// Undated keys past the window.
+    spent: BTreeSet<u64>,
+    /// Undated keys in `entries`.
+    undated: u32,
+    /// Keys with a recorded answer, the oldest answer first.
+    answers: VecDeque<[u8; 16]>,
+    /// Bytes of the recorded answers.
+    answer_bytes: usize,
+    /// The revision up to which the operator declared keys forgotten when `spent` was cleared.
+    forgotten: u64,
+}
+
+impl CustomerClaims {
+    /// Whether an undated key was used before the window.
+    pub(crate) fn is_spent(&self, key: u64) -> bool {
+        self.spent.contains(&key)
+    }
+
+    /// Whether one more undated key can be remembered for good.
+    ///
+    /// Keys within the window are counted too, since each needs a place later.
+    pub(crate) fn has_room_undated(&self, rules: &ClaimRules) -> bool {
+        self.spent.len() + (self.undated as usize) < rules.spent_per_customer as usize
+    }
+
+    /// Drops what the operator declared will not come again.
+    pub(crate) fn forget_to(&mut self, forgotten: u64) {
+        if self.forgotten < forgotten {
+            self.forgotten = forgotten;
+            self.spent.clear();
+        }
+    }
+
+    /// Remembers a key, or replaces what was remembered of it.
+    pub(crate) fn put(&mut self, digest: [u8; 16], entry: ClaimEntry) {
+        self.queue.push_back((entry.claimed_at, digest));
+        let undated = entry.issued_ms.is_none();
+        if self.entries.insert(digest, entry).is_none() && undated {
+            self.undated += 1;
+        }
+    }
+
+    /// Notes that a recorded answer was added, and cuts the oldest ones down to their status where
+    /// all together are over the budget.
+    pub(crate) fn note_answer(&mut self, digest: [u8; 16], bytes: usize, rules: &ClaimRules) {
+        self.answers.push_back(digest);
+        self.answer_bytes += bytes;
+        while self.answer_bytes > rules.answer_budget as usize {
+            let Some(oldest) = self.answers.pop_front() else {
+                break;
+            };
+            self.cut_answer(&oldest);
+        }
+    }
+
+    fn cut_answer(&mut self, digest: &[u8; 16]) {
+        let entry = self.entries.get_mut(digest);
+        if let Some(entry) = entry
+            && let ClaimPhase::Answered(answer) = &entry.phase
+        {
+            let status = answer.status;
+            self.answer_bytes -= answer.length();
+            entry.phase = ClaimPhase::Ran { status };
+        }
+    }
+
+    /// Takes up to `most` keys out that are past the window at `now`, and whose date, where they
+    /// have one, is before `floor_ms`.
+    pub(crate) fn expire(&mut self, now: StateTime, floor_ms: u64, rules: &ClaimRules, most: u32) {
+        let window = std::time::Duration::from_secs(rules.window_s.into());
+        for _ in 0..most {
+            let Some((claimed_at, digest)) = self.queue.front().copied() else {
+                break;
+            };
+            let entry = self.entries.get(&digest);
+            let Some(entry) = entry.filter(|entry| entry.claimed_at == claimed_at) else {
+                self.queue.pop_front();
+                continue;
+            };
+            let remembered = entry.issued_ms.is_some_and(|issued| issued >= floor_ms);
+            if claimed_at.after(window) >= now || remembered {
+                break;
+            }
+            self.queue.pop_front();
+            self.drop_entry(&digest);
+        }
+    }
+
+    /// Drops queued keys whose answer is gone.
+    fn trim_answers(&mut self) {
+        while let Some(digest) = self.answers.front() {
+            let entry = self.entries.get(digest);
+            if entry.is_some_and(|entry| matches!(entry.phase, ClaimPhase::Answered(_))) {
+                break;
+            }
+            self.answers.pop_front();
+        }
+    }
+
+    fn drop_entry(&mut self, digest: &[u8; 16]) {
+        self.cut_answer(digest);
+        self.trim_answers();
+        let Some(entry) = self.entries.remove(digest) else {
+            return;
+        };
+        if entry.issued_ms.is_none() {
+            self.undated -= 1;
+            if entry.may_have_run() {
+                self.spent.insert(fingerprint(digest));
+            }
+        }
+    }
+
+    /// Keys remembered past the window.
+    pub(crate) fn spent_count(&self) -> usize {
+        self.spent.len()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_state/src/config/claim_rules.rs
@@ -0,0 +1,40 @@
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// How long and how much the fleet remembers of idempotency keys.
+///
+/// These stand in the replicated configuration and not in a process's settings: two members that
+/// applied the same claims under different rules would disagree about which key is free.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRules {
+    /// Seconds for which a key's outcome is remembered in full.
+    pub window_s: u32,
+    /// Keys remembered in full for one customer; above it new keys are refused.
+    pub per_customer: u32,
+    /// Largest answer recorded, in bytes; of larger ones only the status is kept.
+    pub answer_bytes: u32,
+    /// Bytes of recorded answers of one customer; above it the oldest are cut to their status.
+    pub answer_budget: u32,
+    /// Fingerprints of undated keys past the window, for one customer.
+    pub spent_per_customer: u32,
+    /// Seconds by which a dated key may be ahead of the members' wall clocks.
+    pub skew_s: u32,
+    /// Seconds after which a claim without an outcome is reported as unknown.
+    pub run_bound_s: u32,
+}
+
+impl Default for ClaimRules {
+    fn default() -> Self {
+        Self {
+            window_s: 24 * 3600,
+            per_customer: 20_000,
+            answer_bytes: 4096,
+            answer_budget: 1 << 20,
+            spent_per_customer: 250_000,
+            skew_s: 60,
+            run_bound_s: 600,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_state/src/config/drain_target.rs
@@ -0,0 +1,25 @@
+use std::fmt;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// What an operator takes out of service.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DrainTarget {
+    /// An endpoint, by the name under which it announces itself.
+    Endpoint(String),
+    /// A node of the fleet, by the name in its settings.
+    Node(String),
+}
+
+impl fmt::Display for DrainTarget {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Endpoint(name) => write!(formatter, "endpoint {name}"),
+            Self::Node(name) => write!(formatter, "node {name}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_state/src/config/validate.rs
@@ -0,0 +1,245 @@
+//! The check of a configuration as a whole.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr, //
+};
+
+use crate::{
+    CallPattern,
+    ConfigFault,
+    CustomerEntry,
+    FleetConfig,
+    KeyHash,
+    ModelEntry,
+    QuorumLoss,
+    config::{
+        apply_edit::missing,
+        model_entry::FULL_SHARE, //
+    }, //
+};
+
+const NAME_BYTES: usize = 64;
+const PATTERN_BYTES: usize = 256;
+/// A day: beyond it "in force everywhere" would mean nothing.
+const MOST_GRACE_S: u64 = 24 * 3600;
+
+/// Every fault of `config`.
+pub(crate) fn faults(config: &FleetConfig) -> Vec<ConfigFault> {
+    let mut faults = Vec::new();
+    check_names(config, &mut faults);
+    check_keys(config, &mut faults);
+    check_numbers(config, &mut faults);
+    for (name, customer) in &config.customers {
+        check_customer(config, name, customer, &mut faults);
+    }
+    for (name, model) in &config.models {
+        check_model(name, model, &mut faults);
+    }
+    for service in config.services.values() {
+        let patterns = service.idempotent.iter().chain(&service.once);
+        faults.extend(patterns.filter_map(pattern_fault));
+    }
+    for (member, address) in &config.members {
+        if address.parse::<SocketAddr>().is_err() {
+            faults.push(ConfigFault::BadAddress {
+                member: member.clone(),
+                address: address.clone(),
+            });
+        }
+    }
+    faults
+}
+
+fn check_names(config: &FleetConfig, faults: &mut Vec<ConfigFault>) {
+    let models = config.models.values();
+    let names = config
+        .customers
+        .keys()
+        .chain(config.models.keys())
+        .chain(config.services.keys())
+        .chain(config.members.keys())
+        .chain(config.operators.keys())
+        .chain(models.clone().flat_map(|model| model.versions.keys()))
+        .chain(models.flat_map(|model| &model.adapters));
+    let bad = names.filter(|name| !is_name(name));
+    faults.extend(bad.map(|name| ConfigFault::BadName { name: name.clone() }));
+}
+
+fn is_name(name: &str) -> bool {
+    let usable = |byte: u8| byte.is_ascii_alphanumeric() || b"._-".contains(&byte);
+    let first = name.bytes().next();
+    name.len() <= NAME_BYTES
+        && first.is_some_and(|byte| byte.is_ascii_alphanumeric())
+        && name.bytes().all(usable)
+}
+
+/// Two owners of one key could act for each other, and one would see the other's answers.
+fn check_keys(config: &FleetConfig, faults: &mut Vec<ConfigFault>) {
+    let customers = config
+        .customers
+        .iter()
+        .map(|(name, entry)| (format!("customer {name}"), &entry.keys));
+    let operators = config
+        .operators
+        .iter()
+        .map(|(name, keys)| (format!("operator {name}"), keys));
+    let mut owners: BTreeMap<KeyHash, String> = BTreeMap::new();
+    for (owner, keys) in customers.chain(operators) {
+        for key in keys {
+            if let Some(first) = owners.insert(*key, owner.clone()) {
+                faults.push(ConfigFault::SharedKey {
+                    first,
+                    second: owner.clone(),
+                });
+            }
+        }
+    }
+}
+
+fn check_numbers(config: &FleetConfig, faults: &mut Vec<ConfigFault>) {
+    let grace = match config.quorum_loss {
+        QuorumLoss::Refuse => 0,
+        QuorumLoss::GoOn { seconds } => seconds.into(),
+    };
+    let rules = &config.claims;
+    let ranges = [
+        (
+            "the load multiple in thousandths",
+            config.multiple_permille.into(),
+            1001,
+            10_000,
+        ),
+        (
+            "the seconds to go on without a quorum",
+            grace,
+            0,
+            MOST_GRACE_S,
+        ),
+        (
+            "the claim window in seconds",
+            rules.window_s.into(),
+            60,
+            90 * 24 * 3600,
+        ),
+        (
+            "the claims of a customer",
+            rules.per_customer.into(),
+            1,
+            1_000_000,
+        ),
+        (
+            "the bytes of a recorded answer",
+            rules.answer_bytes.into(),
+            0,
+            65_536,
+        ),
+        (
+            "the bytes of a customer's answers",
+            rules.answer_budget.into(),
+            0,
+            64 << 20,
+        ),
+        (
+            "the spent keys of a customer",
+            rules.spent_per_customer.into(),
+            0,
+            10_000_000,
+        ),
+        (
+            "the skew of wall clocks in seconds",
+            rules.skew_s.into(),
+            0,
+            3600,
+        ),
+        (
+            "the run bound in seconds",
+            rules.run_bound_s.into(),
+            1,
+            rules.window_s.into(),
+        ),
+    ];
+    for (what, value, least, most) in ranges {
+        if !(least..=most).contains(&value) {
+            faults.push(ConfigFault::OutOfRange {
+                what: what.to_owned(),
+                value,
+                least,
+                most,
+            });
+        }
+    }
+}
+
+fn check_customer(
+    config: &FleetConfig,
+    name: &str,
+    customer: &CustomerEntry,
+    faults: &mut Vec<ConfigFault>,
+) {
+    for (model, access) in &customer.models {
+        let Some(entry) = config.models.get(model) else {
+            faults.push(undeclared("model", model, name));
+            continue;
+        };
+        let adapters = access.adapters.difference(&entry.adapters);
+        faults.extend(adapters.map(|adapter| missing("adapter", adapter)));
+        let version = access.version.iter();
+        let gone = version.filter(|version| !entry.versions.contains_key(*version));
+        faults.extend(gone.map(|version| undeclared("version", version, name)));
+    }
+    for service in &customer.services {
+        if !config.services.contains_key(service) {
+            faults.push(undeclared("service", service, name));
+        }
+    }
+}
+
+/// The customer names what is not declared: it was just removed, or never there.
+fn undeclared(what: &str, name: &str, customer: &str) -> ConfigFault {
+    ConfigFault::Undeclared {
+        what: what.to_owned(),
+        name: name.to_owned(),
+        user: format!("customer {customer}"),
+    }
+}
+
+fn check_model(name: &str, model: &ModelEntry, faults: &mut Vec<ConfigFault>) {
+    let sum: u32 = model.versions.values().sum();
+    if sum != FULL_SHARE {
+        faults.push(ConfigFault::BadShares {
+            model: name.to_owned(),
+            sum,
+        });
+    }
+    let range = model.replicas;
+    let ordered = range.min <= range.wanted && range.wanted <= range.max;
+    if !ordered || range.max == 0 {
+        faults.push(ConfigFault::BadReplicas {
+            model: name.to_owned(),
+            min: range.min,
+            wanted: range.wanted,
+            max: range.max,
+        });
+    }
+}
+
+fn pattern_fault(pattern: &CallPattern) -> Option<ConfigFault> {
+    let method = &pattern.method;
+    let capitals = !method.is_empty() && method.bytes().all(|byte| byte.is_ascii_uppercase());
+    let path = pattern.path.as_bytes();
+    let printable = path.iter().all(u8::is_ascii_graphic);
+    let fits = path.starts_with(b"/") && path.len() <= PATTERN_BYTES && method.len() <= 16;
+    let last_only = pattern
+        .path
+        .split('/')
+        .rev()
+        .skip(1)
+        .all(|part| part != "**");
+    if capitals && printable && fits && last_only {
+        return None;
+    }
+    Some(ConfigFault::BadPattern {
+        pattern: pattern.to_string(),
+    })
+}
--- a/crates/ragwortroad_state/src/lib.rs
+++ b/crates/ragwortroad_state/src/lib.rs
@@ -1,1 +1,166 @@
 //! The replicated state: customers, models, leases, claims, and operators' changes.
+//!
+//! [`FleetState`] is applied from the replicated log, command by command, on each member. Around it
+//! stand tables without input or output that use it: on the leader [`AdmissionTable`],
+//! [`OrderGate`], [`OrderTable`] and [`LoadQueue`], on each node [`CurrencyGuard`], on each member
+//! [`PromiseBook`].
+//!
+//! ```
+//! use ragwortroad_state::prelude::*;
+//!
+//! let mut state = FleetState::default();
+//! let change = ChangeCommand {
+//!     change_id: "first".to_owned(),
+//!     base_revision: 0,
+//!     operator: "asta".to_owned(),
+//!     edits: vec![ConfigEdit::AddCustomer {
+//!         customer: "studio-north".to_owned(),
+//!     }],
+//! };
+//! let command = StateCommand {
+//!     stamp: CommandStamp::default(),
+//!     action: StateAction::Change(change),
+//! };
+//! let bytes = command.to_bytes();
+//! let applied = state.apply(1, &bytes).unwrap();
+//! assert_eq!(applied, Applied::Changed(ChangeOutcome::Accepted { revision: 1 }));
+//! // A resend gets the first outcome.
+//! assert_eq!(state.apply(2, &bytes).unwrap(), applied);
+//! assert_eq!(state.config().revision, 1);
+//! ```
+
+mod change;
+mod claim;
+mod config;
+mod fleet_state;
+mod force;
+mod grace_record;
+mod order;
+mod snapshot_wire;
+mod stamp_clock;
+mod state_command;
+mod state_time;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        change::{
+            accepted_change::AcceptedChange,
+            change_command::ChangeCommand,
+            change_log::{
+                ChangeLog,
+                KEPT_CHANGES,
+                KEPT_OUTCOMES, //
+            },
+            change_outcome::ChangeOutcome,
+            config_update::{
+                ConfigUpdate,
+                FollowError, //
+            }, //
+        },
+        claim::{
+            claim_key::ClaimKey,
+            claim_outcome::ClaimOutcome,
+            claim_step::{
+                ClaimAnswer,
+                ClaimAttempt,
+                ClaimResult,
+                ClaimStep, //
+            },
+            claim_table::{
+                ClaimCount,
+                ClaimTable, //
+            }, //
+        },
+        config::{
+            call_pattern::CallPattern,
+            claim_rules::ClaimRules,
+            config_edit::{
+                CallRepeat,
+                ConfigEdit,
+                LimitsEdit, //
+            },
+            config_fault::ConfigFault,
+            customer_entry::{
+                CustomerEntry,
+                CustomerLimits,
+                ModelAccess, //
+            },
+            drain_target::DrainTarget,
+            fleet_config::FleetConfig,
+            key_hash::KeyHash,
+            model_entry::{
+                ModelEntry,
+                ReplicaRange, //
+            },
+            quorum_loss::QuorumLoss,
+            service_entry::ServiceEntry, //
+        },
+        fleet_state::{
+            Applied,
+            ApplyError,
+            FleetState, //
+        },
+        force::{
+            admission_table::{
+                AdmissionTable,
+                NodeRun, //
+            },
+            currency_guard::{
+                CurrencyGuard,
+                NotCurrent, //
+            },
+            follow_timing::FollowTiming,
+            in_force_wait::InForceWait,
+            promise_book::PromiseBook, //
+        },
+        order::{
+            engine_order::{
+                EngineOrder,
+                OrderAction,
+                OrderId, //
+            },
+            engine_target::{
+                EngineRole,
+                EngineTarget, //
+            },
+            lease_table::LeaseTable,
+            load_queue::{
+                LoadKey,
+                LoadQueue,
+                LoadRate, //
+            },
+            order_gate::{
+                GateRefusal,
+                OrderGate, //
+            },
+            order_plan::{
+                OrderPlan,
+                PlanOutcome, //
+            },
+            order_table::{
+                EngineSight,
+                OrderSettings,
+                OrderTable, //
+            },
+            order_timing::OrderTiming, //
+        },
+        snapshot_wire::{
+            SNAPSHOT_VERSION,
+            SnapshotError, //
+        },
+        stamp_clock::{
+            CommandStamp,
+            StampClock, //
+        },
+        state_command::{
+            COMMAND_VERSION,
+            CommandError,
+            StateAction,
+            StateCommand, //
+        },
+        state_time::StateTime, //
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_state/src/order/load_queue.rs
@@ -0,0 +1,144 @@
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use ragwortroad_types::prelude::*;
+
+use crate::OrderAction;
+
+/// The rate of the weight store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadRate {
+    /// Megabytes a second.
+    pub mb_per_s: u32,
+    /// Megabytes that may be asked for at once after a pause.
+    pub burst_mb: u32,
+    /// Loads running at once.
+    pub at_once: usize,
+}
+
+impl Default for LoadRate {
+    fn default() -> Self {
+        Self {
+            mb_per_s: 500,
+            burst_mb: 20_000,
+            at_once: 4,
+        }
+    }
+}
+
+/// One load at one engine.
+pub type LoadKey = (String, OrderAction);
+
+/// Loads that wait for the weight store, the most needed first.
+///
+/// In any span of `t` seconds it lets at most `mb_per_s * t` megabytes start, and beyond that the
+/// burst, or one load that is larger than the burst.
+#[derive(Clone, Debug)]
+pub struct LoadQueue {
+    rate: LoadRate,
+    waiting: BTreeMap<LoadKey, LoadNeed>,
+    running: BTreeSet<LoadKey>,
+    /// What may be asked for now, in thousandths of a megabyte; below zero after a load larger
+    /// than the burst.
+    level: i64,
+    filled_at: ClockTime,
+    arrivals: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct LoadNeed {
+    urgency: u32,
+    size_mb: u32,
+    /// Among equally needed ones the first come goes first.
+    arrival: u64,
+}
+
+impl LoadQueue {
+    /// An empty queue with a full burst.
+    pub fn new(rate: LoadRate, now: ClockTime) -> Self {
+        Self {
+            rate,
+            waiting: BTreeMap::new(),
+            running: BTreeSet::new(),
+            level: i64::from(rate.burst_mb) * 1000,
+            filled_at: now,
+            arrivals: 0,
+        }
+    }
+
+    /// Wants a load; again with another urgency where it changed. A running one stays.
+    pub fn want(&mut self, key: LoadKey, size_mb: u32, urgency: u32) {
+        if self.running.contains(&key) {
+            return;
+        }
+        self.arrivals += 1;
+        let arrival = self.arrivals;
+        let need = self.waiting.entry(key).or_insert(LoadNeed {
+            urgency,
+            size_mb,
+            arrival,
+        });
+        need.urgency = urgency;
+    }
+
+    /// Wants it no longer, or it is over.
+    pub fn drop_load(&mut self, key: &LoadKey) {
+        self.waiting.remove(key);
+        self.running.remove(key);
+    }
+
+    /// Drops every waiting load for which `keep` is false.
+    pub fn keep_waiting(&mut self, mut keep: impl FnMut(&LoadKey) -> bool) {
+        self.waiting.retain(|key, _| keep(key));
+    }
+
+    /// Loads waiting.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Loads running.
+    pub fn running(&self) -> &BTreeSet<LoadKey> {
+        &self.running
+    }
+
+    /// Starts the most needed load that `may_start` lets pass, if the rate allows one now.
+    ///
+    /// Only the most needed one is weighed against the rate: letting a smaller one pass would
+    /// starve a large one for ever.
+    pub fn start_next(
+        &mut self,
+        now: ClockTime,
+        mut may_start: impl FnMut(&LoadKey) -> bool,
+    ) -> Option<LoadKey> {
+        self.fill(now);
+        if self.running.len() >= self.rate.at_once {
+            return None;
+        }
+        let allowed = self.waiting.iter().filter(|(key, _)| may_start(key));
+        let order = |need: &LoadNeed| (need.urgency, std::cmp::Reverse(need.arrival));
+        let (key, need) = allowed.max_by_key(|(_, need)| order(need))?;
+        let size = i64::from(need.size_mb) * 1000;
+        if self.level < size.min(self.burst()) {
+            return None;
+        }
+        let key = key.clone();
+        self.level -= size;
+        self.waiting.remove(&key);
+        self.running.insert(key.clone());
+        Some(key)
+    }
+
+    fn fill(&mut self, now: ClockTime) {
+        let span = now.since(self.filled_at).as_millis() as i64;
+        self.filled_at = self.filled_at.max(now);
+        let filled = span.saturating_mul(i64::from(self.rate.mb_per_s));
+        self.level = self.level.saturating_add(filled).min(self.burst());
+    }
+
+    fn burst(&self) -> i64 {
+        i64::from(self.rate.burst_mb) * 1000
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_state/src/order/order_table.rs
@@ -0,0 +1,307 @@
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    EngineOrder,
+    EngineRole,
+    EngineTarget,
+    LoadQueue,
+    LoadRate,
+    OrderAction,
+    OrderId,
+    order::load_queue::LoadKey, //
+};
+
+/// Settings of the holder's orders.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OrderSettings {
+    /// Time after which an order whose effect is not seen is sent again.
+    pub resend_after: Duration,
+    /// Time after which a load that is not seen gives its place at the weight store up.
+    pub load_bound: Duration,
+    /// The weight store's rate.
+    pub rate: LoadRate,
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self {
+            resend_after: Duration::from_secs(5),
+            load_bound: Duration::from_secs(600),
+            rate: LoadRate::default(),
+        }
+    }
+}
+
+/// What an engine was last seen to be.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EngineSight {
+    /// Counts up with its restarts.
+    pub incarnation: u64,
+    /// Models it holds.
+    pub models: BTreeSet<ModelOffer>,
+}
+
+/// The holder's orders under way: brings what is seen to what is planned.
+///
+/// An order counts as done only when its effect is seen, or, for a role or a drain, which engines
+/// do not announce, when it was answered by the engine's present incarnation. An answer to an
+/// order that is no longer under way changes nothing.
+#[derive(Clone, Debug)]
+pub struct OrderTable {
+    settings: OrderSettings,
+    fence: FenceNumber,
+    next_number: u64,
+    engines: BTreeMap<String, EngineState>,
+    pending: BTreeMap<OrderId, PendingOrder>,
+    queue: LoadQueue,
+}
+
+#[derive(Clone, Debug, Default)]
+struct EngineState {
+    target: EngineTarget,
+    urgency: u32,
+    sight: Option<EngineSight>,
+    /// The role and drain that the present incarnation has confirmed.
+    role: EngineRole,
+    drain: bool,
+}
+
+#[derive(Clone, Debug)]
+struct PendingOrder {
+    order: EngineOrder,
+    first_sent: ClockTime,
+    last_sent: ClockTime,
+}
+
+impl OrderTable {
+    /// The orders of the holder with number `fence`; none yet.
+    pub fn new(settings: OrderSettings, fence: FenceNumber, now: ClockTime) -> Self {
+        Self {
+            settings,
+            fence,
+            next_number: 0,
+            engines: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            queue: LoadQueue::new(settings.rate, now),
+        }
+    }
+
+    /// What an engine shall be, and how urgently it is needed.
+    pub fn plan(&mut self, engine: &str, target: EngineTarget, urgency: u32) {
+        let state = self.engines.entry(engine.to_owned()).or_default();
+        state.target = target;
+        state.urgency = urgency;
+    }
+
+    /// What an engine was seen to be.
+    pub fn observe(&mut self, engine: &str, sight: EngineSight) {
+        let state = self.engines.entry(engine.to_owned()).or_default();
+        let restarted = state
+            .sight
+            .as_ref()
+            .is_none_or(|old| old.incarnation != sight.incarnation);
+        if restarted {
+            // A restarted engine has its first role again and does not know that it drains.
+            state.role = EngineRole::default();
+            state.drain = false;
+        }
+        state.sight = Some(sight);
+    }
+
+    /// The engine is gone.
+    pub fn forget(&mut self, engine: &str) {
+        self.engines.remove(engine);
+    }
+
+    /// The engine answered that it carries the order out. False where the order is not under way.
+    pub fn answered(&mut self, id: OrderId) -> bool {
+        let Some(pending) = self.pending.get(&id) else {
+            return false;
+        };
+        let Some(state) = self.engines.get_mut(&pending.order.engine) else {
+            return false;
+        };
+        match pending.order.action {
+            OrderAction::SetRole { role } => state.role = role,
+            OrderAction::SetDrain { drain } => state.drain = drain,
+            OrderAction::Load { .. } | OrderAction::Unload { .. } => {}
+        }
+        true
+    }
+
+    /// Orders to send now: new ones, and those to send again.
+    ///
+    /// `may_order` says for an engine whether the [`OrderGate`](crate::OrderGate) is open, and
+    /// `size_of` gives a model's megabytes.
+    pub fn due(
+        &mut self,
+        now: ClockTime,
+        mut may_order: impl FnMut(&str) -> bool,
+        size_of: impl Fn(&str) -> u32,
+    ) -> Vec<EngineOrder> {
+        let wanted = self.wanted();
+        self.drop_unwanted(&wanted, now);
+        let mut starts = Vec::new();
+        for key in wanted {
+            if self.is_pending(&key) {
+                continue;
+            }
+            match &key.1 {
+                OrderAction::Load { model, .. } => {
+                    let urgency = self.engines.get(&key.0).map_or(0, |state| state.urgency);
+                    let size = size_of(model);
+                    self.queue.want(key, size, urgency);
+                }
+                _ if may_order(&key.0) => starts.push(key),
+                _ => {}
+            }
+        }
+        let resent = self.resend(now, &mut may_order);
+        while let Some(key) = self.queue.start_next(now, |key| may_order(&key.0)) {
+            starts.push(key);
+        }
+        let mut orders: Vec<EngineOrder> = starts
+            .into_iter()
+            .map(|(engine, action)| self.start(engine, action, now))
+            .collect();
+        orders.extend(resent);
+        orders
+    }
+
+    /// Orders under way.
+    pub fn pending(&self) -> impl Iterator<Item = &EngineOrder> {
+        self.pending.values().map(|pending| &pending.order)
+    }
+
+    /// Loads waiting for the weight store.
+    pub fn waiting_loads(&self) -> usize {
+        self.queue.waiting()
+    }
+
+    fn start(&mut self, engine: String, action: OrderAction, now: ClockTime) -> EngineOrder {
+        self.next_number += 1;
+        let id = OrderId {
+            fence: self.fence,
+            number: self.next_number,
+        };
+        let order = EngineOrder { id, engine, action };
+        let pending = PendingOrder {
+            order: order.clone(),
+            first_sent: now,
+            last_sent: now,
+        };
+        self.pending.insert(id, pending);
+        order
+    }
+
+    fn is_pending(&self, key: &LoadKey) -> bool {
+        let mut orders = self.pending.values().map(|pending| &pending.order);
+        orders.any(|order| order.engine == key.0 && order.action == key.1)
+    }
+
+    /// Everything in which an engine differs from its target.
+    fn wanted(&self) -> BTreeSet<LoadKey> {
+        let mut wanted = BTreeSet::new();
+        for (name, state) in &self.engines {
+            let actions = state.differences().into_iter();
+            wanted.extend(actions.map(|action| (name.clone(), action)));
+        }
+        wanted
+    }
+
+    /// Forgets orders whose effect is seen or no longer wanted, and loads that take too long.
+    fn drop_unwanted(&mut self, wanted: &BTreeSet<LoadKey>, now: ClockTime) {
+        let load_bound = self.settings.load_bound;
+        let queue = &mut self.queue;
+        self.pending.retain(|_, pending| {
+            let key = (pending.order.engine.clone(), pending.order.action.clone());
+            let is_load = matches!(key.1, OrderAction::Load { .. });
+            let late = is_load && now.since(pending.first_sent) > load_bound;
+            let keep = wanted.contains(&key) && !late;
+            if !keep {
+                queue.drop_load(&key);
+            }
+            keep
+        });
+        self.queue.keep_waiting(|key| wanted.contains(key));
+    }
+
+    fn resend(
+        &mut self,
+        now: ClockTime,
+        may_order: &mut impl FnMut(&str) -> bool,
+    ) -> Vec<EngineOrder> {
+        let resend_after = self.settings.resend_after;
+        let mut resent = Vec::new();
+        for pending in self.pending.values_mut() {
+            let due = now.since(pending.last_sent) >= resend_after;
+            if due && may_order(&pending.order.engine) {
+                pending.last_sent = now;
+                resent.push(pending.order.clone());
+            }
+        }
+        resent
+    }
+}
+
+impl EngineState {
+    /// The orders that lead from what is seen to the target; none for an engine never seen.
+    fn differences(&self) -> Vec<OrderAction> {
+        let Some(sight) = &self.sight else {
+            return Vec::new();
+        };
+        let wanted = parts(&self.target.models);
+        let seen = parts(&sight.models);
+        let mut actions = Vec::new();
+        if self.role != self.target.role {
+            let role = self.target.role;
+            actions.push(OrderAction::SetRole { role });
+        }
+        if self.drain != self.target.drain {
+            let drain = self.target.drain;
+            actions.push(OrderAction::SetDrain { drain });
+        }
+        for (model, version, adapter) in wanted.difference(&seen).cloned() {
+            // An adapter is loaded when its model is there.
+            let base = (model.clone(), version.clone(), None);
+            if adapter.is_none() || seen.contains(&base) {
+                actions.push(OrderAction::Load {
+                    model,
+                    version,
+                    adapter,
+                });
+            }
+        }
+        for (model, version, adapter) in seen.difference(&wanted).cloned() {
+            actions.push(OrderAction::Unload {
+                model,
+                version,
+                adapter,
+            });
+        }
+        actions
+    }
+}
+
+type ModelPart = (String, String, Option<String>);
+
+/// Each model with its version, alone and with each of its adapters.
+fn parts(models: &BTreeSet<ModelOffer>) -> BTreeSet<ModelPart> {
+    let mut parts = BTreeSet::new();
+    for offer in models {
+        let base = (offer.model.clone(), offer.version.clone());
+        parts.insert((base.0.clone(), base.1.clone(), None));
+        for adapter in &offer.adapters {
+            parts.insert((base.0.clone(), base.1.clone(), Some(adapter.clone())));
+        }
+    }
+    parts
+}
--- /dev/null
+++ b/crates/ragwortroad_state/src/snapshot_wire.rs
@@ -0,0 +1,101 @@
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+use snafu::{
+    ResultExt,
+    Snafu,
+    ensure, //
+};
+
+use crate::{
+    ClaimTable,
+    FleetState,
+    LeaseTable,
+    OrderPlan,
+    StateTime,
+    change::change_log::ChangeLogWire,
+    grace_record::GraceRecord, //
+};
+
+/// The version of snapshots that this program writes.
+pub const SNAPSHOT_VERSION: u8 = 1;
+
+/// The state as it stands in a snapshot.
+#[derive(Serialize, Deserialize)]
+pub(crate) struct SnapshotWire {
+    applied: u64,
+    now: StateTime,
+    changes: ChangeLogWire,
+    claims: ClaimTable,
+    lease: LeaseTable,
+    plan: OrderPlan,
+    grace: GraceRecord,
+}
+
+/// Why bytes are no snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+pub enum SnapshotError {
+    /// Another program version wrote it.
+    #[snafu(display(
+        "the snapshot has version {version} and this program reads {SNAPSHOT_VERSION}; install \
+         the program version that wrote it"
+    ))]
+    OtherVersion {
+        /// The version.
+        version: u8,
+    },
+    /// It cannot be read.
+    #[snafu(display("the snapshot cannot be read ({source}); fetch it again from another member"))]
+    UnreadableSnapshot {
+        /// What the codec says.
+        source: postcard::Error,
+    },
+    /// It has no bytes.
+    #[snafu(display("the snapshot is empty; fetch it again from another member"))]
+    EmptySnapshot,
+}
+
+impl SnapshotWire {
+    pub(crate) fn to_bytes(&self) -> Vec<u8> {
+        // Encoding into a growing buffer has no error; see `FleetConfig::digest`.
+        postcard::to_extend(self, vec![SNAPSHOT_VERSION]).unwrap_or_default()
+    }
+
+    pub(crate) fn from_bytes(bytes: &[u8]) -> Result<Self, SnapshotError> {
+        let (version, rest) = bytes.split_first().ok_or(SnapshotError::EmptySnapshot)?;
+        ensure!(
+            *version == SNAPSHOT_VERSION,
+            OtherVersionSnafu { version: *version }
+        );
+        postcard::from_bytes(rest).context(UnreadableSnapshotSnafu)
+    }
+}
+
+impl From<&FleetState> for SnapshotWire {
+    fn from(state: &FleetState) -> Self {
+        Self {
+            applied: state.applied,
+            now: state.now,
+            changes: state.changes.to_wire(),
+            claims: state.claims.clone(),
+            lease: state.lease.clone(),
+            plan: state.plan.clone(),
+            grace: state.grace,
+        }
+    }
+}
+
+impl From<SnapshotWire> for FleetState {
+    fn from(wire: SnapshotWire) -> Self {
+        Self {
+            applied: wire.applied,
+            now: wire.now,
+            changes: wire.changes.into(),
+            claims: wire.claims,
+            lease: wire.lease,
+            plan: wire.plan,
+            grace: wire.grace,
+        }
+    }
+}
