Add the operators' language: lines to edits, edits to lines, answer tables

Cause: operators drive the fleet by questions and changes in one small language.

Change: parse_line with errors that point at the word and name the nearest one; every edit can be written as a line again; answers as text and JSON tables; the claim rules are edited in part.

--- /dev/null
+++ b/crates/ragwortroad_language/src/edit/fleet_edit.rs
@@ -0,0 +1,169 @@
+//! Edits of services, drains, members, operators and fleet-wide settings.
+
+use ragwortroad_state::prelude::*;
+
+use super::customer_edit::{
+    HASH,
+    HASH_EXAMPLE, //
+};
+use crate::{
+    LanguageError,
+    word_cursor::WordCursor,
+    word_value::{
+        key_hash,
+        multiple,
+        number,
+        span, //
+    }, //
+};
+
+const SERVICE: &str = "a service's NAME";
+const MEMBER: &str = "a member's NAME";
+const OPERATOR: &str = "an operator's NAME";
+const REPEATS: [&str; 3] = ["idempotent", "once", "by-method"];
+
+type Parsed = Result<(), LanguageError>;
+
+/// `S [idempotent|once METHOD PATH]...`
+pub(super) fn add_service(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let service = cursor.text(SERVICE)?;
+    edits.push(ConfigEdit::AddService {
+        service: service.clone(),
+    });
+    while let Some(repeat) = cursor.option(&REPEATS)? {
+        edits.push(call(cursor, &service, repeat)?);
+    }
+    Ok(())
+}
+
+/// `S`
+pub(super) fn remove_service(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let service = cursor.text(SERVICE)?;
+    edits.push(ConfigEdit::RemoveService { service });
+    Ok(())
+}
+
+/// `S idempotent|once|by-method METHOD PATH ...`
+pub(super) fn set_service(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let service = cursor.text(SERVICE)?;
+    let repeat = cursor.choice(&REPEATS)?;
+    edits.push(call(cursor, &service, repeat)?);
+    while let Some(repeat) = cursor.option(&REPEATS)? {
+        edits.push(call(cursor, &service, repeat)?);
+    }
+    Ok(())
+}
+
+fn call(
+    cursor: &mut WordCursor<'_>,
+    service: &str,
+    repeat: &str,
+) -> Result<ConfigEdit, LanguageError> {
+    let method = cursor.text("a METHOD and a path such as GET /slots/*")?;
+    let path = cursor.text("a path such as /slots/*")?;
+    let repeat = match repeat {
+        "idempotent" => CallRepeat::Idempotent,
+        "once" => CallRepeat::Once,
+        _ => CallRepeat::ByMethod,
+    };
+    Ok(ConfigEdit::SetCall {
+        service: service.to_owned(),
+        pattern: CallPattern { method, path },
+        repeat,
+    })
+}
+
+/// `endpoint|node NAME`
+pub(super) fn drain(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let target = drain_target(cursor)?;
+    edits.push(ConfigEdit::Drain { target });
+    Ok(())
+}
+
+/// `endpoint|node NAME`
+pub(super) fn undrain(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let target = drain_target(cursor)?;
+    edits.push(ConfigEdit::Undrain { target });
+    Ok(())
+}
+
+fn drain_target(cursor: &mut WordCursor<'_>) -> Result<DrainTarget, LanguageError> {
+    match cursor.choice(&["endpoint", "node"])? {
+        "endpoint" => cursor.text("an endpoint's NAME").map(DrainTarget::Endpoint),
+        _ => cursor.text("a node's NAME").map(DrainTarget::Node),
+    }
+}
+
+/// `1.25`
+pub(super) fn set_multiple(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let permille = cursor.value("a load multiple", "1.25", multiple)?;
+    edits.push(ConfigEdit::SetMultiple { permille });
+    Ok(())
+}
+
+/// `refuse` or `go-on 30s`
+pub(super) fn set_quorum_loss(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let policy = match cursor.choice(&["refuse", "go-on"])? {
+        "refuse" => QuorumLoss::Refuse,
+        _ => QuorumLoss::GoOn {
+            seconds: cursor.value("a span of time", "30s", span)?,
+        },
+    };
+    edits.push(ConfigEdit::SetQuorumLoss { policy });
+    Ok(())
+}
+
+/// `[window 24h] [keys 20000] [answer 4096] [budget 1048576] [spent 250000] [skew 60s] [run 600s]`
+pub(super) fn set_claims(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let names = ["window", "keys", "answer", "budget", "spent", "skew", "run"];
+    let mut rules = ClaimsEdit::default();
+    let mut name = cursor.choice(&names)?;
+    loop {
+        match name {
+            "window" => rules.window_s = Some(cursor.value("a span of time", "24h", span)?),
+            "keys" => rules.per_customer = Some(cursor.value("a number", "20000", number)?),
+            "answer" => rules.answer_bytes = Some(cursor.value("bytes", "4096", number)?),
+            "budget" => rules.answer_budget = Some(cursor.value("bytes", "1048576", number)?),
+            "spent" => rules.spent_per_customer = Some(cursor.value("a number", "250000", number)?),
+            "skew" => rules.skew_s = Some(cursor.value("a span of time", "60s", span)?),
+            _ => rules.run_bound_s = Some(cursor.value("a span of time", "10m", span)?),
+        }
+        match cursor.option(&names)? {
+            Some(next) => name = next,
+            None => break,
+        }
+    }
+    edits.push(ConfigEdit::SetClaims { rules });
+    Ok(())
+}
+
+/// `NAME IP:PORT`
+pub(super) fn add_member(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let member = cursor.text(MEMBER)?;
+    let address = cursor.text("the member's IP:PORT")?;
+    edits.push(ConfigEdit::AddMember { member, address });
+    Ok(())
+}
+
+/// `NAME`
+pub(super) fn remove_member(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let member = cursor.text(MEMBER)?;
+    edits.push(ConfigEdit::RemoveMember { member });
+    Ok(())
+}
+
+/// `NAME HASH`
+pub(super) fn add_operator(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let operator = cursor.text(OPERATOR)?;
+    let key = cursor.value(HASH, HASH_EXAMPLE, key_hash)?;
+    edits.push(ConfigEdit::AddOperator { operator, key });
+    Ok(())
+}
+
+/// `NAME HASH`
+pub(super) fn remove_operator(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
+    let operator = cursor.text(OPERATOR)?;
+    let key = cursor.value(HASH, HASH_EXAMPLE, key_hash)?;
+    edits.push(ConfigEdit::RemoveOperator { operator, key });
+    Ok(())
+}
--- /dev/null
+++ b/crates/ragwortroad_language/src/edit/mod.rs
@@ -0,0 +1,100 @@
+//! Edits of the configuration as lines of the language, and lines as edits.
+
+mod customer_edit;
+mod edit_text;
+mod fleet_edit;
+mod model_edit;
+
+use ragwortroad_state::prelude::*;
+
+use crate::{
+    LanguageError,
+    word_cursor::WordCursor, //
+};
+
+pub use edit_text::edit_text;
+pub(crate) use edit_text::permille_text;
+
+/// The words a statement can begin with.
+const VERBS: [&str; 12] = [
+    "show", "add", "remove", "set", "allow", "deny", "drain", "undrain", "roll", "rollback",
+    "forget", "help",
+];
+
+/// Reads one edit, which may stand for several in the configuration.
+pub(crate) fn parse(
+    cursor: &mut WordCursor<'_>,
+    edits: &mut Vec<ConfigEdit>,
+) -> Result<(), LanguageError> {
+    match cursor.choice(&VERBS)? {
+        "add" => parse_add(cursor, edits),
+        "remove" => parse_remove(cursor, edits),
+        "set" => parse_set(cursor, edits),
+        "allow" => customer_edit::allow(cursor, edits),
+        "deny" => customer_edit::deny(cursor, edits),
+        "forget" => customer_edit::forget(cursor, edits),
+        "drain" => fleet_edit::drain(cursor, edits),
+        "undrain" => fleet_edit::undrain(cursor, edits),
+        "roll" => model_edit::roll(cursor, edits),
+        "rollback" => model_edit::rollback(cursor, edits),
+        _ => Err(cursor.early_end("a change; ask questions in lines of their own")),
+    }
+}
+
+fn parse_add(
+    cursor: &mut WordCursor<'_>,
+    edits: &mut Vec<ConfigEdit>,
+) -> Result<(), LanguageError> {
+    let things = [
+        "customer", "key", "model", "adapter", "service", "member", "operator",
+    ];
+    match cursor.choice(&things)? {
+        "customer" => customer_edit::add(cursor, edits),
+        "key" => customer_edit::add_key(cursor, edits),
+        "model" => model_edit::add(cursor, edits),
+        "adapter" => model_edit::add_adapter(cursor, edits),
+        "service" => fleet_edit::add_service(cursor, edits),
+        "member" => fleet_edit::add_member(cursor, edits),
+        _ => fleet_edit::add_operator(cursor, edits),
+    }
+}
+
+fn parse_remove(
+    cursor: &mut WordCursor<'_>,
+    edits: &mut Vec<ConfigEdit>,
+) -> Result<(), LanguageError> {
+    let things = [
+        "customer", "key", "model", "adapter", "service", "member", "operator",
+    ];
+    match cursor.choice(&things)? {
+        "customer" => customer_edit::remove(cursor, edits),
+        "key" => customer_edit::remove_key(cursor, edits),
+        "model" => model_edit::remove(cursor, edits),
+        "adapter" => model_edit::remove_adapter(cursor, edits),
+        "service" => fleet_edit::remove_service(cursor, edits),
+        "member" => fleet_edit::remove_member(cursor, edits),
+        _ => fleet_edit::remove_operator(cursor, edits),
+    }
+}
+
+fn parse_set(
+    cursor: &mut WordCursor<'_>,
+    edits: &mut Vec<ConfigEdit>,
+) -> Result<(), LanguageError> {
+    let things = [
+        "customer",
+        "model",
+        "service",
+        "multiple",
+        "quorum-loss",
+        "claims",
+    ];
+    match cursor.choice(&things)? {
+        "customer" => customer_edit::set(cursor, edits),
+        "model" => model_edit::set(cursor, edits),
+        "service" => fleet_edit::set_service(cursor, edits),
+        "multiple" => fleet_edit::set_multiple(cursor, edits),
+        "quorum-loss" => fleet_edit::set_quorum_loss(cursor, edits),
+        _ => fleet_edit::set_claims(cursor, edits),
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_language/src/line_word.rs
@@ -0,0 +1,86 @@
+use std::ops::Range;
+
+use winnow::{
+    ModalResult,
+    Parser,
+    ascii::multispace0,
+    combinator::{
+        alt,
+        delimited,
+        preceded,
+        repeat, //
+    },
+    stream::{
+        LocatingSlice,
+        Location, //
+    },
+    token::take_while, //
+};
+
+use crate::{
+    LanguageError,
+    LanguageFault, //
+};
+
+/// One word of a line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct LineWord {
+    pub(crate) text: String,
+    pub(crate) kind: WordKind,
+    /// Its bytes in the line, with its quotes.
+    pub(crate) bytes: Range<usize>,
+}
+
+/// How a word is written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum WordKind {
+    /// As it is.
+    Bare,
+    /// Between quotes; never a keyword.
+    Quoted,
+    /// One of `;`, `=`, `!=`, `<`, `>`.
+    Sign,
+}
+
+type Line<'i> = LocatingSlice<&'i str>;
+
+fn quoted(input: &mut Line<'_>) -> ModalResult<(String, WordKind)> {
+    delimited('"', take_while(0.., |sign| sign != '"'), '"')
+        .map(|text: &str| (text.to_owned(), WordKind::Quoted))
+        .parse_next(input)
+}
+
+fn sign(input: &mut Line<'_>) -> ModalResult<(String, WordKind)> {
+    alt((";", "=", "!=", "<", ">"))
+        .map(|text: &str| (text.to_owned(), WordKind::Sign))
+        .parse_next(input)
+}
+
+fn bare(input: &mut Line<'_>) -> ModalResult<(String, WordKind)> {
+    take_while(1.., |sign: char| {
+        !sign.is_whitespace() && !"\";=!<>".contains(sign)
+    })
+    .map(|text: &str| (text.to_owned(), WordKind::Bare))
+    .parse_next(input)
+}
+
+fn word(input: &mut Line<'_>) -> ModalResult<LineWord> {
+    preceded(multispace0, alt((quoted, sign, bare)).with_span())
+        .map(|((text, kind), bytes)| LineWord { text, kind, bytes })
+        .parse_next(input)
+}
+
+/// The words of `line`, or the place at which no word begins.
+pub(crate) fn split_line(line: &str) -> Result<Vec<LineWord>, LanguageError> {
+    let mut input = LocatingSlice::new(line);
+    let words: ModalResult<Vec<LineWord>> = repeat(0.., word).parse_next(&mut input);
+    let rest = input.trim_start();
+    if let Ok(words) = words
+        && rest.is_empty()
+    {
+        return Ok(words);
+    }
+    let from = input.current_token_start() + (input.len() - rest.len());
+    let fault = LanguageFault::BadCharacter;
+    Err(LanguageError::at(line, from, line.len(), fault))
+}
--- /dev/null
+++ b/crates/ragwortroad_language/src/word_cursor.rs
@@ -0,0 +1,174 @@
+use winnow::{
+    ModalResult,
+    Parser, //
+};
+
+use crate::{
+    LanguageError,
+    LanguageFault,
+    line_word::{
+        LineWord,
+        WordKind,
+        split_line, //
+    }, //
+};
+
+/// Below this likeness no word is proposed.
+const LEAST_LIKENESS: f64 = 0.6;
+
+/// Reads a line word by word.
+pub(crate) struct WordCursor<'a> {
+    line: &'a str,
+    words: Vec<LineWord>,
+    place: usize,
+}
+
+impl<'a> WordCursor<'a> {
+    /// At the first word of `line`.
+    pub(crate) fn new(line: &'a str) -> Result<Self, LanguageError> {
+        Ok(Self {
+            line,
+            words: split_line(line)?,
+            place: 0,
+        })
+    }
+
+    fn peek(&self) -> Option<&LineWord> {
+        self.words.get(self.place)
+    }
+
+    /// Whether all words were read.
+    pub(crate) fn is_done(&self) -> bool {
+        self.peek().is_none()
+    }
+
+    /// Whether a statement ends here: at the end of the line, at `;` or before `on revision`.
+    pub(crate) fn at_end(&self) -> bool {
+        self.is_done() || self.is_sign(";") || self.is_keyword("on")
+    }
+
+    fn is_sign(&self, sign: &str) -> bool {
+        self.peek()
+            .is_some_and(|word| word.kind == WordKind::Sign && word.text == sign)
+    }
+
+    fn is_keyword(&self, keyword: &str) -> bool {
+        self.peek().is_some_and(|word| {
+            word.kind == WordKind::Bare && word.text.eq_ignore_ascii_case(keyword)
+        })
+    }
+
+    /// Reads the sign if it is next.
+    pub(crate) fn skip_sign(&mut self, sign: &str) -> bool {
+        let found = self.is_sign(sign);
+        self.place += usize::from(found);
+        found
+    }
+
+    /// Reads the keyword if it is next.
+    pub(crate) fn skip_keyword(&mut self, keyword: &str) -> bool {
+        let found = self.is_keyword(keyword);
+        self.place += usize::from(found);
+        found
+    }
+
+    /// Reads one of `choices`, which may be signs too.
+    pub(crate) fn choice<'c>(&mut self, choices: &[&'c str]) -> Result<&'c str, LanguageError> {
+        let wanted = format!("one of: {}", choices.join(", "));
+        let word = self.peek().ok_or_else(|| self.early_end(&wanted))?;
+        let fits = |choice: &&&str| {
+            word.kind != WordKind::Quoted && word.text.eq_ignore_ascii_case(choice)
+        };
+        if let Some(found) = choices.iter().find(fits) {
+            self.place += 1;
+            return Ok(found);
+        }
+        Err(self.unknown(choices))
+    }
+
+    /// Reads the keyword, which must be next.
+    pub(crate) fn keyword(&mut self, keyword: &str) -> Result<(), LanguageError> {
+        self.choice(&[keyword]).map(|_| ())
+    }
+
+    /// Reads one of `choices` unless the statement ends here.
+    pub(crate) fn option<'c>(
+        &mut self,
+        choices: &[&'c str],
+    ) -> Result<Option<&'c str>, LanguageError> {
+        if self.at_end() {
+            return Ok(None);
+        }
+        self.choice(choices).map(Some)
+    }
+
+    /// Reads a name or other free text; `what` says of what.
+    pub(crate) fn text(&mut self, what: &str) -> Result<String, LanguageError> {
+        let word = self.peek().ok_or_else(|| self.early_end(what))?;
+        if word.kind == WordKind::Sign {
+            let example = what.rsplit(' ').next().unwrap_or(what).to_uppercase();
+            return Err(self.bad_value(what, &example));
+        }
+        let text = word.text.clone();
+        self.place += 1;
+        Ok(text)
+    }
+
+    /// Reads a value that `parser` takes whole; otherwise the error names `what` it should be.
+    pub(crate) fn value<T>(
+        &mut self,
+        what: &str,
+        example: &str,
+        mut parser: impl FnMut(&mut &str) -> ModalResult<T>,
+    ) -> Result<T, LanguageError> {
+        let word = self.peek().ok_or_else(|| self.early_end(what))?;
+        let text = word.text.clone();
+        let value = parser.parse(&text).ok();
+        let value = value.ok_or_else(|| self.bad_value(what, example))?;
+        self.place += 1;
+        Ok(value)
+    }
+
+    /// The error that the next word is none of `choices`.
+    pub(crate) fn unknown(&self, choices: &[&str]) -> LanguageError {
+        let Some(word) = self.peek() else {
+            return self.early_end(&format!("one of: {}", choices.join(", ")));
+        };
+        let fault = LanguageFault::UnknownWord {
+            word: word.text.clone(),
+            expected: choices.iter().map(|&choice| choice.to_owned()).collect(),
+            nearest: nearest(&word.text, choices),
+        };
+        LanguageError::at(self.line, word.bytes.start, word.bytes.end, fault)
+    }
+
+    fn bad_value(&self, what: &str, example: &str) -> LanguageError {
+        let Some(word) = self.peek() else {
+            return self.early_end(what);
+        };
+        let fault = LanguageFault::BadValue {
+            word: word.text.clone(),
+            what: what.to_owned(),
+            example: example.to_owned(),
+        };
+        LanguageError::at(self.line, word.bytes.start, word.bytes.end, fault)
+    }
+
+    /// The error that something is missing; it points at the last word there is.
+    pub(crate) fn early_end(&self, wanted: &str) -> LanguageError {
+        let fault = LanguageFault::EarlyEnd {
+            wanted: wanted.to_owned(),
+        };
+        let bytes = self.words.last().map_or(0..0, |word| word.bytes.clone());
+        LanguageError::at(self.line, bytes.start, bytes.end, fault)
+    }
+}
+
+/// The choice most like `word`, where one is like it at all.
+fn nearest(word: &str, choices: &[&str]) -> Option<String> {
+    let word = word.to_lowercase();
+    let like = |choice: &&str| (strsim::jaro_winkler(&word, choice) * 1e6) as u64;
+    let best = choices.iter().copied().max_by_key(like)?;
+    let likely = strsim::jaro_winkler(&word, best) >= LEAST_LIKENESS;
+    likely.then(|| best.to_owned())
+}
--- /dev/null
+++ b/crates/ragwortroad_language/src/word_value.rs
@@ -0,0 +1,85 @@
+//! The forms of values: rates, ranges, shares, spans, sizes.
+
+use winnow::{
+    ModalResult,
+    Parser,
+    ascii::{
+        dec_uint,
+        digit1, //
+    },
+    combinator::{
+        alt,
+        opt,
+        preceded,
+        separated_pair,
+        terminated, //
+    },
+    token::rest, //
+};
+
+use ragwortroad_state::prelude::*;
+
+/// `20`
+pub(crate) fn number<T: TryFrom<u64>>(input: &mut &str) -> ModalResult<T> {
+    dec_uint::<_, u64, _>
+        .verify_map(|value| T::try_from(value).ok())
+        .parse_next(input)
+}
+
+/// `20/s`
+pub(crate) fn rate(input: &mut &str) -> ModalResult<u32> {
+    terminated(number, opt("/s")).parse_next(input)
+}
+
+/// `25%`
+pub(crate) fn percent(input: &mut &str) -> ModalResult<u32> {
+    terminated(number, opt("%")).parse_next(input)
+}
+
+/// `2..6`
+pub(crate) fn range(input: &mut &str) -> ModalResult<(u32, u32)> {
+    alt((
+        separated_pair(number, "..", number),
+        number.map(|count| (count, count)),
+    ))
+    .parse_next(input)
+}
+
+/// `90s`, `15m`, `24h` or `7d`, in seconds.
+pub(crate) fn span(input: &mut &str) -> ModalResult<u32> {
+    let unit = alt((
+        "s".value(1u64),
+        "m".value(60),
+        "h".value(3600),
+        "d".value(86_400),
+    ));
+    (number::<u64>, unit)
+        .verify_map(|(count, unit)| u32::try_from(count.checked_mul(unit)?).ok())
+        .parse_next(input)
+}
+
+/// `16000mb` or `16gb`, in megabytes.
+pub(crate) fn size(input: &mut &str) -> ModalResult<u32> {
+    let unit = alt(("mb".value(1u32), "gb".value(1000)));
+    (number::<u32>, unit)
+        .verify_map(|(count, unit)| count.checked_mul(unit))
+        .parse_next(input)
+}
+
+/// `1.25`, in thousandths.
+pub(crate) fn multiple(input: &mut &str) -> ModalResult<u32> {
+    let fraction = preceded('.', digit1).verify_map(|digits: &str| {
+        let padded = format!("{digits:0<3}");
+        (digits.len() <= 3)
+            .then(|| padded.parse::<u32>().ok())
+            .flatten()
+    });
+    (number::<u32>, opt(fraction))
+        .verify_map(|(whole, fraction)| whole.checked_mul(1000)?.checked_add(fraction.unwrap_or(0)))
+        .parse_next(input)
+}
+
+/// 64 hexadecimal digits.
+pub(crate) fn key_hash(input: &mut &str) -> ModalResult<KeyHash> {
+    rest.verify_map(KeyHash::from_hex).parse_next(input)
+}
--- a/crates/ragwortroad_state/src/config/apply_edit.rs
+++ b/crates/ragwortroad_state/src/config/apply_edit.rs
@@ -109,7 +109,7 @@
             Ok(())
         }
         ConfigEdit::SetClaims { rules } => {
-            config.claims = *rules;
+            config.claims = config.claims.with_edit(rules);
             Ok(())
         }
         ConfigEdit::AddMember { member, address } => {
--- a/crates/ragwortroad_state/src/config/claim_rules.rs
+++ b/crates/ragwortroad_state/src/config/claim_rules.rs
@@ -3,6 +3,8 @@
     Serialize, //
 };
 
+use crate::ClaimsEdit;
+
 /// How long and how much the fleet remembers of idempotency keys.
 ///
 /// These stand in the replicated configuration and not in a process's settings: two members that
@@ -38,3 +40,18 @@
         }
     }
 }
+
+impl ClaimRules {
+    /// The rules after an edit.
+    pub(crate) fn with_edit(self, edit: &ClaimsEdit) -> Self {
+        Self {
+            window_s: edit.window_s.unwrap_or(self.window_s),
+            per_customer: edit.per_customer.unwrap_or(self.per_customer),
+            answer_bytes: edit.answer_bytes.unwrap_or(self.answer_bytes),
+            answer_budget: edit.answer_budget.unwrap_or(self.answer_budget),
+            spent_per_customer: edit.spent_per_customer.unwrap_or(self.spent_per_customer),
+            skew_s: edit.skew_s.unwrap_or(self.skew_s),
+            run_bound_s: edit.run_bound_s.unwrap_or(self.run_bound_s),
+        }
+    }
+}
--- a/crates/ragwortroad_state/src/config/config_edit.rs
+++ b/crates/ragwortroad_state/src/config/config_edit.rs
@@ -5,7 +5,6 @@
 
 use crate::{
     CallPattern,
-    ClaimRules,
     DrainTarget,
     KeyHash,
     QuorumLoss,
@@ -202,10 +201,10 @@
         /// The policy.
         policy: QuorumLoss,
     },
-    /// How idempotency keys are remembered.
+    /// How idempotency keys are remembered; what is not given stays.
     SetClaims {
-        /// The rules.
-        rules: ClaimRules,
+        /// The rules that change.
+        rules: ClaimsEdit,
     },
 }
 
@@ -231,6 +230,25 @@
     pub priority: Option<u8>,
 }
 
+/// The rules on idempotency keys that an edit changes; see [`ClaimRules`](crate::ClaimRules).
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimsEdit {
+    /// Seconds remembered in full.
+    pub window_s: Option<u32>,
+    /// Keys of one customer.
+    pub per_customer: Option<u32>,
+    /// Bytes of the largest recorded answer.
+    pub answer_bytes: Option<u32>,
+    /// Bytes of one customer's recorded answers.
+    pub answer_budget: Option<u32>,
+    /// Keys of one customer past the window.
+    pub spent_per_customer: Option<u32>,
+    /// Seconds a dated key may be ahead.
+    pub skew_s: Option<u32>,
+    /// Seconds until a claim without an outcome is unknown.
+    pub run_bound_s: Option<u32>,
+}
+
 /// Whether calls may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/ragwortroad_state/src/config/drain_target.rs
+++ b/crates/ragwortroad_state/src/config/drain_target.rs
@@ -15,6 +15,15 @@
     Node(String),
 }
 
+impl DrainTarget {
+    /// The name of the endpoint or node.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Endpoint(name) | Self::Node(name) => name,
+        }
+    }
+}
+
 impl fmt::Display for DrainTarget {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
--- a/crates/ragwortroad_state/src/config/validate.rs
+++ b/crates/ragwortroad_state/src/config/validate.rs
@@ -9,6 +9,7 @@
     CallPattern,
     ConfigFault,
     CustomerEntry,
+    DrainTarget,
     FleetConfig,
     KeyHash,
     ModelEntry,
@@ -20,6 +21,7 @@
 };
 
 const NAME_BYTES: usize = 64;
+const MOST_ENDPOINT_BYTES: usize = 128;
 const PATTERN_BYTES: usize = 256;
 /// A day: beyond it "in force everywhere" would mean nothing.
 const MOST_GRACE_S: u64 = 24 * 3600;
@@ -63,7 +65,12 @@
         .chain(models.clone().flat_map(|model| model.versions.keys()))
         .chain(models.flat_map(|model| &model.adapters));
     let bad = names.filter(|name| !is_name(name));
-    faults.extend(bad.map(|name| ConfigFault::BadName { name: name.clone() }));
+    let drained = config.drains.iter().map(DrainTarget::name);
+    let bad = bad.map(String::as_str);
+    let bad = bad.chain(drained.filter(|name| !is_endpoint_name(name)));
+    faults.extend(bad.map(|name| ConfigFault::BadName {
+        name: name.to_owned(),
+    }));
 }
 
 fn is_name(name: &str) -> bool {
@@ -74,6 +81,12 @@
         && name.bytes().all(usable)
 }
 
+/// Endpoints choose their names; any that the operators' language can write may be drained.
+fn is_endpoint_name(name: &str) -> bool {
+    let usable = |byte: u8| byte == b' ' || (byte.is_ascii_graphic() && byte != b'"');
+    (1..=MOST_ENDPOINT_BYTES).contains(&name.len()) && name.bytes().all(usable)
+}
+
 /// Two owners of one key could act for each other, and one would see the other's answers.
 fn check_keys(config: &FleetConfig, faults: &mut Vec<ConfigFault>) {
     let customers = config
--- a/crates/ragwortroad_state/src/lib.rs
+++ b/crates/ragwortroad_state/src/lib.rs
@@ -77,6 +77,7 @@
             claim_rules::ClaimRules,
             config_edit::{
                 CallRepeat,
+                ClaimsEdit,
                 ConfigEdit,
                 LimitsEdit, //
             },
