Add open-loop load and the first path from caller to answer

Cause: whether callers get their own whole answers shows only under load and against records. Change: arrivals fixed from a seed, latency from the due time, checks of answers, keys and refusals against what endpoints wrote down; a gateway test fleet with a fake control thread.

--- /dev/null
+++ b/crates/ragwortroad_gateway/tests/common/mod.rs
@@ -0,0 +1,6 @@
+//! A gateway with a fake control thread, for tests over real HTTP.
+#![allow(dead_code, missing_docs, unreachable_pub)]
+
+pub mod fake_control;
+pub mod raw_client;
+pub mod test_fleet;
--- /dev/null
+++ b/crates/ragwortroad_gateway/tests/common/raw_client.rs
@@ -0,0 +1,61 @@
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpStream, //
+    },
+    time::Duration,
+};
+
+/// Longest wait for bytes that must come.
+pub const BOUND: Duration = Duration::from_secs(20);
+
+/// Opens a connection whose reads are bounded.
+pub fn connect(address: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(address).unwrap();
+    stream.set_read_timeout(Some(BOUND)).unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
+/// Sends bytes and reads until the other side closes.
+pub fn exchange(address: SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = connect(address);
+    stream.write_all(bytes).unwrap();
+    read_all(&mut stream)
+}
+
+/// Reads until the other side closes.
+pub fn read_all(stream: &mut TcpStream) -> String {
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).unwrap();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Reads until `wanted` has come, and returns all that has.
+pub fn read_until(stream: &mut TcpStream, wanted: &str) -> String {
+    let mut answer = Vec::new();
+    let mut buffer = [0; 1024];
+    loop {
+        let text = String::from_utf8_lossy(&answer).into_owned();
+        if text.contains(wanted) {
+            return text;
+        }
+        let count = stream.read(&mut buffer).unwrap();
+        assert!(count > 0, "closed after: {text}");
+        answer.extend_from_slice(&buffer[..count]);
+    }
+}
+
+/// A POST as raw bytes.
+pub fn post(path: &str, headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!(
+        "POST {path} HTTP/1.1\r\nhost: node\r\nauthorization: Bearer k\r\n\
+         content-length: {length}\r\nconnection: close\r\n{headers}\r\n{body}"
+    )
+    .into_bytes()
+}
--- /dev/null
+++ b/crates/ragwortroad_load/src/arrival_plan.rs
@@ -0,0 +1,169 @@
+use std::time::Duration;
+
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+use crate::{
+    LoadSettings,
+    SurgePlan, //
+};
+
+/// One request that becomes due at a time fixed beforehand.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct PlannedArrival {
+    /// From the start of the run.
+    pub(crate) at: Duration,
+    /// Place in [`LoadSettings::customers`].
+    pub(crate) customer: usize,
+    pub(crate) action: PlannedAction,
+}
+
+/// What becomes due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum PlannedAction {
+    /// A turn of a chat; turn 0 opens it.
+    Turn {
+        chat: u64,
+        turn: u32,
+        streamed: bool,
+    },
+    /// A booking's first sending.
+    Booking { booking: u64 },
+    /// The same booking again, through another node.
+    Resend { booking: u64 },
+    /// A read at the service.
+    Read { record: u64 },
+}
+
+/// Draws all arrivals of a run, in the order of their times.
+pub(crate) fn plan_arrivals(settings: &LoadSettings) -> Vec<PlannedArrival> {
+    let mut plan = ArrivalPlan {
+        random: Pcg64Mcg::seed_from_u64(settings.seed),
+        settings,
+        arrivals: Vec::new(),
+    };
+    if !settings.customers.is_empty() {
+        plan.add_chats();
+        plan.add_bookings();
+        plan.add_reads();
+    }
+    plan.arrivals.sort_by_key(|arrival| arrival.at);
+    plan.arrivals
+}
+
+/// A plan being drawn.
+struct ArrivalPlan<'settings> {
+    random: Pcg64Mcg,
+    settings: &'settings LoadSettings,
+    arrivals: Vec<PlannedArrival>,
+}
+
+impl ArrivalPlan<'_> {
+    fn add_chats(&mut self) {
+        let mut chat = 0;
+        let mut at = Duration::ZERO;
+        // Drawn at the surge's rate throughout and thinned outside it.
+        let factor = self
+            .settings
+            .surge
+            .as_ref()
+            .map_or(1.0, |surge| surge.factor.max(1.0));
+        while let Some(next) = self.next_time(at, self.settings.chats_per_second * factor) {
+            at = next;
+            let customer = self.draw_customer();
+            if self.random.random::<f64>() * factor > self.rate_factor(customer, at) {
+                continue;
+            }
+            chat += 1;
+            self.add_turns(customer, chat, at);
+        }
+    }
+
+    fn rate_factor(&self, customer: usize, at: Duration) -> f64 {
+        let surges = |surge: &&SurgePlan| {
+            customer < surge.customers && (surge.from..surge.until).contains(&at)
+        };
+        self.settings
+            .surge
+            .as_ref()
+            .filter(surges)
+            .map_or(1.0, |surge| surge.factor)
+    }
+
+    fn add_turns(&mut self, customer: usize, chat: u64, first: Duration) {
+        let mut at = first;
+        for turn in 0..self.settings.turns {
+            let streamed = self.random.random_range(0..100) < self.settings.stream_percent;
+            let action = PlannedAction::Turn {
+                chat,
+                turn,
+                streamed,
+            };
+            self.push(at, customer, action);
+            let stretch = 0.5 + self.random.random::<f64>();
+            at += self.settings.pause.mul_f64(stretch);
+        }
+    }
+
+    fn add_bookings(&mut self) {
+        let mut booking = 0;
+        let mut at = Duration::ZERO;
+        while let Some(next) = self.next_time(at, self.settings.bookings_per_second) {
+            at = next;
+            booking += 1;
+            let customer = self.draw_customer();
+            self.push(at, customer, PlannedAction::Booking { booking });
+            if self.random.random_range(0..100) < self.settings.resend_percent {
+                let later = Duration::from_millis(self.random.random_range(0..300));
+                self.push(at + later, customer, PlannedAction::Resend { booking });
+            }
+        }
+    }
+
+    fn add_reads(&mut self) {
+        let mut at = Duration::ZERO;
+        while let Some(next) = self.next_time(at, self.settings.reads_per_second) {
+            at = next;
+            let customer = self.draw_customer();
+            let record = self.random.random_range(0..1000);
+            self.push(at, customer, PlannedAction::Read { record });
+        }
+    }
+
+    fn push(&mut self, at: Duration, customer: usize, action: PlannedAction) {
+        if at < self.settings.duration {
+            self.arrivals.push(PlannedArrival {
+                at,
+                customer,
+                action,
+            });
+        }
+    }
+
+    /// The next arrival of a Poisson process, or nothing past the run's end.
+    fn next_time(&mut self, at: Duration, rate: f64) -> Option<Duration> {
+        if rate <= 0.0 {
+            return None;
+        }
+        let draw: f64 = self.random.random();
+        let gap = -(1.0 - draw).ln() / rate;
+        let next = at + Duration::from_secs_f64(gap.min(1e6));
+        (next < self.settings.duration).then_some(next)
+    }
+
+    fn draw_customer(&mut self) -> usize {
+        let customers = &self.settings.customers;
+        let total: f64 = customers.iter().map(|customer| customer.weight).sum();
+        let mut draw = self.random.random::<f64>() * total;
+        for (place, customer) in customers.iter().enumerate() {
+            draw -= customer.weight;
+            if draw < 0.0 {
+                return place;
+            }
+        }
+        customers.len() - 1
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_load/src/caller_client.rs
@@ -0,0 +1,320 @@
+use std::{
+    io::Read,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use minreq::{
+    Method,
+    Request,
+    ResponseLazy, //
+};
+use ragwortroad_types::prelude::*;
+use serde::Deserialize;
+
+use crate::{
+    AnswerCheck, AnswerFault, AttemptNote, CallEnd,
+    address_book::AddressBook,
+    event_reader::{
+        EventReader,
+        StreamEvent,
+        UsageFigures, //
+    },
+    latency_set::{
+        LatencySet,
+        record, //
+    },
+};
+
+/// One request as it goes to a node.
+pub(crate) struct CallerRequest<'call> {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) body: String,
+    pub(crate) key: &'call str,
+    pub(crate) idempotency_key: Option<&'call str>,
+    pub(crate) chat: Option<&'call str>,
+    pub(crate) hint: Option<String>,
+    pub(crate) deadline: Duration,
+}
+
+/// What came back from one sending.
+pub(crate) struct CallerAnswer {
+    pub(crate) note: AttemptNote,
+    pub(crate) end: CallEnd,
+    pub(crate) refusal: Option<Box<RefusalWire>>,
+    pub(crate) hint: Option<String>,
+    pub(crate) first_token: Option<Instant>,
+    pub(crate) usage: UsageFigures,
+    pub(crate) body: Vec<u8>,
+}
+
+impl CallerAnswer {
+    fn unreachable(address: &str) -> Self {
+        let note = AttemptNote {
+            address: address.to_owned(),
+            request_id: None,
+            status: None,
+            outcome: None,
+            code: None,
+        };
+        Self {
+            note,
+            end: CallEnd::Unreachable,
+            refusal: None,
+            hint: None,
+            first_token: None,
+            usage: UsageFigures::default(),
+            body: Vec::new(),
+        }
+    }
+
+    fn take_refusal(&mut self, refusal: RefusalWire) {
+        let detail = &refusal.error;
+        self.note.outcome = Some(detail.outcome);
+        self.note.code = Some(detail.code);
+        self.end = CallEnd::Refused(detail.outcome, detail.code);
+        self.refusal = Some(Box::new(refusal));
+    }
+}
+
+/// A whole chat answer.
+#[derive(Deserialize)]
+struct WholeAnswer {
+    id: String,
+    choices: Vec<WholeChoice>,
+    #[serde(default)]
+    usage: UsageFigures,
+}
+
+/// The choice of a whole answer.
+#[derive(Deserialize)]
+struct WholeChoice {
+    message: WholeMessage,
+}
+
+/// The message of a whole answer.
+#[derive(Deserialize)]
+struct WholeMessage {
+    content: String,
+}
+
+/// Sends one request to one node and reads the answer's head.
+fn send_request(
+    address: &str,
+    request: &CallerRequest<'_>,
+) -> Result<(CallerAnswer, ResponseLazy), Box<CallerAnswer>> {
+    let url = format!("http://{address}{}", request.path);
+    let seconds = request.deadline.as_secs().max(1) + 2;
+    let deadline = request.deadline.as_millis().to_string();
+    let mut sent = Request::new(request.method.clone(), url)
+        .with_header("authorization", format!("Bearer {}", request.key))
+        .with_header("content-type", "application/json")
+        .with_header("x-deadline-ms", deadline)
+        .with_follow_redirects(false)
+        .with_timeout(seconds)
+        .with_body(request.body.as_str());
+    let headers = [
+        ("idempotency-key", request.idempotency_key),
+        ("x-chat-id", request.chat),
+        ("x-placement-hint", request.hint.as_deref()),
+    ];
+    for (name, value) in headers {
+        if let Some(value) = value {
+            sent = sent.with_header(name, value);
+        }
+    }
+    let mut answer = CallerAnswer::unreachable(address);
+    match sent.send_lazy() {
+        Ok(response) => {
+            answer.note.status = Some(response.status_code);
+            answer.note.request_id = header(&response, "x-request-id");
+            answer.hint = header(&response, "x-placement-hint");
+            Ok((answer, response))
+        }
+        Err(error) => {
+            let kind = match &error {
+                minreq::Error::IoError(error) => Some(error.kind()),
+                _ => None,
+            };
+            if kind != Some(std::io::ErrorKind::ConnectionRefused) {
+                answer.end = CallEnd::Broken(error.to_string());
+            }
+            Err(Box::new(answer))
+        }
+    }
+}
+
+fn header(response: &ResponseLazy, name: &str) -> Option<String> {
+    let found = response
+        .headers
+        .iter()
+        .find(|(field, _)| field.eq_ignore_ascii_case(name));
+    found.map(|(_, value)| value.clone())
+}
+
+/// Reads a body and counts its bytes: the library ends a short body without an error.
+fn read_counted(response: &mut ResponseLazy) -> Result<Vec<u8>, String> {
+    let promised = header(response, "content-length").and_then(|text| text.parse::<usize>().ok());
+    let mut body = Vec::new();
+    response
+        .read_to_end(&mut body)
+        .map_err(|error| error.to_string())?;
+    match promised {
+        Some(length) if length != body.len() => {
+            Err(format!("{} of {length} bytes came", body.len()))
+        }
+        _ => Ok(body),
+    }
+}
+
+/// Sends a request whose answer is whole, and reads it as far as its kind allows.
+pub(crate) fn call_whole(address: &str, request: &CallerRequest<'_>) -> CallerAnswer {
+    let (mut answer, mut response) = match send_request(address, request) {
+        Ok(begun) => begun,
+        Err(answer) => return *answer,
+    };
+    match read_counted(&mut response) {
+        Ok(body) => answer.body = body,
+        Err(why) => {
+            answer.end = CallEnd::Broken(why);
+            return answer;
+        }
+    }
+    if response.status_code < 300 {
+        answer.end = CallEnd::Answered;
+        return answer;
+    }
+    match serde_json::from_slice(&answer.body) {
+        Ok(refusal) => answer.take_refusal(refusal),
+        Err(_) => answer.end = CallEnd::Broken(format!("status {}", response.status_code)),
+    }
+    answer
+}
+
+/// Sends a chat whose answer is whole, and checks it.
+pub(crate) fn call_chat(
+    address: &str,
+    request: &CallerRequest<'_>,
+    check: Option<&AnswerCheck>,
+) -> CallerAnswer {
+    let mut answer = call_whole(address, request);
+    if answer.end != CallEnd::Answered {
+        return answer;
+    }
+    let Ok(whole) = serde_json::from_slice::<WholeAnswer>(&answer.body) else {
+        answer.end = CallEnd::Wrong(AnswerFault::Unreadable);
+        return answer;
+    };
+    answer.usage = whole.usage;
+    if let Some(check) = check {
+        let text: String = whole
+            .choices
+            .iter()
+            .map(|choice| choice.message.content.as_str())
+            .collect();
+        let owner = answer.note.request_id.as_deref().unwrap_or_default();
+        let checked = AnswerCheck::check_owner(&whole.id, owner);
+        if let Err(fault) = checked.and_then(|()| check.check_text(&text)) {
+            answer.end = CallEnd::Wrong(fault);
+        }
+    }
+    answer
+}
+
+/// Sends a chat whose answer is streamed, reads it token by token, and checks it.
+pub(crate) fn call_stream(
+    address: &str,
+    request: &CallerRequest<'_>,
+    check: Option<&AnswerCheck>,
+    latencies: &mut LatencySet,
+) -> CallerAnswer {
+    let (mut answer, mut response) = match send_request(address, request) {
+        Ok(begun) => begun,
+        Err(answer) => return *answer,
+    };
+    if response.status_code != 200 {
+        match read_counted(&mut response).map(|body| serde_json::from_slice(&body)) {
+            Ok(Ok(refusal)) => answer.take_refusal(refusal),
+            _ => answer.end = CallEnd::Broken(format!("status {}", response.status_code)),
+        }
+        return answer;
+    }
+    let owner = answer.note.request_id.clone().unwrap_or_default();
+    let mut reader = EventReader::new(response);
+    let mut text = String::new();
+    let mut last = None;
+    loop {
+        match reader.next_event() {
+            StreamEvent::Chunk(chunk) => {
+                if let Err(fault) = AnswerCheck::check_owner(&chunk.id, &owner)
+                    && check.is_some()
+                {
+                    answer.end = CallEnd::Wrong(fault);
+                    return answer;
+                }
+                answer.usage = chunk.usage.unwrap_or(answer.usage);
+                let Some(content) = chunk.content() else {
+                    continue;
+                };
+                let now = Instant::now();
+                answer.first_token.get_or_insert(now);
+                if let Some(last) = last.replace(now) {
+                    record(&mut latencies.token_gap, now - last);
+                }
+                text.push_str(content);
+            }
+            StreamEvent::Done => break,
+            StreamEvent::Refusal(refusal) => {
+                answer.take_refusal(refusal);
+                return answer;
+            }
+            StreamEvent::Broken(why) => {
+                answer.end = CallEnd::Broken(why);
+                return answer;
+            }
+        }
+    }
+    answer.end = match check.map(|check| check.check_text(&text)) {
+        Some(Err(fault)) => CallEnd::Wrong(fault),
+        _ => CallEnd::Answered,
+    };
+    answer
+}
+
+/// The addresses to use for a chat, or for a customer's other calls: kept ones, else asked for.
+pub(crate) fn find_addresses(
+    book: &AddressBook,
+    name: &str,
+    key: &str,
+    chat: Option<&str>,
+) -> Vec<String> {
+    if let Some(kept) = book.kept(name) {
+        return kept;
+    }
+    let path = match chat {
+        Some(chat) => format!("/v1/addresses?chat={chat}"),
+        None => "/v1/addresses".to_owned(),
+    };
+    for seed in book.seeds() {
+        let request = CallerRequest {
+            method: Method::Get,
+            path: path.clone(),
+            body: String::new(),
+            key,
+            idempotency_key: None,
+            chat: None,
+            hint: None,
+            deadline: Duration::from_secs(2),
+        };
+        let answer = call_whole(&seed, &request);
+        let found = serde_json::from_slice::<AddressAnswer>(&answer.body);
+        if let (CallEnd::Answered, Ok(found)) = (&answer.end, found) {
+            book.keep(name, &found);
+            return found.addresses;
+        }
+    }
+    book.seeds()
+}
--- a/crates/ragwortroad_load/src/lib.rs
+++ b/crates/ragwortroad_load/src/lib.rs
@@ -1,1 +1,65 @@
 //! Open-loop load, reports with percentiles, and checks of what callers saw.
+//!
+//! Arrivals are fixed from a seed before the run, and every latency counts from the moment a
+//! request was due, so that a slow answer does not hide the queue behind it. Afterwards the checks
+//! compare what callers saw with what endpoints wrote down.
+//!
+//! ```
+//! use ragwortroad_load::prelude::*;
+//!
+//! let settings = LoadSettings {
+//!     duration: std::time::Duration::ZERO,
+//!     ..LoadSettings::default()
+//! };
+//! let report = run_load(settings)?;
+//! assert!(verify_run(&report.notes, &[]).is_empty());
+//! # Ok::<(), LoadError>(())
+//! ```
+
+mod address_book;
+mod answer_check;
+mod arrival_plan;
+mod call_note;
+mod caller_client;
+mod chat_script;
+mod event_reader;
+mod latency_set;
+mod load_error;
+mod load_report;
+mod load_run;
+mod load_settings;
+mod run_check;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        answer_check::{
+            AnswerCheck,
+            AnswerFault, //
+        },
+        call_note::{
+            AttemptNote,
+            CallEnd,
+            CallKind,
+            CallNote, //
+        },
+        latency_set::LatencySummary,
+        load_error::LoadError,
+        load_report::{
+            LoadReport,
+            OutcomeCount, //
+        },
+        load_run::run_load,
+        load_settings::{
+            CustomerLoad,
+            LoadSettings,
+            SurgePlan, //
+        },
+        run_check::{
+            RunViolation,
+            verify_run, //
+        },
+    };
+}
+
+pub use prelude::*;
