--- a/crates/ragwortroad_gateway/src/call/admit_call.rs
+++ b/crates/ragwortroad_gateway/src/call/admit_call.rs
@@ -13,6 +13,10 @@
     pub key_hash: [u8; 32],
     /// What the request is for.
     pub target: RequestTarget,
+    /// The HTTP method.
+    pub method: String,
+    /// The path as the endpoint will see it, with its query.
+    pub path: String,
     /// The chat it continues, as the caller named it.
     pub chat: Option<String>,
     /// The placement hint as the caller sent it; not to be trusted.
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -96,6 +96,8 @@
             model: model.to_owned(),
             adapter: adapter.map(str::to_owned),
         },
+        method: "POST".to_owned(),
+        path: "/v1/chat/completions".to_owned(),
         chat: chat.chat_id.clone().or_else(|| context.chat.clone()),
         hint: context.hint.clone(),
         prompt: chat.prompt_text(),
--- a/crates/ragwortroad_gateway/src/service_relay.rs
+++ b/crates/ragwortroad_gateway/src/service_relay.rs
@@ -142,6 +142,8 @@
         target: RequestTarget::Service {
             service: call.service.clone(),
         },
+        method: call.method.as_str().to_owned(),
+        path: call.path.clone(),
         chat: context.chat.clone(),
         hint: context.hint.clone(),
         prompt: Vec::new(),
--- /dev/null
+++ b/crates/ragwortroad_node/src/control/control_inbox.rs
@@ -0,0 +1,90 @@
+use std::time::Duration;
+
+use flume::{
+    Receiver,
+    RecvError,
+    Selector, //
+};
+use ragwortroad_gateway::prelude::*;
+use ragwortroad_transport::prelude::*;
+
+use crate::disk_worker::DiskReport;
+
+/// Everything that reaches the control thread.
+#[derive(Debug)]
+pub(crate) struct ControlInbox {
+    /// Calls of traffic threads.
+    pub(crate) calls: Receiver<ControlCall>,
+    /// Messages of other nodes.
+    pub(crate) peers: Receiver<PeerEvent>,
+    /// Reports of the disk thread.
+    pub(crate) disk: Receiver<DiskReport>,
+    /// Orders of the supervisor.
+    pub(crate) steering: Receiver<SteeringOrder>,
+}
+
+/// What the supervisor wants of the control thread.
+#[derive(Debug)]
+pub(crate) enum SteeringOrder {
+    /// Stop taking work and endpoints, and tell the others.
+    Drain,
+    /// End the thread; all traffic has ended.
+    Stop,
+    /// Answer a page that a traffic thread serves.
+    Page(PageCall),
+}
+
+/// A page that is made of control state.
+#[derive(Debug)]
+pub(crate) struct PageCall {
+    /// SHA-256 of the operator's key.
+    pub(crate) key_hash: [u8; 32],
+    /// The query string.
+    pub(crate) query: String,
+    /// Where the page goes; nothing goes there where the key is wrong.
+    pub(crate) reply: flume::Sender<Option<String>>,
+}
+
+/// One event for the control thread.
+#[derive(Debug)]
+pub(crate) enum ControlEvent {
+    /// A traffic thread calls.
+    Call(ControlCall),
+    /// Another node says something.
+    Peer(PeerEvent),
+    /// The disk thread reports.
+    Disk(DiskReport),
+    /// The supervisor wants something.
+    Steering(SteeringOrder),
+}
+
+impl ControlInbox {
+    /// The next event, or nothing after `patience`.
+    pub(crate) fn next(&self, patience: Duration) -> Option<ControlEvent> {
+        let selected = Selector::new()
+            .recv(&self.calls, |event| wrap(event, ControlEvent::Call))
+            .recv(&self.peers, |event| wrap(event, ControlEvent::Peer))
+            .recv(&self.disk, |event| wrap(event, ControlEvent::Disk))
+            .recv(&self.steering, |event| wrap(event, ControlEvent::Steering))
+            .wait_timeout(patience);
+        selected.ok().flatten()
+    }
+
+    /// An event that is there already.
+    pub(crate) fn ready(&self) -> Option<ControlEvent> {
+        let calls = || self.calls.try_recv().map(ControlEvent::Call).ok();
+        let peers = || self.peers.try_recv().map(ControlEvent::Peer).ok();
+        let disk = || self.disk.try_recv().map(ControlEvent::Disk).ok();
+        let steering = || self.steering.try_recv().map(ControlEvent::Steering).ok();
+        // What the disk and the supervisor say is rare and holds others up, so it goes first.
+        disk().or_else(steering).or_else(peers).or_else(calls)
+    }
+}
+
+/// The event in a received item; a closed channel gives none.
+fn wrap<T>(
+    received: Result<T, RecvError>,
+    make: impl FnOnce(T) -> ControlEvent,
+) -> Option<ControlEvent> {
+    received.ok().map(make)
+}
--- /dev/null
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -0,0 +1,193 @@
+//! Nodes and endpoints: announcements in, gossip in and out, the route table kept true to both.
+
+use ragwortroad_gateway::prelude::*;
+use ragwortroad_membership::prelude::*;
+use ragwortroad_routing::prelude::*;
+use ragwortroad_state::prelude::*;
+use ragwortroad_transport::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    control::{
+        admit_flow::AdmitRefusal,
+        control_state::ControlState, //
+    },
+    node_secrets::same_hash,
+};
+
+impl ControlState {
+    /// Serves an endpoint's announcement.
+    pub(crate) fn announce(
+        &mut self,
+        call: AnnounceCall,
+        now: ClockTime,
+    ) -> Result<AnnounceAnswer, RefusalWire> {
+        let request = RequestId(self.draw());
+        if !same_hash(&call.secret_hash, &self.secrets.join) {
+            let message = "the join secret is not the fleet's";
+            let refusal = AdmitRefusal::not_run(RefusalCode::WrongKey, message);
+            return Err(self.refusal_wire(request, refusal));
+        }
+        if call.announce.address.parse::<std::net::SocketAddr>().is_err() {
+            let message = format!("'{}' is not IP:port", call.announce.address);
+            let refusal = AdmitRefusal::not_run(RefusalCode::MalformedRequest, message);
+            return Err(self.refusal_wire(request, refusal));
+        }
+        let endpoint = EndpointId::from_name(&call.announce.name);
+        let load = call.announce.load;
+        let events = call.announce.cache_events.clone();
+        let actions = self
+            .membership
+            .handle(GossipInput::Announce(call.announce), now);
+        self.do_gossip(actions, now);
+        if let HomeState::Home { .. } = self.membership.home_state(endpoint, now) {
+            self.route.observe_report(endpoint, load, now);
+            self.route.observe_cache(endpoint, &events, now);
+        }
+        Ok(self.membership.announce_answer(endpoint, now))
+    }
+
+    /// Lets time pass for membership.
+    pub(crate) fn tick_membership(&mut self, now: ClockTime) {
+        let actions = self.membership.handle(GossipInput::Tick, now);
+        self.do_gossip(actions, now);
+    }
+
+    /// Takes in a gossip packet.
+    pub(crate) fn handle_gossip(&mut self, from: NodeId, bytes: Vec<u8>, now: ClockTime) {
+        let packet = GossipInput::Packet { from, bytes };
+        let actions = self.membership.handle(packet, now);
+        self.do_gossip(actions, now);
+    }
+
+    /// Does what membership wants done.
+    pub(crate) fn do_gossip(&mut self, actions: Vec<GossipAction>, now: ClockTime) {
+        for action in actions {
+            match action {
+                GossipAction::Send { to, address, bytes } => {
+                    let outcome = self.transport.send(address, to, PeerChannel::Gossip, bytes);
+                    if outcome != SendOutcome::Queued {
+                        tracing::trace!(%to, ?outcome, "a gossip packet was not queued");
+                    }
+                }
+                GossipAction::NodeUp(node) => self.node_up(node, now),
+                GossipAction::NodeSuspected(node) => {
+                    tracing::info!(node = self.node_name(node), "node is silent");
+                }
+                GossipAction::NodeDown(node) => self.node_down(node, now),
+                GossipAction::NodeLeaving(node) => {
+                    tracing::info!(node = self.node_name(node), "node is leaving");
+                    self.refresh_nodes(now);
+                }
+                GossipAction::EndpointChanged(endpoint) | GossipAction::HomeChanged(endpoint) => {
+                    self.refresh_endpoint(endpoint, now);
+                }
+                GossipAction::EndpointLoad(endpoint) => self.refresh_load(endpoint),
+                GossipAction::EndpointGone(endpoint) => {
+                    self.route.remove_endpoint(endpoint);
+                }
+                GossipAction::BlobChanged { .. } => {}
+            }
+        }
+    }
+
+    fn node_up(&mut self, node: NodeId, now: ClockTime) {
+        tracing::info!(node = self.node_name(node), "node is up");
+        self.refresh_nodes(now);
+        // Endpoints whose home came back can be asked for again.
+        self.refresh_endpoints(now);
+    }
+
+    fn node_down(&mut self, node: NodeId, now: ClockTime) {
+        tracing::warn!(node = self.node_name(node), "node is down");
+        self.route.node_gone(node, now);
+        self.grants.node_gone(node);
+        self.releases.node_gone(node);
+        if self.member.as_ref().is_some_and(|seat| seat.leads(now)) {
+            // Its claims would say "in progress" until their longest run is over; callers who ask
+            // again elsewhere are told at once that the outcome is unknown.
+            self.claims.settle(ClaimStep::NodeLost { node });
+        }
+        self.refresh_nodes(now);
+        self.refresh_endpoints(now);
+    }
+
+    /// Takes over which nodes take callers.
+    pub(crate) fn refresh_nodes(&mut self, now: ClockTime) {
+        let nodes = self.open_nodes();
+        self.route.set_nodes(&nodes);
+        self.limiter.set_nodes(&nodes, now);
+    }
+
+    /// Takes over all endpoints.
+    pub(crate) fn refresh_endpoints(&mut self, now: ClockTime) {
+        let endpoints = self.membership.endpoints();
+        let endpoints: Vec<EndpointId> = endpoints.map(|record| record.id).collect();
+        for endpoint in endpoints {
+            self.refresh_endpoint(endpoint, now);
+        }
+    }
+
+    /// Takes over what membership and configuration say of an endpoint.
+    fn refresh_endpoint(&mut self, endpoint: EndpointId, now: ClockTime) {
+        let Some(record) = self.membership.endpoint(endpoint) else {
+            return;
+        };
+        if record.presence == EndpointPresence::Gone {
+            self.route.remove_endpoint(endpoint);
+            return;
+        }
+        let (home, exclusive_from, has_home) = match self.membership.home_state(endpoint, now) {
+            HomeState::Home { exclusive_from, .. } => (self.node, exclusive_from, true),
+            HomeState::Elsewhere { home } => (home, ClockTime::ZERO, true),
+            HomeState::Claiming | HomeState::Unknown => (record.home, ClockTime::ZERO, false),
+        };
+        let facts = EndpointFacts {
+            id: endpoint,
+            kind: record.kind,
+            fleet: fleet_key(record),
+            zone: ZoneKey::from_name(&record.zone),
+            capacity: record.capacity,
+            offers: offers(record),
+            home,
+            leaving: !has_home || !self.membership.is_available(endpoint),
+            drained: self.follow.config.drains_endpoint(&record.name),
+        };
+        self.route.upsert_endpoint(facts, exclusive_from);
+        if home == self.node
+            && let Some(load) = self.membership.home_load(endpoint)
+        {
+            self.route.observe_report(endpoint, load, now);
+        }
+    }
+
+    fn refresh_load(&mut self, endpoint: EndpointId) {
+        let Some(record) = self.membership.endpoint(endpoint) else {
+            return;
+        };
+        let digest = LoadDigest {
+            load: record.load.requests(record.capacity),
+            set_aside: false,
+        };
+        self.route.observe_digest(endpoint, digest);
+    }
+}
+
+/// Whose mean an endpoint's load is compared with: endpoints that can do the same work.
+fn fleet_key(record: &EndpointRecord) -> FleetKey {
+    if let Some(service) = &record.service {
+        return FleetKey::from_name(&format!("service {service}"));
+    }
+    let models = record.models.iter().map(|offer| offer.model.as_str());
+    let mut models: Vec<&str> = models.collect();
+    models.sort_unstable();
+    models.dedup();
+    FleetKey::from_name(&format!("models {}", models.join(" ")))
+}
+
+/// Everything an endpoint can serve.
+fn offers(record: &EndpointRecord) -> Vec<OfferKey> {
+    let models = record.models.iter().flat_map(OfferKey::of_offer);
+    let service = record.service.as_deref().map(OfferKey::service);
+    models.chain(service).collect()
+}
--- /dev/null
+++ b/crates/ragwortroad_node/src/control/fleet_view.rs
@@ -0,0 +1,87 @@
+//! Short questions about the fleet, for the other flows.
+
+use std::net::SocketAddr;
+
+use ragwortroad_membership::prelude::*;
+use ragwortroad_transport::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::control::control_state::ControlState;
+
+impl ControlState {
+    /// Where an endpoint takes requests.
+    pub(crate) fn endpoint_address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        let record = self.membership.endpoint(endpoint)?;
+        Some(record.address)
+    }
+
+    /// Where callers reach a node.
+    pub(crate) fn caller_address(&self, node: NodeId) -> Option<SocketAddr> {
+        let record = self.membership.node(node)?;
+        Some(record.caller_address)
+    }
+
+    /// A node's name, or its number where only that is known.
+    pub(crate) fn node_name(&self, node: NodeId) -> String {
+        let record = self.membership.node(node);
+        record.map_or_else(|| node.to_string(), |record| record.name.clone())
+    }
+
+    /// Nodes that callers may be sent to, in the order of their identities.
+    pub(crate) fn open_nodes(&self) -> Vec<NodeId> {
+        let config = &self.follow.config;
+        let is_open = |record: &NodeRecord| !config.drains_node(&record.name);
+        let live = self.membership.live_nodes();
+        let open = live.filter(|(_, record)| is_open(record));
+        let mut nodes: Vec<NodeId> = open.map(|(node, _)| node).collect();
+        nodes.retain(|node| !(self.draining && *node == self.node));
+        nodes.sort_unstable();
+        nodes
+    }
+
+    /// Nodes that may hold the replicated state: those of the settings and of the configuration.
+    pub(crate) fn member_nodes(&self) -> Vec<NodeId> {
+        let seeds = self.settings.state.members.iter();
+        let mut nodes: Vec<NodeId> = seeds.map(|seed| NodeId::from_name(&seed.name)).collect();
+        let declared = self.follow.config.members.keys();
+        nodes.extend(declared.map(|name| NodeId::from_name(name)));
+        nodes.sort_unstable();
+        nodes.dedup();
+        nodes
+    }
+
+    /// The leader by this node's knowledge.
+    pub(crate) fn leader(&self) -> Option<NodeId> {
+        let seat = self.member.as_ref();
+        seat.and_then(|seat| seat.leader_node())
+            .or(self.follow.leader)
+    }
+
+    /// Queues a message for a node. A message that does not go out is repeated by its own flow.
+    pub(crate) fn send(&self, to: NodeId, channel: PeerChannel, bytes: Vec<u8>) {
+        let Some(address) = self.peer_address(to) else {
+            tracing::debug!(%to, ?channel, "no address is known for the node");
+            return;
+        };
+        let outcome = self.transport.send(address, to, channel, bytes);
+        if outcome != SendOutcome::Queued {
+            tracing::debug!(%to, ?channel, ?outcome, "a message was not queued");
+        }
+    }
+
+    /// Where a node takes messages: by gossip, else by the settings or the configuration.
+    fn peer_address(&self, node: NodeId) -> Option<SocketAddr> {
+        if let Some(record) = self.membership.node(node) {
+            return Some(record.gossip_address);
+        }
+        let state = self.settings.state.members.iter();
+        let mut seeds = state.chain(self.settings.fleet.seeds.iter());
+        let seed = seeds.find(|seed| NodeId::from_name(&seed.name) == node);
+        if let Some(seed) = seed {
+            return Some(seed.peer);
+        }
+        let mut declared = self.follow.config.members.iter();
+        let declared = declared.find(|(name, _)| NodeId::from_name(name) == node);
+        declared.and_then(|(_, address)| address.parse().ok())
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_node/src/control/line_table.rs
@@ -0,0 +1,51 @@
+use std::collections::BTreeMap;
+
+use flume::Sender;
+use ragwortroad_gateway::prelude::*;
+use ragwortroad_types::prelude::*;
+
+/// Operators' lines that were passed on to the leader.
+#[derive(Debug, Default)]
+pub(crate) struct LineTable {
+    next: u64,
+    lines: BTreeMap<u64, OpenLine>,
+}
+
+/// A line whose answer is awaited.
+#[derive(Debug)]
+pub(crate) struct OpenLine {
+    /// The operator's connection.
+    pub(crate) reply: Sender<OperatorAnswer>,
+    /// The node it was sent to.
+    pub(crate) leader: NodeId,
+    /// Whether it may change something.
+    pub(crate) may_change: bool,
+    /// When it was sent.
+    pub(crate) sent: ClockTime,
+}
+
+impl LineTable {
+    /// Adds a line and numbers it.
+    pub(crate) fn add(&mut self, line: OpenLine) -> u64 {
+        self.next += 1;
+        self.lines.insert(self.next, line);
+        self.next
+    }
+
+    /// Ends the wait for the answer of `leader`.
+    pub(crate) fn take(&mut self, token: u64, leader: NodeId) -> Option<OpenLine> {
+        let asked = self.lines.get(&token)?.leader;
+        if asked != leader {
+            return None;
+        }
+        self.lines.remove(&token)
+    }
+
+    /// Ends waits that began before `limit`.
+    pub(crate) fn overdue(&mut self, limit: ClockTime) -> Vec<OpenLine> {
+        let old = self.lines.iter().filter(|(_, line)| line.sent < limit);
+        let numbers: Vec<u64> = old.map(|(number, _)| *number).collect();
+        let take = |number: u64| self.lines.remove(&number);
+        numbers.into_iter().filter_map(take).collect()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_node/src/control/mod.rs
@@ -0,0 +1,22 @@
+//! The control thread: all state of a node and every decision, in one place.
+//!
+//! [`ControlState`](control_state::ControlState) is spread over files by what is decided; each
+//! `*_flow` file holds one subject's part of its methods.
+
+pub(crate) mod address_flow;
+pub(crate) mod admit_flow;
+pub(crate) mod claim_flow;
+pub(crate) mod control_inbox;
+pub(crate) mod control_state;
+pub(crate) mod endpoint_flow;
+pub(crate) mod fleet_view;
+pub(crate) mod follow_flow;
+pub(crate) mod follow_seat;
+pub(crate) mod grant_flow;
+pub(crate) mod leader_flow;
+pub(crate) mod line_flow;
+pub(crate) mod line_table;
+pub(crate) mod member_flow;
+pub(crate) mod peer_flow;
+pub(crate) mod show_flow;
+pub(crate) mod slot_flow;
--- /dev/null
+++ b/crates/ragwortroad_node/src/control/slot_flow.rs
@@ -0,0 +1,237 @@
+//! Slots asked of other nodes and granted to them, and customers' shares.
+
+use std::time::Duration;
+
+use ragwortroad_routing::prelude::*;
+use ragwortroad_transport::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    control::control_state::ControlState,
+    request::{
+        ticket_table::HeldSlot,
+        wait_table::SlotWait, //
+    },
+    slot::{
+        grant_book::{
+            BookAnswer,
+            GrantRecord, //
+        },
+        release_queue::OpenRelease, //
+    },
+    wire::{
+        message_codec::{
+            decode,
+            encode, //
+        },
+        slot_message::{
+            SlotMessage,
+            SlotVerdict, //
+        }, //
+    },
+};
+
+/// Time after which an asker whose question came after its own release may ask anew.
+const ENDED_PAUSE: Duration = Duration::from_millis(100);
+
+impl ControlState {
+    /// Serves a message about slots or shares.
+    pub(crate) fn handle_slots(&mut self, from: NodeId, bytes: &[u8], now: ClockTime) {
+        let Some(message) = decode::<SlotMessage>(bytes) else {
+            return;
+        };
+        match message {
+            SlotMessage::Ask {
+                question,
+                endpoint,
+                customer,
+            } => {
+                let customer = CustomerKey(customer);
+                let answer = self.answer_ask(from, question, endpoint, customer, now);
+                self.send_slots(from, &SlotMessage::Answer { question, answer });
+            }
+            SlotMessage::Answer { question, answer } => {
+                self.take_answer(from, question, answer, now);
+            }
+            SlotMessage::Release {
+                question,
+                endpoint: _,
+                outcome,
+            } => {
+                if let Some(record) = self.grants.end(from, question, now) {
+                    let outcome = outcome.into();
+                    self.route.release(record.endpoint, record.slot, outcome, now);
+                }
+                self.send_slots(from, &SlotMessage::Released { question });
+            }
+            SlotMessage::Released { question } => self.releases.confirm(from, question),
+            SlotMessage::Demand(entries) => {
+                let digest = demand_digest(entries);
+                self.limiter.merge_demand(from, &digest, now);
+            }
+            SlotMessage::Share(entries) => {
+                let digest = share_digest(entries);
+                self.limiter.merge_share(&digest, now);
+            }
+        }
+    }
+
+    /// This node's answer as the home of an endpoint.
+    fn answer_ask(
+        &mut self,
+        asker: NodeId,
+        question: u64,
+        endpoint: EndpointId,
+        customer: CustomerKey,
+        now: ClockTime,
+    ) -> SlotVerdict {
+        match self.grants.look_up(asker, question) {
+            BookAnswer::Granted => return SlotVerdict::Granted,
+            BookAnswer::Ended => {
+                let retry_after_ms = ENDED_PAUSE.as_millis() as u32;
+                return SlotVerdict::Full { retry_after_ms };
+            }
+            BookAnswer::New => {}
+        }
+        if self.draining || !self.membership.home_state(endpoint, now).admits_at(now) {
+            let record = self.membership.endpoint(endpoint);
+            let home = record.map(|record| record.home);
+            let home = home.filter(|home| *home != self.node);
+            return SlotVerdict::NotHome { home };
+        }
+        let answer = self.route.grant_slot(endpoint, asker, customer, now);
+        if let SlotAnswer::Granted { slot } = answer {
+            self.grants
+                .grant(asker, question, GrantRecord { endpoint, slot });
+        }
+        answer.into()
+    }
+
+    /// A home answered a question of this node.
+    fn take_answer(
+        &mut self,
+        home: NodeId,
+        question: u64,
+        verdict: SlotVerdict,
+        now: ClockTime,
+    ) {
+        let Some(wait) = self.waits.take(question, home) else {
+            // The attempt went elsewhere meanwhile; its release is on the way.
+            return;
+        };
+        let SlotWait {
+            mut plan, endpoint, ..
+        } = wait;
+        let answer = verdict.as_answer();
+        self.route.note_answer(endpoint, answer, plan.chat, now);
+        if verdict == SlotVerdict::Granted {
+            let slot = HeldSlot::Foreign { home, question };
+            return self.grant_plan(plan, endpoint, slot, now);
+        }
+        plan.excluded.push(endpoint);
+        self.place_plan(plan, now);
+    }
+
+    /// Asks a home for a slot.
+    pub(crate) fn send_ask(
+        &self,
+        home: NodeId,
+        question: u64,
+        endpoint: EndpointId,
+        customer: CustomerKey,
+    ) {
+        let customer = customer.0;
+        let message = SlotMessage::Ask {
+            question,
+            endpoint,
+            customer,
+        };
+        self.send_slots(home, &message);
+    }
+
+    /// Gives a slot back to its home, now and until the home confirms it.
+    pub(crate) fn send_release(
+        &mut self,
+        home: NodeId,
+        question: u64,
+        endpoint: EndpointId,
+        outcome: SlotOutcome,
+        now: ClockTime,
+    ) {
+        let outcome = outcome.into();
+        let release = OpenRelease {
+            home,
+            endpoint,
+            outcome,
+            sent: now,
+        };
+        self.releases.add(question, release);
+        let message = SlotMessage::Release {
+            question,
+            endpoint,
+            outcome,
+        };
+        self.send_slots(home, &message);
+    }
+
+    /// Sends releases again that no home has confirmed.
+    pub(crate) fn repeat_releases(&mut self, now: ClockTime) {
+        for (question, release) in self.releases.due(now) {
+            let message = SlotMessage::Release {
+                question,
+                endpoint: release.endpoint,
+                outcome: release.outcome,
+            };
+            self.send_slots(release.home, &message);
+        }
+    }
+
+    /// Tells the keepers of customers' limits what is wanted here, and others their shares.
+    pub(crate) fn send_shares(&mut self, now: ClockTime) {
+        for (keeper, digest) in self.limiter.demands(now) {
+            let entries = digest.entries.iter();
+            let entries = entries.map(|entry| {
+                let requests = entry.requests_per_10_s;
+                (entry.customer.0, requests, entry.concurrent)
+            });
+            self.send_slots(keeper, &SlotMessage::Demand(entries.collect()));
+        }
+        for (node, digest) in self.limiter.shares(now) {
+            if node == self.node {
+                self.limiter.merge_share(&digest, now);
+                continue;
+            }
+            let entries = digest.entries.iter();
+            let entries = entries.map(|entry| (entry.customer.0, entry.rate_share, entry.concurrent));
+            self.send_slots(node, &SlotMessage::Share(entries.collect()));
+        }
+    }
+
+    fn send_slots(&self, to: NodeId, message: &SlotMessage) {
+        self.send(to, PeerChannel::Slots, encode(message));
+    }
+}
+
+fn demand_digest(entries: Vec<(u64, u16, u16)>) -> DemandDigest {
+    let entries = entries.into_iter();
+    let entry = |(customer, requests_per_10_s, concurrent)| DemandEntry {
+        customer: CustomerKey(customer),
+        requests_per_10_s,
+        concurrent,
+    };
+    DemandDigest {
+        entries: entries.map(entry).collect(),
+    }
+}
+
+fn share_digest(entries: Vec<(u64, u16, u16)>) -> ShareDigest {
+    let entries = entries.into_iter();
+    let entry = |(customer, rate_share, concurrent)| ShareEntry {
+        customer: CustomerKey(customer),
+        rate_share,
+        concurrent,
+    };
+    ShareDigest {
+        entries: entries.map(entry).collect(),
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_node/src/request/claim_desk.rs
@@ -0,0 +1,139 @@
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use ragwortroad_state::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::request::request_plan::RequestPlan;
+
+/// Steps on claims that the leader has not answered yet.
+///
+/// A step is repeated until it is answered: a claim until its request's patience ends, all others
+/// for ever. A lost finish would leave the key "in progress", so that a caller who asks again for
+/// its booking would be told to wait for an attempt that is over.
+#[derive(Debug, Default)]
+pub(crate) struct ClaimDesk {
+    next_step: u64,
+    next_batch: u64,
+    steps: BTreeMap<u64, OpenStep>,
+    /// Steps of each batch under way, in the order of its message.
+    batches: BTreeMap<u64, SentBatch>,
+}
+
+#[derive(Debug)]
+struct OpenStep {
+    step: ClaimStep,
+    /// The attempt that waits for a claim.
+    plan: Option<RequestPlan>,
+    /// When it was sent last; nothing before the first time.
+    sent: Option<ClockTime>,
+}
+
+#[derive(Debug)]
+struct SentBatch {
+    steps: Vec<u64>,
+    sent: ClockTime,
+}
+
+/// Time after which an unanswered step is sent again.
+const REPEAT_AFTER: Duration = Duration::from_millis(500);
+
+/// Time after which a batch's answer is no longer waited for.
+const BATCH_MEMORY: Duration = Duration::from_secs(20);
+
+/// Steps in one message.
+const BATCH_STEPS: usize = 256;
+
+impl ClaimDesk {
+    /// Adds a claim for an attempt that waits for it.
+    pub(crate) fn claim(&mut self, step: ClaimStep, plan: RequestPlan) {
+        self.add(step, Some(plan));
+    }
+
+    /// Adds a finish or a release.
+    pub(crate) fn settle(&mut self, step: ClaimStep) {
+        self.add(step, None);
+    }
+
+    fn add(&mut self, step: ClaimStep, plan: Option<RequestPlan>) {
+        self.next_step += 1;
+        let open = OpenStep {
+            step,
+            plan,
+            sent: None,
+        };
+        self.steps.insert(self.next_step, open);
+    }
+
+    /// The next batch to send, of steps that are new or have waited long enough.
+    pub(crate) fn next_batch(&mut self, now: ClockTime) -> Option<(u64, Vec<ClaimStep>)> {
+        let is_due = |open: &OpenStep| open.sent.is_none_or(|sent| now.since(sent) >= REPEAT_AFTER);
+        let due = self.steps.iter_mut().filter(|(_, open)| is_due(open));
+        let mut numbers = Vec::new();
+        let mut steps = Vec::new();
+        for (number, open) in due.take(BATCH_STEPS) {
+            open.sent = Some(now);
+            numbers.push(*number);
+            steps.push(open.step.clone());
+        }
+        if steps.is_empty() {
+            return None;
+        }
+        self.batches
+            .retain(|_, batch| now.since(batch.sent) < BATCH_MEMORY);
+        self.next_batch += 1;
+        let batch = SentBatch {
+            steps: numbers,
+            sent: now,
+        };
+        self.batches.insert(self.next_batch, batch);
+        Some((self.next_batch, steps))
+    }
+
+    /// Takes in the answer to a batch; attempts whose claim was decided come back.
+    pub(crate) fn answered(
+        &mut self,
+        batch: u64,
+        outcomes: Vec<ClaimOutcome>,
+    ) -> Vec<(RequestPlan, ClaimOutcome)> {
+        let Some(sent) = self.batches.remove(&batch) else {
+            return Vec::new();
+        };
+        let mut decided = Vec::new();
+        for (number, outcome) in sent.steps.into_iter().zip(outcomes) {
+            let plan = self.steps.remove(&number).and_then(|open| open.plan);
+            decided.extend(plan.map(|plan| (plan, outcome)));
+        }
+        decided
+    }
+
+    /// Gives up claims whose attempts have waited since before `limit`.
+    ///
+    /// The caller must settle each with a release, which the state keeps apart from the claim even
+    /// if it arrives first.
+    pub(crate) fn give_up(&mut self, limit: ClockTime) -> Vec<RequestPlan> {
+        let waited = |open: &OpenStep| open.plan.as_ref().is_some_and(|plan| plan.since < limit);
+        let numbers: Vec<u64> = self
+            .steps
+            .iter()
+            .filter(|(_, open)| waited(open))
+            .map(|(number, _)| *number)
+            .collect();
+        let take = |number: u64| self.steps.remove(&number)?.plan;
+        numbers.into_iter().filter_map(take).collect()
+    }
+
+    /// Makes every unanswered step due, when another leader is known.
+    pub(crate) fn leader_changed(&mut self) {
+        for open in self.steps.values_mut() {
+            open.sent = None;
+        }
+    }
+
+    /// Steps not answered yet.
+    pub(crate) fn len(&self) -> usize {
+        self.steps.len()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_node/src/request/wait_table.rs
@@ -0,0 +1,64 @@
+use std::collections::BTreeMap;
+
+use ragwortroad_types::prelude::*;
+
+use crate::request::request_plan::RequestPlan;
+
+/// Attempts that wait for another node's answer, by the number of their question.
+///
+/// Invariant: every plan in it gets exactly one reply, at the latest when its time is over.
+#[derive(Debug, Default)]
+pub(crate) struct WaitTable {
+    slots: BTreeMap<u64, SlotWait>,
+}
+
+/// An attempt that waits for a slot.
+#[derive(Debug)]
+pub(crate) struct SlotWait {
+    /// The attempt.
+    pub(crate) plan: RequestPlan,
+    /// The endpoint asked for.
+    pub(crate) endpoint: EndpointId,
+    /// The home that was asked.
+    pub(crate) home: NodeId,
+    /// When it was asked.
+    pub(crate) asked: ClockTime,
+}
+
+impl WaitTable {
+    /// Starts a wait.
+    pub(crate) fn add(&mut self, question: u64, wait: SlotWait) {
+        self.slots.insert(question, wait);
+    }
+
+    /// Ends the wait for the answer of `home` to `question`.
+    pub(crate) fn take(&mut self, question: u64, home: NodeId) -> Option<SlotWait> {
+        let asked = self.slots.get(&question)?.home;
+        if asked != home {
+            return None;
+        }
+        self.slots.remove(&question)
+    }
+
+    /// Ends all waits that began before `limit`, and those for homes that `is_gone`.
+    pub(crate) fn overdue(
+        &mut self,
+        limit: ClockTime,
+        is_gone: impl Fn(NodeId) -> bool,
+    ) -> Vec<(u64, SlotWait)> {
+        let over = |wait: &SlotWait| wait.asked < limit || is_gone(wait.home);
+        let numbers: Vec<u64> = self
+            .slots
+            .iter()
+            .filter(|(_, wait)| over(wait))
+            .map(|(number, _)| *number)
+            .collect();
+        let take = |number: u64| Some((number, self.slots.remove(&number)?));
+        numbers.into_iter().filter_map(take).collect()
+    }
+
+    /// Attempts waiting.
+    pub(crate) fn len(&self) -> usize {
+        self.slots.len()
+    }
+}
--- a/crates/ragwortroad_routing/src/table/table_inputs.rs
+++ b/crates/ragwortroad_routing/src/table/table_inputs.rs
@@ -104,6 +104,11 @@
         }
     }
 
+    /// Changes the multiple of the fleet mean that no endpoint may pass.
+    pub fn set_multiple(&mut self, multiple: f64) {
+        self.settings.bound.multiple = multiple;
+    }
+
     /// The nodes that callers may be sent to.
     pub fn set_nodes(&mut self, nodes: &[NodeId]) {
         self.nodes = nodes.to_vec();
