--- /dev/null
+++ b/crates/ragwortroad_membership/src/coarse_load.rs
@@ -0,0 +1,35 @@
+use ragwortroad_types::prelude::*;
+
+/// Parts of an endpoint's capacity that one step of a [`CoarseLoad`] stands for.
+const STEPS: u32 = 16;
+/// A change below this many steps is never told.
+const LEAST_CHANGE: u8 = 2;
+/// A change below this part of the load is not told.
+const RELATIVE_CHANGE: u8 = 4;
+
+/// An endpoint's load in sixteenths of its capacity, as told to the whole fleet.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CoarseLoad(pub u8);
+
+impl CoarseLoad {
+    /// The coarse form of `report` for an endpoint that works on `capacity` requests at once.
+    pub fn new(report: &LoadReport, capacity: u32) -> Self {
+        let requests = u64::from(report.running) + u64::from(report.queued);
+        let steps = (requests * u64::from(STEPS)).div_ceil(u64::from(capacity.max(1)));
+        Self(u8::try_from(steps).unwrap_or(u8::MAX))
+    }
+
+    /// About how many requests this is for an endpoint of `capacity`.
+    pub fn requests(self, capacity: u32) -> u32 {
+        (u32::from(self.0) * capacity).div_ceil(STEPS)
+    }
+
+    /// Whether the fleet should hear of this load after it heard of `told`.
+    pub fn is_news_after(self, told: Self) -> bool {
+        let change = self.0.abs_diff(told.0);
+        let larger = self.0.max(told.0);
+        // Falling idle is always told: an idle engine that looks busy is capacity lost.
+        let fell_idle = self.0 == 0 && change > 0;
+        fell_idle || change >= LEAST_CHANGE.max(larger / RELATIVE_CHANGE)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/src/node_table.rs
@@ -0,0 +1,90 @@
+use std::collections::BTreeMap;
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    NodeRecord,
+    NodeState, //
+};
+
+/// What is known of one node.
+#[derive(Clone, Debug)]
+pub(crate) struct NodeEntry {
+    /// The record as told to others.
+    pub(crate) record: NodeRecord,
+    /// Hash of the record's facts.
+    pub(crate) facts: u16,
+    /// When it appeared or last came back from being down.
+    pub(crate) up_since: ClockTime,
+    /// When its state last changed.
+    pub(crate) state_since: ClockTime,
+}
+
+/// All nodes known, this one included.
+#[derive(Debug, Default)]
+pub(crate) struct NodeTable {
+    /// Ordered, so that a run can be replayed.
+    entries: BTreeMap<NodeId, NodeEntry>,
+    /// Counts up when a node appears, changes state or goes.
+    pub(crate) generation: u64,
+}
+
+impl NodeTable {
+    /// What is known of `node`.
+    pub(crate) fn get(&self, node: NodeId) -> Option<&NodeEntry> {
+        self.entries.get(&node)
+    }
+
+    /// The record of `node`.
+    pub(crate) fn record(&self, node: NodeId) -> Option<&NodeRecord> {
+        self.entries.get(&node).map(|entry| &entry.record)
+    }
+
+    /// The state of `node`; an unknown one counts as down.
+    pub(crate) fn state(&self, node: NodeId) -> NodeState {
+        self.record(node)
+            .map_or(NodeState::Down, |record| record.state)
+    }
+
+    /// Puts `record` in place of what was known of its node.
+    pub(crate) fn put(&mut self, record: NodeRecord, now: ClockTime) {
+        let id = record.id();
+        let former = self.entries.get(&id);
+        let same_state = former.is_some_and(|entry| entry.record.state == record.state);
+        let was_present = former.is_some_and(|entry| entry.record.state.is_present());
+        let entry = NodeEntry {
+            facts: record.facts_hash(),
+            up_since: match former {
+                Some(entry) if was_present => entry.up_since,
+                _ => now,
+            },
+            state_since: match former {
+                Some(entry) if same_state => entry.state_since,
+                _ => now,
+            },
+            record,
+        };
+        if !same_state {
+            self.generation += 1;
+        }
+        self.entries.insert(id, entry);
+    }
+
+    /// Forgets `node`.
+    pub(crate) fn remove(&mut self, node: NodeId) {
+        if self.entries.remove(&node).is_some() {
+            self.generation += 1;
+        }
+    }
+
+    /// All nodes.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (NodeId, &NodeEntry)> {
+        self.entries.iter().map(|(id, entry)| (*id, entry))
+    }
+
+    /// Nodes that are not down.
+    pub(crate) fn present(&self) -> impl Iterator<Item = (NodeId, &NodeEntry)> {
+        self.iter()
+            .filter(|(_, entry)| entry.record.state.is_present())
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/src/table/announcements.rs
@@ -0,0 +1,236 @@
+//! What endpoints say of themselves to this node.
+
+use std::net::SocketAddr;
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    CoarseLoad,
+    EndpointPresence,
+    EndpointRecord,
+    GossipAction,
+    MembershipTable,
+    flap_penalty::FlapPenalty,
+    home_claim::HomeClaim,
+    pending_queue::NewsClass,
+    record_key::NewsKey, //
+};
+
+/// Longest time for which news of a damped endpoint is held back, in load spacings.
+const DAMPED_SPACINGS: u32 = 3;
+
+impl MembershipTable {
+    /// Takes an announcement.
+    pub(super) fn take_announce(&mut self, announce: &AnnounceWire, now: ClockTime) {
+        let id = EndpointId::from_name(&announce.name);
+        let address: Result<SocketAddr, _> = announce.address.parse();
+        let (Ok(address), false) = (address, self.is_late(id, announce)) else {
+            self.stats.announcements_ignored += 1;
+            return;
+        };
+        self.stats.announcements += 1;
+        let before = self.home_state(id, now);
+        self.renew_claim(id, announce, now);
+        self.publish(id, announce, address, now);
+        let after = self.home_state(id, now);
+        if std::mem::discriminant(&before) != std::mem::discriminant(&after) {
+            self.actions.push(GossipAction::HomeChanged(id));
+        }
+    }
+
+    /// Whether an announcement is from before what is known already.
+    ///
+    /// One that was delayed, or that this process took in after a pause, may have been overtaken:
+    /// the endpoint has turned to another node since. Taking it for news would make two homes.
+    fn is_late(&self, id: EndpointId, announce: &AnnounceWire) -> bool {
+        let announced = (announce.incarnation, announce.home_epoch);
+        if let Some(claim) = self.claims.get(&id) {
+            let claimed = (claim.incarnation, claim.epoch);
+            let repeated = announced == claimed && announce.sequence <= claim.sequence;
+            if announced < claimed || repeated || (announced == claimed && claim.ended) {
+                return true;
+            }
+        }
+        self.endpoints.record(id).is_some_and(|record| {
+            let known = (record.incarnation, record.home_epoch);
+            let foreign = record.home != self.own;
+            let old = announce.incarnation == record.incarnation
+                && announce.sequence <= record.sequence
+                && foreign;
+            announced < known || old
+        })
+    }
+
+    /// Renews the claim to be home, or makes a new one.
+    fn renew_claim(&mut self, id: EndpointId, announce: &AnnounceWire, now: ClockTime) {
+        let lease = self.settings.home_lease;
+        if let Some(claim) = self.claims.get_mut(&id)
+            && (claim.incarnation, claim.epoch) == (announce.incarnation, announce.home_epoch)
+        {
+            claim.renew(announce.sequence, now, lease);
+            claim.load = announce.load;
+            return;
+        }
+        let claim = self.new_claim(id, announce, now);
+        self.claims.insert(id, claim);
+        self.ask_former(id, now);
+    }
+
+    /// The claim that an endpoint's turning to this node makes.
+    fn new_claim(&self, id: EndpointId, announce: &AnnounceWire, now: ClockTime) -> HomeClaim {
+        let (exclusive_from, former) = self.takeover(id, announce, now);
+        HomeClaim {
+            incarnation: announce.incarnation,
+            epoch: announce.home_epoch,
+            sequence: announce.sequence,
+            answered: now,
+            held_since: now,
+            exclusive_from,
+            until: None,
+            former,
+            last_asked: None,
+            ended: self.leaving,
+            flaps: self.count_flap(id, announce, now),
+            load_told: ClockTime::ZERO,
+            load: announce.load,
+            published: ClockTime::ZERO,
+        }
+    }
+
+    /// The endpoint's recent restarts, this announcement's included if it shows one.
+    fn count_flap(&self, id: EndpointId, announce: &AnnounceWire, now: ClockTime) -> FlapPenalty {
+        let half_life = self.settings.flap_half_life;
+        let Some(entry) = self.endpoints.get(id) else {
+            return FlapPenalty::from_quarters(0, now);
+        };
+        let mut flaps = match self.claims.get(&id) {
+            Some(claim) if entry.record.home == self.own => claim.flaps,
+            _ => FlapPenalty::from_quarters(entry.record.flaps, entry.changed),
+        };
+        let restarted = announce.incarnation > entry.record.incarnation;
+        if restarted || entry.record.presence == EndpointPresence::Gone {
+            flaps.add(now, half_life);
+        }
+        flaps
+    }
+
+    /// Tells the fleet what an announcement changed.
+    fn publish(
+        &mut self,
+        id: EndpointId,
+        announce: &AnnounceWire,
+        address: SocketAddr,
+        now: ClockTime,
+    ) {
+        self.count_return(id, now);
+        let Some(claim) = self.claims.get(&id) else {
+            return;
+        };
+        let known = self.endpoints.record(id);
+        let record = self.record_from(claim, announce, address, now);
+        if known.is_some_and(|known| known.same_facts(&record)) {
+            self.publish_load(id, now);
+            return;
+        }
+        // Restarts of a flapping endpoint are told together, not one by one.
+        let pause = self.settings.load_spacing * DAMPED_SPACINGS;
+        let damped = record.damped && known.is_some_and(|known| known.damped);
+        if damped && now.since(claim.published) < pause && !announce.leaving {
+            return;
+        }
+        if let Some(claim) = self.claims.get_mut(&id) {
+            claim.published = now;
+            claim.load_told = now;
+        }
+        self.change_endpoint(record, None, now);
+    }
+
+    /// Counts the return of an endpoint that this node had taken for gone.
+    fn count_return(&mut self, id: EndpointId, now: ClockTime) {
+        let Some(record) = self.endpoints.record(id) else {
+            return;
+        };
+        let gone = record.presence == EndpointPresence::Gone;
+        let half_life = self.settings.flap_half_life;
+        if let Some(claim) = self.claims.get_mut(&id)
+            && gone
+            && record.home == self.own
+            && record.incarnation == claim.incarnation
+            && claim.published > ClockTime::ZERO
+        {
+            claim.flaps.add(now, half_life);
+        }
+    }
+
+    /// The record that an announcement amounts to.
+    fn record_from(
+        &self,
+        claim: &HomeClaim,
+        announce: &AnnounceWire,
+        address: SocketAddr,
+        now: ClockTime,
+    ) -> EndpointRecord {
+        let settings = &self.settings;
+        let id = EndpointId::from_name(&announce.name);
+        let was_damped = self
+            .endpoints
+            .record(id)
+            .is_some_and(|record| record.damped);
+        let flaps = claim.flaps.at_time(now, settings.flap_half_life);
+        let limit = if was_damped {
+            settings.flap_release
+        } else {
+            settings.flap_limit
+        };
+        let presence = if announce.leaving {
+            EndpointPresence::Leaving
+        } else {
+            EndpointPresence::Present
+        };
+        EndpointRecord {
+            id,
+            name: announce.name.clone(),
+            address,
+            kind: announce.kind,
+            zone: announce.zone.clone(),
+            service: announce.service.clone(),
+            models: announce.models.clone(),
+            capacity: announce.capacity,
+            checks_fencing: announce.checks_fencing,
+            incarnation: announce.incarnation,
+            sequence: announce.sequence,
+            home_epoch: announce.home_epoch,
+            home: self.own,
+            presence,
+            damped: flaps >= limit,
+            flaps: claim.flaps.quarters(now, settings.flap_half_life),
+            load: CoarseLoad::new(&announce.load, announce.capacity),
+            load_sequence: announce.sequence,
+        }
+    }
+
+    /// Tells the fleet of a load that changed enough.
+    fn publish_load(&mut self, id: EndpointId, now: ClockTime) {
+        let spacing = self.settings.load_spacing;
+        let Some(record) = self.endpoints.record(id) else {
+            return;
+        };
+        let Some(claim) = self.claims.get_mut(&id) else {
+            return;
+        };
+        if !claim.load_is_news(record.load, record.capacity, now, spacing) {
+            return;
+        }
+        claim.load_told = now;
+        let load = crate::endpoint_table::EndpointLoad {
+            incarnation: record.incarnation as u8,
+            sequence: claim.sequence,
+            load: CoarseLoad::new(&claim.load, record.capacity),
+        };
+        if self.endpoints.put_load(id, &load) {
+            self.stats.loads_told += 1;
+            self.spread(NewsKey::Load(id), NewsClass::Load, None);
+            self.actions.push(GossipAction::EndpointLoad(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/src/table/homes.rs
@@ -0,0 +1,368 @@
+//! Which node is home to an endpoint: claims, handovers, and where endpoints should go.
+
+use std::time::Duration;
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    EndpointPresence,
+    EndpointRecord,
+    GossipAction,
+    HomeState,
+    MembershipTable,
+    NodeState,
+    home_choice::{
+        HomeCandidate,
+        HomeChoice, //
+    },
+    wire::wire_item::{
+        HandoverAskItem,
+        HandoverItem,
+        WireItem, //
+    }, //
+};
+
+/// Time between questions to a former home.
+const ASK_PAUSE: Duration = Duration::from_millis(200);
+/// Nodes that an endpoint is told of.
+const ADDRESSES: usize = 4;
+/// Time until the next announcement that is wanted of an endpoint which has yet to confirm its
+/// home, or must turn to another one.
+const QUICK_ANNOUNCE: Duration = Duration::from_millis(100);
+
+impl MembershipTable {
+    /// Who is home to `endpoint`.
+    pub fn home_state(&self, endpoint: EndpointId, now: ClockTime) -> HomeState {
+        if let Some(claim) = self.claims.get(&endpoint)
+            && let Some(state) = claim.state(now)
+        {
+            return state;
+        }
+        match self.endpoints.record(endpoint) {
+            Some(record) if record.home != self.own => HomeState::Elsewhere { home: record.home },
+            _ => HomeState::Unknown,
+        }
+    }
+
+    /// The exact load that `endpoint` last reported to this node as its home.
+    pub fn home_load(&self, endpoint: EndpointId) -> Option<LoadReport> {
+        self.claims.get(&endpoint).map(|claim| claim.load)
+    }
+
+    /// The node that should be home to `endpoint` in `zone`: the present home as long as it suits.
+    pub fn preferred_home(&self, endpoint: EndpointId, zone: &str, now: ClockTime) -> NodeId {
+        self.wanted_homes(endpoint, zone, now)
+            .first()
+            .copied()
+            .unwrap_or(self.own)
+    }
+
+    /// The answer to an announcement of `endpoint`, to be asked for after the announcement was
+    /// handled.
+    pub fn announce_answer(&self, endpoint: EndpointId, now: ClockTime) -> AnnounceAnswer {
+        let zone = self
+            .endpoints
+            .record(endpoint)
+            .map_or("", |record| record.zone.as_str());
+        let homes = self.wanted_homes(endpoint, zone, now);
+        let stays = homes.first() == Some(&self.own);
+        let confirmed = matches!(self.home_state(endpoint, now), HomeState::Home { .. });
+        let announce_to = homes
+            .iter()
+            .filter_map(|id| self.nodes.record(*id))
+            .map(|record| record.caller_address.to_string())
+            .collect();
+        let every = if stays && confirmed {
+            self.settings.announce_every
+        } else {
+            QUICK_ANNOUNCE
+        };
+        AnnounceAnswer {
+            announce_to,
+            every_ms: every.as_millis() as u64,
+        }
+    }
+
+    /// The nodes that `endpoint` should announce itself to, best first.
+    fn wanted_homes(&self, endpoint: EndpointId, zone: &str, now: ClockTime) -> Vec<NodeId> {
+        let choice = self.home_choice(now);
+        let mut best = choice.best(endpoint, zone, ADDRESSES);
+        let home = self.endpoints.record(endpoint).map(|record| record.home);
+        let Some(home) = home else {
+            return best;
+        };
+        if self.stays(endpoint, zone, home, &choice, now) {
+            best.retain(|node| *node != home);
+            best.insert(0, home);
+            best.truncate(ADDRESSES);
+        }
+        best
+    }
+
+    /// Whether `endpoint` should stay with its present home.
+    fn stays(
+        &self,
+        endpoint: EndpointId,
+        zone: &str,
+        home: NodeId,
+        choice: &HomeChoice<'_>,
+        now: ClockTime,
+    ) -> bool {
+        if self.nodes.state(home) != NodeState::Alive {
+            return false;
+        }
+        // An endpoint that has just turned to us stays for a while, so that two nodes with
+        // different views do not send it back and forth; one that is new has nothing to lose.
+        if let Some(claim) = self.claims.get(&endpoint)
+            && home == self.own
+        {
+            let is_new = claim.epoch == 0 && claim.until.is_none();
+            if !is_new && now.since(claim.held_since) < self.settings.home_hold {
+                return true;
+            }
+        }
+        choice.suits(home, zone) && !self.is_surplus(endpoint, home, choice)
+    }
+
+    /// Whether `endpoint` is among those that `home` has too many of.
+    fn is_surplus(&self, endpoint: EndpointId, home: NodeId, choice: &HomeChoice<'_>) -> bool {
+        let surplus = choice.count(home).saturating_sub(choice.cap);
+        if surplus == 0 {
+            return false;
+        }
+        let rank = self
+            .endpoints
+            .homed_at(home)
+            .filter(|other| *other < endpoint)
+            .count();
+        rank < surplus
+    }
+
+    /// The nodes that may be home to endpoints, and how many each has.
+    fn home_choice(&self, now: ClockTime) -> HomeChoice<'_> {
+        let candidates = self
+            .nodes
+            .iter()
+            .filter(|(_, entry)| entry.record.state == NodeState::Alive)
+            .map(|(node, entry)| HomeCandidate {
+                node,
+                zone: &entry.record.zone,
+                settled: now.since(entry.up_since) >= self.settings.settle,
+            })
+            .collect();
+        let homes = self
+            .endpoints
+            .iter()
+            .filter(|(_, entry)| entry.record.presence != EndpointPresence::Gone)
+            .map(|(_, entry)| entry.record.home);
+        HomeChoice::new(candidates, homes, self.settings.home_multiple)
+    }
+
+    /// By when all earlier homes' rights have ended, and whose word can shorten that.
+    pub(super) fn takeover(
+        &self,
+        id: EndpointId,
+        announce: &AnnounceWire,
+        now: ClockTime,
+    ) -> (ClockTime, Option<NodeId>) {
+        let wait = now.after(self.settings.takeover_wait());
+        let (incarnation, epoch) = (announce.incarnation, announce.home_epoch);
+        // We were home in the epoch before, so what ended for us then has ended.
+        if let Some(claim) = self.claims.get(&id)
+            && claim.incarnation == incarnation
+            && claim.epoch + 1 == epoch
+        {
+            return (claim.exclusive_from.min(wait), None);
+        }
+        let Some(record) = self.endpoints.record(id) else {
+            // Nobody can have been home to a new incarnation that has turned to nobody yet.
+            return (if epoch == 0 { now } else { wait }, None);
+        };
+        if record.incarnation != incarnation {
+            return (if epoch == 0 { now } else { wait }, None);
+        }
+        if record.home_epoch + 1 != epoch {
+            let ours = epoch == 0 && record.home_epoch == 0 && record.home == self.own;
+            return (if ours { now } else { wait }, None);
+        }
+        if record.presence == EndpointPresence::Released {
+            return (now, None);
+        }
+        (wait, Some(record.home).filter(|home| *home != self.own))
+    }
+
+    /// Asks the former home whether it is done, as often as useful.
+    pub(super) fn ask_former(&mut self, id: EndpointId, now: ClockTime) {
+        let Some(claim) = self.claims.get_mut(&id) else {
+            return;
+        };
+        let recently = claim.last_asked.is_some_and(|at| now.since(at) < ASK_PAUSE);
+        let settled = claim.ended || claim.exclusive_from <= now;
+        let Some(former) = claim.former.filter(|_| !recently && !settled) else {
+            return;
+        };
+        claim.last_asked = Some(now);
+        let item = WireItem::HandoverAsk(HandoverAskItem {
+            endpoint: id.0,
+            incarnation: claim.incarnation,
+            epoch: claim.epoch,
+        });
+        if self.nodes.state(former).is_present() {
+            self.open_link(former, now).push_direct(item);
+        }
+    }
+
+    /// Gives up the home for good, as the endpoint has turned to `from`, and says when those
+    /// before us are done.
+    pub(super) fn answer_handover(&mut self, from: NodeId, item: HandoverAskItem, now: ClockTime) {
+        let id = EndpointId(item.endpoint);
+        let Some(claim) = self.claims.get_mut(&id) else {
+            return;
+        };
+        // Only the home of the epoch right before can vouch that no other stood between.
+        if claim.incarnation != item.incarnation || claim.epoch + 1 != item.epoch {
+            return;
+        }
+        if !claim.ended {
+            claim.ended = true;
+            self.actions.push(GossipAction::HomeChanged(id));
+        }
+        let wait = claim.exclusive_from.since(now);
+        let answer = WireItem::Handover(HandoverItem {
+            endpoint: id.0,
+            incarnation: claim.incarnation,
+            epoch: claim.epoch,
+            wait_ms: wait.as_millis() as u64,
+        });
+        self.open_link(from, now).push_direct(answer);
+    }
+
+    /// Takes the former home's word.
+    pub(super) fn take_handover(&mut self, from: NodeId, item: HandoverItem, now: ClockTime) {
+        let id = EndpointId(item.endpoint);
+        let drift = self.settings.clock_drift.clamp(0.0, 0.5);
+        let Some(claim) = self.claims.get_mut(&id) else {
+            return;
+        };
+        let fits = claim.incarnation == item.incarnation && claim.epoch == item.epoch + 1;
+        if !fits || claim.former != Some(from) {
+            return;
+        }
+        claim.former = None;
+        // The wait was measured by a clock that may run slower than ours.
+        let wait = (item.wait_ms as f64 * (1.0 + drift) / (1.0 - drift)).ceil() as u64;
+        let safe = match wait {
+            0 => now,
+            wait => now.after(Duration::from_millis(wait + 2)),
+        };
+        if safe < claim.exclusive_from {
+            claim.exclusive_from = safe;
+            self.actions.push(GossipAction::HomeChanged(id));
+        }
+    }
+
+    /// Gives up the home because the endpoint has turned elsewhere.
+    pub(super) fn yield_claim(&mut self, record: &EndpointRecord) {
+        let Some(claim) = self.claims.get_mut(&record.id) else {
+            return;
+        };
+        let newer = (record.incarnation, record.home_epoch) > (claim.incarnation, claim.epoch);
+        if newer && !claim.ended {
+            claim.ended = true;
+            self.actions.push(GossipAction::HomeChanged(record.id));
+        }
+    }
+
+    /// Gives up all homes, and tells the fleet of those whose next home then need not wait.
+    pub(super) fn release_claims(&mut self, now: ClockTime) {
+        let ids: Vec<EndpointId> = self.claims.keys().copied().collect();
+        for id in ids {
+            let Some(claim) = self.claims.get_mut(&id) else {
+                continue;
+            };
+            if claim.ended {
+                continue;
+            }
+            claim.ended = true;
+            self.actions.push(GossipAction::HomeChanged(id));
+            let vouches = claim.exclusive_from <= now;
+            self.write_end(id, EndpointPresence::Released, vouches, now);
+        }
+    }
+
+    /// Publishes the end of this node's home of `id`, if its record still is ours and `wanted`.
+    fn write_end(
+        &mut self,
+        id: EndpointId,
+        presence: EndpointPresence,
+        wanted: bool,
+        now: ClockTime,
+    ) {
+        let (Some(claim), Some(record)) = (self.claims.get(&id), self.endpoints.record(id)) else {
+            return;
+        };
+        let ours = record.home == self.own
+            && (record.incarnation, record.home_epoch) == (claim.incarnation, claim.epoch);
+        let leaving =
+            record.presence == EndpointPresence::Leaving && presence == EndpointPresence::Released;
+        if wanted && ours && !leaving {
+            let record = EndpointRecord {
+                presence,
+                sequence: claim.sequence.max(record.sequence),
+                flaps: claim.flaps.quarters(now, self.settings.flap_half_life),
+                ..record.clone()
+            };
+            self.change_endpoint(record, None, now);
+        }
+    }
+
+    /// Asks former homes, ends claims of silent endpoints, and buries orphans.
+    pub(super) fn tend_claims(&mut self, now: ClockTime) {
+        let ids: Vec<EndpointId> = self.claims.keys().copied().collect();
+        for id in ids {
+            self.ask_former(id, now);
+            self.end_if_silent(id, now);
+        }
+        self.bury_orphans(now);
+    }
+
+    /// Takes an endpoint for gone that has fallen silent.
+    fn end_if_silent(&mut self, id: EndpointId, now: ClockTime) {
+        let Some(claim) = self.claims.get(&id) else {
+            return;
+        };
+        if claim.ended || now.since(claim.answered) < self.settings.endpoint_timeout {
+            return;
+        }
+        let record = self.endpoints.record(id);
+        if record.is_some_and(|record| record.presence != EndpointPresence::Gone) {
+            self.write_end(id, EndpointPresence::Gone, true, now);
+        }
+    }
+
+    /// Takes endpoints for gone that name this node as home but never announced themselves to
+    /// this process.
+    fn bury_orphans(&mut self, now: ClockTime) {
+        let patience = self.settings.endpoint_timeout;
+        let young = self.started.is_none_or(|at| now.since(at) < patience);
+        if young {
+            return;
+        }
+        let orphans: Vec<EndpointRecord> = self
+            .endpoints
+            .iter()
+            .filter(|(id, _)| !self.claims.contains_key(id))
+            .filter(|(_, entry)| entry.record.home == self.own)
+            .filter(|(_, entry)| entry.record.presence != EndpointPresence::Gone)
+            .filter(|(_, entry)| now.since(entry.changed) >= patience)
+            .map(|(_, entry)| entry.record.clone())
+            .collect();
+        for record in orphans {
+            let record = EndpointRecord {
+                presence: EndpointPresence::Gone,
+                ..record
+            };
+            self.change_endpoint(record, None, now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/src/table/links.rs
@@ -0,0 +1,297 @@
+//! What is sent when.
+
+use std::time::Duration;
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    EndpointPresence,
+    GossipAction,
+    MembershipTable,
+    peer_link::{
+        FlightPacket,
+        PeerLink, //
+    },
+    pending_queue::NewsClass,
+    record_key::{
+        NewsKey,
+        RecordKey, //
+    },
+    wire::{
+        node_item::state_number,
+        packet_head::PacketHead,
+        packet_reader::encode,
+        wire_item::{
+            BlobItem,
+            LoadItem,
+            NodeStateItem,
+            WireItem, //
+        }, //
+    }, //
+};
+
+/// Shortest time between packets to one peer that hold nothing urgent.
+const PROMPT_PAUSE: Duration = Duration::from_millis(100);
+/// Loads that are worth a packet before the next heartbeat.
+const LOADS_WORTH_SENDING: usize = 32;
+/// Packets to one peer at once.
+const MOST_PACKETS: usize = 16;
+/// Unacknowledged packets to one peer beyond which only urgent news goes out.
+const MOST_IN_FLIGHT: usize = 64;
+/// Time after a node appeared in which its whole record is told.
+const NEW_NODE_TIME: Duration = Duration::from_secs(60);
+/// Acknowledgements in one packet.
+const ACKS_PER_PACKET: usize = 32;
+
+impl MembershipTable {
+    /// The link with `peer`, opened if need be.
+    pub(super) fn open_link(&mut self, peer: NodeId, now: ClockTime) -> &mut PeerLink {
+        self.links.entry(peer).or_insert_with(|| PeerLink::new(now))
+    }
+
+    /// Tells all neighbours but `except` of something.
+    pub(super) fn spread(&mut self, key: NewsKey, class: NewsClass, except: Option<NodeId>) {
+        for (peer, link) in &mut self.links {
+            if link.neighbour && Some(*peer) != except {
+                link.pending.push(class, key);
+            }
+        }
+    }
+
+    /// Puts news back into the queues whose packets were not acknowledged.
+    pub(super) fn requeue_lost(&mut self, now: ClockTime) {
+        let settings = &self.settings;
+        for link in self.links.values_mut() {
+            // A peer that has been silent gets less, lest one broken way eats the budget.
+            let patience = if link.silence(now) > settings.probe_after {
+                4
+            } else {
+                1
+            };
+            let normal = settings.resend_after * patience;
+            let urgent = settings.resend_urgent_after * patience;
+            link.requeue_lost(now, normal, urgent);
+        }
+    }
+
+    /// Sends to every peer what is due.
+    pub(super) fn flush(&mut self, now: ClockTime) {
+        self.budget.refill(now);
+        let peers: Vec<NodeId> = self.links.keys().copied().collect();
+        for peer in peers {
+            for _ in 0..MOST_PACKETS {
+                if !self.is_due(peer, now) || !self.send_packet(peer, now) {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Whether a packet to `peer` is due.
+    fn is_due(&self, peer: NodeId, now: ClockTime) -> bool {
+        let Some(link) = self.links.get(&peer) else {
+            return false;
+        };
+        let urgent = link.pending.count(NewsClass::Urgent) > 0;
+        let answer = link.ack_due.is_some_and(|due| due <= now);
+        if urgent || answer || link.asking || !link.direct.is_empty() {
+            return true;
+        }
+        let pause = link.last_sent.map_or(Duration::MAX, |sent| now.since(sent));
+        if link.neighbour && pause >= self.settings.heartbeat {
+            return true;
+        }
+        let prompt = link.pending.count(NewsClass::Prompt) > 0;
+        let loads = link.pending.count(NewsClass::Load) >= LOADS_WORTH_SENDING;
+        let room = self.budget.has_left() && link.in_flight.len() < MOST_IN_FLIGHT;
+        pause >= PROMPT_PAUSE && room && (prompt || loads)
+    }
+
+    /// Sends one packet to `peer`; whether its address is known.
+    fn send_packet(&mut self, peer: NodeId, now: ClockTime) -> bool {
+        let Some(address) = self.address_of(peer) else {
+            self.links.remove(&peer);
+            return false;
+        };
+        // Taken out while the packet is filled from the tables beside it.
+        let Some(mut link) = self.links.remove(&peer) else {
+            return false;
+        };
+        let bytes = self.fill_packet(&mut link, now);
+        self.links.insert(peer, link);
+        self.stats.packets_sent += 1;
+        self.stats.bytes_sent += bytes.len() as u64;
+        self.budget
+            .spend(bytes.len() + self.settings.packet_overhead as usize);
+        self.actions.push(GossipAction::Send {
+            to: peer,
+            address,
+            bytes,
+        });
+        true
+    }
+
+    /// Where `peer` is reached.
+    fn address_of(&self, peer: NodeId) -> Option<std::net::SocketAddr> {
+        let seeds = &self.settings.seeds;
+        let seed = || seeds.iter().find(|seed| seed.node == peer);
+        self.nodes
+            .record(peer)
+            .map(|record| record.gossip_address)
+            .or_else(|| seed().map(|seed| seed.address))
+    }
+
+    /// Builds a packet of what waits on `link`.
+    fn fill_packet(&mut self, link: &mut PeerLink, now: ClockTime) -> Vec<u8> {
+        let mut body = Vec::new();
+        let room = self
+            .settings
+            .max_packet
+            .saturating_sub(32 + 5 * ACKS_PER_PACKET.min(link.acks.len()));
+        if !link.met
+            && let Some(own) = self.nodes.record(self.own)
+        {
+            body = encode(&WireItem::Node(own.into()));
+        }
+        self.fill_direct(link, &mut body, room);
+        let news = self.fill_news(link, &mut body, room, now);
+        let urgent = news.iter().any(|(class, _)| *class == NewsClass::Urgent);
+        let mut sequence = 0;
+        if !news.is_empty() {
+            link.sequence += 1;
+            sequence = link.sequence;
+            link.in_flight.push_back(FlightPacket {
+                sequence,
+                sent: now,
+                urgent,
+                news,
+            });
+        }
+        let acked = link.acks.len().min(ACKS_PER_PACKET);
+        let head = PacketHead {
+            session: self.session,
+            to_session: link.session.unwrap_or(0),
+            sequence,
+            urgent: urgent || link.asking,
+            acks: link.acks.drain(..acked).collect(),
+            root: self.digest.root(),
+        };
+        if link.acks.is_empty() {
+            link.ack_due = None;
+        }
+        if link.asking {
+            link.asking = false;
+            link.last_asked = Some(now);
+        }
+        link.last_sent = Some(now);
+        let mut bytes = encode(&head);
+        bytes.extend_from_slice(&body);
+        bytes
+    }
+
+    /// Adds questions and answers; the first one always, however large it is.
+    fn fill_direct(&mut self, link: &mut PeerLink, body: &mut Vec<u8>, room: usize) {
+        while let Some(item) = link.direct.front() {
+            let bytes = encode(item);
+            if !body.is_empty() && body.len() + bytes.len() > room {
+                return;
+            }
+            self.stats.direct_bytes += bytes.len() as u64;
+            body.extend_from_slice(&bytes);
+            link.direct.pop_front();
+        }
+    }
+
+    /// Adds news, the most urgent first, as far as room and budget allow.
+    fn fill_news(
+        &mut self,
+        link: &mut PeerLink,
+        body: &mut Vec<u8>,
+        room: usize,
+        now: ClockTime,
+    ) -> Vec<(NewsClass, NewsKey)> {
+        let mut news = Vec::new();
+        let generous = self.budget.has_left() && link.in_flight.len() < MOST_IN_FLIGHT;
+        let classes: &[NewsClass] = if generous {
+            &[
+                NewsClass::Urgent,
+                NewsClass::Prompt,
+                NewsClass::Load,
+                NewsClass::Blob,
+            ]
+        } else {
+            &[NewsClass::Urgent]
+        };
+        for class in classes.iter().copied() {
+            while let Some(key) = link.pending.pop(class) {
+                let Some(item) = self.item(key, now) else {
+                    continue;
+                };
+                let bytes = encode(&item);
+                if !body.is_empty() && body.len() + bytes.len() > room {
+                    link.pending.push_front(class, key);
+                    return news;
+                }
+                self.count_news(key, bytes.len());
+                body.extend_from_slice(&bytes);
+                news.push((class, key));
+            }
+        }
+        news
+    }
+
+    /// The item that tells the news named by `key` as it stands now.
+    fn item(&self, key: NewsKey, now: ClockTime) -> Option<WireItem> {
+        match key {
+            NewsKey::Node(id) => {
+                let entry = self.nodes.get(id)?;
+                if now.since(entry.up_since) < NEW_NODE_TIME {
+                    return Some(WireItem::Node((&entry.record).into()));
+                }
+                Some(WireItem::NodeState(NodeStateItem {
+                    node: id.0,
+                    incarnation: entry.record.incarnation,
+                    state: state_number(entry.record.state),
+                    facts: entry.facts,
+                }))
+            }
+            NewsKey::Endpoint(id) => {
+                let record = self.endpoints.record(id)?;
+                Some(WireItem::Endpoint(record.into()))
+            }
+            NewsKey::Load(id) => {
+                let record = self.endpoints.record(id)?;
+                let there = record.presence != EndpointPresence::Gone;
+                there.then(|| {
+                    WireItem::Load(LoadItem {
+                        key: RecordKey::Endpoint(id).short(),
+                        incarnation: record.incarnation as u8,
+                        sequence: record.load_sequence,
+                        load: record.load.0,
+                    })
+                })
+            }
+            NewsKey::Blob(node, kind) => {
+                let entry = self.blobs.get(node, kind)?;
+                Some(WireItem::Blob(BlobItem {
+                    node: node.0,
+                    kind,
+                    incarnation: entry.version.0,
+                    version: entry.version.1,
+                    bytes: entry.bytes.clone(),
+                }))
+            }
+        }
+    }
+
+    /// Counts the bytes of one piece of news.
+    fn count_news(&mut self, key: NewsKey, bytes: usize) {
+        let counter = match key {
+            NewsKey::Node(_) => &mut self.stats.node_bytes,
+            NewsKey::Endpoint(_) => &mut self.stats.endpoint_bytes,
+            NewsKey::Load(_) => &mut self.stats.load_bytes,
+            NewsKey::Blob(..) => &mut self.stats.blob_bytes,
+        };
+        *counter += bytes as u64;
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/src/table/node_news.rs
@@ -0,0 +1,206 @@
+//! What is believed of nodes, and how it changes.
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    EndpointPresence,
+    GossipAction,
+    MembershipTable,
+    NodeRecord,
+    NodeState,
+    pending_queue::NewsClass,
+    record_key::{
+        NewsKey,
+        RecordKey, //
+    },
+    sync_digest::version_hash, //
+};
+
+impl MembershipTable {
+    /// Puts a record in place and keeps the digest true.
+    pub(super) fn put_node(&mut self, record: NodeRecord, now: ClockTime) {
+        let key = RecordKey::Node(record.id());
+        let leaving = u64::from(record.state == NodeState::Leaving);
+        let hash = version_hash(key, [record.incarnation, leaving, 0]);
+        // Suspicion comes and goes by itself and counts as no difference between views.
+        let version = record.state.is_present().then_some(hash);
+        self.digest.set(key, version);
+        self.nodes.put(record, now);
+    }
+
+    /// Takes what `from` says of a node.
+    pub(super) fn learn_node(&mut self, record: NodeRecord, from: NodeId, now: ClockTime) {
+        let id = record.id();
+        if id == self.own {
+            self.speak_up(&record, now);
+            return;
+        }
+        let Some(known) = self.nodes.record(id) else {
+            // Who is down and unknown stays unknown, or nobody would ever forget it.
+            if record.state.is_present() {
+                self.change_node(record, Some(from), now);
+            }
+            return;
+        };
+        if !known.is_older_than(record.incarnation, record.state) {
+            let same = known.incarnation == record.incarnation && known.state == record.state;
+            if same && let Some(link) = self.links.get_mut(&from) {
+                link.pending.take_back(NewsKey::Node(id));
+            }
+            return;
+        }
+        let known_state = known.state;
+        let mut record = record;
+        if record.state == NodeState::Down {
+            // Regions that were parted hold each other for down. Whoever is alive must get the
+            // chance to say so before it is dropped, or healing would take down every node once.
+            match known_state {
+                NodeState::Alive => record.state = NodeState::Suspected,
+                NodeState::Suspected => return,
+                NodeState::Leaving | NodeState::Down => {}
+            }
+        }
+        self.change_node(record, Some(from), now);
+    }
+
+    /// Answers news of this node that is newer than what it says of itself.
+    fn speak_up(&mut self, news: &NodeRecord, now: ClockTime) {
+        let Some(own) = self.nodes.record(self.own).cloned() else {
+            return;
+        };
+        if !own.is_older_than(news.incarnation, news.state) {
+            return;
+        }
+        self.stats.refutations += 1;
+        let record = NodeRecord {
+            incarnation: news.incarnation + 1,
+            ..own
+        };
+        self.put_node(record, now);
+        self.spread(NewsKey::Node(self.own), NewsClass::Urgent, None);
+    }
+
+    /// Puts changed news of another node in place, tells the neighbours and the owner.
+    pub(super) fn change_node(&mut self, record: NodeRecord, from: Option<NodeId>, now: ClockTime) {
+        let id = record.id();
+        let former = self.nodes.record(id).map(|known| known.state);
+        let state = record.state;
+        self.put_node(record, now);
+        let class = match (former, state) {
+            (_, NodeState::Suspected | NodeState::Leaving) => NewsClass::Urgent,
+            (Some(NodeState::Suspected), NodeState::Alive) => NewsClass::Urgent,
+            _ => NewsClass::Prompt,
+        };
+        // Everybody who suspects a node takes it for down by itself, in its own time.
+        let own_verdict = former == Some(NodeState::Suspected) && state == NodeState::Down;
+        if !own_verdict {
+            self.spread(NewsKey::Node(id), class, from);
+        }
+        self.report_node(id, former, state);
+        if state == NodeState::Down {
+            self.drop_node(id);
+        }
+    }
+
+    /// Tells the owner of a node's change of state.
+    fn report_node(&mut self, id: NodeId, former: Option<NodeState>, state: NodeState) {
+        if former == Some(state) {
+            return;
+        }
+        let was_absent = !former.is_some_and(NodeState::is_present);
+        if was_absent && state.is_present() {
+            self.actions.push(GossipAction::NodeUp(id));
+            self.report_endpoints_of(id, GossipAction::EndpointChanged);
+        }
+        match state {
+            NodeState::Alive if !was_absent => self.actions.push(GossipAction::NodeUp(id)),
+            NodeState::Alive => {}
+            NodeState::Suspected => self.actions.push(GossipAction::NodeSuspected(id)),
+            NodeState::Leaving => self.actions.push(GossipAction::NodeLeaving(id)),
+            NodeState::Down => self.actions.push(GossipAction::NodeDown(id)),
+        }
+    }
+
+    /// Ends what depends on a node that is down.
+    fn drop_node(&mut self, id: NodeId) {
+        self.links.remove(&id);
+        self.blobs.drop_node(id);
+        self.report_endpoints_of(id, GossipAction::EndpointGone);
+    }
+
+    /// Tells the owner of each endpoint whose home is `node`.
+    fn report_endpoints_of(&mut self, node: NodeId, action: fn(EndpointId) -> GossipAction) {
+        let homed: Vec<EndpointId> = self.endpoints.homed_at(node).collect();
+        self.actions.extend(homed.into_iter().map(action));
+    }
+
+    /// Takes suspected nodes for down that did not speak up in time.
+    pub(super) fn judge_suspects(&mut self, now: ClockTime) {
+        let patience = self.settings.suspicion_among(self.nodes.present().count());
+        let heard_lately = |id: &NodeId| {
+            let link = self.links.get(id);
+            link.is_some_and(|link| link.silence(now) < self.settings.probe_after)
+        };
+        let late: Vec<NodeRecord> = self
+            .nodes
+            .iter()
+            .filter(|(_, entry)| entry.record.state == NodeState::Suspected)
+            .filter(|(_, entry)| now.since(entry.state_since) >= patience)
+            .filter(|(id, _)| !heard_lately(id))
+            .map(|(_, entry)| entry.record.clone())
+            .collect();
+        for record in late {
+            let record = NodeRecord {
+                state: NodeState::Down,
+                ..record
+            };
+            self.change_node(record, None, now);
+        }
+    }
+
+    /// Says that this node is shutting down, and gives up its endpoints.
+    pub(super) fn leave(&mut self, now: ClockTime) {
+        let Some(own) = self.nodes.record(self.own).cloned() else {
+            return;
+        };
+        self.leaving = true;
+        let record = NodeRecord {
+            state: NodeState::Leaving,
+            ..own
+        };
+        self.put_node(record, now);
+        self.spread(NewsKey::Node(self.own), NewsClass::Urgent, None);
+        self.release_claims(now);
+    }
+
+    /// Forgets nodes and endpoints that have been away for long.
+    pub(super) fn forget_old(&mut self, now: ClockTime) {
+        let settings = &self.settings;
+        let nodes: Vec<NodeId> = self
+            .nodes
+            .iter()
+            .filter(|(_, entry)| entry.record.state == NodeState::Down)
+            .filter(|(_, entry)| now.since(entry.state_since) >= settings.forget_node_after)
+            .map(|(id, _)| id)
+            .collect();
+        let endpoints: Vec<EndpointId> = self
+            .endpoints
+            .iter()
+            .filter(|(_, entry)| {
+                let gone = entry.record.presence == EndpointPresence::Gone;
+                gone || !self.nodes.state(entry.record.home).is_present()
+            })
+            .filter(|(_, entry)| now.since(entry.changed) >= settings.forget_endpoint_after)
+            .map(|(id, _)| id)
+            .collect();
+        for id in nodes {
+            self.nodes.remove(id);
+            self.digest.forget(RecordKey::Node(id));
+        }
+        for id in endpoints {
+            self.endpoints.remove(id);
+            self.claims.remove(&id);
+            self.digest.forget(RecordKey::Endpoint(id));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/src/table/probes.rs
@@ -0,0 +1,213 @@
+//! Whom this node talks to, and how it notices that a node is gone.
+
+use std::time::Duration;
+
+use ragwortroad_types::prelude::*;
+use rand::{
+    RngExt,
+    seq::IndexedRandom, //
+};
+
+use crate::{
+    MembershipTable,
+    NodeRecord,
+    NodeState,
+    ring_view::neighbours,
+    wire::wire_item::{
+        ProbeItem,
+        WireItem, //
+    }, //
+};
+
+/// Time after which neighbours are chosen anew even if no node changed.
+const RING_TIME: Duration = Duration::from_secs(5);
+/// Time after which a link that is no neighbour's and is not used is closed.
+const IDLE_LINK: Duration = Duration::from_secs(10);
+/// Time for which a node with a broken direct way is no neighbour.
+const AVOID_TIME: Duration = Duration::from_secs(30);
+/// Time between calls to seeds while nobody is known.
+const SEED_PAUSE: Duration = Duration::from_secs(1);
+/// Time between questions to a silent neighbour.
+const ASK_PAUSE: Duration = Duration::from_secs(1);
+
+impl MembershipTable {
+    /// Chooses the neighbours from the nodes that are present.
+    pub(super) fn choose_neighbours(&mut self, now: ClockTime) {
+        let unchanged = self.ring_generation == Some(self.nodes.generation);
+        if unchanged && now.since(self.ring_chosen) < RING_TIME {
+            return;
+        }
+        self.ring_generation = Some(self.nodes.generation);
+        self.ring_chosen = now;
+        let Some(own) = self.nodes.record(self.own) else {
+            return;
+        };
+        let avoided = |id: &NodeId| {
+            self.links
+                .get(id)
+                .is_some_and(|link| link.avoid_until > now)
+        };
+        let present: Vec<(NodeId, &NodeRecord)> = self
+            .nodes
+            .present()
+            .filter(|(id, _)| !avoided(id))
+            .map(|(id, entry)| (id, &entry.record))
+            .collect();
+        let chosen = neighbours(own, &present, self.settings.rings);
+        for peer in &chosen {
+            let link = self.open_link(*peer, now);
+            if link.neighbour {
+                continue;
+            }
+            link.neighbour = true;
+            link.since = now;
+        }
+        for (peer, link) in &mut self.links {
+            if link.neighbour && !chosen.contains(peer) {
+                link.neighbour = false;
+                link.pending.clear();
+                link.in_flight.clear();
+            }
+        }
+        self.links.retain(|_, link| {
+            link.neighbour || link.idle(now) < IDLE_LINK || link.avoid_until > now
+        });
+    }
+
+    /// Asks silent neighbours, directly and through others, and suspects those who stay silent.
+    pub(super) fn watch_neighbours(&mut self, now: ClockTime) {
+        let silent: Vec<(NodeId, Duration)> = self
+            .links
+            .iter()
+            .filter(|(_, link)| link.neighbour)
+            .map(|(peer, link)| (*peer, link.silence(now)))
+            .filter(|(_, silence)| *silence >= self.settings.heartbeat * 3 / 2)
+            .collect();
+        for (peer, silence) in silent {
+            self.ask_directly(peer, now);
+            if silence >= self.settings.probe_after {
+                self.ask_helpers(peer, now);
+            }
+            if silence >= self.settings.suspect_after {
+                self.suspect(peer, now);
+            }
+        }
+    }
+
+    /// Asks a silent neighbour for a sign of life.
+    fn ask_directly(&mut self, peer: NodeId, now: ClockTime) {
+        let link = self.open_link(peer, now);
+        if link.last_asked.is_none_or(|at| now.since(at) >= ASK_PAUSE) {
+            link.asking = true;
+        }
+    }
+
+    /// Asks a few others whether they reach a silent neighbour.
+    fn ask_helpers(&mut self, peer: NodeId, now: ClockTime) {
+        let link = self.open_link(peer, now);
+        if link.last_helped.is_some_and(|at| now.since(at) < ASK_PAUSE) {
+            return;
+        }
+        link.last_helped = Some(now);
+        let others: Vec<NodeId> = self
+            .nodes
+            .iter()
+            .filter(|(_, entry)| entry.record.state == NodeState::Alive)
+            .map(|(id, _)| id)
+            .filter(|id| *id != peer && *id != self.own)
+            .collect();
+        let helpers: Vec<NodeId> = others
+            .sample(&mut self.rng, self.settings.probe_helpers)
+            .copied()
+            .collect();
+        for helper in helpers {
+            let item = WireItem::ProbeFor(ProbeItem { target: peer.0 });
+            self.open_link(helper, now).push_direct(item);
+        }
+    }
+
+    /// Suspects a silent neighbour, unless others still reach it.
+    fn suspect(&mut self, peer: NodeId, now: ClockTime) {
+        let patience = self.settings.suspect_after;
+        let link = self.open_link(peer, now);
+        if link.last_reached.is_some_and(|at| now.since(at) < patience) {
+            // Only the direct way is broken: news must go round it.
+            link.avoid_until = now.after(AVOID_TIME);
+            self.ring_generation = None;
+            return;
+        }
+        let Some(record) = self.nodes.record(peer).cloned() else {
+            return;
+        };
+        let state = match record.state {
+            NodeState::Alive => NodeState::Suspected,
+            NodeState::Leaving => NodeState::Down,
+            NodeState::Suspected | NodeState::Down => return,
+        };
+        self.change_node(NodeRecord { state, ..record }, None, now);
+    }
+
+    /// Asks `target` for a sign of life on behalf of `asked_by`.
+    pub(super) fn probe_for(&mut self, asked_by: NodeId, target: NodeId, now: ClockTime) {
+        let known = self.nodes.get(target).is_some();
+        if target != self.own && known && self.relays.add(asked_by, target, now) {
+            self.open_link(target, now).asking = true;
+        }
+    }
+
+    /// Calls nodes beyond the neighbours, so that views which grew apart find together.
+    pub(super) fn call_strangers(&mut self, now: ClockTime) {
+        let alone = self.nodes.present().count() == 1;
+        let pause = if alone {
+            SEED_PAUSE
+        } else {
+            self.settings.revive_every
+        };
+        // The very first call goes out at once.
+        let first = alone && self.links.is_empty();
+        if first || now.since(self.last_revive) >= pause {
+            self.last_revive = now;
+            self.call_absent(now);
+        }
+        if now.since(self.last_stray) >= self.settings.stray_every {
+            self.last_stray = now;
+            self.call_present(now);
+        }
+    }
+
+    /// Calls a node that is down, or a seed that nobody knows.
+    fn call_absent(&mut self, now: ClockTime) {
+        let down = self
+            .nodes
+            .iter()
+            .filter(|(_, entry)| !entry.record.state.is_present())
+            .map(|(id, _)| id);
+        let seeds = self
+            .settings
+            .seeds
+            .iter()
+            .map(|seed| seed.node)
+            .filter(|id| *id != self.own && !self.nodes.state(*id).is_present());
+        let absent: Vec<NodeId> = down.chain(seeds).collect();
+        let Some(peer) = absent.choose(&mut self.rng).copied() else {
+            return;
+        };
+        self.open_link(peer, now).asking = true;
+    }
+
+    /// Calls any node that is present and no neighbour.
+    fn call_present(&mut self, now: ClockTime) {
+        let others: Vec<NodeId> = self
+            .nodes
+            .present()
+            .map(|(id, _)| id)
+            .filter(|id| *id != self.own)
+            .filter(|id| !self.links.contains_key(id))
+            .collect();
+        if others.is_empty() {
+            return;
+        }
+        let peer = others[self.rng.random_range(0..others.len())];
+        self.open_link(peer, now).asking = true;
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/src/table/sync.rs
@@ -0,0 +1,140 @@
+//! Comparing views, so that news lost for any reason arrives in the end.
+
+use ragwortroad_types::prelude::*;
+use rand::RngExt;
+
+use crate::{
+    MembershipTable,
+    pending_queue::NewsClass,
+    record_key::{
+        NewsKey,
+        RecordKey, //
+    },
+    sync_digest::BUCKETS,
+    wire::wire_item::{
+        BucketItem,
+        WireItem, //
+    }, //
+};
+
+/// Buckets compared in one go; the others follow in the next.
+const BUCKETS_AT_ONCE: usize = 4;
+
+impl MembershipTable {
+    /// Starts comparing views with peers whose view has differed for long.
+    pub(super) fn start_syncs(&mut self, now: ClockTime) {
+        if !self.budget.has_left() {
+            return;
+        }
+        let patience = self.settings.sync_after;
+        let hashes = self.digest.bucket_hashes();
+        for (peer, link) in &mut self.links {
+            // One side is enough; the other one helps out where the first does not act.
+            let patience = if *peer > self.own {
+                patience
+            } else {
+                patience * 2
+            };
+            let differs = link.differs_since.map(|since| now.since(since));
+            let rested = link.last_sync.is_none_or(|at| now.since(at) >= patience);
+            if rested && differs.is_some_and(|span| span >= patience) {
+                link.last_sync = Some(now);
+                link.push_direct(WireItem::Buckets(hashes.clone()));
+            }
+        }
+    }
+
+    /// Answers a comparison of all buckets with the content of some that differ.
+    pub(super) fn compare_buckets(&mut self, from: NodeId, hashes: &[u16], now: ClockTime) {
+        let own = self.digest.bucket_hashes();
+        if hashes.len() != own.len() {
+            return;
+        }
+        // A random start spreads different buckets over the neighbours of a node that lacks all.
+        let start = self.rng.random_range(0..BUCKETS);
+        let differing: Vec<usize> = (0..BUCKETS)
+            .map(|step| (start + step) % BUCKETS)
+            .filter(|bucket| own[*bucket] != hashes[*bucket])
+            .take(BUCKETS_AT_ONCE)
+            .collect();
+        let link = self.open_link(from, now);
+        link.last_sync = Some(now);
+        for bucket in differing {
+            self.send_bucket(from, bucket as u8, false, now);
+        }
+    }
+
+    /// Sends what is in one bucket.
+    fn send_bucket(&mut self, to: NodeId, bucket: u8, answer: bool, now: ClockTime) {
+        let entries = self.digest.entries(bucket);
+        let item = BucketItem {
+            bucket,
+            answer,
+            entries,
+        };
+        self.open_link(to, now)
+            .push_direct(WireItem::BucketKeys(item));
+    }
+
+    /// Queues for `from` what it lacks or has differently, and asks for the same in return.
+    pub(super) fn compare_keys(&mut self, from: NodeId, item: BucketItem, now: ClockTime) {
+        if usize::from(item.bucket) >= BUCKETS {
+            return;
+        }
+        let own = self.digest.entries(item.bucket);
+        let mut ours = Vec::new();
+        for entry in &own {
+            if !item.entries.contains(entry) {
+                ours.extend_from_slice(self.digest.keys(entry.key));
+            }
+        }
+        let mut lacking = false;
+        for entry in &item.entries {
+            if own.contains(entry) {
+                continue;
+            }
+            lacking = true;
+            // What we hold as gone or down is in no bucket, but is what the peer should hear.
+            ours.extend_from_slice(self.digest.keys(entry.key));
+        }
+        ours.sort_unstable();
+        ours.dedup();
+        for key in ours {
+            self.push_record(from, key, now);
+        }
+        if lacking && !item.answer {
+            self.send_bucket(from, item.bucket, true, now);
+        }
+    }
+
+    /// Sends the records a peer asked for, whole.
+    pub(super) fn send_wanted(&mut self, from: NodeId, keys: &[u32], now: ClockTime) {
+        for short in keys {
+            for key in self.digest.keys(*short).to_vec() {
+                if let RecordKey::Node(id) = key
+                    && let Some(record) = self.nodes.record(id)
+                {
+                    let item = WireItem::Node(record.into());
+                    self.open_link(from, now).push_direct(item);
+                } else {
+                    self.push_record(from, key, now);
+                }
+            }
+        }
+    }
+
+    /// Queues one record for `to`, and what its node attached.
+    fn push_record(&mut self, to: NodeId, key: RecordKey, now: ClockTime) {
+        let kinds = match key {
+            RecordKey::Node(id) => self.blobs.kinds(id),
+            RecordKey::Endpoint(_) => Vec::new(),
+        };
+        let link = self.open_link(to, now);
+        link.pending.push(NewsClass::Prompt, key.into());
+        if let RecordKey::Node(id) = key {
+            for kind in kinds {
+                link.pending.push(NewsClass::Blob, NewsKey::Blob(id, kind));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/src/wire/mod.rs
@@ -0,0 +1,8 @@
+//! What travels between nodes, as types of its own.
+
+pub(crate) mod endpoint_item;
+pub(crate) mod node_item;
+pub(crate) mod packet_head;
+pub(crate) mod packet_reader;
+pub(crate) mod wire_error;
+pub(crate) mod wire_item;
--- /dev/null
+++ b/crates/ragwortroad_membership/tests/fake_fleet/fake_endpoint.rs
@@ -0,0 +1,151 @@
+use std::collections::BTreeMap;
+
+use ragwortroad_types::prelude::*;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
+/// Largest number of requests a fake endpoint works on at once.
+const CAPACITY: u32 = 16;
+
+/// An endpoint that announces itself as the interface asks it to.
+pub(crate) struct FakeEndpoint {
+    pub(crate) name: String,
+    pub(crate) zone: usize,
+    pub(crate) up: bool,
+    pub(crate) leaving: bool,
+    pub(crate) life: u64,
+    pub(crate) sequence: u64,
+    pub(crate) epoch: u64,
+    pub(crate) switches: u64,
+    /// Chance that its load changes by one between two announcements.
+    pub(crate) load_change: f64,
+    load: u32,
+    targets: Vec<String>,
+    waiting: bool,
+    sent: BTreeMap<(u64, u64), AnnounceWire>,
+}
+
+impl FakeEndpoint {
+    pub(crate) fn new(index: usize, zone: usize, targets: Vec<String>) -> Self {
+        Self {
+            name: format!("endpoint-{index}"),
+            zone,
+            up: false,
+            leaving: false,
+            life: 0,
+            sequence: 0,
+            epoch: 0,
+            switches: 0,
+            load_change: 0.0,
+            load: 0,
+            targets,
+            waiting: false,
+            sent: BTreeMap::new(),
+        }
+    }
+
+    pub(crate) fn id(&self) -> EndpointId {
+        EndpointId::from_name(&self.name)
+    }
+
+    /// Starts a new incarnation.
+    pub(crate) fn start(&mut self, targets: Vec<String>) {
+        self.up = true;
+        self.leaving = false;
+        self.life += 1;
+        self.sequence = 1;
+        self.epoch = 0;
+        self.waiting = false;
+        self.targets = targets;
+    }
+
+    pub(crate) fn stop(&mut self) {
+        self.up = false;
+        self.life += 1;
+    }
+
+    /// The address the next announcement goes to; nothing if it is void.
+    pub(crate) fn send(&mut self, life: u64, sequence: u64, rng: &mut Pcg64Mcg) -> Option<String> {
+        if !self.up || life != self.life || sequence != self.sequence {
+            return None;
+        }
+        if rng.random_bool(self.load_change) {
+            let step = rng.random_range(0..=4);
+            self.load = (self.load + step).saturating_sub(2).min(2 * CAPACITY);
+        }
+        let wire = self.wire();
+        self.sent.insert((life, sequence), wire);
+        self.waiting = true;
+        self.targets.first().cloned()
+    }
+
+    fn wire(&self) -> AnnounceWire {
+        let offer = ModelOffer {
+            model: "caption-llm".into(),
+            version: "v12".into(),
+            adapters: vec!["lookbook".into()],
+        };
+        AnnounceWire {
+            name: self.name.clone(),
+            address: "10.1.0.1:9000".to_owned(),
+            kind: EndpointKind::Engine,
+            zone: format!("zone-{}", self.zone),
+            service: None,
+            models: vec![offer],
+            capacity: CAPACITY,
+            checks_fencing: false,
+            incarnation: self.life,
+            sequence: self.sequence,
+            home_epoch: self.epoch,
+            load: LoadReport {
+                running: self.load.min(CAPACITY),
+                queued: self.load.saturating_sub(CAPACITY),
+                age_ms: 0,
+            },
+            cache_events: Vec::new(),
+            leaving: self.leaving,
+        }
+    }
+
+    /// An announcement on its way, taken off it.
+    pub(crate) fn take_sent(&mut self, life: u64, sequence: u64) -> Option<AnnounceWire> {
+        self.sent.remove(&(life, sequence))
+    }
+
+    /// Takes an answer; the next sequence, or nothing if it came too late.
+    pub(crate) fn take_answer(&mut self, life: u64, sequence: u64, to: Vec<String>) -> Option<u64> {
+        if !self.up || life != self.life || sequence != self.sequence || !self.waiting {
+            return None;
+        }
+        self.waiting = false;
+        if !to.is_empty() {
+            if to.first() != self.targets.first() {
+                self.switches += 1;
+                self.epoch += 1;
+            }
+            // Addresses known before stay at the end, for when all of these fail.
+            let mut targets = to;
+            for address in &self.targets {
+                if !targets.contains(address) {
+                    targets.push(address.clone());
+                }
+            }
+            self.targets = targets;
+        }
+        self.sequence += 1;
+        Some(self.sequence)
+    }
+
+    /// Turns to the next address, as no answer came; the next sequence.
+    pub(crate) fn give_up(&mut self, life: u64, sequence: u64) -> Option<u64> {
+        if !self.up || life != self.life || sequence != self.sequence || !self.waiting {
+            return None;
+        }
+        self.waiting = false;
+        self.targets.rotate_left(1);
+        self.epoch += 1;
+        self.switches += 1;
+        self.sequence += 1;
+        Some(self.sequence)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/tests/fake_fleet/fake_network.rs
@@ -0,0 +1,91 @@
+use std::collections::BTreeSet;
+
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+use super::fake_node::FakeNode;
+
+/// Loses, delays, doubles and cuts.
+pub(crate) struct FakeNetwork {
+    /// Chance that a packet is lost.
+    pub(crate) loss: f64,
+    /// Chance that a packet arrives twice.
+    pub(crate) doubling: f64,
+    /// Chance that a packet or announcement is late by up to some seconds.
+    pub(crate) lateness: f64,
+    /// One-way cuts.
+    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    /// Regions that nothing enters or leaves.
+    pub(crate) parted_regions: BTreeSet<usize>,
+    /// Packets lost, doubled or late.
+    pub(crate) faults: u64,
+    /// When something was last cut.
+    pub(crate) last_cut: u64,
+    rng: Pcg64Mcg,
+}
+
+impl FakeNetwork {
+    pub(crate) fn new(seed: u64) -> Self {
+        Self {
+            loss: 0.0,
+            doubling: 0.0,
+            lateness: 0.0,
+            cuts: BTreeSet::new(),
+            parted_regions: BTreeSet::new(),
+            faults: 0,
+            last_cut: 0,
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x6e65_7477_6f72_6b),
+        }
+    }
+
+    pub(crate) fn is_cut(&self, from: usize, to: usize, nodes: &[FakeNode]) -> bool {
+        let (left, right) = (nodes[from].region(), nodes[to].region());
+        let parted = left != right
+            && (self.parted_regions.contains(&left) || self.parted_regions.contains(&right));
+        parted || self.cuts.contains(&(from, to)) || self.cuts.contains(&(to, from))
+    }
+
+    pub(crate) fn recently_cut(&self, now: u64) -> bool {
+        self.last_cut > 0 && now < self.last_cut + 60_000
+    }
+
+    /// When copies of a packet arrive, in milliseconds from now.
+    pub(crate) fn delays(&mut self, from: usize, to: usize, nodes: &[FakeNode]) -> Vec<u64> {
+        let (left, right) = (nodes[from].region(), nodes[to].region());
+        let parted = left != right
+            && (self.parted_regions.contains(&left) || self.parted_regions.contains(&right));
+        if parted || self.cuts.contains(&(from, to)) || self.rng.random_bool(self.loss) {
+            self.faults += 1;
+            return Vec::new();
+        }
+        let mut delays = vec![self.delay(nodes[from].zone != nodes[to].zone)];
+        if self.rng.random_bool(self.doubling) {
+            self.faults += 1;
+            delays.push(self.delay(true));
+        }
+        delays
+    }
+
+    /// How long an announcement or its answer takes; nothing if it is lost.
+    pub(crate) fn announce_delay(&mut self, node: &FakeNode) -> Option<u64> {
+        if node.table.is_none() || self.rng.random_bool(self.loss / 4.0) {
+            return None;
+        }
+        Some(self.delay(true))
+    }
+
+    fn delay(&mut self, far: bool) -> u64 {
+        if self.rng.random_bool(self.lateness) {
+            self.faults += 1;
+            return self.rng.random_range(100..8000);
+        }
+        if far {
+            self.rng.random_range(2..12)
+        } else {
+            self.rng.random_range(1..3)
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/tests/fake_fleet/mod.rs
@@ -0,0 +1,513 @@
+//! Many membership tables with a fake network, drifting clocks, and endpoints that announce
+//! themselves; everything follows from one seed.
+
+#![allow(dead_code)]
+
+pub(crate) mod fake_endpoint;
+pub(crate) mod fake_network;
+pub(crate) mod fake_node;
+
+use std::{
+    cmp::Reverse,
+    collections::BinaryHeap, //
+};
+
+use ragwortroad_membership::prelude::*;
+use ragwortroad_types::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+use fake_endpoint::FakeEndpoint;
+use fake_network::FakeNetwork;
+use fake_node::FakeNode;
+
+/// Time between ticks of a node, by its own clock.
+const TICK_MS: u64 = 100;
+/// Time after which an endpoint gives up on an announcement.
+const ANNOUNCE_TIMEOUT_MS: u64 = 1000;
+
+/// Something that happens at a node or an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum FakeEvent {
+    /// A node's tick; void if the node was restarted since.
+    Tick { node: usize, life: u64 },
+    /// A packet arrives.
+    Packet {
+        to: usize,
+        from: NodeId,
+        bytes: Vec<u8>,
+    },
+    /// An endpoint announces itself.
+    Announce {
+        endpoint: usize,
+        life: u64,
+        sequence: u64,
+    },
+    /// An announcement arrives, as number in the endpoint's list of those under way.
+    Arrive {
+        node: usize,
+        endpoint: usize,
+        life: u64,
+        sequence: u64,
+    },
+    /// An answer arrives.
+    Answer {
+        endpoint: usize,
+        life: u64,
+        sequence: u64,
+        to: Vec<String>,
+        every: u64,
+    },
+    /// An endpoint stops waiting for an answer.
+    GiveUp {
+        endpoint: usize,
+        life: u64,
+        sequence: u64,
+    },
+}
+
+/// What was found out by watching.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct FleetFindings {
+    /// Moments at which two nodes could admit work to one endpoint.
+    pub(crate) double_homes: Vec<String>,
+    /// Checks made for that.
+    pub(crate) home_checks: u64,
+    /// Events handled.
+    pub(crate) events: u64,
+    /// Packets lost, delayed for long, or sent twice by the network.
+    pub(crate) network_faults: u64,
+    /// Times a node that was up and reachable was taken for down by another.
+    pub(crate) false_downs: u64,
+    /// `NodeDown` actions in all.
+    pub(crate) node_downs: u64,
+    /// Switches of endpoints to another home.
+    pub(crate) switches: u64,
+    /// Announcements under way.
+    pub(crate) announces: u64,
+}
+
+/// The whole fake fleet.
+pub(crate) struct FakeFleet {
+    pub(crate) now: u64,
+    pub(crate) nodes: Vec<FakeNode>,
+    pub(crate) endpoints: Vec<FakeEndpoint>,
+    pub(crate) network: FakeNetwork,
+    pub(crate) findings: FleetFindings,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) settings: MembershipSettings,
+    queue: BinaryHeap<Reverse<(u64, u64, FakeEvent)>>,
+    order: u64,
+}
+
+impl FakeFleet {
+    /// `nodes` nodes in `zones` zones, three zones a region, with clocks that drift by up to the
+    /// settings' bound, and `endpoints` endpoints spread over the zones.
+    pub(crate) fn new(
+        seed: u64,
+        nodes: usize,
+        endpoints: usize,
+        zones: usize,
+        settings: &MembershipSettings,
+    ) -> Self {
+        let mut fleet = Self {
+            now: 0,
+            nodes: Vec::new(),
+            endpoints: Vec::new(),
+            network: FakeNetwork::new(seed),
+            findings: FleetFindings::default(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            settings: settings.clone(),
+            queue: BinaryHeap::new(),
+            order: 0,
+        };
+        for index in 0..nodes {
+            let drift = settings.clock_drift * fleet.rng.random_range(-1.0..=1.0);
+            let offset = fleet.rng.random_range(0..1_000_000);
+            fleet
+                .nodes
+                .push(FakeNode::new(index, index % zones, 1.0 + drift, offset));
+        }
+        for index in 0..nodes {
+            fleet.start_node(index);
+        }
+        for index in 0..endpoints {
+            let targets = fleet.shuffled_addresses();
+            fleet
+                .endpoints
+                .push(FakeEndpoint::new(index, index % zones, targets));
+            fleet.start_endpoint(index);
+        }
+        fleet
+    }
+
+    /// Starts or restarts a node without any memory.
+    pub(crate) fn start_node(&mut self, index: usize) {
+        let seeds = self.nodes.iter().take(3).map(FakeNode::seed).collect();
+        let settings = MembershipSettings {
+            seeds,
+            ..self.settings.clone()
+        };
+        let seed = self.rng.random();
+        // A wall clock that was set back between two starts is part of the game.
+        let incarnation = (self.now + 10_000).saturating_sub(self.rng.random_range(0..20_000));
+        let node = &mut self.nodes[index];
+        node.start(settings, incarnation.max(1), seed);
+        let life = node.life;
+        let first = self.now + self.rng.random_range(0..TICK_MS);
+        self.push(first, FakeEvent::Tick { node: index, life });
+    }
+
+    /// Starts or restarts an endpoint.
+    pub(crate) fn start_endpoint(&mut self, index: usize) {
+        let targets = self.shuffled_addresses();
+        let endpoint = &mut self.endpoints[index];
+        endpoint.start(targets);
+        let (life, sequence) = (endpoint.life, endpoint.sequence);
+        let at = self.now + self.rng.random_range(0..1000);
+        self.push(
+            at,
+            FakeEvent::Announce {
+                endpoint: index,
+                life,
+                sequence,
+            },
+        );
+    }
+
+    fn shuffled_addresses(&mut self) -> Vec<String> {
+        let mut addresses: Vec<String> = self.nodes.iter().map(FakeNode::caller_address).collect();
+        for index in (1..addresses.len()).rev() {
+            addresses.swap(index, self.rng.random_range(0..=index));
+        }
+        addresses
+    }
+
+    fn push(&mut self, at: u64, event: FakeEvent) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order, event)));
+    }
+
+    /// Lets `span` milliseconds pass.
+    pub(crate) fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while let Some(Reverse((at, _, _))) = self.queue.peek() {
+            if *at > end {
+                break;
+            }
+            let Some(Reverse((at, _, event))) = self.queue.pop() else {
+                break;
+            };
+            self.now = at;
+            self.findings.events += 1;
+            self.dispatch(event);
+        }
+        self.now = end;
+        self.findings.network_faults = self.network.faults;
+    }
+
+    fn dispatch(&mut self, event: FakeEvent) {
+        match event {
+            FakeEvent::Tick { node, life } => self.tick(node, life),
+            FakeEvent::Packet { to, from, bytes } => {
+                let until = self.nodes[to].paused_until;
+                if until > self.now {
+                    return self.push(until, FakeEvent::Packet { to, from, bytes });
+                }
+                self.input(to, GossipInput::Packet { from, bytes });
+            }
+            FakeEvent::Announce {
+                endpoint,
+                life,
+                sequence,
+            } => self.announce(endpoint, life, sequence),
+            FakeEvent::Arrive {
+                node,
+                endpoint,
+                life,
+                sequence,
+            } => self.arrive(node, endpoint, life, sequence),
+            FakeEvent::Answer {
+                endpoint,
+                life,
+                sequence,
+                to,
+                every,
+            } => {
+                if let Some(next) = self.endpoints[endpoint].take_answer(life, sequence, to) {
+                    self.push(
+                        self.now + every,
+                        FakeEvent::Announce {
+                            endpoint,
+                            life,
+                            sequence: next,
+                        },
+                    );
+                }
+            }
+            FakeEvent::GiveUp {
+                endpoint,
+                life,
+                sequence,
+            } => {
+                if let Some(next) = self.endpoints[endpoint].give_up(life, sequence) {
+                    self.push(
+                        self.now,
+                        FakeEvent::Announce {
+                            endpoint,
+                            life,
+                            sequence: next,
+                        },
+                    );
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self, node: usize, life: u64) {
+        let fake = &self.nodes[node];
+        if fake.life != life || fake.table.is_none() {
+            return;
+        }
+        if fake.paused_until > self.now {
+            return self.push(fake.paused_until, FakeEvent::Tick { node, life });
+        }
+        self.input(node, GossipInput::Tick);
+        self.push(self.now + TICK_MS, FakeEvent::Tick { node, life });
+    }
+
+    fn announce(&mut self, endpoint: usize, life: u64, sequence: u64) {
+        let Some(address) = self.endpoints[endpoint].send(life, sequence, &mut self.rng) else {
+            return;
+        };
+        self.findings.announces += 1;
+        self.findings.switches = self.endpoints.iter().map(|one| one.switches).sum();
+        self.push(
+            self.now + ANNOUNCE_TIMEOUT_MS,
+            FakeEvent::GiveUp {
+                endpoint,
+                life,
+                sequence,
+            },
+        );
+        let Some(node) = self
+            .nodes
+            .iter()
+            .position(|one| one.caller_address() == address)
+        else {
+            return;
+        };
+        if let Some(delay) = self.network.announce_delay(&self.nodes[node]) {
+            self.push(
+                self.now + delay,
+                FakeEvent::Arrive {
+                    node,
+                    endpoint,
+                    life,
+                    sequence,
+                },
+            );
+        }
+    }
+
+    fn arrive(&mut self, node: usize, endpoint: usize, life: u64, sequence: u64) {
+        let until = self.nodes[node].paused_until;
+        if until > self.now {
+            return self.push(
+                until,
+                FakeEvent::Arrive {
+                    node,
+                    endpoint,
+                    life,
+                    sequence,
+                },
+            );
+        }
+        let Some(wire) = self.endpoints[endpoint].take_sent(life, sequence) else {
+            return;
+        };
+        if self.nodes[node].table.is_none() {
+            return;
+        }
+        self.input(node, GossipInput::Announce(wire));
+        let id = self.endpoints[endpoint].id();
+        self.check_home(endpoint);
+        let clock = self.nodes[node].clock(self.now);
+        let Some(table) = &self.nodes[node].table else {
+            return;
+        };
+        let answer = table.announce_answer(id, clock);
+        if let Some(delay) = self.network.announce_delay(&self.nodes[node]) {
+            let (to, every) = (answer.announce_to, answer.every_ms);
+            self.push(
+                self.now + delay,
+                FakeEvent::Answer {
+                    endpoint,
+                    life,
+                    sequence,
+                    to,
+                    every,
+                },
+            );
+        }
+    }
+
+    /// Hands an input to a node and carries out what it wants.
+    pub(crate) fn input(&mut self, node: usize, input: GossipInput) {
+        let clock = self.nodes[node].clock(self.now);
+        let Some(table) = &mut self.nodes[node].table else {
+            return;
+        };
+        let from = table.own_id();
+        for action in table.handle(input, clock) {
+            match action {
+                GossipAction::Send { address, bytes, .. } => self.send(node, from, address, &bytes),
+                GossipAction::NodeDown(id) => self.watch_down(node, id),
+                GossipAction::HomeChanged(id) => {
+                    if let Some(index) = self.endpoints.iter().position(|one| one.id() == id) {
+                        self.check_home(index);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send(&mut self, node: usize, from: NodeId, address: std::net::SocketAddr, bytes: &[u8]) {
+        let fake = &mut self.nodes[node];
+        fake.packets_out += 1;
+        fake.bytes_out += bytes.len() as u64;
+        let Some(to) = FakeNode::index_at(address) else {
+            return;
+        };
+        let delays = self.network.delays(node, to, &self.nodes);
+        for delay in delays {
+            let bytes = bytes.to_vec();
+            self.push(self.now + delay, FakeEvent::Packet { to, from, bytes });
+        }
+    }
+
+    fn watch_down(&mut self, watcher: usize, id: NodeId) {
+        self.findings.node_downs += 1;
+        let Some(target) = self.nodes.iter().position(|one| one.id() == id) else {
+            return;
+        };
+        let fake = &self.nodes[target];
+        let up = fake.table.is_some() && fake.paused_until + 5000 < self.now;
+        let settled = self.now > fake.started_at + 20_000;
+        if up
+            && settled
+            && !self.network.is_cut(watcher, target, &self.nodes)
+            && !self.network.recently_cut(self.now)
+        {
+            self.findings.false_downs += 1;
+        }
+    }
+
+    /// Checks that at most one node may admit work to an endpoint now, each by its own clock.
+    pub(crate) fn check_home(&mut self, endpoint: usize) {
+        let id = self.endpoints[endpoint].id();
+        self.findings.home_checks += 1;
+        let mut holders = Vec::new();
+        for node in &self.nodes {
+            let clock = node.clock(self.now);
+            let Some(table) = &node.table else {
+                continue;
+            };
+            if table.home_state(id, clock).admits_at(clock) {
+                let incarnation = table.endpoint(id).map_or(0, |record| record.incarnation);
+                holders.push((incarnation, node.index));
+            }
+        }
+        holders.sort_unstable();
+        for pair in holders.windows(2) {
+            if pair[0].0 == pair[1].0 {
+                let found = format!("{} ms: endpoint {endpoint} at nodes {holders:?}", self.now);
+                self.findings.double_homes.push(found);
+            }
+        }
+    }
+
+    /// Checks all endpoints.
+    pub(crate) fn check_homes(&mut self) {
+        for endpoint in 0..self.endpoints.len() {
+            self.check_home(endpoint);
+        }
+    }
+
+    /// Lets time pass in small steps, checking all homes after each.
+    pub(crate) fn run_checked(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.run((end - self.now).min(50));
+            self.check_homes();
+        }
+    }
+
+    /// The views of nodes that run.
+    pub(crate) fn tables(&self) -> impl Iterator<Item = &MembershipTable> {
+        self.nodes.iter().filter_map(|node| node.table.as_ref())
+    }
+
+    /// Why the views are not all equal and right; nothing if they are.
+    pub(crate) fn disagreement(&self) -> Option<String> {
+        let up: Vec<NodeId> = self.tables().map(MembershipTable::own_id).collect();
+        let first = self.tables().next()?.view_hash();
+        for table in self.tables() {
+            let own = table.own_id();
+            if table.view_hash() != first {
+                return Some(format!("{own} has another view"));
+            }
+            let live: Vec<NodeId> = table.live_nodes().map(|(id, _)| id).collect();
+            if let Some(id) = up.iter().find(|id| !live.contains(id)) {
+                return Some(format!("{own} misses node {id}"));
+            }
+            if live.len() != up.len() {
+                return Some(format!(
+                    "{own} believes {} of {} nodes live",
+                    live.len(),
+                    up.len()
+                ));
+            }
+            for endpoint in &self.endpoints {
+                let available = table.is_available(endpoint.id());
+                if available != (endpoint.up && !endpoint.leaving) {
+                    return Some(format!(
+                        "{own} has {} available: {available}",
+                        endpoint.name
+                    ));
+                }
+            }
+        }
+        for endpoint in self.endpoints.iter().filter(|one| one.up) {
+            let holders = self.nodes.iter().filter(|node| {
+                let clock = node.clock(self.now);
+                let state = node
+                    .table
+                    .as_ref()
+                    .map(|table| table.home_state(endpoint.id(), clock));
+                state.is_some_and(|state| state.admits_at(clock))
+            });
+            let count = holders.count();
+            if count != 1 {
+                return Some(format!("{} has {count} homes", endpoint.name));
+            }
+        }
+        None
+    }
+
+    /// Lets time pass until all views are equal and right; the time it took.
+    pub(crate) fn settle(&mut self, most: u64) -> u64 {
+        let start = self.now;
+        loop {
+            let Some(why) = self.disagreement() else {
+                return self.now - start;
+            };
+            assert!(self.now - start < most, "after {most} ms still: {why}");
+            self.run(250);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/tests/schedules.rs
@@ -0,0 +1,152 @@
+//! Seeded schedules over many membership tables.
+
+mod fake_fleet;
+
+use fake_fleet::FakeFleet;
+use ragwortroad_membership::prelude::*;
+use rand::RngExt;
+
+/// Draws a disturbance and brings it about.
+fn disturb(fleet: &mut FakeFleet) -> &'static str {
+    let node = fleet.rng.random_range(0..fleet.nodes.len());
+    let other = fleet.rng.random_range(0..fleet.nodes.len());
+    let endpoint = fleet.rng.random_range(0..fleet.endpoints.len());
+    let span = fleet.rng.random_range(500..15_000);
+    match fleet.rng.random_range(0..9) {
+        0 => {
+            fleet.nodes[node].table = None;
+            "node killed"
+        }
+        1 | 2 => {
+            fleet.nodes[node].paused_until = fleet.now + span;
+            "node paused"
+        }
+        3 => {
+            fleet.network.cuts.insert((node, other));
+            fleet.network.last_cut = fleet.now;
+            "one-way cut"
+        }
+        4 => {
+            fleet.start_node(node);
+            "node restarted"
+        }
+        5 => {
+            fleet.endpoints[endpoint].stop();
+            "endpoint killed"
+        }
+        6 | 7 => {
+            fleet.start_endpoint(endpoint);
+            "endpoint restarted"
+        }
+        _ => {
+            fleet.input(node, GossipInput::LeaveStarted);
+            "node leaving"
+        }
+    }
+}
+
+/// Ends every disturbance; everything that was stopped or leaving is started anew.
+fn mend(fleet: &mut FakeFleet) {
+    fleet.network.loss = 0.0;
+    fleet.network.lateness = 0.0;
+    fleet.network.cuts.clear();
+    fleet.network.parted_regions.clear();
+    for node in 0..fleet.nodes.len() {
+        fleet.nodes[node].paused_until = 0;
+        let own = fleet.nodes[node].id();
+        let alive = fleet.nodes[node]
+            .table
+            .as_ref()
+            .and_then(|table| table.node(own));
+        if alive.is_none_or(|record| record.state != NodeState::Alive) {
+            fleet.start_node(node);
+        }
+    }
+    for endpoint in 0..fleet.endpoints.len() {
+        if !fleet.endpoints[endpoint].up || fleet.endpoints[endpoint].leaving {
+            fleet.start_endpoint(endpoint);
+        }
+    }
+}
+
+/// One schedule: some minutes of disturbances, then mending.
+fn run_schedule(seed: u64, settings: &MembershipSettings) -> FakeFleet {
+    let mut fleet = FakeFleet::new(seed, 9, 23, 3, settings);
+    fleet.network.loss = 0.05;
+    fleet.network.doubling = 0.02;
+    fleet.network.lateness = 0.03;
+    for endpoint in &mut fleet.endpoints {
+        endpoint.load_change = 0.5;
+    }
+    fleet.run_checked(15_000);
+    for _ in 0..30 {
+        disturb(&mut fleet);
+        let pause = fleet.rng.random_range(100..6000);
+        fleet.run_checked(pause);
+    }
+    fleet
+}
+
+#[test]
+fn a_small_fleet_finds_together_and_agrees() {
+    for seed in 0..5 {
+        let mut fleet = FakeFleet::new(seed, 9, 23, 3, &MembershipSettings::default());
+        fleet.settle(30_000);
+        fleet.run_checked(30_000);
+        assert_eq!(fleet.disagreement(), None);
+        assert_eq!(fleet.findings.node_downs, 0);
+        assert_eq!(fleet.findings.double_homes, Vec::<String>::new());
+    }
+}
+
+/// Nodes are killed, paused, restarted and cut off one way, endpoints come and go, packets and
+/// announcements are lost, doubled and late, and clocks drift. A user would notice two homes at
+/// once as an engine that gets more than its bound, and a view that never heals as an engine
+/// that stays idle.
+#[test]
+fn no_schedule_makes_two_homes_and_all_heal() {
+    let mut total = fake_fleet::FleetFindings::default();
+    for seed in 0..40 {
+        let mut fleet = run_schedule(seed, &MembershipSettings::default());
+        mend(&mut fleet);
+        fleet.settle(400_000);
+        let found = &fleet.findings;
+        assert!(
+            found.double_homes.is_empty(),
+            "seed {seed}: {:?}",
+            found.double_homes
+        );
+        total.events += found.events;
+        total.home_checks += found.home_checks;
+        total.network_faults += found.network_faults;
+        total.switches += found.switches;
+        total.announces += found.announces;
+        total.node_downs += found.node_downs;
+        total.false_downs += found.false_downs;
+    }
+    println!("40 schedules of 30 disturbances: {total:?}");
+}
+
+/// One node was given a home lease three times as long as the others assume. Its right then
+/// outlives their wait, and two homes admit work at once; the check above must see that.
+#[test]
+fn a_node_with_a_longer_lease_than_the_others_assume_is_caught() {
+    let mut caught = 0;
+    for seed in 0..10 {
+        let mut fleet = FakeFleet::new(seed, 9, 23, 3, &MembershipSettings::default());
+        let longer = MembershipSettings {
+            home_lease: MembershipSettings::default().home_lease * 3,
+            ..MembershipSettings::default()
+        };
+        fleet.settings = longer;
+        fleet.start_node(0);
+        fleet.run_checked(120_000);
+        fleet.network.cuts.extend((1..9).map(|other| (0, other)));
+        for round in 0..6 {
+            fleet.nodes[0].paused_until = fleet.now + 1500;
+            fleet.run_checked(if round % 2 == 0 { 10_000 } else { 70_000 });
+        }
+        caught += usize::from(!fleet.findings.double_homes.is_empty());
+    }
+    assert!(caught > 0, "no schedule showed the fault");
+}
