Bench decisions with fakes of engines against baselines and a planner

The real route table and limiter run on one queue of events against engines that batch continuously, cache prefixes in limited memory, report late and lose cache events.

--- /dev/null
+++ b/crates/ragwortroad_bench/examples/decisions.rs
@@ -0,0 +1,65 @@
+//! Runs the decision bench: `cargo run --release -p ragwortroad_bench --example decisions -- --seed 7`.
+
+use clap::Parser;
+
+use ragwortroad_bench::prelude::*;
+
+/// Compares ways of choosing an engine on seeded, deterministic runs.
+#[derive(Debug, Parser)]
+struct DecisionArgs {
+    /// Decides every draw.
+    #[arg(long, default_value_t = 7)]
+    seed: u64,
+    /// ljosmynd, splashmark or target.
+    #[arg(long, default_value = "ljosmynd")]
+    workload: String,
+    /// calm, all, or some of churn, differing_views, surge, late_reports, event_gaps, zone_loss,
+    /// node_restarts joined by '+'.
+    #[arg(long, default_value = "churn")]
+    disturbances: String,
+    /// Seconds before the measured time.
+    #[arg(long, default_value_t = 120)]
+    warm_seconds: u64,
+    /// Seconds measured.
+    #[arg(long, default_value_t = 240)]
+    seconds: u64,
+    /// Runs the planner and our whole policy only.
+    #[arg(long)]
+    short: bool,
+    /// Share of the way from mean to bound that admissions may use.
+    #[arg(long)]
+    admit_share: Option<f64>,
+    /// Prints JSON.
+    #[arg(long)]
+    json: bool,
+}
+
+fn main() -> std::process::ExitCode {
+    let args = DecisionArgs::parse();
+    let workload = WorkloadKind::from_name(&args.workload);
+    let disturbances = DisturbanceSet::from_name(&args.disturbances);
+    let (Some(workload), Some(disturbances)) = (workload, disturbances) else {
+        eprintln!("no such workload or disturbance; --help names them");
+        return std::process::ExitCode::FAILURE;
+    };
+    let policies = if args.short {
+        vec![PolicyKind::Planner, PolicyKind::Homes(IdeaSet::ALL)]
+    } else {
+        PolicyKind::ladder()
+    };
+    let report = run_bench(&BenchSettings {
+        seed: args.seed,
+        workload,
+        disturbances,
+        warm_seconds: args.warm_seconds,
+        seconds: args.seconds,
+        policies,
+        admit_share: args.admit_share,
+    });
+    if args.json {
+        println!("{}", report.to_json());
+    } else {
+        print!("{report}");
+    }
+    std::process::ExitCode::SUCCESS
+}
--- /dev/null
+++ b/crates/ragwortroad_bench/src/policy/baseline_view.rs
@@ -0,0 +1,102 @@
+use ragwortroad_routing::LoadBound;
+
+use crate::{
+    PolicyKind,
+    workload::bench_draw::BenchDraw, //
+};
+
+/// What one node knows under a policy without home nodes: late reports and its own sends.
+#[derive(Clone, Debug)]
+pub(crate) struct BaselineView {
+    pub(crate) engines: Vec<SeenEngine>,
+    turn: usize,
+    draw: BenchDraw,
+}
+
+/// One engine as a node sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct SeenEngine {
+    /// It may be sent to.
+    pub(crate) open: bool,
+    /// Its load by the last digest.
+    pub(crate) load: u32,
+    /// What this node sent since.
+    pub(crate) sent: u32,
+}
+
+impl BaselineView {
+    /// A node that believes all of `engines` open and idle.
+    pub(crate) fn new(engines: usize, seed: u64, node: usize) -> Self {
+        let seen = SeenEngine {
+            open: true,
+            ..SeenEngine::default()
+        };
+        Self {
+            engines: vec![seen; engines],
+            // Nodes that all began with the same engine would send in step.
+            turn: node * 7,
+            draw: BenchDraw::new(seed, 0xba5e + node as u64),
+        }
+    }
+
+    /// The engine of `pool` that `policy` sends the chat with hash `key` to, without `excluded`.
+    pub(crate) fn choose(
+        &mut self,
+        policy: PolicyKind,
+        pool: &[usize],
+        key: u64,
+        excluded: &[usize],
+    ) -> Option<usize> {
+        let open: Vec<usize> = pool
+            .iter()
+            .copied()
+            .filter(|engine| self.engines[*engine].open && !excluded.contains(engine))
+            .collect();
+        if open.is_empty() {
+            return None;
+        }
+        match policy {
+            PolicyKind::RoundRobin => {
+                self.turn += 1;
+                Some(open[self.turn % open.len()])
+            }
+            PolicyKind::LeastReported => open
+                .iter()
+                .copied()
+                .min_by_key(|engine| self.engines[*engine].load),
+            PolicyKind::TwoChoices => {
+                let first = open[self.draw.below(open.len() as u64) as usize];
+                let second = open[self.draw.below(open.len() as u64) as usize];
+                let lighter = self.engines[second].load < self.engines[first].load;
+                Some(if lighter { second } else { first })
+            }
+            PolicyKind::BoundedLoad => {
+                let total: u32 = open.iter().map(|engine| self.expected(*engine)).sum();
+                let mean = f64::from(total) / open.len() as f64;
+                let limit = LoadBound::default().of_mean(mean);
+                let below = open
+                    .iter()
+                    .copied()
+                    .filter(|engine| self.expected(*engine) < limit);
+                highest(below, key).or_else(|| highest(open.iter().copied(), key))
+            }
+            PolicyKind::Rendezvous | PolicyKind::Planner | PolicyKind::Homes(_) => {
+                highest(open.iter().copied(), key)
+            }
+        }
+    }
+
+    fn expected(&self, engine: usize) -> u32 {
+        self.engines[engine].load + self.engines[engine].sent
+    }
+}
+
+/// The engine with the highest hash for `key`.
+fn highest(engines: impl Iterator<Item = usize>, key: u64) -> Option<usize> {
+    engines.max_by_key(|engine| hash_pair(*engine as u64, key))
+}
+
+/// A well mixed hash of two numbers.
+pub(crate) fn hash_pair(left: u64, right: u64) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&left.to_le_bytes(), right)
+}
--- /dev/null
+++ b/crates/ragwortroad_bench/src/policy/mod.rs
@@ -0,0 +1,4 @@
+//! The ways of choosing an engine that are compared.
+
+pub(crate) mod baseline_view;
+pub(crate) mod policy_kind;
--- /dev/null
+++ b/crates/ragwortroad_bench/src/run/bench_node.rs
@@ -0,0 +1,121 @@
+use std::{
+    collections::BTreeSet,
+    time::Duration, //
+};
+
+use ragwortroad_routing::{
+    CustomerKey,
+    CustomerLimit,
+    CustomerLimiter,
+    LimiterSettings,
+    RetryBudget,
+    RouteSettings,
+    RouteTable, //
+};
+use ragwortroad_types::{
+    ClockTime,
+    NodeId, //
+};
+
+use crate::{
+    BenchSettings,
+    IdeaSet,
+    PolicyKind,
+    WorkloadSpec,
+    policy::baseline_view::BaselineView, //
+};
+
+/// One node: the real decision code, and what baselines know instead.
+#[derive(Clone, Debug)]
+pub(crate) struct BenchNode {
+    pub(crate) alive: bool,
+    pub(crate) table: RouteTable,
+    pub(crate) limiter: CustomerLimiter,
+    /// Customers whose limit the limiter knows.
+    known: BTreeSet<usize>,
+    pub(crate) budget: RetryBudget,
+    pub(crate) view: BaselineView,
+    /// Nodes it believes alive.
+    pub(crate) nodes: BTreeSet<NodeId>,
+}
+
+/// Retries a node may make for each first attempt, and at most at once.
+const RETRY_SHARE: f64 = 0.1;
+const RETRY_RESERVE: u32 = 20;
+
+impl BenchNode {
+    /// A node that has just started.
+    pub(crate) fn new(
+        index: usize,
+        ids: &[NodeId],
+        settings: &BenchSettings,
+        spec: &WorkloadSpec,
+        policy: PolicyKind,
+    ) -> Self {
+        let id = ids[index];
+        let limits = LimiterSettings {
+            node: id,
+            ..LimiterSettings::default()
+        };
+        let mut node = Self {
+            alive: true,
+            table: RouteTable::new(route_settings(id, settings, spec, policy)),
+            limiter: CustomerLimiter::new(limits),
+            known: BTreeSet::new(),
+            budget: RetryBudget::new(RETRY_SHARE, RETRY_RESERVE),
+            view: BaselineView::new(spec.engines, settings.seed, index),
+            nodes: ids.iter().copied().collect(),
+        };
+        node.apply_nodes(ClockTime::ZERO);
+        node
+    }
+
+    /// Hands the nodes believed alive to those who need them.
+    pub(crate) fn apply_nodes(&mut self, now: ClockTime) {
+        let nodes: Vec<NodeId> = self.nodes.iter().copied().collect();
+        self.table.set_nodes(&nodes);
+        self.limiter.set_nodes(&nodes, now);
+    }
+
+    /// Declares a customer's limit when it first turns up; on a real node the configuration does.
+    pub(crate) fn declare(&mut self, customer: usize, rate: f64, now: ClockTime) {
+        if self.known.insert(customer) {
+            let limit = CustomerLimit {
+                requests_per_s: rate,
+                tokens_per_s: 1e9,
+                concurrent: 1_000_000,
+                ..CustomerLimit::default()
+            };
+            self.limiter.set_limit(customer_key(customer), limit, now);
+        }
+    }
+}
+
+/// The key of a customer by its number.
+pub(crate) fn customer_key(customer: usize) -> CustomerKey {
+    CustomerKey::from_name(&format!("customer-{customer}"))
+}
+
+/// The settings of a node's table under `policy`.
+fn route_settings(
+    node: NodeId,
+    settings: &BenchSettings,
+    spec: &WorkloadSpec,
+    policy: PolicyKind,
+) -> RouteSettings {
+    let ideas = match policy {
+        PolicyKind::Homes(ideas) => ideas,
+        _ => IdeaSet::NONE,
+    };
+    let defaults = RouteSettings::default();
+    RouteSettings {
+        node,
+        admit_share: settings.admit_share.unwrap_or(defaults.admit_share),
+        plan_block: if ideas.plans { defaults.plan_block } else { 0 },
+        two_choices: ideas.two_choices,
+        chat_entries: if ideas.hints { spec.chat_entries } else { 0 },
+        prefix_entries: if ideas.hints { spec.chat_entries } else { 0 },
+        gone_hold: Duration::from_secs(5),
+        ..defaults
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_bench/src/run/event_queue.rs
@@ -0,0 +1,24 @@
+use std::collections::BTreeMap;
+
+use crate::run::bench_event::BenchEvent;
+
+/// Events in the order of time; those of one moment in the order in which they were added.
+#[derive(Debug, Default)]
+pub(crate) struct EventQueue {
+    events: BTreeMap<(u64, u64), BenchEvent>,
+    next: u64,
+}
+
+impl EventQueue {
+    /// Adds an event at `at_ms`.
+    pub(crate) fn push(&mut self, at_ms: u64, event: BenchEvent) {
+        self.events.insert((at_ms, self.next), event);
+        self.next += 1;
+    }
+
+    /// Takes the next event and its time.
+    pub(crate) fn pop(&mut self) -> Option<(u64, BenchEvent)> {
+        let ((at, _), event) = self.events.pop_first()?;
+        Some((at, event))
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_bench/src/run/live_request.rs
@@ -0,0 +1,27 @@
+use ragwortroad_routing::SlotId;
+use ragwortroad_types::EndpointId;
+
+/// A request from its arrival to its end.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LiveRequest {
+    /// Number of its arrival.
+    pub(crate) arrival: usize,
+    /// The node that serves it.
+    pub(crate) node: usize,
+    /// The engine asked for or sent to.
+    pub(crate) engine: usize,
+    /// The home that granted the slot, and the slot.
+    pub(crate) slot: Option<(usize, SlotId)>,
+    /// Engines that refused or failed it.
+    pub(crate) excluded: Vec<usize>,
+    /// The same, by identity.
+    pub(crate) excluded_ids: Vec<EndpointId>,
+    /// Questions asked for it.
+    pub(crate) asked: u32,
+    /// Attempts sent.
+    pub(crate) attempts: u32,
+    /// When it arrived.
+    pub(crate) arrived_ms: u64,
+    /// It has ended for its caller.
+    pub(crate) over: bool,
+}
--- /dev/null
+++ b/crates/ragwortroad_bench/src/run/planner_choice.rs
@@ -0,0 +1,32 @@
+use crate::run::bench_run::BenchRun;
+
+/// The planner that knows everything.
+impl BenchRun<'_> {
+    /// The engine within the bound whose cache holds most of the prompt now; the least loaded of
+    /// equals. Where all are at the bound, the least loaded.
+    pub(crate) fn plan_engine(&self, request: u32) -> Option<usize> {
+        let live = &self.requests[request as usize];
+        let chain = self.chain_of(live.arrival);
+        let model = self.model_of(live.arrival);
+        let limit = self.trackers[model].limit();
+        let mut best = None;
+        for engine in &self.pools[model] {
+            let fake = &self.engines[*engine];
+            if !fake.alive || fake.leaving || live.excluded.contains(engine) {
+                continue;
+            }
+            let load = self.loads[*engine] + self.on_way[*engine];
+            let within = load < limit;
+            let cached = if within {
+                fake.cache.match_length(&chain)
+            } else {
+                0
+            };
+            let rank = (within, cached, std::cmp::Reverse(load));
+            if best.is_none_or(|(most, _)| rank > most) {
+                best = Some((rank, *engine));
+            }
+        }
+        best.map(|(_, engine)| engine)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_bench/src/run/skew_tracker.rs
@@ -0,0 +1,117 @@
+use std::collections::BTreeMap;
+
+use ragwortroad_routing::LoadBound;
+
+/// Peak over mean of one fleet's true loads, weighted by time.
+#[derive(Clone, Debug)]
+pub(crate) struct SkewTracker {
+    bound: LoadBound,
+    /// Load of every member. Invariant: `total` is their sum.
+    loads: BTreeMap<usize, u32>,
+    /// Members at each load.
+    at_load: Vec<u32>,
+    total: u64,
+    last_ms: u64,
+    /// Milliseconds spent at each ratio, in hundredths.
+    pub(crate) ratios: BTreeMap<u32, u64>,
+    /// Milliseconds in which some member was above the bound, and the longest stretch of them.
+    pub(crate) above_ms: u64,
+    pub(crate) longest_above_ms: u64,
+    above_since: Option<u64>,
+    /// Milliseconds measured.
+    pub(crate) measured_ms: u64,
+    /// Loads beyond the bound at the worst moment.
+    pub(crate) most_above: u32,
+}
+
+impl SkewTracker {
+    /// A fleet without members, measured from `from_ms`.
+    pub(crate) fn new(from_ms: u64) -> Self {
+        Self {
+            bound: LoadBound::default(),
+            loads: BTreeMap::new(),
+            at_load: Vec::new(),
+            total: 0,
+            last_ms: from_ms,
+            ratios: BTreeMap::new(),
+            above_ms: 0,
+            longest_above_ms: 0,
+            above_since: None,
+            measured_ms: 0,
+            most_above: 0,
+        }
+    }
+
+    /// Counts a member in.
+    pub(crate) fn join(&mut self, engine: usize, load: u32, now: u64) {
+        self.advance(now);
+        self.leave(engine, now);
+        self.loads.insert(engine, load);
+        self.total += u64::from(load);
+        *self.count_at(load) += 1;
+    }
+
+    /// Counts a member out.
+    pub(crate) fn leave(&mut self, engine: usize, now: u64) {
+        self.advance(now);
+        if let Some(load) = self.loads.remove(&engine) {
+            self.total -= u64::from(load);
+            *self.count_at(load) -= 1;
+        }
+    }
+
+    /// Sets a member's load; one that is no member is left out.
+    pub(crate) fn set(&mut self, engine: usize, load: u32, now: u64) {
+        if self.loads.contains_key(&engine) {
+            self.join(engine, load, now);
+        }
+    }
+
+    /// The most a member may carry now.
+    pub(crate) fn limit(&self) -> u32 {
+        self.bound.of_mean(self.mean())
+    }
+
+    /// Adds the time up to `now` to the account.
+    pub(crate) fn advance(&mut self, now: u64) {
+        let Some(span) = now.checked_sub(self.last_ms).filter(|span| *span > 0) else {
+            return;
+        };
+        let peak = self.peak();
+        let limit = self.limit();
+        if peak > limit {
+            let since = *self.above_since.get_or_insert(self.last_ms);
+            self.above_ms += span;
+            self.longest_above_ms = self.longest_above_ms.max(now - since);
+            self.most_above = self.most_above.max(peak - limit);
+        } else {
+            self.above_since = None;
+        }
+        if self.total > 0 {
+            let ratio = f64::from(peak) / self.mean();
+            *self
+                .ratios
+                .entry((ratio * 100.0).round() as u32)
+                .or_insert(0) += span;
+        }
+        self.measured_ms += span;
+        self.last_ms = now;
+    }
+
+    fn mean(&self) -> f64 {
+        self.total as f64 / self.loads.len().max(1) as f64
+    }
+
+    fn peak(&self) -> u32 {
+        let highest = self.at_load.iter().rposition(|count| *count > 0);
+        highest.unwrap_or(0) as u32
+    }
+
+    fn count_at(&mut self, load: u32) -> &mut u32 {
+        let index = load as usize;
+        if self.at_load.len() <= index {
+            self.at_load.resize(index + 1, 0);
+        }
+        &mut self.at_load[index]
+    }
+}
