Hold a request briefly for room where its context is

A chat whose engine was at its bound for a moment went elsewhere and was computed anew. It now waits up to 12 ms for each block of its prompt, at most 300 ms; any request waits up to 500 ms for room anywhere before it is refused. A full home tells when a slot is likely to end.

--- a/crates/ragwortroad_bench/src/policy/policy_kind.rs
+++ b/crates/ragwortroad_bench/src/policy/policy_kind.rs
@@ -33,6 +33,8 @@
     pub plans: bool,
     /// New chats go to the less loaded of two.
     pub two_choices: bool,
+    /// A chat waits a little for room where its context is, and any request for room at all.
+    pub holds: bool,
 }
 
 impl IdeaSet {
@@ -41,12 +43,14 @@
         hints: false,
         plans: false,
         two_choices: false,
+        holds: false,
     };
     /// Everything.
     pub const ALL: Self = Self {
         hints: true,
         plans: true,
         two_choices: true,
+        holds: true,
     };
 }
 
@@ -66,7 +70,12 @@
                 ..IdeaSet::NONE
             }),
             Self::Homes(IdeaSet {
-                two_choices: false,
+                hints: true,
+                plans: true,
+                ..IdeaSet::NONE
+            }),
+            Self::Homes(IdeaSet {
+                holds: false,
                 ..IdeaSet::ALL
             }),
             Self::Homes(IdeaSet::ALL),
@@ -87,6 +96,7 @@
                     (ideas.hints, "+hints"),
                     (ideas.plans, "+plans"),
                     (ideas.two_choices, "+two_choices"),
+                    (ideas.holds, "+holds"),
                 ];
                 let names = parts.iter().filter(|(on, _)| *on).map(|(_, name)| *name);
                 "homes".to_owned() + &names.collect::<String>()
--- a/crates/ragwortroad_bench/src/report/bench_report.rs
+++ b/crates/ragwortroad_bench/src/report/bench_report.rs
@@ -9,7 +9,8 @@
     BenchSettings,
     PolicyKind,
     PolicyReport,
-    WorkloadKind, //
+    WorkloadKind,
+    report::text_cells::text_cells, //
 };
 
 /// What a bench found; the same to the letter for the same settings.
@@ -64,50 +65,18 @@
             "workload {:?}, disturbances {}, seed {}, {} s after {} s",
             self.workload, self.disturbances, self.seed, self.seconds, self.warm_seconds
         )?;
-        writeln!(
-            formatter,
-            "{:<31} {:>6} {:>6} {:>5} {:>5} {:>5} {:>7} {:>6} {:>4} {:>6} {:>6} {:>6} {:>5} {:>6} {:>6} {:>5} {:>5} {:>6}",
-            "policy",
-            "reuse",
-            "ofplan",
-            "skp50",
-            "skp99",
-            "skmax",
-            "above%",
-            "longms",
-            "most",
-            "moves‰",
-            "ask‰",
-            "B/n/s",
-            "refus",
-            "limit",
-            "fail",
-            "lost",
-            "tt50",
-            "tt95"
-        )?;
-        for row in &self.policies {
+        for (index, row) in self.policies.iter().enumerate() {
+            let cells = text_cells(row);
+            if index == 0 {
+                let heads = cells.iter().map(|(head, _)| format!(" {head:>7}"));
+                writeln!(formatter, "{:<39}{}", "policy", heads.collect::<String>())?;
+            }
+            let values = cells.iter().map(|(_, value)| format!(" {value:>7}"));
             writeln!(
                 formatter,
-                "{:<31} {:>6.4} {:>6.4} {:>5.2} {:>5.2} {:>5.2} {:>7.3} {:>6} {:>4} {:>6.1} {:>6.1} {:>6.0} {:>5} {:>6} {:>6} {:>5} {:>5} {:>6}",
+                "{:<39}{}",
                 row.policy,
-                row.reuse,
-                row.reuse_of_planner,
-                row.skew_p50,
-                row.skew_p99,
-                row.skew_max,
-                100.0 * row.above_share,
-                row.above_longest_ms,
-                row.above_most,
-                row.moves_per_1000,
-                row.asked_per_1000,
-                row.control_bytes(),
-                row.refused,
-                row.limited,
-                row.failed,
-                row.lost,
-                row.first_token_p50_ms,
-                row.first_token_p95_ms,
+                values.collect::<String>()
             )?;
         }
         Ok(())
--- a/crates/ragwortroad_bench/src/report/mod.rs
+++ b/crates/ragwortroad_bench/src/report/mod.rs
@@ -2,3 +2,4 @@
 
 pub(crate) mod bench_report;
 pub(crate) mod policy_report;
+pub(crate) mod text_cells;
--- a/crates/ragwortroad_bench/src/report/policy_report.rs
+++ b/crates/ragwortroad_bench/src/report/policy_report.rs
@@ -55,6 +55,8 @@
     pub limit_bytes: f64,
     /// Load digests, worked out.
     pub digest_bytes: f64,
+    /// Milliseconds a request was held, on average.
+    pub held_mean_ms: f64,
     /// Questions to homes, for each thousand requests.
     pub asked_per_1000: f64,
     /// Milliseconds to the first token: median.
@@ -94,6 +96,7 @@
             slot_bytes: rounded(tally.bytes.slots as f64 / seconds),
             limit_bytes: rounded(tally.bytes.limits as f64 / seconds),
             digest_bytes: rounded(tally.bytes.digests as f64 / seconds),
+            held_mean_ms: ratio(tally.held_ms, tally.arrived),
             asked_per_1000: rounded(1000.0 * ratio(tally.asked, tally.arrived)),
             first_token_p50_ms: quantile(&tally.first_token, 0.5),
             first_token_p95_ms: quantile(&tally.first_token, 0.95),
--- a/crates/ragwortroad_bench/src/run/bench_event.rs
+++ b/crates/ragwortroad_bench/src/run/bench_event.rs
@@ -20,6 +20,8 @@
 pub(crate) enum BenchEvent {
     /// The next request of the plan arrives.
     Arrive,
+    /// A request that was held looks for a place again.
+    Look { request: u32 },
     /// A question for a slot reaches the home.
     Ask { request: u32, home: u32 },
     /// The home's answer reaches the asker.
--- a/crates/ragwortroad_bench/src/run/bench_node.rs
+++ b/crates/ragwortroad_bench/src/run/bench_node.rs
@@ -115,7 +115,16 @@
         two_choices: ideas.two_choices,
         chat_entries: if ideas.hints { spec.chat_entries } else { 0 },
         prefix_entries: if ideas.hints { spec.chat_entries } else { 0 },
-        gone_hold: Duration::from_secs(5),
+        hold_known: if ideas.holds {
+            defaults.hold_known
+        } else {
+            Duration::ZERO
+        },
+        hold_any: if ideas.holds {
+            defaults.hold_any
+        } else {
+            Duration::ZERO
+        },
         ..defaults
     }
 }
--- a/crates/ragwortroad_bench/src/run/bench_run.rs
+++ b/crates/ragwortroad_bench/src/run/bench_run.rs
@@ -191,6 +191,7 @@
     fn handle(&mut self, event: BenchEvent) {
         match event {
             BenchEvent::Arrive => self.arrive(),
+            BenchEvent::Look { request } => self.place(request),
             BenchEvent::Ask { request, home } => self.ask_reached(request, home as usize),
             BenchEvent::Answer { request, answer } => self.answer_reached(request, answer),
             BenchEvent::Reach { request, engine } => self.engine_reached(request, engine as usize),
--- a/crates/ragwortroad_bench/src/run/request_flow.rs
+++ b/crates/ragwortroad_bench/src/run/request_flow.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use ragwortroad_routing::{
     LimitAnswer,
     RouteDecision,
@@ -32,7 +34,7 @@
 };
 
 /// Questions asked of homes for one request before it is refused.
-const MOST_ASKED: u32 = 3;
+const MOST_ASKED: u32 = 8;
 /// Attempts sent for one request.
 const MOST_ATTEMPTS: u32 = 3;
 
@@ -102,7 +104,10 @@
     }
 
     /// Finds the next place for a request.
-    fn place(&mut self, request: u32) {
+    pub(crate) fn place(&mut self, request: u32) {
+        if self.requests[request as usize].over {
+            return;
+        }
         match self.policy {
             PolicyKind::Homes(_) => self.place_by_table(request),
             PolicyKind::Planner => match self.plan_engine(request) {
@@ -137,6 +142,7 @@
             hint: self.hint_of(arrival),
             excluded: &live.excluded_ids,
             salt: u64::from(request),
+            waited: Duration::from_millis(self.now - live.arrived_ms),
         };
         match self.nodes[node].table.choose(&query, clock) {
             RouteDecision::Admit { endpoint, slot, .. } => {
@@ -161,6 +167,11 @@
                 let home = home as u32;
                 self.queue.push(at, BenchEvent::Ask { request, home });
             }
+            RouteDecision::Hold { retry_after } => {
+                self.tally.held_ms += retry_after.as_millis() as u64;
+                let at = self.now + (retry_after.as_millis() as u64).max(1);
+                self.queue.push(at, BenchEvent::Look { request });
+            }
             RouteDecision::Refuse { .. } => self.refuse(request),
         }
     }
@@ -209,7 +220,6 @@
         if let SlotAnswer::Granted { .. } = answer {
             return self.send(request, engine);
         }
-        self.exclude(request, engine);
         self.place(request);
     }
 
--- a/crates/ragwortroad_bench/src/run/run_tally.rs
+++ b/crates/ragwortroad_bench/src/run/run_tally.rs
@@ -26,6 +26,8 @@
     pub(crate) reused: u64,
     /// Requests of a chat on another engine than its last.
     pub(crate) moves: u64,
+    /// Milliseconds requests were held, together.
+    pub(crate) held_ms: u64,
     /// Questions asked of homes.
     pub(crate) asked: u64,
     /// Milliseconds to the first token.
@@ -55,6 +57,7 @@
             reusable: 0,
             reused: 0,
             moves: 0,
+            held_ms: 0,
             asked: 0,
             first_token: histogram.clone(),
             first_token_small: histogram,
--- a/crates/ragwortroad_routing/src/table/route_choice.rs
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -31,17 +31,20 @@
         if !self.pools.contains_key(&query.offer) {
             return self.refuse(RefusalCode::NoEndpoint);
         }
-        let mut known = false;
+        let mut known = None;
         for (endpoint, reason) in self.known_places(query) {
             let Some(key) = self.usable(endpoint, query) else {
                 continue;
             };
-            known = true;
             if let Some(decision) = self.try_place(key, reason, query, now) {
                 return decision;
             }
+            known = known.or(Some(key));
         }
-        let mut ranking = Ranking::new(query, &self.settings, known);
+        if let Some(retry_after) = known.and_then(|key| self.hold_for(key, query, now)) {
+            return RouteDecision::Hold { retry_after };
+        }
+        let mut ranking = Ranking::new(query, &self.settings, known.is_some());
         for _ in 0..TRIES {
             let Some(key) = self.best_of(&mut ranking, query, now) else {
                 break;
@@ -51,9 +54,40 @@
             }
             ranking.skip(key);
         }
+        if query.waited < self.settings.hold_any {
+            let retry_after = self.settings.hold_step;
+            return RouteDecision::Hold { retry_after };
+        }
         self.refuse(RefusalCode::Overloaded)
     }
 
+    /// How long to wait for room at the place that holds the request's context, if it is worth it.
+    ///
+    /// Without this a chat whose engine is at its bound for a moment is computed anew elsewhere,
+    /// which costs more of both engines than the wait costs the caller, and the chat's next turn
+    /// finds its context split over two places.
+    fn hold_for(
+        &self,
+        key: EndpointKey,
+        query: &RouteQuery<'_>,
+        now: ClockTime,
+    ) -> Option<Duration> {
+        let settings = &self.settings;
+        let worth = settings.hold_per_block * query.prefixes.len() as u32;
+        if query.waited >= worth.min(settings.hold_known) {
+            return None;
+        }
+        let state = self.arena[key.index()].as_ref()?;
+        if self.outliers.is_out(state.facts.id, now) || state.set_aside {
+            return None;
+        }
+        if self.is_home(state) {
+            return state.is_exclusive(now).then_some(settings.hold_step);
+        }
+        let asked_again = state.view.full_until.since(now);
+        Some(asked_again.max(settings.hold_step))
+    }
+
     /// The nodes a caller should use, best first.
     ///
     /// The first is the home of the engine that the chat was last on, so that most requests arrive
--- a/crates/ragwortroad_routing/src/table/route_decision.rs
+++ b/crates/ragwortroad_routing/src/table/route_decision.rs
@@ -30,6 +30,12 @@
         /// Why this endpoint.
         reason: RouteReason,
     },
+    /// Ask again with the same query after this time; a place that is worth waiting for is at its
+    /// bound. The table says so only while the query has waited less than the settings allow.
+    Hold {
+        /// How long to wait.
+        retry_after: Duration,
+    },
     /// Nothing was sent; tell the caller at once.
     Refuse {
         /// The stable reason.
--- a/crates/ragwortroad_routing/src/table/route_query.rs
+++ b/crates/ragwortroad_routing/src/table/route_query.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use ragwortroad_types::{
     ChatKey,
     EndpointId,
@@ -22,8 +24,10 @@
     pub prefixes: &'query [PrefixKey],
     /// The engine named by the caller's hint; a wrong one costs cache reuse only.
     pub hint: Option<EndpointId>,
-    /// Endpoints that failed this request, or whose home refused it, before.
+    /// Endpoints that failed this request before.
     pub excluded: &'query [EndpointId],
     /// Any number that differs between requests, to spread those that belong to no chat.
     pub salt: u64,
+    /// How long it has been held already.
+    pub waited: Duration,
 }
--- a/crates/ragwortroad_routing/src/table/route_settings.rs
+++ b/crates/ragwortroad_routing/src/table/route_settings.rs
@@ -33,7 +33,16 @@
     pub chat_entries: usize,
     /// Prefixes whose place a node remembers from the cache events of its own engines.
     pub prefix_entries: usize,
-    /// How long a home that answered "full" is not asked again.
+    /// Longest time a chat waits for room where its context is.
+    pub hold_known: Duration,
+    /// The part of that time that each block of its prompt is worth, which is about what computing
+    /// the block anew would take.
+    pub hold_per_block: Duration,
+    /// Longest time any request waits for room anywhere before it is refused.
+    pub hold_any: Duration,
+    /// Time between two looks at a full place of this node's own.
+    pub hold_step: Duration,
+    /// Longest time for which a home that answered "full" is not asked again.
     pub full_pause: Duration,
     /// How long slots of a node that is gone stay counted, since its requests may still run.
     pub gone_hold: Duration,
@@ -60,6 +69,10 @@
             two_choices: true,
             chat_entries: 64 * 1024,
             prefix_entries: 64 * 1024,
+            hold_known: Duration::from_millis(300),
+            hold_per_block: Duration::from_millis(12),
+            hold_any: Duration::from_millis(500),
+            hold_step: Duration::from_millis(20),
             full_pause: Duration::from_millis(250),
             gone_hold: Duration::from_secs(5),
             failure_hold: Duration::from_secs(2),
--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use ragwortroad_types::{
     ChatKey,
     ClockTime,
@@ -35,11 +37,27 @@
         match self.take_slot(key, asker, customer, now) {
             Some(slot) => SlotAnswer::Granted { slot },
             None => SlotAnswer::Full {
-                retry_after: self.settings.full_pause,
+                retry_after: self.pause_of(key, now),
             },
         }
     }
 
+    /// About the time until the endpoint has room again.
+    fn pause_of(&self, key: EndpointKey, now: ClockTime) -> Duration {
+        let settings = &self.settings;
+        let Some(state) = self.arena[key.index()].as_ref() else {
+            return settings.full_pause;
+        };
+        if !state.is_exclusive(now) {
+            return settings.full_pause;
+        }
+        let between_ends = state.ledger.time_between_ends();
+        between_ends.clamp(
+            settings.hold_step,
+            settings.full_pause.max(settings.hold_step),
+        )
+    }
+
     /// Gives a slot back at the endpoint's home, whoever had asked for it.
     pub fn release(
         &mut self,
--- a/crates/ragwortroad_routing/src/table/slot_ledger.rs
+++ b/crates/ragwortroad_routing/src/table/slot_ledger.rs
@@ -29,6 +29,8 @@
     ended: VecDeque<(ClockTime, ClockTime)>,
     /// Work that an earlier home admitted, by the endpoint's reports.
     inherited: u32,
+    /// Milliseconds a slot is held, averaged over the last few.
+    life_ms: f64,
 }
 
 /// One slot.
@@ -57,6 +59,11 @@
         (own, others + 1)
     }
 
+    /// The time between two slots that end, at the present load.
+    pub(crate) fn time_between_ends(&self) -> Duration {
+        Duration::from_millis((self.life_ms / f64::from(self.load().max(1))) as u64)
+    }
+
     /// Starts over as a new home: everything reported counts as an earlier home's work.
     pub(crate) fn inherit(&mut self, load: u32) {
         *self = Self {
@@ -95,6 +102,9 @@
                 self.customers.remove(&record.customer);
             }
         }
+        const LATEST_SHARE: f64 = 0.1;
+        let life = now.since(record.granted_at).as_millis() as f64;
+        self.life_ms += LATEST_SHARE * (life - self.life_ms);
         self.ended.push_back((record.granted_at, now));
         true
     }
