Join the parts to a running node

Cause: routing, state, membership and HTTP did not know of each other. Change: NodeProcess starts transport, gateway, disk thread and control thread, and joins them all; admission, claims, slots, following and the operators' language run on the control thread. Conclusion: the whole path can be tried.

--- a/crates/ragwortroad_node/src/control/address_flow.rs
+++ b/crates/ragwortroad_node/src/control/address_flow.rs
@@ -34,9 +34,7 @@
             // A node that has no configuration yet knows no customer; others may.
             let refusal = match self.follow.guard.may_admit(now) {
                 Ok(()) => AdmitRefusal::not_run(RefusalCode::WrongKey, "no customer has this key"),
-                Err(reason) => {
-                    AdmitRefusal::not_run(RefusalCode::NotCurrent, reason.to_string())
-                }
+                Err(reason) => AdmitRefusal::not_run(RefusalCode::NotCurrent, reason.to_string()),
             };
             return Err(self.refusal_wire(request, refusal));
         };
--- a/crates/ragwortroad_node/src/control/admit_flow.rs
+++ b/crates/ragwortroad_node/src/control/admit_flow.rs
@@ -176,7 +176,10 @@
                     let message = format!("no model '{model}' serves customer {customer}");
                     return Err(AdmitRefusal::not_run(RefusalCode::UnknownModel, message));
                 }
-                let pinned = entry.models.get(model).and_then(|use_| use_.version.clone());
+                let pinned = entry
+                    .models
+                    .get(model)
+                    .and_then(|use_| use_.version.clone());
                 let version = match pinned {
                     Some(version) => version,
                     None => self.version_for(model, chat, call.request)?,
--- a/crates/ragwortroad_node/src/control/claim_flow.rs
+++ b/crates/ragwortroad_node/src/control/claim_flow.rs
@@ -115,12 +115,7 @@
     }
 
     /// The leader answered a batch of this node.
-    pub(crate) fn claims_done(
-        &mut self,
-        batch: u64,
-        outcomes: Vec<ClaimOutcome>,
-        now: ClockTime,
-    ) {
+    pub(crate) fn claims_done(&mut self, batch: u64, outcomes: Vec<ClaimOutcome>, now: ClockTime) {
         for (plan, outcome) in self.claims.answered(batch, outcomes) {
             self.decide_claim(plan, outcome, now);
         }
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -5,7 +5,6 @@
 use ragwortroad_membership::prelude::*;
 use ragwortroad_routing::prelude::*;
 use ragwortroad_settings::prelude::*;
-use ragwortroad_state::prelude::*;
 use ragwortroad_transport::prelude::*;
 use ragwortroad_types::prelude::*;
 use rand::{
@@ -89,6 +88,8 @@
     pub(crate) draining: bool,
     /// When the slow duties were done last.
     pub(crate) second: ClockTime,
+    /// When this node last introduced its data folder to the other members.
+    pub(crate) said_hello: ClockTime,
 }
 
 /// Time between two ticks.
@@ -106,7 +107,11 @@
         let mut next_tick = self.clock.now();
         loop {
             let now = self.clock.now();
-            let patience = next_tick.since(now);
+            let wake = self
+                .waits
+                .next_due()
+                .map_or(next_tick, |due| due.min(next_tick));
+            let patience = wake.since(now);
             if let Some(event) = inbox.next(patience)
                 && self.serve_round(event, inbox)
             {
@@ -198,6 +203,7 @@
 
     /// Sends what the round has gathered.
     fn flush(&mut self, now: ClockTime) {
+        self.place_held(now);
         self.send_claims(now);
         self.propose_claims(now);
     }
--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -28,7 +28,12 @@
             let refusal = AdmitRefusal::not_run(RefusalCode::WrongKey, message);
             return Err(self.refusal_wire(request, refusal));
         }
-        if call.announce.address.parse::<std::net::SocketAddr>().is_err() {
+        if call
+            .announce
+            .address
+            .parse::<std::net::SocketAddr>()
+            .is_err()
+        {
             let message = format!("'{}' is not IP:port", call.announce.address);
             let refusal = AdmitRefusal::not_run(RefusalCode::MalformedRequest, message);
             return Err(self.refusal_wire(request, refusal));
--- a/crates/ragwortroad_node/src/control/follow_flow.rs
+++ b/crates/ragwortroad_node/src/control/follow_flow.rs
@@ -231,7 +231,9 @@
     }
     let members = core.members().voters();
     let members: Vec<MemberId> = members.collect();
-    let members = members.into_iter().filter_map(|member| seat.node_of(member));
+    let members = members
+        .into_iter()
+        .filter_map(|member| seat.node_of(member));
     let members: Vec<NodeId> = members.collect();
     let log_revision = seat.state.config().revision;
     let lease = seat
--- /dev/null
+++ b/crates/ragwortroad_node/src/control/gauge_flow.rs
@@ -0,0 +1,54 @@
+//! Gauges of the control state, and pages made of it.
+
+use ragwortroad_types::prelude::*;
+
+use crate::control::{
+    control_inbox::PageCall,
+    control_state::{
+        ControlState,
+        reply_to, //
+    }, //
+};
+
+impl ControlState {
+    /// Publishes what operators watch.
+    pub(crate) fn publish_gauges(&mut self, now: ClockTime) {
+        let name = self.settings.node.name.clone();
+        let gauge = |metric: &'static str, value: f64| {
+            metrics::gauge!(metric, "node" => name.clone()).set(value);
+        };
+        let stats = self.transport.stats();
+        gauge("ragwortroad_control_bytes_sent", stats.bytes_sent as f64);
+        gauge(
+            "ragwortroad_control_bytes_received",
+            stats.bytes_received as f64,
+        );
+        gauge(
+            "ragwortroad_messages_dropped",
+            stats.messages_dropped as f64,
+        );
+        gauge("ragwortroad_attempts_running", self.tickets.len() as f64);
+        gauge("ragwortroad_slots_awaited", self.waits.len() as f64);
+        gauge("ragwortroad_claim_steps_open", self.claims.len() as f64);
+        gauge(
+            "ragwortroad_releases_unconfirmed",
+            self.releases.len() as f64,
+        );
+        gauge("ragwortroad_revision", self.follow.config.revision as f64);
+        let admits = self.follow.guard.may_admit(now).is_ok() && !self.draining;
+        gauge("ragwortroad_admits", f64::from(u8::from(admits)));
+        let leads = self.member.as_ref().is_some_and(|seat| seat.leads(now));
+        gauge("ragwortroad_leads", f64::from(u8::from(leads)));
+        let live = self.membership.live_nodes().count();
+        gauge("ragwortroad_nodes_live", live as f64);
+        let available = self.membership.available_endpoints().count();
+        gauge("ragwortroad_endpoints_available", available as f64);
+    }
+
+    /// Serves a page of control state to an operator.
+    pub(crate) fn serve_page(&mut self, call: PageCall) {
+        let operator = self.operator_name(&call.key_hash, &self.follow.config);
+        let page = operator.map(|_| String::new());
+        reply_to(&call.reply, page);
+    }
+}
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -24,7 +24,7 @@
 };
 
 /// Homes that one attempt asks before it is refused.
-const MOST_ASKED: u32 = 3;
+const MOST_ASKED: u32 = 6;
 
 /// Time after which a home's answer is no longer waited for.
 const SLOT_PATIENCE: Duration = Duration::from_millis(400);
@@ -47,6 +47,7 @@
                 hint: plan.hint,
                 excluded: &plan.excluded,
                 salt: plan.call.request.0,
+                waited: now.since(plan.since),
             };
             match self.route.choose(&query, now) {
                 RouteDecision::Admit { endpoint, slot, .. } => {
@@ -56,7 +57,8 @@
                     }
                     // The right to admit lapsed between two ticks. Another node may have it by
                     // now, and both together could pass the engine's bound.
-                    self.route.release(endpoint, slot, SlotOutcome::Neutral, now);
+                    self.route
+                        .release(endpoint, slot, SlotOutcome::Neutral, now);
                     plan.excluded.push(endpoint);
                 }
                 RouteDecision::AskHome { endpoint, home, .. } => {
@@ -67,6 +69,10 @@
                     let refusal = AdmitRefusal::not_run(RefusalCode::Overloaded, message);
                     return self.refuse_plan(plan, refusal.after(FULL_PAUSE));
                 }
+                RouteDecision::Hold { retry_after } => {
+                    self.waits.hold(plan, now.after(retry_after));
+                    return;
+                }
                 RouteDecision::Refuse { code, retry_after } => {
                     let refusal = AdmitRefusal::not_run(code, refusal_text(code));
                     return self.refuse_plan(plan, refusal.after(retry_after));
@@ -139,7 +145,14 @@
             // The caller left while its place was being found: nothing was sent.
             let outcome = AttemptOutcome::NotSent;
             let took = Duration::ZERO;
-            self.finish(FinishCall { ticket, outcome, took }, now);
+            self.finish(
+                FinishCall {
+                    ticket,
+                    outcome,
+                    took,
+                },
+                now,
+            );
         }
     }
 
@@ -149,7 +162,12 @@
             tracing::warn!(ticket = call.ticket.0, "an attempt ended twice");
             return;
         };
-        self.release_slot(record.endpoint, record.slot, slot_outcome(&call.outcome), now);
+        self.release_slot(
+            record.endpoint,
+            record.slot,
+            slot_outcome(&call.outcome),
+            now,
+        );
         let used = match call.outcome {
             AttemptOutcome::NotSent => 0,
             _ => record.tokens,
@@ -188,6 +206,17 @@
         }
     }
 
+    /// Looks for places again for attempts whose hold is over.
+    pub(crate) fn place_held(&mut self, now: ClockTime) {
+        for plan in self.waits.due(now) {
+            match self.check_open(now) {
+                // The node may have lost its leave to admit while the attempt was held.
+                Ok(()) => self.place_plan(plan, now),
+                Err(refusal) => self.refuse_plan(plan, refusal),
+            }
+        }
+    }
+
     /// Ends waits whose answer does not come, and goes on to the next place.
     pub(crate) fn tick_waits(&mut self, now: ClockTime) {
         let membership = &self.membership;
--- a/crates/ragwortroad_node/src/control/mod.rs
+++ b/crates/ragwortroad_node/src/control/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod fleet_view;
 pub(crate) mod follow_flow;
 pub(crate) mod follow_seat;
+pub(crate) mod gauge_flow;
 pub(crate) mod grant_flow;
 pub(crate) mod leader_flow;
 pub(crate) mod line_flow;
--- a/crates/ragwortroad_node/src/control/slot_flow.rs
+++ b/crates/ragwortroad_node/src/control/slot_flow.rs
@@ -60,7 +60,8 @@
             } => {
                 if let Some(record) = self.grants.end(from, question, now) {
                     let outcome = outcome.into();
-                    self.route.release(record.endpoint, record.slot, outcome, now);
+                    self.route
+                        .release(record.endpoint, record.slot, outcome, now);
                 }
                 self.send_slots(from, &SlotMessage::Released { question });
             }
@@ -108,13 +109,7 @@
     }
 
     /// A home answered a question of this node.
-    fn take_answer(
-        &mut self,
-        home: NodeId,
-        question: u64,
-        verdict: SlotVerdict,
-        now: ClockTime,
-    ) {
+    fn take_answer(&mut self, home: NodeId, question: u64, verdict: SlotVerdict, now: ClockTime) {
         let Some(wait) = self.waits.take(question, home) else {
             // The attempt went elsewhere meanwhile; its release is on the way.
             return;
@@ -128,7 +123,9 @@
             let slot = HeldSlot::Foreign { home, question };
             return self.grant_plan(plan, endpoint, slot, now);
         }
-        plan.excluded.push(endpoint);
+        if matches!(verdict, SlotVerdict::NotHome { .. }) {
+            plan.excluded.push(endpoint);
+        }
         self.place_plan(plan, now);
     }
 
@@ -202,7 +199,8 @@
                 continue;
             }
             let entries = digest.entries.iter();
-            let entries = entries.map(|entry| (entry.customer.0, entry.rate_share, entry.concurrent));
+            let entries =
+                entries.map(|entry| (entry.customer.0, entry.rate_share, entry.concurrent));
             self.send_slots(node, &SlotMessage::Share(entries.collect()));
         }
     }
--- a/crates/ragwortroad_node/src/lib.rs
+++ b/crates/ragwortroad_node/src/lib.rs
@@ -1,1 +1,37 @@
 //! One process of the fleet: supervisor, control thread, traffic threads.
+//!
+//! A [`NodeProcess`] joins the other crates to a running node. It is the only crate that reads
+//! clocks and draws seeds for the pure ones.
+//!
+//! ```no_run
+//! use ragwortroad_node::prelude::*;
+//! use ragwortroad_settings::prelude::*;
+//!
+//! let settings = ProcessSettings::from_file("node-1.ini".as_ref())?;
+//! let node = NodeProcess::start(settings)?;
+//! println!("callers connect to {}", node.caller_address());
+//! node.stop();
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod control;
+mod disk_worker;
+mod member;
+mod metric_pages;
+mod node_error;
+mod node_process;
+mod node_secrets;
+mod real_clock;
+mod request;
+mod slot;
+mod wire;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        node_error::NodeError,
+        node_process::NodeProcess, //
+    };
+}
+
+pub use prelude::*;
--- a/crates/ragwortroad_node/src/member/member_seat.rs
+++ b/crates/ragwortroad_node/src/member/member_seat.rs
@@ -49,6 +49,8 @@
     pub(crate) promises: PromiseBook,
     /// Present while this member leads.
     pub(crate) desk: Option<LeaderDesk>,
+    /// The state could not be carried on; only a restart with a mended program or folder helps.
+    pub(crate) halted: bool,
     next_token: u64,
     settings: CoreSettings,
     start: u64,
@@ -105,6 +107,7 @@
             nodes: BTreeMap::new(),
             promises: PromiseBook::new(timing, start.now),
             desk: None,
+            halted: false,
             next_token: 0,
             settings: core_settings(&start.settings.state),
             start: start.start,
@@ -113,9 +116,11 @@
 
     /// What this member says of itself to the others that the settings name.
     pub(crate) fn hello(&self, node: NodeId) -> FoundingHello {
-        let is_empty = match &self.core {
-            Some(core) => core.last_position().index == 0,
-            None => self.stored.as_ref().is_none_or(is_unused),
+        let is_empty = match (&self.core, &self.stored) {
+            (Some(core), _) => core.last_position().index == 0,
+            (None, Some(stored)) => is_unused(stored),
+            // A halted member's folder is in use; "empty" could found a second group.
+            (None, None) => false,
         };
         FoundingHello {
             node,
--- a/crates/ragwortroad_node/src/node_error.rs
+++ b/crates/ragwortroad_node/src/node_error.rs
@@ -9,8 +9,7 @@
 use snafu::Snafu;
 
 /// Why a node could not start.
-#[derive(Debug)]
-#[derive(Snafu)]
+#[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum NodeError {
     /// The system gave no thread.
--- a/crates/ragwortroad_node/src/request/wait_table.rs
+++ b/crates/ragwortroad_node/src/request/wait_table.rs
@@ -10,6 +10,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct WaitTable {
     slots: BTreeMap<u64, SlotWait>,
+    /// Attempts held until a place that is worth it may have room, by when to look again.
+    held: BTreeMap<(ClockTime, u64), RequestPlan>,
+    next_held: u64,
 }
 
 /// An attempt that waits for a slot.
@@ -57,8 +60,26 @@
         numbers.into_iter().filter_map(take).collect()
     }
 
-    /// Attempts waiting.
+    /// Holds an attempt until `due`.
+    pub(crate) fn hold(&mut self, plan: RequestPlan, due: ClockTime) {
+        self.next_held += 1;
+        self.held.insert((due, self.next_held), plan);
+    }
+
+    /// When the next held attempt is due.
+    pub(crate) fn next_due(&self) -> Option<ClockTime> {
+        self.held.first_key_value().map(|((due, _), _)| *due)
+    }
+
+    /// Held attempts whose time has come, in that order.
+    pub(crate) fn due(&mut self, now: ClockTime) -> Vec<RequestPlan> {
+        let later = self.held.split_off(&(ClockTime(now.0 + 1), 0));
+        let due = std::mem::replace(&mut self.held, later);
+        due.into_values().collect()
+    }
+
+    /// Attempts waiting or held.
     pub(crate) fn len(&self) -> usize {
-        self.slots.len()
+        self.slots.len() + self.held.len()
     }
 }
--- a/crates/ragwortroad_node/src/slot/grant_book.rs
+++ b/crates/ragwortroad_node/src/slot/grant_book.rs
@@ -73,7 +73,8 @@
 
     /// Forgets what no message can ask for any more.
     pub(crate) fn tick(&mut self, now: ClockTime) {
-        self.ended.retain(|_, ended| now.since(*ended) < ENDED_MEMORY);
+        self.ended
+            .retain(|_, ended| now.since(*ended) < ENDED_MEMORY);
     }
 
     /// Forgets the grants of a node that is gone; the route table ends their slots itself.
--- a/crates/ragwortroad_node/src/wire/slot_message.rs
+++ b/crates/ragwortroad_node/src/wire/slot_message.rs
@@ -12,8 +12,7 @@
 /// A question's number is drawn by the asker and names the slot from then on, so that every
 /// message can be repeated: a repeated `Ask` returns the same slot, a repeated `Release` ends it
 /// once.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum SlotMessage {
     /// May one request of this customer be sent to the endpoint?
     Ask {
@@ -53,8 +52,7 @@
 }
 
 /// A home's answer on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum SlotVerdict {
     /// Send it.
     Granted,
@@ -97,8 +95,7 @@
 }
 
 /// How the request of a slot ended, on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum ReleaseOutcome {
     /// A whole answer.
     Succeeded,
