Show each known trap with an endpoint or caller that falls into it

Cause: answers cut short, crossed, late or redirected must never reach a caller as its own. The token missing at a stream's very end was found by them and is now told by the engine's own count.

--- a/crates/ragwortroad_gateway/src/chunk_wire.rs
+++ b/crates/ragwortroad_gateway/src/chunk_wire.rs
@@ -45,6 +45,9 @@
 /// What a request cost, as the engine counts.
 #[derive(Debug, Default, Deserialize)]
 pub(crate) struct UsageWire {
+    /// Tokens of the whole answer, for a resumed stream as well.
+    #[serde(default)]
+    pub(crate) completion_tokens: Option<u32>,
     #[serde(default)]
     pub(crate) prompt_tokens_details: Option<TokenDetails>,
 }
--- a/crates/ragwortroad_gateway/src/connection_loop.rs
+++ b/crates/ragwortroad_gateway/src/connection_loop.rs
@@ -9,6 +9,7 @@
 };
 use hyper_util::rt::TokioIo;
 use ragwortroad_types::prelude::*;
+use socket2::SockRef;
 use tokio::{
     io::AsyncWriteExt,
     net::{
@@ -44,6 +45,9 @@
 /// Most callers turned away at once; beyond that they are closed without a word.
 const TURNED_AWAY_AT_ONCE: usize = 64;
 
+/// The HTTP library's least buffer for a head.
+const LEAST_HEADER: usize = 8192;
+
 /// Accepts callers until `stop` turns true, then ends the connections that are idle and awaits
 /// the others.
 pub(crate) async fn run_connections(
@@ -89,17 +93,18 @@
     stream: TcpStream,
     mut stop: watch::Receiver<bool>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
+    let settings = &state.settings;
+    let buffer = SockRef::from(&stream).set_send_buffer_size(settings.send_buffer);
+    if let Err(error) = buffer.and_then(|()| stream.set_nodelay(true)) {
         tracing::debug!(%error, "a caller's socket is gone");
         return;
     }
-    let settings = &state.settings;
     let limits = SocketLimits {
         idle: settings.idle_timeout,
         header: settings.header_timeout,
         write: settings.write_timeout,
     };
-    let max_header = settings.max_header.max(8192);
+    let max_header = settings.max_header.max(LEAST_HEADER);
     let phase = ExchangePhase::default();
     let socket = CallerSocket::new(stream, limits, phase.clone(), state.draw_request());
     let service = service_fn(|request| route_request(Arc::clone(&state), phase.clone(), request));
--- a/crates/ragwortroad_gateway/src/gateway_settings.rs
+++ b/crates/ragwortroad_gateway/src/gateway_settings.rs
@@ -15,7 +15,7 @@
     pub traffic_threads: usize,
     /// Longest request body in bytes.
     pub max_body: usize,
-    /// Longest request head in bytes.
+    /// Longest request head in bytes; at least 8192.
     pub max_header: usize,
     /// Longest answer of an endpoint, in bytes, that is not a stream.
     pub max_answer: usize,
@@ -31,6 +31,11 @@
     pub body_timeout: Duration,
     /// How long a caller may leave bytes of its answer unread.
     pub write_timeout: Duration,
+    /// Bytes of an answer that the system may hold for a caller that does not read them.
+    ///
+    /// Without a bound a caller that reads nothing takes megabytes of the system's memory, and its
+    /// silence is noticed only once they are full.
+    pub send_buffer: usize,
     /// How long a connection to an endpoint may take to open.
     pub connect_timeout: Duration,
     /// How long a stream may stay without a byte before it counts as broken.
@@ -59,6 +64,7 @@
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
             write_timeout: Duration::from_secs(20),
+            send_buffer: 256 << 10,
             connect_timeout: Duration::from_secs(1),
             stream_timeout: Duration::from_secs(30),
             default_deadline: Duration::from_secs(120),
--- a/crates/ragwortroad_gateway/src/stream_cursor.rs
+++ b/crates/ragwortroad_gateway/src/stream_cursor.rs
@@ -24,6 +24,8 @@
     finished: bool,
     /// Whether the answer has parts that cannot be counted as tokens of one text.
     uncounted: bool,
+    /// Whether the engine numbers its tokens, so that its count at the end can be compared.
+    numbered: bool,
     /// Identity in the chunks of the present attempt.
     ///
     /// Invariant: set by an attempt's first chunk, equal in all that follow.
@@ -77,6 +79,9 @@
         if let Some(usage) = &chunk.usage {
             self.cached_tokens = self.cached_tokens.or(usage.cached_tokens());
         }
+        if self.lacks_tokens(&chunk) {
+            return EventStep::Broken("the last tokens are missing in the stream");
+        }
         let step = self.judge(&chunk);
         self.begun |= step == EventStep::Forward;
         step
@@ -95,6 +100,19 @@
         }
     }
 
+    /// Whether the engine counts more tokens than came.
+    ///
+    /// A token missing in the middle shows by the next one's number; the last one has no next.
+    fn lacks_tokens(&self, chunk: &ChunkWire<'_>) -> bool {
+        let usage = chunk.usage.as_ref();
+        let counted = usage.and_then(|usage| usage.completion_tokens);
+        let brings = chunk
+            .choices
+            .iter()
+            .any(|choice| choice.delta.content.is_some());
+        self.numbered && !brings && counted.is_some_and(|count| count > self.tokens)
+    }
+
     fn judge(&mut self, chunk: &ChunkWire<'_>) -> EventStep {
         let odd = |choice: &ChunkChoice<'_>| choice.index > 0 || choice.delta.tool_calls.is_some();
         if chunk.choices.iter().any(odd) {
@@ -112,6 +130,7 @@
     }
 
     fn take_tokens(&mut self, chunk: &ChunkWire<'_>, content: &str, ends: bool) -> EventStep {
+        self.numbered |= chunk.token_index.is_some();
         match chunk.token_index {
             Some(index) if index < self.tokens => return EventStep::Skip,
             Some(index) if index > self.tokens => {
--- /dev/null
+++ b/crates/ragwortroad_gateway/tests/caller_faults.rs
@@ -0,0 +1,236 @@
+//! Callers that send badly, slowly, or go away.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::Shutdown,
+    time::Duration, //
+};
+
+use common::{
+    raw_client::{
+        connect,
+        exchange,
+        post,
+        read_all,
+        read_until, //
+    },
+    test_fleet::{
+        TestFleet,
+        chat_body,
+        is_own,
+        refusal_of, //
+    },
+};
+use ragwortroad_gateway::prelude::*;
+use ragwortroad_standin::prelude::*;
+use ragwortroad_types::prelude::*;
+
+/// A refusal as it goes into a snapshot, with what differs from run to run left out.
+fn shown(name: &str, answer: &str) -> String {
+    let status = answer.lines().next().unwrap_or_default();
+    let mut detail = refusal_of(answer);
+    assert_eq!(detail.request_id.len(), 16, "{name}");
+    detail.request_id = "ID".to_owned();
+    let wire = RefusalWire { error: detail };
+    let json = serde_json::to_string_pretty(&wire).unwrap();
+    format!("== {name}\n{status}\n{json}\n\n")
+}
+
+#[test]
+fn every_bad_request_gets_a_typed_refusal() {
+    // Bad input of every kind arrives in turn. Each is refused as not run, with a code and a
+    // remedy, and the node goes on serving the others.
+    let fleet = TestFleet::start(GatewaySettings {
+        max_body: 2000,
+        max_header: 8192,
+        ..GatewaySettings::default()
+    });
+    let chat = "/v1/chat/completions";
+    let long_head = format!(
+        "GET /healthz HTTP/1.1\r\nx-long: {}\r\n\r\n",
+        "a".repeat(20_000)
+    );
+    let long_body = format!("{{\"text\":\"{}\"}}", "a".repeat(4000));
+    let unknown = ChatBody {
+        model: "absent".to_owned(),
+        ..chat_body(false)
+    };
+    let resume = ChatBody {
+        resume_from: Some(3),
+        ..chat_body(true)
+    };
+    let json = |body: &ChatBody| serde_json::to_string(body).unwrap();
+    let keyless = b"POST /v1/chat/completions HTTP/1.1\r\nhost: n\r\ncontent-length: 0\r\nconnection: close\r\n\r\n";
+    let cases: Vec<(&str, Vec<u8>)> = vec![
+        ("malformed HTTP", b"NONSENSE\r\n\r\n".to_vec()),
+        ("oversized head", long_head.into_bytes()),
+        ("oversized body", post(chat, "", &long_body)),
+        ("no key", keyless.to_vec()),
+        ("body that is no JSON", post(chat, "", "{\"model\":")),
+        ("unknown model", post(chat, "", &json(&unknown))),
+        ("resume from outside", post(chat, "", &json(&resume))),
+        ("unknown service", post("/v1/services/absent/x", "", "")),
+        ("unknown path", post("/v2/chat", "", "")),
+        ("bad announcement", post("/v1/announce", "", "{}")),
+        (
+            "bad operator body",
+            post("/v1/operator", "", "{\"lime\":1}"),
+        ),
+    ];
+    let mut all = String::new();
+    for (name, bytes) in cases {
+        all += &shown(name, &exchange(fleet.address(), &bytes));
+        let good = chat_body(true);
+        assert!(is_own(&fleet.chat(&good, ""), &good), "after: {name}");
+    }
+    insta::assert_snapshot!(all);
+    fleet.stop();
+}
+
+#[test]
+fn silent_and_slow_callers_are_closed_and_hold_up_nobody() {
+    // Callers open connections and send nothing, send a head byte by byte, or leave a body
+    // unfinished. Each would hold a connection for ever.
+    let fleet = TestFleet::start(GatewaySettings {
+        idle_timeout: Duration::from_millis(700),
+        header_timeout: Duration::from_millis(700),
+        body_timeout: Duration::from_millis(700),
+        ..GatewaySettings::default()
+    });
+    let mut silent = connect(fleet.address());
+    let mut slow = connect(fleet.address());
+    slow.write_all(b"GET /heal").unwrap();
+    let mut stuck = connect(fleet.address());
+    let head = post("/v1/chat/completions", "", &"x".repeat(100));
+    stuck.write_all(&head[..head.len() - 50]).unwrap();
+    let good = chat_body(true);
+    assert!(is_own(&fleet.chat(&good, ""), &good));
+    assert_eq!(read_all(&mut silent), "");
+    assert_eq!(read_all(&mut slow), "");
+    let refusal = refusal_of(&read_all(&mut stuck));
+    assert_eq!(refusal.outcome, RequestOutcome::NotRun);
+    assert_eq!(refusal.code, RefusalCode::DeadlinePassed);
+    fleet.stop();
+}
+
+#[test]
+fn a_head_that_trickles_in_does_not_extend_its_own_time() {
+    // A caller sends one byte of its head again and again, each well within the limit.
+    let fleet = TestFleet::start(GatewaySettings {
+        header_timeout: Duration::from_millis(200),
+        ..GatewaySettings::default()
+    });
+    let mut slow = connect(fleet.address());
+    let head = format!("GET /healthz HTTP/1.1\r\nx-slow: {}", "a".repeat(4000));
+    let refused = head.bytes().any(|byte| {
+        std::thread::sleep(Duration::from_millis(5));
+        slow.write_all(&[byte]).is_err()
+    });
+    assert!(refused, "the connection was still open after 20 seconds");
+    fleet.stop();
+}
+
+#[test]
+fn callers_beyond_the_limit_of_connections_are_told_so() {
+    // One caller opens more connections than the node has room for.
+    let fleet = TestFleet::start(GatewaySettings {
+        max_connections: 4,
+        ..GatewaySettings::default()
+    });
+    let mut held: Vec<_> = (0..4).map(|_| connect(fleet.address())).collect();
+    for stream in &mut held {
+        stream
+            .write_all(b"GET /healthz HTTP/1.1\r\nhost: n\r\n\r\n")
+            .unwrap();
+        read_until(stream, "ok\n");
+    }
+    let mut turned_away = connect(fleet.address());
+    let refusal = refusal_of(&read_until(&mut turned_away, "}}"));
+    assert_eq!(refusal.outcome, RequestOutcome::NotRun);
+    assert_eq!(refusal.code, RefusalCode::Overloaded);
+    drop(held);
+    fleet.wait_for("there is room again", |fleet| {
+        let mut stream = connect(fleet.address());
+        let sent = stream.write_all(b"GET /healthz HTTP/1.1\r\nhost: n\r\n\r\n");
+        let mut buffer = [0; 12];
+        sent.is_ok() && stream.read_exact(&mut buffer).is_ok() && buffer.ends_with(b"200")
+    });
+    fleet.stop();
+}
+
+#[test]
+fn a_caller_that_leaves_ends_the_engines_work() {
+    // An instructor closes the application in the middle of a long note. The engine would go on
+    // with tokens that nobody reads, while others queue.
+    let fleet = TestFleet::start(GatewaySettings::default());
+    for streamed in [true, false] {
+        let chat = ChatBody {
+            max_tokens: Some(100_000),
+            ..chat_body(streamed)
+        };
+        let body = serde_json::to_string(&chat).unwrap();
+        let mut caller = connect(fleet.address());
+        caller
+            .write_all(&post("/v1/chat/completions", "", &body))
+            .unwrap();
+        let runs = |fleet: &TestFleet| fleet.engines[0].records();
+        let begun = fleet.engines[0].records().len();
+        match streamed {
+            true => drop(read_until(&mut caller, "token_index\":3")),
+            false => fleet.wait_for("the engine works", |fleet| runs(fleet).len() > begun),
+        }
+        caller.shutdown(Shutdown::Both).unwrap();
+        fleet.wait_for("the engine stops", |fleet| {
+            runs(fleet).iter().all(|run| run.end == RunEnd::Cancelled)
+        });
+    }
+    let outcomes = fleet.stop().outcomes();
+    assert_eq!(
+        outcomes,
+        [AttemptOutcome::Cancelled, AttemptOutcome::Cancelled]
+    );
+}
+
+#[test]
+fn a_caller_that_reads_nothing_is_closed_and_holds_up_nobody() {
+    // A caller asks for a long stream and never reads it. The engine's work for it must end, and
+    // other customers' streams must not wait.
+    let fleet = TestFleet::start(GatewaySettings {
+        write_timeout: Duration::from_millis(200),
+        send_buffer: 4096,
+        ..GatewaySettings::default()
+    });
+    let chat = ChatBody {
+        max_tokens: Some(1_000_000),
+        ..chat_body(true)
+    };
+    let body = serde_json::to_string(&chat).unwrap();
+    let small = socket_with_small_buffer(fleet.address());
+    let mut caller = small;
+    caller
+        .write_all(&post("/v1/chat/completions", "", &body))
+        .unwrap();
+    fleet.wait_for("the engine works", |fleet| {
+        !fleet.engines[0].records().is_empty()
+    });
+    let good = chat_body(true);
+    assert!(is_own(&fleet.chat(&good, ""), &good));
+    fleet.wait_for("the engine stops", |fleet| {
+        fleet.engines[0].records()[0].end == RunEnd::Cancelled
+    });
+    fleet.stop();
+}
+
+/// A connection that can hold little that is not read, so that the other side notices soon.
+fn socket_with_small_buffer(address: std::net::SocketAddr) -> std::net::TcpStream {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.set_recv_buffer_size(1024).unwrap();
+    socket.connect(&address.into()).unwrap();
+    socket.into()
+}
--- a/crates/ragwortroad_gateway/tests/common/mod.rs
+++ b/crates/ragwortroad_gateway/tests/common/mod.rs
@@ -1,5 +1,5 @@
 //! A gateway with a fake control thread, for tests over real HTTP.
-#![allow(dead_code, missing_docs, unreachable_pub)]
+#![allow(clippy::unwrap_used, dead_code, missing_docs, unreachable_pub)]
 
 pub mod fake_control;
 pub mod raw_client;
--- /dev/null
+++ b/crates/ragwortroad_gateway/tests/node_drain.rs
@@ -0,0 +1,63 @@
+//! A node that shuts down.
+#![allow(clippy::unwrap_used)]
+
+mod common;
+
+use std::{
+    io::Write,
+    thread, //
+};
+
+use common::{
+    raw_client::{
+        connect,
+        post,
+        read_all,
+        read_until, //
+    },
+    test_fleet::{
+        TestFleet,
+        chat_body,
+        is_own,
+        refusal_of, //
+    },
+};
+use ragwortroad_gateway::prelude::*;
+use ragwortroad_types::prelude::*;
+
+#[test]
+fn a_drain_cuts_no_request_and_sends_new_ones_elsewhere() {
+    // A VM is to be replaced while a stream is under way. The stream must come to its end, and a
+    // caller that still has the old address must learn another one.
+    let fleet = TestFleet::start(GatewaySettings::default());
+    let chat = ChatBody {
+        max_tokens: Some(150),
+        ..chat_body(true)
+    };
+    let body = serde_json::to_string(&chat).unwrap();
+    let mut caller = connect(fleet.address());
+    caller
+        .write_all(&post("/v1/chat/completions", "", &body))
+        .unwrap();
+    let begun = read_until(&mut caller, "token_index\":2");
+    let mut idle = connect(fleet.address());
+    idle.write_all(b"GET /healthz HTTP/1.1\r\nhost: n\r\n\r\n")
+        .unwrap();
+    read_until(&mut idle, "ok\n");
+
+    fleet.gateway.begin_drain();
+    assert_eq!(fleet.gateway.in_flight(), 1);
+    for answer in [fleet.chat(&chat_body(true), ""), fleet.book("")] {
+        let refusal = refusal_of(&answer);
+        assert_eq!(refusal.outcome, RequestOutcome::NotRun);
+        assert_eq!(refusal.code, RefusalCode::NodeDraining);
+        assert_eq!(refusal.addresses, ["192.0.2.7:80"]);
+    }
+    let reader = thread::spawn(move || begun + &read_all(&mut caller));
+    let address = fleet.address();
+    fleet.stop();
+    let answer = reader.join().unwrap();
+    assert!(is_own(&answer, &chat), "{answer}");
+    assert_eq!(read_all(&mut idle), "");
+    assert!(std::net::TcpStream::connect(address).is_err());
+}
