Measure what a node adds to a stream

Cause: the aim is under 1 ms p50 and 5 ms p99 at 64 streams, measured against the engine directly. Change: an example that takes turns between direct and routed rounds in one run.

--- /dev/null
+++ b/crates/ragwortroad_gateway/examples/added_latency.rs
@@ -0,0 +1,360 @@
+//! Measures what a node adds to a stream: time to the first token and between tokens, against the
+//! stand-in engine directly, in one run; and the node's threads and memory.
+//!
+//! `cargo run --release -p ragwortroad_gateway --example added_latency`
+//!
+//! The gateway runs in a second process, so that its threads, memory and processor time are its
+//! own. Direct and routed rounds take turns, so that a busy machine burdens both alike.
+
+use std::{
+    error::Error,
+    fs,
+    io::{
+        BufRead,
+        BufReader,
+        Read, //
+    },
+    net::SocketAddr,
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use bytes::Bytes;
+use hdrhistogram::Histogram;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::Request;
+use hyper_util::rt::TokioIo;
+use ragwortroad_gateway::prelude::*;
+use ragwortroad_standin::prelude::*;
+use ragwortroad_types::prelude::*;
+use tokio::{
+    net::TcpStream,
+    runtime::Runtime,
+    task::JoinSet, //
+};
+
+type AnyError = Box<dyn Error + Send + Sync>;
+
+const TOKEN_GAP: Duration = Duration::from_millis(20);
+const TOKENS: u32 = 30;
+
+/// Streams at once, and how many each caller makes in a row in one round.
+const LEVELS: [(usize, usize); 3] = [(1, 12), (64, 3), (512, 2)];
+const ROUNDS: usize = 4;
+const IDLE_CONNECTIONS: usize = 512;
+
+fn main() -> Result<(), AnyError> {
+    let mut arguments = std::env::args().skip(1);
+    match arguments.next() {
+        Some(engine) => serve_gateway(engine.parse()?),
+        None => measure(),
+    }
+}
+
+/// The second process: a gateway whose control thread grants the one engine always.
+fn serve_gateway(engine: SocketAddr) -> Result<(), AnyError> {
+    let (calls, control) = flume::unbounded();
+    let granting = thread::spawn(move || grant_always(&control, engine));
+    let settings = GatewaySettings::default();
+    let gateway = GatewayServer::start(settings, calls, GatewayPages::default())?;
+    println!("{}", gateway.local_address());
+    std::io::stdin().read_to_end(&mut Vec::new())?;
+    gateway.join();
+    granting.join().map_err(|_| "the control thread panicked")?;
+    Ok(())
+}
+
+fn grant_always(calls: &flume::Receiver<ControlCall>, engine: SocketAddr) {
+    let mut ticket = 0;
+    while let Ok(call) = calls.recv() {
+        if let ControlCall::Admit(_, reply) = call {
+            ticket += 1;
+            let grant = AdmitGrant {
+                ticket: TicketId(ticket),
+                endpoint: EndpointId::from_name("engine-1"),
+                address: engine,
+                hint: String::new(),
+                priority: 1,
+                version: None,
+                customer: "studio-north".to_owned(),
+                record_answer: false,
+            };
+            if reply.send(AdmitReply::Granted(grant)).is_err() {
+                eprintln!("a caller left before its grant");
+            }
+        }
+    }
+}
+
+fn measure() -> Result<(), AnyError> {
+    let engine = StandinEngine::start(EngineSettings {
+        capacity: 4096,
+        token_gap: TOKEN_GAP,
+        gap_growth: 0,
+        prefill_time: Duration::ZERO,
+        threads: 4,
+        ..EngineSettings::default()
+    })?;
+    let runtime = Runtime::new()?;
+    let (mut child, node) = start_node(engine.address())?;
+    let pid = child.id();
+    println!("streams  tokens    first token us (p50 p99)            token gap us (p50 p99)");
+    println!(
+        "                   direct        node          added   direct        node          added"
+    );
+    for (streams, repeats) in LEVELS {
+        let mut direct = StreamTimes::new()?;
+        let mut routed = StreamTimes::new()?;
+        let before = node_usage(pid)?;
+        let mut peak = before;
+        for _ in 0..ROUNDS {
+            direct.add(&run_round(&runtime, engine.address(), streams, repeats)?)?;
+            let watched = watch_usage(pid);
+            routed.add(&run_round(&runtime, node, streams, repeats)?)?;
+            peak = peak.highest(watched.stop()?);
+        }
+        print_level(streams, &direct, &routed);
+        let after = node_usage(pid)?;
+        let tokens = routed.gap.len() + routed.first.len();
+        println!(
+            "         node: {} threads, {} KiB before, {} KiB at most, {:.1} us of processor a token",
+            peak.threads,
+            before.memory,
+            peak.memory,
+            (after.processor - before.processor) * 1e6 / tokens as f64
+        );
+    }
+    measure_idle(node, pid)?;
+    drop(child.stdin.take());
+    child.wait()?;
+    engine.stop();
+    Ok(())
+}
+
+fn start_node(engine: SocketAddr) -> Result<(Child, SocketAddr), AnyError> {
+    let mut child = Command::new(std::env::current_exe()?)
+        .arg(engine.to_string())
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()?;
+    let mut line = String::new();
+    let output = child.stdout.take().ok_or("the node has no output")?;
+    BufReader::new(output).read_line(&mut line)?;
+    Ok((child, line.trim().parse()?))
+}
+
+/// Times of many streams, in microseconds.
+struct StreamTimes {
+    first: Histogram<u64>,
+    gap: Histogram<u64>,
+}
+
+impl StreamTimes {
+    fn new() -> Result<Self, AnyError> {
+        Ok(Self {
+            first: Histogram::new(3)?,
+            gap: Histogram::new(3)?,
+        })
+    }
+
+    fn add(&mut self, other: &Self) -> Result<(), AnyError> {
+        self.first.add(&other.first)?;
+        self.gap.add(&other.gap)?;
+        Ok(())
+    }
+}
+
+fn print_level(streams: usize, direct: &StreamTimes, routed: &StreamTimes) {
+    let columns = |direct: &Histogram<u64>, routed: &Histogram<u64>| {
+        let [d50, r50] = [direct, routed].map(|times| times.value_at_quantile(0.5) as i64);
+        let [d99, r99] = [direct, routed].map(|times| times.value_at_quantile(0.99) as i64);
+        format!(
+            "{d50:>6} {d99:>6} {r50:>6} {r99:>6} {:>5} {:>5}",
+            r50 - d50,
+            r99 - d99
+        )
+    };
+    println!(
+        "{streams:>7} {:>7}  {}  {}",
+        routed.gap.len() + routed.first.len(),
+        columns(&direct.first, &routed.first),
+        columns(&direct.gap, &routed.gap)
+    );
+}
+
+fn run_round(
+    runtime: &Runtime,
+    address: SocketAddr,
+    streams: usize,
+    repeats: usize,
+) -> Result<StreamTimes, AnyError> {
+    runtime.block_on(async {
+        let mut callers = JoinSet::new();
+        for place in 0..streams {
+            callers.spawn(async move {
+                // Callers begin spread over one token's time, as they do outside a test.
+                tokio::time::sleep(TOKEN_GAP * place as u32 / streams as u32).await;
+                let mut times = StreamTimes::new()?;
+                for _ in 0..repeats {
+                    read_stream(address, &mut times).await?;
+                }
+                Ok::<StreamTimes, AnyError>(times)
+            });
+        }
+        let mut all = StreamTimes::new()?;
+        while let Some(caller) = callers.join_next().await {
+            all.add(&caller??)?;
+        }
+        Ok(all)
+    })
+}
+
+/// Opens a connection, asks for a stream, and times its tokens.
+async fn read_stream(address: SocketAddr, times: &mut StreamTimes) -> Result<(), AnyError> {
+    let begun = Instant::now();
+    let stream = TcpStream::connect(address).await?;
+    stream.set_nodelay(true)?;
+    let (mut sender, connection) =
+        hyper::client::conn::http1::handshake(TokioIo::new(stream)).await?;
+    let driver = tokio::spawn(connection);
+    let answer = sender.send_request(chat_request(address)?).await?;
+    let mut body = answer.into_body();
+    let mut last = None;
+    let mut count = 0;
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        let now = Instant::now();
+        for _ in 0..count_tokens(&data) {
+            count += 1;
+            match last.replace(now) {
+                None => times.first.record((now - begun).as_micros() as u64)?,
+                Some(last) => times.gap.record((now - last).as_micros() as u64)?,
+            }
+        }
+    }
+    drop(sender);
+    driver.await??;
+    match count == TOKENS {
+        true => Ok(()),
+        false => Err(format!("{count} tokens came").into()),
+    }
+}
+
+fn count_tokens(data: &[u8]) -> usize {
+    const MARK: &[u8] = b"\"token_index\"";
+    data.windows(MARK.len())
+        .filter(|window| *window == MARK)
+        .count()
+}
+
+fn chat_request(address: SocketAddr) -> Result<Request<Full<Bytes>>, AnyError> {
+    let chat = ChatBody {
+        model: "caption".to_owned(),
+        messages: vec![ChatMessage::text("user", &"A linen coat. ".repeat(40))],
+        stream: true,
+        max_tokens: Some(TOKENS),
+        ..ChatBody::default()
+    };
+    let request = Request::post("/v1/chat/completions")
+        .header("host", address.to_string())
+        .header("authorization", "Bearer k")
+        .header("x-request-id", "0000000000000001")
+        .body(Full::new(Bytes::from(serde_json::to_vec(&chat)?)))?;
+    Ok(request)
+}
+
+/// What the node's process uses.
+#[derive(Clone, Copy)]
+struct NodeUsage {
+    threads: u64,
+    /// Resident memory in KiB.
+    memory: u64,
+    /// Seconds of processor time.
+    processor: f64,
+}
+
+impl NodeUsage {
+    fn highest(self, other: Self) -> Self {
+        Self {
+            threads: self.threads.max(other.threads),
+            memory: self.memory.max(other.memory),
+            processor: self.processor.max(other.processor),
+        }
+    }
+}
+
+fn node_usage(pid: u32) -> Result<NodeUsage, AnyError> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status"))?;
+    let field = |name: &str| {
+        let line = status.lines().find_map(|line| line.strip_prefix(name));
+        let word = line.and_then(|line| line.split_whitespace().next());
+        word.and_then(|word| word.parse().ok()).unwrap_or(0)
+    };
+    let stat = fs::read_to_string(format!("/proc/{pid}/stat"))?;
+    let (_, fields) = stat.rsplit_once(')').ok_or("no stat")?;
+    let ticks: Vec<&str> = fields.split_whitespace().collect();
+    let processor = ticks[11].parse::<f64>()? + ticks[12].parse::<f64>()?;
+    Ok(NodeUsage {
+        threads: field("Threads:"),
+        memory: field("VmRSS:"),
+        // Linux gives these times in hundredths of a second.
+        processor: processor / 100.0,
+    })
+}
+
+/// Looks at the node's usage all the time until it is stopped.
+struct UsageWatch {
+    stop: flume::Sender<()>,
+    thread: thread::JoinHandle<Result<NodeUsage, AnyError>>,
+}
+
+fn watch_usage(pid: u32) -> UsageWatch {
+    let (stop, stopped) = flume::bounded::<()>(1);
+    let thread = thread::spawn(move || {
+        let mut peak = node_usage(pid)?;
+        while stopped.recv_timeout(Duration::from_millis(20))
+            == Err(flume::RecvTimeoutError::Timeout)
+        {
+            peak = peak.highest(node_usage(pid)?);
+        }
+        Ok(peak)
+    });
+    UsageWatch { stop, thread }
+}
+
+impl UsageWatch {
+    fn stop(self) -> Result<NodeUsage, AnyError> {
+        drop(self.stop);
+        self.thread.join().map_err(|_| "the watch panicked")?
+    }
+}
+
+fn measure_idle(node: SocketAddr, pid: u32) -> Result<(), AnyError> {
+    let before = node_usage(pid)?;
+    let mut held = Vec::new();
+    for _ in 0..IDLE_CONNECTIONS {
+        let mut stream = std::net::TcpStream::connect(node)?;
+        std::io::Write::write_all(&mut stream, b"GET /healthz HTTP/1.1\r\nhost: n\r\n\r\n")?;
+        stream.read_exact(&mut [0; 12])?;
+        held.push(stream);
+    }
+    let after = node_usage(pid)?;
+    println!(
+        "{IDLE_CONNECTIONS} idle connections: {} threads, {} KiB before, {} KiB with them",
+        after.threads, before.memory, after.memory
+    );
+    Ok(())
+}
