Check schedules with faults of all kinds; mend what they found

Cause: seeded schedules over the real core and log on fakes. A restart of the process alone is told by the boot's name and needs no check.

--- a/crates/ragwortroad_consensus/src/applying.rs
+++ b/crates/ragwortroad_consensus/src/applying.rs
@@ -16,7 +16,6 @@
         while self.applied < self.commit && !self.has_failed {
             self.apply_next();
         }
-        self.want_snapshot();
     }
 
     fn apply_next(&mut self) {
@@ -59,7 +58,9 @@
         }
     }
 
-    fn want_snapshot(&mut self) {
+    /// Asks for a snapshot if one is due, as the last action of an input: the state that the
+    /// caller then has is the one after `applied`.
+    pub(crate) fn want_snapshot(&mut self) {
         let since = self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index);
         let is_due = self.applied - since >= self.settings.snapshot_entries
             || self.applied_bytes >= self.settings.snapshot_bytes;
--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -81,6 +81,9 @@
 
 impl ConsensusCore {
     /// Handles one input at the time `now`; returns what is to be done.
+    ///
+    /// All of it is to be done, in order, before the next input: a batch handed to the disk ahead
+    /// of an earlier one would not fit the log.
     pub fn handle(&mut self, input: CoreInput, now: ClockTime) -> Vec<CoreAction> {
         if self.has_failed {
             self.refuse(input);
@@ -102,7 +105,7 @@
             CoreInput::SnapshotTaken { index, bytes } => self.take_snapshot(index, bytes),
             CoreInput::ChangeMember { token, change } => self.change_member(token, &change, now),
             CoreInput::HandOver => self.hand_over(now),
-            CoreInput::TrustDisk => self.check.is_done = true,
+            CoreInput::TrustDisk => self.check = RestartCheck::skipped(),
         }
     }
 
@@ -123,6 +126,7 @@
             };
             self.do_held(effect, now);
         }
+        self.want_snapshot();
     }
 
     fn do_held(&mut self, effect: HeldEffect, now: ClockTime) {
--- a/crates/ragwortroad_consensus/src/core_action.rs
+++ b/crates/ragwortroad_consensus/src/core_action.rs
@@ -35,7 +35,9 @@
         /// The state.
         bytes: Vec<u8>,
     },
-    /// Hand in the state as of now with `SnapshotTaken`, when convenient.
+    /// Hand in the state with `SnapshotTaken`; always the last action of an input.
+    ///
+    /// The state may be copied now and encoded elsewhere, as long as it is the one after `index`.
     WantSnapshot {
         /// The last index applied.
         index: u64,
--- a/crates/ragwortroad_consensus/src/core_new.rs
+++ b/crates/ragwortroad_consensus/src/core_new.rs
@@ -40,7 +40,8 @@
                 history.push(entry.index, set);
             }
         }
-        let is_trusted = stored.is_new || settings.trust_disk || start.founders.is_some();
+        let is_own_word = stored.is_new || stored.is_same_boot;
+        let is_trusted = is_own_word || settings.trust_disk || start.founders.is_some();
         let check = if is_trusted {
             RestartCheck::skipped()
         } else {
--- a/crates/ragwortroad_consensus/src/core_settings.rs
+++ b/crates/ragwortroad_consensus/src/core_settings.rs
@@ -33,11 +33,12 @@
     pub chunk_bytes: usize,
     /// A learner may be promoted when it lacks no more than this many entries.
     pub promote_lag: u64,
-    /// Skip the check with other members after a restart.
+    /// Skip the check with other members after the machine has restarted.
     ///
     /// The check is what notices that a disk went back to an older state as a whole, as when a VM
     /// is restored from a backup: the member would vote again in a term in which it has voted.
-    /// With it, a restarted member of three needs an answer from both others before it counts.
+    /// With it, a member of three needs an answer from both others after a restart of its machine;
+    /// if one of them is gone for good, an operator has to say that the disk can be trusted.
     pub trust_disk: bool,
     /// A rule to break, so that tests can show that their checks fail.
     #[doc(hidden)]
--- a/crates/ragwortroad_consensus/src/core_view.rs
+++ b/crates/ragwortroad_consensus/src/core_view.rs
@@ -82,6 +82,11 @@
         self.log.last()
     }
 
+    /// Index of the entry that put the members here in force.
+    pub fn members_index(&self) -> u64 {
+        self.members.latest_index()
+    }
+
     /// How far each other member's log is known to be durable, on a leader.
     pub fn match_indexes(&self) -> Vec<(MemberId, u64)> {
         let progress = self.leading().map(|state| &state.progress);
@@ -91,9 +96,20 @@
             .collect()
     }
 
-    /// Whether this member takes part: a restarted one first asks the others what they know.
+    /// Whether this member takes part in full.
+    ///
+    /// One whose machine has restarted first asks the others what they know, and then catches up
+    /// with what they had.
     pub fn is_verified(&self) -> bool {
-        self.check.is_done
+        self.check.is_done && self.log.last() >= self.check.log_floor
+    }
+
+    /// The members whose answers a restarted member still lacks; none once it takes part.
+    pub fn check_waits_for(&self) -> Vec<MemberId> {
+        if self.check.is_done {
+            return Vec::new();
+        }
+        self.check.silent(self.id)
     }
 
     /// Whether a write failed, so that only a new core on a reopened folder takes part again.
--- a/crates/ragwortroad_consensus/src/rejoining.rs
+++ b/crates/ragwortroad_consensus/src/rejoining.rs
@@ -39,6 +39,8 @@
         }
     }
 
+    /// Tells a restarted member what is known here, once that is durable: a position that a crash
+    /// takes back would be a floor that no candidate can reach.
     pub(crate) fn answer_hello(&mut self, from: MemberId) {
         let reply = PeerMessage::HelloReply {
             asked: self.starts.latest(from),
@@ -48,7 +50,7 @@
             members: self.members().clone(),
             starts: self.starts.wire(from, self.members.latest()),
         };
-        self.send(from, reply);
+        self.send_held(from, reply);
     }
 
     pub(crate) fn take_hello_reply(&mut self, from: MemberId, reply: PeerMessage, now: ClockTime) {
@@ -81,7 +83,7 @@
     }
 
     fn finish_check(&mut self, now: ClockTime) {
-        self.check.is_done = true;
+        self.check.finish();
         if self.check.vote_floor > self.vote.term {
             self.adopt_term(self.check.vote_floor, now);
         }
--- a/crates/ragwortroad_consensus/src/restart_check.rs
+++ b/crates/ragwortroad_consensus/src/restart_check.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 use ragwortroad_types::ClockTime;
 
@@ -22,7 +22,8 @@
     pub(crate) vote_floor: u64,
     /// No candidate with an older log gets a vote.
     pub(crate) log_floor: LogPosition,
-    answered: BTreeSet<MemberId>,
+    /// The last position of the log of each member that answered.
+    answered: BTreeMap<MemberId, LogPosition>,
     /// The newest member set among the answers and this member's own.
     members: (u64, MemberSet),
     /// When the question was sent last.
@@ -42,7 +43,7 @@
             is_done: false,
             vote_floor: 0,
             log_floor: LogPosition::default(),
-            answered: BTreeSet::new(),
+            answered: BTreeMap::new(),
             members: (members_index, members),
             asked_at: None,
         }
@@ -61,14 +62,31 @@
         last: LogPosition,
         members: (u64, MemberSet),
     ) {
-        self.answered.insert(from);
+        self.answered.insert(from, last);
         self.vote_floor = self.vote_floor.max(term);
-        self.log_floor = self.log_floor.max(last);
         if members.0 > self.members.0 {
             self.members = members;
         }
     }
 
+    /// The voters other than `own` that have not answered.
+    pub(crate) fn silent(&self, own: MemberId) -> Vec<MemberId> {
+        let voters = self.members().voters();
+        let silent = voters.filter(|voter| *voter != own && !self.answered.contains_key(voter));
+        silent.collect()
+    }
+
+    /// Ends the check.
+    ///
+    /// Only voters' logs count: what a learner alone has was never accepted, and a learner cannot
+    /// be elected to spread it.
+    pub(crate) fn finish(&mut self) {
+        self.is_done = true;
+        let voters = self.members.1.voters();
+        let lasts = voters.filter_map(|voter| self.answered.get(&voter));
+        self.log_floor = lasts.max().copied().unwrap_or_default();
+    }
+
     /// Whether enough others than `own` have answered.
     pub(crate) fn has_enough(&self, own: MemberId) -> bool {
         let members = self.members();
@@ -77,22 +95,20 @@
         }
         let answers = members
             .voters()
-            .filter(|voter| *voter != own && self.answered.contains(voter));
+            .filter(|voter| *voter != own && self.answered.contains_key(voter));
         answers.count() >= answers_needed(members, own)
     }
 }
 
 /// How many voters other than `own` must answer.
 ///
-/// A quorum of `q` among `n` that includes `own` has `q - 1` others, so any `n - q + 1` others
-/// include one of them. With an even `n`, a quorum of the next larger group may have only `q - 1`
-/// of the members known here, so all others are asked. A group of one has nobody to ask.
+/// The group may have grown by one voter since the members known here, so `own` may have been part
+/// of a quorum of a group of `n + 1`, of which one member may be unknown here. The others of such a
+/// quorum that are known number at least two fewer than it; with so many answers that fewer than
+/// these are silent, one of them has answered. A group of one has nobody to ask.
 fn answers_needed(members: &MemberSet, own: MemberId) -> usize {
     let voters = members.voters().count();
     let others = members.voters().filter(|voter| *voter != own).count();
-    match voters {
-        0 | 1 => others,
-        even if even % 2 == 0 => others,
-        odd => odd - members.quorum() + 1,
-    }
+    let next_quorum = voters.div_ceil(2) + 1;
+    (voters + 2).saturating_sub(next_quorum).min(others)
 }
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_checker.rs
@@ -0,0 +1,111 @@
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use ragwortroad_consensus::prelude::*;
+
+use super::SimState;
+
+/// What must hold in every schedule; the first breach is kept.
+#[derive(Debug, Default)]
+pub(crate) struct SimChecker {
+    leaders: BTreeMap<u64, MemberId>,
+    votes: BTreeMap<(MemberId, u64), MemberId>,
+    /// The state's digest after each command, as the first member applied it.
+    digests: BTreeMap<u64, u64>,
+    commands: BTreeMap<u64, Vec<u8>>,
+    seen: BTreeSet<Vec<u8>>,
+    accepted: BTreeMap<u64, Vec<u8>>,
+    pub(crate) breach: Option<String>,
+}
+
+impl SimChecker {
+    fn expect(&mut self, holds: bool, breach: impl FnOnce() -> String) {
+        if !holds && self.breach.is_none() {
+            self.breach = Some(breach());
+        }
+    }
+
+    pub(crate) fn leads(&mut self, member: MemberId, term: u64) -> bool {
+        let is_new = !self.leaders.contains_key(&term);
+        let known = *self.leaders.entry(term).or_insert(member);
+        self.expect(known == member, || {
+            format!("two leaders in term {term}: {known} and {member}")
+        });
+        is_new
+    }
+
+    pub(crate) fn sends(&mut self, frame: &PeerFrame) {
+        let vote = match frame.message {
+            PeerMessage::VoteReply {
+                term,
+                granted: true,
+                ..
+            } => (term, frame.to),
+            PeerMessage::Vote { term, .. } => (term, frame.from),
+            _ => return,
+        };
+        let (term, candidate) = vote;
+        let voter = frame.from;
+        let known = *self.votes.entry((voter, term)).or_insert(candidate);
+        self.expect(known == candidate, || {
+            format!("{voter} voted twice in term {term}: {known} and {candidate}")
+        });
+    }
+
+    pub(crate) fn applies(&mut self, state: SimState, command: &[u8]) {
+        let index = state.index;
+        let known = *self.digests.entry(index).or_insert(state.digest);
+        self.expect(known == state.digest, || {
+            format!("members differ in what was accepted up to {index}")
+        });
+        if !self.commands.contains_key(&index) {
+            let is_new = self.seen.insert(command.to_vec());
+            self.expect(is_new, || format!("a command came twice, again at {index}"));
+            self.commands.insert(index, command.to_vec());
+        }
+    }
+
+    pub(crate) fn restores(&mut self, index: u64, state: SimState) {
+        let known = self.digests.range(..=index).next_back();
+        let digest = known.map_or(0, |(_, &digest)| digest);
+        self.expect(digest == state.digest, || {
+            format!("a snapshot at {index} differs from what was accepted")
+        });
+    }
+
+    pub(crate) fn accepts(&mut self, index: u64, command: Vec<u8>) {
+        let is_same = self.commands.get(&index) == Some(&command);
+        self.expect(is_same, || {
+            format!("the command accepted at {index} is not there")
+        });
+        self.accepted.insert(index, command);
+    }
+
+    /// Index of the last command that any caller knows to be accepted.
+    pub(crate) fn last_accepted(&self) -> u64 {
+        self.accepted
+            .last_key_value()
+            .map_or(0, |(&index, _)| index)
+    }
+
+    pub(crate) fn reads(&mut self, index: u64, applied: u64, expected: u64) {
+        self.expect(index >= expected, || {
+            format!("a read at {index} misses the command accepted at {expected}")
+        });
+        self.expect(applied >= expected, || {
+            format!("a read of the state at {applied} misses {expected}")
+        });
+    }
+
+    pub(crate) fn acting(&mut self, acting: &[MemberId]) {
+        self.expect(acting.len() < 2, || {
+            format!("two members may act as leader at once: {acting:?}")
+        });
+    }
+
+    pub(crate) fn fails(&mut self, breach: String) {
+        self.expect(false, || breach);
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_clock.rs
@@ -0,0 +1,18 @@
+use ragwortroad_types::ClockTime;
+
+/// A monotonic clock that runs a little fast or slow.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct SimClock {
+    pub(crate) offset_us: u64,
+    /// Microseconds it gains in a second.
+    pub(crate) gain_ppm: i64,
+}
+
+impl SimClock {
+    /// What it shows at the true time `true_us`.
+    pub(crate) fn reading(&self, true_us: u64) -> ClockTime {
+        let gain = i128::from(true_us) * i128::from(self.gain_ppm) / 1_000_000;
+        let local = i128::from(self.offset_us) + i128::from(true_us) + gain;
+        ClockTime((local / 1000) as u64)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_faults.rs
@@ -0,0 +1,201 @@
+//! What goes wrong, and how it is over again.
+
+use rand::RngExt;
+
+use ragwortroad_consensus::prelude::*;
+
+use super::{
+    SimEvent,
+    SimWorld, //
+};
+
+impl SimWorld {
+    /// One fault of a random kind at a random node.
+    pub(crate) fn fault(&mut self) {
+        let every = self.plan.fault_every_ms * 1000;
+        let next = self.rng.random_range(0..every * 2);
+        if self.is_calm || self.plan.faulty_ms == 0 {
+            return;
+        }
+        self.schedule(next, SimEvent::Fault);
+        let node = self.rng.random_range(0..self.nodes.len());
+        match self.rng.random_range(0..13) {
+            0 | 1 => self.crash(node),
+            2 => self.kill(node),
+            3 => self.nodes[node]
+                .disk
+                .stop_after(self.rng.random_range(0..10)),
+            4 => self.nodes[node].disk.fail_syncs(1),
+            5 => self.fill_disk(node),
+            6 | 7 => self.pause(node),
+            8 | 9 => self.cut(node),
+            10 if self.plan.with_lost_disks => self.lose_disk(node),
+            11 if self.plan.with_rollbacks => self.roll_back(node),
+            12 if self.plan.with_handovers => self.hand_over(),
+            _ => self.keep_image(node),
+        }
+    }
+
+    /// The machine stops; what was not synced is lost in part.
+    pub(crate) fn crash(&mut self, node: usize) {
+        self.counts.crashes += 1;
+        let rng = &mut self.rng;
+        self.nodes[node]
+            .disk
+            .crash(|below| rng.random_range(0..below));
+        self.nodes[node].boot += 1;
+        self.end(node);
+    }
+
+    /// The process ends; the machine goes on and forgets nothing.
+    fn kill(&mut self, node: usize) {
+        self.counts.kills += 1;
+        self.end(node);
+    }
+
+    fn end(&mut self, node: usize) {
+        let target = &mut self.nodes[node];
+        target.process = None;
+        target.epoch += 1;
+        target.is_paused = false;
+        target.backlog.clear();
+        let down = self.rng.random_range(20_000..2_000_000);
+        self.schedule(down, SimEvent::Start(node));
+    }
+
+    fn fill_disk(&mut self, node: usize) {
+        let room = self.rng.random_range(0..400);
+        let disk = &self.nodes[node].disk;
+        let used: usize = disk
+            .names()
+            .iter()
+            .filter_map(|name| disk.bytes(name))
+            .map(|bytes| bytes.len())
+            .sum();
+        disk.set_capacity(Some((used + room) as u64));
+    }
+
+    fn pause(&mut self, node: usize) {
+        if self.nodes[node].is_paused || self.nodes[node].process.is_none() {
+            return;
+        }
+        self.counts.pauses += 1;
+        self.nodes[node].is_paused = true;
+        let epoch = self.nodes[node].epoch;
+        let span = self.rng.random_range(50_000..4_000_000);
+        self.schedule(span, SimEvent::Resume(node, epoch));
+    }
+
+    pub(crate) fn resume(&mut self, node: usize, epoch: u64) {
+        if self.nodes[node].epoch != epoch {
+            return;
+        }
+        self.nodes[node].is_paused = false;
+        for event in std::mem::take(&mut self.nodes[node].backlog) {
+            self.schedule(0, event);
+        }
+    }
+
+    /// Nothing gets through from a node, or to it, or both, to one other or to all.
+    fn cut(&mut self, node: usize) {
+        self.counts.cuts += 1;
+        let kind = self.rng.random_range(0..4);
+        let only = self.rng.random_range(0..self.nodes.len());
+        let span = self.rng.random_range(100_000..5_000_000);
+        for other in 0..self.nodes.len() {
+            if other == node || (kind == 3 && other != only) {
+                continue;
+            }
+            if kind != 1 {
+                self.cuts.insert((node, other));
+                self.schedule(span, SimEvent::Heal(node, other));
+            }
+            if kind != 0 {
+                self.cuts.insert((other, node));
+                self.schedule(span, SimEvent::Heal(other, node));
+            }
+        }
+    }
+
+    /// Whether the group can bear the loss of one more disk: the last one has been made good.
+    fn can_lose(&self) -> bool {
+        let leads = |member: Option<MemberId>| member.is_some();
+        let members = self.operator.settled_members(self);
+        leads(members.as_ref().and_then(|set| set.voters().next()))
+            && members.is_some_and(|set| {
+                set.voters().count() >= 3
+                    && set.records().iter().all(|record| {
+                        let mut nodes = self.nodes.iter();
+                        nodes.any(|node| node.member == Some(record.member) && node.is_sound())
+                    })
+            })
+    }
+
+    pub(crate) fn lose_disk(&mut self, node: usize) {
+        if !self.can_lose() {
+            return;
+        }
+        self.counts.lost_disks += 1;
+        self.end(node);
+        let target = &mut self.nodes[node];
+        target.boot += 1;
+        target.disk.lose();
+        target.image = None;
+        target.rolled_back_from = None;
+        target.lost = target.member.take();
+    }
+
+    /// Keeps a copy of the disk as it would be after a crash.
+    fn keep_image(&mut self, node: usize) {
+        let target = &mut self.nodes[node];
+        if let Some(process) = &target.process {
+            let members = process.core.members_index();
+            target.image = Some((members, target.disk.image()));
+        }
+    }
+
+    /// The whole disk goes back to an earlier state, as after a restore from a backup.
+    fn roll_back(&mut self, node: usize) {
+        let image = self.nodes[node].image.clone();
+        let members = self.nodes[node].core().map(ConsensusCore::members_index);
+        let Some((_, image)) = image.filter(|(index, _)| Some(*index) == members) else {
+            return self.keep_image(node);
+        };
+        if !self.can_lose() {
+            return;
+        }
+        self.counts.rollbacks += 1;
+        let most = self.nodes.iter().filter_map(|node| node.core());
+        let most = most.map(ConsensusCore::commit_index).max();
+        self.end(node);
+        self.nodes[node].boot += 1;
+        self.nodes[node].disk.roll_back(&image);
+        self.nodes[node].rolled_back_from = most;
+    }
+
+    fn hand_over(&mut self) {
+        let leader = self
+            .nodes
+            .iter()
+            .position(|node| !node.is_paused && node.core().is_some_and(ConsensusCore::is_leader));
+        if let Some(leader) = leader {
+            self.counts.handovers += 1;
+            self.input(leader, CoreInput::HandOver);
+        }
+    }
+
+    /// All faults are over.
+    pub(crate) fn calm_down(&mut self) {
+        self.is_calm = true;
+        self.cuts.clear();
+        for node in 0..self.nodes.len() {
+            let epoch = self.nodes[node].epoch;
+            self.nodes[node].disk.set_capacity(None);
+            self.nodes[node].disk.fail_syncs(0);
+            self.resume(node, epoch);
+            if self.nodes[node].disk.has_stopped() {
+                self.crash(node);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_operator.rs
@@ -0,0 +1,132 @@
+use ragwortroad_consensus::prelude::*;
+use ragwortroad_types::prelude::*;
+use rand::RngExt;
+
+use super::{
+    SimEvent,
+    SimWorld, //
+};
+
+/// Puts members with a new identity in the place of lost ones, and restarts failed processes.
+#[derive(Debug, Default)]
+pub(crate) struct SimOperator {
+    /// A node whose disk is to be lost as soon as the repair of another is done.
+    next_loss: Option<usize>,
+    /// How often the operator has looked since somebody was in charge.
+    looks: u32,
+}
+
+/// The operator looks every 100 ms.
+const LOOKS_BEFORE_TRUST: u32 = 30;
+
+impl SimOperator {
+    /// The members, if a leader has them committed.
+    pub(crate) fn settled_members(&self, world: &SimWorld) -> Option<MemberSet> {
+        let mut cores = world.nodes.iter().filter_map(|node| {
+            let now = node.clock.reading(world.now_us);
+            node.core().filter(|core| core.may_act_as_leader(now))
+        });
+        let core = cores.find(|core| core.members_index() <= core.commit_index())?;
+        Some(core.members().clone())
+    }
+}
+
+impl SimWorld {
+    pub(crate) fn operate(&mut self) {
+        self.schedule(100_000, SimEvent::Operate);
+        self.restart_failed();
+        for node in &mut self.nodes {
+            if node.is_sound() {
+                node.rolled_back_from = None;
+            }
+        }
+        let Some(leader) = self.acting_node() else {
+            return self.trust_disks();
+        };
+        self.operator.looks = 0;
+        let Some(members) = self.operator.settled_members(self) else {
+            return;
+        };
+        match self.next_change(&members) {
+            Some(change) => {
+                let token = self.token();
+                self.input(leader, CoreInput::ChangeMember { token, change });
+            }
+            None => self.lose_second(),
+        }
+    }
+
+    /// A process whose disk failed is started anew once the disk works again.
+    fn restart_failed(&mut self) {
+        for node in 0..self.nodes.len() {
+            let has_failed = self.nodes[node]
+                .core()
+                .is_some_and(ConsensusCore::has_failed);
+            if has_failed && self.rng.random_range(0..10) == 0 {
+                self.nodes[node].disk.set_capacity(None);
+                self.crash(node);
+            }
+        }
+    }
+
+    /// With a disk gone for good and nobody in charge, the operator vouches for the other disks.
+    fn trust_disks(&mut self) {
+        self.operator.looks += 1;
+        let is_lost = self.nodes.iter().any(|node| node.lost.is_some());
+        if self.operator.looks < LOOKS_BEFORE_TRUST || !is_lost {
+            return;
+        }
+        self.operator.looks = 0;
+        for node in 0..self.nodes.len() {
+            let target = &self.nodes[node];
+            let is_stuck = target.core().is_some_and(|core| !core.is_verified());
+            if is_stuck && target.rolled_back_from.is_none() && !target.is_paused {
+                self.counts.trusted += 1;
+                self.input(node, CoreInput::TrustDisk);
+            }
+        }
+    }
+
+    fn acting_node(&self) -> Option<usize> {
+        self.nodes.iter().position(|node| {
+            let now = node.clock.reading(self.now_us);
+            !node.is_paused && node.core().is_some_and(|core| core.may_act_as_leader(now))
+        })
+    }
+
+    /// The next step that brings the members to one identity a node: learn, promote, remove.
+    fn next_change(&mut self, members: &MemberSet) -> Option<MemberChange> {
+        for (at, node) in self.nodes.iter().enumerate() {
+            let Some(member) = node.member else {
+                continue;
+            };
+            let node = NodeId(at as u64);
+            match members.find(member) {
+                None => return Some(MemberChange::AddLearner { member, node }),
+                Some(record) if record.role == MemberRole::Learner => {
+                    return Some(MemberChange::Promote { member });
+                }
+                Some(_) => {}
+            }
+        }
+        let mut nodes = self.nodes.iter_mut().enumerate();
+        let (at, target) = nodes.find(|(_, node)| node.lost.is_some() && node.member.is_some())?;
+        let member = target.lost?;
+        if members.find(member).is_some() {
+            return Some(MemberChange::Remove { member });
+        }
+        target.lost = None;
+        self.operator.next_loss = Some((at + 1) % self.nodes.len());
+        None
+    }
+
+    /// The next disk is lost right after the repair of the last one.
+    fn lose_second(&mut self) {
+        if let Some(node) = self.operator.next_loss.take()
+            && !self.is_calm
+            && self.rng.random_range(0..2) == 0
+        {
+            self.lose_disk(node);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_plan.rs
@@ -0,0 +1,79 @@
+use std::time::Duration;
+
+use ragwortroad_consensus::CoreSettings;
+
+/// What a schedule does to a group.
+#[derive(Clone, Debug)]
+pub(crate) struct SimPlan {
+    pub(crate) seed: u64,
+    pub(crate) nodes: usize,
+    /// Nodes that found the group; the others wait as spares.
+    pub(crate) founders: usize,
+    /// True time with faults, and then without.
+    pub(crate) faulty_ms: u64,
+    pub(crate) calm_ms: u64,
+    pub(crate) loss_percent: u32,
+    pub(crate) duplicate_percent: u32,
+    pub(crate) late_percent: u32,
+    /// Mean time between faults.
+    pub(crate) fault_every_ms: u64,
+    /// Mean time between commands or reads.
+    pub(crate) client_every_ms: u64,
+    pub(crate) with_lost_disks: bool,
+    pub(crate) with_rollbacks: bool,
+    pub(crate) with_handovers: bool,
+    pub(crate) core: CoreSettings,
+}
+
+impl Default for SimPlan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            nodes: 3,
+            founders: 3,
+            faulty_ms: 60_000,
+            calm_ms: 12_000,
+            loss_percent: 5,
+            duplicate_percent: 3,
+            late_percent: 3,
+            fault_every_ms: 1500,
+            client_every_ms: 60,
+            with_lost_disks: true,
+            with_rollbacks: true,
+            with_handovers: true,
+            core: Self::small_core(),
+        }
+    }
+}
+
+impl SimPlan {
+    /// Bounds so small that snapshots, pieces and full pipelines come up all the time.
+    pub(crate) fn small_core() -> CoreSettings {
+        CoreSettings {
+            election_timeout: Duration::from_millis(400),
+            heartbeat_every: Duration::from_millis(100),
+            resend_after: Duration::from_millis(200),
+            max_append_bytes: 300,
+            max_in_flight: 3,
+            snapshot_entries: 60,
+            keep_entries: 10,
+            chunk_bytes: 500,
+            promote_lag: 8,
+            ..CoreSettings::default()
+        }
+    }
+
+    /// The group without any fault.
+    pub(crate) fn calm(seed: u64, nodes: usize) -> Self {
+        Self {
+            seed,
+            nodes,
+            founders: nodes,
+            faulty_ms: 0,
+            loss_percent: 0,
+            duplicate_percent: 0,
+            late_percent: 0,
+            ..Self::default()
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_process.rs
@@ -0,0 +1,48 @@
+use std::collections::{
+    BTreeMap,
+    VecDeque, //
+};
+
+use ragwortroad_consensus::prelude::*;
+use ragwortroad_log::prelude::*;
+
+use super::SimState;
+
+/// One running process: the control thread's core, the disk thread's folder, and the state.
+pub(crate) struct SimProcess {
+    pub(crate) core: ConsensusCore,
+    pub(crate) folder: LogFolder,
+    /// Changes on their way to the disk.
+    pub(crate) writes: VecDeque<(u64, LogChange)>,
+    pub(crate) is_writing: bool,
+    pub(crate) state: SimState,
+    /// Commands by token, to check what was accepted.
+    pub(crate) commands: BTreeMap<u64, Vec<u8>>,
+    /// What each read must at least see, by token.
+    pub(crate) reads: BTreeMap<u64, u64>,
+}
+
+impl SimProcess {
+    pub(crate) fn new(core: ConsensusCore, folder: LogFolder) -> Self {
+        Self {
+            core,
+            folder,
+            writes: VecDeque::new(),
+            is_writing: false,
+            state: SimState::default(),
+            commands: BTreeMap::new(),
+            reads: BTreeMap::new(),
+        }
+    }
+
+    /// What the disk thread does: all that waits becomes durable with one sync.
+    pub(crate) fn write_group(&mut self) -> Result<Option<u64>, LogError> {
+        let mut last = None;
+        for (batch, change) in self.writes.drain(..) {
+            self.folder.append(&change)?;
+            last = Some(batch);
+        }
+        self.folder.sync()?;
+        Ok(last)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
@@ -0,0 +1,487 @@
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+use ragwortroad_consensus::prelude::*;
+use ragwortroad_log::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use super::{
+    SimChecker,
+    SimClock,
+    SimCounts,
+    SimNode,
+    SimOperator,
+    SimPlan,
+    SimProcess,
+    SimState, //
+};
+
+/// Something that happens at a time.
+#[derive(Clone, Debug)]
+pub(crate) enum SimEvent {
+    Start(usize),
+    Tick(usize, u64),
+    Deliver(usize, Vec<u8>),
+    Written(usize, u64),
+    Resume(usize, u64),
+    Heal(usize, usize),
+    Client,
+    Fault,
+    Operate,
+}
+
+/// The group, its disks, clocks and messages.
+pub(crate) struct SimWorld {
+    pub(crate) plan: SimPlan,
+    pub(crate) rng: Pcg64Mcg,
+    pub(crate) now_us: u64,
+    pub(crate) nodes: Vec<SimNode>,
+    /// Directions in which nothing gets through.
+    pub(crate) cuts: BTreeSet<(usize, usize)>,
+    pub(crate) checker: SimChecker,
+    pub(crate) counts: SimCounts,
+    pub(crate) operator: SimOperator,
+    pub(crate) is_calm: bool,
+    events: BTreeMap<(u64, u64), SimEvent>,
+    next_event: u64,
+    next_token: u64,
+    next_identity: u64,
+    founders: Option<MemberSet>,
+}
+
+const TICK_US: u64 = 20_000;
+
+impl SimWorld {
+    pub(crate) fn new(plan: SimPlan) -> Self {
+        let mut rng = Pcg64Mcg::seed_from_u64(plan.seed);
+        let drift = i64::from(plan.core.clock_drift_ppm);
+        let nodes = (0..plan.nodes)
+            .map(|_| {
+                SimNode::new(SimClock {
+                    offset_us: rng.random_range(0..10_000_000),
+                    gain_ppm: drift * rng.random_range(-1..=1),
+                })
+            })
+            .collect();
+        let mut world = Self {
+            rng,
+            now_us: 1000,
+            nodes,
+            cuts: BTreeSet::new(),
+            checker: SimChecker::default(),
+            counts: SimCounts {
+                schedules: 1,
+                ..SimCounts::default()
+            },
+            operator: SimOperator::default(),
+            is_calm: false,
+            events: BTreeMap::new(),
+            next_event: 0,
+            next_token: 1,
+            next_identity: 100,
+            founders: None,
+            plan,
+        };
+        world.set_up();
+        world
+    }
+
+    /// The first node founds the group with the identities that the others will have.
+    fn set_up(&mut self) {
+        let voters = (0..self.plan.founders).map(|node| {
+            let identity = MemberId(self.next_identity + node as u64);
+            (identity, NodeId(node as u64))
+        });
+        self.founders = Some(MemberSet::from_voters(voters));
+        for node in 0..self.plan.nodes {
+            self.start(node);
+        }
+        self.schedule(50_000, SimEvent::Client);
+        self.schedule(300_000, SimEvent::Fault);
+        self.schedule(200_000, SimEvent::Operate);
+    }
+
+    pub(crate) fn schedule(&mut self, after_us: u64, event: SimEvent) {
+        self.next_event += 1;
+        let key = (self.now_us + after_us, self.next_event);
+        self.events.insert(key, event);
+    }
+
+    /// Runs until the true time `until_us`, or to the first breach.
+    pub(crate) fn run_until(&mut self, until_us: u64) {
+        while self.checker.breach.is_none() {
+            let Some(entry) = self.events.first_entry() else {
+                break;
+            };
+            if entry.key().0 > until_us {
+                break;
+            }
+            let ((at, _), event) = entry.remove_entry();
+            self.now_us = self.now_us.max(at);
+            self.counts.steps += 1;
+            self.happen(event);
+        }
+        self.now_us = self.now_us.max(until_us);
+    }
+
+    fn happen(&mut self, event: SimEvent) {
+        let target = match event {
+            SimEvent::Tick(node, _) | SimEvent::Deliver(node, _) | SimEvent::Written(node, _) => {
+                Some(node)
+            }
+            _ => None,
+        };
+        if let Some(node) = target.filter(|&node| self.nodes[node].is_paused) {
+            return self.nodes[node].backlog.push(event);
+        }
+        match event {
+            SimEvent::Start(node) => self.start(node),
+            SimEvent::Tick(node, epoch) => self.tick(node, epoch),
+            SimEvent::Deliver(node, bytes) => self.deliver(node, &bytes),
+            SimEvent::Written(node, epoch) => self.write(node, epoch),
+            SimEvent::Resume(node, epoch) => self.resume(node, epoch),
+            SimEvent::Heal(from, to) => {
+                self.cuts.remove(&(from, to));
+            }
+            SimEvent::Client => self.call(),
+            SimEvent::Fault => self.fault(),
+            SimEvent::Operate => self.operate(),
+        }
+    }
+
+    pub(crate) fn start(&mut self, node: usize) {
+        if self.nodes[node].process.is_some() {
+            return;
+        }
+        let fresh_identity = self.next_identity;
+        let settings = FolderSettings {
+            fresh_identity,
+            boot: self.nodes[node].boot.to_string(),
+            ..FolderSettings::default()
+        };
+        let disk = self.nodes[node].disk.clone();
+        let (folder, stored) = match LogFolder::open_on(DiskPort::Fake(disk), &settings) {
+            Ok(opened) => opened,
+            Err(LogError::Disk { .. }) => return self.crash(node),
+            Err(error) => {
+                return self
+                    .checker
+                    .fails(format!("node {node} cannot open: {error}"));
+            }
+        };
+        if stored.identity == fresh_identity {
+            self.next_identity += 1;
+        }
+        self.nodes[node].member = Some(MemberId(stored.identity));
+        let is_founder = node == 0 && stored.is_new && self.now_us <= 1000;
+        let start = CoreStart {
+            stored,
+            start: self.now_us,
+            founders: self.founders.clone().filter(|_| is_founder),
+        };
+        let now = self.local(node);
+        let seed = self.rng.random();
+        let made = ConsensusCore::new(self.plan.core.clone(), start, now, seed);
+        let (core, actions) = made.expect("the folder's content starts a core");
+        self.nodes[node].process = Some(SimProcess::new(core, folder));
+        let epoch = self.nodes[node].epoch;
+        self.schedule(TICK_US, SimEvent::Tick(node, epoch));
+        self.act(node, actions);
+    }
+
+    pub(crate) fn local(&self, node: usize) -> ClockTime {
+        self.nodes[node].clock.reading(self.now_us)
+    }
+
+    fn tick(&mut self, node: usize, epoch: u64) {
+        if self.nodes[node].epoch == epoch {
+            self.input(node, CoreInput::Tick);
+            self.schedule(TICK_US, SimEvent::Tick(node, epoch));
+        }
+    }
+
+    /// Hands one input to a node's core and does what it asks for.
+    pub(crate) fn input(&mut self, node: usize, input: CoreInput) {
+        let now = self.local(node);
+        let Some(process) = &mut self.nodes[node].process else {
+            return;
+        };
+        let actions = process.core.handle(input, now);
+        self.act(node, actions);
+    }
+
+    fn act(&mut self, node: usize, actions: Vec<CoreAction>) {
+        let mut wanted = None;
+        for action in actions {
+            if let CoreAction::WantSnapshot { index } = action {
+                wanted = Some(index);
+            } else {
+                self.act_one(node, action);
+            }
+        }
+        if let Some(index) = wanted {
+            self.give_snapshot(node, index);
+        }
+        let core = self.nodes[node].core();
+        if let Some((id, term)) = core
+            .filter(|core| core.is_leader())
+            .map(|core| (core.id(), core.term()))
+            && self.checker.leads(id, term)
+        {
+            self.counts.elections += 1;
+        }
+        self.check_acting();
+    }
+
+    /// Whoever would say now that it may act, on its own clock, paused or not.
+    fn check_acting(&mut self) {
+        let mut acting = Vec::new();
+        for node in &self.nodes {
+            let now = node.clock.reading(self.now_us);
+            let core = node.core().filter(|core| core.may_act_as_leader(now));
+            acting.extend(core.map(ConsensusCore::id));
+        }
+        self.checker.acting(&acting);
+    }
+
+    fn act_one(&mut self, node: usize, action: CoreAction) {
+        let Some(process) = &mut self.nodes[node].process else {
+            return;
+        };
+        match action {
+            CoreAction::Persist { batch, change } => {
+                process.writes.push_back((batch, change));
+                self.start_write(node);
+            }
+            CoreAction::Send(frame) => self.send(node, &frame),
+            CoreAction::Apply { index, command, .. } => {
+                process.state.apply(index, &command);
+                self.checker.applies(process.state, &command);
+            }
+            CoreAction::RestoreSnapshot { index, bytes } => {
+                process.state = SimState::from_bytes(&bytes);
+                self.counts.restores += 1;
+                self.checker.restores(index, process.state);
+            }
+            CoreAction::ProposeDone { token, result } => {
+                let command = process.commands.remove(&token);
+                if let ProposeResult::Committed { index, .. } = result {
+                    match command {
+                        Some(command) => {
+                            self.counts.accepted += 1;
+                            self.checker.accepts(index, command);
+                        }
+                        None => self.counts.member_changes += 1,
+                    }
+                }
+            }
+            CoreAction::ReadReady { token, index } => {
+                let expected = process.reads.remove(&token).unwrap_or(u64::MAX);
+                self.counts.reads_ready += 1;
+                self.checker.reads(index, process.state.index, expected);
+            }
+            CoreAction::ReadRefused { .. }
+            | CoreAction::WantSnapshot { .. }
+            | CoreAction::LeaderChanged { .. }
+            | CoreAction::MembersChanged { .. } => {}
+        }
+    }
+
+    /// Only after all actions of the call before: a batch must not overtake another.
+    fn give_snapshot(&mut self, node: usize, index: u64) {
+        let process = self.nodes[node].process.as_ref();
+        if let Some(bytes) = process.map(|process| process.state.to_bytes()) {
+            self.input(node, CoreInput::SnapshotTaken { index, bytes });
+        }
+    }
+
+    fn start_write(&mut self, node: usize) {
+        let is_slow = !self.is_calm && self.rng.random_range(0..100) < 2;
+        let most = if is_slow { 300_000 } else { 8000 };
+        let latency = self.rng.random_range(200..most);
+        let epoch = self.nodes[node].epoch;
+        let Some(process) = &mut self.nodes[node].process else {
+            return;
+        };
+        if !process.is_writing {
+            process.is_writing = true;
+            self.schedule(latency, SimEvent::Written(node, epoch));
+        }
+    }
+
+    fn write(&mut self, node: usize, epoch: u64) {
+        let has_ended = self.nodes[node].epoch != epoch;
+        let Some(process) = self.nodes[node].process.as_mut().filter(|_| !has_ended) else {
+            return;
+        };
+        process.is_writing = false;
+        match process.write_group() {
+            Ok(Some(batch)) => self.input(node, CoreInput::Persisted { batch }),
+            Ok(None) => {}
+            Err(LogError::Disk { .. }) if self.nodes[node].disk.has_stopped() => {
+                self.counts.torn_writes += 1;
+                self.crash(node);
+            }
+            Err(LogError::Disk { .. } | LogError::WritesRefused) => {
+                self.counts.failed_writes += 1;
+                self.input(node, CoreInput::PersistFailed);
+            }
+            Err(error) => self
+                .checker
+                .fails(format!("node {node} cannot write: {error}")),
+        }
+        let process = self.nodes[node].process.as_ref();
+        if process.is_some_and(|process| !process.writes.is_empty()) {
+            self.start_write(node);
+        }
+    }
+
+    fn send(&mut self, from: usize, frame: &PeerFrame) {
+        self.checker.sends(frame);
+        let found = self
+            .nodes
+            .iter()
+            .position(|node| node.member == Some(frame.to));
+        let Some(to) = found else {
+            return;
+        };
+        let bytes = frame.encode().expect("a frame encodes");
+        assert_eq!(bytes.len(), frame.encoded_len());
+        self.counts.messages += 1;
+        self.counts.message_bytes += bytes.len() as u64;
+        if self.cuts.contains(&(from, to)) || self.chance(self.plan.loss_percent) {
+            self.counts.lost += 1;
+            return;
+        }
+        if self.chance(self.plan.duplicate_percent) {
+            self.counts.duplicated += 1;
+            let delay = self.delay();
+            self.schedule(delay, SimEvent::Deliver(to, bytes.clone()));
+        }
+        let delay = self.delay();
+        self.schedule(delay, SimEvent::Deliver(to, bytes));
+    }
+
+    /// Whether something with this probability happens; never once the schedule has calmed down.
+    fn chance(&mut self, percent: u32) -> bool {
+        !self.is_calm && self.rng.random_range(0..100) < percent
+    }
+
+    fn delay(&mut self) -> u64 {
+        if self.chance(self.plan.late_percent) {
+            self.counts.delayed += 1;
+            return self.rng.random_range(10_000..3_000_000);
+        }
+        self.rng.random_range(500..6000)
+    }
+
+    fn deliver(&mut self, node: usize, bytes: &[u8]) {
+        let frame = PeerFrame::decode(bytes).expect("a frame decodes");
+        self.input(node, CoreInput::Frame(frame));
+    }
+
+    /// A caller sends a command, or a read, to some node, mostly to one that leads.
+    fn call(&mut self) {
+        let every = self.plan.client_every_ms * 1000;
+        let next = self.rng.random_range(0..every * 2);
+        self.schedule(next, SimEvent::Client);
+        let leaders: Vec<_> = (0..self.nodes.len())
+            .filter(|&node| {
+                self.nodes[node]
+                    .core()
+                    .is_some_and(ConsensusCore::is_leader)
+            })
+            .collect();
+        let at = self.rng.random_range(0..self.nodes.len() * 4);
+        let node = leaders
+            .get(at % leaders.len().max(1))
+            .copied()
+            .filter(|_| at > 0)
+            .unwrap_or(at % self.nodes.len());
+        if self.nodes[node].is_paused {
+            return;
+        }
+        let token = self.token();
+        if self.rng.random_range(0..4) == 0 {
+            self.read(node, token);
+        } else {
+            self.propose(node, token);
+        }
+    }
+
+    pub(crate) fn token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    fn read(&mut self, node: usize, token: u64) {
+        let expected = self.checker.last_accepted();
+        if let Some(process) = &mut self.nodes[node].process {
+            process.reads.insert(token, expected);
+            self.counts.reads += 1;
+            self.input(node, CoreInput::ReadRequest { token });
+        }
+    }
+
+    pub(crate) fn propose(&mut self, node: usize, token: u64) {
+        let mut command = token.to_le_bytes().to_vec();
+        command.resize(self.rng.random_range(8..120), 0);
+        if let Some(process) = &mut self.nodes[node].process {
+            process.commands.insert(token, command.clone());
+            self.counts.proposed += 1;
+            self.input(node, CoreInput::Propose { token, command });
+        }
+    }
+
+    /// Runs the whole plan; the first breach, if any.
+    pub(crate) fn run(&mut self) -> Option<String> {
+        self.run_until(self.plan.faulty_ms * 1000);
+        self.calm_down();
+        let end = self.now_us + self.plan.calm_ms * 1000;
+        self.run_until(end);
+        if self.checker.breach.is_none() {
+            self.check_progress();
+        }
+        self.checker.breach.clone()
+    }
+
+    /// With all faults over, the group works again and every member has all that was accepted.
+    fn check_progress(&mut self) {
+        let last = self.checker.last_accepted();
+        let leader = self.nodes.iter().position(|node| {
+            let now = node.clock.reading(self.now_us);
+            node.core().is_some_and(|core| core.may_act_as_leader(now))
+        });
+        let Some(leader) = leader else {
+            let states: Vec<_> = self.nodes.iter().map(SimNode::describe).collect();
+            return self
+                .checker
+                .fails(format!("no leader after all faults were over: {states:#?}"));
+        };
+        let members = self.nodes[leader].core().map(|core| core.members().clone());
+        for record in members.unwrap_or_default().records() {
+            let holder = self
+                .nodes
+                .iter()
+                .find(|node| node.member == Some(record.member));
+            let commit = holder
+                .and_then(SimNode::core)
+                .map(ConsensusCore::commit_index);
+            if commit.is_none_or(|commit| commit + 40 < last) {
+                let member = record.member;
+                let states: Vec<_> = self.nodes.iter().map(SimNode::describe).collect();
+                self.checker.fails(format!(
+                    "{member} is at {commit:?}, accepted was {last}: {states:#?}"
+                ));
+            }
+        }
+    }
+}
--- a/crates/ragwortroad_log/src/disk_port.rs
+++ b/crates/ragwortroad_log/src/disk_port.rs
@@ -46,13 +46,6 @@
         }
     }
 
-    pub(crate) fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
-        match self {
-            Self::Real(disk) => disk.truncate(name, length),
-            Self::Fake(disk) => disk.truncate(name, length),
-        }
-    }
-
     pub(crate) fn sync(&mut self, name: &str) -> io::Result<()> {
         match self {
             Self::Real(disk) => disk.sync(name),
--- a/crates/ragwortroad_log/src/fake_disk.rs
+++ b/crates/ragwortroad_log/src/fake_disk.rs
@@ -34,6 +34,8 @@
     /// Changes of names since the folder was synced, oldest first.
     pending: Vec<NameChange>,
     fail_syncs: u32,
+    /// Operations left before the machine stops.
+    stop_after: Option<u32>,
     capacity: Option<u64>,
     syncs: u64,
     sync_fails: u64,
@@ -63,6 +65,17 @@
         self.lock().fail_syncs = count;
     }
 
+    /// Stops the machine in the middle: after `count` more changes nothing gets through until
+    /// [`crash`](Self::crash).
+    pub fn stop_after(&self, count: u32) {
+        self.lock().stop_after = Some(count);
+    }
+
+    /// Whether the machine has stopped.
+    pub fn has_stopped(&self) -> bool {
+        self.lock().stop_after == Some(0)
+    }
+
     /// Bounds the sum of all files' bytes.
     pub fn set_capacity(&self, capacity: Option<u64>) {
         self.lock().capacity = capacity;
@@ -140,6 +153,7 @@
             file.crash(&mut draw);
         }
         state.fail_syncs = 0;
+        state.stop_after = None;
     }
 
     fn lock(&self) -> MutexGuard<'_, DiskState> {
@@ -157,6 +171,7 @@
 
     pub(crate) fn create(&self, name: &str) -> io::Result<()> {
         let mut state = self.lock();
+        state.step()?;
         let at = state.files.len();
         state.files.push(FakeFile::default());
         state.change(NameChange::Link(name.to_owned(), at));
@@ -165,6 +180,7 @@
 
     pub(crate) fn append(&self, name: &str, bytes: &[u8]) -> io::Result<()> {
         let mut state = self.lock();
+        state.step()?;
         let at = state.find(name)?;
         let room = state.room();
         let fits = bytes.len().min(room as usize);
@@ -175,15 +191,9 @@
         Ok(())
     }
 
-    pub(crate) fn truncate(&self, name: &str, length: u64) -> io::Result<()> {
-        let mut state = self.lock();
-        let at = state.find(name)?;
-        state.files[at].current.truncate(length as usize);
-        Ok(())
-    }
-
     pub(crate) fn sync(&self, name: &str) -> io::Result<()> {
         let mut state = self.lock();
+        state.step()?;
         let at = state.find(name)?;
         state.syncs += 1;
         if state.fail_syncs > 0 {
@@ -201,6 +211,7 @@
 
     pub(crate) fn rename(&self, from: &str, to: &str) -> io::Result<()> {
         let mut state = self.lock();
+        state.step()?;
         state.find(from)?;
         state.change(NameChange::Rename(from.to_owned(), to.to_owned()));
         Ok(())
@@ -208,6 +219,7 @@
 
     pub(crate) fn remove(&self, name: &str) -> io::Result<()> {
         let mut state = self.lock();
+        state.step()?;
         state.find(name)?;
         state.change(NameChange::Unlink(name.to_owned()));
         Ok(())
@@ -215,6 +227,7 @@
 
     pub(crate) fn sync_folder(&self) -> io::Result<()> {
         let mut state = self.lock();
+        state.step()?;
         state.syncs += 1;
         if state.fail_syncs > 0 {
             state.fail_syncs -= 1;
@@ -228,6 +241,18 @@
 }
 
 impl DiskState {
+    /// Counts one change, unless the machine has stopped.
+    fn step(&mut self) -> io::Result<()> {
+        match &mut self.stop_after {
+            Some(0) => Err(io::Error::other("the machine has stopped")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+            None => Ok(()),
+        }
+    }
+
     fn find(&self, name: &str) -> io::Result<usize> {
         let at = self.names.get(name).copied();
         at.ok_or_else(|| io::ErrorKind::NotFound.into())
@@ -281,8 +306,6 @@
                 }
             }
             self.synced = bytes;
-        } else if !self.poisoned && self.current.len() < kept && draw(2) == 1 {
-            self.synced = self.current.clone();
         }
         self.current = self.synced.clone();
         self.poisoned = false;
--- a/crates/ragwortroad_log/src/folder_files.rs
+++ b/crates/ragwortroad_log/src/folder_files.rs
@@ -19,6 +19,9 @@
 /// Name of the file that holds a second copy of the vote.
 pub(crate) const VOTE_NAME: &str = "vote";
 
+/// Name of the file that says during which boot the folder was opened last.
+pub(crate) const BOOT_NAME: &str = "boot";
+
 /// Ending of files that are not complete yet.
 pub(crate) const TEMP_ENDING: &str = ".tmp";
 
--- a/crates/ragwortroad_log/src/folder_open.rs
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -11,6 +11,7 @@
 use crate::{
     DiskPort, FolderSettings, LogError, LogFolder, StoredEntry, StoredSnapshot, StoredState,
     folder_files::{
+        BOOT_NAME,
         IDENTITY_NAME,
         LOG_START,
         SNAPSHOT_START,
@@ -112,6 +113,7 @@
         writes_refused: false,
     };
     folder.write_log(&[])?;
+    note_boot(&mut folder.port, &settings.boot)?;
     let frame = identity_frame(identity);
     let mut bytes = Vec::new();
     write_frame(&frame, &mut bytes)?;
@@ -124,6 +126,16 @@
     Ok((folder, state))
 }
 
+/// Writes down the boot at hand; whether it is the one that the folder was last opened in.
+fn note_boot(port: &mut DiskPort, boot: &str) -> Result<bool, LogError> {
+    let known = port.read(BOOT_NAME).unwrap_or_default();
+    if known == boot.as_bytes() {
+        return Ok(!boot.is_empty());
+    }
+    write_whole(port, BOOT_NAME, boot.as_bytes())?;
+    Ok(false)
+}
+
 fn identity_frame(identity: u64) -> RecordFrame {
     let header = LogHeader {
         version: VERSION,
@@ -169,7 +181,7 @@
     check_entries(&entries, &header, &name)?;
 
     let cut_bytes = (bytes.len() - scan.intact_bytes) as u64;
-    cut_tail(&mut port, &name, &scan, cut_bytes)?;
+    rewrite_log(&mut port, &name, &bytes[..scan.intact_bytes])?;
     remove_leftovers(&mut port, names, generation)?;
     let next_sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
     let mut folder = LogFolder {
@@ -187,9 +199,11 @@
         writes_refused: false,
     };
     folder.write_vote_copy()?;
+    let is_same_boot = note_boot(&mut folder.port, &settings.boot)?;
     let state = StoredState {
         identity,
         is_new: false,
+        is_same_boot,
         vote: vote.vote,
         snapshot,
         entries,
@@ -297,23 +311,13 @@
     outcome.context(DiskSnafu { action, name })
 }
 
-/// Cuts an unfinished write from the log's end, so that the next record follows an intact one.
+/// Writes the log file anew with what is intact, so that all of it is durable.
 ///
-/// What is intact need not be durable yet: after a crash of the process alone the page cache
-/// holds it. It is synced here, for it will count as acknowledged.
-fn cut_tail(
-    port: &mut DiskPort,
-    name: &str,
-    scan: &RecordScan,
-    cut_bytes: u64,
-) -> Result<(), LogError> {
-    if cut_bytes > 0 {
-        let action = "cut";
-        port.truncate(name, scan.intact_bytes as u64)
-            .context(DiskSnafu { action, name })?;
-    }
-    let action = "sync";
-    port.sync(name).context(DiskSnafu { action, name })
+/// An earlier process may have seen a sync fail, and the operating system may since count the
+/// pages as clean: they read well, a further sync reports success, and a crash loses them. Copied
+/// bytes are dirty again, so their sync says the truth. It also cuts an unfinished write.
+fn rewrite_log(port: &mut DiskPort, name: &str, intact: &[u8]) -> Result<(), LogError> {
+    write_whole(port, name, intact)
 }
 
 fn remove_leftovers(
--- a/crates/ragwortroad_log/src/folder_settings.rs
+++ b/crates/ragwortroad_log/src/folder_settings.rs
@@ -7,6 +7,10 @@
     pub path: PathBuf,
     /// Identity the folder gets if it is empty: random, and never used before.
     pub fresh_identity: u64,
+    /// What the operating system calls its current boot, empty if it does not say.
+    ///
+    /// On Linux it is the content of `/proc/sys/kernel/random/boot_id`.
+    pub boot: String,
     /// Largest content of one entry in bytes.
     pub max_entry_bytes: usize,
 }
@@ -16,6 +20,7 @@
         Self {
             path: PathBuf::from("data"),
             fresh_identity: 0,
+            boot: String::new(),
             max_entry_bytes: 4 << 20,
         }
     }
--- a/crates/ragwortroad_log/src/real_disk.rs
+++ b/crates/ragwortroad_log/src/real_disk.rs
@@ -71,11 +71,6 @@
         self.file(name)?.write_all(bytes)
     }
 
-    pub(crate) fn truncate(&mut self, name: &str, length: u64) -> io::Result<()> {
-        self.open = None;
-        self.file(name)?.set_len(length)
-    }
-
     pub(crate) fn sync(&mut self, name: &str) -> io::Result<()> {
         self.file(name)?.sync_data()
     }
--- a/crates/ragwortroad_log/src/stored_state.rs
+++ b/crates/ragwortroad_log/src/stored_state.rs
@@ -11,6 +11,11 @@
     pub identity: u64,
     /// Whether this opening created the folder's content.
     pub is_new: bool,
+    /// Whether the folder was last opened during the same boot of the machine.
+    ///
+    /// Then only the process has restarted, and the disk cannot have been put back to an older
+    /// state as a whole, as a restore of the VM does.
+    pub is_same_boot: bool,
     /// The last durable vote.
     pub vote: VoteRecord,
     /// The last durable snapshot.
