--- a/crates/ragwortroad_state/src/claim/claim_entry.rs
+++ b/crates/ragwortroad_state/src/claim/claim_entry.rs
@@ -11,7 +11,7 @@
 };
 
 /// Released attempts remembered under one key.
-const KEPT_RELEASES: usize = 4;
+const KEPT_RELEASES: usize = 8;
 
 /// All that is remembered of one key within the window.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
