Test the language: lines and edits both ways, errors, tables

Change: every edit is written as a line and read again; 23 faulty lines are kept with their messages; any line is read or refused within itself (proptest); questions in a line of changes and words too many have messages of their own.

--- a/crates/ragwortroad_language/src/edit/customer_edit.rs
+++ b/crates/ragwortroad_language/src/edit/customer_edit.rs
@@ -14,7 +14,7 @@
 
 const CUSTOMER: &str = "a customer's NAME";
 pub(super) const HASH: &str = "a key's SHA-256";
-pub(super) const HASH_EXAMPLE: &str = "64 hex digits; 'printf KEY | sha256sum' gives them";
+pub(super) const HASH_EXAMPLE: &str = "the 64 hex digits of 'printf KEY | sha256sum'";
 
 type Parsed = Result<(), LanguageError>;
 
--- a/crates/ragwortroad_language/src/edit/mod.rs
+++ b/crates/ragwortroad_language/src/edit/mod.rs
@@ -15,18 +15,28 @@
 pub use edit_text::edit_text;
 pub(crate) use edit_text::permille_text;
 
-/// The words a statement can begin with.
-const VERBS: [&str; 12] = [
+/// The words a line can begin with.
+const FIRST_WORDS: [&str; 12] = [
     "show", "add", "remove", "set", "allow", "deny", "drain", "undrain", "roll", "rollback",
     "forget", "help",
 ];
 
+/// The words an edit can begin with.
+const VERBS: [&str; 10] = [
+    "add", "remove", "set", "allow", "deny", "drain", "undrain", "roll", "rollback", "forget",
+];
+
 /// Reads one edit, which may stand for several in the configuration.
 pub(crate) fn parse(
     cursor: &mut WordCursor<'_>,
     edits: &mut Vec<ConfigEdit>,
 ) -> Result<(), LanguageError> {
-    match cursor.choice(&VERBS)? {
+    let verbs: &[&str] = if edits.is_empty() {
+        &FIRST_WORDS
+    } else {
+        &VERBS
+    };
+    match cursor.choice(verbs)? {
         "add" => parse_add(cursor, edits),
         "remove" => parse_remove(cursor, edits),
         "set" => parse_set(cursor, edits),
@@ -36,8 +46,8 @@
         "drain" => fleet_edit::drain(cursor, edits),
         "undrain" => fleet_edit::undrain(cursor, edits),
         "roll" => model_edit::roll(cursor, edits),
-        "rollback" => model_edit::rollback(cursor, edits),
-        _ => Err(cursor.early_end("a change; ask questions in lines of their own")),
+        // Questions and 'help' were read before.
+        _ => model_edit::rollback(cursor, edits),
     }
 }
 
--- a/crates/ragwortroad_language/src/language_error.rs
+++ b/crates/ragwortroad_language/src/language_error.rs
@@ -36,6 +36,12 @@
         /// What must follow.
         wanted: String,
     },
+    /// The line is complete before this word.
+    #[snafu(display("{word:?} is one word too many; remove it and what follows"))]
+    TrailingWord {
+        /// The word.
+        word: String,
+    },
     /// A value has the wrong form.
     #[snafu(display("{word:?} is not {what}; write it like {example}"))]
     BadValue {
--- a/crates/ragwortroad_language/src/statement.rs
+++ b/crates/ragwortroad_language/src/statement.rs
@@ -59,7 +59,7 @@
         return Err(LanguageError::at(line, 0, 0, LanguageFault::EmptyLine));
     }
     if cursor.skip_keyword("help") {
-        return Ok(Statement::Help);
+        return cursor.finish().map(|()| Statement::Help);
     }
     if cursor.skip_keyword("show") {
         return show_query::parse(&mut cursor).map(Statement::Show);
@@ -79,8 +79,9 @@
         }
     }
     let base_revision = parse_base(cursor)?;
-    if !cursor.is_done() {
-        return Err(cursor.unknown(&[";", "on"]));
+    match base_revision {
+        None if !cursor.is_done() => return Err(cursor.unknown(&[";", "on"])),
+        _ => cursor.finish()?,
     }
     Ok(ChangeStatement {
         base_revision,
--- a/crates/ragwortroad_language/src/word_cursor.rs
+++ b/crates/ragwortroad_language/src/word_cursor.rs
@@ -129,6 +129,18 @@
         Ok(value)
     }
 
+    /// The line must be over.
+    pub(crate) fn finish(&self) -> Result<(), LanguageError> {
+        let Some(word) = self.peek() else {
+            return Ok(());
+        };
+        let fault = LanguageFault::TrailingWord {
+            word: word.text.clone(),
+        };
+        let (from, to) = (word.bytes.start, word.bytes.end);
+        Err(LanguageError::at(self.line, from, to, fault))
+    }
+
     /// The error that the next word is none of `choices`.
     pub(crate) fn unknown(&self, choices: &[&str]) -> LanguageError {
         let Some(word) = self.peek() else {
--- /dev/null
+++ b/crates/ragwortroad_language/tests/lines.rs
@@ -0,0 +1,199 @@
+//! Lines of the language: every edit as a line and back, errors that point at the word, and tables.
+
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use proptest::prelude::*;
+
+use ragwortroad_language::prelude::*;
+use ragwortroad_state::prelude::*;
+
+fn edits_of(line: &str) -> Vec<ConfigEdit> {
+    match parse_line(line) {
+        Ok(Statement::Change(change)) => change.edits,
+        other => panic!("{line}: {other:?}"),
+    }
+}
+
+/// One line of each kind, as the help text shows them.
+const LINES: [&str; 36] = [
+    "add customer north rate 20/s tokens 40000/s",
+    "remove customer north",
+    "set customer north concurrent 30 weight 200 priority 7",
+    "add key north 2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
+    "remove key north 2BB80D537B1DA3E38BD30361AA855686BDE0EACD7162FEF6A25FE97BF527A25B",
+    "forget keys north",
+    "allow customer north model captions",
+    "allow customer north model captions adapter winter version v2",
+    "deny customer north model captions adapter winter",
+    "allow customer north service studio-desk",
+    "deny customer north service studio-desk",
+    "add model captions version v1 replicas 2..6 wanted 3 size 16gb",
+    "add model captions version v1",
+    "remove model captions",
+    "set model captions replicas 2..6",
+    "add adapter winter model captions",
+    "remove adapter winter model captions",
+    "roll model captions to v2 25%",
+    "rollback model captions",
+    "add service studio-desk idempotent GET /slots/* once GET /book",
+    "remove service studio-desk",
+    "set service studio-desk by-method PUT /slots/**",
+    "drain endpoint caption-3",
+    "undrain endpoint \"odd name\"",
+    "drain node rvk-a-1",
+    "undrain node rvk-a-1",
+    "set multiple 1.25",
+    "add member rvk-a-1 10.0.0.1:7000",
+    "remove member rvk-a-1",
+    "add operator asta 2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
+    "remove operator asta 2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
+    "set quorum-loss refuse",
+    "set quorum-loss go-on 30s",
+    "set claims window 24h keys 20000 answer 4096 budget 1048576",
+    "set claims spent 250000 skew 60s run 10m",
+    "ADD Customer North",
+];
+
+#[test]
+fn each_edit_can_be_written_as_a_line_again() {
+    for line in LINES {
+        let edits = edits_of(line);
+        let text: Vec<String> = edits.iter().map(edit_text).collect();
+        let again = edits_of(&text.join(" ; "));
+        assert_eq!(edits, again, "{line} became {text:?}");
+    }
+    let all = LINES.join(" ; ");
+    let Ok(Statement::Change(change)) = parse_line(&format!("{all} on revision 17")) else {
+        panic!("all lines as one change");
+    };
+    assert_eq!(change.base_revision, Some(17));
+    assert_eq!(change.edits.len(), LINES.len() + 3);
+}
+
+/// An operator mistypes a word at night. The error must show the word and what was probably meant,
+/// or he looks for the fault in the wrong place.
+#[test]
+fn errors_point_at_the_word_and_name_the_remedy() {
+    let lines = [
+        "",
+        "shwo customers",
+        "show custmers",
+        "show limits where rat > 5",
+        "show limits where rate ~ 5",
+        "show limits where rate >",
+        "add customer",
+        "set customer north rate fast",
+        "set customer north priority 300",
+        "set\tcustomer north rats 20/s",
+        "add key north 1234",
+        "roll model captions to v2 lots",
+        "add model captions version v1 replicas 6-2",
+        "drain enpoint caption-3",
+        "undrain endpoint \"odd name",
+        "set multiple 1.23456",
+        "add customer north; ad customer south",
+        "drain endpoint a on revision next",
+        "drain endpoint a on revision 5 please",
+        "add customer n\u{f8}rre rate langsom",
+        "add customer ; remove customer north",
+        "drain endpoint a ; show leader",
+        "help me",
+    ];
+    let text: Vec<String> = lines
+        .iter()
+        .map(|line| match parse_line(line) {
+            Err(error) => error.to_string(),
+            Ok(statement) => panic!("{line}: {statement:?}"),
+        })
+        .collect();
+    insta::assert_snapshot!("errors", text.join("\n\n"));
+}
+
+#[test]
+fn answers_are_tables_for_people_and_programs() {
+    let line = "add model captions version v1 replicas 2..6 size 16gb; add service desk once GET /book; \
+                add customer north rate 20/s; allow customer north model captions; \
+                allow customer north service desk; add customer south; \
+                roll model captions to v2 25%; drain endpoint caption-3; set multiple 1.3";
+    let Ok(Statement::Change(statement)) = parse_line(line) else {
+        panic!("{line}");
+    };
+    let mut state = FleetState::default();
+    let change = statement.into_command("first", "asta", 0);
+    let stamp = CommandStamp::default();
+    let action = StateAction::Change(change);
+    state
+        .apply(1, &StateCommand { stamp, action }.to_bytes())
+        .unwrap();
+    let mut text = String::new();
+    for question in [
+        "show customers",
+        "show limits where rate > 10",
+        "show limits where customer != north and concurrent < 33",
+        "show models",
+        "show versions where model = captions",
+        "show services",
+        "show drains",
+        "show config",
+        "show changes",
+        "show claims",
+    ] {
+        let Ok(Statement::Show(query)) = parse_line(question) else {
+            panic!("{question}");
+        };
+        let table = state_table(query.topic, &state).unwrap();
+        let table = table.filtered(&query.conditions);
+        text.push_str(&format!("> {question}\n{}\n", table.to_text()));
+        if question.starts_with("show limits where rate") {
+            text.push_str(&format!("{}\n\n", table.to_json()));
+        }
+    }
+    let late = ChangeCommand {
+        change_id: "second".to_owned(),
+        base_revision: 0,
+        operator: "bjorn".to_owned(),
+        edits: edits_of("set multiple 1.5"),
+    };
+    let action = StateAction::Change(late);
+    let applied = state
+        .apply(2, &StateCommand { stamp, action }.to_bytes())
+        .unwrap();
+    let Applied::Changed(outcome) = applied else {
+        panic!("{applied:?}");
+    };
+    text.push_str(&outcome_text(&outcome));
+    insta::assert_snapshot!("answers", text);
+}
+
+fn word() -> impl Strategy<Value = String> {
+    let known =
+        "show|add|set|customer|model|rate|where|on|revision|;|=|<|north|20/s|25%|2..6|limits";
+    let words: Vec<String> = known.split('|').map(str::to_owned).collect();
+    prop_oneof![
+        proptest::sample::select(words),
+        "\\PC{0,6}",
+        "[a-z\"=; ]{0,5}"
+    ]
+}
+
+proptest! {
+    #[test]
+    fn any_line_is_read_or_refused_within_itself(words in proptest::collection::vec(word(), 0..12)) {
+        let line = words.join(" ");
+        if let Err(error) = parse_line(&line) {
+            let length = line.chars().count();
+            prop_assert!(error.column >= 1 && error.column <= length.max(1));
+            prop_assert!(error.column + error.width <= length.max(1) + 1, "{error:?}");
+            prop_assert!(!error.to_string().is_empty());
+        }
+    }
+
+    #[test]
+    fn names_of_any_kind_survive(name in "[^\"]{1,20}", permille in 0u32..20_000) {
+        let target = DrainTarget::Endpoint(name);
+        let edit = ConfigEdit::Drain { target };
+        prop_assert_eq!(edits_of(&edit_text(&edit)), vec![edit]);
+        let edit = ConfigEdit::SetMultiple { permille };
+        prop_assert_eq!(edits_of(&edit_text(&edit)), vec![edit]);
+    }
+}
--- a/crates/ragwortroad_state/tests/in_force.rs
+++ b/crates/ragwortroad_state/tests/in_force.rs
@@ -474,7 +474,7 @@
 #[test]
 fn a_shorter_grace_is_remembered_until_the_longer_one_is_over() {
     let mut state = FleetState::default();
-    let mut set = |state: &mut FleetState, index: u64, at_ms: u64, seconds: u32| {
+    let set = |state: &mut FleetState, index: u64, at_ms: u64, seconds: u32| {
         let policy = QuorumLoss::GoOn { seconds };
         let edits = vec![ConfigEdit::SetQuorumLoss { policy }];
         let change = common::change(&format!("c{index}"), index - 1, edits);
