Leave room for a falling mean by its deviation, not by a fixed share

An engine admitted up to the bound stands above it as soon as the fleet mean falls. A fixed share of the way to the bound wasted room in large fleets and left too little in small ones.

--- a/crates/ragwortroad_bench/examples/decisions.rs
+++ b/crates/ragwortroad_bench/examples/decisions.rs
@@ -26,9 +26,9 @@
     /// Runs the planner and our whole policy only.
     #[arg(long)]
     short: bool,
-    /// Share of the way from mean to bound that admissions may use.
+    /// Standard deviations of the mean that admissions leave below the bound.
     #[arg(long)]
-    admit_share: Option<f64>,
+    mean_margin: Option<f64>,
     /// Prints JSON.
     #[arg(long)]
     json: bool,
@@ -54,7 +54,7 @@
         warm_seconds: args.warm_seconds,
         seconds: args.seconds,
         policies,
-        admit_share: args.admit_share,
+        mean_margin: args.mean_margin,
     });
     if args.json {
         println!("{}", report.to_json());
--- a/crates/ragwortroad_bench/src/run/bench_node.rs
+++ b/crates/ragwortroad_bench/src/run/bench_node.rs
@@ -110,7 +110,7 @@
     let defaults = RouteSettings::default();
     RouteSettings {
         node,
-        admit_share: settings.admit_share.unwrap_or(defaults.admit_share),
+        mean_margin: settings.mean_margin.unwrap_or(defaults.mean_margin),
         plan_block: if ideas.plans { defaults.plan_block } else { 0 },
         two_choices: ideas.two_choices,
         chat_entries: if ideas.hints { spec.chat_entries } else { 0 },
--- a/crates/ragwortroad_bench/src/run/bench_settings.rs
+++ b/crates/ragwortroad_bench/src/run/bench_settings.rs
@@ -20,7 +20,7 @@
     /// What is compared.
     pub policies: Vec<PolicyKind>,
     /// Changes the settings of the tables, for trials of one value.
-    pub admit_share: Option<f64>,
+    pub mean_margin: Option<f64>,
 }
 
 impl Default for BenchSettings {
@@ -32,7 +32,7 @@
             warm_seconds: 120,
             seconds: 240,
             policies: PolicyKind::ladder(),
-            admit_share: None,
+            mean_margin: None,
         }
     }
 }
--- a/crates/ragwortroad_routing/src/table/fleet_load.rs
+++ b/crates/ragwortroad_routing/src/table/fleet_load.rs
@@ -25,6 +25,11 @@
         self.total = self.total.saturating_sub(u64::from(before)) + u64::from(after);
     }
 
+    /// Members that take work.
+    pub(crate) fn members(&self) -> u32 {
+        self.members
+    }
+
     /// The mean load.
     pub(crate) fn mean(&self) -> f64 {
         if self.members == 0 {
--- a/crates/ragwortroad_routing/src/table/load_bound.rs
+++ b/crates/ragwortroad_routing/src/table/load_bound.rs
@@ -38,13 +38,17 @@
         (scaled as u32).max(self.floor)
     }
 
-    /// The highest load an admission may lead to when the mean is known late.
+    /// The highest load an admission may lead to in a fleet of `members` with this `mean`.
     ///
-    /// Where the mean falls after an admission, the load admitted under the older, higher mean
-    /// would stand above the bound. Admitting only up to `share` of the way from the mean to the
-    /// bound leaves room for that fall.
-    pub fn for_admission(&self, mean: f64, share: f64) -> u32 {
-        let multiple = 1.0 + (self.multiple - 1.0) * share;
-        Self { multiple, ..*self }.of_mean(mean)
+    /// Where the mean falls after an admission, the load admitted under the higher mean stands
+    /// above the bound. Requests that come and go independently let the mean of `members` loads
+    /// vary by about `sqrt(mean / members)`; an admission counts on a mean that has fallen by
+    /// `margin` times that. In a large fleet it is next to nothing.
+    pub fn for_admission(&self, mean: f64, members: u32, margin: f64) -> u32 {
+        let deviation = (mean / f64::from(members.max(1))).sqrt();
+        // A limit at or below the mean would push the mean down, and with it the limit again, until
+        // a busy fleet refused nearly everything. One above the mean is always within the bound.
+        let above_mean = mean.floor() as u32 + 1;
+        self.of_mean(mean - margin * deviation).max(above_mean)
     }
 }
--- a/crates/ragwortroad_routing/src/table/route_settings.rs
+++ b/crates/ragwortroad_routing/src/table/route_settings.rs
@@ -17,8 +17,9 @@
     pub zone: ZoneKey,
     /// The bound no endpoint may pass.
     pub bound: LoadBound,
-    /// Share of the way from mean to bound that an admission may use.
-    pub admit_share: f64,
+    /// How far the mean may fall after an admission without putting it above the bound, in standard
+    /// deviations of the mean.
+    pub mean_margin: f64,
     /// Requests an endpoint may hold, as a multiple of its capacity; the part above 1 is its queue.
     pub queue_multiple: f64,
     /// Share of an endpoint's room kept for customers that use less than an equal part of it.
@@ -61,7 +62,7 @@
             node: NodeId::default(),
             zone: ZoneKey::default(),
             bound: LoadBound::default(),
-            admit_share: 0.6,
+            mean_margin: 1.2,
             queue_multiple: 1.25,
             fair_reserve: 0.2,
             plan_block: 8,
--- a/crates/ragwortroad_routing/src/table/route_table.rs
+++ b/crates/ragwortroad_routing/src/table/route_table.rs
@@ -140,8 +140,15 @@
     /// The most requests the endpoint may carry now.
     pub(crate) fn limit_of(&self, state: &EndpointState, now: ClockTime) -> u32 {
         let settings = &self.settings;
-        let mean = self.fleet_mean(state.facts.fleet);
-        let bound = settings.bound.for_admission(mean, settings.admit_share);
+        let fleet = self
+            .fleets
+            .get(&state.facts.fleet)
+            .copied()
+            .unwrap_or_default();
+        let bound =
+            settings
+                .bound
+                .for_admission(fleet.mean(), fleet.members(), settings.mean_margin);
         let limit = bound.min(self.room_of(state));
         self.outliers.limit(state.facts.id, limit, now)
     }
