--- a/crates/ragwortroad_node/src/control/control_inbox.rs
+++ b/crates/ragwortroad_node/src/control/control_inbox.rs
@@ -39,8 +39,6 @@
 pub(crate) struct PageCall {
     /// SHA-256 of the operator's key.
     pub(crate) key_hash: [u8; 32],
-    /// The query string.
-    pub(crate) query: String,
     /// Where the page goes; nothing goes there where the key is wrong.
     pub(crate) reply: flume::Sender<Option<String>>,
 }
@@ -49,7 +47,7 @@
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
     /// A traffic thread calls.
-    Call(ControlCall),
+    Call(Box<ControlCall>),
     /// Another node says something.
     Peer(PeerEvent),
     /// The disk thread reports.
@@ -62,7 +60,7 @@
     /// The next event, or nothing after `patience`.
     pub(crate) fn next(&self, patience: Duration) -> Option<ControlEvent> {
         let selected = Selector::new()
-            .recv(&self.calls, |event| wrap(event, ControlEvent::Call))
+            .recv(&self.calls, |event| wrap(event, boxed_call))
             .recv(&self.peers, |event| wrap(event, ControlEvent::Peer))
             .recv(&self.disk, |event| wrap(event, ControlEvent::Disk))
             .recv(&self.steering, |event| wrap(event, ControlEvent::Steering))
@@ -72,7 +70,7 @@
 
     /// An event that is there already.
     pub(crate) fn ready(&self) -> Option<ControlEvent> {
-        let calls = || self.calls.try_recv().map(ControlEvent::Call).ok();
+        let calls = || self.calls.try_recv().map(boxed_call).ok();
         let peers = || self.peers.try_recv().map(ControlEvent::Peer).ok();
         let disk = || self.disk.try_recv().map(ControlEvent::Disk).ok();
         let steering = || self.steering.try_recv().map(ControlEvent::Steering).ok();
@@ -81,6 +79,11 @@
     }
 }
 
+/// A call as an event; boxed, since it is many times the size of the others.
+fn boxed_call(call: ControlCall) -> ControlEvent {
+    ControlEvent::Call(Box::new(call))
+}
+
 /// The event in a received item; a closed channel gives none.
 fn wrap<T>(
     received: Result<T, RecvError>,
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -1,4 +1,7 @@
-use std::time::Duration;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use ragwortroad_consensus::prelude::*;
 use ragwortroad_gateway::prelude::*;
@@ -14,6 +17,7 @@
 use rand_pcg::Pcg64;
 
 use crate::{
+    byte_counts::ByteCounts,
     control::{
         control_inbox::{
             ControlEvent,
@@ -90,6 +94,8 @@
     pub(crate) second: ClockTime,
     /// When this node last introduced its data folder to the other members.
     pub(crate) said_hello: ClockTime,
+    /// Bytes between nodes, for who owns the process.
+    pub(crate) bytes: Arc<ByteCounts>,
 }
 
 /// Time between two ticks.
@@ -154,7 +160,7 @@
     fn handle(&mut self, event: ControlEvent) {
         let now = self.clock.now();
         match event {
-            ControlEvent::Call(call) => self.handle_call(call, now),
+            ControlEvent::Call(call) => self.handle_call(*call, now),
             ControlEvent::Peer(event) => self.handle_peer(event, now),
             ControlEvent::Disk(report) => self.handle_disk(report, now),
             ControlEvent::Steering(SteeringOrder::Drain) => self.begin_drain(now),
--- a/crates/ragwortroad_node/src/control/gauge_flow.rs
+++ b/crates/ragwortroad_node/src/control/gauge_flow.rs
@@ -18,6 +18,7 @@
             metrics::gauge!(metric, "node" => name.clone()).set(value);
         };
         let stats = self.transport.stats();
+        self.bytes.write(stats.bytes_sent, stats.bytes_received);
         gauge("ragwortroad_control_bytes_sent", stats.bytes_sent as f64);
         gauge(
             "ragwortroad_control_bytes_received",
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -127,7 +127,6 @@
             endpoint,
             slot,
             tokens: plan.tokens,
-            idempotent: plan.idempotent,
             attempts,
             claim: plan.claim.clone(),
         });
@@ -162,6 +161,15 @@
             tracing::warn!(ticket = call.ticket.0, "an attempt ended twice");
             return;
         };
+        tracing::debug!(
+            request = %record.request,
+            customer = record.customer_name,
+            chat = record.chat.map(|chat| chat.to_string()),
+            endpoint = %record.endpoint,
+            outcome = ?request_outcome(&call.outcome),
+            took_ms = call.took.as_millis() as u64,
+            "attempt ended"
+        );
         self.release_slot(
             record.endpoint,
             record.slot,
--- a/crates/ragwortroad_node/src/lib.rs
+++ b/crates/ragwortroad_node/src/lib.rs
@@ -14,6 +14,7 @@
 //! # Ok::<(), Box<dyn std::error::Error>>(())
 //! ```
 
+mod byte_counts;
 mod control;
 mod disk_worker;
 mod member;
--- a/crates/ragwortroad_node/src/member/proposal_kind.rs
+++ b/crates/ragwortroad_node/src/member/proposal_kind.rs
@@ -9,8 +9,6 @@
     Tick,
     /// The leader takes the lease for orders.
     TakeOrders,
-    /// A plan for engines.
-    Plan,
     /// Batches of claim steps, in the order in which they stand in the command.
     Claims(Vec<ClaimBatch>),
     /// An operator's change.
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -19,6 +19,7 @@
 use snafu::ResultExt;
 
 use crate::{
+    byte_counts::ByteCounts,
     control::{
         control_inbox::{
             ControlInbox,
@@ -63,6 +64,7 @@
     control: JoinHandle<()>,
     steering: Sender<SteeringOrder>,
     peer_address: SocketAddr,
+    bytes: Arc<ByteCounts>,
 }
 
 /// Share of first attempts that may be repeated, and retries that are saved up for quiet times.
@@ -76,6 +78,7 @@
 impl NodeProcess {
     /// Starts a node.
     pub fn start(settings: ProcessSettings) -> Result<Self, NodeError> {
+        MetricPages::start();
         let secrets = NodeSecrets::read(&settings.fleet)?;
         let keys = read_keys(&settings)?;
         let (transport, peers) = PeerTransport::start(TransportSettings {
@@ -98,6 +101,7 @@
             addresses,
         };
         let state = control_state(parts)?;
+        let bytes = Arc::clone(&state.bytes);
         let inbox = ControlInbox {
             calls: call_queue,
             peers,
@@ -113,6 +117,7 @@
             control,
             steering,
             peer_address,
+            bytes,
         })
     }
 
@@ -131,6 +136,11 @@
         self.gateway.in_flight()
     }
 
+    /// Bytes sent to other nodes and received from them, in UDP payloads, as of the last second.
+    pub fn control_bytes(&self) -> (u64, u64) {
+        self.bytes.read()
+    }
+
     /// Drains: takes no new work, finishes every request in flight, joins every thread.
     pub fn stop(self) {
         if self.steering.send(SteeringOrder::Drain).is_err() {
@@ -190,17 +200,13 @@
 fn timeline_page(
     steering: Sender<SteeringOrder>,
 ) -> impl Fn([u8; 32], &str) -> Result<String, RefusalWire> {
-    move |key_hash, query| {
+    move |key_hash, _query| {
         let refuse = |code, message: &str| {
             let outcome = RequestOutcome::NotRun;
             RefusalWire::new(outcome, code, message, RequestId::default())
         };
         let (reply, answer) = flume::bounded(1);
-        let call = PageCall {
-            key_hash,
-            query: query.to_owned(),
-            reply,
-        };
+        let call = PageCall { key_hash, reply };
         let gone = || refuse(RefusalCode::InternalFault, "the control thread has ended");
         steering
             .send(SteeringOrder::Page(call))
@@ -276,6 +282,7 @@
         draining: false,
         second: ClockTime::ZERO,
         said_hello: ClockTime::ZERO,
+        bytes: Arc::default(),
         settings,
     })
 }
--- a/crates/ragwortroad_node/src/request/ticket_table.rs
+++ b/crates/ragwortroad_node/src/request/ticket_table.rs
@@ -30,8 +30,6 @@
     pub(crate) slot: HeldSlot,
     /// Tokens charged to the customer's limit.
     pub(crate) tokens: u32,
-    /// Whether running it twice does the same as running it once.
-    pub(crate) idempotent: bool,
     /// Attempts of the request, this one included.
     pub(crate) attempts: u32,
     /// The claim.
--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -8,8 +8,7 @@
 use clap_complete::Shell;
 
 /// A router fleet for very many returning chats.
-#[derive(Debug)]
-#[derive(Parser)]
+#[derive(Debug, Parser)]
 #[command(name = "ragwortroad", version, max_term_width = 100)]
 #[command(after_help = "\
 Exit status:
@@ -31,8 +30,7 @@
 }
 
 /// The subcommands.
-#[derive(Debug)]
-#[derive(Subcommand)]
+#[derive(Debug, Subcommand)]
 pub(crate) enum CommandKind {
     /// Run one node of the fleet; SIGTERM or SIGINT drains it.
     Serve(SettingsFile),
@@ -48,21 +46,16 @@
     Ask(OperatorOptions),
     /// Change the fleet's configuration; returns once the change is in force everywhere.
     Change(ChangeOptions),
-    /// Gather the time line of events from all nodes that can be reached.
-    Timeline(TimelineOptions),
     /// Make the certificates and keys with which nodes prove themselves to each other.
     Keys(KeyOptions),
     /// Run the decision bench: real decision code, small fakes, one seed.
     Bench(BenchOptions),
-    /// Make one self-contained page with plots out of JSON reports.
-    Report(ReportOptions),
     /// Print shell completions.
     Completions(CompletionOptions),
 }
 
 /// Which settings to use.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 pub(crate) struct SettingsFile {
     /// INI file of this process.
     #[arg(long, value_name = "FILE")]
@@ -70,8 +63,7 @@
 }
 
 /// How to reach the fleet as an operator.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 pub(crate) struct OperatorAccess {
     /// Any node, as IP:port; the next one given is asked where one does not answer.
     #[arg(long, value_name = "IP:PORT", required = true)]
@@ -82,8 +74,7 @@
 }
 
 /// A question.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 #[command(after_help = "\
 Examples:
   ragwortroad ask --node 127.0.0.1:8001 --key operator.key 'show customers'
@@ -99,8 +90,7 @@
 }
 
 /// A change.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 #[command(after_help = "\
 A change whose answer was lost may be sent again with the same --id: it is made once, and the
 resend returns the first outcome.
@@ -117,8 +107,7 @@
 }
 
 /// The demonstration.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 pub(crate) struct DemoOptions {
     /// Seed of all that is random in it.
     #[arg(long, default_value_t = 1)]
@@ -135,8 +124,7 @@
 }
 
 /// Stand-ins.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 #[command(after_help = "\
 Example:
   ragwortroad standin --announce 127.0.0.1:8001 --join-secret join.secret --engines 12 --services 3")]
@@ -171,8 +159,7 @@
 }
 
 /// Load.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 pub(crate) struct LoadOptions {
     /// Nodes to ask for addresses, as IP:port.
     #[arg(long, value_name = "IP:PORT", required = true)]
@@ -200,27 +187,8 @@
     pub(crate) json: bool,
 }
 
-/// Time line.
-#[derive(Debug)]
-#[derive(Args)]
-#[command(after_help = "\
-Examples:
-  ragwortroad timeline --node 127.0.0.1:8001 --key operator.key --format html > line.html
-  ragwortroad timeline --node 127.0.0.1:8001 --key operator.key --filter 'request=00000000000000ab'")]
-pub(crate) struct TimelineOptions {
-    #[command(flatten)]
-    pub(crate) access: OperatorAccess,
-    /// text, json, trace (for trace viewers) or html.
-    #[arg(long, default_value = "text")]
-    pub(crate) format: String,
-    /// Keep only events with field=value; fields: request, chat, customer, endpoint, kind.
-    #[arg(long, value_name = "FIELD=VALUE")]
-    pub(crate) filter: Vec<String>,
-}
-
 /// Keys.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 pub(crate) struct KeyOptions {
     /// The fleet's name.
     #[arg(long)]
@@ -234,12 +202,21 @@
 }
 
 /// Decision bench.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 pub(crate) struct BenchOptions {
     /// ljosmynd, splashmark or target.
     #[arg(long, default_value = "ljosmynd")]
     pub(crate) workload: String,
+    /// calm, all, or some of churn, differing_views, surge, late_reports, event_gaps, zone_loss,
+    /// node_restarts, joined by '+'.
+    #[arg(long, default_value = "churn")]
+    pub(crate) disturbances: String,
+    /// Seconds before the measured time.
+    #[arg(long, default_value_t = 120)]
+    pub(crate) warm_seconds: u64,
+    /// Seconds measured.
+    #[arg(long, default_value_t = 240)]
+    pub(crate) seconds: u64,
     /// Seed of the run.
     #[arg(long, default_value_t = 7)]
     pub(crate) seed: u64,
@@ -248,18 +225,8 @@
     pub(crate) json: bool,
 }
 
-/// Report page.
-#[derive(Debug)]
-#[derive(Args)]
-pub(crate) struct ReportOptions {
-    /// JSON files written by `load --json` or `bench --json`.
-    #[arg(required = true)]
-    pub(crate) files: Vec<PathBuf>,
-}
-
 /// Shell completions.
-#[derive(Debug)]
-#[derive(Args)]
+#[derive(Debug, Args)]
 pub(crate) struct CompletionOptions {
     /// The shell.
     pub(crate) shell: Shell,
--- /dev/null
+++ b/src/commands/bench.rs
@@ -0,0 +1,32 @@
+//! `bench`: the decision bench.
+
+use ragwortroad_bench::prelude::*;
+
+use crate::{
+    command_line::BenchOptions,
+    exit_status::ExitStatus, //
+};
+
+/// Runs the bench and prints its report; the same to the letter for the same seed.
+pub(crate) fn run(options: &BenchOptions) -> ExitStatus {
+    let workload = WorkloadKind::from_name(&options.workload);
+    let disturbances = DisturbanceSet::from_name(&options.disturbances);
+    let (Some(workload), Some(disturbances)) = (workload, disturbances) else {
+        eprintln!("no such workload or disturbance; 'ragwortroad bench --help' names them");
+        return ExitStatus::BadInput;
+    };
+    let report = run_bench(&BenchSettings {
+        seed: options.seed,
+        workload,
+        disturbances,
+        warm_seconds: options.warm_seconds,
+        seconds: options.seconds,
+        policies: PolicyKind::ladder(),
+        mean_margin: None,
+    });
+    match options.json {
+        true => println!("{}", report.to_json()),
+        false => print!("{report}"),
+    }
+    ExitStatus::Done
+}
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -15,7 +15,11 @@
             } else {
                 "holds no state"
             };
-            println!("{}: no faults; {} {role}", path.display(), settings.node.name);
+            println!(
+                "{}: no faults; {} {role}",
+                path.display(),
+                settings.node.name
+            );
             ExitStatus::Done
         }
         Err(error) => {
--- a/src/commands/completions.rs
+++ b/src/commands/completions.rs
@@ -15,6 +15,11 @@
 /// Prints the completions for one shell.
 pub(crate) fn run(options: &CompletionOptions) -> ExitStatus {
     let mut command = CommandLine::command();
-    clap_complete::generate(options.shell, &mut command, "ragwortroad", &mut io::stdout());
+    clap_complete::generate(
+        options.shell,
+        &mut command,
+        "ragwortroad",
+        &mut io::stdout(),
+    );
     ExitStatus::Done
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -7,11 +7,9 @@
 mod keys;
 mod load;
 mod operator;
-mod report;
 mod secret_file;
 mod serve;
 mod standin;
-mod timeline;
 
 use crate::{
     command_line::CommandKind,
@@ -28,10 +26,8 @@
         CommandKind::Load(options) => load::run(&options),
         CommandKind::Ask(options) => operator::ask(&options),
         CommandKind::Change(options) => operator::change(&options),
-        CommandKind::Timeline(options) => timeline::run(&options),
         CommandKind::Keys(options) => keys::run(&options),
         CommandKind::Bench(options) => bench::run(&options),
-        CommandKind::Report(options) => report::run(&options),
         CommandKind::Completions(options) => completions::run(&options),
     }
 }
--- /dev/null
+++ b/src/commands/standin.rs
@@ -0,0 +1,117 @@
+//! `standin`: engines and services to try a fleet with.
+
+use std::{
+    thread,
+    time::Duration, //
+};
+
+use ragwortroad_settings::prelude::*;
+use ragwortroad_standin::prelude::*;
+use ragwortroad_types::prelude::*;
+use signal_hook::{
+    consts::{
+        SIGINT,
+        SIGTERM, //
+    },
+    iterator::Signals, //
+};
+
+use crate::{
+    command_line::StandinOptions,
+    commands::secret_file::read_secret,
+    exit_status::ExitStatus,
+    log_output::start_log, //
+};
+
+/// Runs stand-ins until the time is over or a signal comes.
+pub(crate) fn run(options: &StandinOptions) -> ExitStatus {
+    start_log(&LogSettings::default());
+    let secret = match read_secret(&options.join_secret) {
+        Ok(secret) => secret,
+        Err(status) => return status,
+    };
+    let started = start_all(options, &secret);
+    let (engines, services) = match started {
+        Ok(started) => started,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitStatus::Unusable;
+        }
+    };
+    println!(
+        "{} engines and {} services run",
+        engines.len(),
+        services.len()
+    );
+    let status = wait(options.seconds);
+    for engine in &engines {
+        engine.leave();
+    }
+    for service in &services {
+        service.leave();
+    }
+    let mut records: Vec<RunRecord> = Vec::new();
+    records.extend(engines.into_iter().flat_map(StandinEngine::stop));
+    records.extend(services.into_iter().flat_map(StandinService::stop));
+    println!("{} requests ran", records.len());
+    status
+}
+
+fn start_all(
+    options: &StandinOptions,
+    secret: &str,
+) -> Result<(Vec<StandinEngine>, Vec<StandinService>), StandinError> {
+    let zone = |number: u32| {
+        let count = options.zones.len().max(1);
+        let zone = options.zones.get(number as usize % count);
+        zone.cloned().unwrap_or_default()
+    };
+    let offer = ModelOffer {
+        model: options.model.clone(),
+        version: "v1".to_owned(),
+        adapters: Vec::new(),
+    };
+    let engine = |number: u32| {
+        StandinEngine::start(EngineSettings {
+            name: format!("{}-engine-{number}", options.name),
+            zone: zone(number),
+            offers: vec![offer.clone()],
+            announce_to: options.announce.clone(),
+            join_secret: secret.to_owned(),
+            ..EngineSettings::default()
+        })
+    };
+    let service = |number: u32| {
+        StandinService::start(ServiceSettings {
+            name: format!("{}-{}-{number}", options.name, options.service),
+            service: options.service.clone(),
+            zone: zone(number),
+            announce_to: options.announce.clone(),
+            join_secret: secret.to_owned(),
+            ..ServiceSettings::default()
+        })
+    };
+    let engines = (0..options.engines).map(engine).collect::<Result<_, _>>()?;
+    let services = (0..options.services)
+        .map(service)
+        .collect::<Result<_, _>>()?;
+    Ok((engines, services))
+}
+
+/// Waits for the time to be over, or for a signal where no time is given.
+fn wait(seconds: u64) -> ExitStatus {
+    if seconds > 0 {
+        thread::sleep(Duration::from_secs(seconds));
+        return ExitStatus::Done;
+    }
+    match Signals::new([SIGTERM, SIGINT]) {
+        Ok(mut signals) => {
+            signals.forever().next();
+            ExitStatus::Done
+        }
+        Err(error) => {
+            eprintln!("signals cannot be taken over: {error}");
+            ExitStatus::Unusable
+        }
+    }
+}
--- a/src/log_output.rs
+++ b/src/log_output.rs
@@ -24,6 +24,10 @@
         eprintln!("the log could not be started: {error}");
     }
     if let Some(fault) = fault {
-        tracing::warn!(level = settings.level, fault, "log level cannot be read, using info");
+        tracing::warn!(
+            level = settings.level,
+            fault,
+            "log level cannot be read, using info"
+        );
     }
 }
