--- a/crates/ragwortroad_node/src/control/admit_flow.rs
+++ b/crates/ragwortroad_node/src/control/admit_flow.rs
@@ -129,7 +129,6 @@
             hint,
             tokens,
             priority,
-            idempotent: facts.idempotent,
             claim,
             excluded: call.excluded.clone(),
             asked: 0,
--- a/crates/ragwortroad_node/src/request/request_plan.rs
+++ b/crates/ragwortroad_node/src/request/request_plan.rs
@@ -28,8 +28,6 @@
     pub(crate) tokens: u32,
     /// The engines' scheduling priority.
     pub(crate) priority: u8,
-    /// Whether running it twice does the same as running it once.
-    pub(crate) idempotent: bool,
     /// The claim it holds, for a request that must not run twice.
     pub(crate) claim: Option<HeldClaim>,
     /// Endpoints that failed the request or whose home refused it.
