--- a/crates/ragwortroad_gateway/examples/added_latency.rs
+++ b/crates/ragwortroad_gateway/examples/added_latency.rs
@@ -109,6 +109,8 @@
     let runtime = Runtime::new()?;
     let (mut child, node) = start_node(engine.address())?;
     let pid = child.id();
+    run_round(&runtime, node, 1, 1)?;
+    measure_idle(node, pid)?;
     println!("streams  tokens    first token us (p50 p99)            token gap us (p50 p99)");
     println!(
         "                   direct        node          added   direct        node          added"
@@ -135,7 +137,6 @@
             (after.processor - before.processor) * 1e6 / tokens as f64
         );
     }
-    measure_idle(node, pid)?;
     drop(child.stdin.take());
     child.wait()?;
     engine.stop();
@@ -203,8 +204,9 @@
         let mut callers = JoinSet::new();
         for place in 0..streams {
             callers.spawn(async move {
-                // Callers begin spread over one token's time, as they do outside a test.
-                tokio::time::sleep(TOKEN_GAP * place as u32 / streams as u32).await;
+                // Callers begin spread over one stream's time: so many streams at once do not begin
+                // together outside a test.
+                tokio::time::sleep(TOKEN_GAP * TOKENS * place as u32 / streams as u32).await;
                 let mut times = StreamTimes::new()?;
                 for _ in 0..repeats {
                     read_stream(address, &mut times).await?;
--- a/crates/ragwortroad_load/src/lib.rs
+++ b/crates/ragwortroad_load/src/lib.rs
@@ -25,10 +25,10 @@
 mod event_reader;
 mod latency_set;
 mod load_error;
-mod load_report;
 mod load_run;
 mod load_settings;
 mod run_check;
+mod run_report;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
@@ -45,10 +45,6 @@
         },
         latency_set::LatencySummary,
         load_error::LoadError,
-        load_report::{
-            LoadReport,
-            OutcomeCount, //
-        },
         load_run::run_load,
         load_settings::{
             CustomerLoad,
@@ -59,6 +55,10 @@
             RunViolation,
             verify_run, //
         },
+        run_report::{
+            OutcomeCount, //
+            RunReport,
+        },
     };
 }
 
--- a/crates/ragwortroad_load/src/load_run.rs
+++ b/crates/ragwortroad_load/src/load_run.rs
@@ -18,7 +18,7 @@
 use snafu::ResultExt;
 
 use crate::{
-    AnswerCheck, CallEnd, CallKind, CallNote, CustomerLoad, LoadError, LoadReport, LoadSettings,
+    AnswerCheck, CallEnd, CallKind, CallNote, CustomerLoad, LoadError, LoadSettings, RunReport,
     address_book::AddressBook,
     arrival_plan::{
         PlannedAction,
@@ -71,7 +71,7 @@
 /// Sends the load, each request when it is due, and waits for every answer.
 ///
 /// A request that is due when every caller is busy waits, and its wait counts into its latency.
-pub fn run_load(settings: LoadSettings) -> Result<LoadReport, LoadError> {
+pub fn run_load(settings: LoadSettings) -> Result<RunReport, LoadError> {
     let arrivals = plan_arrivals(&settings);
     let start = Instant::now();
     let callers = settings.callers.clamp(1, arrivals.len().max(1));
@@ -108,7 +108,7 @@
         notes.extend(result.notes);
     }
     let seed = state.settings.seed;
-    Ok(LoadReport::new(seed, start.elapsed(), notes, &latencies))
+    Ok(RunReport::new(seed, start.elapsed(), notes, &latencies))
 }
 
 fn serve_arrivals(
--- a/crates/ragwortroad_load/src/load_report.rs
+++ b/crates/ragwortroad_load/src/run_report.rs
@@ -22,7 +22,7 @@
 
 /// What a load run showed.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct LoadReport {
+pub struct RunReport {
     /// The seed of its arrivals.
     pub seed: u64,
     /// Seconds from the first request due to the last answer.
@@ -41,7 +41,7 @@
     pub resends: u64,
     /// Of the prompt tokens of returning turns, the part that engines had in their caches.
     pub cache_reuse: f64,
-    /// What must never happen, and did; filled by [`LoadReport::verify`].
+    /// What must never happen, and did; filled by [`RunReport::verify`].
     pub violations: Vec<RunViolation>,
     /// Every call, for checks.
     #[serde(skip)]
@@ -59,7 +59,7 @@
     pub count: u64,
 }
 
-impl LoadReport {
+impl RunReport {
     pub(crate) fn new(
         seed: u64,
         took: Duration,
@@ -148,7 +148,7 @@
     }
 }
 
-impl fmt::Display for LoadReport {
+impl fmt::Display for RunReport {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let (calls, answered) = (self.calls(), self.answered());
         writeln!(
