Name the attempt in a cancellation, and the customer and endpoint in the log

Cause: a cancellation of a broken attempt could reach the engine after a later attempt of the same request began there, and end that one. Change: each attempt has a number, sent with it and with its cancellation.

--- a/crates/ragwortroad_gateway/src/attempt_guard.rs
+++ b/crates/ragwortroad_gateway/src/attempt_guard.rs
@@ -13,7 +13,8 @@
     FinishCall,
     TicketId,
     cancel_worker::CancelOrder,
-    gateway_state::GatewayState, //
+    gateway_state::GatewayState,
+    request_context::RequestContext, //
 };
 
 /// Gives a grant back exactly once, also when the task that holds it is dropped.
@@ -25,6 +26,8 @@
     ticket: TicketId,
     address: SocketAddr,
     request: RequestId,
+    /// Counts the request's attempts from 1.
+    attempt: u32,
     started: Instant,
     deadline: Instant,
     /// Whether bytes may have been sent.
@@ -39,23 +42,28 @@
     pub(crate) fn new(
         state: Arc<GatewayState>,
         grant: &AdmitGrant,
-        request: RequestId,
-        deadline: Instant,
+        context: &RequestContext,
+        attempt: u32,
         cancels: bool,
     ) -> Self {
         Self {
             state,
             ticket: grant.ticket,
             address: grant.address,
-            request,
+            request: context.request,
+            attempt,
             started: Instant::now(),
-            deadline,
+            deadline: context.deadline,
             sent: false,
             cancels,
             finished: false,
         }
     }
 
+    pub(crate) fn attempt(&self) -> u32 {
+        self.attempt
+    }
+
     pub(crate) fn mark_sent(&mut self) {
         self.sent = true;
     }
@@ -95,6 +103,7 @@
         let order = CancelOrder {
             address: self.address,
             request: self.request,
+            attempt: self.attempt,
         };
         if self.state.cancels.send(order).is_err() {
             tracing::debug!(request = %self.request, "no cancel after the gateway's end");
--- a/crates/ragwortroad_gateway/src/cancel_worker.rs
+++ b/crates/ragwortroad_gateway/src/cancel_worker.rs
@@ -36,6 +36,8 @@
 pub(crate) struct CancelOrder {
     pub(crate) address: SocketAddr,
     pub(crate) request: RequestId,
+    /// Which attempt of the request: a later one may run at the same engine.
+    pub(crate) attempt: u32,
 }
 
 /// Tells engines to cancel until `stop` turns true, and then what is still waiting.
@@ -64,7 +66,8 @@
 }
 
 async fn send_cancel(order: CancelOrder) {
-    let body = format!("{{\"request_id\":\"{}\"}}", order.request);
+    let (request, attempt) = (order.request, order.attempt);
+    let body = format!("{{\"request_id\":\"{request}\",\"attempt\":{attempt}}}");
     let request = Request::builder()
         .method(Method::POST)
         .uri("/v1/cancel")
--- a/crates/ragwortroad_gateway/src/engine_request.rs
+++ b/crates/ragwortroad_gateway/src/engine_request.rs
@@ -20,10 +20,14 @@
 /// The engines' path for chats.
 const ENGINE_PATH: &str = "/v1/chat/completions";
 
+/// Header with the number of the request's attempt, which a cancellation names again.
+const ATTEMPT: &str = "x-attempt";
+
 /// A model request as the engine gets it: the caller's body, and headers from the grant.
 pub(crate) fn engine_request(
     context: &RequestContext,
     grant: &AdmitGrant,
+    attempt: u32,
     body: Bytes,
 ) -> Option<Request<Full<Bytes>>> {
     let mut request = Request::builder()
@@ -32,6 +36,7 @@
         .header("host", grant.address.to_string())
         .header("content-type", "application/json")
         .header(REQUEST_ID, context.request.to_string())
+        .header(ATTEMPT, attempt.to_string())
         .header("x-customer", grant.customer.as_str())
         .header("x-priority", grant.priority.to_string())
         .header(DEADLINE, context.time_left().as_millis().to_string());
--- a/crates/ragwortroad_gateway/src/gateway_settings.rs
+++ b/crates/ragwortroad_gateway/src/gateway_settings.rs
@@ -9,6 +9,8 @@
 /// How a [`GatewayServer`](crate::GatewayServer) listens and what it allows.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct GatewaySettings {
+    /// The node's name, for the log.
+    pub node_name: String,
     /// Where to listen; port 0 takes a free one.
     pub listen: SocketAddr,
     /// Number of traffic threads.
@@ -53,6 +55,7 @@
 impl Default for GatewaySettings {
     fn default() -> Self {
         Self {
+            node_name: String::new(),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             traffic_threads: 2,
             max_body: 4 << 20,
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -132,7 +132,9 @@
     loop {
         let mut attempt = flow.open().await?;
         let context = flow.context.clone();
-        let make = |grant: &crate::AdmitGrant| engine_request(&context, grant, body.clone());
+        let make = |grant: &crate::AdmitGrant, attempt: u32| {
+            engine_request(&context, grant, attempt, body.clone())
+        };
         let must_echo = flow.state.settings.engines_must_echo;
         let answer = flow.exchange(&mut attempt, make).await;
         let answer = answer.and_then(|answer| {
--- a/crates/ragwortroad_gateway/src/request_flow.rs
+++ b/crates/ragwortroad_gateway/src/request_flow.rs
@@ -76,12 +76,15 @@
             }
             let grant = self.admit().await?;
             self.attempts += 1;
+            let span = tracing::Span::current();
+            span.record("customer", grant.customer.as_str());
+            span.record("endpoint", tracing::field::display(grant.endpoint));
             let cancels = matches!(self.call.target, crate::RequestTarget::Model { .. });
             let guard = AttemptGuard::new(
                 Arc::clone(&self.state),
                 &grant,
-                self.context.request,
-                self.context.deadline,
+                &self.context,
+                self.attempts,
                 cancels,
             );
             if let Some(link) = self.pooled(&grant) {
@@ -106,10 +109,10 @@
     pub(crate) async fn exchange(
         &mut self,
         attempt: &mut OpenAttempt,
-        make: impl Fn(&AdmitGrant) -> Option<Request<Full<Bytes>>>,
+        make: impl Fn(&AdmitGrant, u32) -> Option<Request<Full<Bytes>>>,
     ) -> Result<Response<Incoming>, String> {
         let unfit = || "the request cannot be written as HTTP".to_owned();
-        let request = make(&attempt.grant).ok_or_else(unfit)?;
+        let request = make(&attempt.grant, attempt.guard.attempt()).ok_or_else(unfit)?;
         attempt.guard.mark_sent();
         self.sent = true;
         match attempt.link.send(request).await {
@@ -121,7 +124,7 @@
                 attempt.link = EndpointLink::connect(address, limit)
                     .await
                     .map_err(|error| format!("no connection: {error}"))?;
-                let request = make(&attempt.grant).ok_or_else(unfit)?;
+                let request = make(&attempt.grant, attempt.guard.attempt()).ok_or_else(unfit)?;
                 let sent = attempt.link.send(request).await;
                 sent.map_err(|error| format!("no answer: {error}"))
             }
--- a/crates/ragwortroad_gateway/src/request_router.rs
+++ b/crates/ragwortroad_gateway/src/request_router.rs
@@ -68,6 +68,9 @@
         key = context.key_hash.as_ref().map(short_hash),
         chat = context.chat,
         path = request.uri().path(),
+        node = state.settings.node_name,
+        customer = tracing::field::Empty,
+        endpoint = tracing::field::Empty,
     );
     let answered = dispatch(Arc::clone(&state), context, request);
     let mut reply = match answered.instrument(span).await {
--- a/crates/ragwortroad_gateway/src/service_relay.rs
+++ b/crates/ragwortroad_gateway/src/service_relay.rs
@@ -171,7 +171,7 @@
     loop {
         let mut attempt = flow.open().await?;
         let context = flow.context.clone();
-        let make = |grant: &AdmitGrant| call.request(&context, grant);
+        let make = |grant: &AdmitGrant, _| call.request(&context, grant);
         let limit = flow.state.settings.max_answer;
         let answer = match flow.exchange(&mut attempt, make).await {
             Ok(answer) => check_owner(&answer, context.request, false).map(|()| answer),
--- a/crates/ragwortroad_gateway/src/stream_relay.rs
+++ b/crates/ragwortroad_gateway/src/stream_relay.rs
@@ -14,6 +14,7 @@
         timeout_at, //
     },
 };
+use tracing::Instrument;
 
 use crate::{
     AttemptOutcome,
@@ -70,7 +71,10 @@
         events,
         cursor: StreamCursor::default(),
     };
-    let mut reply = Response::new(ReplyBody::stream(receiver, relay.run(good)));
+    let mut reply = Response::new(ReplyBody::stream(
+        receiver,
+        relay.run(good).in_current_span(),
+    ));
     set_header(&mut reply, "content-type", "text/event-stream");
     set_header(&mut reply, "cache-control", "no-cache");
     set_header(&mut reply, PLACEMENT_HINT, &hint);
--- a/crates/ragwortroad_standin/src/engine_handler.rs
+++ b/crates/ragwortroad_standin/src/engine_handler.rs
@@ -26,7 +26,10 @@
         answer_import,
         answer_order, //
     },
-    engine_state::EngineState,
+    engine_state::{
+        AttemptName,
+        EngineState, //
+    },
     engine_stream::{
         EngineRun,
         stream_reply,
@@ -74,14 +77,18 @@
         return Ok(json_reply(404, &request_id, &error));
     }
     let customer = text("x-customer");
-    let run = begin_run(&state, &chat, &request_id, &customer, body, faults);
+    let name = AttemptName {
+        attempt: text("x-attempt").parse().unwrap_or(0),
+        request_id,
+    };
+    let run = begin_run(&state, &chat, name, &customer, body, faults);
     if run.faults.close_unanswered {
         state.shell.end_run(run.place, RunEnd::Cut);
         return Err(io::ErrorKind::ConnectionReset.into());
     }
     if let Some(location) = &run.faults.redirect_to {
         state.shell.end_run(run.place, RunEnd::Cut);
-        return Ok(redirect_reply(&request_id, location));
+        return Ok(redirect_reply(&run.name.request_id, location));
     }
     sleep(run.faults.answer_delay).await;
     match chat.stream {
@@ -102,7 +109,7 @@
 fn begin_run(
     state: &Arc<EngineState>,
     chat: &ChatBody,
-    request_id: &str,
+    name: AttemptName,
     customer: &str,
     body: &[u8],
     faults: FaultPlan,
@@ -115,7 +122,7 @@
     let from_token = chat.resume_from.unwrap_or(0);
     let place = state.shell.begin_run(RunRecord {
         endpoint: state.settings.name.clone(),
-        request_id: request_id.to_owned(),
+        request_id: name.request_id.clone(),
         customer: customer.to_owned(),
         method: "POST".to_owned(),
         path: "/v1/chat/completions".to_owned(),
@@ -131,7 +138,7 @@
     });
     EngineRun {
         state: Arc::clone(state),
-        request_id: request_id.to_owned(),
+        name,
         customer: customer.to_owned(),
         tokens: answer_tokens(chat),
         chat: chat.clone(),
--- a/crates/ragwortroad_standin/src/engine_pages.rs
+++ b/crates/ragwortroad_standin/src/engine_pages.rs
@@ -10,6 +10,7 @@
 use crate::{
     OrderAction, OrderWire,
     engine_state::{
+        AttemptName,
         EngineParts,
         EngineState, //
     },
@@ -24,6 +25,8 @@
 #[derive(Deserialize)]
 struct CancelWire {
     request_id: String,
+    #[serde(default)]
+    attempt: u32,
 }
 
 /// Stops work on a request.
@@ -31,7 +34,11 @@
     let Ok(cancel) = serde_json::from_slice::<CancelWire>(body) else {
         return malformed();
     };
-    let notify = state.parts().cancels.remove(&cancel.request_id);
+    let name = AttemptName {
+        request_id: cancel.request_id.clone(),
+        attempt: cancel.attempt,
+    };
+    let notify = state.parts().cancels.remove(&name);
     let found = notify.is_some();
     if let Some(notify) = notify {
         notify.notify_one();
--- a/crates/ragwortroad_standin/src/engine_state.rs
+++ b/crates/ragwortroad_standin/src/engine_state.rs
@@ -46,13 +46,20 @@
     pub(crate) offers: Vec<ModelOffer>,
     /// Highest fencing number of an order taken.
     pub(crate) fence: FenceNumber,
-    /// Who to wake when a request is cancelled, by its id.
-    pub(crate) cancels: HashMap<String, Arc<Notify>>,
+    /// Who to wake when a request's attempt is cancelled.
+    pub(crate) cancels: HashMap<AttemptName, Arc<Notify>>,
     sequence: u64,
     /// Loads seen, oldest first, for reports that come late.
     loads: VecDeque<(Instant, LoadReport)>,
 }
 
+/// A request's id and the number of its attempt.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
+pub(crate) struct AttemptName {
+    pub(crate) request_id: String,
+    pub(crate) attempt: u32,
+}
+
 impl EngineState {
     pub(crate) fn new(settings: EngineSettings, shell: Arc<ShellState>) -> Self {
         let parts = EngineParts {
--- a/crates/ragwortroad_standin/src/engine_stream.rs
+++ b/crates/ragwortroad_standin/src/engine_stream.rs
@@ -32,6 +32,7 @@
 use crate::{
     FaultPlan, RunEnd,
     engine_state::{
+        AttemptName,
         CountGuard,
         EngineState, //
     },
@@ -47,7 +48,7 @@
 /// One chat being answered by a stand-in engine.
 pub(crate) struct EngineRun {
     pub(crate) state: Arc<EngineState>,
-    pub(crate) request_id: String,
+    pub(crate) name: AttemptName,
     pub(crate) customer: String,
     pub(crate) chat: ChatBody,
     pub(crate) chain: Vec<PrefixKey>,
@@ -64,7 +65,7 @@
 
 impl Drop for EngineRun {
     fn drop(&mut self) {
-        self.state.parts().cancels.remove(&self.request_id);
+        self.state.parts().cancels.remove(&self.name);
         self.state.shell.end_run(self.place, RunEnd::Cancelled);
     }
 }
@@ -85,9 +86,7 @@
     fn register(&self) -> Arc<Notify> {
         let notify = Arc::new(Notify::new());
         let mut parts = self.state.parts();
-        parts
-            .cancels
-            .insert(self.request_id.clone(), Arc::clone(&notify));
+        parts.cancels.insert(self.name.clone(), Arc::clone(&notify));
         notify
     }
 
@@ -109,7 +108,10 @@
     }
 
     fn echo_id(&self) -> &str {
-        self.faults.echo_id.as_deref().unwrap_or(&self.request_id)
+        self.faults
+            .echo_id
+            .as_deref()
+            .unwrap_or(&self.name.request_id)
     }
 
     fn usage(&self) -> Value {
