--- a/crates/ragwortroad_state/src/change/config_update.rs
+++ b/crates/ragwortroad_state/src/change/config_update.rs
@@ -95,10 +95,12 @@
                 }
                 .fail();
             }
-            let next = config.with_edits(&change.edits).ok();
-            config = next.ok_or(FollowError::Astray {
-                revision: change.revision,
-            })?;
+            if !config.follow_edits(&change.edits) {
+                return AstraySnafu {
+                    revision: change.revision,
+                }
+                .fail();
+            }
         }
         let offered = changes.last().map_or(config.revision, |last| last.revision);
         if offered < self.revision {
--- a/crates/ragwortroad_state/src/claim/claim_step.rs
+++ b/crates/ragwortroad_state/src/claim/claim_step.rs
@@ -1,7 +1,8 @@
 use ragwortroad_types::prelude::*;
 use serde::{
     Deserialize,
-    Serialize, //
+    Serialize,
+    Serializer, //
 };
 
 use crate::ClaimKey;
@@ -82,9 +83,15 @@
     /// The Content-Type header.
     pub content_type: String,
     /// The whole body.
+    #[serde(serialize_with = "as_bytes")]
     pub body: Vec<u8>,
 }
 
+/// Writes the body in one piece; byte by byte it would make up most of a snapshot's time.
+fn as_bytes<S: Serializer>(body: &[u8], serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_bytes(body)
+}
+
 impl ClaimAnswer {
     /// Bytes it is counted with.
     pub(crate) fn length(&self) -> usize {
--- a/crates/ragwortroad_state/src/config/fleet_config.rs
+++ b/crates/ragwortroad_state/src/config/fleet_config.rs
@@ -105,6 +105,18 @@
         Ok(config)
     }
 
+    /// Carries the edits of an accepted change out; false where one cannot be.
+    ///
+    /// The members checked the change as a whole when they accepted it; a follower that checked
+    /// every change it missed would stand still for a second after a long absence.
+    pub(crate) fn follow_edits(&mut self, edits: &[ConfigEdit]) -> bool {
+        let applied = edits
+            .iter()
+            .all(|edit| apply_edit::apply(self, edit).is_ok());
+        self.revision += 1;
+        applied
+    }
+
     /// Faults of the list of edits itself.
     fn faults_of_shape(&self, edits: &[ConfigEdit]) -> Vec<ConfigFault> {
         let mut faults = Vec::new();
@@ -123,7 +135,7 @@
         faults
     }
 
-    /// The customer that a key belongs to.
+    /// The customer that a key belongs to. A [`KeyIndex`](crate::KeyIndex) finds it faster.
     pub fn customer_of(&self, key: &KeyHash) -> Option<(&str, &CustomerEntry)> {
         self.customers
             .iter()
--- a/crates/ragwortroad_state/src/config/mod.rs
+++ b/crates/ragwortroad_state/src/config/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod drain_target;
 pub(crate) mod fleet_config;
 pub(crate) mod key_hash;
+pub(crate) mod key_index;
 pub(crate) mod model_edit;
 pub(crate) mod model_entry;
 pub(crate) mod quorum_loss;
--- a/crates/ragwortroad_state/src/fleet_state.rs
+++ b/crates/ragwortroad_state/src/fleet_state.rs
@@ -24,6 +24,7 @@
     grace_record::GraceRecord,
     snapshot_wire::{
         SnapshotError,
+        SnapshotView,
         SnapshotWire, //
     }, //
 };
@@ -180,7 +181,7 @@
 
     /// The whole state as bytes.
     pub fn to_snapshot(&self) -> Vec<u8> {
-        SnapshotWire::from(self).to_bytes()
+        SnapshotView::from(self).to_bytes()
     }
 
     /// The state from bytes of [`Self::to_snapshot`].
--- a/crates/ragwortroad_state/src/lib.rs
+++ b/crates/ragwortroad_state/src/lib.rs
@@ -90,6 +90,10 @@
             drain_target::DrainTarget,
             fleet_config::FleetConfig,
             key_hash::KeyHash,
+            key_index::{
+                KeyIndex,
+                KeyOwner, //
+            },
             model_entry::{
                 ModelEntry,
                 ReplicaRange, //
--- a/crates/ragwortroad_state/src/order/order_table.rs
+++ b/crates/ragwortroad_state/src/order/order_table.rs
@@ -149,9 +149,10 @@
     ) -> Vec<EngineOrder> {
         let wanted = self.wanted();
         self.drop_unwanted(&wanted, now);
+        let under_way = self.under_way();
         let mut starts = Vec::new();
         for key in wanted {
-            if self.is_pending(&key) {
+            if under_way.contains(&key) {
                 continue;
             }
             match &key.1 {
@@ -202,9 +203,12 @@
         order
     }
 
-    fn is_pending(&self, key: &LoadKey) -> bool {
-        let mut orders = self.pending.values().map(|pending| &pending.order);
-        orders.any(|order| order.engine == key.0 && order.action == key.1)
+    /// What the orders under way are about.
+    fn under_way(&self) -> BTreeSet<LoadKey> {
+        let orders = self.pending.values().map(|pending| &pending.order);
+        orders
+            .map(|order| (order.engine.clone(), order.action.clone()))
+            .collect()
     }
 
     /// Everything in which an engine differs from its target.
--- a/crates/ragwortroad_state/src/snapshot_wire.rs
+++ b/crates/ragwortroad_state/src/snapshot_wire.rs
@@ -21,8 +21,23 @@
 /// The version of snapshots that this program writes.
 pub const SNAPSHOT_VERSION: u8 = 1;
 
-/// The state as it stands in a snapshot.
-#[derive(Serialize, Deserialize)]
+/// The state as it is written into a snapshot.
+///
+/// Invariant: has the fields of [`SnapshotWire`] in the same order, by reference, so that writing
+/// a snapshot does not copy all claims first.
+#[derive(Serialize)]
+pub(crate) struct SnapshotView<'a> {
+    applied: u64,
+    now: StateTime,
+    changes: ChangeLogWire,
+    claims: &'a ClaimTable,
+    lease: &'a LeaseTable,
+    plan: &'a OrderPlan,
+    grace: GraceRecord,
+}
+
+/// The state as it is read from a snapshot.
+#[derive(Deserialize)]
 pub(crate) struct SnapshotWire {
     applied: u64,
     now: StateTime,
@@ -56,12 +71,14 @@
     EmptySnapshot,
 }
 
-impl SnapshotWire {
+impl SnapshotView<'_> {
     pub(crate) fn to_bytes(&self) -> Vec<u8> {
         // Encoding into a growing buffer has no error; see `FleetConfig::digest`.
         postcard::to_extend(self, vec![SNAPSHOT_VERSION]).unwrap_or_default()
     }
+}
 
+impl SnapshotWire {
     pub(crate) fn from_bytes(bytes: &[u8]) -> Result<Self, SnapshotError> {
         let (version, rest) = bytes.split_first().ok_or(SnapshotError::EmptySnapshot)?;
         ensure!(
@@ -72,15 +89,15 @@
     }
 }
 
-impl From<&FleetState> for SnapshotWire {
-    fn from(state: &FleetState) -> Self {
+impl<'a> From<&'a FleetState> for SnapshotView<'a> {
+    fn from(state: &'a FleetState) -> Self {
         Self {
             applied: state.applied,
             now: state.now,
             changes: state.changes.to_wire(),
-            claims: state.claims.clone(),
-            lease: state.lease.clone(),
-            plan: state.plan.clone(),
+            claims: &state.claims,
+            lease: &state.lease,
+            plan: &state.plan,
             grace: state.grace,
         }
     }
