Divide a customer's limit by demand plus slack, and tell only news

A customer at a third of its limit was refused in 339 of 8200 requests: shares in proportion to demand left small nodes no room for chance, buckets began empty, and depths were below two requests. Each node now gets what it wants and a part of the rest by the square root of demand; buckets begin full and hold at least two requests. Demands and shares are told when they changed or every 4 s.

--- a/crates/ragwortroad_bench/src/workload/arrival_plan.rs
+++ b/crates/ragwortroad_bench/src/workload/arrival_plan.rs
@@ -126,7 +126,9 @@
             const LATE_FACTOR: f64 = 5.5;
             let late = draw.unit() < LATE_SHARE;
             let mean = spec.pause_s * if late { LATE_FACTOR } else { 0.5 };
-            at += 1.0 + draw.exponential(mean);
+            // Nobody goes on before the answer is there.
+            const TOKEN_S: f64 = 0.06;
+            at += 1.0 + answer * TOKEN_S + draw.exponential(mean);
         }
     }
 }
--- a/crates/ragwortroad_routing/src/limit/customer_entry.rs
+++ b/crates/ragwortroad_routing/src/limit/customer_entry.rs
@@ -1,7 +1,9 @@
 use ragwortroad_types::ClockTime;
 
 use crate::{
+    CustomerKey,
     CustomerLimit,
+    DemandEntry,
     LimiterSettings,
     ShareEntry,
     limit::token_bucket::TokenBucket, //
@@ -27,6 +29,8 @@
     pub(crate) wanted_places: u32,
     /// When the average was taken.
     pub(crate) averaged_at: ClockTime,
+    /// What the keeper was told last, and when.
+    pub(crate) told: Option<(DemandEntry, ClockTime)>,
 }
 
 impl CustomerEntry {
@@ -34,8 +38,9 @@
     pub(crate) fn new(limit: CustomerLimit, now: ClockTime) -> Self {
         Self {
             limit,
-            requests: TokenBucket::new(0.0, 0.0, now),
-            tokens: TokenBucket::new(0.0, 0.0, now),
+            // Full until the first rate is set.
+            requests: TokenBucket::new(0.0, f64::MAX, now),
+            tokens: TokenBucket::new(0.0, f64::MAX, now),
             running: 0,
             places: 0,
             share: None,
@@ -43,6 +48,7 @@
             wanted_count: 0,
             wanted_places: 0,
             averaged_at: now,
+            told: None,
         }
     }
 
@@ -73,7 +79,7 @@
         self.places = places;
         let rate = self.limit.requests_per_s * part;
         // Below one request the bucket could never let one pass.
-        let depth = (rate * settings.burst_s).max(1.0);
+        let depth = (rate * settings.burst_s).max(settings.least_burst.max(1.0));
         self.requests.set_rate(rate, depth, now);
         let rate = self.limit.tokens_per_s * part;
         self.tokens.set_rate(rate, rate * settings.burst_s, now);
@@ -104,4 +110,45 @@
         self.wanted_count = 0;
         self.averaged_at = now;
     }
+
+    /// What the keeper must hear now, if anything.
+    ///
+    /// A demand the even part covers needs no share; one that hardly changed needs no message.
+    pub(crate) fn tell(
+        &mut self,
+        customer: CustomerKey,
+        settings: &LimiterSettings,
+        nodes: usize,
+        now: ClockTime,
+    ) -> Option<DemandEntry> {
+        self.average(settings, now);
+        let places = self.wanted_places.max(self.running);
+        self.wanted_places = self.running;
+        let nodes = nodes.max(1) as f64;
+        let even_rate = self.limit.requests_per_s * settings.even_share / nodes;
+        if self.wanted_rate <= even_rate && places <= self.even_places(settings, nodes) {
+            return None;
+        }
+        let entry = DemandEntry {
+            customer,
+            requests_per_10_s: (self.wanted_rate * 10.0).ceil().min(f64::from(u16::MAX)) as u16,
+            concurrent: places.min(u32::from(u16::MAX)) as u16,
+        };
+        let silent = self.told.is_some_and(|(told, at)| {
+            now.since(at) < settings.tell_every && !self.differs(told, entry, settings)
+        });
+        if silent {
+            return None;
+        }
+        self.told = Some((entry, now));
+        Some(entry)
+    }
+
+    fn differs(&self, told: DemandEntry, entry: DemandEntry, settings: &LimiterSettings) -> bool {
+        let rate = self.limit.requests_per_s * 10.0 * settings.tell_change;
+        let rates = entry.requests_per_10_s.abs_diff(told.requests_per_10_s);
+        let places = f64::from(self.limit.concurrent) * settings.tell_change;
+        let concurrent = entry.concurrent.abs_diff(told.concurrent);
+        f64::from(rates) > rate.max(1.0) || f64::from(concurrent) > places.max(1.0)
+    }
 }
--- a/crates/ragwortroad_routing/src/limit/customer_limiter.rs
+++ b/crates/ragwortroad_routing/src/limit/customer_limiter.rs
@@ -12,7 +12,6 @@
     CustomerKey,
     CustomerLimit,
     DemandDigest,
-    DemandEntry,
     LimitAnswer,
     LimiterSettings,
     ShareDigest,
@@ -113,17 +112,9 @@
     pub fn demands(&mut self, now: ClockTime) -> BTreeMap<NodeId, DemandDigest> {
         let mut digests: BTreeMap<NodeId, DemandDigest> = BTreeMap::new();
         for (customer, entry) in &mut self.entries {
-            entry.average(&self.settings, now);
-            let requests = (entry.wanted_rate * 10.0).round().min(f64::from(u16::MAX)) as u16;
-            let concurrent = entry.wanted_places.max(entry.running);
-            entry.wanted_places = entry.running;
-            if requests == 0 && concurrent == 0 {
+            let nodes = self.nodes.len();
+            let Some(demand) = entry.tell(*customer, &self.settings, nodes, now) else {
                 continue;
-            }
-            let demand = DemandEntry {
-                customer: *customer,
-                requests_per_10_s: requests,
-                concurrent: concurrent.min(u32::from(u16::MAX)) as u16,
             };
             if let Some(keeper) = keeper_of(&self.nodes, *customer) {
                 digests.entry(keeper).or_default().entries.push(demand);
@@ -150,9 +141,16 @@
             let Some(entry) = self.entries.get(&customer) else {
                 continue;
             };
+            let limit = &entry.limit;
             let places = entry.divided_places(&self.settings, self.nodes.len());
-            for (node, share) in self.keeper.divide(customer, places) {
-                digests.entry(node).or_default().entries.push(share);
+            let divided = limit.requests_per_s * (1.0 - self.settings.even_share);
+            for (node, share) in self.keeper.divide(customer, divided, places) {
+                if self
+                    .keeper
+                    .is_news(node, share, now, self.settings.tell_every)
+                {
+                    digests.entry(node).or_default().entries.push(share);
+                }
             }
         }
         if let Some(own) = digests.remove(&self.settings.node) {
--- a/crates/ragwortroad_routing/src/limit/demand_keeper.rs
+++ b/crates/ragwortroad_routing/src/limit/demand_keeper.rs
@@ -25,16 +25,23 @@
 struct NodeDemand {
     entry: DemandEntry,
     heard_at: ClockTime,
+    /// The share it was told last, and when.
+    given: Option<(ShareEntry, ClockTime)>,
 }
 
 impl DemandKeeper {
     /// Takes in one node's demand.
     pub(crate) fn observe(&mut self, node: NodeId, entry: DemandEntry, now: ClockTime) {
-        let heard_at = now;
         self.demands
             .entry(entry.customer)
             .or_default()
-            .insert(node, NodeDemand { entry, heard_at });
+            .entry(node)
+            .and_modify(|demand| (demand.entry, demand.heard_at) = (entry, now))
+            .or_insert(NodeDemand {
+                entry,
+                heard_at: now,
+                given: None,
+            });
     }
 
     /// Forgets demand older than `life`.
@@ -51,52 +58,76 @@
         self.demands.keys().copied().collect()
     }
 
-    /// Divides one customer's `concurrent` places and its rate among the nodes, by their demand.
+    /// Divides one customer's rate of `requests_per_s` and its `concurrent` places among the nodes.
+    ///
+    /// Where there is enough for all, each node gets what it wants, and what is left goes by the
+    /// square root of demand, as chance makes demand vary; where there is not, each gets the same
+    /// part of what it wants.
     ///
     /// Invariant: the shares add up to no more than the whole, whatever the demands.
     pub(crate) fn divide(
         &self,
         customer: CustomerKey,
+        requests_per_s: f64,
         concurrent: u32,
     ) -> Vec<(NodeId, ShareEntry)> {
         let Some(nodes) = self.demands.get(&customer) else {
             return Vec::new();
         };
-        let rates: Vec<u64> = nodes
-            .values()
-            .map(|demand| u64::from(demand.entry.requests_per_10_s) + 1)
-            .collect();
-        let places: Vec<u64> = nodes
-            .values()
-            .map(|demand| u64::from(demand.entry.concurrent) + 1)
+        let entries = || nodes.values().map(|demand| demand.entry);
+        let rates: Vec<f64> = entries()
+            .map(|entry| f64::from(entry.requests_per_10_s) / 10.0)
             .collect();
-        let rates = portions(&rates, u64::from(u16::MAX));
-        let places = portions(&places, u64::from(concurrent.min(u32::from(u16::MAX))));
-        nodes
-            .keys()
-            .zip(rates.iter().zip(&places))
-            .map(|(node, (rate, place))| {
-                let entry = ShareEntry {
-                    customer,
-                    rate_share: *rate as u16,
-                    concurrent: *place as u16,
-                };
-                (*node, entry)
-            })
-            .collect()
+        let places: Vec<f64> = entries().map(|entry| f64::from(entry.concurrent)).collect();
+        let rates = portions(&rates, requests_per_s);
+        let places = portions(&places, f64::from(concurrent));
+        let whole = requests_per_s.max(f64::MIN_POSITIVE);
+        let shares = rates.iter().zip(&places).map(|(rate, place)| ShareEntry {
+            customer,
+            rate_share: (rate / whole * f64::from(u16::MAX)).floor() as u16,
+            concurrent: place.floor().min(f64::from(u16::MAX)) as u16,
+        });
+        nodes.keys().copied().zip(shares).collect()
+    }
+
+    /// Whether `node` should be told of `share`; if so, it counts as told.
+    pub(crate) fn is_news(
+        &mut self,
+        node: NodeId,
+        share: ShareEntry,
+        now: ClockTime,
+        tell_every: Duration,
+    ) -> bool {
+        let Some(demand) = self
+            .demands
+            .get_mut(&share.customer)
+            .and_then(|nodes| nodes.get_mut(&node))
+        else {
+            return false;
+        };
+        let news = demand.given.is_none_or(|(given, at)| {
+            let rates = given.rate_share.abs_diff(share.rate_share);
+            let places = given.concurrent.abs_diff(share.concurrent);
+            let differs = rates > given.rate_share / 4 || places > given.concurrent / 4;
+            differs || now.since(at) >= tell_every
+        });
+        if news {
+            demand.given = Some((share, now));
+        }
+        news
     }
 }
 
-/// Divides `whole` in proportion to `weights`; what rounding leaves goes to the largest remainders,
-/// the earlier of equals first.
-fn portions(weights: &[u64], whole: u64) -> Vec<u64> {
-    let sum: u64 = weights.iter().sum::<u64>().max(1);
-    let mut parts: Vec<u64> = weights.iter().map(|weight| weight * whole / sum).collect();
-    let left = whole - parts.iter().sum::<u64>();
-    let mut order: Vec<usize> = (0..weights.len()).collect();
-    order.sort_by_key(|index| std::cmp::Reverse(weights[*index] * whole % sum));
-    for index in order.into_iter().take(left as usize) {
-        parts[index] += 1;
+/// Divides `whole` among those who want `wants`.
+fn portions(wants: &[f64], whole: f64) -> Vec<f64> {
+    let wanted: f64 = wants.iter().sum();
+    if wanted > whole {
+        return wants.iter().map(|want| want / wanted * whole).collect();
     }
-    parts
+    let roots: f64 = wants.iter().map(|want| (want + 1.0).sqrt()).sum();
+    let spare = whole - wanted;
+    wants
+        .iter()
+        .map(|want| want + spare * (want + 1.0).sqrt() / roots.max(1.0))
+        .collect()
 }
--- a/crates/ragwortroad_routing/src/limit/limiter_settings.rs
+++ b/crates/ragwortroad_routing/src/limit/limiter_settings.rs
@@ -12,6 +12,14 @@
     pub even_share: f64,
     /// Seconds of a rate that may be used at once.
     pub burst_s: f64,
+    /// Requests every node lets pass at once, however small its share. A customer that comes anew
+    /// to all nodes together may once exceed its limit by this for each node.
+    pub least_burst: f64,
+    /// Part of a limit by which a node's demand must differ from what its keeper knows to be told
+    /// before `tell_every` is over.
+    pub tell_change: f64,
+    /// Time between two digests to a keeper, or shares to a node, that tell nothing new.
+    pub tell_every: Duration,
     /// How long a keeper's share is good for.
     pub share_life: Duration,
     /// How long a node's demand counts at the keeper after its last digest.
@@ -28,10 +36,13 @@
         Self {
             node: NodeId::default(),
             even_share: 0.2,
-            burst_s: 2.0,
-            share_life: Duration::from_secs(5),
-            demand_life: Duration::from_secs(8),
-            demand_span: Duration::from_secs(2),
+            burst_s: 5.0,
+            least_burst: 2.0,
+            tell_change: 0.05,
+            tell_every: Duration::from_secs(4),
+            share_life: Duration::from_secs(10),
+            demand_life: Duration::from_secs(15),
+            demand_span: Duration::from_secs(5),
         }
     }
 }
