--- a/crates/ragwortroad_membership/src/flap_penalty.rs
+++ b/crates/ragwortroad_membership/src/flap_penalty.rs
@@ -4,6 +4,8 @@
 
 /// Quarters, in which a penalty travels in a record.
 const QUARTERS: f64 = 4.0;
+/// Highest count, so that an endpoint which flapped for hours is not set aside for hours more.
+const MOST: f64 = 8.0;
 
 /// Counts an endpoint's restarts and returns, forgetting them over time.
 #[derive(Clone, Copy, Debug)]
@@ -35,7 +37,7 @@
 
     /// Counts one restart or return.
     pub(crate) fn add(&mut self, now: ClockTime, half_life: Duration) {
-        self.count = self.at_time(now, half_life) + 1.0;
+        self.count = (self.at_time(now, half_life) + 1.0).min(MOST);
         self.at = now;
     }
 }
--- a/crates/ragwortroad_membership/src/home_choice.rs
+++ b/crates/ragwortroad_membership/src/home_choice.rs
@@ -38,7 +38,7 @@
             candidates.retain(|candidate| candidate.settled);
         }
         let mut counts = BTreeMap::new();
-        let mut total = 0;
+        let mut total = 0_usize;
         for home in homes {
             *counts.entry(home).or_insert(0) += 1;
             total += 1;
--- a/crates/ragwortroad_membership/src/home_claim.rs
+++ b/crates/ragwortroad_membership/src/home_claim.rs
@@ -44,8 +44,8 @@
     pub(crate) load_told: ClockTime,
     /// The exact load of the last announcement.
     pub(crate) load: LoadReport,
-    /// When the record was last published.
-    pub(crate) published: ClockTime,
+    /// Whether the fleet was told of this claim.
+    pub(crate) published: bool,
 }
 
 impl HomeClaim {
--- a/crates/ragwortroad_membership/src/table/announcements.rs
+++ b/crates/ragwortroad_membership/src/table/announcements.rs
@@ -10,6 +10,10 @@
     EndpointRecord,
     GossipAction,
     MembershipTable,
+    endpoint_table::{
+        EndpointEntry,
+        EndpointLoad, //
+    },
     flap_penalty::FlapPenalty,
     home_claim::HomeClaim,
     pending_queue::NewsClass,
@@ -93,7 +97,7 @@
             flaps: self.count_flap(id, announce, now),
             load_told: ClockTime::ZERO,
             load: announce.load,
-            published: ClockTime::ZERO,
+            published: false,
         }
     }
 
@@ -126,20 +130,21 @@
         let Some(claim) = self.claims.get(&id) else {
             return;
         };
-        let known = self.endpoints.record(id);
+        let known = self.endpoints.get(id);
         let record = self.record_from(claim, announce, address, now);
-        if known.is_some_and(|known| known.same_facts(&record)) {
+        if known.is_some_and(|known| known.record.same_facts(&record)) {
             self.publish_load(id, now);
             return;
         }
         // Restarts of a flapping endpoint are told together, not one by one.
         let pause = self.settings.load_spacing * DAMPED_SPACINGS;
-        let damped = record.damped && known.is_some_and(|known| known.damped);
-        if damped && now.since(claim.published) < pause && !announce.leaving {
+        let held_back =
+            |known: &EndpointEntry| known.record.damped && now.since(known.changed) < pause;
+        if record.damped && !announce.leaving && known.is_some_and(held_back) {
             return;
         }
         if let Some(claim) = self.claims.get_mut(&id) {
-            claim.published = now;
+            claim.published = true;
             claim.load_told = now;
         }
         self.change_endpoint(record, None, now);
@@ -156,7 +161,7 @@
             && gone
             && record.home == self.own
             && record.incarnation == claim.incarnation
-            && claim.published > ClockTime::ZERO
+            && claim.published
         {
             claim.flaps.add(now, half_life);
         }
@@ -222,7 +227,7 @@
             return;
         }
         claim.load_told = now;
-        let load = crate::endpoint_table::EndpointLoad {
+        let load = EndpointLoad {
             incarnation: record.incarnation as u8,
             sequence: claim.sequence,
             load: CoarseLoad::new(&claim.load, record.capacity),
--- /dev/null
+++ b/crates/ragwortroad_membership/tests/handover.rs
@@ -0,0 +1,212 @@
+//! Handing an endpoint from home to home, step by step.
+
+use std::net::SocketAddr;
+
+use ragwortroad_membership::prelude::*;
+use ragwortroad_types::prelude::*;
+
+/// A few tables that know each other, with a network that delivers at once.
+struct SmallFleet {
+    tables: Vec<MembershipTable>,
+    now: ClockTime,
+}
+
+impl SmallFleet {
+    fn new(count: u16) -> Self {
+        let address = |index: u16| SocketAddr::from(([127, 0, 0, 1], 7000 + index));
+        let name = |index: u16| format!("node-{index}");
+        let seed = SeedNode {
+            node: NodeId::from_name(&name(0)),
+            address: address(0),
+        };
+        let table = |index: u16| {
+            let settings = MembershipSettings {
+                seeds: vec![seed],
+                ..Default::default()
+            };
+            let record = NodeRecord::new(&name(index), "zone", address(index));
+            MembershipTable::new(settings, record, u64::from(index))
+        };
+        let tables = (0..count).map(table).collect();
+        let mut fleet = Self {
+            tables,
+            now: ClockTime(1000),
+        };
+        fleet.pass(5000);
+        fleet
+    }
+
+    fn id(&self, node: usize) -> NodeId {
+        self.tables[node].own_id()
+    }
+
+    fn input(&mut self, node: usize, input: GossipInput) {
+        let mut inputs = vec![(node, input)];
+        while let Some((node, input)) = inputs.pop() {
+            let from = self.id(node);
+            for action in self.tables[node].handle(input, self.now) {
+                if let GossipAction::Send { address, bytes, .. } = action {
+                    let to = usize::from(address.port() - 7000);
+                    inputs.push((to, GossipInput::Packet { from, bytes }));
+                }
+            }
+        }
+    }
+
+    fn pass(&mut self, span: u64) {
+        let end = self.now.0 + span;
+        while self.now.0 < end {
+            self.now.0 = (self.now.0 + 50).min(end);
+            for node in 0..self.tables.len() {
+                self.input(node, GossipInput::Tick);
+            }
+        }
+    }
+
+    fn announce(&mut self, node: usize, home_epoch: u64, sequence: u64) {
+        let announce = AnnounceWire {
+            name: "engine".into(),
+            address: "127.0.0.1:9000".into(),
+            kind: EndpointKind::Engine,
+            zone: "zone".into(),
+            service: None,
+            models: Vec::new(),
+            capacity: 8,
+            checks_fencing: false,
+            incarnation: 1,
+            sequence,
+            home_epoch,
+            load: LoadReport::default(),
+            cache_events: Vec::new(),
+            leaving: false,
+        };
+        self.input(node, GossipInput::Announce(announce));
+    }
+
+    fn state(&self, node: usize) -> HomeState {
+        self.tables[node].home_state(EndpointId::from_name("engine"), self.now)
+    }
+
+    fn admits(&self, node: usize) -> bool {
+        self.state(node).admits_at(self.now)
+    }
+}
+
+#[test]
+fn an_endpoint_moves_without_a_wait_while_both_homes_talk() {
+    let mut fleet = SmallFleet::new(3);
+    fleet.announce(0, 0, 1);
+    assert_eq!(fleet.state(0), HomeState::Claiming);
+    fleet.announce(0, 0, 2);
+    assert!(fleet.admits(0));
+    fleet.announce(1, 1, 3);
+    assert!(!fleet.admits(0), "the former home must have given up");
+    fleet.announce(1, 1, 4);
+    assert!(fleet.admits(1));
+    assert_eq!(fleet.state(2), HomeState::Elsewhere { home: fleet.id(1) });
+}
+
+/// An engine turns from a home that was cut off to a second node and, before that one could be
+/// sure of its right, to a third. The second gives up at once, but the first one's lease still
+/// runs: the third must wait for that, or the engine gets work from two homes.
+#[test]
+fn a_home_that_was_still_waiting_passes_its_wait_on() {
+    let mut fleet = SmallFleet::new(3);
+    fleet.announce(0, 0, 1);
+    fleet.announce(0, 0, 2);
+    let HomeState::Home { until, .. } = fleet.state(0) else {
+        panic!("node 0 must be home");
+    };
+    // Node 0 hears nothing from here on, and nobody hears it.
+    let cut_off = fleet.tables.remove(0);
+    let stand_in = MembershipTable::new(
+        MembershipSettings::default(),
+        NodeRecord::new("nobody", "zone", SocketAddr::from(([127, 0, 0, 1], 7000))),
+        1,
+    );
+    fleet.tables.insert(0, stand_in);
+    fleet.announce(1, 1, 3);
+    fleet.announce(1, 1, 4);
+    fleet.announce(2, 2, 5);
+    fleet.announce(2, 2, 6);
+    let mut sequence = 6;
+    while fleet.now < until {
+        let engine = EndpointId::from_name("engine");
+        assert!(cut_off.home_state(engine, fleet.now).admits_at(fleet.now));
+        assert!(!fleet.admits(1) && !fleet.admits(2), "at {}", fleet.now);
+        fleet.pass(50);
+        sequence += 1;
+        fleet.announce(2, 2, sequence);
+    }
+    fleet.pass(200);
+    fleet.announce(2, 2, sequence + 1);
+    assert!(fleet.admits(2));
+}
+
+/// An engine's announcement gets stuck on its way; the engine gives up on that node and turns to
+/// another, to which the first node hands over. When the announcement arrives after all, it must
+/// not bring the former home back.
+#[test]
+fn a_late_announcement_does_not_bring_a_former_home_back() {
+    let mut fleet = SmallFleet::new(3);
+    fleet.announce(0, 0, 1);
+    fleet.announce(0, 0, 2);
+    fleet.announce(1, 1, 4);
+    fleet.announce(1, 1, 5);
+    assert!(fleet.admits(1));
+    fleet.announce(0, 0, 3);
+    assert!(!fleet.admits(0));
+    assert!(fleet.admits(1));
+}
+
+/// A node is shut down in an orderly way. Its engines turn to other nodes, which need not wait
+/// for a lease, so users notice nothing.
+#[test]
+fn a_leaving_node_frees_its_endpoints_at_once() {
+    let mut fleet = SmallFleet::new(3);
+    fleet.announce(0, 0, 1);
+    fleet.announce(0, 0, 2);
+    fleet.input(0, GossipInput::LeaveStarted);
+    assert!(!fleet.admits(0));
+    let engine = EndpointId::from_name("engine");
+    let answer = fleet.tables[0].announce_answer(engine, fleet.now);
+    let own = fleet.tables[0]
+        .node(fleet.id(0))
+        .unwrap()
+        .caller_address
+        .to_string();
+    assert!(!answer.announce_to.is_empty() && !answer.announce_to.contains(&own));
+    fleet.announce(1, 1, 3);
+    fleet.announce(1, 1, 4);
+    assert!(fleet.admits(1));
+    assert!(fleet.tables[2].is_available(engine));
+}
+
+/// A home is killed and started again at once; the engine goes on announcing itself there under
+/// the same epoch. The new process knows nothing of the former one's waits, so it waits itself.
+#[test]
+fn a_restarted_home_waits_unless_the_endpoint_never_moved() {
+    for (epoch, waits) in [(0, false), (1, true)] {
+        let mut fleet = SmallFleet::new(2);
+        fleet.announce(1, epoch, 1);
+        fleet.announce(1, epoch, 2);
+        let record = NodeRecord {
+            incarnation: 2,
+            ..NodeRecord::new("node-1", "zone", SocketAddr::from(([127, 0, 0, 1], 7001)))
+        };
+        fleet.tables[1] = MembershipTable::new(MembershipSettings::default(), record, 9);
+        fleet.announce(1, epoch, 3);
+        fleet.announce(1, epoch, 4);
+        assert_eq!(fleet.admits(1), !waits, "epoch {epoch}");
+        let from = fleet.now;
+        for sequence in 5..12 {
+            fleet.pass(500);
+            fleet.announce(1, epoch, sequence);
+        }
+        assert!(
+            fleet.admits(1),
+            "epoch {epoch} after {:?}",
+            fleet.now.since(from)
+        );
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_membership/tests/healing.rs
@@ -0,0 +1,184 @@
+//! Failures of nodes, ways between them, and endpoints, and how views heal.
+
+mod fake_fleet;
+
+use fake_fleet::FakeFleet;
+use ragwortroad_membership::prelude::*;
+
+fn settled(seed: u64, nodes: usize, endpoints: usize, zones: usize) -> FakeFleet {
+    let settings = MembershipSettings::default();
+    let mut fleet = FakeFleet::new(seed, nodes, endpoints, zones, &settings);
+    fleet.settle(120_000);
+    fleet
+}
+
+/// An engine says that it will stop, while the network loses one packet in ten. Three seconds
+/// later a node that still sent new work to it would cut answers off in the middle.
+#[test]
+fn a_leaving_endpoint_is_unavailable_everywhere_within_three_seconds() {
+    let mut slowest = 0;
+    for seed in 0..10 {
+        let mut fleet = settled(seed, 40, 60, 6);
+        fleet.network.loss = 0.1;
+        fleet.run(5_000);
+        fleet.endpoints[7].leaving = true;
+        let id = fleet.endpoints[7].id();
+        let start = fleet.now;
+        // From the announcement that says so; the next one is due within a second.
+        while fleet.tables().all(|table| table.is_available(id)) {
+            fleet.run(10);
+            assert!(fleet.now - start < 5_000, "nobody heard of it");
+        }
+        let said = fleet.now;
+        while fleet.tables().any(|table| table.is_available(id)) {
+            fleet.run(10);
+        }
+        slowest = slowest.max(fleet.now - said);
+        assert!(
+            fleet.now - said < 3_000,
+            "seed {seed}: {} ms",
+            fleet.now - said
+        );
+    }
+    println!("10 runs, 40 nodes, 10 % loss: the slowest took {slowest} ms");
+}
+
+/// Packets from one node to another vanish, as behind a half-broken switch port, while all other
+/// ways work. The other node must not be taken for down, or its callers are sent away.
+#[test]
+fn a_one_way_cut_takes_no_node_down() {
+    for seed in 0..10 {
+        let mut fleet = settled(seed, 12, 12, 3);
+        let neighbour = fleet.nodes[0]
+            .table
+            .as_ref()
+            .unwrap()
+            .neighbours()
+            .next()
+            .unwrap();
+        let other = fleet
+            .nodes
+            .iter()
+            .position(|node| node.id() == neighbour)
+            .unwrap();
+        fleet.network.cuts.insert((other, 0));
+        let downs = fleet.findings.node_downs;
+        fleet.run(120_000);
+        assert_eq!(fleet.findings.node_downs, downs, "seed {seed}");
+        assert_eq!(fleet.disagreement(), None);
+    }
+}
+
+/// A node stops for eight seconds, as on an overloaded host; the others suspect it. When it goes
+/// on it must speak up in time and stay in the fleet.
+#[test]
+fn a_paused_node_refutes_the_suspicion() {
+    let mut refuted = 0;
+    for seed in 0..10 {
+        let mut fleet = settled(seed, 12, 12, 3);
+        let downs = fleet.findings.node_downs;
+        fleet.nodes[3].paused_until = fleet.now + 8_000;
+        fleet.run(40_000);
+        assert_eq!(fleet.findings.node_downs, downs, "seed {seed}");
+        refuted += fleet.nodes[3].table.as_ref().unwrap().stats().refutations;
+        fleet.settle(30_000);
+    }
+    assert!(refuted >= 10, "nobody suspected the node: {refuted}");
+}
+
+/// Two regions lose each other for an hour, while engines restart in both. Each goes on by
+/// itself; when they meet again, no node may be taken for down in the region it is in, and the
+/// exchange must stay within the budget.
+#[test]
+fn regions_parted_for_an_hour_heal_within_the_budget() {
+    let mut fleet = settled(1, 18, 36, 6);
+    fleet.network.parted_regions.insert(1);
+    fleet.network.last_cut = fleet.now;
+    fleet.run(120_000);
+    for node in &fleet.nodes {
+        let table = node.table.as_ref().unwrap();
+        assert_eq!(
+            table.live_nodes().count(),
+            9,
+            "both halves must go on by themselves"
+        );
+    }
+    for endpoint in 0..12 {
+        fleet.start_endpoint(endpoint);
+    }
+    fleet.run(3_480_000);
+    fleet.network.parted_regions.clear();
+    let before: Vec<(u64, u64)> = fleet
+        .nodes
+        .iter()
+        .map(|node| (node.bytes_out, node.packets_out))
+        .collect();
+    let downs = fleet.findings.node_downs;
+    let took = fleet.settle(120_000);
+    assert_eq!(fleet.findings.node_downs, downs, "healing took nodes down");
+    let settings = &fleet.settings;
+    let allowed =
+        u64::from(settings.bytes_per_second) * took / 1000 + 2 * u64::from(settings.burst_bytes);
+    let mut most = 0;
+    for (node, (bytes, packets)) in fleet.nodes.iter().zip(before) {
+        let overhead = (node.packets_out - packets) * u64::from(settings.packet_overhead);
+        most = most.max(node.bytes_out - bytes + overhead);
+    }
+    println!("healed in {took} ms; at most {most} bytes from one node, {allowed} allowed");
+    assert!(most < allowed);
+}
+
+/// All nodes and engines of one failure domain vanish at once. The others must agree on that
+/// soon, and engines elsewhere whose home was there must have a new one.
+#[test]
+fn a_lost_failure_domain_is_noticed_and_its_endpoints_move() {
+    let mut slowest = 0;
+    for seed in 0..5 {
+        let mut fleet = settled(seed, 15, 30, 3);
+        for index in 0..fleet.nodes.len() {
+            if fleet.nodes[index].zone == 0 {
+                fleet.nodes[index].table = None;
+            }
+        }
+        for endpoint in fleet.endpoints.iter_mut().filter(|one| one.zone == 0) {
+            endpoint.stop();
+        }
+        slowest = slowest.max(fleet.settle(60_000));
+    }
+    println!("5 runs, 15 nodes, a third gone: agreed after at most {slowest} ms");
+}
+
+/// An engine crashes and restarts every two seconds. It must soon get no more work, cost the
+/// fleet little, and get work again some time after it has calmed down.
+#[test]
+fn a_flapping_endpoint_is_damped_and_comes_back() {
+    let mut fleet = settled(3, 12, 12, 3);
+    let id = fleet.endpoints[5].id();
+    let bytes = |fleet: &FakeFleet| -> u64 {
+        fleet
+            .tables()
+            .map(|table| table.stats().endpoint_bytes)
+            .sum()
+    };
+    let start = bytes(&fleet);
+    for _ in 0..30 {
+        fleet.endpoints[5].stop();
+        fleet.run(500);
+        fleet.start_endpoint(5);
+        fleet.run(1500);
+    }
+    let told = bytes(&fleet) - start;
+    assert!(
+        fleet.tables().all(|table| !table.is_available(id)),
+        "still gets work"
+    );
+    fleet.run(30_000);
+    assert!(
+        fleet.tables().all(|table| !table.is_available(id)),
+        "came back too soon"
+    );
+    let quiet = fleet.settle(400_000);
+    println!("30 restarts in 60 s told in {told} bytes over 12 nodes; back after {quiet} ms more");
+    // Each of 30 restarts told to 12 nodes, three copies of 130 bytes each, would be 140,000.
+    assert!(told < 70_000, "{told} bytes");
+}
