Add time line: hybrid logical clock, bounded ring, merged forms

What happened over many nodes must be told in an order in which causes come before effects, with nothing silently missing.

HybridClock stamps (48 bits of milliseconds, 16 of counter), EventRing keeps control events apart from those of requests so that a busy minute does not push out a failover, FleetTimeline merges parts of nodes, names nodes that did not answer and counts lost events, and prints text, JSON, a trace-event file and one self-contained page.

--- a/crates/ragwortroad_membership/tests/fake_fleet/fake_network.rs
+++ b/crates/ragwortroad_membership/tests/fake_fleet/fake_network.rs
@@ -37,7 +37,7 @@
             parted_regions: BTreeSet::new(),
             faults: 0,
             last_cut: 0,
-            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x6e65_7477_6f72_6b),
+            rng: Pcg64Mcg::seed_from_u64(seed ^ 0x006e_6574_776f_726b),
         }
     }
 
--- /dev/null
+++ b/crates/ragwortroad_timeline/src/event_filter.rs
@@ -0,0 +1,48 @@
+use ragwortroad_types::prelude::*;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::{
+    EventKind,
+    FleetEvent, //
+};
+
+/// Which events are wanted; what is empty lets everything pass.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventFilter {
+    /// Only events of this request.
+    pub request: Option<RequestId>,
+    /// Only events of this chat.
+    pub chat: Option<ChatKey>,
+    /// Only events of this customer.
+    pub customer: Option<String>,
+    /// Only events of this endpoint.
+    pub endpoint: Option<String>,
+    /// Only events of these kinds.
+    pub kinds: Vec<EventKind>,
+    /// Only events from this time on, in milliseconds since 1970.
+    pub from_ms: Option<u64>,
+    /// Only events before this time, in milliseconds since 1970.
+    pub until_ms: Option<u64>,
+}
+
+impl EventFilter {
+    /// Whether `event` is wanted.
+    pub fn lets_pass(&self, event: &FleetEvent) -> bool {
+        let wall = event.stamp.wall_ms();
+        wants(&self.request, &event.request)
+            && wants(&self.chat, &event.chat)
+            && wants(&self.customer, &event.customer)
+            && wants(&self.endpoint, &event.endpoint)
+            && (self.kinds.is_empty() || self.kinds.contains(&event.kind))
+            && self.from_ms.is_none_or(|from| wall >= from)
+            && self.until_ms.is_none_or(|until| wall < until)
+    }
+}
+
+/// Whether a field has the wanted value, or none is wanted.
+fn wants<T: PartialEq>(wanted: &Option<T>, found: &Option<T>) -> bool {
+    wanted.is_none() || wanted == found
+}
--- a/crates/ragwortroad_timeline/src/lib.rs
+++ b/crates/ragwortroad_timeline/src/lib.rs
@@ -1,1 +1,59 @@
 //! Typed events, hybrid logical clock, and the time line over all processes.
+//!
+//! Each node stamps what happens with a [`HybridClock`] and keeps it in a bounded [`EventRing`].
+//! A [`FleetTimeline`] merges what several nodes kept, in an order in which every cause comes
+//! before its effects even if clocks are skewed, and prints it as text, JSON, a trace that common
+//! viewers open, or one self-contained page.
+//!
+//! ```
+//! use ragwortroad_timeline::prelude::*;
+//!
+//! let mut clock = HybridClock::default();
+//! let mut ring = EventRing::new(RingSettings::default());
+//! ring.record(FleetEvent {
+//!     stamp: clock.now(1_000),
+//!     term: Some(3),
+//!     ..FleetEvent::new(EventKind::LeaderElected)
+//! });
+//! let gathered = ring.gather("north-1", "zone-a", &EventFilter::default(), 100);
+//! let timeline = FleetTimeline::merge(vec![gathered], Vec::new());
+//! assert!(timeline.to_text().contains("leader_elected"));
+//! ```
+
+mod event_filter;
+mod event_kind;
+mod event_ring;
+mod fleet_event;
+mod fleet_timeline;
+mod hybrid_clock;
+mod hybrid_time;
+mod node_timeline;
+mod page;
+mod text_form;
+mod timeline_error;
+mod trace_form;
+mod utc_time;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        event_filter::EventFilter,
+        event_kind::EventKind,
+        event_ring::{
+            EventRing,
+            RingSettings, //
+        },
+        fleet_event::FleetEvent,
+        fleet_timeline::{
+            FleetTimeline,
+            PlacedEvent,
+            UnreachableNode, //
+        },
+        hybrid_clock::HybridClock,
+        hybrid_time::HybridTime,
+        node_timeline::NodeTimeline,
+        timeline_error::TimelineError, //
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_timeline/src/page/event_rows.rs
@@ -0,0 +1,40 @@
+//! The table below the picture.
+
+use crate::{
+    FleetTimeline,
+    PlacedEvent,
+    page::text_escape::escaped,
+    utc_time::clock_text, //
+};
+
+/// All events, one a row.
+pub(crate) fn table(timeline: &FleetTimeline) -> String {
+    let start = timeline.start().wall_ms();
+    let rows: Vec<String> = timeline
+        .events
+        .iter()
+        .map(|placed| row(timeline, placed, start))
+        .collect();
+    format!(
+        "<table>\n<tr><th>time</th><th>ms</th><th>node</th><th>event</th></tr>\n{}\n</table>\n",
+        rows.join("\n")
+    )
+}
+
+/// One event.
+fn row(timeline: &FleetTimeline, placed: &PlacedEvent, start: u64) -> String {
+    let node = escaped(&timeline.lanes[placed.lane].node);
+    let event = escaped(&placed.event.to_string());
+    let wall = placed.event.stamp.wall_ms();
+    let class = if placed.event.kind.is_alarming() {
+        "alarm"
+    } else {
+        "plain"
+    };
+    format!(
+        "<tr class=\"{class}\" data-text=\"{node} {event}\"><td>{}</td>\
+         <td class=\"number\">{}</td><td>{node}</td><td>{event}</td></tr>",
+        clock_text(wall),
+        wall - start
+    )
+}
--- /dev/null
+++ b/crates/ragwortroad_timeline/src/page/lane_picture.rs
@@ -0,0 +1,214 @@
+//! The picture: a lane a node, a point an event, bars for who leads and who is down, and a line
+//! along each request's path.
+
+use std::collections::BTreeMap;
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    EventKind,
+    FleetTimeline,
+    page::{
+        picture_scale::PictureScale,
+        text_escape::escaped, //
+    }, //
+};
+
+/// Space for names left of the lanes.
+const LEFT: f64 = 170.0;
+/// Space for the axis above the lanes.
+const TOP: f64 = 34.0;
+/// Height of a lane.
+const LANE: f64 = 30.0;
+/// Requests whose paths are drawn; more would hide each other.
+const MOST_PATHS: usize = 40;
+/// Least distance between two labels of the axis.
+const AXIS_STEP: f64 = 110.0;
+
+/// The picture of `timeline`.
+pub(crate) fn picture(timeline: &FleetTimeline) -> String {
+    let scale = PictureScale::new(timeline, LEFT + 12.0);
+    let height = TOP + LANE * timeline.lanes.len() as f64 + 8.0;
+    let mut parts = Vec::new();
+    parts.extend(bars(timeline, &scale));
+    parts.extend(lanes(timeline, &scale));
+    parts.extend(axis(timeline, &scale));
+    parts.extend(paths(timeline, &scale));
+    parts.extend(points(timeline, &scale));
+    format!(
+        "<div class=\"picture\"><svg width=\"{:.0}\" height=\"{height:.0}\">\n{}\n</svg></div>\n",
+        scale.width,
+        parts.join("\n")
+    )
+}
+
+/// The height of a lane's middle.
+fn middle(lane: usize) -> f64 {
+    TOP + LANE * (lane as f64 + 0.5)
+}
+
+/// Names and lines of the lanes.
+fn lanes(timeline: &FleetTimeline, scale: &PictureScale) -> Vec<String> {
+    let mut parts = Vec::new();
+    for (index, lane) in timeline.lanes.iter().enumerate() {
+        let height = middle(index);
+        parts.push(format!(
+            "<line class=\"lane\" x1=\"{LEFT}\" x2=\"{:.0}\" y1=\"{height}\" y2=\"{height}\"/>",
+            scale.width
+        ));
+        parts.push(format!(
+            "<text x=\"6\" y=\"{:.0}\">{} ({})</text>",
+            height + 4.0,
+            escaped(&lane.node),
+            escaped(&lane.zone)
+        ));
+    }
+    parts
+}
+
+/// Times along the top, and the quiet times that were cut.
+fn axis(timeline: &FleetTimeline, scale: &PictureScale) -> Vec<String> {
+    let start = timeline.start().wall_ms();
+    let bottom = TOP + LANE * timeline.lanes.len() as f64;
+    let mut parts = Vec::new();
+    let mut last = f64::MIN;
+    for (placed, place) in timeline.events.iter().zip(&scale.places) {
+        if place - last < AXIS_STEP {
+            continue;
+        }
+        last = *place;
+        let since = placed.event.stamp.wall_ms() - start;
+        parts.push(format!(
+            "<text class=\"axis\" x=\"{place:.0}\" y=\"14\">{since} ms</text>"
+        ));
+    }
+    for (place, span) in &scale.cuts {
+        parts.push(format!(
+            "<line class=\"cut\" x1=\"{place:.0}\" x2=\"{place:.0}\" y1=\"{TOP}\" y2=\"{bottom}\"/>\
+             <text class=\"axis\" x=\"{:.0}\" y=\"29\">cut {span} ms</text>",
+            place - 30.0
+        ));
+    }
+    parts
+}
+
+/// Bars: who believes itself the leader, and who is taken for down.
+fn bars(timeline: &FleetTimeline, scale: &PictureScale) -> Vec<String> {
+    let mut leads: BTreeMap<usize, f64> = BTreeMap::new();
+    let mut downs: BTreeMap<usize, f64> = BTreeMap::new();
+    let mut parts = Vec::new();
+    for (placed, place) in timeline.events.iter().zip(&scale.places) {
+        let about = placed.event.who.as_ref();
+        let about = about.and_then(|who| timeline.lanes.iter().position(|lane| lane.node == *who));
+        match (placed.event.kind, about) {
+            (EventKind::LeaderElected, _) => {
+                leads.entry(placed.lane).or_insert(*place);
+            }
+            (EventKind::LeaderDeposed | EventKind::ProcessStopping, _) => {
+                let start = leads.remove(&placed.lane);
+                parts.extend(start.map(|start| bar("leads", placed.lane, start, *place)));
+            }
+            (EventKind::NodeDown, Some(lane)) => {
+                downs.entry(lane).or_insert(*place);
+            }
+            (EventKind::NodeUp, Some(lane)) => {
+                let start = downs.remove(&lane);
+                parts.extend(start.map(|start| bar("down", lane, start, *place)));
+            }
+            _ => {}
+        }
+    }
+    let open = |class: &'static str, bars: BTreeMap<usize, f64>| {
+        let end = scale.width - 20.0;
+        bars.into_iter()
+            .map(move |(lane, start)| bar(class, lane, start, end))
+    };
+    parts.extend(open("leads", leads));
+    parts.extend(open("down", downs));
+    parts
+}
+
+/// One bar.
+fn bar(class: &str, lane: usize, start: f64, end: f64) -> String {
+    format!(
+        "<rect class=\"{class}\" x=\"{start:.0}\" y=\"{:.0}\" width=\"{:.0}\" height=\"{:.0}\"/>",
+        TOP + LANE * lane as f64 + 4.0,
+        (end - start).max(4.0),
+        LANE - 8.0
+    )
+}
+
+/// A line along the path of each request that was on several nodes.
+fn paths(timeline: &FleetTimeline, scale: &PictureScale) -> Vec<String> {
+    let mut requests: BTreeMap<RequestId, Vec<(f64, usize)>> = BTreeMap::new();
+    for (placed, place) in timeline.events.iter().zip(&scale.places) {
+        if let Some(request) = placed.event.request {
+            let path = requests.entry(request).or_default();
+            path.push((*place, placed.lane));
+        }
+    }
+    requests.retain(|_, path| path.len() > 1);
+    if requests.len() > MOST_PATHS {
+        requests.retain(|_, path| path.iter().any(|step| step.1 != path[0].1));
+    }
+    requests
+        .into_iter()
+        .take(MOST_PATHS)
+        .map(|(request, path)| {
+            let steps: Vec<String> = path
+                .iter()
+                .map(|(place, lane)| format!("{place:.0},{:.0}", middle(*lane)))
+                .collect();
+            format!(
+                "<polyline class=\"path\" data-text=\"request={request}\" points=\"{}\"/>",
+                steps.join(" ")
+            )
+        })
+        .collect()
+}
+
+/// A point an event, with its text on hovering.
+fn points(timeline: &FleetTimeline, scale: &PictureScale) -> Vec<String> {
+    timeline
+        .events
+        .iter()
+        .zip(&scale.places)
+        .map(|(placed, place)| {
+            let node = escaped(&timeline.lanes[placed.lane].node);
+            let text = escaped(&placed.event.to_string());
+            format!(
+                "<circle class=\"{}\" data-text=\"{node} {text}\" cx=\"{place:.0}\" \
+                 cy=\"{:.0}\" r=\"5\"><title>{} {node}: {text}</title></circle>",
+                colour(placed.event.kind),
+                middle(placed.lane),
+                placed.event.stamp
+            )
+        })
+        .collect()
+}
+
+/// The class that gives an event its colour.
+fn colour(kind: EventKind) -> &'static str {
+    if kind.is_alarming() {
+        return "alarm";
+    }
+    match kind {
+        EventKind::ElectionStarted
+        | EventKind::LeaderElected
+        | EventKind::LeaderDeposed
+        | EventKind::LeaseGranted
+        | EventKind::LeaseEnded
+        | EventKind::MembersChanged => "leader",
+        EventKind::ChangeAccepted
+        | EventKind::ChangeRefused
+        | EventKind::ChangeInForce
+        | EventKind::CurrencyLost
+        | EventKind::CurrencyRegained => "change",
+        EventKind::OrderSent
+        | EventKind::OrderAnswered
+        | EventKind::DrainStarted
+        | EventKind::DrainFinished => "order",
+        _ if kind.is_traffic() => "traffic",
+        _ => "fleet",
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_timeline/src/text_form.rs
@@ -0,0 +1,40 @@
+//! One line an event.
+
+use crate::{
+    FleetTimeline,
+    utc_time::{
+        clock_text,
+        utc_text, //
+    }, //
+};
+
+/// The time line for a terminal.
+pub(crate) fn text(timeline: &FleetTimeline) -> String {
+    let mut lines = Vec::with_capacity(timeline.events.len() + 4);
+    let start = timeline.start().wall_ms();
+    lines.push(format!(
+        "{} events of {} nodes from {}",
+        timeline.events.len(),
+        timeline.lanes.len(),
+        utc_text(start)
+    ));
+    lines.extend(timeline.gaps().into_iter().map(|gap| format!("! {gap}")));
+    let names = timeline.lanes.iter().map(|lane| lane.node.len());
+    let width = names.max().unwrap_or(0);
+    for placed in &timeline.events {
+        let wall = placed.event.stamp.wall_ms();
+        let since = wall - start;
+        let node = &timeline.lanes[placed.lane].node;
+        let mark = if placed.event.kind.is_alarming() {
+            '!'
+        } else {
+            ' '
+        };
+        lines.push(format!(
+            "{} {since:>8} ms {mark} {node:<width$}  {}",
+            clock_text(wall),
+            placed.event
+        ));
+    }
+    lines.join("\n") + "\n"
+}
--- /dev/null
+++ b/crates/ragwortroad_timeline/src/trace_form.rs
@@ -0,0 +1,129 @@
+//! The trace-event format that common trace viewers open.
+
+use std::collections::BTreeMap;
+
+use ragwortroad_types::prelude::*;
+use serde_json::{
+    Value,
+    json, //
+};
+
+use crate::{
+    EventKind,
+    FleetTimeline,
+    PlacedEvent, //
+};
+
+/// Microseconds in a millisecond; the format counts in microseconds.
+const MICROS: u64 = 1000;
+/// Lane within a node for control events.
+const CONTROL_THREAD: u32 = 1;
+/// Lane within a node for events of requests.
+const TRAFFIC_THREAD: u32 = 2;
+
+/// The time line as a trace: a process a node, a thread each for control and traffic, a span for
+/// each request on each node, and arrows between nodes along a request's path.
+pub(crate) fn trace(timeline: &FleetTimeline) -> String {
+    let mut entries = Vec::new();
+    for (lane, node) in timeline.lanes.iter().enumerate() {
+        entries.push(json!({"ph": "M", "name": "process_name", "pid": lane,
+            "args": {"name": format!("{} ({})", node.node, node.zone)}}));
+        for (thread, name) in [(CONTROL_THREAD, "control"), (TRAFFIC_THREAD, "requests")] {
+            entries.push(
+                json!({"ph": "M", "name": "thread_name", "pid": lane, "tid": thread,
+                "args": {"name": name}}),
+            );
+        }
+    }
+    entries.extend(timeline.events.iter().map(instant));
+    for events in by_request(timeline).values() {
+        entries.extend(spans(events));
+        entries.extend(arrows(events));
+    }
+    let gaps = timeline.gaps();
+    let trace = json!({"traceEvents": entries, "otherData": {"missing": gaps}});
+    serde_json::to_string_pretty(&trace).unwrap_or_default()
+}
+
+/// The events of each request.
+fn by_request(timeline: &FleetTimeline) -> BTreeMap<RequestId, Vec<&PlacedEvent>> {
+    let mut requests: BTreeMap<RequestId, Vec<&PlacedEvent>> = BTreeMap::new();
+    for placed in &timeline.events {
+        if let Some(request) = placed.event.request {
+            requests.entry(request).or_default().push(placed);
+        }
+    }
+    requests
+}
+
+/// One event as a point in time.
+fn instant(placed: &PlacedEvent) -> Value {
+    json!({"ph": "i", "s": "t", "name": placed.event.kind.name(), "cat": "event",
+        "ts": micros(placed), "pid": placed.lane, "tid": thread(placed.event.kind),
+        "args": &placed.event})
+}
+
+/// For each node that saw a request, a span from its first to its last event there.
+fn spans(events: &[&PlacedEvent]) -> Vec<Value> {
+    let mut lanes: BTreeMap<usize, (&PlacedEvent, &PlacedEvent)> = BTreeMap::new();
+    for placed in events {
+        lanes
+            .entry(placed.lane)
+            .and_modify(|(_, last)| *last = placed)
+            .or_insert((placed, placed));
+    }
+    let mut spans = Vec::new();
+    for (lane, (first, last)) in lanes {
+        let id = request_text(first);
+        for (phase, placed) in [("b", first), ("e", last)] {
+            spans.push(
+                json!({"ph": phase, "name": format!("request {id}"), "cat": "request",
+                "id": format!("{id}-{lane}"), "ts": micros(placed), "pid": lane,
+                "tid": TRAFFIC_THREAD}),
+            );
+        }
+    }
+    spans
+}
+
+/// An arrow wherever a request goes from one node to another.
+fn arrows(events: &[&PlacedEvent]) -> Vec<Value> {
+    let mut arrows = Vec::new();
+    for (step, pair) in events.windows(2).enumerate() {
+        if pair[0].lane == pair[1].lane {
+            continue;
+        }
+        let id = format!("{}-{step}", request_text(pair[0]));
+        for (phase, placed) in [("s", pair[0]), ("f", pair[1])] {
+            arrows.push(
+                json!({"ph": phase, "bp": "e", "name": "path", "cat": "path", "id": id,
+                "ts": micros(placed), "pid": placed.lane, "tid": thread(placed.event.kind)}),
+            );
+        }
+    }
+    arrows
+}
+
+/// The request's identity as text.
+fn request_text(placed: &PlacedEvent) -> String {
+    placed
+        .event
+        .request
+        .map(|request| request.to_string())
+        .unwrap_or_default()
+}
+
+/// The event's time in microseconds; the counter keeps the order within a millisecond.
+fn micros(placed: &PlacedEvent) -> u64 {
+    let stamp = placed.event.stamp;
+    stamp.wall_ms() * MICROS + u64::from(stamp.counter()).min(MICROS - 1)
+}
+
+/// The thread that events of `kind` are shown on.
+fn thread(kind: EventKind) -> u32 {
+    if kind.is_traffic() {
+        TRAFFIC_THREAD
+    } else {
+        CONTROL_THREAD
+    }
+}
