Tell callers which node admits to their chat's engine; count messages by channel

Cause: returning turns went to the node the first address answer named and cost four messages between nodes.

--- a/crates/ragwortroad_demo/src/demo_report.rs
+++ b/crates/ragwortroad_demo/src/demo_report.rs
@@ -13,7 +13,7 @@
     /// Replicas of the plain service.
     pub services: usize,
     /// Chats and bookings as callers saw them.
-    pub load: LoadReport,
+    pub load: RunReport,
     /// Most chat requests that ran on one engine over the mean of all.
     pub skew: f64,
     /// Bytes a node sent to other nodes a second, on average over the run.
--- a/crates/ragwortroad_gateway/examples/added_latency.rs
+++ b/crates/ragwortroad_gateway/examples/added_latency.rs
@@ -85,6 +85,7 @@
                 endpoint: EndpointId::from_name("engine-1"),
                 address: engine,
                 hint: String::new(),
+                next_node: None,
                 priority: 1,
                 version: None,
                 customer: "studio-north".to_owned(),
--- a/crates/ragwortroad_gateway/src/call/admit_reply.rs
+++ b/crates/ragwortroad_gateway/src/call/admit_reply.rs
@@ -26,6 +26,8 @@
     pub address: SocketAddr,
     /// Placement hint to hand to the caller with the answer.
     pub hint: String,
+    /// The node that admits to the endpoint, for the caller's next request of the same chat.
+    pub next_node: Option<SocketAddr>,
     /// The engine's scheduling priority: smaller goes first.
     pub priority: u8,
     /// The model's version the engine must use, for a model request.
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -21,7 +21,7 @@
     gateway_state::GatewayState,
     reply_body::ReplyBody,
     reply_maker::{
-        PLACEMENT_HINT,
+        set_placement,
         recorded_reply,
         set_header,
         text_reply, //
@@ -218,7 +218,7 @@
         };
         let mut reply = Response::new(ReplyBody::whole(bytes));
         set_header(&mut reply, "content-type", "application/json");
-        set_header(&mut reply, PLACEMENT_HINT, &attempt.grant.hint);
+        set_placement(&mut reply, &attempt.grant);
         attempt.guard.finish(AttemptOutcome::Completed {
             status: 200,
             answer: None,
--- a/crates/ragwortroad_gateway/src/reply_maker.rs
+++ b/crates/ragwortroad_gateway/src/reply_maker.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::{
+    AdmitGrant,
     RecordedAnswer,
     reply_body::ReplyBody, //
 };
@@ -22,6 +23,17 @@
 /// The header with the chat's placement hint.
 pub(crate) const PLACEMENT_HINT: &str = "x-placement-hint";
 
+/// Names the node that a chat's next request is best sent to.
+pub(crate) const NEXT_NODE: &str = "x-next-node";
+
+/// Hands the caller where its chat was placed, and which node admits to that place.
+pub(crate) fn set_placement(reply: &mut Response<ReplyBody>, grant: &AdmitGrant) {
+    set_header(reply, PLACEMENT_HINT, &grant.hint);
+    if let Some(node) = grant.next_node {
+        set_header(reply, NEXT_NODE, &node.to_string());
+    }
+}
+
 /// Set on an answer that is given again from the record of its idempotency key.
 pub(crate) const REPLAYED: &str = "x-replayed";
 
--- a/crates/ragwortroad_gateway/src/stream_relay.rs
+++ b/crates/ragwortroad_gateway/src/stream_relay.rs
@@ -26,7 +26,7 @@
     },
     reply_body::ReplyBody,
     reply_maker::{
-        PLACEMENT_HINT,
+        set_placement,
         set_header, //
     },
     request_flow::{
@@ -64,7 +64,7 @@
     good: GoodAnswer,
 ) -> Response<ReplyBody> {
     let (events, receiver) = mpsc::channel(EVENTS_AHEAD);
-    let hint = good.attempt.grant.hint.clone();
+    let grant = good.attempt.grant.clone();
     let relay = StreamRelay {
         flow,
         body,
@@ -77,7 +77,7 @@
     ));
     set_header(&mut reply, "content-type", "text/event-stream");
     set_header(&mut reply, "cache-control", "no-cache");
-    set_header(&mut reply, PLACEMENT_HINT, &hint);
+    set_placement(&mut reply, &grant);
     reply
 }
 
--- a/crates/ragwortroad_gateway/tests/common/fake_control.rs
+++ b/crates/ragwortroad_gateway/tests/common/fake_control.rs
@@ -156,6 +156,7 @@
         endpoint: endpoint_id(address),
         address: *address,
         hint: "hint-1".to_owned(),
+        next_node: None,
         priority: 1,
         version: None,
         customer: "studio-north".to_owned(),
--- a/crates/ragwortroad_load/src/address_book.rs
+++ b/crates/ragwortroad_load/src/address_book.rs
@@ -52,6 +52,15 @@
         kept.insert(name.to_owned(), KeptAnswer { addresses, until });
     }
 
+    /// Puts the node that an answer named first in what is kept under `name`.
+    pub(crate) fn prefer(&self, name: &str, address: &str) {
+        let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(answer) = kept.get_mut(name) {
+            answer.addresses.retain(|known| known != address);
+            answer.addresses.insert(0, address.to_owned());
+        }
+    }
+
     pub(crate) fn forget(&self, name: &str) {
         let mut kept = self.kept.lock().unwrap_or_else(PoisonError::into_inner);
         kept.remove(name);
--- a/crates/ragwortroad_load/src/caller_client.rs
+++ b/crates/ragwortroad_load/src/caller_client.rs
@@ -46,6 +46,8 @@
     pub(crate) end: CallEnd,
     pub(crate) refusal: Option<Box<RefusalWire>>,
     pub(crate) hint: Option<String>,
+    /// The node to send the chat's next request to.
+    pub(crate) next_node: Option<String>,
     pub(crate) first_token: Option<Instant>,
     pub(crate) usage: UsageFigures,
     pub(crate) body: Vec<u8>,
@@ -65,6 +67,7 @@
             end: CallEnd::Unreachable,
             refusal: None,
             hint: None,
+            next_node: None,
             first_token: None,
             usage: UsageFigures::default(),
             body: Vec::new(),
@@ -132,6 +135,7 @@
             answer.note.status = Some(response.status_code);
             answer.note.request_id = header(&response, "x-request-id");
             answer.hint = header(&response, "x-placement-hint");
+            answer.next_node = header(&response, "x-next-node");
             Ok((answer, response))
         }
         Err(error) => {
--- a/crates/ragwortroad_load/src/load_run.rs
+++ b/crates/ragwortroad_load/src/load_run.rs
@@ -178,6 +178,9 @@
         let addresses = find_addresses(&self.book, &name, &customer.key, Some(&name));
         let (note, answer) = self.send(kind, customer, due, (&name, addresses), &request, call);
         self.keep_hint(&name, answer.hint);
+        if let Some(node) = &answer.next_node {
+            self.book.prefer(&name, node);
+        }
         let total = Duration::from_micros(note.total_us);
         match (streamed, note.first_token_us) {
             (true, Some(first)) => {
--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -70,10 +70,7 @@
         for action in actions {
             match action {
                 GossipAction::Send { to, address, bytes } => {
-                    let outcome = self.transport.send(address, to, PeerChannel::Gossip, bytes);
-                    if outcome != SendOutcome::Queued {
-                        tracing::trace!(%to, ?outcome, "a gossip packet was not queued");
-                    }
+                    self.send_at(address, to, PeerChannel::Gossip, bytes);
                 }
                 GossipAction::NodeUp(node) => self.node_up(node, now),
                 GossipAction::NodeSuspected(node) => {
--- a/crates/ragwortroad_node/src/control/fleet_view.rs
+++ b/crates/ragwortroad_node/src/control/fleet_view.rs
@@ -15,6 +15,12 @@
         Some(record.address)
     }
 
+    /// Where callers reach the home node of an endpoint.
+    pub(crate) fn home_address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        let record = self.membership.endpoint(endpoint)?;
+        self.caller_address(record.home)
+    }
+
     /// Where callers reach a node.
     pub(crate) fn caller_address(&self, node: NodeId) -> Option<SocketAddr> {
         let record = self.membership.node(node)?;
@@ -63,6 +69,21 @@
             tracing::debug!(%to, ?channel, "no address is known for the node");
             return;
         };
+        self.send_at(address, to, channel, bytes);
+    }
+
+    /// Queues a message for a node at a known address.
+    pub(crate) fn send_at(
+        &self,
+        address: SocketAddr,
+        to: NodeId,
+        channel: PeerChannel,
+        bytes: Vec<u8>,
+    ) {
+        let name = format!("{channel:?}").to_lowercase();
+        metrics::counter!("ragwortroad_messages_total", "channel" => name.clone()).increment(1);
+        metrics::counter!("ragwortroad_message_bytes_total", "channel" => name)
+            .increment(bytes.len() as u64);
         let outcome = self.transport.send(address, to, channel, bytes);
         if outcome != SendOutcome::Queued {
             tracing::debug!(%to, ?channel, ?outcome, "a message was not queued");
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -135,6 +135,7 @@
             endpoint,
             address,
             hint: self.hints.encode(plan.customer_key, endpoint),
+            next_node: self.home_address(endpoint),
             priority: plan.priority,
             version: plan.version,
             customer: plan.customer,
