Gather the time line of events over all processes

Cause: nothing showed in which order things happened on several VMs. Change: each node keeps typed events in a bounded ring; a hybrid logical clock stamps them and every message between nodes; `ragwortroad timeline` gathers the parts of all nodes and names those that do not answer.

--- a/crates/ragwortroad_demo/src/lib.rs
+++ b/crates/ragwortroad_demo/src/lib.rs
@@ -20,6 +20,7 @@
 mod fleet_plan;
 mod operator_client;
 mod small_fleet;
+mod timeline_gather;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
@@ -36,6 +37,7 @@
             OperatorClient, //
         },
         small_fleet::SmallFleet,
+        timeline_gather::gather_timeline,
     };
 }
 
--- /dev/null
+++ b/crates/ragwortroad_demo/src/timeline_gather.rs
@@ -0,0 +1,53 @@
+use ragwortroad_timeline::prelude::*;
+use serde_json::Value;
+
+use crate::{
+    DemoError,
+    OperatorClient, //
+};
+
+/// Seconds that one node may take over its part.
+const PART_SECONDS: u64 = 10;
+
+/// Gathers the time line from every node that the fleet knows, and names those that do not answer.
+pub fn gather_timeline(
+    client: &OperatorClient,
+    filter: &EventFilter,
+) -> Result<FleetTimeline, DemoError> {
+    let nodes = client.ask("show nodes")?;
+    let rows = nodes.body.get("rows").and_then(Value::as_array);
+    let mut parts = Vec::new();
+    let mut unreachable = Vec::new();
+    for row in rows.into_iter().flatten() {
+        let cell = |name: &str| row.get(name).and_then(Value::as_str).unwrap_or_default();
+        match node_part(client, cell("address"), filter) {
+            Ok(part) => parts.push(part),
+            Err(reason) => unreachable.push(UnreachableNode {
+                node: cell("name").to_owned(),
+                reason,
+            }),
+        }
+    }
+    Ok(FleetTimeline::merge(parts, unreachable))
+}
+
+/// One node's part.
+fn node_part(
+    client: &OperatorClient,
+    address: &str,
+    filter: &EventFilter,
+) -> Result<NodeTimeline, String> {
+    let filter = serde_json::to_vec(filter).map_err(|error| error.to_string())?;
+    let filter = data_encoding::HEXLOWER.encode(&filter);
+    let response = minreq::get(format!("http://{address}/v1/timeline?filter={filter}"))
+        .with_header("Authorization", format!("Bearer {}", client.key))
+        .with_timeout(PART_SECONDS)
+        .with_follow_redirects(false)
+        .send()
+        .map_err(|error| error.to_string())?;
+    if response.status_code != 200 {
+        return Err(format!("status {}", response.status_code));
+    }
+    // A part that ended early is no JSON object any more.
+    NodeTimeline::from_bytes(response.as_bytes()).map_err(|error| error.to_string())
+}
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -21,9 +21,9 @@
     gateway_state::GatewayState,
     reply_body::ReplyBody,
     reply_maker::{
-        set_placement,
         recorded_reply,
         set_header,
+        set_placement,
         text_reply, //
     },
     request_context::{
--- a/crates/ragwortroad_gateway/src/stream_relay.rs
+++ b/crates/ragwortroad_gateway/src/stream_relay.rs
@@ -26,8 +26,8 @@
     },
     reply_body::ReplyBody,
     reply_maker::{
-        set_placement,
         set_header, //
+        set_placement,
     },
     request_flow::{
         FlowEnd,
--- a/crates/ragwortroad_language/src/show_topic.rs
+++ b/crates/ragwortroad_language/src/show_topic.rs
@@ -117,7 +117,9 @@
             Self::Services => &["name", "idempotent", "once"],
             Self::Members => &["name", "address", "state", "applied"],
             Self::Leader => &["name", "term", "fence", "lease_ms"],
-            Self::Nodes => &["name", "zone", "state", "revision", "admits", "draining"],
+            Self::Nodes => &[
+                "name", "zone", "state", "address", "revision", "admits", "draining",
+            ],
             Self::Config => &["setting", "value"],
             Self::Orders => &["id", "engine", "action", "state"],
             Self::Claims => &["customer", "kept", "running", "spent"],
--- a/crates/ragwortroad_node/src/control/admit_flow.rs
+++ b/crates/ragwortroad_node/src/control/admit_flow.rs
@@ -6,6 +6,7 @@
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_routing::prelude::*;
 use ragwortroad_state::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_types::prelude::*;
 
 use crate::{
@@ -72,6 +73,11 @@
         match self.plan(call, &reply, now) {
             Ok(plan) => self.start_plan(plan, now),
             Err(refusal) => {
+                self.events.note(FleetEvent {
+                    request: Some(request),
+                    detail: format!("{:?}: {}", refusal.code, refusal.message),
+                    ..FleetEvent::new(EventKind::RequestRefused)
+                });
                 let wire = self.refusal_wire(request, refusal);
                 reply_to(&reply, AdmitReply::Refused(wire));
             }
@@ -120,7 +126,7 @@
         let hint = hint.and_then(|hint| self.hints.decode(customer_key, hint));
         let prefixes = prompt_prefixes(&facts, &call);
         let claim = self.claim_of(&facts, &call);
-        Ok(RequestPlan {
+        let plan = RequestPlan {
             customer_key,
             offer: facts.offer,
             version: facts.version,
@@ -136,7 +142,13 @@
             reply: reply.clone(),
             customer: facts.customer,
             call,
-        })
+        };
+        let kind = match plan.call.retry_of {
+            None => EventKind::RequestAdmitted,
+            Some(_) => EventKind::RequestRetried,
+        };
+        self.note_plan(kind, &plan, String::new());
+        Ok(plan)
     }
 
     /// Claims the request's key first, where it must not run twice, and then looks for a place.
@@ -306,6 +318,8 @@
         if let Some(claim) = &plan.claim {
             self.claims.settle(claim.release_step());
         }
+        let detail = format!("{:?}: {}", refusal.code, refusal.message);
+        self.note_plan(EventKind::RequestRefused, &plan, detail);
         let wire = self.refusal_wire(plan.call.request, refusal);
         reply_to(&plan.reply, AdmitReply::Refused(wire));
     }
--- a/crates/ragwortroad_node/src/control/claim_flow.rs
+++ b/crates/ragwortroad_node/src/control/claim_flow.rs
@@ -4,6 +4,7 @@
 
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_state::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_transport::prelude::*;
 use ragwortroad_types::prelude::*;
 
@@ -124,13 +125,18 @@
     /// Goes on with an attempt whose claim was decided.
     fn decide_claim(&mut self, plan: RequestPlan, outcome: ClaimOutcome, now: ClockTime) {
         match outcome {
-            ClaimOutcome::Granted => match self.check_open(now) {
-                // The node may have lost its leave to admit while the claim was under way.
-                Ok(()) => self.place_plan(plan, now),
-                Err(refusal) => self.refuse_plan(plan, refusal),
-            },
+            ClaimOutcome::Granted => {
+                self.note_plan(EventKind::ClaimMade, &plan, String::new());
+                match self.check_open(now) {
+                    // The node may have lost its leave to admit while the claim was under way.
+                    Ok(()) => self.place_plan(plan, now),
+                    Err(refusal) => self.refuse_plan(plan, refusal),
+                }
+            }
             ClaimOutcome::Recorded(answer) => {
                 self.limiter.finish(plan.customer_key, plan.tokens, 0);
+                let detail = "recorded answer returned".to_owned();
+                self.note_plan(EventKind::ClaimFinished, &plan, detail);
                 let answer = RecordedAnswer {
                     status: answer.status,
                     content_type: answer.content_type,
@@ -149,6 +155,8 @@
                     message: claim_text(&other),
                     retry_after: Some(CLAIM_PAUSE),
                 };
+                let detail = format!("{code:?}: {}", refusal.message);
+                self.note_plan(EventKind::RequestRefused, &plan, detail);
                 let wire = self.refusal_wire(plan.call.request, refusal);
                 reply_to(&plan.reply, AdmitReply::Refused(wire));
             }
--- a/crates/ragwortroad_node/src/control/control_inbox.rs
+++ b/crates/ragwortroad_node/src/control/control_inbox.rs
@@ -6,6 +6,7 @@
     Selector, //
 };
 use ragwortroad_gateway::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_transport::prelude::*;
 
 use crate::disk_worker::DiskReport;
@@ -39,6 +40,8 @@
 pub(crate) struct PageCall {
     /// SHA-256 of the operator's key.
     pub(crate) key_hash: [u8; 32],
+    /// Which events are wanted.
+    pub(crate) filter: EventFilter,
     /// Where the page goes; nothing goes there where the key is wrong.
     pub(crate) reply: flume::Sender<Option<String>>,
 }
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -8,6 +8,7 @@
 use ragwortroad_membership::prelude::*;
 use ragwortroad_routing::prelude::*;
 use ragwortroad_settings::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_transport::prelude::*;
 use ragwortroad_types::prelude::*;
 use rand::{
@@ -27,6 +28,7 @@
         follow_seat::FollowSeat,
         line_table::LineTable, //
     },
+    event_log::EventLog,
     member::member_seat::MemberSeat,
     node_secrets::NodeSecrets,
     real_clock::RealClock,
@@ -88,6 +90,8 @@
     pub(crate) releases: ReleaseQueue,
     /// Operators' lines passed on to the leader.
     pub(crate) lines: LineTable,
+    /// Events for the time line.
+    pub(crate) events: EventLog,
     /// No new work is taken in any more.
     pub(crate) draining: bool,
     /// When the slow duties were done last.
@@ -110,6 +114,7 @@
 impl ControlState {
     /// Serves events until the supervisor stops the thread.
     pub(crate) fn run(mut self, inbox: &ControlInbox) {
+        self.note_node(EventKind::ProcessStarted, self.node);
         let mut next_tick = self.clock.now();
         loop {
             let now = self.clock.now();
@@ -192,6 +197,7 @@
         self.tick_follow(now);
         self.tick_waits(now);
         self.tick_lines(now);
+        self.note_currency(now);
         if now.since(self.second) >= SECOND {
             self.second = now;
             self.tick_second(now);
@@ -218,6 +224,7 @@
     fn begin_drain(&mut self, now: ClockTime) {
         tracing::info!(node = self.settings.node.name, "draining");
         self.draining = true;
+        self.note_node(EventKind::ProcessStopping, self.node);
         let actions = self.membership.handle(GossipInput::LeaveStarted, now);
         self.do_gossip(actions, now);
         if let Some(seat) = &mut self.member {
--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -4,6 +4,7 @@
 use ragwortroad_membership::prelude::*;
 use ragwortroad_routing::prelude::*;
 use ragwortroad_state::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_transport::prelude::*;
 use ragwortroad_types::prelude::*;
 
@@ -74,18 +75,25 @@
                 }
                 GossipAction::NodeUp(node) => self.node_up(node, now),
                 GossipAction::NodeSuspected(node) => {
+                    self.note_node(EventKind::NodeSuspected, node);
                     tracing::info!(node = self.node_name(node), "node is silent");
                 }
                 GossipAction::NodeDown(node) => self.node_down(node, now),
                 GossipAction::NodeLeaving(node) => {
+                    self.note_node(EventKind::NodeLeaving, node);
                     tracing::info!(node = self.node_name(node), "node is leaving");
                     self.refresh_nodes(now);
                 }
-                GossipAction::EndpointChanged(endpoint) | GossipAction::HomeChanged(endpoint) => {
+                GossipAction::EndpointChanged(endpoint) => {
+                    self.endpoint_changed(endpoint, now);
+                }
+                GossipAction::HomeChanged(endpoint) => {
+                    self.note_endpoint(EventKind::HomeChanged, endpoint);
                     self.refresh_endpoint(endpoint, now);
                 }
                 GossipAction::EndpointLoad(endpoint) => self.refresh_load(endpoint),
                 GossipAction::EndpointGone(endpoint) => {
+                    self.note_endpoint(EventKind::EndpointLeft, endpoint);
                     self.route.remove_endpoint(endpoint);
                 }
                 GossipAction::BlobChanged { .. } => {}
@@ -93,7 +101,26 @@
         }
     }
 
+    fn endpoint_changed(&mut self, endpoint: EndpointId, now: ClockTime) {
+        let is_new = self.route.load_of(endpoint).is_none();
+        let presence = self
+            .membership
+            .endpoint(endpoint)
+            .map(|record| record.presence);
+        match presence {
+            Some(EndpointPresence::Leaving) => {
+                self.note_endpoint(EventKind::EndpointLeaving, endpoint);
+            }
+            Some(EndpointPresence::Present) if is_new => {
+                self.note_endpoint(EventKind::EndpointJoined, endpoint);
+            }
+            _ => {}
+        }
+        self.refresh_endpoint(endpoint, now);
+    }
+
     fn node_up(&mut self, node: NodeId, now: ClockTime) {
+        self.note_node(EventKind::NodeUp, node);
         tracing::info!(node = self.node_name(node), "node is up");
         self.refresh_nodes(now);
         // Endpoints whose home came back can be asked for again.
@@ -102,6 +129,7 @@
 
     fn node_down(&mut self, node: NodeId, now: ClockTime) {
         tracing::warn!(node = self.node_name(node), "node is down");
+        self.note_node(EventKind::NodeDown, node);
         self.route.node_gone(node, now);
         self.grants.node_gone(node);
         self.releases.node_gone(node);
--- a/crates/ragwortroad_node/src/control/fleet_view.rs
+++ b/crates/ragwortroad_node/src/control/fleet_view.rs
@@ -84,7 +84,8 @@
         metrics::counter!("ragwortroad_messages_total", "channel" => name.clone()).increment(1);
         metrics::counter!("ragwortroad_message_bytes_total", "channel" => name)
             .increment(bytes.len() as u64);
-        let outcome = self.transport.send(address, to, channel, bytes);
+        let sealed = self.events.seal(&bytes);
+        let outcome = self.transport.send(address, to, channel, sealed);
         if outcome != SendOutcome::Queued {
             tracing::debug!(%to, ?channel, ?outcome, "a message was not queued");
         }
--- a/crates/ragwortroad_node/src/control/follow_flow.rs
+++ b/crates/ragwortroad_node/src/control/follow_flow.rs
@@ -5,6 +5,7 @@
 use ragwortroad_consensus::prelude::*;
 use ragwortroad_routing::prelude::*;
 use ragwortroad_state::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_transport::prelude::*;
 use ragwortroad_types::prelude::*;
 
@@ -195,6 +196,10 @@
         let config = &self.follow.config;
         let revision = config.revision;
         tracing::info!(revision, "configuration is in force here");
+        self.events.note(FleetEvent {
+            revision: Some(revision),
+            ..FleetEvent::new(EventKind::ChangeInForce)
+        });
         for (name, entry) in &config.customers {
             let limit = CustomerLimit {
                 requests_per_s: entry.limits.requests_per_s.into(),
--- a/crates/ragwortroad_node/src/control/follow_seat.rs
+++ b/crates/ragwortroad_node/src/control/follow_seat.rs
@@ -19,6 +19,8 @@
     pub(crate) asked: ClockTime,
     /// When the leader confirmed last.
     pub(crate) confirmed: ClockTime,
+    /// Whether this node could admit work when that was last looked at.
+    pub(crate) admits: bool,
     /// The last update could not be followed; the next one must be whole.
     pub(crate) wants_whole: bool,
 }
--- a/crates/ragwortroad_node/src/control/gauge_flow.rs
+++ b/crates/ragwortroad_node/src/control/gauge_flow.rs
@@ -1,14 +1,8 @@
-//! Gauges of the control state, and pages made of it.
+//! Gauges of the control state.
 
 use ragwortroad_types::prelude::*;
 
-use crate::control::{
-    control_inbox::PageCall,
-    control_state::{
-        ControlState,
-        reply_to, //
-    }, //
-};
+use crate::control::control_state::ControlState;
 
 impl ControlState {
     /// Publishes what operators watch.
@@ -45,11 +39,4 @@
         let available = self.membership.available_endpoints().count();
         gauge("ragwortroad_endpoints_available", available as f64);
     }
-
-    /// Serves a page of control state to an operator.
-    pub(crate) fn serve_page(&mut self, call: PageCall) {
-        let operator = self.operator_name(&call.key_hash, &self.follow.config);
-        let page = operator.map(|_| String::new());
-        reply_to(&call.reply, page);
-    }
 }
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -94,7 +94,7 @@
     ) {
         let question = self.draw();
         plan.asked += 1;
-        self.send_ask(home, question, endpoint, plan.customer_key);
+        self.send_ask(home, question, endpoint, &plan);
         let wait = SlotWait {
             plan,
             endpoint,
@@ -130,6 +130,7 @@
             attempts,
             claim: plan.claim.clone(),
         });
+        self.note_dispatch(&plan, endpoint);
         let grant = AdmitGrant {
             ticket,
             endpoint,
@@ -162,6 +163,7 @@
             tracing::warn!(ticket = call.ticket.0, "an attempt ended twice");
             return;
         };
+        self.note_finish(&record, &call);
         tracing::debug!(
             request = %record.request,
             customer = record.customer_name,
--- a/crates/ragwortroad_node/src/control/leader_flow.rs
+++ b/crates/ragwortroad_node/src/control/leader_flow.rs
@@ -3,7 +3,9 @@
 use std::time::Duration;
 
 use ragwortroad_consensus::prelude::*;
+use ragwortroad_language::prelude::*;
 use ragwortroad_state::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_types::prelude::*;
 
 use crate::{
@@ -44,6 +46,7 @@
             (true, false) if core.may_act_as_leader(now) => {
                 seat.desk = Some(LeaderDesk::new(&seat.state, timing, now));
                 tracing::info!(term = core.term(), "this node leads");
+                self.note_lead(EventKind::LeaderElected, None);
                 let action = StateAction::TakeOrders { holder: self.node };
                 self.propose(action, ProposalKind::TakeOrders, now);
             }
@@ -69,6 +72,7 @@
             return;
         };
         tracing::info!("this node no longer leads");
+        self.note_lead(EventKind::LeaderDeposed, None);
         let forced = desk.forced.into_iter().map(|watch| watch.origin);
         let held = desk.held.into_iter().map(|(_, origin)| origin);
         for origin in forced.chain(held) {
@@ -138,10 +142,16 @@
         match outcome {
             ChangeOutcome::Accepted { revision } => {
                 tracing::info!(revision, "change accepted");
+                self.note_revision(EventKind::ChangeAccepted, revision, String::new());
                 self.follow_members(revision, now);
                 self.watch_change(revision, origin, now);
             }
-            refused => self.answer_refused(origin, &refused),
+            refused => {
+                let revision = self.follow.config.revision;
+                let detail = outcome_text(&refused);
+                self.note_revision(EventKind::ChangeRefused, revision, detail);
+                self.answer_refused(origin, &refused);
+            }
         }
     }
 
@@ -283,6 +293,7 @@
 
     /// The lease for orders was granted to this node by the log.
     pub(crate) fn orders_taken(&mut self, fence: FenceNumber, now: ClockTime) {
+        self.note_lead(EventKind::LeaseGranted, Some(fence));
         let timing = order_timing(&self.settings.state);
         let desk = self.member.as_mut().and_then(|seat| seat.desk.as_mut());
         if let Some(desk) = desk {
--- a/crates/ragwortroad_node/src/control/member_flow.rs
+++ b/crates/ragwortroad_node/src/control/member_flow.rs
@@ -7,6 +7,7 @@
 
 use ragwortroad_consensus::prelude::*;
 use ragwortroad_state::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_transport::PeerChannel;
 use ragwortroad_types::prelude::*;
 
@@ -182,6 +183,10 @@
                 CoreAction::MembersChanged { members, .. } => {
                     let count = members.records().len();
                     tracing::info!(members = count, "the members changed");
+                    self.events.note(FleetEvent {
+                        detail: format!("{count} members"),
+                        ..FleetEvent::new(EventKind::MembersChanged)
+                    });
                 }
                 // Reads rest on the leader's lease; none is proved by a round of its own.
                 CoreAction::ReadReady { .. } | CoreAction::ReadRefused { .. } => {}
--- a/crates/ragwortroad_node/src/control/mod.rs
+++ b/crates/ragwortroad_node/src/control/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod control_inbox;
 pub(crate) mod control_state;
 pub(crate) mod endpoint_flow;
+pub(crate) mod event_flow;
 pub(crate) mod fleet_view;
 pub(crate) mod follow_flow;
 pub(crate) mod follow_seat;
--- a/crates/ragwortroad_node/src/control/peer_flow.rs
+++ b/crates/ragwortroad_node/src/control/peer_flow.rs
@@ -22,6 +22,10 @@
             channel,
             bytes,
         } = message;
+        let Some(bytes) = self.events.open(&bytes) else {
+            tracing::warn!(%from, "a message has no stamp; upgrade the older node");
+            return;
+        };
         match channel {
             PeerChannel::Gossip => self.handle_gossip(from, bytes, now),
             PeerChannel::Consensus => self.handle_frame(from, &bytes, now),
--- a/crates/ragwortroad_node/src/control/show_flow.rs
+++ b/crates/ragwortroad_node/src/control/show_flow.rs
@@ -131,6 +131,7 @@
                 text(&record.name),
                 text(&record.zone),
                 text(format!("{:?}", record.state).to_lowercase()),
+                text(record.caller_address),
                 revision.map_or(CellValue::Empty, |(_, number)| CellValue::Number(number)),
                 CellValue::Flag(revision.is_some()),
                 CellValue::Flag(drained || record.state == NodeState::Leaving),
--- a/crates/ragwortroad_node/src/control/slot_flow.rs
+++ b/crates/ragwortroad_node/src/control/slot_flow.rs
@@ -9,6 +9,7 @@
 use crate::{
     control::control_state::ControlState,
     request::{
+        request_plan::RequestPlan,
         ticket_table::HeldSlot,
         wait_table::SlotWait, //
     },
@@ -45,9 +46,12 @@
                 question,
                 endpoint,
                 customer,
+                request,
             } => {
                 let customer = CustomerKey(customer);
                 let answer = self.answer_ask(from, question, endpoint, customer, now);
+                let granted = answer == SlotVerdict::Granted;
+                self.note_slot(from, request, endpoint, granted);
                 self.send_slots(from, &SlotMessage::Answer { question, answer });
             }
             SlotMessage::Answer { question, answer } => {
@@ -135,13 +139,13 @@
         home: NodeId,
         question: u64,
         endpoint: EndpointId,
-        customer: CustomerKey,
+        plan: &RequestPlan,
     ) {
-        let customer = customer.0;
         let message = SlotMessage::Ask {
             question,
             endpoint,
-            customer,
+            customer: plan.customer_key.0,
+            request: plan.call.request,
         };
         self.send_slots(home, &message);
     }
--- a/crates/ragwortroad_node/src/lib.rs
+++ b/crates/ragwortroad_node/src/lib.rs
@@ -17,6 +17,7 @@
 mod byte_counts;
 mod control;
 mod disk_worker;
+mod event_log;
 mod member;
 mod metric_pages;
 mod node_error;
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -13,6 +13,7 @@
 use ragwortroad_membership::prelude::*;
 use ragwortroad_routing::prelude::*;
 use ragwortroad_settings::prelude::*;
+use ragwortroad_timeline::prelude::*;
 use ragwortroad_transport::prelude::*;
 use ragwortroad_types::prelude::*;
 use rand::Rng;
@@ -30,6 +31,7 @@
         follow_seat::FollowSeat,
         line_table::LineTable, //
     },
+    event_log::EventLog,
     member::member_seat::{
         MemberSeat,
         SeatStart, //
@@ -200,13 +202,21 @@
 fn timeline_page(
     steering: Sender<SteeringOrder>,
 ) -> impl Fn([u8; 32], &str) -> Result<String, RefusalWire> {
-    move |key_hash, _query| {
+    move |key_hash, query| {
         let refuse = |code, message: &str| {
             let outcome = RequestOutcome::NotRun;
             RefusalWire::new(outcome, code, message, RequestId::default())
         };
         let (reply, answer) = flume::bounded(1);
-        let call = PageCall { key_hash, reply };
+        let filter = read_filter(query).ok_or_else(|| {
+            let message = "the filter cannot be read";
+            refuse(RefusalCode::MalformedRequest, message)
+        })?;
+        let call = PageCall {
+            key_hash,
+            filter,
+            reply,
+        };
         let gone = || refuse(RefusalCode::InternalFault, "the control thread has ended");
         steering
             .send(SteeringOrder::Page(call))
@@ -216,6 +226,17 @@
     }
 }
 
+/// The filter in `filter=HEX`, the hexadecimal form of its JSON; no query lets everything pass.
+fn read_filter(query: &str) -> Option<EventFilter> {
+    let Some(text) = query.strip_prefix("filter=") else {
+        return query.is_empty().then(EventFilter::default);
+    };
+    let bytes = data_encoding::HEXLOWER_PERMISSIVE
+        .decode(text.as_bytes())
+        .ok()?;
+    serde_json::from_slice(&bytes).ok()
+}
+
 /// What the control state is made of.
 struct ControlParts {
     settings: ProcessSettings,
@@ -283,6 +304,7 @@
         second: ClockTime::ZERO,
         said_hello: ClockTime::ZERO,
         bytes: Arc::default(),
+        events: EventLog::new(clock),
         settings,
     })
 }
--- a/crates/ragwortroad_node/src/wire/slot_message.rs
+++ b/crates/ragwortroad_node/src/wire/slot_message.rs
@@ -22,6 +22,8 @@
         endpoint: EndpointId,
         /// The customer's key in the route table.
         customer: u64,
+        /// The request, for the time line.
+        request: RequestId,
     },
     /// The home's answer.
     Answer {
--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -3,9 +3,11 @@
 use clap::{
     Args,
     Parser,
-    Subcommand, //
+    Subcommand,
+    ValueEnum, //
 };
 use clap_complete::Shell;
+use ragwortroad_timeline::EventKind;
 
 /// A router fleet for very many returning chats.
 #[derive(Debug, Parser)]
@@ -46,6 +48,8 @@
     Ask(OperatorOptions),
     /// Change the fleet's configuration; returns once the change is in force everywhere.
     Change(ChangeOptions),
+    /// Gather the time line of events from all nodes that can be reached.
+    Timeline(TimelineOptions),
     /// Make the certificates and keys with which nodes prove themselves to each other.
     Keys(KeyOptions),
     /// Run the decision bench: real decision code, small fakes, one seed.
@@ -187,6 +191,55 @@
     pub(crate) json: bool,
 }
 
+/// Time line.
+#[derive(Debug, Args)]
+#[command(after_help = "\
+Examples:
+  ragwortroad timeline --node 127.0.0.1:8001 --key operator.key --format html > line.html
+  ragwortroad timeline --node 127.0.0.1:8001 --key operator.key --request 00c3b1a2d4e5f607
+  ragwortroad timeline --node 127.0.0.1:8001 --key operator.key --kind leader_elected")]
+pub(crate) struct TimelineOptions {
+    #[command(flatten)]
+    pub(crate) access: OperatorAccess,
+    /// The form to print.
+    #[arg(long, value_enum, default_value_t = TimelineForm::Text)]
+    pub(crate) format: TimelineForm,
+    /// Only events of this request, as its 16 hexadecimal digits.
+    #[arg(long, value_name = "HEX")]
+    pub(crate) request: Option<String>,
+    /// Only events of this customer.
+    #[arg(long, value_name = "NAME")]
+    pub(crate) customer: Option<String>,
+    /// Only events of this chat of the customer.
+    #[arg(long, value_name = "NAME", requires = "customer")]
+    pub(crate) chat: Option<String>,
+    /// Only events of this endpoint.
+    #[arg(long, value_name = "NAME")]
+    pub(crate) endpoint: Option<String>,
+    /// Only events of this kind; may be given several times.
+    #[arg(long, value_name = "KIND")]
+    pub(crate) kind: Vec<EventKind>,
+    /// Only events from this time on, in milliseconds since 1970.
+    #[arg(long, value_name = "MS")]
+    pub(crate) from_ms: Option<u64>,
+    /// Only events before this time, in milliseconds since 1970.
+    #[arg(long, value_name = "MS")]
+    pub(crate) until_ms: Option<u64>,
+}
+
+/// How a time line is printed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+pub(crate) enum TimelineForm {
+    /// One line an event.
+    Text,
+    /// One JSON object.
+    Json,
+    /// The trace-event format, which common trace viewers open.
+    Trace,
+    /// One self-contained page.
+    Html,
+}
+
 /// Keys.
 #[derive(Debug, Args)]
 pub(crate) struct KeyOptions {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -10,6 +10,7 @@
 mod secret_file;
 mod serve;
 mod standin;
+mod timeline;
 
 use crate::{
     command_line::CommandKind,
@@ -26,6 +27,7 @@
         CommandKind::Load(options) => load::run(&options),
         CommandKind::Ask(options) => operator::ask(&options),
         CommandKind::Change(options) => operator::change(&options),
+        CommandKind::Timeline(options) => timeline::run(&options),
         CommandKind::Keys(options) => keys::run(&options),
         CommandKind::Bench(options) => bench::run(&options),
         CommandKind::Completions(options) => completions::run(&options),
