Keep a closed channel from spinning the control thread; repeat operators' lines

Cause: a node without a disk used a whole core. Its disk channel was closed, and a closed channel is always ready. Ruled out: ticks (20 a second) and gossip (2 packets a second). Also, a line passed to the leader was lost with a connection and its operator waited 20 s. Change: only members select the disk channel; a closed channel pauses 5 ms. Lines are sent again after 2 s.

--- a/crates/ragwortroad_node/src/control/control_inbox.rs
+++ b/crates/ragwortroad_node/src/control/control_inbox.rs
@@ -1,4 +1,7 @@
-use std::time::Duration;
+use std::{
+    thread,
+    time::Duration, //
+};
 
 use flume::{
     Receiver,
@@ -18,8 +21,8 @@
     pub(crate) calls: Receiver<ControlCall>,
     /// Messages of other nodes.
     pub(crate) peers: Receiver<PeerEvent>,
-    /// Reports of the disk thread.
-    pub(crate) disk: Receiver<DiskReport>,
+    /// Reports of the disk thread; only members have one.
+    pub(crate) disk: Option<Receiver<DiskReport>>,
     /// Orders of the supervisor.
     pub(crate) steering: Receiver<SteeringOrder>,
 }
@@ -46,6 +49,9 @@
     pub(crate) reply: flume::Sender<Option<String>>,
 }
 
+/// How long a closed channel keeps the thread from looking at the others.
+const CLOSED_PAUSE: Duration = Duration::from_millis(5);
+
 /// One event for the control thread.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
@@ -61,21 +67,36 @@
 
 impl ControlInbox {
     /// The next event, or nothing after `patience`.
+    ///
+    /// A closed channel is always ready and never has an event. Selected again and again it would
+    /// keep a core busy, which shows as a node that is idle and hot; so the rest of the patience
+    /// is slept through in short steps.
     pub(crate) fn next(&self, patience: Duration) -> Option<ControlEvent> {
-        let selected = Selector::new()
+        let mut selector = Selector::new()
             .recv(&self.calls, |event| wrap(event, boxed_call))
             .recv(&self.peers, |event| wrap(event, ControlEvent::Peer))
-            .recv(&self.disk, |event| wrap(event, ControlEvent::Disk))
-            .recv(&self.steering, |event| wrap(event, ControlEvent::Steering))
-            .wait_timeout(patience);
-        selected.ok().flatten()
+            .recv(&self.steering, |event| wrap(event, ControlEvent::Steering));
+        if let Some(disk) = &self.disk {
+            selector = selector.recv(disk, |event| wrap(event, ControlEvent::Disk));
+        }
+        match selector.wait_timeout(patience) {
+            Ok(Some(event)) => Some(event),
+            Ok(None) => {
+                thread::sleep(patience.min(CLOSED_PAUSE));
+                self.ready()
+            }
+            Err(_) => None,
+        }
     }
 
     /// An event that is there already.
     pub(crate) fn ready(&self) -> Option<ControlEvent> {
         let calls = || self.calls.try_recv().map(boxed_call).ok();
         let peers = || self.peers.try_recv().map(ControlEvent::Peer).ok();
-        let disk = || self.disk.try_recv().map(ControlEvent::Disk).ok();
+        let disk = || {
+            let disk = self.disk.as_ref()?;
+            disk.try_recv().map(ControlEvent::Disk).ok()
+        };
         let steering = || self.steering.try_recv().map(ControlEvent::Steering).ok();
         // What the disk and the supervisor say is rare and holds others up, so it goes first.
         disk().or_else(steering).or_else(peers).or_else(calls)
--- a/crates/ragwortroad_node/src/control/line_flow.rs
+++ b/crates/ragwortroad_node/src/control/line_flow.rs
@@ -36,6 +36,9 @@
 /// waits for a change to be in force.
 const LINE_PATIENCE: Duration = Duration::from_secs(20);
 
+/// Time after which an unanswered line is sent again.
+const LINE_REPEAT: Duration = Duration::from_secs(2);
+
 /// Name of the operator whose key stands in the settings, until operators are declared.
 const FIRST_OPERATOR: &str = "first-operator";
 
@@ -63,7 +66,8 @@
         let open = OpenLine {
             reply,
             leader,
-            may_change: line.may_change,
+            line: line.clone(),
+            since: now,
             sent: now,
         };
         let token = self.lines.add(open);
@@ -94,10 +98,17 @@
         }
     }
 
-    /// Answers lines whose leader does not.
+    /// Sends lines again whose answer is late, and answers those whose leader never does.
     pub(crate) fn tick_lines(&mut self, now: ClockTime) {
+        if let Some(leader) = self.leader().filter(|leader| *leader != self.node) {
+            let limit = now.before(LINE_REPEAT);
+            for (token, line) in self.lines.repeat(limit, leader, now) {
+                let message = FollowMessage::Line { token, line };
+                self.send(leader, PeerChannel::Follow, encode(&message));
+            }
+        }
         for open in self.lines.overdue(now.before(LINE_PATIENCE)) {
-            let text = match open.may_change {
+            let text = match open.line.may_change {
                 true => "not known: the leader did not answer; send it again with the same id",
                 false => "the leader did not answer; ask again",
             };
--- a/crates/ragwortroad_node/src/control/line_table.rs
+++ b/crates/ragwortroad_node/src/control/line_table.rs
@@ -4,6 +4,8 @@
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_types::prelude::*;
 
+use crate::wire::follow_message::OperatorLine;
+
 /// Operators' lines that were passed on to the leader.
 #[derive(Debug, Default)]
 pub(crate) struct LineTable {
@@ -18,9 +20,11 @@
     pub(crate) reply: Sender<OperatorAnswer>,
     /// The node it was sent to.
     pub(crate) leader: NodeId,
-    /// Whether it may change something.
-    pub(crate) may_change: bool,
-    /// When it was sent.
+    /// The line, to be sent again.
+    pub(crate) line: OperatorLine,
+    /// When it came in.
+    pub(crate) since: ClockTime,
+    /// When it was sent last.
     pub(crate) sent: ClockTime,
 }
 
@@ -41,9 +45,28 @@
         self.lines.remove(&token)
     }
 
+    /// Lines that were last sent before `limit`, to be sent to `leader` now.
+    ///
+    /// A line or its answer gets lost with a connection. Sending it again is harmless: a question
+    /// changes nothing, and a change is known by its id.
+    pub(crate) fn repeat(
+        &mut self,
+        limit: ClockTime,
+        leader: NodeId,
+        now: ClockTime,
+    ) -> Vec<(u64, OperatorLine)> {
+        let late = self.lines.iter_mut().filter(|(_, line)| line.sent < limit);
+        let again = |(number, open): (&u64, &mut OpenLine)| {
+            open.leader = leader;
+            open.sent = now;
+            (*number, open.line.clone())
+        };
+        late.map(again).collect()
+    }
+
     /// Ends waits that began before `limit`.
     pub(crate) fn overdue(&mut self, limit: ClockTime) -> Vec<OpenLine> {
-        let old = self.lines.iter().filter(|(_, line)| line.sent < limit);
+        let old = self.lines.iter().filter(|(_, line)| line.since < limit);
         let numbers: Vec<u64> = old.map(|(number, _)| *number).collect();
         let take = |number: u64| self.lines.remove(&number);
         numbers.into_iter().filter_map(take).collect()
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -107,7 +107,7 @@
         let inbox = ControlInbox {
             calls: call_queue,
             peers,
-            disk,
+            disk: state.member.is_some().then_some(disk),
             steering: steering_queue,
         };
         let control = Builder::new()
