--- a/crates/ragwortroad_state/examples/state_cost.rs
+++ b/crates/ragwortroad_state/examples/state_cost.rs
@@ -14,6 +14,7 @@
 const CLAIMS: u64 = 200_000;
 
 fn main() -> Result<(), ApplyError> {
+    print_spans();
     println!("claims: {CLAIMS} keys, each claimed and finished with a 200-byte answer");
     measure_memory()?;
     println!("batch  steps/s  log bytes/claim  snapshot bytes/claim  snapshot ms");
@@ -26,6 +27,19 @@
     Ok(())
 }
 
+/// The spans that follow from the default settings.
+fn print_spans() {
+    let (orders, follow) = (OrderTiming::default(), FollowTiming::default());
+    println!("{orders:?}: a new holder waits {:?}", orders.wait());
+    println!(
+        "{follow:?}: a node admits for {:?} since it asked, a new leader settles for {:?}, a node \
+         asks every {:?}\n",
+        follow.node_lease(Duration::ZERO),
+        follow.settle_time(Duration::ZERO),
+        follow.ask_every()
+    );
+}
+
 /// Kilobytes of memory this process has resident; 0 where the system does not tell.
 fn resident_kb() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
@@ -187,7 +201,7 @@
     );
     println!("missed  kind      bytes   follow");
     let newest = state.config().revision;
-    for missed in [1, 10, 100, 1000] {
+    for missed in [0, 1, 10, 100, 1000] {
         let update = state.config_since(newest - missed);
         let kind = match update {
             ConfigUpdate::Delta { .. } => "delta",
--- a/crates/ragwortroad_state/src/change/config_update.rs
+++ b/crates/ragwortroad_state/src/change/config_update.rs
@@ -12,7 +12,7 @@
 /// What a follower needs to come up to a revision.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ConfigUpdate {
-    /// The changes it missed, in order; none where it is current.
+    /// The changes it missed, in order; none where it is as current as who answers.
     Delta {
         /// The changes.
         changes: Vec<AcceptedChange>,
@@ -82,6 +82,11 @@
     }
 
     fn follow_delta(&mut self, changes: &[AcceptedChange], digest: u64) -> Result<(), FollowError> {
+        // Most answers bring nothing new; copying and hashing a large configuration for each would
+        // take a share of the processor that grows with the customers.
+        if changes.is_empty() {
+            return Ok(());
+        }
         let mut config = self.clone();
         for change in changes {
             // A repeated delta begins with changes that are in force already.
--- a/crates/ragwortroad_state/src/claim/claim_table.rs
+++ b/crates/ragwortroad_state/src/claim/claim_table.rs
@@ -12,6 +12,7 @@
 use crate::{
     ClaimAnswer,
     ClaimAttempt,
+    ClaimCount,
     ClaimKey,
     ClaimOutcome,
     ClaimResult,
@@ -49,17 +50,6 @@
     swept: String,
 }
 
-/// What the table counts for one customer.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ClaimCount {
-    /// Keys remembered in full.
-    pub kept: usize,
-    /// Of these, the ones whose attempt may still be running.
-    pub running: usize,
-    /// Undated keys remembered past the window.
-    pub spent: usize,
-}
-
 impl ClaimTable {
     /// Carries out the steps of one batch, in order.
     pub(crate) fn apply(
@@ -91,16 +81,7 @@
     /// What is remembered for `customer`.
     pub fn count(&self, customer: &str) -> ClaimCount {
         let claims = self.customers.get(customer);
-        claims.map_or_else(ClaimCount::default, |claims| {
-            let phases = claims.entries.values().map(|entry| &entry.phase);
-            ClaimCount {
-                kept: claims.entries.len(),
-                running: phases
-                    .filter(|phase| **phase == ClaimPhase::Running)
-                    .count(),
-                spent: claims.spent_count(),
-            }
-        })
+        claims.map_or_else(ClaimCount::default, CustomerClaims::count)
     }
 
     /// Customers that have keys remembered.
--- a/crates/ragwortroad_state/src/claim/customer_claims.rs
+++ b/crates/ragwortroad_state/src/claim/customer_claims.rs
@@ -10,6 +10,7 @@
 };
 
 use crate::{
+    ClaimCount,
     ClaimRules,
     StateTime,
     claim::{
@@ -142,8 +143,15 @@
         }
     }
 
-    /// Keys remembered past the window.
-    pub(crate) fn spent_count(&self) -> usize {
-        self.spent.len()
+    /// What is remembered.
+    pub(crate) fn count(&self) -> ClaimCount {
+        let phases = self.entries.values().map(|entry| &entry.phase);
+        ClaimCount {
+            kept: self.entries.len(),
+            running: phases
+                .filter(|phase| **phase == ClaimPhase::Running)
+                .count(),
+            spent: self.spent.len(),
+        }
     }
 }
--- a/crates/ragwortroad_state/src/claim/mod.rs
+++ b/crates/ragwortroad_state/src/claim/mod.rs
@@ -1,5 +1,6 @@
 //! Claims of non-idempotent requests: each idempotency key runs at most once.
 
+pub(crate) mod claim_count;
 pub(crate) mod claim_entry;
 pub(crate) mod claim_key;
 pub(crate) mod claim_outcome;
--- a/crates/ragwortroad_state/src/lib.rs
+++ b/crates/ragwortroad_state/src/lib.rs
@@ -59,6 +59,7 @@
             }, //
         },
         claim::{
+            claim_count::ClaimCount,
             claim_key::ClaimKey,
             claim_outcome::ClaimOutcome,
             claim_step::{
@@ -67,10 +68,7 @@
                 ClaimResult,
                 ClaimStep, //
             },
-            claim_table::{
-                ClaimCount,
-                ClaimTable, //
-            }, //
+            claim_table::ClaimTable, //
         },
         config::{
             call_pattern::CallPattern,
@@ -125,6 +123,7 @@
                 OrderAction,
                 OrderId, //
             },
+            engine_sight::EngineSight,
             engine_target::{
                 EngineRole,
                 EngineTarget, //
@@ -143,11 +142,8 @@
                 OrderPlan,
                 PlanOutcome, //
             },
-            order_table::{
-                EngineSight,
-                OrderSettings,
-                OrderTable, //
-            },
+            order_settings::OrderSettings,
+            order_table::OrderTable,
             order_timing::OrderTiming, //
         },
         snapshot_wire::{
--- a/crates/ragwortroad_state/src/order/mod.rs
+++ b/crates/ragwortroad_state/src/order/mod.rs
@@ -1,10 +1,13 @@
 //! Orders to engines: who may give them, when, and which are still wanted.
 
 pub(crate) mod engine_order;
+pub(crate) mod engine_sight;
+pub(crate) mod engine_state;
 pub(crate) mod engine_target;
 pub(crate) mod lease_table;
 pub(crate) mod load_queue;
 pub(crate) mod order_gate;
 pub(crate) mod order_plan;
+pub(crate) mod order_settings;
 pub(crate) mod order_table;
 pub(crate) mod order_timing;
--- a/crates/ragwortroad_state/src/order/order_table.rs
+++ b/crates/ragwortroad_state/src/order/order_table.rs
@@ -1,54 +1,22 @@
-use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
-    time::Duration, //
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
 };
 
 use ragwortroad_types::prelude::*;
 
 use crate::{
     EngineOrder,
-    EngineRole,
+    EngineSight,
     EngineTarget,
+    LoadKey,
     LoadQueue,
-    LoadRate,
     OrderAction,
     OrderId,
-    order::load_queue::LoadKey, //
+    OrderSettings,
+    order::engine_state::EngineState, //
 };
 
-/// Settings of the holder's orders.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct OrderSettings {
-    /// Time after which an order whose effect is not seen is sent again.
-    pub resend_after: Duration,
-    /// Time after which a load that is not seen gives its place at the weight store up.
-    pub load_bound: Duration,
-    /// The weight store's rate.
-    pub rate: LoadRate,
-}
-
-impl Default for OrderSettings {
-    fn default() -> Self {
-        Self {
-            resend_after: Duration::from_secs(5),
-            load_bound: Duration::from_secs(600),
-            rate: LoadRate::default(),
-        }
-    }
-}
-
-/// What an engine was last seen to be.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct EngineSight {
-    /// Counts up with its restarts.
-    pub incarnation: u64,
-    /// Models it holds.
-    pub models: BTreeSet<ModelOffer>,
-}
-
 /// The holder's orders under way: brings what is seen to what is planned.
 ///
 /// An order counts as done only when its effect is seen, or, for a role or a drain, which engines
@@ -64,16 +32,6 @@
     queue: LoadQueue,
 }
 
-#[derive(Clone, Debug, Default)]
-struct EngineState {
-    target: EngineTarget,
-    urgency: u32,
-    sight: Option<EngineSight>,
-    /// The role and drain that the present incarnation has confirmed.
-    role: EngineRole,
-    drain: bool,
-}
-
 #[derive(Clone, Debug)]
 struct PendingOrder {
     order: EngineOrder,
@@ -104,16 +62,7 @@
     /// What an engine was seen to be.
     pub fn observe(&mut self, engine: &str, sight: EngineSight) {
         let state = self.engines.entry(engine.to_owned()).or_default();
-        let restarted = state
-            .sight
-            .as_ref()
-            .is_none_or(|old| old.incarnation != sight.incarnation);
-        if restarted {
-            // A restarted engine has its first role again and does not know that it drains.
-            state.role = EngineRole::default();
-            state.drain = false;
-        }
-        state.sight = Some(sight);
+        state.see(sight);
     }
 
     /// The engine is gone.
@@ -255,57 +204,3 @@
         resent
     }
 }
-
-impl EngineState {
-    /// The orders that lead from what is seen to the target; none for an engine never seen.
-    fn differences(&self) -> Vec<OrderAction> {
-        let Some(sight) = &self.sight else {
-            return Vec::new();
-        };
-        let wanted = parts(&self.target.models);
-        let seen = parts(&sight.models);
-        let mut actions = Vec::new();
-        if self.role != self.target.role {
-            let role = self.target.role;
-            actions.push(OrderAction::SetRole { role });
-        }
-        if self.drain != self.target.drain {
-            let drain = self.target.drain;
-            actions.push(OrderAction::SetDrain { drain });
-        }
-        for (model, version, adapter) in wanted.difference(&seen).cloned() {
-            // An adapter is loaded when its model is there.
-            let base = (model.clone(), version.clone(), None);
-            if adapter.is_none() || seen.contains(&base) {
-                actions.push(OrderAction::Load {
-                    model,
-                    version,
-                    adapter,
-                });
-            }
-        }
-        for (model, version, adapter) in seen.difference(&wanted).cloned() {
-            actions.push(OrderAction::Unload {
-                model,
-                version,
-                adapter,
-            });
-        }
-        actions
-    }
-}
-
-type ModelPart = (String, String, Option<String>);
-
-/// Each model with its version, alone and with each of its adapters.
-fn parts(models: &BTreeSet<ModelOffer>) -> BTreeSet<ModelPart> {
-    let mut parts = BTreeSet::new();
-    for offer in models {
-        let base = (offer.model.clone(), offer.version.clone());
-        parts.insert((base.0.clone(), base.1.clone(), None));
-        for adapter in &offer.adapters {
-            parts.insert((base.0.clone(), base.1.clone(), Some(adapter.clone())));
-        }
-    }
-    parts
-}
