--- a/crates/ragwortroad_state/src/lib.rs
+++ b/crates/ragwortroad_state/src/lib.rs
@@ -130,7 +130,6 @@
             },
             lease_table::LeaseTable,
             load_queue::{
-                LoadKey,
                 LoadQueue,
                 LoadRate, //
             },
@@ -138,6 +137,7 @@
                 GateRefusal,
                 OrderGate, //
             },
+            order_key::OrderKey,
             order_plan::{
                 OrderPlan,
                 PlanOutcome, //
--- a/crates/ragwortroad_state/src/order/load_queue.rs
+++ b/crates/ragwortroad_state/src/order/load_queue.rs
@@ -5,7 +5,7 @@
 
 use ragwortroad_types::prelude::*;
 
-use crate::OrderAction;
+use crate::OrderKey;
 
 /// The rate of the weight store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,9 +28,6 @@
     }
 }
 
-/// One load at one engine.
-pub type LoadKey = (String, OrderAction);
-
 /// Loads that wait for the weight store, the most needed first.
 ///
 /// In any span of `t` seconds it lets at most `mb_per_s * t` megabytes start, and beyond that the
@@ -38,8 +35,8 @@
 #[derive(Clone, Debug)]
 pub struct LoadQueue {
     rate: LoadRate,
-    waiting: BTreeMap<LoadKey, LoadNeed>,
-    running: BTreeSet<LoadKey>,
+    waiting: BTreeMap<OrderKey, LoadNeed>,
+    running: BTreeSet<OrderKey>,
     /// What may be asked for now, in thousandths of a megabyte; below zero after a load larger
     /// than the burst.
     level: i64,
@@ -69,7 +66,7 @@
     }
 
     /// Wants a load; again with another urgency where it changed. A running one stays.
-    pub fn want(&mut self, key: LoadKey, size_mb: u32, urgency: u32) {
+    pub fn want(&mut self, key: OrderKey, size_mb: u32, urgency: u32) {
         if self.running.contains(&key) {
             return;
         }
@@ -84,13 +81,13 @@
     }
 
     /// Wants it no longer, or it is over.
-    pub fn drop_load(&mut self, key: &LoadKey) {
+    pub fn drop_load(&mut self, key: &OrderKey) {
         self.waiting.remove(key);
         self.running.remove(key);
     }
 
     /// Drops every waiting load for which `keep` is false.
-    pub fn keep_waiting(&mut self, mut keep: impl FnMut(&LoadKey) -> bool) {
+    pub fn keep_waiting(&mut self, mut keep: impl FnMut(&OrderKey) -> bool) {
         self.waiting.retain(|key, _| keep(key));
     }
 
@@ -100,7 +97,7 @@
     }
 
     /// Loads running.
-    pub fn running(&self) -> &BTreeSet<LoadKey> {
+    pub fn running(&self) -> &BTreeSet<OrderKey> {
         &self.running
     }
 
@@ -111,8 +108,8 @@
     pub fn start_next(
         &mut self,
         now: ClockTime,
-        mut may_start: impl FnMut(&LoadKey) -> bool,
-    ) -> Option<LoadKey> {
+        mut may_start: impl FnMut(&OrderKey) -> bool,
+    ) -> Option<OrderKey> {
         self.fill(now);
         if self.running.len() >= self.rate.at_once {
             return None;
--- a/crates/ragwortroad_state/src/order/mod.rs
+++ b/crates/ragwortroad_state/src/order/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod lease_table;
 pub(crate) mod load_queue;
 pub(crate) mod order_gate;
+pub(crate) mod order_key;
 pub(crate) mod order_plan;
 pub(crate) mod order_settings;
 pub(crate) mod order_table;
--- a/crates/ragwortroad_state/src/order/order_table.rs
+++ b/crates/ragwortroad_state/src/order/order_table.rs
@@ -9,10 +9,10 @@
     EngineOrder,
     EngineSight,
     EngineTarget,
-    LoadKey,
     LoadQueue,
     OrderAction,
     OrderId,
+    OrderKey,
     OrderSettings,
     order::engine_state::EngineState, //
 };
@@ -104,24 +104,25 @@
             if under_way.contains(&key) {
                 continue;
             }
-            match &key.1 {
+            match &key.action {
                 OrderAction::Load { model, .. } => {
-                    let urgency = self.engines.get(&key.0).map_or(0, |state| state.urgency);
+                    let urgency = self
+                        .engines
+                        .get(&key.engine)
+                        .map_or(0, |state| state.urgency);
                     let size = size_of(model);
                     self.queue.want(key, size, urgency);
                 }
-                _ if may_order(&key.0) => starts.push(key),
+                _ if may_order(&key.engine) => starts.push(key),
                 _ => {}
             }
         }
         let resent = self.resend(now, &mut may_order);
-        while let Some(key) = self.queue.start_next(now, |key| may_order(&key.0)) {
+        while let Some(key) = self.queue.start_next(now, |key| may_order(&key.engine)) {
             starts.push(key);
         }
-        let mut orders: Vec<EngineOrder> = starts
-            .into_iter()
-            .map(|(engine, action)| self.start(engine, action, now))
-            .collect();
+        let mut orders: Vec<EngineOrder> =
+            starts.into_iter().map(|key| self.start(key, now)).collect();
         orders.extend(resent);
         orders
     }
@@ -136,12 +137,13 @@
         self.queue.waiting()
     }
 
-    fn start(&mut self, engine: String, action: OrderAction, now: ClockTime) -> EngineOrder {
+    fn start(&mut self, key: OrderKey, now: ClockTime) -> EngineOrder {
         self.next_number += 1;
         let id = OrderId {
             fence: self.fence,
             number: self.next_number,
         };
+        let OrderKey { engine, action } = key;
         let order = EngineOrder { id, engine, action };
         let pending = PendingOrder {
             order: order.clone(),
@@ -153,30 +155,32 @@
     }
 
     /// What the orders under way are about.
-    fn under_way(&self) -> BTreeSet<LoadKey> {
+    fn under_way(&self) -> BTreeSet<OrderKey> {
         let orders = self.pending.values().map(|pending| &pending.order);
-        orders
-            .map(|order| (order.engine.clone(), order.action.clone()))
-            .collect()
+        orders.map(OrderKey::from).collect()
     }
 
     /// Everything in which an engine differs from its target.
-    fn wanted(&self) -> BTreeSet<LoadKey> {
+    fn wanted(&self) -> BTreeSet<OrderKey> {
         let mut wanted = BTreeSet::new();
         for (name, state) in &self.engines {
             let actions = state.differences().into_iter();
-            wanted.extend(actions.map(|action| (name.clone(), action)));
+            let engine = || name.clone();
+            wanted.extend(actions.map(|action| OrderKey {
+                engine: engine(),
+                action,
+            }));
         }
         wanted
     }
 
     /// Forgets orders whose effect is seen or no longer wanted, and loads that take too long.
-    fn drop_unwanted(&mut self, wanted: &BTreeSet<LoadKey>, now: ClockTime) {
+    fn drop_unwanted(&mut self, wanted: &BTreeSet<OrderKey>, now: ClockTime) {
         let load_bound = self.settings.load_bound;
         let queue = &mut self.queue;
         self.pending.retain(|_, pending| {
-            let key = (pending.order.engine.clone(), pending.order.action.clone());
-            let is_load = matches!(key.1, OrderAction::Load { .. });
+            let key = OrderKey::from(&pending.order);
+            let is_load = matches!(key.action, OrderAction::Load { .. });
             let late = is_load && now.since(pending.first_sent) > load_bound;
             let keep = wanted.contains(&key) && !late;
             if !keep {
--- a/crates/ragwortroad_state/tests/engine_orders.rs
+++ b/crates/ragwortroad_state/tests/engine_orders.rs
@@ -358,7 +358,7 @@
         };
         let mut queue = LoadQueue::new(rate, ClockTime(0));
         let mut sizes = BTreeMap::new();
-        let mut wanted: BTreeMap<LoadKey, u32> = BTreeMap::new();
+        let mut wanted: BTreeMap<OrderKey, u32> = BTreeMap::new();
         let mut starts: Vec<(u64, u64)> = Vec::new();
         let mut running = BTreeSet::new();
         for now in (0..600_000).step_by(500) {
@@ -368,7 +368,8 @@
                     version: "v1".to_owned(),
                     adapter: None,
                 };
-                let key = (format!("engine-{}", draw.below(30)), action);
+                let engine = format!("engine-{}", draw.below(30));
+                let key = OrderKey { engine, action };
                 let size = *sizes.entry(key.clone()).or_insert(draw.below(3000) as u32);
                 let urgency = draw.below(5) as u32;
                 queue.want(key.clone(), size, urgency);
