--- a/crates/ragwortroad_state/src/lib.rs
+++ b/crates/ragwortroad_state/src/lib.rs
@@ -59,6 +59,7 @@
             }, //
         },
         claim::{
+            claim_count::ClaimCount,
             claim_key::ClaimKey,
             claim_outcome::ClaimOutcome,
             claim_step::{
@@ -67,10 +68,7 @@
                 ClaimResult,
                 ClaimStep, //
             },
-            claim_table::{
-                ClaimCount,
-                ClaimTable, //
-            }, //
+            claim_table::ClaimTable, //
         },
         config::{
             call_pattern::CallPattern,
@@ -125,13 +123,13 @@
                 OrderAction,
                 OrderId, //
             },
+            engine_sight::EngineSight,
             engine_target::{
                 EngineRole,
                 EngineTarget, //
             },
             lease_table::LeaseTable,
             load_queue::{
-                LoadKey,
                 LoadQueue,
                 LoadRate, //
             },
@@ -139,15 +137,13 @@
                 GateRefusal,
                 OrderGate, //
             },
+            order_key::OrderKey,
             order_plan::{
                 OrderPlan,
                 PlanOutcome, //
             },
-            order_table::{
-                EngineSight,
-                OrderSettings,
-                OrderTable, //
-            },
+            order_settings::OrderSettings,
+            order_table::OrderTable,
             order_timing::OrderTiming, //
         },
         snapshot_wire::{
