Confirm a boot only once the check after a restart is done

A disk was rolled back, the machine started, and its process was killed before it had the others' answers; the next process saw the same boot and trusted the disk, and the member helped elect a leader that lacked accepted commands. Change: the boot's name is written with a change of its own, after the check and the entries it asks for are durable. What a member tells a restarted one is durable first, with that one's start. A vote that may have been given before is written as used up.

--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -29,8 +29,8 @@
     ProposeResult,
     RestartCheck,
     SnapshotAssembly,
-    StartTable, //
-    persist_gate::HeldEffect,
+    StartTable,
+    persist_gate::HeldEffect, //
 };
 
 /// One member of a group that agrees on a log, as pure state.
@@ -69,6 +69,8 @@
     pub(crate) gate: PersistGate,
     pub(crate) check: RestartCheck,
     pub(crate) starts: StartTable,
+    /// The disk has been told that it is not older than what was acknowledged.
+    pub(crate) is_confirmed: bool,
     pub(crate) assembly: Option<SnapshotAssembly>,
     /// Before this, no vote is given: a leader may rely on this member for its lease.
     pub(crate) no_vote_until: ClockTime,
@@ -111,6 +113,7 @@
 
     /// Ends an input: what changed goes to the disk, what is durable takes effect.
     fn flush(&mut self, now: ClockTime) {
+        self.confirm_boot();
         loop {
             if let Some((batch, mut change)) = self.gate.take_batch() {
                 if self.settings.breaks(BrokenRule::ForgetVote) {
--- a/crates/ragwortroad_consensus/src/core_new.rs
+++ b/crates/ragwortroad_consensus/src/core_new.rs
@@ -14,14 +14,26 @@
 };
 
 use crate::{
-    ConsensusCore, CoreAction, CoreError, CoreSettings, CoreStart, EntryLog, EntryPayload,
-    LogPosition, MemberHistory, MemberId, MemberSet, MemberState, PersistGate, RestartCheck,
+    ConsensusCore,
+    CoreAction,
+    CoreError,
+    CoreSettings,
+    CoreStart,
+    EntryLog,
+    EntryPayload,
+    LogPosition,
+    MemberHistory,
+    MemberId,
+    MemberSet,
+    MemberState,
+    PersistGate,
+    RestartCheck,
     StartTable,
     core_error::{
         AlreadyFoundedSnafu,
         NotFounderSnafu,
         UndecodableSnafu, //
-    },
+    }, //
 };
 
 impl ConsensusCore {
@@ -72,7 +84,8 @@
             state: MemberState::Follower,
             gate: PersistGate::default(),
             check,
-            starts: StartTable::default(),
+            starts: StartTable::from_stored(&stored.starts),
+            is_confirmed: false,
             assembly: None,
             no_vote_until: promised,
             election_at: now,
--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -161,7 +161,7 @@
     fn may_vote_for(&self, candidate: MemberId) -> bool {
         match self.vote.voted_for {
             Some(voted_for) => voted_for == candidate.0,
-            None => self.vote.term > self.check.vote_floor,
+            None => true,
         }
     }
 
@@ -195,7 +195,7 @@
         });
     }
 
-    fn set_vote(&mut self, vote: VoteRecord) {
+    pub(crate) fn set_vote(&mut self, vote: VoteRecord) {
         if self.vote != vote {
             self.vote = vote;
             self.gate.change().vote = Some(vote);
--- a/crates/ragwortroad_consensus/src/lib.rs
+++ b/crates/ragwortroad_consensus/src/lib.rs
@@ -101,7 +101,7 @@
             PeerMessage,
             SnapshotChunk,
             WireEntry, //
-        },
+        }, //
     };
 }
 
--- a/crates/ragwortroad_consensus/src/rejoining.rs
+++ b/crates/ragwortroad_consensus/src/rejoining.rs
@@ -1,5 +1,6 @@
 //! The check a member makes after a restart: see [`RestartCheck`](crate::RestartCheck).
 
+use ragwortroad_log::VoteRecord;
 use ragwortroad_types::ClockTime;
 
 use crate::{
@@ -41,7 +42,17 @@
 
     /// Tells a restarted member what is known here, once that is durable: a position that a crash
     /// takes back would be a floor that no candidate can reach.
+    ///
+    /// The member's start becomes durable with it: after a restart here, an acknowledgement that
+    /// does not carry that start would let a leader count one of the member's earlier start.
     pub(crate) fn answer_hello(&mut self, from: MemberId) {
+        self.gate
+            .change()
+            .starts
+            .push(ragwortroad_log::MemberStart {
+                member: from.0,
+                start: self.starts.latest(from),
+            });
         let reply = PeerMessage::HelloReply {
             asked: self.starts.latest(from),
             term: self.vote.term,
@@ -82,10 +93,30 @@
         }
     }
 
+    /// Takes over what the answers forbid.
+    ///
+    /// This member may have voted in any term up to the floor, so its vote there is used up: it is
+    /// written as one for itself, which it never asks anyone to count.
     fn finish_check(&mut self, now: ClockTime) {
         self.check.finish();
-        if self.check.vote_floor > self.vote.term {
-            self.adopt_term(self.check.vote_floor, now);
+        let floor = self.check.vote_floor;
+        if floor > self.vote.term {
+            self.adopt_term(floor, now);
+        }
+        if floor == self.vote.term && self.vote.voted_for.is_none() {
+            self.set_vote(VoteRecord {
+                term: floor,
+                voted_for: Some(self.id.0),
+            });
+        }
+    }
+
+    /// Tells the disk once in a boot that it is not older than what was acknowledged, so that a
+    /// restart of the process alone needs no check.
+    pub(crate) fn confirm_boot(&mut self) {
+        if !self.is_confirmed && self.is_verified() {
+            self.is_confirmed = true;
+            self.gate.change().confirms_boot = true;
         }
     }
 }
--- a/crates/ragwortroad_consensus/src/restart_check.rs
+++ b/crates/ragwortroad_consensus/src/restart_check.rs
@@ -18,7 +18,7 @@
 #[derive(Debug)]
 pub(crate) struct RestartCheck {
     pub(crate) is_done: bool,
-    /// No vote is given in terms up to here, but for the one on the disk.
+    /// The highest term among the answers.
     pub(crate) vote_floor: u64,
     /// No candidate with an older log gets a vote.
     pub(crate) log_floor: LogPosition,
--- a/crates/ragwortroad_consensus/src/start_table.rs
+++ b/crates/ragwortroad_consensus/src/start_table.rs
@@ -30,6 +30,16 @@
 }
 
 impl StartTable {
+    /// The table with what was told to others before this member's own restart.
+    pub(crate) fn from_stored(stored: &[ragwortroad_log::MemberStart]) -> Self {
+        let starts = stored
+            .iter()
+            .map(|known| (MemberId(known.member), known.start));
+        Self {
+            starts: starts.collect(),
+        }
+    }
+
     /// Takes note that `member` has had a start `start`.
     pub(crate) fn learn(&mut self, member: MemberId, start: u64) -> StartNews {
         let known = self.starts.entry(member).or_insert(start);
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_operator.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_operator.rs
@@ -40,6 +40,7 @@
                 node.rolled_back_from = None;
             }
         }
+        self.restore_backups();
         let Some(leader) = self.acting_node() else {
             return self.trust_disks();
         };
@@ -69,6 +70,17 @@
         }
     }
 
+    /// Somebody makes backups of the disks, and at times puts one back.
+    fn restore_backups(&mut self) {
+        let node = self.rng.random_range(0..self.nodes.len());
+        if !self.is_calm && self.rng.random_range(0..100) < self.plan.rollback_percent {
+            self.roll_back(node);
+        }
+        if self.rng.random_range(0..20) == 0 {
+            self.keep_image(node);
+        }
+    }
+
     /// With a disk gone for good and nobody in charge, the operator vouches for the other disks.
     fn trust_disks(&mut self) {
         self.operator.looks += 1;
--- a/crates/ragwortroad_log/src/fake_disk.rs
+++ b/crates/ragwortroad_log/src/fake_disk.rs
@@ -6,7 +6,7 @@
         Mutex,
         MutexGuard,
         PoisonError, //
-    },
+    }, //
 };
 
 /// A disk in memory: what is not synced can be lost, torn or reordered by a crash.
--- a/crates/ragwortroad_log/src/folder_files.rs
+++ b/crates/ragwortroad_log/src/folder_files.rs
@@ -1,7 +1,8 @@
 use snafu::ResultExt;
 
 use crate::{
-    DiskPort, LogError,
+    DiskPort,
+    LogError,
     log_error::{
         DiskSnafu,
         MisfitSnafu, //
@@ -10,7 +11,7 @@
         CountedVote,
         LogRecord, //
     },
-    record_frame::RecordFrame,
+    record_frame::RecordFrame, //
 };
 
 /// Name of the file that holds the folder's identity.
@@ -19,7 +20,7 @@
 /// Name of the file that holds a second copy of the vote.
 pub(crate) const VOTE_NAME: &str = "vote";
 
-/// Name of the file that says during which boot the folder was opened last.
+/// Name of the file that says during which boot the folder was last confirmed.
 pub(crate) const BOOT_NAME: &str = "boot";
 
 /// Ending of files that are not complete yet.
--- a/crates/ragwortroad_log/src/folder_open.rs
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -9,7 +9,14 @@
 };
 
 use crate::{
-    DiskPort, FolderSettings, LogError, LogFolder, StoredEntry, StoredSnapshot, StoredState,
+    DiskPort,
+    FolderSettings,
+    LogError,
+    LogFolder,
+    MemberStart,
+    StoredEntry,
+    StoredSnapshot,
+    StoredState,
     folder_files::{
         BOOT_NAME,
         IDENTITY_NAME,
@@ -35,9 +42,12 @@
         LogRecord, //
     },
     record_frame::RecordFrame,
-    record_scan::RecordScan,
+    record_scan::RecordScan, //
 };
 
+/// Members whose starts are kept; many times the members of any group.
+const MAX_STARTS: usize = 64;
+
 /// Layout of the files this program writes and reads.
 pub(crate) const VERSION: u32 = 1;
 
@@ -108,12 +118,14 @@
         buffer: Vec::new(),
         vote: CountedVote::default(),
         vote_file_count: 0,
+        starts: Vec::new(),
+        boot: settings.boot.clone(),
+        confirms_boot: false,
         last_index: 0,
         snapshot_index: 0,
         writes_refused: false,
     };
     folder.write_log(&[])?;
-    note_boot(&mut folder.port, &settings.boot)?;
     let frame = identity_frame(identity);
     let mut bytes = Vec::new();
     write_frame(&frame, &mut bytes)?;
@@ -126,22 +138,13 @@
     Ok((folder, state))
 }
 
-/// Writes down the boot at hand; whether it is the one that the folder was last opened in.
-fn note_boot(port: &mut DiskPort, boot: &str) -> Result<bool, LogError> {
-    let known = port.read(BOOT_NAME).unwrap_or_default();
-    if known == boot.as_bytes() {
-        return Ok(!boot.is_empty());
-    }
-    write_whole(port, BOOT_NAME, boot.as_bytes())?;
-    Ok(false)
-}
-
 fn identity_frame(identity: u64) -> RecordFrame {
     let header = LogHeader {
         version: VERSION,
         identity,
         generation: 0,
         vote: CountedVote::default(),
+        starts: Vec::new(),
         snapshot_index: 0,
     };
     RecordFrame {
@@ -177,6 +180,8 @@
     let vote = last_vote(&scan.frames, header.vote);
     check_vote(vote, vote_copy)?;
     let snapshot = read_snapshot(&port, &header)?;
+    let starts = replay_starts(&scan.frames, &header);
+    let boot_known = port.read(BOOT_NAME).unwrap_or_default();
     let entries = replay_entries(&scan.frames);
     check_entries(&entries, &header, &name)?;
 
@@ -194,16 +199,19 @@
         buffer: Vec::new(),
         vote,
         vote_file_count: vote_copy.count,
+        starts: starts.clone(),
+        boot: settings.boot.clone(),
+        confirms_boot: false,
         last_index: header.snapshot_index + entries.len() as u64,
         snapshot_index: header.snapshot_index,
         writes_refused: false,
     };
     folder.write_vote_copy()?;
-    let is_same_boot = note_boot(&mut folder.port, &settings.boot)?;
     let state = StoredState {
         identity,
         is_new: false,
-        is_same_boot,
+        is_same_boot: boot_known == settings.boot.as_bytes() && !settings.boot.is_empty(),
+        starts,
         vote: vote.vote,
         snapshot,
         entries,
@@ -225,6 +233,25 @@
     entries
 }
 
+fn replay_starts(frames: &[RecordFrame], header: &LogHeader) -> Vec<MemberStart> {
+    let mut starts = header.starts.clone();
+    for frame in frames {
+        if let LogRecord::Start(start) = frame.record {
+            keep_start(&mut starts, start);
+        }
+    }
+    starts
+}
+
+/// Puts `start` in the place of an earlier one of the same member.
+pub(crate) fn keep_start(starts: &mut Vec<MemberStart>, start: MemberStart) {
+    starts.retain(|known| known.member != start.member);
+    starts.push(start);
+    if starts.len() > MAX_STARTS {
+        starts.remove(0);
+    }
+}
+
 fn last_vote(frames: &[RecordFrame], first: CountedVote) -> CountedVote {
     let mut votes = frames.iter().filter_map(|frame| match frame.record {
         LogRecord::Vote(vote) => Some(vote),
--- a/crates/ragwortroad_log/src/lib.rs
+++ b/crates/ragwortroad_log/src/lib.rs
@@ -34,6 +34,7 @@
 mod log_error;
 mod log_folder;
 mod log_record;
+mod member_start;
 mod real_disk;
 mod record_frame;
 mod record_scan;
@@ -54,6 +55,7 @@
         log_change::LogChange,
         log_error::LogError,
         log_folder::LogFolder,
+        member_start::MemberStart,
         real_disk::RealDisk,
         stored_entry::StoredEntry,
         stored_snapshot::StoredSnapshot,
--- a/crates/ragwortroad_log/src/log_change.rs
+++ b/crates/ragwortroad_log/src/log_change.rs
@@ -1,4 +1,5 @@
 use crate::{
+    MemberStart,
     StoredEntry,
     StoredSnapshot,
     VoteRecord, //
@@ -11,6 +12,8 @@
 pub struct LogChange {
     /// The new vote.
     pub vote: Option<VoteRecord>,
+    /// Starts of other members that this one has told them it knows of.
+    pub starts: Vec<MemberStart>,
     /// Drop all entries from this index on.
     pub truncate_from: Option<u64>,
     /// Entries that follow the last one kept.
@@ -20,6 +23,9 @@
     /// Entries after it are kept if the log has the snapshot's own entry with the same term;
     /// otherwise they belong to another history and are dropped.
     pub snapshot: Option<StoredSnapshot>,
+    /// The member has made sure, in this boot of the machine, that the folder is not older than
+    /// what it acknowledged.
+    pub confirms_boot: bool,
 }
 
 impl LogChange {
@@ -29,5 +35,7 @@
             && self.truncate_from.is_none()
             && self.entries.is_empty()
             && self.snapshot.is_none()
+            && self.starts.is_empty()
+            && !self.confirms_boot
     }
 }
--- a/crates/ragwortroad_log/src/log_folder.rs
+++ b/crates/ragwortroad_log/src/log_folder.rs
@@ -4,9 +4,18 @@
 };
 
 use crate::{
-    DiskPort, FolderSettings, LogChange, LogError, RealDisk, StoredEntry, StoredSnapshot,
-    StoredState, VoteRecord,
+    DiskPort,
+    FolderSettings,
+    LogChange,
+    LogError,
+    MemberStart,
+    RealDisk,
+    StoredEntry,
+    StoredSnapshot,
+    StoredState,
+    VoteRecord,
     folder_files::{
+        BOOT_NAME,
         log_name,
         snapshot_name,
         write_frame,
@@ -27,7 +36,7 @@
         LogRecord, //
     },
     record_frame::RecordFrame,
-    record_scan::RecordScan,
+    record_scan::RecordScan, //
 };
 
 /// One data folder, open for writing.
@@ -47,6 +56,11 @@
     pub(crate) vote: CountedVote,
     /// Invariant: the vote file's count; `vote.count` is this, or one more with a vote unsynced.
     pub(crate) vote_file_count: u64,
+    pub(crate) starts: Vec<MemberStart>,
+    /// The current boot of the machine, empty if unknown.
+    pub(crate) boot: String,
+    /// The boot is to be written down once what came before is durable.
+    pub(crate) confirms_boot: bool,
     /// Index of the last entry, or of the snapshot.
     pub(crate) last_index: u64,
     pub(crate) snapshot_index: u64,
@@ -103,7 +117,7 @@
     /// Makes everything collected durable, with one sync for all of it.
     pub fn sync(&mut self) -> Result<(), LogError> {
         ensure!(!self.writes_refused, WritesRefusedSnafu);
-        let outcome = self.write_buffer();
+        let outcome = self.write_buffer().and_then(|()| self.write_boot());
         self.writes_refused |= outcome.is_err();
         outcome
     }
@@ -112,6 +126,10 @@
         if let Some(vote) = change.vote {
             self.append_vote(vote)?;
         }
+        for &start in &change.starts {
+            folder_open::keep_start(&mut self.starts, start);
+            self.append_record(LogRecord::Start(start))?;
+        }
         if let Some(from) = change.truncate_from {
             self.append_truncate(from)?;
         }
@@ -122,6 +140,7 @@
             self.write_buffer()?;
             self.start_generation(snapshot)?;
         }
+        self.confirms_boot |= change.confirms_boot;
         Ok(())
     }
 
@@ -202,6 +221,13 @@
         Ok(())
     }
 
+    fn write_boot(&mut self) -> Result<(), LogError> {
+        if std::mem::take(&mut self.confirms_boot) {
+            write_whole(&mut self.port, BOOT_NAME, self.boot.as_bytes())?;
+        }
+        Ok(())
+    }
+
     /// Starts a new log file after `snapshot` with the entries that are still needed.
     fn start_generation(&mut self, snapshot: &StoredSnapshot) -> Result<(), LogError> {
         let detail = "an older snapshot cannot replace a newer one";
@@ -252,6 +278,7 @@
             identity: self.identity,
             generation: self.generation,
             vote: self.vote,
+            starts: self.starts.clone(),
             snapshot_index: self.snapshot_index,
         };
         self.append_record(LogRecord::Header(header))?;
--- a/crates/ragwortroad_log/src/log_record.rs
+++ b/crates/ragwortroad_log/src/log_record.rs
@@ -4,6 +4,7 @@
 };
 
 use crate::{
+    MemberStart,
     StoredEntry,
     StoredSnapshot,
     VoteRecord, //
@@ -16,6 +17,8 @@
     Header(LogHeader),
     /// The member's vote.
     Vote(CountedVote),
+    /// A start of another member.
+    Start(MemberStart),
     /// Entries from this index on are dropped.
     Truncate(u64),
     /// One more entry.
@@ -35,6 +38,8 @@
     pub(crate) generation: u64,
     /// The vote when the file was created.
     pub(crate) vote: CountedVote,
+    /// The starts of others known when the file was created.
+    pub(crate) starts: Vec<MemberStart>,
     /// Index of the snapshot the file continues from, 0 for none.
     pub(crate) snapshot_index: u64,
 }
--- a/crates/ragwortroad_log/src/real_disk.rs
+++ b/crates/ragwortroad_log/src/real_disk.rs
@@ -9,7 +9,7 @@
         self,
         Write, //
     },
-    path::PathBuf,
+    path::PathBuf, //
 };
 
 /// Files of the operating system in one folder.
--- a/crates/ragwortroad_log/src/record_scan.rs
+++ b/crates/ragwortroad_log/src/record_scan.rs
@@ -4,7 +4,7 @@
     record_frame::{
         OVERHEAD_BYTES,
         RecordFrame, //
-    },
+    }, //
 };
 
 /// All intact records of one log file, up to the first that is not.
--- a/crates/ragwortroad_log/src/stored_state.rs
+++ b/crates/ragwortroad_log/src/stored_state.rs
@@ -1,4 +1,5 @@
 use crate::{
+    MemberStart,
     StoredEntry,
     StoredSnapshot,
     VoteRecord, //
@@ -11,13 +12,15 @@
     pub identity: u64,
     /// Whether this opening created the folder's content.
     pub is_new: bool,
-    /// Whether the folder was last opened during the same boot of the machine.
+    /// Whether a change that confirms the boot was written during this same boot.
     ///
     /// Then only the process has restarted, and the disk cannot have been put back to an older
     /// state as a whole, as a restore of the VM does.
     pub is_same_boot: bool,
     /// The last durable vote.
     pub vote: VoteRecord,
+    /// The latest start of each other member that has asked after its own.
+    pub starts: Vec<MemberStart>,
     /// The last durable snapshot.
     pub snapshot: Option<StoredSnapshot>,
     /// The entries after the snapshot.
