--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/by_hand/hand_group.rs
@@ -0,0 +1,172 @@
+use std::collections::VecDeque;
+
+use ragwortroad_consensus::prelude::*;
+use ragwortroad_log::prelude::*;
+use ragwortroad_types::prelude::*;
+
+/// A group whose every message a test carries or drops by hand; disks write at once.
+pub(crate) struct HandGroup {
+    pub(crate) settings: CoreSettings,
+    pub(crate) members: Vec<HandMember>,
+    pub(crate) now: ClockTime,
+    wire: VecDeque<PeerFrame>,
+    starts: u64,
+    founders: MemberSet,
+}
+
+/// One member of it.
+#[derive(Default)]
+pub(crate) struct HandMember {
+    pub(crate) disk: FakeDisk,
+    pub(crate) core: Option<ConsensusCore>,
+    folder: Option<LogFolder>,
+    pub(crate) boot: u64,
+    pub(crate) applied: Vec<Vec<u8>>,
+    pub(crate) results: Vec<ProposeResult>,
+}
+
+impl HandGroup {
+    /// A group of `count` voters, of which the first has been elected by all.
+    pub(crate) fn new(count: usize, settings: CoreSettings) -> Self {
+        let voters = (0..count).map(|at| (member_id(at), NodeId(at as u64)));
+        let mut group = Self {
+            settings,
+            members: (0..count).map(|_| HandMember::default()).collect(),
+            now: ClockTime(1000),
+            wire: VecDeque::new(),
+            starts: 0,
+            founders: MemberSet::from_voters(voters),
+        };
+        for at in 0..count {
+            group.start(at);
+        }
+        group.carry(|_, _, _| true);
+        group.wait(0, 2);
+        assert!(group.core(0).may_act_as_leader(group.now));
+        group
+    }
+
+    pub(crate) fn core(&self, at: usize) -> &ConsensusCore {
+        self.members[at].core.as_ref().expect("the member runs")
+    }
+
+    pub(crate) fn start(&mut self, at: usize) {
+        self.starts += 1;
+        let member = &mut self.members[at];
+        let settings = FolderSettings {
+            fresh_identity: member_id(at).0,
+            boot: member.boot.to_string(),
+            ..FolderSettings::default()
+        };
+        let port = DiskPort::Fake(member.disk.clone());
+        let (folder, stored) = LogFolder::open_on(port, &settings).expect("the folder opens");
+        let founders = Some(self.founders.clone()).filter(|_| at == 0 && stored.is_new);
+        let start = CoreStart {
+            stored,
+            start: self.starts,
+            founders,
+        };
+        let made = ConsensusCore::new(self.settings.clone(), start, self.now, at as u64);
+        let (core, actions) = made.expect("the core starts");
+        member.core = Some(core);
+        member.folder = Some(folder);
+        member.applied.clear();
+        self.act(at, actions);
+    }
+
+    /// Ends the process, and with `new_boot` the machine restarts.
+    pub(crate) fn stop(&mut self, at: usize, new_boot: bool) {
+        let member = &mut self.members[at];
+        member.core = None;
+        member.folder = None;
+        member.boot += u64::from(new_boot);
+    }
+
+    pub(crate) fn input(&mut self, at: usize, input: CoreInput) {
+        let now = self.now;
+        if let Some(core) = &mut self.members[at].core {
+            let actions = core.handle(input, now);
+            self.act(at, actions);
+        }
+    }
+
+    fn act(&mut self, at: usize, actions: Vec<CoreAction>) {
+        let member = &mut self.members[at];
+        let mut written = None;
+        for action in actions {
+            match action {
+                CoreAction::Persist { batch, change } => {
+                    let folder = member.folder.as_mut().expect("the folder is open");
+                    folder.append(&change).expect("the disk works");
+                    folder.sync().expect("the disk works");
+                    written = Some(batch);
+                }
+                CoreAction::Send(frame) => self.wire.push_back(frame),
+                CoreAction::Apply { command, .. } => member.applied.push(command),
+                CoreAction::ProposeDone { result, .. } => member.results.push(result),
+                _ => {}
+            }
+        }
+        if let Some(batch) = written {
+            self.input(at, CoreInput::Persisted { batch });
+        }
+    }
+
+    /// Carries messages until there are none, dropping those that `passes` says no to.
+    pub(crate) fn carry(&mut self, passes: impl Fn(&PeerFrame, usize, usize) -> bool) {
+        while let Some(frame) = self.wire.pop_front() {
+            let from = (frame.from.0 - member_id(0).0) as usize;
+            let to = (frame.to.0 - member_id(0).0) as usize;
+            if passes(&frame, from, to) {
+                self.input(to, CoreInput::Frame(frame));
+            }
+        }
+    }
+
+    /// Takes the messages from one member to another off the wire, to carry them later.
+    pub(crate) fn hold(&mut self, from: usize, to: usize) -> Vec<PeerFrame> {
+        let (from, to) = (member_id(from), member_id(to));
+        let (held, rest) = self
+            .wire
+            .drain(..)
+            .partition(|frame| frame.from == from && frame.to == to);
+        self.wire = rest;
+        held.into()
+    }
+
+    pub(crate) fn propose(&mut self, at: usize, command: &[u8]) {
+        let command = command.to_vec();
+        self.input(at, CoreInput::Propose { token: 1, command });
+    }
+
+    /// Lets up to `rounds` elections of `at` go by, with all messages carried, until it leads.
+    pub(crate) fn wait(&mut self, at: usize, rounds: u32) {
+        for _ in 0..rounds {
+            if self.core(at).is_leader() {
+                break;
+            }
+            self.now = self.now.after(self.settings.election_timeout * 2);
+            self.input(at, CoreInput::Tick);
+            self.carry(|_, _, _| true);
+        }
+    }
+
+    /// Lets `at` campaign, and carries nothing but what elections need between `among`.
+    pub(crate) fn elect(&mut self, at: usize, among: &[usize]) {
+        for _ in 0..3 {
+            self.now = self.now.after(self.settings.election_timeout * 2);
+            self.input(at, CoreInput::Tick);
+            self.carry(|frame, from, to| {
+                let is_entry = matches!(frame.message, PeerMessage::Append { .. });
+                !is_entry && among.contains(&from) && among.contains(&to)
+            });
+            if self.core(at).is_leader() {
+                break;
+            }
+        }
+    }
+}
+
+pub(crate) fn member_id(at: usize) -> MemberId {
+    MemberId(100 + at as u64)
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/by_hand/main.rs
@@ -0,0 +1,197 @@
+//! Failures that need one order of messages among very many, brought about by hand.
+
+mod hand_group;
+
+use ragwortroad_consensus::{
+    BrokenRule,
+    CoreSettings,
+    prelude::*, //
+};
+
+use hand_group::{
+    HandGroup,
+    member_id, //
+};
+
+fn broken(rule: Option<BrokenRule>) -> CoreSettings {
+    CoreSettings {
+        broken_rule: rule,
+        max_append_bytes: 1,
+        ..CoreSettings::default()
+    }
+}
+
+/// A leader loses its place before a command is on a quorum, gets it back, and brings the command
+/// to a quorum; then a leader that never had it is elected. Whoever had been told that the command
+/// was accepted would find it gone.
+fn commit_of_an_old_term(rule: Option<BrokenRule>) -> bool {
+    let mut group = HandGroup::new(5, broken(rule));
+    group.propose(0, b"old");
+    group.carry(|_, from, to| from < 2 && to < 2);
+    group.elect(4, &[2, 3, 4]);
+    assert!(group.core(4).is_leader());
+    group.elect(0, &[0, 1, 2, 3]);
+    assert!(group.core(0).is_leader());
+    // The old command gets to a third member; the leader's own entry stays behind.
+    let own = group.core(0).last_position();
+    group.input(0, CoreInput::Tick);
+    for _ in 0..4 {
+        group.now = group.now.after(group.settings.resend_after);
+        group.input(0, CoreInput::Tick);
+        group.carry(|frame, from, to| {
+            let has_own = matches!(&frame.message, PeerMessage::Append { prev, entries, .. }
+                if prev.index + 1 == own.index && !entries.is_empty());
+            !has_own && from < 3 && to < 3
+        });
+    }
+    group.members[0].applied == [b"old".to_vec()]
+}
+
+#[test]
+fn entries_of_old_terms_wait_for_one_of_the_new() {
+    assert!(!commit_of_an_old_term(None));
+    assert!(commit_of_an_old_term(Some(BrokenRule::CommitOldTerms)));
+}
+
+/// A member acknowledges a command, and the answer is long on its way. Its VM is restored from a
+/// backup, and it is told by others that there is nothing it lacks. Were the late answer counted
+/// with one that another member gives afterwards, the command would count as accepted while the
+/// restored member helps elect a leader without it.
+fn late_answer_of_an_old_start(rule: Option<BrokenRule>) -> bool {
+    let mut group = HandGroup::new(5, broken(rule));
+    let image = group.members[1].disk.image();
+    group.propose(0, b"late");
+    let to_restored = group.hold(0, 1);
+    let to_second = group.hold(0, 2);
+    group.carry(|_, _, _| false);
+    for frame in to_restored {
+        group.input(1, CoreInput::Frame(frame));
+    }
+    let late = group.hold(1, 0);
+    group.stop(1, true);
+    group.members[1].disk.roll_back(&image);
+    group.start(1);
+    group.carry(|_, from, to| from != 0 && to != 0);
+    assert!(group.core(1).is_verified());
+    for frame in to_second {
+        group.input(2, CoreInput::Frame(frame));
+    }
+    for frame in late {
+        group.input(0, CoreInput::Frame(frame));
+    }
+    group.carry(|_, from, to| [0, 2].contains(&from) && [0, 2].contains(&to));
+    group.members[0].applied == [b"late".to_vec()]
+}
+
+#[test]
+fn answers_of_old_starts_do_not_count() {
+    assert!(!late_answer_of_an_old_start(None));
+    assert!(late_answer_of_an_old_start(Some(
+        BrokenRule::CountOldStarts
+    )));
+}
+
+/// A machine starts with a rolled-back disk, and its process is killed before it has heard from the
+/// others. The next process on the same boot must not take the disk for good.
+#[test]
+fn a_kill_before_the_check_leaves_it_to_be_done() {
+    let mut group = HandGroup::new(3, broken(None));
+    let image = group.members[1].disk.image();
+    group.propose(0, b"kept");
+    group.carry(|_, from, to| from < 2 && to < 2);
+    assert_eq!(group.members[0].applied, [b"kept".to_vec()]);
+    group.stop(1, true);
+    group.members[1].disk.roll_back(&image);
+    group.start(1);
+    group.stop(1, false);
+    group.start(1);
+    assert!(!group.core(1).is_verified());
+    // The first member is gone; the other two must not go on without the command.
+    group.stop(0, false);
+    group.wait(2, 4);
+    group.wait(1, 4);
+    assert!(!group.core(1).is_leader() && !group.core(2).is_leader());
+    assert_eq!(group.core(1).check_waits_for(), [member_id(0)]);
+    group.start(0);
+    group.carry(|_, _, _| true);
+    group.wait(1, 4);
+    group.wait(0, 4);
+    assert!(group.core(0).is_leader());
+    assert_eq!(group.members[0].applied, [b"kept".to_vec()]);
+}
+
+/// A member is cut off time and again, and would each time come back with a higher term and depose
+/// a leader that all others hear well; callers would see a pause each time.
+#[test]
+fn a_flapping_member_disturbs_nobody() {
+    let mut group = HandGroup::new(3, broken(None));
+    let term = group.core(0).term();
+    for _ in 0..20 {
+        group.now = group.now.after(group.settings.heartbeat_every);
+        group.input(0, CoreInput::Tick);
+        group.input(2, CoreInput::Tick);
+        group.carry(|_, _, to| to != 2);
+    }
+    assert!(group.core(0).may_act_as_leader(group.now));
+    assert_eq!((group.core(0).term(), group.core(2).term()), (term, term));
+}
+
+/// A process that leads is to be stopped for an update. Callers should not wait for its lease to
+/// end, and it must not act any more once another may.
+#[test]
+fn a_leader_hands_over_without_a_pause() {
+    let mut group = HandGroup::new(3, broken(None));
+    group.propose(0, b"before");
+    group.carry(|_, _, _| true);
+    let asked_at = group.now;
+    group.input(0, CoreInput::HandOver);
+    assert!(!group.core(0).may_act_as_leader(group.now));
+    group.carry(|_, _, _| true);
+    let acting = (1..3).filter(|&at| group.core(at).may_act_as_leader(group.now));
+    assert_eq!(acting.count(), 1);
+    assert_eq!(group.now, asked_at);
+    group.propose(0, b"after");
+    assert!(matches!(
+        group.members[0].results.last(),
+        Some(ProposeResult::NotLeader { leader: Some(_) })
+    ));
+}
+
+/// A leader stands still for long and wakes up believing that it is in charge. It must say no from
+/// the end of its lease on, to the millisecond, whatever it has heard since.
+#[test]
+fn a_paused_leader_stops_on_its_own_clock() {
+    let mut group = HandGroup::new(3, broken(None));
+    let until = group.core(0).lease_valid_until().expect("there is a lease");
+    let last = until.before(std::time::Duration::from_millis(1));
+    assert!(group.core(0).may_act_as_leader(last));
+    assert!(!group.core(0).may_act_as_leader(until));
+    group.now = until.after(group.settings.election_timeout);
+    group.input(0, CoreInput::ReadRequest { token: 9 });
+    assert!(!group.core(0).may_act_as_leader(group.now));
+    group.input(0, CoreInput::Tick);
+    assert!(!group.core(0).is_leader());
+}
+
+/// Three nodes are named as founders and one of them loses its disk before, during or after. A
+/// second group beside the first would accept changes that the first never sees.
+#[test]
+fn only_empty_folders_found_a_group() {
+    let hello = |at: usize, is_empty| FoundingHello {
+        node: ragwortroad_types::NodeId(at as u64),
+        member: member_id(at),
+        is_empty,
+    };
+    let nodes = || (0..3).map(ragwortroad_types::NodeId);
+    let mut table = FoundingTable::new(hello(0, true), nodes());
+    table.take(hello(1, true));
+    assert!(matches!(table.step(), FoundingStep::Wait { missing } if missing.len() == 1));
+    table.take(hello(2, true));
+    assert!(matches!(table.step(), FoundingStep::Found(set) if set.quorum() == 2));
+    table.take(hello(2, false));
+    assert_eq!(table.step(), FoundingStep::Join);
+    let mut other = FoundingTable::new(hello(1, true), nodes());
+    other.take(hello(0, true));
+    other.take(hello(2, true));
+    assert_eq!(other.step(), FoundingStep::Follow);
+}
--- /dev/null
+++ b/crates/ragwortroad_consensus/tests/schedules/world/fault_kind.rs
@@ -0,0 +1,39 @@
+/// What can go wrong at a node.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FaultKind {
+    /// The machine stops and restarts.
+    Crash,
+    /// The machine stops in the middle of a write.
+    CrashInWrite,
+    /// Several machines stop at once.
+    PowerCut,
+    /// The process ends and restarts.
+    Kill,
+    /// A sync fails.
+    FailedSync,
+    /// The disk is full.
+    FullDisk,
+    /// The process stands still for a while.
+    Pause,
+    /// Messages get through in one direction only, or not at all.
+    Cut,
+    /// The disk is replaced by an empty one.
+    LostDisk,
+    /// The leader is asked to hand over.
+    HandOver,
+}
+
+impl FaultKind {
+    pub(crate) const ALL: [Self; 10] = [
+        Self::Crash,
+        Self::CrashInWrite,
+        Self::PowerCut,
+        Self::Kill,
+        Self::FailedSync,
+        Self::FullDisk,
+        Self::Pause,
+        Self::Cut,
+        Self::LostDisk,
+        Self::HandOver,
+    ];
+}
--- a/crates/ragwortroad_consensus/tests/schedules/world/mod.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/mod.rs
@@ -1,5 +1,6 @@
 //! A group of members on fake disks, clocks and messages, driven from one seed.
 
+mod fault_kind;
 mod sim_checker;
 mod sim_clock;
 mod sim_counts;
@@ -11,6 +12,7 @@
 mod sim_state;
 mod sim_world;
 
+pub(crate) use fault_kind::FaultKind;
 pub(crate) use sim_checker::SimChecker;
 pub(crate) use sim_clock::SimClock;
 pub(crate) use sim_counts::SimCounts;
