--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -44,7 +44,7 @@
         if is_alone {
             return self.start_vote(false, now);
         }
-        let term = self.vote.term + 1;
+        let term = self.vote.term.saturating_add(1);
         let last = self.log.last();
         for voter in self.other_voters() {
             self.send(voter, PeerMessage::PreVote { term, last });
@@ -56,7 +56,7 @@
         self.draw_election(now);
         self.set_leader(None);
         self.agreed = self.commit;
-        let term = self.vote.term + 1;
+        let term = self.vote.term.saturating_add(1);
         self.set_vote(VoteRecord {
             term,
             voted_for: Some(self.id.0),
@@ -113,7 +113,7 @@
         granted: bool,
         now: ClockTime,
     ) {
-        if !granted || asked != self.vote.term + 1 {
+        if !granted || asked != self.vote.term.saturating_add(1) {
             return;
         }
         if let MemberState::PreCandidate(tally) = &mut self.state {
--- a/crates/ragwortroad_consensus/src/replicating.rs
+++ b/crates/ragwortroad_consensus/src/replicating.rs
@@ -156,7 +156,9 @@
             AppendOutcome::Matched(index) => progress.matched(index),
             // An answer that was overtaken says nothing new.
             AppendOutcome::Conflict { prev, .. } if prev <= progress.match_index => return,
-            AppendOutcome::Conflict { prev, hint } => progress.probe(prev.min(hint + 1)),
+            AppendOutcome::Conflict { prev, hint } => {
+                progress.probe(prev.min(hint.saturating_add(1)))
+            }
         }
         self.advance_commit(now);
         self.send_entries(from, now);
--- a/crates/ragwortroad_consensus/src/snapshot_assembly.rs
+++ b/crates/ragwortroad_consensus/src/snapshot_assembly.rs
@@ -29,8 +29,8 @@
 
     /// Adds a piece, if it is the next one.
     pub(crate) fn add(&mut self, chunk: &SnapshotChunk) {
-        let fits = chunk.offset + chunk.bytes.len() as u64 <= self.total;
-        if fits && chunk.offset == self.bytes.len() as u64 {
+        let end = self.bytes.len() as u64 + chunk.bytes.len() as u64;
+        if chunk.offset == self.bytes.len() as u64 && end <= self.total {
             self.bytes.extend_from_slice(&chunk.bytes);
         }
     }
--- a/crates/ragwortroad_log/src/fake_disk.rs
+++ b/crates/ragwortroad_log/src/fake_disk.rs
@@ -130,6 +130,19 @@
         }
     }
 
+    /// Puts a whole file in place, durably: what someone else did to the folder.
+    pub fn put(&self, name: &str, bytes: Vec<u8>) {
+        let mut state = self.lock();
+        let at = state.files.len();
+        state.files.push(FakeFile {
+            current: bytes.clone(),
+            synced: bytes,
+            poisoned: false,
+        });
+        state.names.insert(name.to_owned(), at);
+        state.durable_names.insert(name.to_owned(), at);
+    }
+
     /// The bytes of a file as a running process sees them.
     pub fn bytes(&self, name: &str) -> Option<Vec<u8>> {
         self.read(name).ok()
--- a/crates/ragwortroad_log/src/folder_open.rs
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -93,12 +93,15 @@
 
 fn is_unused_log(port: &DiskPort, name: &str) -> bool {
     let bytes = port.read(name).unwrap_or_default();
-    let whole = RecordFrame::read(&bytes);
-    whole.is_some_and(|(frame, length)| {
-        let unused = matches!(&frame.record, LogRecord::Header(header)
-            if header.generation == 0 && header.vote.count == 0);
-        unused && length == bytes.len()
-    })
+    let Ok(scan) = RecordScan::read(name, &bytes) else {
+        return false;
+    };
+    let is_whole = scan.intact_bytes == bytes.len();
+    let is_unused = scan.frames.iter().all(|frame| match &frame.record {
+        LogRecord::Header(header) => header.generation == 0 && header.vote.count == 0,
+        record => *record == LogRecord::Durable,
+    });
+    is_whole && is_unused && !bytes.is_empty()
 }
 
 /// Writes the identity last, so that a folder with one has all other files.
@@ -186,9 +189,8 @@
     check_entries(&entries, &header, &name)?;
 
     let cut_bytes = (bytes.len() - scan.intact_bytes) as u64;
-    rewrite_log(&mut port, &name, &bytes[..scan.intact_bytes])?;
+    let next_sequence = rewrite_log(&mut port, &name, &bytes, &scan)?;
     remove_leftovers(&mut port, names, generation)?;
-    let next_sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
     let mut folder = LogFolder {
         port,
         identity,
@@ -343,8 +345,24 @@
 /// An earlier process may have seen a sync fail, and the operating system may since count the
 /// pages as clean: they read well, a further sync reports success, and a crash loses them. Copied
 /// bytes are dirty again, so their sync says the truth. It also cuts an unfinished write.
-fn rewrite_log(port: &mut DiskPort, name: &str, intact: &[u8]) -> Result<(), LogError> {
-    write_whole(port, name, intact)
+///
+/// Returns the sequence of the next record.
+fn rewrite_log(
+    port: &mut DiskPort,
+    name: &str,
+    bytes: &[u8],
+    scan: &RecordScan,
+) -> Result<u64, LogError> {
+    let sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
+    let mark = RecordFrame {
+        sequence,
+        synced: sequence,
+        record: LogRecord::Durable,
+    };
+    let mut intact = bytes[..scan.intact_bytes].to_vec();
+    write_frame(&mark, &mut intact)?;
+    write_whole(port, name, &intact)?;
+    Ok(sequence + 1)
 }
 
 fn remove_leftovers(
--- a/crates/ragwortroad_log/src/log_folder.rs
+++ b/crates/ragwortroad_log/src/log_folder.rs
@@ -285,6 +285,8 @@
         for entry in entries {
             self.append_record(LogRecord::Entry(entry.clone()))?;
         }
+        self.synced_sequence = self.next_sequence;
+        self.append_record(LogRecord::Durable)?;
         let bytes = std::mem::take(&mut self.buffer);
         write_whole(&mut self.port, &log_name(self.generation), &bytes)?;
         self.synced_sequence = self.next_sequence;
--- a/crates/ragwortroad_log/src/log_record.rs
+++ b/crates/ragwortroad_log/src/log_record.rs
@@ -23,6 +23,11 @@
     Truncate(u64),
     /// One more entry.
     Entry(StoredEntry),
+    /// Everything before is durable.
+    ///
+    /// It ends a file that was written as a whole, so that damage to the records before it is not
+    /// taken for an unfinished write.
+    Durable,
     /// The one record of a snapshot file.
     Snapshot(u64, StoredSnapshot),
 }
--- /dev/null
+++ b/crates/ragwortroad_log/tests/folder.rs
@@ -0,0 +1,305 @@
+//! Data folders on a fake disk that tears, fails and rots, and on a real one.
+
+use proptest::prelude::*;
+use ragwortroad_log::prelude::*;
+
+fn settings() -> FolderSettings {
+    FolderSettings {
+        fresh_identity: 17,
+        boot: "boot-1".to_owned(),
+        ..FolderSettings::default()
+    }
+}
+
+fn open(disk: &FakeDisk) -> Result<(LogFolder, StoredState), LogError> {
+    LogFolder::open_on(DiskPort::Fake(disk.clone()), &settings())
+}
+
+/// What a folder should hold after some changes, worked out without it.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct FolderModel {
+    vote: VoteRecord,
+    snapshot: Option<StoredSnapshot>,
+    entries: Vec<StoredEntry>,
+}
+
+impl FolderModel {
+    fn of(state: &StoredState) -> Self {
+        Self {
+            vote: state.vote,
+            snapshot: state.snapshot.clone(),
+            entries: state.entries.clone(),
+        }
+    }
+
+    fn first(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.index) + 1
+    }
+
+    fn next(&self) -> u64 {
+        self.first() + self.entries.len() as u64
+    }
+
+    /// Makes a change of the kind that `draw` says, and applies it here.
+    fn change(&mut self, draw: u64) -> LogChange {
+        let mut change = LogChange::default();
+        let pick = draw >> 8;
+        match draw % 8 {
+            0 => {
+                self.vote = VoteRecord {
+                    term: self.vote.term + 1,
+                    voted_for: Some(pick),
+                };
+                change.vote = Some(self.vote);
+            }
+            1 if !self.entries.is_empty() => {
+                let from = self.first() + pick % self.entries.len() as u64;
+                change.truncate_from = Some(from);
+                self.entries.retain(|entry| entry.index < from);
+            }
+            2 if !self.entries.is_empty() => {
+                let last = self.entries[pick as usize % self.entries.len()].clone();
+                let snapshot = StoredSnapshot {
+                    index: last.index,
+                    term: last.term,
+                    members: vec![1],
+                    bytes: vec![7; pick as usize % 900],
+                };
+                self.entries.retain(|entry| entry.index > last.index);
+                self.snapshot = Some(snapshot.clone());
+                change.snapshot = Some(snapshot);
+            }
+            _ => {
+                for _ in 0..=pick % 3 {
+                    let entry = StoredEntry {
+                        index: self.next(),
+                        term: self.vote.term,
+                        bytes: vec![pick as u8; pick as usize % 700],
+                    };
+                    self.entries.push(entry.clone());
+                    change.entries.push(entry);
+                }
+            }
+        }
+        change
+    }
+}
+
+/// Makes changes, syncing after some, until the disk stops; the states after each record, and the
+/// places of those that were acknowledged.
+fn write(
+    folder: &mut LogFolder,
+    model: FolderModel,
+    draws: &[u64],
+) -> (Vec<FolderModel>, Vec<usize>) {
+    let mut states = vec![model];
+    let mut acknowledged = vec![0];
+    for &draw in draws {
+        let mut next = states[states.len() - 1].clone();
+        let change = next.change(draw);
+        // Entries are written one by one, so that a crash may keep some of them.
+        for count in 1..change.entries.len() {
+            let mut part = states[states.len() - count].clone();
+            part.entries.extend_from_slice(&change.entries[..count]);
+            states.push(part);
+        }
+        states.push(next);
+        if folder.append(&change).is_err() {
+            break;
+        }
+        if draw & 0x80 != 0 {
+            if folder.sync().is_err() {
+                break;
+            }
+            acknowledged.push(states.len() - 1);
+        }
+    }
+    (states, acknowledged)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+
+    /// The machine stops at any place, time and again. What was acknowledged must be there, and
+    /// nothing that was never written.
+    #[test]
+    fn a_crash_keeps_what_was_acknowledged(
+        rounds in prop::collection::vec(
+            (prop::collection::vec(any::<u64>(), 1..25), 0_u32..60, any::<u64>(), any::<bool>()),
+            1..5,
+        ),
+    ) {
+        let disk = FakeDisk::default();
+        let mut model = FolderModel::default();
+        for (draws, stop_after, seed, fails_sync) in rounds {
+            let (mut folder, state) = open(&disk).expect("opens after a crash");
+            prop_assert_eq!(FolderModel::of(&state), model.clone());
+            if fails_sync {
+                disk.fail_syncs(1);
+            } else {
+                disk.stop_after(stop_after);
+            }
+            let (states, acknowledged) = write(&mut folder, model, &draws);
+            drop(folder);
+            let mut draw = seed | 1;
+            disk.crash(|below| {
+                draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(99);
+                (draw >> 33) % below
+            });
+            let (_, state) = open(&disk).expect("opens after a crash");
+            let found = FolderModel::of(&state);
+            let last = acknowledged[acknowledged.len() - 1];
+            let kept = states[last..].contains(&found);
+            prop_assert!(kept, "lost something acknowledged");
+            model = found;
+        }
+    }
+
+    /// A byte rots on the disk. Either opening says so, or all that has a witness is there: only
+    /// the last group, which looks like an unfinished write, may be cut.
+    #[test]
+    fn rot_is_refused_and_never_skipped(
+        draws in prop::collection::vec(any::<u64>(), 1..30),
+        place in any::<prop::sample::Index>(),
+        file in any::<prop::sample::Index>(),
+        mask in 1_u8..,
+    ) {
+        let disk = FakeDisk::default();
+        let (mut folder, _) = open(&disk).expect("opens");
+        let synced: Vec<_> = draws.iter().map(|draw| draw | 0x80).collect();
+        let (states, acknowledged) = write(&mut folder, FolderModel::default(), &synced);
+        let before_last = acknowledged[acknowledged.len() - 2];
+        drop(folder);
+        let names = disk.names();
+        let name = &names[file.index(names.len())];
+        let length = disk.bytes(name).map_or(0, |bytes| bytes.len());
+        if name != "boot" {
+            disk.damage(name, place.index(length.max(1)), mask);
+        }
+        if let Ok((_, state)) = open(&disk) {
+            let found = FolderModel::of(&state);
+            let kept = states[before_last..].contains(&found);
+            prop_assert!(kept, "damage in '{}' was skipped", name);
+        }
+    }
+
+    /// A file holds something else altogether; opening must say so and not fall over.
+    #[test]
+    fn any_bytes_are_refused_or_read(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        for name in ["identity", "vote", "log-0000000000000000", "boot"] {
+            let disk = FakeDisk::default();
+            drop(open(&disk).expect("opens"));
+            disk.put(name, bytes.clone());
+            let outcome = open(&disk);
+            prop_assert!(outcome.is_err() || name == "boot");
+        }
+    }
+}
+
+fn change(term: u64) -> LogChange {
+    LogChange {
+        vote: Some(VoteRecord {
+            term,
+            voted_for: Some(term),
+        }),
+        ..LogChange::default()
+    }
+}
+
+/// One file of the folder is restored from a backup, or lost. The member would forget its vote and
+/// give another in the same term.
+#[test]
+fn a_file_that_went_back_is_refused() {
+    let disk = FakeDisk::default();
+    let (mut folder, _) = open(&disk).expect("opens");
+    let mut copies = Vec::new();
+    for term in 1..4 {
+        let names = disk.names();
+        let files = names
+            .into_iter()
+            .map(|name| (disk.bytes(&name).unwrap_or_default(), name));
+        copies.push(files.collect::<Vec<_>>());
+        folder.append(&change(term)).expect("appends");
+        folder.sync().expect("syncs");
+    }
+    drop(folder);
+    let image = disk.image();
+    for (bytes, name) in &copies[1] {
+        if name == "identity" {
+            continue;
+        }
+        disk.roll_back(&image);
+        disk.put(name, bytes.clone());
+        assert!(
+            matches!(open(&disk), Err(LogError::RolledBack { .. })),
+            "{name}"
+        );
+    }
+}
+
+/// The disk fails a sync and works again. What was written then may never reach it, so nothing may
+/// be acknowledged until the folder has been read back.
+#[test]
+fn a_failed_sync_closes_the_folder() {
+    let disk = FakeDisk::default();
+    let (mut folder, _) = open(&disk).expect("opens");
+    folder.append(&change(1)).expect("appends");
+    disk.fail_syncs(1);
+    assert!(matches!(folder.sync(), Err(LogError::Disk { .. })));
+    assert!(matches!(folder.sync(), Err(LogError::WritesRefused)));
+    let again = folder.append(&change(2));
+    assert!(matches!(again, Err(LogError::WritesRefused)));
+    drop(folder);
+    let (_, state) = open(&disk).expect("opens");
+    disk.crash(|_| 0);
+    let (_, after) = open(&disk).expect("opens");
+    assert_eq!(state.vote, after.vote);
+}
+
+/// The disk is full. The process gets an error, says nothing was accepted, and goes on once there
+/// is room.
+#[test]
+fn a_full_disk_is_an_error_and_no_loss() {
+    let disk = FakeDisk::default();
+    let (mut folder, _) = open(&disk).expect("opens");
+    folder.append(&change(1)).expect("appends");
+    folder.sync().expect("syncs");
+    disk.set_capacity(Some(400));
+    let entry = StoredEntry {
+        index: 1,
+        term: 1,
+        bytes: vec![1; 1000],
+    };
+    let entries = LogChange {
+        entries: vec![entry],
+        ..LogChange::default()
+    };
+    folder.append(&entries).expect("appends");
+    assert!(folder.sync().is_err());
+    drop(folder);
+    disk.set_capacity(None);
+    let (_, state) = open(&disk).expect("opens");
+    assert_eq!((state.vote.term, state.entries.len()), (1, 0));
+}
+
+/// Two processes are started on one folder by mistake; each would vote from its own memory.
+#[test]
+fn a_second_process_is_refused() {
+    let temp = tempfile::tempdir().expect("a temporary folder");
+    let settings = FolderSettings {
+        path: temp.path().join("data"),
+        ..settings()
+    };
+    let (mut folder, state) = LogFolder::open(&settings).expect("opens");
+    assert!(state.is_new);
+    assert!(matches!(LogFolder::open(&settings), Err(LogError::InUse)));
+    let mut model = FolderModel::default();
+    for draw in [0, 3 + 512, 4 + 768, 2 + 256, 5 + 1024] {
+        folder.append(&model.change(draw)).expect("appends");
+    }
+    folder.sync().expect("syncs");
+    drop(folder);
+    let (_, state) = LogFolder::open(&settings).expect("opens");
+    assert_eq!(FolderModel::of(&state), model);
+    assert_eq!(state.identity, 17);
+}
