--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -44,7 +44,7 @@
         if is_alone {
             return self.start_vote(false, now);
         }
-        let term = self.vote.term + 1;
+        let term = self.vote.term.saturating_add(1);
         let last = self.log.last();
         for voter in self.other_voters() {
             self.send(voter, PeerMessage::PreVote { term, last });
@@ -56,7 +56,7 @@
         self.draw_election(now);
         self.set_leader(None);
         self.agreed = self.commit;
-        let term = self.vote.term + 1;
+        let term = self.vote.term.saturating_add(1);
         self.set_vote(VoteRecord {
             term,
             voted_for: Some(self.id.0),
@@ -113,7 +113,7 @@
         granted: bool,
         now: ClockTime,
     ) {
-        if !granted || asked != self.vote.term + 1 {
+        if !granted || asked != self.vote.term.saturating_add(1) {
             return;
         }
         if let MemberState::PreCandidate(tally) = &mut self.state {
@@ -161,7 +161,7 @@
     fn may_vote_for(&self, candidate: MemberId) -> bool {
         match self.vote.voted_for {
             Some(voted_for) => voted_for == candidate.0,
-            None => self.vote.term > self.check.vote_floor,
+            None => true,
         }
     }
 
@@ -195,7 +195,7 @@
         });
     }
 
-    fn set_vote(&mut self, vote: VoteRecord) {
+    pub(crate) fn set_vote(&mut self, vote: VoteRecord) {
         if self.vote != vote {
             self.vote = vote;
             self.gate.change().vote = Some(vote);
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_faults.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_faults.rs
@@ -5,6 +5,7 @@
 use ragwortroad_consensus::prelude::*;
 
 use super::{
+    FaultKind,
     SimEvent,
     SimWorld, //
 };
@@ -14,25 +15,35 @@
     pub(crate) fn fault(&mut self) {
         let every = self.plan.fault_every_ms * 1000;
         let next = self.rng.random_range(0..every * 2);
-        if self.is_calm || self.plan.faulty_ms == 0 {
+        if self.is_calm {
             return;
         }
         self.schedule(next, SimEvent::Fault);
         let node = self.rng.random_range(0..self.nodes.len());
-        match self.rng.random_range(0..13) {
-            0 | 1 => self.crash(node),
-            2 => self.kill(node),
-            3 => self.nodes[node]
-                .disk
-                .stop_after(self.rng.random_range(0..10)),
-            4 => self.nodes[node].disk.fail_syncs(1),
-            5 => self.fill_disk(node),
-            6 | 7 => self.pause(node),
-            8 | 9 => self.cut(node),
-            10 if self.plan.with_lost_disks => self.lose_disk(node),
-            11 if self.plan.with_rollbacks => self.roll_back(node),
-            12 if self.plan.with_handovers => self.hand_over(),
-            _ => self.keep_image(node),
+        let at = self.rng.random_range(0..self.plan.kinds.len());
+        match self.plan.kinds[at] {
+            FaultKind::Crash => self.crash(node),
+            FaultKind::CrashInWrite => {
+                let count = self.rng.random_range(0..10);
+                self.nodes[node].disk.stop_after(count);
+            }
+            FaultKind::PowerCut => self.cut_power(),
+            FaultKind::Kill => self.kill(node),
+            FaultKind::FailedSync => self.nodes[node].disk.fail_syncs(1),
+            FaultKind::FullDisk => self.fill_disk(node),
+            FaultKind::Pause => self.pause(node),
+            FaultKind::Cut => self.cut(node),
+            FaultKind::LostDisk => self.lose_disk(node),
+            FaultKind::HandOver => self.hand_over(),
+        }
+    }
+
+    /// Several machines stop at once.
+    fn cut_power(&mut self) {
+        for node in 0..self.nodes.len() {
+            if self.rng.random_range(0..4) > 0 {
+                self.crash(node);
+            }
         }
     }
 
@@ -119,16 +130,14 @@
 
     /// Whether the group can bear the loss of one more disk: the last one has been made good.
     fn can_lose(&self) -> bool {
-        let leads = |member: Option<MemberId>| member.is_some();
-        let members = self.operator.settled_members(self);
-        leads(members.as_ref().and_then(|set| set.voters().next()))
-            && members.is_some_and(|set| {
-                set.voters().count() >= 3
-                    && set.records().iter().all(|record| {
-                        let mut nodes = self.nodes.iter();
-                        nodes.any(|node| node.member == Some(record.member) && node.is_sound())
-                    })
-            })
+        let Some(members) = self.operator.settled_members(self) else {
+            return false;
+        };
+        let is_held = |record: &MemberRecord| {
+            let mut nodes = self.nodes.iter();
+            nodes.any(|node| node.member == Some(record.member) && node.is_sound())
+        };
+        members.voters().count() >= 3 && members.records().iter().all(is_held)
     }
 
     pub(crate) fn lose_disk(&mut self, node: usize) {
@@ -146,7 +155,7 @@
     }
 
     /// Keeps a copy of the disk as it would be after a crash.
-    fn keep_image(&mut self, node: usize) {
+    pub(crate) fn keep_image(&mut self, node: usize) {
         let target = &mut self.nodes[node];
         if let Some(process) = &target.process {
             let members = process.core.members_index();
@@ -155,11 +164,11 @@
     }
 
     /// The whole disk goes back to an earlier state, as after a restore from a backup.
-    fn roll_back(&mut self, node: usize) {
+    pub(crate) fn roll_back(&mut self, node: usize) {
         let image = self.nodes[node].image.clone();
         let members = self.nodes[node].core().map(ConsensusCore::members_index);
         let Some((_, image)) = image.filter(|(index, _)| Some(*index) == members) else {
-            return self.keep_image(node);
+            return;
         };
         if !self.can_lose() {
             return;
--- a/crates/ragwortroad_log/src/folder_open.rs
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -9,7 +9,14 @@
 };
 
 use crate::{
-    DiskPort, FolderSettings, LogError, LogFolder, StoredEntry, StoredSnapshot, StoredState,
+    DiskPort,
+    FolderSettings,
+    LogError,
+    LogFolder,
+    MemberStart,
+    StoredEntry,
+    StoredSnapshot,
+    StoredState,
     folder_files::{
         BOOT_NAME,
         IDENTITY_NAME,
@@ -35,9 +42,12 @@
         LogRecord, //
     },
     record_frame::RecordFrame,
-    record_scan::RecordScan,
+    record_scan::RecordScan, //
 };
 
+/// Members whose starts are kept; many times the members of any group.
+const MAX_STARTS: usize = 64;
+
 /// Layout of the files this program writes and reads.
 pub(crate) const VERSION: u32 = 1;
 
@@ -83,12 +93,15 @@
 
 fn is_unused_log(port: &DiskPort, name: &str) -> bool {
     let bytes = port.read(name).unwrap_or_default();
-    let whole = RecordFrame::read(&bytes);
-    whole.is_some_and(|(frame, length)| {
-        let unused = matches!(&frame.record, LogRecord::Header(header)
-            if header.generation == 0 && header.vote.count == 0);
-        unused && length == bytes.len()
-    })
+    let Ok(scan) = RecordScan::read(name, &bytes) else {
+        return false;
+    };
+    let is_whole = scan.intact_bytes == bytes.len();
+    let is_unused = scan.frames.iter().all(|frame| match &frame.record {
+        LogRecord::Header(header) => header.generation == 0 && header.vote.count == 0,
+        record => *record == LogRecord::Durable,
+    });
+    is_whole && is_unused && !bytes.is_empty()
 }
 
 /// Writes the identity last, so that a folder with one has all other files.
@@ -108,12 +121,14 @@
         buffer: Vec::new(),
         vote: CountedVote::default(),
         vote_file_count: 0,
+        starts: Vec::new(),
+        boot: settings.boot.clone(),
+        confirms_boot: false,
         last_index: 0,
         snapshot_index: 0,
         writes_refused: false,
     };
     folder.write_log(&[])?;
-    note_boot(&mut folder.port, &settings.boot)?;
     let frame = identity_frame(identity);
     let mut bytes = Vec::new();
     write_frame(&frame, &mut bytes)?;
@@ -126,22 +141,13 @@
     Ok((folder, state))
 }
 
-/// Writes down the boot at hand; whether it is the one that the folder was last opened in.
-fn note_boot(port: &mut DiskPort, boot: &str) -> Result<bool, LogError> {
-    let known = port.read(BOOT_NAME).unwrap_or_default();
-    if known == boot.as_bytes() {
-        return Ok(!boot.is_empty());
-    }
-    write_whole(port, BOOT_NAME, boot.as_bytes())?;
-    Ok(false)
-}
-
 fn identity_frame(identity: u64) -> RecordFrame {
     let header = LogHeader {
         version: VERSION,
         identity,
         generation: 0,
         vote: CountedVote::default(),
+        starts: Vec::new(),
         snapshot_index: 0,
     };
     RecordFrame {
@@ -177,13 +183,14 @@
     let vote = last_vote(&scan.frames, header.vote);
     check_vote(vote, vote_copy)?;
     let snapshot = read_snapshot(&port, &header)?;
+    let starts = replay_starts(&scan.frames, &header);
+    let boot_known = port.read(BOOT_NAME).unwrap_or_default();
     let entries = replay_entries(&scan.frames);
     check_entries(&entries, &header, &name)?;
 
     let cut_bytes = (bytes.len() - scan.intact_bytes) as u64;
-    rewrite_log(&mut port, &name, &bytes[..scan.intact_bytes])?;
+    let next_sequence = rewrite_log(&mut port, &name, &bytes, &scan)?;
     remove_leftovers(&mut port, names, generation)?;
-    let next_sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
     let mut folder = LogFolder {
         port,
         identity,
@@ -194,16 +201,19 @@
         buffer: Vec::new(),
         vote,
         vote_file_count: vote_copy.count,
+        starts: starts.clone(),
+        boot: settings.boot.clone(),
+        confirms_boot: false,
         last_index: header.snapshot_index + entries.len() as u64,
         snapshot_index: header.snapshot_index,
         writes_refused: false,
     };
     folder.write_vote_copy()?;
-    let is_same_boot = note_boot(&mut folder.port, &settings.boot)?;
     let state = StoredState {
         identity,
         is_new: false,
-        is_same_boot,
+        is_same_boot: boot_known == settings.boot.as_bytes() && !settings.boot.is_empty(),
+        starts,
         vote: vote.vote,
         snapshot,
         entries,
@@ -225,6 +235,25 @@
     entries
 }
 
+fn replay_starts(frames: &[RecordFrame], header: &LogHeader) -> Vec<MemberStart> {
+    let mut starts = header.starts.clone();
+    for frame in frames {
+        if let LogRecord::Start(start) = frame.record {
+            keep_start(&mut starts, start);
+        }
+    }
+    starts
+}
+
+/// Puts `start` in the place of an earlier one of the same member.
+pub(crate) fn keep_start(starts: &mut Vec<MemberStart>, start: MemberStart) {
+    starts.retain(|known| known.member != start.member);
+    starts.push(start);
+    if starts.len() > MAX_STARTS {
+        starts.remove(0);
+    }
+}
+
 fn last_vote(frames: &[RecordFrame], first: CountedVote) -> CountedVote {
     let mut votes = frames.iter().filter_map(|frame| match frame.record {
         LogRecord::Vote(vote) => Some(vote),
@@ -316,8 +345,24 @@
 /// An earlier process may have seen a sync fail, and the operating system may since count the
 /// pages as clean: they read well, a further sync reports success, and a crash loses them. Copied
 /// bytes are dirty again, so their sync says the truth. It also cuts an unfinished write.
-fn rewrite_log(port: &mut DiskPort, name: &str, intact: &[u8]) -> Result<(), LogError> {
-    write_whole(port, name, intact)
+///
+/// Returns the sequence of the next record.
+fn rewrite_log(
+    port: &mut DiskPort,
+    name: &str,
+    bytes: &[u8],
+    scan: &RecordScan,
+) -> Result<u64, LogError> {
+    let sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
+    let mark = RecordFrame {
+        sequence,
+        synced: sequence,
+        record: LogRecord::Durable,
+    };
+    let mut intact = bytes[..scan.intact_bytes].to_vec();
+    write_frame(&mark, &mut intact)?;
+    write_whole(port, name, &intact)?;
+    Ok(sequence + 1)
 }
 
 fn remove_leftovers(
