Bound the memory of request bodies and let refusals arrive

Cause: many long bodies at once could end the process; a refusal before a body's end was lost to a connection reset, so that callers could not tell that nothing ran. Change: one limit over all bodies, taken as bytes come; what is left of a refused body is read and dropped, within bounds. Conclusion: both shown by tests over sockets.

--- a/crates/ragwortroad_gateway/src/body_reader.rs
+++ b/crates/ragwortroad_gateway/src/body_reader.rs
@@ -1,38 +1,99 @@
 use std::time::Duration;
 
-use bytes::Bytes;
-use http_body_util::{
-    BodyExt,
-    Limited, //
+use bytes::{
+    Bytes,
+    BytesMut, //
 };
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use ragwortroad_types::prelude::*;
 use tokio::time::timeout;
 
-use crate::request_context::RequestContext;
+use crate::{
+    body_room::HeldRoom,
+    gateway_state::GatewayState,
+    request_context::RequestContext, //
+};
+
+/// Milliseconds after which there may be room for a body again.
+const ROOM_WAIT_MS: u64 = 500;
+
+/// Bytes of a refused body that are read and dropped.
+const DISCARDED_BYTES: usize = 8 << 20;
 
-/// Reads a caller's whole body, no longer than `limit` bytes and within `time`.
+/// Time in which they are.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// Reads a caller's whole body within the limits of size and time. `room` must be kept as long as
+/// the body is.
 pub(crate) async fn read_body(
-    body: Incoming,
-    limit: usize,
-    time: Duration,
+    state: &GatewayState,
     context: &RequestContext,
+    mut body: Incoming,
+    room: &mut HeldRoom,
 ) -> Result<Bytes, RefusalWire> {
-    let time = time.min(context.time_left());
-    let read = timeout(time, Limited::new(body, limit).collect()).await;
-    match read {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            let message = format!("the body is longer than {limit} bytes");
-            Err(context.not_run(RefusalCode::TooLarge, message))
-        }
-        Ok(Err(error)) => {
-            let message = format!("the body could not be read: {error}");
-            Err(context.not_run(RefusalCode::MalformedRequest, message))
+    let settings = &state.settings;
+    let time = settings.body_timeout.min(context.time_left());
+    let read = take_frames(context, &mut body, settings.max_body, room);
+    match timeout(time, read).await {
+        Ok(Err(refusal)) => {
+            discard_body(body).await;
+            Err(refusal)
         }
+        Ok(read) => read,
         Err(_) => {
             let message = format!("the body did not come within {} ms", time.as_millis());
             Err(context.not_run(RefusalCode::DeadlinePassed, message))
         }
     }
 }
+
+/// Reads what is left of a body that is refused, within bounds.
+///
+/// A connection that is closed with bytes unread is reset, and the reset can reach the caller
+/// before the refusal does: it would see a broken connection in place of `not_run`.
+pub(crate) async fn discard_body(mut body: Incoming) {
+    let discard = async {
+        let mut left = DISCARDED_BYTES;
+        while let Some(Ok(frame)) = body.frame().await {
+            let length = frame.data_ref().map_or(0, Bytes::len);
+            match left.checked_sub(length) {
+                Some(rest) => left = rest,
+                None => return,
+            }
+        }
+    };
+    if timeout(DISCARD_TIME, discard).await.is_err() {
+        tracing::debug!("a refused body was too slow to be read");
+    }
+}
+
+async fn take_frames(
+    context: &RequestContext,
+    body: &mut Incoming,
+    limit: usize,
+    room: &mut HeldRoom,
+) -> Result<Bytes, RefusalWire> {
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            let message = format!("the body could not be read: {error}");
+            context.not_run(RefusalCode::MalformedRequest, message)
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if whole.len() + data.len() > limit {
+            let message = format!("the body is longer than {limit} bytes");
+            return Err(context.not_run(RefusalCode::TooLarge, message));
+        }
+        if !room.grow(data.len()) {
+            let message = "this node holds as many bytes of requests as it may";
+            let mut refusal = context.not_run(RefusalCode::Overloaded, message);
+            refusal.error.retry_after_ms = Some(ROOM_WAIT_MS);
+            return Err(refusal);
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
--- a/crates/ragwortroad_gateway/src/gateway_settings.rs
+++ b/crates/ragwortroad_gateway/src/gateway_settings.rs
@@ -17,6 +17,8 @@
     pub traffic_threads: usize,
     /// Longest request body in bytes.
     pub max_body: usize,
+    /// Bytes of request bodies held at once, over all callers.
+    pub max_bodies: usize,
     /// Longest request head in bytes; at least 8192.
     pub max_header: usize,
     /// Longest answer of an endpoint, in bytes, that is not a stream.
@@ -59,6 +61,7 @@
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             traffic_threads: 2,
             max_body: 4 << 20,
+            max_bodies: 64 << 20,
             max_header: 16 << 10,
             max_answer: 16 << 20,
             max_recorded: 64 << 10,
--- a/crates/ragwortroad_gateway/src/gateway_state.rs
+++ b/crates/ragwortroad_gateway/src/gateway_state.rs
@@ -25,6 +25,10 @@
     ControlCall,
     GatewayPages,
     GatewaySettings,
+    body_room::{
+        BodyRoom,
+        HeldRoom, //
+    },
     cancel_worker::CancelOrder,
     endpoint_pool::EndpointPool, //
 };
@@ -36,6 +40,7 @@
     pub(crate) pages: GatewayPages,
     pub(crate) cancels: UnboundedSender<CancelOrder>,
     pub(crate) pool: EndpointPool,
+    pub(crate) room: Arc<BodyRoom>,
     /// Invariant: once true, stays true.
     draining: AtomicBool,
     /// Invariant: the number of live [`FlightGuard`]s.
@@ -53,6 +58,7 @@
         cancels: UnboundedSender<CancelOrder>,
     ) -> Self {
         Self {
+            room: Arc::new(BodyRoom::new(settings.max_bodies)),
             settings,
             calls,
             pages,
@@ -89,6 +95,7 @@
         self.flights.fetch_add(1, Ordering::AcqRel);
         FlightGuard {
             state: Arc::clone(self),
+            room: self.room.hold(),
         }
     }
 
@@ -107,6 +114,8 @@
 /// One request in flight, from its head to the last byte of its answer.
 pub(crate) struct FlightGuard {
     state: Arc<GatewayState>,
+    /// Room for the request's body, which is kept for attempts to come.
+    pub(crate) room: HeldRoom,
 }
 
 impl Drop for FlightGuard {
--- a/crates/ragwortroad_gateway/src/lib.rs
+++ b/crates/ragwortroad_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod answer_check;
 mod attempt_guard;
 mod body_reader;
+mod body_room;
 mod call;
 mod caller_socket;
 mod cancel_worker;
--- a/crates/ragwortroad_gateway/src/page_handlers.rs
+++ b/crates/ragwortroad_gateway/src/page_handlers.rs
@@ -12,6 +12,7 @@
 use crate::{
     AddressCall, AnnounceCall, ControlCall, OperatorCall,
     body_reader::read_body,
+    body_room::HeldRoom,
     control_ask::ask_control,
     gateway_state::GatewayState,
     query_values::query_value,
@@ -55,9 +56,10 @@
     state: &GatewayState,
     context: &RequestContext,
     request: Request<Incoming>,
+    room: &mut HeldRoom,
 ) -> Result<Response<ReplyBody>, RefusalWire> {
     let secret_hash = context.require_key()?;
-    let announce: AnnounceWire = read_json(state, context, request).await?;
+    let announce: AnnounceWire = read_json(state, context, request, room).await?;
     let call = AnnounceCall {
         secret_hash,
         announce,
@@ -70,9 +72,10 @@
     state: &GatewayState,
     context: &RequestContext,
     request: Request<Incoming>,
+    room: &mut HeldRoom,
 ) -> Result<Response<ReplyBody>, RefusalWire> {
     let key_hash = context.require_key()?;
-    let body: OperatorBody = read_json(state, context, request).await?;
+    let body: OperatorBody = read_json(state, context, request, room).await?;
     let call = OperatorCall {
         key_hash,
         line: body.line,
@@ -99,10 +102,9 @@
     state: &GatewayState,
     context: &RequestContext,
     request: Request<Incoming>,
+    room: &mut HeldRoom,
 ) -> Result<Wire, RefusalWire> {
-    let settings = &state.settings;
-    let body = request.into_body();
-    let bytes = read_body(body, settings.max_body, settings.body_timeout, context).await?;
+    let bytes = read_body(state, context, request.into_body(), room).await?;
     serde_json::from_slice(&bytes).map_err(|error| {
         let message = format!("the body is not what this path takes: {error}");
         context.not_run(RefusalCode::MalformedRequest, message)
--- a/crates/ragwortroad_gateway/src/request_router.rs
+++ b/crates/ragwortroad_gateway/src/request_router.rs
@@ -44,7 +44,11 @@
 };
 
 use crate::{
-    body_reader::read_body,
+    body_reader::{
+        discard_body,
+        read_body, //
+    },
+    body_room::HeldRoom,
     control_ask::ask_control, //
 };
 
@@ -59,7 +63,7 @@
 ) -> Result<Response<ReplyBody>, Infallible> {
     phase.begin_answer();
     let ended = PhaseGuard(phase);
-    let flight = state.take_off();
+    let mut flight = state.take_off();
     let id = state.draw_request();
     let context = RequestContext::new(id, request.headers(), &state.settings);
     let span = tracing::info_span!(
@@ -72,7 +76,7 @@
         customer = tracing::field::Empty,
         endpoint = tracing::field::Empty,
     );
-    let answered = dispatch(Arc::clone(&state), context, request);
+    let answered = dispatch(Arc::clone(&state), context, request, &mut flight.room);
     let mut reply = match answered.instrument(span).await {
         Ok(reply) => reply,
         Err(refusal) => {
@@ -102,6 +106,7 @@
     state: Arc<GatewayState>,
     context: RequestContext,
     request: Request<Incoming>,
+    room: &mut HeldRoom,
 ) -> Result<Response<ReplyBody>, RefusalWire> {
     let path = request.uri().path().to_owned();
     let method = request.method().clone();
@@ -113,36 +118,41 @@
         }
         (&Method::GET, "/v1/timeline") => answer_timeline(&state, &context, request.uri()),
         (&Method::GET, "/v1/addresses") => answer_addresses(&state, &context, request.uri()).await,
-        (&Method::POST, "/v1/announce") => answer_announce(&state, &context, request).await,
-        (&Method::POST, "/v1/operator") => answer_operator(&state, &context, request).await,
+        (&Method::POST, "/v1/announce") => answer_announce(&state, &context, request, room).await,
+        (&Method::POST, "/v1/operator") => answer_operator(&state, &context, request, room).await,
         (&Method::POST, "/v1/chat/completions") => {
+            let body = take_body(&state, &context, request.into_body(), room).await?;
             refuse_when_draining(&state, &context).await?;
-            let body = take_body(&state, &context, request.into_body()).await?;
             relay_model(state, context, body).await
         }
         (_, path) if path.starts_with(SERVICES) => {
-            refuse_when_draining(&state, &context).await?;
             let (parts, body) = request.into_parts();
-            let body = take_body(&state, &context, body).await?;
+            let body = take_body(&state, &context, body, room).await?;
+            refuse_when_draining(&state, &context).await?;
             let call = ServiceCall::new(parts, &path[SERVICES.len()..], body);
             relay_service(state, context, call).await
         }
         _ => {
+            discard_body(request.into_body()).await;
             let message = format!("{method} {path} is not served here");
             Err(context.not_run(RefusalCode::UnknownPath, message))
         }
     }
 }
 
+/// The body of a request that has a key.
 async fn take_body(
     state: &GatewayState,
     context: &RequestContext,
     body: Incoming,
+    room: &mut HeldRoom,
 ) -> Result<bytes::Bytes, RefusalWire> {
     // A caller without a key must not make the node hold a large body for it.
-    context.require_key()?;
-    let settings = &state.settings;
-    read_body(body, settings.max_body, settings.body_timeout, context).await
+    if let Err(refusal) = context.require_key() {
+        discard_body(body).await;
+        return Err(refusal);
+    }
+    read_body(state, context, body, room).await
 }
 
 fn healthz(state: &GatewayState) -> Response<ReplyBody> {
--- a/crates/ragwortroad_gateway/tests/caller_faults.rs
+++ b/crates/ragwortroad_gateway/tests/caller_faults.rs
@@ -164,6 +164,57 @@
     fleet.stop();
 }
 
+#[test]
+fn bodies_beyond_the_nodes_memory_are_refused_as_not_run() {
+    // Callers send long bodies and do not finish them. Each is within its own limit; together they
+    // would take all memory, and the process with every stream in it would end.
+    let fleet = TestFleet::start(GatewaySettings {
+        max_body: 100_000,
+        max_bodies: 150_000,
+        ..GatewaySettings::default()
+    });
+    let long = post("/v1/chat/completions", "", &"x".repeat(90_000));
+    let mut holder = connect(fleet.address());
+    holder.write_all(&long[..long.len() - 10]).unwrap();
+    fleet.wait_for("there is no room", |fleet| {
+        let answer = exchange(fleet.address(), &long);
+        refusal_of(&answer).code == RefusalCode::Overloaded
+    });
+    let good = chat_body(true);
+    assert!(
+        is_own(&fleet.chat(&good, ""), &good),
+        "short ones still pass"
+    );
+    drop(holder);
+    fleet.wait_for("there is room again", |fleet| {
+        let answer = exchange(fleet.address(), &long);
+        refusal_of(&answer).code == RefusalCode::MalformedRequest
+    });
+    fleet.stop();
+}
+
+#[test]
+fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    // A long body is refused before it was read. Closing then resets the connection, and the caller
+    // would see a broken connection and not know whether its booking ran.
+    let fleet = TestFleet::start(GatewaySettings {
+        max_body: 1000,
+        ..GatewaySettings::default()
+    });
+    let body = "x".repeat(3_000_000);
+    for _ in 0..10 {
+        let answer = exchange(
+            fleet.address(),
+            &post("/v1/services/studio-desk/b", "", &body),
+        );
+        assert_eq!(refusal_of(&answer).code, RefusalCode::TooLarge);
+        let answer = exchange(fleet.address(), &post("/v2/unknown", "", &body));
+        assert_eq!(refusal_of(&answer).code, RefusalCode::UnknownPath);
+    }
+    assert!(fleet.records().is_empty());
+    fleet.stop();
+}
+
 #[test]
 fn a_caller_that_leaves_ends_the_engines_work() {
     // An instructor closes the application in the middle of a long note. The engine would go on
