Never lose a grant between the control thread and a caller that leaves

Cause: spoiling the code on purpose showed that three guards had no test that failed without them. Change: tests for a grant that nobody reads, 20,000 races of a grant with its caller's leaving, cancellations that engines are told, and a refusal to a caller that is still sending.

--- a/crates/ragwortroad_gateway/src/body_reader.rs
+++ b/crates/ragwortroad_gateway/src/body_reader.rs
@@ -22,7 +22,7 @@
 const DISCARDED_BYTES: usize = 8 << 20;
 
 /// Time in which they are.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
+const DISCARD_TIME: Duration = Duration::from_secs(3);
 
 /// Reads a caller's whole body within the limits of size and time. `room` must be kept as long as
 /// the body is.
--- a/crates/ragwortroad_gateway/src/lib.rs
+++ b/crates/ragwortroad_gateway/src/lib.rs
@@ -45,6 +45,8 @@
 mod stop_signal;
 mod stream_cursor;
 mod stream_relay;
+#[cfg(test)]
+mod tests;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
--- /dev/null
+++ b/crates/ragwortroad_gateway/src/tests.rs
@@ -0,0 +1,146 @@
+//! Tests of parts that cannot be reached over HTTP at a chosen moment.
+
+use std::{
+    future::Future,
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    pin::pin,
+    sync::Arc,
+    task::{
+        Context,
+        Poll,
+        Waker, //
+    },
+    thread,
+};
+
+use flume::{
+    Receiver,
+    Sender, //
+};
+use ragwortroad_types::prelude::*;
+use tokio::sync::mpsc;
+
+use crate::{
+    AdmitCall,
+    AdmitGrant,
+    AdmitReply,
+    ControlCall,
+    GatewayPages,
+    GatewaySettings,
+    RequestTarget,
+    TicketId,
+    admit_wait::AdmitWait,
+    gateway_state::GatewayState, //
+};
+
+fn state() -> (Arc<GatewayState>, Receiver<ControlCall>) {
+    let (calls, control) = flume::unbounded();
+    let (cancels, _) = mpsc::unbounded_channel();
+    let settings = GatewaySettings::default();
+    let state = GatewayState::new(settings, calls, GatewayPages::default(), cancels);
+    (Arc::new(state), control)
+}
+
+fn admit_call() -> AdmitCall {
+    AdmitCall {
+        request: RequestId(1),
+        key_hash: [0; 32],
+        target: RequestTarget::Service {
+            service: "studio-desk".to_owned(),
+        },
+        chat: None,
+        hint: None,
+        prompt: Vec::new(),
+        idempotent: false,
+        idempotency_key: None,
+        body_hash: [0; 32],
+        body_length: 0,
+        token_limit: None,
+        time_left: std::time::Duration::from_secs(1),
+        retry_of: None,
+        excluded: Vec::new(),
+    }
+}
+
+fn granted(ticket: u64) -> AdmitReply {
+    AdmitReply::Granted(AdmitGrant {
+        ticket: TicketId(ticket),
+        endpoint: EndpointId(1),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        hint: String::new(),
+        priority: 1,
+        version: None,
+        customer: String::new(),
+        record_answer: false,
+    })
+}
+
+fn next_admit(control: &Receiver<ControlCall>) -> Sender<AdmitReply> {
+    match control.recv().unwrap() {
+        ControlCall::Admit(_, reply) => reply,
+        other => panic!("not an admission: {other:?}"),
+    }
+}
+
+/// Tickets that were given back so far.
+fn given_back(control: &Receiver<ControlCall>) -> Vec<u64> {
+    let finish = |call| match call {
+        ControlCall::Finish(finish) => finish.ticket.0,
+        other => panic!("not a finish: {other:?}"),
+    };
+    control.try_iter().map(finish).collect()
+}
+
+#[test]
+fn a_grant_that_nobody_reads_comes_back() {
+    // A caller leaves after the control thread granted and before the grant was read. Lost there,
+    // the grant would count as load on the endpoint for ever.
+    let (state, control) = state();
+    {
+        let mut asked = pin!(AdmitWait::ask(&state, admit_call()));
+        let mut context = Context::from_waker(Waker::noop());
+        assert!(matches!(asked.as_mut().poll(&mut context), Poll::Pending));
+        next_admit(&control).send(granted(7)).unwrap();
+    }
+    assert_eq!(given_back(&control), [7]);
+}
+
+#[test]
+fn a_grant_after_the_caller_left_fails_at_the_control_thread() {
+    // The caller leaves first: the control thread must learn that its grant reached nobody.
+    let (state, control) = state();
+    let reply = {
+        let mut asked = pin!(AdmitWait::ask(&state, admit_call()));
+        let mut context = Context::from_waker(Waker::noop());
+        assert!(matches!(asked.as_mut().poll(&mut context), Poll::Pending));
+        next_admit(&control)
+    };
+    assert!(reply.send(granted(8)).is_err());
+    assert_eq!(given_back(&control), Vec::<u64>::new());
+}
+
+#[test]
+fn a_grant_is_never_lost_between_the_two() {
+    // Callers leave at the very moment of the grant. In each of many runs the control thread
+    // either sees its send fail or gets the grant back, and never both or neither.
+    let (state, control) = state();
+    for ticket in 0..20_000 {
+        let mut asked = Box::pin(AdmitWait::ask(&state, admit_call()));
+        let mut context = Context::from_waker(Waker::noop());
+        assert!(asked.as_mut().poll(&mut context).is_pending());
+        let reply = next_admit(&control);
+        let failed = thread::scope(|scope| {
+            let sending = scope.spawn(move || reply.send(granted(ticket)).is_err());
+            for _ in 0..ticket % 64 {
+                std::hint::spin_loop();
+            }
+            drop(asked);
+            sending.join().unwrap()
+        });
+        let back = given_back(&control).len();
+        assert_eq!(back + usize::from(failed), 1, "ticket {ticket}");
+    }
+}
--- a/crates/ragwortroad_gateway/tests/caller_faults.rs
+++ b/crates/ragwortroad_gateway/tests/caller_faults.rs
@@ -201,15 +201,16 @@
         max_body: 1000,
         ..GatewaySettings::default()
     });
-    let body = "x".repeat(3_000_000);
-    for _ in 0..10 {
-        let answer = exchange(
-            fleet.address(),
-            &post("/v1/services/studio-desk/b", "", &body),
-        );
-        assert_eq!(refusal_of(&answer).code, RefusalCode::TooLarge);
-        let answer = exchange(fleet.address(), &post("/v2/unknown", "", &body));
-        assert_eq!(refusal_of(&answer).code, RefusalCode::UnknownPath);
+    let body = "x".repeat(1_000_000);
+    let cases = [
+        ("/v1/services/studio-desk/b", RefusalCode::TooLarge),
+        ("/v2/unknown", RefusalCode::UnknownPath),
+    ];
+    for (path, code) in cases {
+        // With a small buffer the caller is still sending when the refusal is decided.
+        let mut caller = socket_with_small_buffers(fleet.address());
+        caller.write_all(&post(path, "", &body)).unwrap();
+        assert_eq!(refusal_of(&read_all(&mut caller)).code, code);
     }
     assert!(fleet.records().is_empty());
     fleet.stop();
@@ -240,6 +241,11 @@
         fleet.wait_for("the engine stops", |fleet| {
             runs(fleet).iter().all(|run| run.end == RunEnd::Cancelled)
         });
+        // The closed connection may do it as well; an engine that does not look at it is told.
+        fleet.wait_for("the engine is told", |fleet| {
+            let told = fleet.engines[0].cancels();
+            runs(fleet).iter().all(|run| told.contains(&run.request_id))
+        });
     }
     let outcomes = fleet.stop().outcomes();
     assert_eq!(
@@ -262,7 +268,7 @@
         ..chat_body(true)
     };
     let body = serde_json::to_string(&chat).unwrap();
-    let small = socket_with_small_buffer(fleet.address());
+    let small = socket_with_small_buffers(fleet.address());
     let mut caller = small;
     caller
         .write_all(&post("/v1/chat/completions", "", &body))
@@ -278,10 +284,11 @@
     fleet.stop();
 }
 
-/// A connection that can hold little that is not read, so that the other side notices soon.
-fn socket_with_small_buffer(address: std::net::SocketAddr) -> std::net::TcpStream {
+/// A connection that holds little that one side has written and the other has not read.
+fn socket_with_small_buffers(address: std::net::SocketAddr) -> std::net::TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(1024).unwrap();
+    socket.set_send_buffer_size(65536).unwrap();
     socket.connect(&address.into()).unwrap();
     socket.into()
 }
--- a/crates/ragwortroad_standin/src/engine_pages.rs
+++ b/crates/ragwortroad_standin/src/engine_pages.rs
@@ -38,7 +38,11 @@
         request_id: cancel.request_id.clone(),
         attempt: cancel.attempt,
     };
-    let notify = state.parts().cancels.remove(&name);
+    let notify = {
+        let mut parts = state.parts();
+        parts.told.push(cancel.request_id.clone());
+        parts.cancels.remove(&name)
+    };
     let found = notify.is_some();
     if let Some(notify) = notify {
         notify.notify_one();
--- a/crates/ragwortroad_standin/src/engine_state.rs
+++ b/crates/ragwortroad_standin/src/engine_state.rs
@@ -48,6 +48,8 @@
     pub(crate) fence: FenceNumber,
     /// Who to wake when a request's attempt is cancelled.
     pub(crate) cancels: HashMap<AttemptName, Arc<Notify>>,
+    /// Requests that were cancelled from outside.
+    pub(crate) told: Vec<String>,
     sequence: u64,
     /// Loads seen, oldest first, for reports that come late.
     loads: VecDeque<(Instant, LoadReport)>,
@@ -67,6 +69,7 @@
             offers: settings.offers.clone(),
             fence: FenceNumber::default(),
             cancels: HashMap::new(),
+            told: Vec::new(),
             sequence: 0,
             loads: VecDeque::new(),
         };
--- a/crates/ragwortroad_standin/src/standin_engine.rs
+++ b/crates/ragwortroad_standin/src/standin_engine.rs
@@ -89,6 +89,11 @@
         }
     }
 
+    /// Requests whose cancellation it was told.
+    pub fn cancels(&self) -> Vec<String> {
+        self.state.parts().told.clone()
+    }
+
     /// Models it holds now.
     pub fn offers(&self) -> Vec<ModelOffer> {
         self.state.parts().offers.clone()
