--- a/crates/ragwortroad_gateway/src/lib.rs
+++ b/crates/ragwortroad_gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod answer_check;
 mod attempt_guard;
 mod body_reader;
+mod body_room;
 mod call;
 mod caller_socket;
 mod cancel_worker;
@@ -44,6 +45,8 @@
 mod stop_signal;
 mod stream_cursor;
 mod stream_relay;
+#[cfg(test)]
+mod tests;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
--- a/crates/ragwortroad_gateway/tests/caller_faults.rs
+++ b/crates/ragwortroad_gateway/tests/caller_faults.rs
@@ -164,6 +164,58 @@
     fleet.stop();
 }
 
+#[test]
+fn bodies_beyond_the_nodes_memory_are_refused_as_not_run() {
+    // Callers send long bodies and do not finish them. Each is within its own limit; together they
+    // would take all memory, and the process with every stream in it would end.
+    let fleet = TestFleet::start(GatewaySettings {
+        max_body: 100_000,
+        max_bodies: 150_000,
+        ..GatewaySettings::default()
+    });
+    let long = post("/v1/chat/completions", "", &"x".repeat(90_000));
+    let mut holder = connect(fleet.address());
+    holder.write_all(&long[..long.len() - 10]).unwrap();
+    fleet.wait_for("there is no room", |fleet| {
+        let answer = exchange(fleet.address(), &long);
+        refusal_of(&answer).code == RefusalCode::Overloaded
+    });
+    let good = chat_body(true);
+    assert!(
+        is_own(&fleet.chat(&good, ""), &good),
+        "short ones still pass"
+    );
+    drop(holder);
+    fleet.wait_for("there is room again", |fleet| {
+        let answer = exchange(fleet.address(), &long);
+        refusal_of(&answer).code == RefusalCode::MalformedRequest
+    });
+    fleet.stop();
+}
+
+#[test]
+fn a_refusal_reaches_a_caller_that_is_still_sending() {
+    // A long body is refused before it was read. Closing then resets the connection, and the caller
+    // would see a broken connection and not know whether its booking ran.
+    let fleet = TestFleet::start(GatewaySettings {
+        max_body: 1000,
+        ..GatewaySettings::default()
+    });
+    let body = "x".repeat(1_000_000);
+    let cases = [
+        ("/v1/services/studio-desk/b", RefusalCode::TooLarge),
+        ("/v2/unknown", RefusalCode::UnknownPath),
+    ];
+    for (path, code) in cases {
+        // With a small buffer the caller is still sending when the refusal is decided.
+        let mut caller = socket_with_small_buffers(fleet.address());
+        caller.write_all(&post(path, "", &body)).unwrap();
+        assert_eq!(refusal_of(&read_all(&mut caller)).code, code);
+    }
+    assert!(fleet.records().is_empty());
+    fleet.stop();
+}
+
 #[test]
 fn a_caller_that_leaves_ends_the_engines_work() {
     // An instructor closes the application in the middle of a long note. The engine would go on
@@ -189,6 +241,11 @@
         fleet.wait_for("the engine stops", |fleet| {
             runs(fleet).iter().all(|run| run.end == RunEnd::Cancelled)
         });
+        // The closed connection may do it as well; an engine that does not look at it is told.
+        fleet.wait_for("the engine is told", |fleet| {
+            let told = fleet.engines[0].cancels();
+            runs(fleet).iter().all(|run| told.contains(&run.request_id))
+        });
     }
     let outcomes = fleet.stop().outcomes();
     assert_eq!(
@@ -211,7 +268,7 @@
         ..chat_body(true)
     };
     let body = serde_json::to_string(&chat).unwrap();
-    let small = socket_with_small_buffer(fleet.address());
+    let small = socket_with_small_buffers(fleet.address());
     let mut caller = small;
     caller
         .write_all(&post("/v1/chat/completions", "", &body))
@@ -227,10 +284,11 @@
     fleet.stop();
 }
 
-/// A connection that can hold little that is not read, so that the other side notices soon.
-fn socket_with_small_buffer(address: std::net::SocketAddr) -> std::net::TcpStream {
+/// A connection that holds little that one side has written and the other has not read.
+fn socket_with_small_buffers(address: std::net::SocketAddr) -> std::net::TcpStream {
     let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
     socket.set_recv_buffer_size(1024).unwrap();
+    socket.set_send_buffer_size(65536).unwrap();
     socket.connect(&address.into()).unwrap();
     socket.into()
 }
