Break the rush of many nodes to one engine with room

All nodes knew the same order for the chats of a shared text, and sent them to the first engine of it that a digest one or two seconds old showed open. After four refusals a request now follows its chat's own order, and for every eight full places one more open one takes part.

--- a/crates/ragwortroad_bench/src/run/live_request.rs
+++ b/crates/ragwortroad_bench/src/run/live_request.rs
@@ -16,6 +16,8 @@
     pub(crate) excluded: Vec<usize>,
     /// The same, by identity.
     pub(crate) excluded_ids: Vec<EndpointId>,
+    /// Homes that answered "full".
+    pub(crate) refusals: u32,
     /// Questions asked for it.
     pub(crate) asked: u32,
     /// Attempts sent.
--- a/crates/ragwortroad_bench/src/run/request_flow.rs
+++ b/crates/ragwortroad_bench/src/run/request_flow.rs
@@ -142,6 +142,7 @@
             hint: self.hint_of(arrival),
             excluded: &live.excluded_ids,
             salt: u64::from(request),
+            refusals: live.refusals,
             waited: Duration::from_millis(self.now - live.arrived_ms),
         };
         match self.nodes[node].table.choose(&query, clock) {
@@ -220,6 +221,7 @@
         if let SlotAnswer::Granted { .. } = answer {
             return self.send(request, engine);
         }
+        self.requests[request as usize].refusals += 1;
         self.place(request);
     }
 
--- a/crates/ragwortroad_routing/src/table/ranking.rs
+++ b/crates/ragwortroad_routing/src/table/ranking.rs
@@ -13,13 +13,16 @@
 ///
 /// Where the prompt begins with a text long enough to be shared (a school's lesson plan), the first
 /// few places are ranked by that text, so that its chats share an engine's copy of it, and the
-/// chat decides among these.
+/// chat decides among these. For every few of them that are full, one more beyond the full ones
+/// takes part: were it only the next one, all nodes would send all chats of a text that is much asked for
+/// to the same engine, which is full before they hear of it.
 #[derive(Clone, Debug)]
 pub(crate) struct Ranking {
     /// The key that ranks the endpoints.
     group_key: u64,
-    /// The key that decides among the first `width` of them.
+    /// The key that decides among the first of them.
     member_key: u64,
+    /// Open places that take part while none is full.
     width: usize,
     /// Whether the less loaded of the two best is taken.
     two_choices: bool,
@@ -27,8 +30,15 @@
     skipped: Vec<EndpointKey>,
 }
 
-/// The most places a group may have.
-const WIDTH_LIMIT: usize = 8;
+/// Homes that said "full" after which a request leaves the order of its shared text: this node's
+/// view of the loads is too old to find room in the place where all others look for it.
+const REFUSALS_FOR_OWN_ORDER: u32 = 4;
+
+/// Full places at the head of the order for which one more open place takes part.
+const FULL_FOR_ONE_MORE: usize = 8;
+
+/// Places at the head of the order that are looked at; beyond, the chat's own order decides.
+const HEAD: usize = 16;
 
 /// The score of an endpoint or node with `seed` for `key`.
 pub(crate) fn score(seed: u64, key: u64) -> u64 {
@@ -46,10 +56,11 @@
         let shared = settings
             .plan_block
             .checked_sub(1)
-            .and_then(|block| query.prefixes.get(block));
+            .and_then(|block| query.prefixes.get(block))
+            .filter(|_| query.refusals < REFUSALS_FOR_OWN_ORDER);
         let two_choices = settings.two_choices && !known;
         let (group_key, width) = match shared {
-            Some(prefix) => (prefix.0, settings.plan_width.clamp(1, WIDTH_LIMIT)),
+            Some(prefix) => (prefix.0, settings.plan_width.clamp(1, HEAD)),
             None if two_choices => (member_key, 2),
             None => (member_key, 1),
         };
@@ -74,50 +85,100 @@
         open: impl Fn(EndpointKey) -> bool,
         fill: impl Fn(EndpointKey) -> f64,
     ) -> Option<EndpointKey> {
-        let mut group = [(
-            0_u64,
-            PoolEntry {
-                seed: 0,
-                key: EndpointKey(0),
-            },
-        ); WIDTH_LIMIT];
-        let mut found = 0;
+        let open = |key: EndpointKey| !self.skipped.contains(&key) && open(key);
+        let mut head = RankHead::default();
         for entry in pool {
-            let rank = score(entry.seed, self.group_key);
-            if found == self.width && rank <= group[found - 1].0 {
-                continue;
+            head.offer(score(entry.seed, self.group_key), *entry);
+        }
+        let mut best = RankPair::default();
+        let (mut members, mut full) = (0, 0);
+        for entry in head.entries() {
+            if members == self.width + full / FULL_FOR_ONE_MORE {
+                break;
+            }
+            if open(entry.key) {
+                members += 1;
+                best.offer(score(entry.seed, self.member_key), entry.key);
+            } else {
+                full += 1;
+            }
+        }
+        if members == 0 {
+            // The head is full: the chat's own order, over all.
+            for entry in pool {
+                let rank = score(entry.seed, self.member_key);
+                if best.takes(rank) && open(entry.key) {
+                    best.offer(rank, entry.key);
+                }
             }
-            if self.skipped.contains(&entry.key) || !open(entry.key) {
-                continue;
+        }
+        match (best.first, best.second) {
+            (Some((_, first)), Some((_, second))) if self.two_choices => {
+                let lighter = fill(second) < fill(first);
+                Some(if lighter { second } else { first })
             }
-            let place = group[..found].partition_point(|(other, _)| *other > rank);
-            let end = (found + 1).min(self.width);
-            group.copy_within(place..end - 1, place + 1);
-            group[place] = (rank, *entry);
-            found = end;
+            (first, _) => first.map(|(_, key)| key),
+        }
+    }
+}
+
+/// The highest ranked entries of a pool.
+struct RankHead {
+    /// Invariant: the first `count` are in falling order of rank.
+    ranked: [(u64, PoolEntry); HEAD],
+    count: usize,
+}
+
+impl Default for RankHead {
+    fn default() -> Self {
+        let nobody = PoolEntry {
+            seed: 0,
+            key: EndpointKey(0),
+        };
+        Self {
+            ranked: [(0, nobody); HEAD],
+            count: 0,
         }
-        let members = &group[..found];
-        if self.two_choices {
-            return least_filled(members, fill);
+    }
+}
+
+impl RankHead {
+    /// Puts an entry in its place, if it belongs to the head.
+    fn offer(&mut self, rank: u64, entry: PoolEntry) {
+        if self.count == HEAD && rank <= self.ranked[HEAD - 1].0 {
+            return;
         }
-        members
-            .iter()
-            .max_by_key(|(_, entry)| score(entry.seed, self.member_key))
-            .map(|(_, entry)| entry.key)
+        let ahead = |(other, _): &(u64, PoolEntry)| *other > rank;
+        let place = self.ranked[..self.count].partition_point(ahead);
+        let end = (self.count + 1).min(HEAD);
+        self.ranked.copy_within(place..end - 1, place + 1);
+        self.ranked[place] = (rank, entry);
+        self.count = end;
     }
+
+    fn entries(&self) -> impl Iterator<Item = &PoolEntry> {
+        self.ranked[..self.count].iter().map(|(_, entry)| entry)
+    }
+}
+
+/// The two highest ranked of some endpoints.
+#[derive(Default)]
+struct RankPair {
+    first: Option<(u64, EndpointKey)>,
+    second: Option<(u64, EndpointKey)>,
 }
 
-/// The member that is filled least; the first of equals.
-fn least_filled(
-    members: &[(u64, PoolEntry)],
-    fill: impl Fn(EndpointKey) -> f64,
-) -> Option<EndpointKey> {
-    let mut best: Option<(f64, EndpointKey)> = None;
-    for (_, entry) in members {
-        let filled = fill(entry.key);
-        if best.is_none_or(|(least, _)| filled < least) {
-            best = Some((filled, entry.key));
+impl RankPair {
+    /// Whether an endpoint of this rank would be one of the two.
+    fn takes(&self, rank: u64) -> bool {
+        self.second.is_none_or(|(least, _)| rank > least)
+    }
+
+    fn offer(&mut self, rank: u64, key: EndpointKey) {
+        if self.first.is_none_or(|(most, _)| rank > most) {
+            self.second = self.first.replace((rank, key));
+        } else if self.takes(rank) {
+            self.second = Some((rank, key));
         }
     }
-    best.map(|(_, key)| key)
 }
--- a/crates/ragwortroad_routing/src/table/route_query.rs
+++ b/crates/ragwortroad_routing/src/table/route_query.rs
@@ -28,6 +28,8 @@
     pub excluded: &'query [EndpointId],
     /// Any number that differs between requests, to spread those that belong to no chat.
     pub salt: u64,
+    /// Homes that answered "full" to it.
+    pub refusals: u32,
     /// How long it has been held already.
     pub waited: Duration,
 }
