--- a/crates/ragwortroad_bench/src/workload/workload_spec.rs
+++ b/crates/ragwortroad_bench/src/workload/workload_spec.rs
@@ -88,7 +88,7 @@
                 answer_tokens: 80.0,
                 capacity: 16,
                 cache_blocks: 1_600,
-                digest_ms: 1_000,
+                digest_ms: 500,
                 spread_ms: 10,
                 chat_entries: 16 * 1024,
             },
@@ -115,6 +115,7 @@
                 answer_tokens: 364.0,
                 capacity: 160,
                 cache_blocks: 12_000,
+                digest_ms: 1_000,
                 spread_ms: 1_000,
                 chat_entries: 4 * 1024,
                 ..Self::of_kind(WorkloadKind::Ljosmynd)
