Let cache events lead only requests that name no chat

A home saw the shared text of new chats in its engines' cache events, took it for their own context, sent them all to one engine and held them for it.

--- a/crates/ragwortroad_routing/src/table/route_choice.rs
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -133,11 +133,13 @@
             .chat
             .and_then(|chat| self.remembered(chat))
             .map(|endpoint| (endpoint, RouteReason::Memory));
-        // A short match is the text that many prompts begin with; the hash knows better than one
-        // engine's event where to spread those.
-        let prefix = self
-            .prefixes
-            .longest(query.prefixes)
+        // Events tell of this node's engines only. For a chat with a name they mostly find its
+        // shared text here, which draws new chats to one engine; the hash spreads those better. A
+        // request that names no chat has nothing else to go by.
+        let unnamed = query.chat.is_none();
+        let prefix = unnamed
+            .then(|| self.prefixes.longest(query.prefixes))
+            .flatten()
             .filter(|(_, blocks)| *blocks > self.settings.plan_block)
             .map(|(endpoint, _)| (endpoint, RouteReason::Prefix));
         [hint, memory, prefix].into_iter().flatten()
