Look keys up by index; count homes that answered full

Cause: a scan over all customers for each request, 2,900 at the target's size; and the route table wants to know how many homes refused a request. Change: the key index is made anew with each revision; full answers are counted.

--- a/crates/ragwortroad_gateway/src/tests.rs
+++ b/crates/ragwortroad_gateway/src/tests.rs
@@ -51,6 +51,8 @@
         target: RequestTarget::Service {
             service: "studio-desk".to_owned(),
         },
+        method: "POST".to_owned(),
+        path: "/v1/chat/completions".to_owned(),
         chat: None,
         hint: None,
         prompt: Vec::new(),
@@ -71,6 +73,7 @@
         endpoint: EndpointId(1),
         address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
         hint: String::new(),
+        next_node: None,
         priority: 1,
         version: None,
         customer: String::new(),
--- a/crates/ragwortroad_node/src/control/address_flow.rs
+++ b/crates/ragwortroad_node/src/control/address_flow.rs
@@ -4,7 +4,6 @@
 
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_routing::prelude::*;
-use ragwortroad_state::prelude::*;
 use ragwortroad_types::prelude::*;
 
 use crate::control::{
@@ -29,8 +28,7 @@
         now: ClockTime,
     ) -> Result<AddressAnswer, RefusalWire> {
         let request = RequestId(self.draw());
-        let key = KeyHash(call.key_hash);
-        let Some((customer, _)) = self.follow.config.customer_of(&key) else {
+        let Some((customer, _)) = self.follow.customer_of(call.key_hash) else {
             // A node that has no configuration yet knows no customer; others may.
             let refusal = match self.follow.guard.may_admit(now) {
                 Ok(()) => AdmitRefusal::not_run(RefusalCode::WrongKey, "no customer has this key"),
--- a/crates/ragwortroad_node/src/control/admit_flow.rs
+++ b/crates/ragwortroad_node/src/control/admit_flow.rs
@@ -138,6 +138,7 @@
             claim,
             excluded: call.excluded.clone(),
             asked: 0,
+            full: 0,
             since: now,
             reply: reply.clone(),
             customer: facts.customer,
@@ -163,8 +164,7 @@
     }
 
     fn chat_key(&self, call: &AdmitCall) -> Option<ChatKey> {
-        let key = KeyHash(call.key_hash);
-        let (customer, _) = self.follow.config.customer_of(&key)?;
+        let (customer, _) = self.follow.customer_of(call.key_hash)?;
         let chat = call.chat.as_deref()?;
         Some(ChatKey::from_parts(customer, chat))
     }
@@ -175,8 +175,7 @@
         call: &AdmitCall,
         chat: Option<ChatKey>,
     ) -> Result<TargetFacts, AdmitRefusal> {
-        let key = KeyHash(call.key_hash);
-        let Some((customer, entry)) = self.follow.config.customer_of(&key) else {
+        let Some((customer, entry)) = self.follow.customer_of(call.key_hash) else {
             let message = "no customer has this key";
             return Err(AdmitRefusal::not_run(RefusalCode::WrongKey, message));
         };
--- a/crates/ragwortroad_node/src/control/follow_flow.rs
+++ b/crates/ragwortroad_node/src/control/follow_flow.rs
@@ -193,6 +193,7 @@
 
     /// Puts the configuration in force on everything that decides here.
     fn adopt_config(&mut self, now: ClockTime) {
+        self.follow.keys = KeyIndex::from(&self.follow.config);
         let config = &self.follow.config;
         let revision = config.revision;
         tracing::info!(revision, "configuration is in force here");
--- a/crates/ragwortroad_node/src/control/follow_seat.rs
+++ b/crates/ragwortroad_node/src/control/follow_seat.rs
@@ -9,6 +9,8 @@
 pub(crate) struct FollowSeat {
     /// The configuration in force here.
     pub(crate) config: FleetConfig,
+    /// Whose key is whose, by that configuration.
+    pub(crate) keys: KeyIndex,
     /// The leave to admit work with it.
     pub(crate) guard: CurrencyGuard,
     /// Who answered as the leader last.
@@ -26,6 +28,15 @@
 }
 
 impl FollowSeat {
+    /// The customer that a key belongs to.
+    pub(crate) fn customer_of(&self, key: [u8; 32]) -> Option<(&str, &CustomerEntry)> {
+        let Some(KeyOwner::Customer(name)) = self.keys.owner(&KeyHash(key)) else {
+            return None;
+        };
+        let entry = self.config.customers.get(name)?;
+        Some((name, entry))
+    }
+
     /// The declared versions of a model, the one that is being rolled out last.
     pub(crate) fn version_plan(&self, model: &str) -> Option<VersionPlan> {
         let entry = self.config.models.get(model)?;
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -47,6 +47,7 @@
                 hint: plan.hint,
                 excluded: &plan.excluded,
                 salt: plan.call.request.0,
+                refusals: plan.full,
                 waited: now.since(plan.since),
             };
             match self.route.choose(&query, now) {
--- a/crates/ragwortroad_node/src/control/slot_flow.rs
+++ b/crates/ragwortroad_node/src/control/slot_flow.rs
@@ -127,8 +127,10 @@
             let slot = HeldSlot::Foreign { home, question };
             return self.grant_plan(plan, endpoint, slot, now);
         }
-        if matches!(verdict, SlotVerdict::NotHome { .. }) {
-            plan.excluded.push(endpoint);
+        match verdict {
+            SlotVerdict::NotHome { .. } => plan.excluded.push(endpoint),
+            SlotVerdict::Full { .. } => plan.full += 1,
+            SlotVerdict::Granted => {}
         }
         self.place_plan(plan, now);
     }
--- a/crates/ragwortroad_node/src/request/request_plan.rs
+++ b/crates/ragwortroad_node/src/request/request_plan.rs
@@ -34,6 +34,8 @@
     pub(crate) excluded: Vec<EndpointId>,
     /// Homes asked so far.
     pub(crate) asked: u32,
+    /// Homes that answered that their endpoint is full.
+    pub(crate) full: u32,
     /// When the call came in.
     pub(crate) since: ClockTime,
 }
