Keep idle endpoints open to nodes that are not their home

Cause: a node adds its own requests to the load last told of a foreign endpoint, and gossip tells only changes. An idle service has none, so it filled up in that node's view until the node refused every call as overloaded. Found in a trial of nine processes: 3 services, 30 calls a second. Ruled out: lost releases (none unconfirmed), outliers (no failed attempt), limits. Change: what ended no longer counts as sent, and loads are told to the route table anew each second.

--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -207,6 +207,7 @@
     /// Duties that need no more than a second's care.
     fn tick_second(&mut self, now: ClockTime) {
         self.route.tick(now);
+        self.repeat_digests();
         self.grants.tick(now);
         self.send_shares(now);
         self.repeat_releases(now);
--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -191,6 +191,20 @@
         }
     }
 
+    /// Tells the route table that loads are as they were last told.
+    ///
+    /// Gossip tells only news, and the route table adds what was sent since the last digest to the
+    /// load in it. Without this an idle endpoint with another home would look fuller with every
+    /// request, until this node no longer asked for it at all.
+    pub(crate) fn repeat_digests(&mut self) {
+        let endpoints = self.membership.endpoints();
+        let foreign = endpoints.filter(|record| record.home != self.node);
+        let foreign: Vec<EndpointId> = foreign.map(|record| record.id).collect();
+        for endpoint in foreign {
+            self.refresh_load(endpoint);
+        }
+    }
+
     fn refresh_load(&mut self, endpoint: EndpointId) {
         let Some(record) = self.membership.endpoint(endpoint) else {
             return;
--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -101,6 +101,12 @@
 
     /// Notes how a request of this node ended at an endpoint whose home is elsewhere.
     pub fn observe_outcome(&mut self, endpoint: EndpointId, outcome: SlotOutcome, now: ClockTime) {
+        if let Some(key) = self.ids.get(&endpoint).copied() {
+            self.change(key, |state| {
+                // What ended is no longer part of what was sent since the last digest.
+                state.view.sent_since = state.view.sent_since.saturating_sub(1);
+            });
+        }
         let Some(state) = self.state_of(endpoint) else {
             return;
         };
