--- /dev/null
+++ b/crates/ragwortroad_consensus/examples/group_cost.rs
@@ -0,0 +1,134 @@
+//! Measures, over fake messages and disks: bytes a second of a quiet group, the time without a
+//! leader, and what it takes to catch up.
+//!
+//! One way takes 0.5 to 6 ms, a sync 0.2 to 8 ms.
+//!
+//! ```sh
+//! cargo run --release -p ragwortroad_consensus --example group_cost
+//! ```
+
+// The tests use the rest of it.
+#[allow(dead_code)]
+#[path = "../tests/schedules/world/mod.rs"]
+mod world;
+
+use ragwortroad_consensus::prelude::*;
+use world::{
+    SimPlan,
+    SimWorld, //
+};
+
+fn calm_world(seed: u64, nodes: usize) -> SimWorld {
+    let mut world = SimWorld::new(SimPlan {
+        seed,
+        nodes,
+        founders: nodes,
+        client_every_ms: 100_000_000,
+        core: CoreSettings::default(),
+        ..SimPlan::default()
+    });
+    world.is_calm = true;
+    world.run_until(8_000_000);
+    world
+}
+
+fn acting(world: &SimWorld) -> Option<usize> {
+    (0..world.nodes.len()).find(|&node| {
+        let now = world.local(node);
+        let target = &world.nodes[node];
+        !target.is_paused
+            && target
+                .core()
+                .is_some_and(|core| core.may_act_as_leader(now))
+    })
+}
+
+fn main() {
+    println!("Quiet group, without the transport's own bytes:");
+    for nodes in [3, 5, 7] {
+        quiet(nodes);
+    }
+    println!("Time without anyone in charge, in lease lengths:");
+    for nodes in [3, 5, 7] {
+        failover("leader lost", nodes, |world, leader| {
+            world.nodes[leader].is_paused = true;
+        });
+        failover("handover", nodes, |world, leader| {
+            world.input(leader, CoreInput::HandOver);
+        });
+    }
+    println!("Catching up after a restart, three members, commands of 8 to 119 bytes:");
+    for missed in [100, 1000, 10_000, 100_000] {
+        catch_up(missed);
+    }
+}
+
+fn quiet(nodes: usize) {
+    let mut world = calm_world(1, nodes);
+    let before = world.counts.clone();
+    world.run_until(68_000_000);
+    let messages = (world.counts.messages - before.messages) as f64 / 60.0;
+    let bytes = (world.counts.message_bytes - before.message_bytes) as f64 / 60.0;
+    let each = bytes / nodes as f64;
+    println!("  {nodes} members: {messages:.1} messages/s, {bytes:.0} B/s, {each:.0} B/s a member");
+}
+
+/// Ends the leader's time by `end` in many groups; measures until another may act.
+fn failover(title: &str, nodes: usize, end: impl Fn(&mut SimWorld, usize)) {
+    let lease = CoreSettings::default().lease_span().as_millis() as f64;
+    let mut spans = Vec::new();
+    for seed in 0..300 {
+        let mut world = calm_world(seed, nodes);
+        let begun = world.now_us + seed * 1003;
+        world.run_until(begun);
+        let Some(leader) = acting(&world) else {
+            continue;
+        };
+        end(&mut world, leader);
+        while acting(&world).is_none() {
+            world.run_until(world.now_us + 1000);
+        }
+        spans.push((world.now_us - begun) as f64 / 1000.0 / lease);
+    }
+    spans.sort_unstable_by(f64::total_cmp);
+    let at = |percent: usize| spans[(spans.len() - 1) * percent / 100];
+    println!(
+        "  {title}, {nodes} members: p50 {:.2}, p99 {:.2}, most {:.2} ({} runs, lease {lease} ms)",
+        at(50),
+        at(99),
+        at(100),
+        spans.len()
+    );
+}
+
+fn catch_up(missed: u64) {
+    let mut world = calm_world(3, 3);
+    let Some(leader) = acting(&world) else {
+        return println!("  no leader");
+    };
+    let late = (leader + 1) % 3;
+    world.nodes[late].process = None;
+    world.nodes[late].epoch += 1;
+    for _ in 0..missed.div_ceil(100) {
+        for _ in 0..100 {
+            let token = world.token();
+            world.propose(leader, token);
+        }
+        world.run_until(world.now_us + 100_000);
+    }
+    world.run_until(world.now_us + 1_000_000);
+    let commit = |world: &SimWorld, node: usize| {
+        let core = world.nodes[node].core();
+        core.map_or(0, ConsensusCore::commit_index)
+    };
+    let target = commit(&world, leader);
+    let begun = world.now_us;
+    let before = world.counts.message_bytes;
+    world.start(late);
+    while commit(&world, late) < target {
+        world.run_until(world.now_us + 1000);
+    }
+    let span = (world.now_us - begun) / 1000;
+    let bytes = world.counts.message_bytes - before;
+    println!("  {missed} missed: {span} ms, {bytes} bytes");
+}
--- a/crates/ragwortroad_log/src/fake_disk.rs
+++ b/crates/ragwortroad_log/src/fake_disk.rs
@@ -9,6 +9,12 @@
     }, //
 };
 
+use crate::fake_state::{
+    DiskState,
+    FakeFile,
+    NameChange, //
+};
+
 /// A disk in memory: what is not synced can be lost, torn or reordered by a crash.
 ///
 /// Clones share the disk, so that a test keeps it while the process on it "crashes".
@@ -24,41 +30,6 @@
     names: BTreeMap<String, usize>,
 }
 
-#[derive(Debug, Default)]
-struct DiskState {
-    files: Vec<FakeFile>,
-    /// What a running process sees.
-    names: BTreeMap<String, usize>,
-    /// What a crash leaves for sure.
-    durable_names: BTreeMap<String, usize>,
-    /// Changes of names since the folder was synced, oldest first.
-    pending: Vec<NameChange>,
-    fail_syncs: u32,
-    /// Operations left before the machine stops.
-    stop_after: Option<u32>,
-    capacity: Option<u64>,
-    syncs: u64,
-    sync_fails: u64,
-}
-
-#[derive(Clone, Debug, Default)]
-struct FakeFile {
-    current: Vec<u8>,
-    synced: Vec<u8>,
-    /// A sync failed: the pages count as clean, but never reach the disk.
-    poisoned: bool,
-}
-
-#[derive(Clone, Debug)]
-enum NameChange {
-    Link(String, usize),
-    Rename(String, String),
-    Unlink(String),
-}
-
-/// Bytes a disk writes as a whole.
-const SECTOR_BYTES: usize = 512;
-
 impl FakeDisk {
     /// Lets the next `count` syncs fail.
     pub fn fail_syncs(&self, count: u32) {
@@ -252,75 +223,3 @@
         Ok(())
     }
 }
-
-impl DiskState {
-    /// Counts one change, unless the machine has stopped.
-    fn step(&mut self) -> io::Result<()> {
-        match &mut self.stop_after {
-            Some(0) => Err(io::Error::other("the machine has stopped")),
-            Some(left) => {
-                *left -= 1;
-                Ok(())
-            }
-            None => Ok(()),
-        }
-    }
-
-    fn find(&self, name: &str) -> io::Result<usize> {
-        let at = self.names.get(name).copied();
-        at.ok_or_else(|| io::ErrorKind::NotFound.into())
-    }
-
-    fn change(&mut self, change: NameChange) {
-        change.apply(&mut self.names);
-        self.pending.push(change);
-    }
-
-    fn room(&self) -> u64 {
-        let used: usize = self
-            .names
-            .values()
-            .map(|&at| self.files[at].current.len())
-            .sum();
-        self.capacity
-            .map_or(u64::MAX, |most| most.saturating_sub(used as u64))
-    }
-}
-
-impl NameChange {
-    fn apply(&self, names: &mut BTreeMap<String, usize>) {
-        match self {
-            Self::Link(name, at) => {
-                names.insert(name.clone(), *at);
-            }
-            Self::Rename(from, to) => {
-                if let Some(at) = names.remove(from) {
-                    names.insert(to.clone(), at);
-                }
-            }
-            Self::Unlink(name) => {
-                names.remove(name);
-            }
-        }
-    }
-}
-
-impl FakeFile {
-    /// Keeps the synced bytes, and of what was appended since any of its sectors.
-    fn crash(&mut self, draw: &mut impl FnMut(u64) -> u64) {
-        let kept = self.synced.len();
-        let appended = self.current.len() > kept && self.current.starts_with(&self.synced);
-        if appended && !self.poisoned {
-            let length = kept + draw((self.current.len() - kept) as u64 + 1) as usize;
-            let mut bytes = self.current[..length].to_vec();
-            for sector in bytes[kept..].chunks_mut(SECTOR_BYTES) {
-                if draw(4) == 1 {
-                    sector.fill(0);
-                }
-            }
-            self.synced = bytes;
-        }
-        self.current = self.synced.clone();
-        self.poisoned = false;
-    }
-}
--- a/crates/ragwortroad_log/src/folder_open.rs
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -1,7 +1,5 @@
 //! Reading a data folder back, and deciding whether it can be trusted.
 
-use std::io;
-
 use snafu::{
     OptionExt,
     ResultExt,
@@ -13,9 +11,6 @@
     FolderSettings,
     LogError,
     LogFolder,
-    MemberStart,
-    StoredEntry,
-    StoredSnapshot,
     StoredState,
     folder_files::{
         BOOT_NAME,
@@ -26,13 +21,23 @@
         VOTE_NAME,
         generation_of,
         log_name,
-        snapshot_name,
         write_frame,
         write_vote,
         write_whole, //
     },
+    folder_replay::{
+        check_entries,
+        check_header,
+        check_vote,
+        corrupt,
+        last_vote,
+        read_file,
+        read_single,
+        read_snapshot,
+        replay_entries,
+        replay_starts, //
+    },
     log_error::{
-        CorruptSnafu,
         DiskSnafu,
         RolledBackSnafu, //
     },
@@ -45,9 +50,6 @@
     record_scan::RecordScan, //
 };
 
-/// Members whose starts are kept; many times the members of any group.
-const MAX_STARTS: usize = 64;
-
 /// Layout of the files this program writes and reads.
 pub(crate) const VERSION: u32 = 1;
 
@@ -222,124 +224,6 @@
     Ok((folder, state))
 }
 
-/// The entries that `frames` leave in the log.
-pub(crate) fn replay_entries(frames: &[RecordFrame]) -> Vec<StoredEntry> {
-    let mut entries: Vec<StoredEntry> = Vec::new();
-    for frame in frames {
-        match &frame.record {
-            LogRecord::Entry(entry) => entries.push(entry.clone()),
-            LogRecord::Truncate(from) => entries.retain(|entry| entry.index < *from),
-            _ => {}
-        }
-    }
-    entries
-}
-
-fn replay_starts(frames: &[RecordFrame], header: &LogHeader) -> Vec<MemberStart> {
-    let mut starts = header.starts.clone();
-    for frame in frames {
-        if let LogRecord::Start(start) = frame.record {
-            keep_start(&mut starts, start);
-        }
-    }
-    starts
-}
-
-/// Puts `start` in the place of an earlier one of the same member.
-pub(crate) fn keep_start(starts: &mut Vec<MemberStart>, start: MemberStart) {
-    starts.retain(|known| known.member != start.member);
-    starts.push(start);
-    if starts.len() > MAX_STARTS {
-        starts.remove(0);
-    }
-}
-
-fn last_vote(frames: &[RecordFrame], first: CountedVote) -> CountedVote {
-    let mut votes = frames.iter().filter_map(|frame| match frame.record {
-        LogRecord::Vote(vote) => Some(vote),
-        _ => None,
-    });
-    votes.next_back().unwrap_or(first)
-}
-
-/// Compares the log's vote with the vote file's: see [`CountedVote`].
-fn check_vote(vote: CountedVote, copy: CountedVote) -> Result<(), LogError> {
-    let same = vote == copy;
-    let ahead = vote.count == copy.count + 1 && vote.vote.term >= copy.vote.term;
-    let detail = format!(
-        "the log's vote has number {} and the vote file's {}",
-        vote.count, copy.count
-    );
-    ensure!(same || ahead, RolledBackSnafu { detail });
-    Ok(())
-}
-
-fn check_header(
-    scan: &RecordScan,
-    name: &str,
-    identity: u64,
-    generation: u64,
-) -> Result<LogHeader, LogError> {
-    let first = scan.frames.first().map(|frame| &frame.record);
-    let Some(LogRecord::Header(header)) = first else {
-        return corrupt(name, 0, "the header cannot be read");
-    };
-    if header.version != VERSION {
-        return corrupt(name, 0, "another version of this program wrote it");
-    }
-    if header.identity != identity || header.generation != generation {
-        return corrupt(name, 0, "it belongs to another data folder");
-    }
-    Ok(header.clone())
-}
-
-fn check_entries(entries: &[StoredEntry], header: &LogHeader, name: &str) -> Result<(), LogError> {
-    let indexes = header.snapshot_index + 1..;
-    let contiguous = indexes
-        .zip(entries)
-        .all(|(index, entry)| index == entry.index);
-    if !contiguous {
-        return corrupt(name, 0, "entries are missing between others");
-    }
-    Ok(())
-}
-
-fn read_snapshot(port: &DiskPort, header: &LogHeader) -> Result<Option<StoredSnapshot>, LogError> {
-    if header.snapshot_index == 0 {
-        return Ok(None);
-    }
-    let name = snapshot_name(header.generation);
-    match read_single(port, &name)? {
-        LogRecord::Snapshot(identity, snapshot)
-            if identity == header.identity && snapshot.index == header.snapshot_index =>
-        {
-            Ok(Some(snapshot))
-        }
-        _ => corrupt(&name, 0, "it belongs to another log"),
-    }
-}
-
-/// The record of a file that holds just one.
-fn read_single(port: &DiskPort, name: &str) -> Result<LogRecord, LogError> {
-    let bytes = read_file(port, name)?;
-    match RecordFrame::read(&bytes) {
-        Some((frame, length)) if length == bytes.len() => Ok(frame.record),
-        _ => corrupt(name, 0, "its checksum does not fit"),
-    }
-}
-
-fn read_file(port: &DiskPort, name: &str) -> Result<Vec<u8>, LogError> {
-    let outcome = port.read(name);
-    if let Err(error) = &outcome
-        && error.kind() == io::ErrorKind::NotFound
-    {
-        let detail = format!("'{name}' is missing");
-        return RolledBackSnafu { detail }.fail();
-    }
-    let action = "read";
-    outcome.context(DiskSnafu { action, name })
-}
-
 /// Writes the log file anew with what is intact, so that all of it is durable.
 ///
 /// An earlier process may have seen a sync fail, and the operating system may since count the
@@ -382,12 +266,3 @@
     let name = "the folder";
     port.sync_folder().context(DiskSnafu { action, name })
 }
-
-fn corrupt<T>(name: &str, offset: u64, detail: &str) -> Result<T, LogError> {
-    CorruptSnafu {
-        name,
-        offset,
-        detail,
-    }
-    .fail()
-}
--- a/crates/ragwortroad_log/src/lib.rs
+++ b/crates/ragwortroad_log/src/lib.rs
@@ -27,8 +27,11 @@
 
 mod disk_port;
 mod fake_disk;
+mod fake_state;
 mod folder_files;
+mod folder_generation;
 mod folder_open;
+mod folder_replay;
 mod folder_settings;
 mod log_change;
 mod log_error;
--- a/crates/ragwortroad_log/src/log_folder.rs
+++ b/crates/ragwortroad_log/src/log_folder.rs
@@ -11,18 +11,17 @@
     MemberStart,
     RealDisk,
     StoredEntry,
-    StoredSnapshot,
     StoredState,
     VoteRecord,
     folder_files::{
         BOOT_NAME,
         log_name,
-        snapshot_name,
         write_frame,
         write_vote,
         write_whole, //
     },
     folder_open,
+    folder_replay,
     log_error::{
         DiskSnafu,
         InUseSnafu,
@@ -32,11 +31,9 @@
     },
     log_record::{
         CountedVote,
-        LogHeader,
         LogRecord, //
     },
-    record_frame::RecordFrame,
-    record_scan::RecordScan, //
+    record_frame::RecordFrame, //
 };
 
 /// One data folder, open for writing.
@@ -127,7 +124,7 @@
             self.append_vote(vote)?;
         }
         for &start in &change.starts {
-            folder_open::keep_start(&mut self.starts, start);
+            folder_replay::keep_start(&mut self.starts, start);
             self.append_record(LogRecord::Start(start))?;
         }
         if let Some(from) = change.truncate_from {
@@ -182,7 +179,7 @@
         self.append_record(LogRecord::Entry(entry.clone()))
     }
 
-    fn append_record(&mut self, record: LogRecord) -> Result<(), LogError> {
+    pub(crate) fn append_record(&mut self, record: LogRecord) -> Result<(), LogError> {
         let frame = RecordFrame {
             sequence: self.next_sequence,
             synced: self.synced_sequence,
@@ -227,84 +224,4 @@
         }
         Ok(())
     }
-
-    /// Starts a new log file after `snapshot` with the entries that are still needed.
-    fn start_generation(&mut self, snapshot: &StoredSnapshot) -> Result<(), LogError> {
-        let detail = "an older snapshot cannot replace a newer one";
-        ensure!(snapshot.index > self.snapshot_index, MisfitSnafu { detail });
-        let kept = self.entries_after(snapshot)?;
-        let old = self.generation;
-        self.generation += 1;
-        self.write_snapshot(snapshot)?;
-        self.snapshot_index = snapshot.index;
-        self.last_index = snapshot.index + kept.len() as u64;
-        self.write_log(&kept)?;
-        self.remove_generation(old)
-    }
-
-    /// The entries of the current file that stay when `snapshot` replaces those up to its index.
-    fn entries_after(&self, snapshot: &StoredSnapshot) -> Result<Vec<StoredEntry>, LogError> {
-        let name = log_name(self.generation);
-        let action = "read";
-        let bytes = self.port.read(&name).context(DiskSnafu {
-            action,
-            name: &name,
-        })?;
-        let scan = RecordScan::read(&name, &bytes)?;
-        let entries = folder_open::replay_entries(&scan.frames);
-        let same = entries
-            .iter()
-            .any(|entry| entry.index == snapshot.index && entry.term == snapshot.term);
-        let mut kept = entries;
-        kept.retain(|entry| same && entry.index > snapshot.index);
-        Ok(kept)
-    }
-
-    fn write_snapshot(&mut self, snapshot: &StoredSnapshot) -> Result<(), LogError> {
-        let frame = RecordFrame {
-            sequence: 0,
-            synced: 0,
-            record: LogRecord::Snapshot(self.identity, snapshot.clone()),
-        };
-        let mut bytes = Vec::new();
-        write_frame(&frame, &mut bytes)?;
-        write_whole(&mut self.port, &snapshot_name(self.generation), &bytes)
-    }
-
-    /// Writes the log file of the current generation with a header and `entries`.
-    pub(crate) fn write_log(&mut self, entries: &[StoredEntry]) -> Result<(), LogError> {
-        let header = LogHeader {
-            version: folder_open::VERSION,
-            identity: self.identity,
-            generation: self.generation,
-            vote: self.vote,
-            starts: self.starts.clone(),
-            snapshot_index: self.snapshot_index,
-        };
-        self.append_record(LogRecord::Header(header))?;
-        for entry in entries {
-            self.append_record(LogRecord::Entry(entry.clone()))?;
-        }
-        self.synced_sequence = self.next_sequence;
-        self.append_record(LogRecord::Durable)?;
-        let bytes = std::mem::take(&mut self.buffer);
-        write_whole(&mut self.port, &log_name(self.generation), &bytes)?;
-        self.synced_sequence = self.next_sequence;
-        Ok(())
-    }
-
-    fn remove_generation(&mut self, generation: u64) -> Result<(), LogError> {
-        let action = "remove";
-        for name in [log_name(generation), snapshot_name(generation)] {
-            let outcome = self.port.remove(&name);
-            if outcome
-                .as_ref()
-                .is_err_and(|error| error.kind() == std::io::ErrorKind::NotFound)
-            {
-                continue;
-            }
-            outcome.context(DiskSnafu { action, name })?;
-        }
-        Ok(())
-    }
 }
