--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -1,4 +1,7 @@
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use rand::{
     RngExt,
@@ -189,11 +192,28 @@
         self.gate.hold(HeldEffect::Send(to, message));
     }
 
+    /// An election starts an election timeout and some more from now, if nothing is heard.
     pub(crate) fn draw_election(&mut self, now: ClockTime) {
-        let span = self.settings.election_timeout;
-        let extra = self.rng.random_range(0..=span.as_millis() as u64);
-        let spread = std::time::Duration::from_millis(extra);
-        self.election_at = now.after(span).after(spread);
+        let least = self.settings.election_timeout;
+        self.draw_within(now, least, least / 2);
+    }
+
+    /// The question who would vote binds nobody and is soon asked again: a member that heard the
+    /// leader a little later says no only a little longer.
+    pub(crate) fn draw_pre_vote(&mut self, now: ClockTime) {
+        let least = self.settings.election_timeout / 8;
+        self.draw_within(now, least, least * 2);
+    }
+
+    /// Votes that split between candidates need another term.
+    pub(crate) fn draw_vote(&mut self, now: ClockTime) {
+        let least = self.settings.election_timeout / 2;
+        self.draw_within(now, least, least);
+    }
+
+    fn draw_within(&mut self, now: ClockTime, least: Duration, spread: Duration) {
+        let extra = self.rng.random_range(0..=spread.as_millis() as u64);
+        self.election_at = now.after(least).after(Duration::from_millis(extra));
     }
 
     pub(crate) fn set_leader(&mut self, leader: Option<MemberId>) {
--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -35,7 +35,7 @@
     /// A member that is cut off time and again would otherwise come back each time with a higher
     /// term and depose a leader that everybody else hears well.
     fn start_pre_vote(&mut self, now: ClockTime) {
-        self.draw_election(now);
+        self.draw_pre_vote(now);
         self.set_leader(None);
         let mut tally = VoteTally::default();
         tally.granted.insert(self.id);
@@ -53,7 +53,7 @@
 
     /// Votes for itself and, once that is durable, asks the others.
     pub(crate) fn start_vote(&mut self, handover: bool, now: ClockTime) {
-        self.draw_election(now);
+        self.draw_vote(now);
         self.set_leader(None);
         self.agreed = self.commit;
         let term = self.vote.term.saturating_add(1);
--- a/crates/ragwortroad_consensus/src/leading.rs
+++ b/crates/ragwortroad_consensus/src/leading.rs
@@ -182,13 +182,18 @@
     }
 
     pub(crate) fn take_ack(&mut self, from: MemberId, sent_at: ClockTime, now: ClockTime) {
-        let Some(state) = self.leading_mut() else {
+        let timeout = self.settings.election_timeout;
+        let state = self.leading_mut();
+        let Some(progress) = state.and_then(|state| state.progress.get_mut(&from)) else {
             return;
         };
-        if let Some(progress) = state.progress.get_mut(&from) {
-            progress.acked(sent_at, now);
-            self.finish_reads(now);
+        let is_back = progress.is_silent(timeout, now) && progress.active_at < now;
+        progress.acked(sent_at, now);
+        if is_back {
+            progress.send_again();
+            self.send_entries(from, now);
         }
+        self.finish_reads(now);
     }
 
     pub(crate) fn read(&mut self, token: u64, now: ClockTime) {
--- a/crates/ragwortroad_consensus/src/member_progress.rs
+++ b/crates/ragwortroad_consensus/src/member_progress.rs
@@ -1,4 +1,7 @@
-use std::sync::Arc;
+use std::{
+    sync::Arc,
+    time::Duration, //
+};
 
 use ragwortroad_log::StoredSnapshot;
 use ragwortroad_types::ClockTime;
@@ -65,6 +68,14 @@
         self.in_flight = 0;
     }
 
+    /// Gives up on what is under way, and starts from what is known to have come.
+    pub(crate) fn send_again(&mut self) {
+        self.in_flight = 0;
+        if matches!(self.mode, SendMode::Pipeline) {
+            self.probe(self.match_index + 1);
+        }
+    }
+
     /// The member has everything up to `index`.
     pub(crate) fn matched(&mut self, index: u64) {
         self.match_index = self.match_index.max(index);
@@ -77,6 +88,12 @@
         }
     }
 
+    /// Whether nothing has been heard of the member for `timeout`.
+    pub(crate) fn is_silent(&self, timeout: Duration, now: ClockTime) -> bool {
+        let heard = self.acked_at.unwrap_or(self.since);
+        now >= heard.after(timeout)
+    }
+
     /// A message sent at `sent_at` has been confirmed.
     pub(crate) fn acked(&mut self, sent_at: ClockTime, now: ClockTime) {
         // A reading from the future can only come of a fault in the member; trusting it would
--- a/crates/ragwortroad_consensus/src/receiving.rs
+++ b/crates/ragwortroad_consensus/src/receiving.rs
@@ -117,9 +117,9 @@
         }
     }
 
-    /// Uncounts what `member` promised before its restart.
+    /// Uncounts what `member` promised before its restart, and finds out what it has now.
     fn forget_promises(&mut self, member: MemberId, now: ClockTime) {
-        let next_index = self.log.last().index + 1;
+        let next_index = self.log.last().index.saturating_add(1);
         match &mut self.state {
             MemberState::PreCandidate(tally) | MemberState::Candidate(tally) => {
                 tally.granted.remove(&member);
@@ -128,7 +128,7 @@
                 if let Some(progress) = state.progress.get_mut(&member) {
                     progress.match_index = 0;
                     progress.probe(next_index);
-                    progress.active_at = now;
+                    self.send_entries(member, now);
                 }
             }
             MemberState::Follower => {}
--- a/crates/ragwortroad_consensus/src/rejoining.rs
+++ b/crates/ragwortroad_consensus/src/rejoining.rs
@@ -33,9 +33,10 @@
         }
     }
 
-    /// A member that knows no group asks whoever turns up.
+    /// Asks whoever turns up and is not among the members known here: while this member was away
+    /// all that it knew may have been replaced, or it had not yet heard of any.
     pub(crate) fn ask_stranger(&mut self, from: MemberId) {
-        if self.check.members().is_empty() {
+        if self.check.members().find(from).is_none() {
             self.send(from, PeerMessage::Hello);
         }
     }
--- a/crates/ragwortroad_consensus/src/replicating.rs
+++ b/crates/ragwortroad_consensus/src/replicating.rs
@@ -70,8 +70,7 @@
             index: prev_index,
         };
         // A member that does not answer gets no entries again and again, only the question.
-        let heard = progress.acked_at.unwrap_or(progress.since);
-        let is_silent = now >= heard.after(self.settings.election_timeout);
+        let is_silent = progress.is_silent(self.settings.election_timeout, now);
         let slice = self.log.slice(progress.next_index, max_bytes);
         let entries: Vec<_> = slice
             .iter()
@@ -201,10 +200,7 @@
             if !is_waiting || now < progress.active_at.after(resend_after) {
                 continue;
             }
-            match progress.mode {
-                SendMode::Snapshot(_) => progress.in_flight = 0,
-                _ => progress.probe(progress.match_index + 1),
-            }
+            progress.send_again();
             stalled.push(member);
         }
         for member in stalled {
