--- a/crates/ragwortroad_consensus/tests/schedules/world/fault_kind.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/fault_kind.rs
@@ -21,10 +21,12 @@
     LostDisk,
     /// The leader is asked to hand over.
     HandOver,
+    /// A member that is well is taken out of a group that can spare it, and comes back later.
+    RemoveMember,
 }
 
 impl FaultKind {
-    pub(crate) const ALL: [Self; 10] = [
+    pub(crate) const ALL: [Self; 11] = [
         Self::Crash,
         Self::CrashInWrite,
         Self::PowerCut,
@@ -35,5 +37,6 @@
         Self::Cut,
         Self::LostDisk,
         Self::HandOver,
+        Self::RemoveMember,
     ];
 }
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_faults.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_faults.rs
@@ -35,6 +35,7 @@
             FaultKind::Cut => self.cut(node),
             FaultKind::LostDisk => self.lose_disk(node),
             FaultKind::HandOver => self.hand_over(),
+            FaultKind::RemoveMember => self.remove_member(node),
         }
     }
 
@@ -182,6 +183,19 @@
         self.nodes[node].rolled_back_from = most;
     }
 
+    fn remove_member(&mut self, node: usize) {
+        let members = self.operator.settled_members(self);
+        let member = self.nodes[node].member;
+        if let Some(leader) = self.acting_node()
+            && let Some(member) = member
+            && members.is_some_and(|set| set.voters().count() > 3 && set.is_voter(member))
+        {
+            let token = self.token();
+            let change = MemberChange::Remove { member };
+            self.input(leader, CoreInput::ChangeMember { token, change });
+        }
+    }
+
     fn hand_over(&mut self) {
         let leader = self
             .nodes
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_operator.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_operator.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    fn acting_node(&self) -> Option<usize> {
+    pub(crate) fn acting_node(&self) -> Option<usize> {
         self.nodes.iter().position(|node| {
             let now = node.clock.reading(self.now_us);
             !node.is_paused && node.core().is_some_and(|core| core.may_act_as_leader(now))
