Let followers read committed entries; never ask to be woken in the past

Cause: a learner's election time passed without an election, so that its wake_at lay in the past and a caller waiting for it would have spun. A hello that is asked again was written again.

--- a/crates/ragwortroad_consensus/src/applying.rs
+++ b/crates/ragwortroad_consensus/src/applying.rs
@@ -4,8 +4,7 @@
     ConsensusCore,
     CoreAction,
     EntryPayload,
-    ProposeResult,
-    core_new::decode_payload, //
+    ProposeResult, //
 };
 
 impl ConsensusCore {
@@ -25,7 +24,7 @@
         };
         let term = entry.term;
         self.applied_bytes += entry.bytes.len();
-        match decode_payload(&entry.bytes) {
+        match EntryPayload::decode(&entry.bytes) {
             Ok(EntryPayload::Noop) => {}
             Ok(EntryPayload::Command(command)) => {
                 self.out.push(CoreAction::Apply {
--- a/crates/ragwortroad_consensus/src/core_new.rs
+++ b/crates/ragwortroad_consensus/src/core_new.rs
@@ -48,7 +48,7 @@
         let (base, members) = read_snapshot(&stored)?;
         let mut history = MemberHistory::new(base.index, members);
         for entry in &stored.entries {
-            if let EntryPayload::Members(set) = decode_payload(&entry.bytes)? {
+            if let EntryPayload::Members(set) = EntryPayload::decode(&entry.bytes)? {
                 history.push(entry.index, set);
             }
         }
@@ -116,7 +116,7 @@
         let entry = StoredEntry {
             index: 1,
             term: 1,
-            bytes: encode_payload(&payload),
+            bytes: payload.encode(),
         };
         self.gate.change().entries.push(entry.clone());
         self.log.push(entry);
@@ -146,14 +146,3 @@
     };
     Ok((base, members))
 }
-
-/// The payload that the bytes of an entry stand for.
-pub(crate) fn decode_payload(bytes: &[u8]) -> Result<EntryPayload, CoreError> {
-    let what = "a log entry";
-    postcard::from_bytes(bytes).context(UndecodableSnafu { what })
-}
-
-/// The bytes of `payload`; encoding into memory of plain types does not fail.
-pub(crate) fn encode_payload(payload: &EntryPayload) -> Vec<u8> {
-    postcard::to_stdvec(payload).unwrap_or_default()
-}
--- a/crates/ragwortroad_consensus/src/core_view.rs
+++ b/crates/ragwortroad_consensus/src/core_view.rs
@@ -1,5 +1,9 @@
 //! What can be asked of a member without changing it.
 
+use ragwortroad_log::{
+    StoredEntry,
+    StoredSnapshot, //
+};
 use ragwortroad_types::ClockTime;
 
 use crate::{
@@ -77,6 +81,26 @@
         self.commit
     }
 
+    /// Committed entries after `index`, up to about `max_bytes` but at least one, for those who
+    /// follow the log without being members.
+    ///
+    /// Nothing if they are no longer in memory: then [`latest_snapshot`](Self::latest_snapshot)
+    /// has what came before those that are. Their bytes are read by
+    /// [`EntryPayload::decode`](crate::EntryPayload::decode).
+    pub fn committed_after(&self, index: u64, max_bytes: usize) -> Option<&[StoredEntry]> {
+        if index < self.log.base().index {
+            return None;
+        }
+        let slice = self.log.slice(index.saturating_add(1), max_bytes);
+        let committed = slice.partition_point(|entry| entry.index <= self.commit);
+        Some(&slice[..committed])
+    }
+
+    /// The latest snapshot, taken here or received.
+    pub fn latest_snapshot(&self) -> Option<&StoredSnapshot> {
+        self.snapshot.as_deref()
+    }
+
     /// Last entry of the log here, durable or not.
     pub fn last_position(&self) -> LogPosition {
         self.log.last()
--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -22,6 +22,9 @@
             self.lead(now);
         } else if self.may_campaign(now) {
             self.start_pre_vote(now);
+        } else if now >= self.election_at {
+            self.draw_election(now);
+            self.set_leader(None);
         }
     }
 
--- a/crates/ragwortroad_consensus/src/entry_payload.rs
+++ b/crates/ragwortroad_consensus/src/entry_payload.rs
@@ -3,7 +3,13 @@
     Serialize, //
 };
 
-use crate::MemberSet;
+use snafu::ResultExt;
+
+use crate::{
+    CoreError,
+    MemberSet,
+    core_error::UndecodableSnafu, //
+};
 
 /// What a log entry holds.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,3 +21,16 @@
     /// The members from this entry on.
     Members(MemberSet),
 }
+
+impl EntryPayload {
+    /// The payload that the bytes of an entry stand for.
+    pub fn decode(bytes: &[u8]) -> Result<Self, CoreError> {
+        let what = "a log entry";
+        postcard::from_bytes(bytes).context(UndecodableSnafu { what })
+    }
+
+    /// The bytes of an entry; encoding plain types into memory does not fail.
+    pub(crate) fn encode(&self) -> Vec<u8> {
+        postcard::to_stdvec(self).unwrap_or_default()
+    }
+}
--- a/crates/ragwortroad_consensus/src/following.rs
+++ b/crates/ragwortroad_consensus/src/following.rs
@@ -10,8 +10,7 @@
     LogPosition,
     MemberId,
     PeerMessage,
-    WireEntry,
-    core_new::decode_payload, //
+    WireEntry, //
 };
 
 impl ConsensusCore {
@@ -138,7 +137,7 @@
     }
 
     fn add_entry(&mut self, entry: StoredEntry) {
-        if let Ok(EntryPayload::Members(set)) = decode_payload(&entry.bytes) {
+        if let Ok(EntryPayload::Members(set)) = EntryPayload::decode(&entry.bytes) {
             self.members.push(entry.index, set);
         }
         self.gate.change().entries.push(entry.clone());
--- a/crates/ragwortroad_consensus/src/leading.rs
+++ b/crates/ragwortroad_consensus/src/leading.rs
@@ -17,7 +17,6 @@
     PeerMessage,
     PendingRead,
     ProposeResult,
-    core_new::encode_payload,
     persist_gate::HeldEffect, //
 };
 
@@ -98,7 +97,7 @@
     pub(crate) fn append_own(&mut self, payload: &EntryPayload, now: ClockTime) -> u64 {
         let term = self.vote.term;
         let index = self.log.last().index + 1;
-        let bytes = encode_payload(payload);
+        let bytes = payload.encode();
         let entry = StoredEntry { index, term, bytes };
         self.gate.change().entries.push(entry.clone());
         self.gate.hold(HeldEffect::OwnMatch(term, index));
--- a/crates/ragwortroad_consensus/src/rejoining.rs
+++ b/crates/ragwortroad_consensus/src/rejoining.rs
@@ -47,13 +47,11 @@
     /// The member's start becomes durable with it: after a restart here, an acknowledgement that
     /// does not carry that start would let a leader count one of the member's earlier start.
     pub(crate) fn answer_hello(&mut self, from: MemberId) {
-        self.gate
-            .change()
-            .starts
-            .push(ragwortroad_log::MemberStart {
-                member: from.0,
-                start: self.starts.latest(from),
-            });
+        if let Some(start) = self.starts.take_unwritten(from) {
+            let member = from.0;
+            let known = ragwortroad_log::MemberStart { member, start };
+            self.gate.change().starts.push(known);
+        }
         let reply = PeerMessage::HelloReply {
             asked: self.starts.latest(from),
             term: self.vote.term,
--- a/crates/ragwortroad_consensus/src/start_table.rs
+++ b/crates/ragwortroad_consensus/src/start_table.rs
@@ -16,6 +16,8 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StartTable {
     starts: BTreeMap<MemberId, u64>,
+    /// The starts that are on the disk, or on their way to it.
+    written: BTreeMap<MemberId, u64>,
 }
 
 /// What a start number says about a member.
@@ -32,11 +34,13 @@
 impl StartTable {
     /// The table with what was told to others before this member's own restart.
     pub(crate) fn from_stored(stored: &[ragwortroad_log::MemberStart]) -> Self {
-        let starts = stored
+        let known = stored
             .iter()
             .map(|known| (MemberId(known.member), known.start));
+        let starts: BTreeMap<_, _> = known.collect();
         Self {
-            starts: starts.collect(),
+            written: starts.clone(),
+            starts,
         }
     }
 
@@ -64,6 +68,13 @@
         starts
     }
 
+    /// The latest start of `member`, if it is still to be written.
+    pub(crate) fn take_unwritten(&mut self, member: MemberId) -> Option<u64> {
+        let start = self.latest(member);
+        let before = self.written.insert(member, start);
+        (before != Some(start)).then_some(start)
+    }
+
     /// The latest start of `member`, if any is known.
     pub(crate) fn latest(&self, member: MemberId) -> u64 {
         self.starts.get(&member).copied().unwrap_or(0)
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
@@ -209,6 +209,12 @@
     fn tick(&mut self, node: usize, epoch: u64) {
         if self.nodes[node].epoch == epoch {
             self.input(node, CoreInput::Tick);
+            let now = self.local(node);
+            let core = self.nodes[node].core();
+            if core.is_some_and(|core| !core.has_failed() && core.wake_at() <= now) {
+                let breach = format!("node {node} wants to be woken in the past, at {now}");
+                self.checker.fails(breach);
+            }
             self.schedule(TICK_US, SimEvent::Tick(node, epoch));
         }
     }
--- a/crates/ragwortroad_log/src/record_frame.rs
+++ b/crates/ragwortroad_log/src/record_frame.rs
@@ -34,7 +34,8 @@
         let body = postcard::to_stdvec(&self.record)?;
         buffer.extend_from_slice(&body);
         let covered = start + PREFIX_BYTES;
-        let length = (buffer.len() - covered) as u32;
+        let length = u32::try_from(buffer.len() - covered);
+        let length = length.map_err(|_| postcard::Error::SerializeBufferFull)?;
         let mut hasher = crc32fast::Hasher::new();
         hasher.update(&length.to_le_bytes());
         hasher.update(&buffer[covered..]);
