--- a/crates/ragwortroad_consensus/src/leading.rs
+++ b/crates/ragwortroad_consensus/src/leading.rs
@@ -17,7 +17,6 @@
     PeerMessage,
     PendingRead,
     ProposeResult,
-    core_new::encode_payload,
     persist_gate::HeldEffect, //
 };
 
@@ -98,7 +97,7 @@
     pub(crate) fn append_own(&mut self, payload: &EntryPayload, now: ClockTime) -> u64 {
         let term = self.vote.term;
         let index = self.log.last().index + 1;
-        let bytes = encode_payload(payload);
+        let bytes = payload.encode();
         let entry = StoredEntry { index, term, bytes };
         self.gate.change().entries.push(entry.clone());
         self.gate.hold(HeldEffect::OwnMatch(term, index));
@@ -182,13 +181,18 @@
     }
 
     pub(crate) fn take_ack(&mut self, from: MemberId, sent_at: ClockTime, now: ClockTime) {
-        let Some(state) = self.leading_mut() else {
+        let timeout = self.settings.election_timeout;
+        let state = self.leading_mut();
+        let Some(progress) = state.and_then(|state| state.progress.get_mut(&from)) else {
             return;
         };
-        if let Some(progress) = state.progress.get_mut(&from) {
-            progress.acked(sent_at, now);
-            self.finish_reads(now);
+        let is_back = progress.is_silent(timeout, now) && progress.active_at < now;
+        progress.acked(sent_at, now);
+        if is_back {
+            progress.send_again();
+            self.send_entries(from, now);
         }
+        self.finish_reads(now);
     }
 
     pub(crate) fn read(&mut self, token: u64, now: ClockTime) {
