Count no slot whose request is gone

A node that restarted within three seconds was never missed, so the slots it had held stayed counted for ten minutes. They closed their engines early and raised the mean that everyone else's bound hangs on. A node that is back now counts as gone first, and a slot that three reports in a row know no request for is left out of the load.

--- a/crates/ragwortroad_bench/src/run/fleet_flow.rs
+++ b/crates/ragwortroad_bench/src/run/fleet_flow.rs
@@ -357,6 +357,8 @@
             }
             NodeNews::NodeBack { back } => {
                 let id = self.node_ids[back as usize];
+                // It restarted: what it held before is gone with it.
+                self.nodes[node].table.node_gone(id, clock);
                 self.nodes[node].nodes.insert(id);
                 self.nodes[node].apply_nodes(clock);
             }
--- a/crates/ragwortroad_routing/src/table/slot_ledger.rs
+++ b/crates/ragwortroad_routing/src/table/slot_ledger.rs
@@ -29,6 +29,8 @@
     ended: VecDeque<(ClockTime, ClockTime)>,
     /// Work that an earlier home admitted, by the endpoint's reports.
     inherited: u32,
+    /// Slots that the endpoint's last reports had no request for.
+    missing: [u32; MISSING_REPORTS],
     /// Milliseconds a slot is held, averaged over the last few.
     life_ms: f64,
 }
@@ -43,13 +45,18 @@
     ends_at: ClockTime,
 }
 
+/// Reports in a row that must miss a slot's request before it counts as ended: a request on its way
+/// is missed once.
+const MISSING_REPORTS: usize = 3;
+
 /// How long ended slots are kept; reports older than that say nothing.
 const ENDED_SPAN: Duration = Duration::from_secs(5);
 
 impl SlotLedger {
     /// Requests at the endpoint, as far as admission is concerned.
     pub(crate) fn load(&self) -> u32 {
-        self.slots.len() as u32 + self.inherited
+        let ghosts = self.missing.iter().copied().min().unwrap_or(0);
+        (self.slots.len() as u32).saturating_sub(ghosts) + self.inherited
     }
 
     /// Slots of `customer`, and the number of customers that would hold one with it.
@@ -153,9 +160,6 @@
     ///
     /// Once `settled` it never raises the account: every request since is known exactly.
     pub(crate) fn observe(&mut self, report: LoadReport, moment: ClockTime, settled: bool) {
-        if settled && self.inherited == 0 {
-            return;
-        }
         let running = self
             .slots
             .values()
@@ -167,7 +171,13 @@
             .filter(|(granted, ended)| *granted <= moment && *ended > moment)
             .count();
         let reported = report.running.saturating_add(report.queued);
-        let unexplained = reported.saturating_sub((running + ended) as u32);
+        let held = (running + ended) as u32;
+        let unexplained = reported.saturating_sub(held);
+        // A slot whose release was lost, or whose node restarted before anyone missed it, would
+        // count for ever; it would close this endpoint early and, as part of the fleet mean, raise
+        // the bound of all others.
+        self.missing.rotate_left(1);
+        self.missing[MISSING_REPORTS - 1] = held.saturating_sub(reported);
         self.inherited = if settled {
             self.inherited.min(unexplained)
         } else {
