Test the bound, the choices, the limits and what follows a failure

400 schedules of 500 steps with late views, changes of home and former homes that go on admitting: no endpoint passes the bound. Limits: a surge of ten times the limit over nine nodes is held to it, and a customer at a third of its limit is refused in under 4, 2 and 0.2 % at 0.5, 3 and 30 requests a second; all of it comes before a node's share. A node without a share now names at most 2 s as the time to wait.

--- a/crates/ragwortroad_routing/src/limit/customer_limiter.rs
+++ b/crates/ragwortroad_routing/src/limit/customer_limiter.rs
@@ -37,6 +37,9 @@
     keeper: DemandKeeper,
 }
 
+/// How long a caller waits at a node that has no share of its customer's limit yet.
+const SHARE_WAIT: Duration = Duration::from_secs(2);
+
 /// How long a caller waits for a place among its own requests.
 const PLACE_WAIT: Duration = Duration::from_millis(500);
 
@@ -89,6 +92,10 @@
         if entry.running >= entry.places {
             wait = wait.max(PLACE_WAIT);
         }
+        if entry.share.is_none() {
+            // The keeper hears of this request within a second or two.
+            wait = wait.min(SHARE_WAIT);
+        }
         if !wait.is_zero() {
             return LimitAnswer::Refused { retry_after: wait };
         }
--- a/crates/ragwortroad_routing/src/limit/demand_keeper.rs
+++ b/crates/ragwortroad_routing/src/limit/demand_keeper.rs
@@ -79,8 +79,8 @@
             .map(|entry| f64::from(entry.requests_per_10_s) / 10.0)
             .collect();
         let places: Vec<f64> = entries().map(|entry| f64::from(entry.concurrent)).collect();
-        let rates = portions(&rates, requests_per_s);
-        let places = portions(&places, f64::from(concurrent));
+        let rates = portions(&rates, requests_per_s, RATE_GRAIN);
+        let places = portions(&places, f64::from(concurrent), PLACE_GRAIN);
         let whole = requests_per_s.max(f64::MIN_POSITIVE);
         let shares = rates.iter().zip(&places).map(|(rate, place)| ShareEntry {
             customer,
@@ -118,16 +118,20 @@
     }
 }
 
-/// Divides `whole` among those who want `wants`.
-fn portions(wants: &[f64], whole: f64) -> Vec<f64> {
+/// The least demand that a digest can tell of.
+const RATE_GRAIN: f64 = 0.1;
+const PLACE_GRAIN: f64 = 1.0;
+
+/// Divides `whole` among those who want `wants`, told in steps of `grain`.
+fn portions(wants: &[f64], whole: f64, grain: f64) -> Vec<f64> {
     let wanted: f64 = wants.iter().sum();
     if wanted > whole {
         return wants.iter().map(|want| want / wanted * whole).collect();
     }
-    let roots: f64 = wants.iter().map(|want| (want + 1.0).sqrt()).sum();
+    let roots: f64 = wants.iter().map(|want| (want + grain).sqrt()).sum();
     let spare = whole - wanted;
     wants
         .iter()
-        .map(|want| want + spare * (want + 1.0).sqrt() / roots.max(1.0))
+        .map(|want| want + spare * (want + grain).sqrt() / roots.max(f64::MIN_POSITIVE))
         .collect()
 }
--- /dev/null
+++ b/crates/ragwortroad_routing/tests/after_failure.rs
@@ -0,0 +1,224 @@
+//! Retries within a budget, endpoints set aside, and what is held where.
+
+use std::time::Duration;
+
+use ragwortroad_routing::prelude::*;
+use ragwortroad_types::prelude::*;
+
+/// Every endpoint fails for a while and each caller's request is tried again and again. The
+/// retries would multiply the load just when nothing can carry it.
+#[test]
+fn an_outage_is_not_multiplied() {
+    let mut budget = RetryBudget::new(0.1, 20);
+    let rule = RetryRule::default();
+    let mut attempts = 0;
+    for _ in 0..10_000 {
+        budget.note_first();
+        let mut failed = FailedAttempt {
+            outcome: RequestOutcome::Unknown,
+            idempotent: true,
+            attempts: 1,
+            time_left: Duration::from_secs(10),
+        };
+        while rule.may_retry(failed, &mut budget) {
+            failed.attempts += 1;
+        }
+        attempts += failed.attempts;
+    }
+    assert!(attempts <= 11_020, "{attempts} attempts of 10000 requests");
+}
+
+/// A booking was sent and its answer lost. A second attempt would book the studio twice.
+#[test]
+fn what_may_have_run_is_repeated_only_if_idempotent() {
+    let mut budget = RetryBudget::new(0.1, 20);
+    let rule = RetryRule::default();
+    let booking = FailedAttempt {
+        outcome: RequestOutcome::Unknown,
+        idempotent: false,
+        attempts: 1,
+        time_left: Duration::from_secs(10),
+    };
+    assert!(!rule.may_retry(booking, &mut budget));
+    let unsent = FailedAttempt {
+        outcome: RequestOutcome::NotRun,
+        ..booking
+    };
+    assert!(rule.may_retry(unsent, &mut budget));
+    let late = FailedAttempt {
+        time_left: Duration::from_millis(10),
+        ..unsent
+    };
+    assert!(!rule.may_retry(late, &mut budget));
+}
+
+/// A shared fault, such as a bad model version, makes every engine fail. Setting all aside would
+/// leave nobody to serve what still works, and would put all work on the last ones left.
+#[test]
+fn only_a_share_is_set_aside_and_returns_slowly() {
+    let settings = OutlierSettings::default();
+    let mut table = OutlierTable::new(settings);
+    let engines: Vec<EndpointId> = (0..10).map(EndpointId).collect();
+    let now = ClockTime(1_000);
+    for _ in 0..20 {
+        for engine in &engines {
+            let out = engines
+                .iter()
+                .filter(|engine| table.is_out(**engine, now))
+                .count();
+            table.failed(*engine, out, engines.len(), now);
+        }
+    }
+    let out = |now| {
+        engines
+            .iter()
+            .filter(|engine| table.is_out(**engine, now))
+            .count()
+    };
+    assert_eq!(out(now), 2, "a fifth of ten");
+    let back = now.after(settings.first_span);
+    assert_eq!(out(back), 0);
+    let limits: Vec<u32> = [0, 5, 10, 20]
+        .iter()
+        .map(|second| table.limit(engines[0], 20, back.after(Duration::from_secs(*second))))
+        .collect();
+    assert_eq!(limits, [1, 5, 10, 20]);
+    let mut again = table.clone();
+    again.failed(engines[0], 0, engines.len(), back);
+    assert!(
+        again.is_out(engines[0], back.after(settings.first_span)),
+        "twice as long"
+    );
+}
+
+fn holding(engine: u64, offers: &[u64]) -> EngineHolding {
+    EngineHolding {
+        id: EndpointId(engine),
+        zone: ZoneKey(engine % 3),
+        capacity: 16,
+        room: 1,
+        holds: offers.iter().copied().map(OfferKey).collect(),
+        open: true,
+    }
+}
+
+fn want(offer: u64, demand: f64) -> OfferWant {
+    OfferWant {
+        offer: OfferKey(offer),
+        demand,
+        least: 1,
+    }
+}
+
+/// Carries out a plan at once.
+fn apply(input: &mut PlacementInput, plan: &PlacementPlan) {
+    for engine in &mut input.engines {
+        let id = engine.id;
+        let dropped = |offer: &OfferKey| {
+            let offer = *offer;
+            plan.drops.contains(&PlacementOrder { engine: id, offer })
+        };
+        engine.holds.retain(|offer| !dropped(offer));
+        let loads = plan.loads.iter().filter(|order| order.engine == id);
+        engine.holds.extend(loads.map(|order| order.offer));
+    }
+}
+
+#[test]
+fn placement_follows_demand_within_the_rate_and_then_rests() {
+    let mut input = PlacementInput {
+        wants: vec![want(1, 40.0), want(2, 10.0)],
+        engines: (0..12).map(|engine| holding(engine, &[1])).collect(),
+        loads: 1,
+    };
+    let settings = PlacementSettings::default();
+    let mut moves = 0;
+    for _ in 0..20 {
+        let plan = PlacementPlan::of(&input, &settings);
+        assert!(plan.loads.len() <= 1, "more than the rate: {plan:?}");
+        moves += plan.loads.len();
+        apply(&mut input, &plan);
+    }
+    assert_eq!(moves, 1, "one engine of the second model carries 10 of 16");
+    // Demand that swings within the band moves nothing; one beyond it does.
+    for demand in [9.0, 11.0, 8.0] {
+        input.wants[1].demand = demand;
+        assert_eq!(
+            PlacementPlan::of(&input, &settings),
+            PlacementPlan::default()
+        );
+    }
+    input.wants[1].demand = 30.0;
+    for _ in 0..5 {
+        let plan = PlacementPlan::of(&input, &settings);
+        apply(&mut input, &plan);
+    }
+    let holders = |offer| {
+        let holds = |engine: &&EngineHolding| engine.holds.contains(&OfferKey(offer));
+        input.engines.iter().filter(holds).count()
+    };
+    assert_eq!((holders(1), holders(2)), (9, 3));
+    let zones: Vec<u64> = input
+        .engines
+        .iter()
+        .filter(|engine| engine.holds.contains(&OfferKey(2)))
+        .map(|engine| engine.zone.0)
+        .collect();
+    assert!(
+        zones.contains(&0) && zones.contains(&1) && zones.contains(&2),
+        "{zones:?}"
+    );
+}
+
+/// A new version goes out to a tenth, then half, then all new chats. One that moved to it must not
+/// be sent back and forth between the steps.
+#[test]
+fn a_roll_out_moves_chats_one_way_and_a_roll_back_is_one_change() {
+    let plan = |old, new| {
+        let versions = vec![VersionWeight::new("v1", old), VersionWeight::new("v2", new)];
+        VersionPlan::new("tutor", versions)
+    };
+    let steps = [plan(90, 10), plan(50, 50), plan(0, 100)];
+    let mut counts = [0; 3];
+    for chat in 0..2_000 {
+        let chat = Some(ChatKey(chat * 7_919));
+        let versions: Vec<_> = steps
+            .iter()
+            .map(|step| step.version_for(chat, None, 0).unwrap())
+            .collect();
+        assert!(versions.is_sorted(), "{versions:?}");
+        for (count, version) in counts.iter_mut().zip(&versions) {
+            *count += u32::from(*version == "v2");
+        }
+        assert_eq!(steps[0].version_for(chat, Some("v2"), 0), Some("v2"));
+        assert_eq!(plan(100, 0).version_for(chat, None, 0), Some("v1"));
+    }
+    assert!((120..280).contains(&counts[0]), "{counts:?}");
+    assert!((900..1_100).contains(&counts[1]), "{counts:?}");
+    assert_eq!(counts[2], 2_000);
+}
+
+#[test]
+fn a_cache_is_moved_where_that_is_faster() {
+    let near = MoveCost {
+        tokens: 8_000,
+        bytes_per_token: 100_000,
+        prefill_per_s: 5_000.0,
+        link_bytes_per_s: 1.2e9,
+        link_delay: Duration::from_micros(500),
+        fixed: Duration::from_millis(50),
+        link_price: 1.0,
+    };
+    assert_eq!(near.cheaper(), MoveChoice::Transfer);
+    let short = MoveCost {
+        tokens: 100,
+        ..near
+    };
+    assert_eq!(short.cheaper(), MoveChoice::Recompute);
+    let across = MoveCost {
+        link_bytes_per_s: 1.2e8,
+        link_price: 3.0,
+        ..near
+    };
+    assert_eq!(across.cheaper(), MoveChoice::Recompute);
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/tests/bound.rs
@@ -0,0 +1,315 @@
+//! No engine carries more than the bound, whoever sends to it and whoever is its home.
+
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+use ragwortroad_routing::prelude::*;
+use ragwortroad_types::prelude::*;
+
+const ENGINES: usize = 6;
+const NODES: usize = 4;
+const FLEET: FleetKey = FleetKey(1);
+const OFFER: OfferKey = OfferKey(1);
+
+fn engine_id(engine: usize) -> EndpointId {
+    EndpointId::from_name(&format!("engine-{engine}"))
+}
+
+fn node_id(node: usize) -> NodeId {
+    NodeId(node as u64 + 1)
+}
+
+fn facts(engine: usize, home: usize) -> EndpointFacts {
+    EndpointFacts {
+        id: engine_id(engine),
+        kind: EndpointKind::Engine,
+        fleet: FLEET,
+        zone: ZoneKey(engine as u64 % 3),
+        capacity: 64,
+        offers: vec![OFFER],
+        home: node_id(home),
+        leaving: false,
+        drained: false,
+    }
+}
+
+fn new_table(node: usize) -> RouteTable {
+    let mut table = RouteTable::new(RouteSettings {
+        node: node_id(node),
+        chat_entries: 64,
+        prefix_entries: 64,
+        ..RouteSettings::default()
+    });
+    for engine in 0..ENGINES {
+        table.upsert_endpoint(facts(engine, engine % NODES), ClockTime::ZERO);
+    }
+    table
+}
+
+/// Several nodes, and what truly runs at each engine.
+struct Fleet {
+    tables: Vec<RouteTable>,
+    /// Running requests of each engine: the home that granted it, and the slot.
+    running: Vec<Vec<(usize, SlotId)>>,
+    homes: Vec<usize>,
+    /// Homes that do not yet know that they are none, and until when.
+    former: BTreeMap<usize, (usize, u64)>,
+    granted: u32,
+}
+
+impl Fleet {
+    fn new() -> Self {
+        Self {
+            tables: (0..NODES).map(new_table).collect(),
+            running: vec![Vec::new(); ENGINES],
+            homes: (0..ENGINES).map(|engine| engine % NODES).collect(),
+            former: BTreeMap::new(),
+            granted: 0,
+        }
+    }
+
+    /// Asks `home` for a slot and checks the true load against the bound by its knowledge.
+    fn ask(&mut self, engine: usize, home: usize, asker: usize, now: ClockTime) {
+        let table = &mut self.tables[home];
+        let bound = table.settings().bound.of_mean(table.fleet_mean(FLEET));
+        let id = engine_id(engine);
+        let answer = table.grant_slot(id, node_id(asker), CustomerKey(1), now);
+        if let SlotAnswer::Granted { slot } = answer {
+            self.running[engine].push((home, slot));
+            self.granted += 1;
+            let load = self.running[engine].len() as u32;
+            assert!(
+                load <= bound,
+                "engine {engine} carries {load}, bound {bound}"
+            );
+        }
+    }
+
+    fn finish(&mut self, engine: usize, index: usize, now: ClockTime) {
+        let (home, slot) = self.running[engine].swap_remove(index);
+        let outcome = SlotOutcome::Succeeded;
+        self.tables[home].release(engine_id(engine), slot, outcome, now);
+    }
+
+    /// Gives the engine another home, which the old one learns of `late` milliseconds later.
+    fn change_home(&mut self, engine: usize, home: usize, now: u64, late: u64) {
+        let old = self.homes[engine];
+        if old == home || self.former.contains_key(&engine) {
+            return;
+        }
+        let exclusive_from = ClockTime(now + late + 1);
+        for node in (0..NODES).filter(|node| *node != old) {
+            self.tables[node].set_home(engine_id(engine), node_id(home), exclusive_from);
+        }
+        self.homes[engine] = home;
+        self.former.insert(engine, (old, now + late));
+    }
+
+    fn tell_former(&mut self, now: u64) {
+        let due: Vec<usize> = self
+            .former
+            .iter()
+            .filter(|(_, (_, at))| *at <= now)
+            .map(|(engine, _)| *engine)
+            .collect();
+        for engine in due {
+            if let Some((old, at)) = self.former.remove(&engine) {
+                let home = node_id(self.homes[engine]);
+                let exclusive_from = ClockTime(at + 1);
+                self.tables[old].set_home(engine_id(engine), home, exclusive_from);
+            }
+        }
+    }
+
+    fn report(&mut self, engine: usize, now: ClockTime) {
+        let report = LoadReport {
+            running: self.running[engine].len() as u32,
+            ..LoadReport::default()
+        };
+        let home = self.homes[engine];
+        self.tables[home].observe_report(engine_id(engine), report, now);
+    }
+
+    fn spread_digests(&mut self, now: ClockTime) {
+        for engine in 0..ENGINES {
+            let home = &self.tables[self.homes[engine]];
+            let Some(digest) = home.digest_of(engine_id(engine), now) else {
+                continue;
+            };
+            for table in &mut self.tables {
+                table.observe_digest(engine_id(engine), digest);
+            }
+        }
+    }
+}
+
+/// A home node restarts or is cut off, and its engines announce themselves to another while the
+/// old one still believes it is the home and goes on admitting work. If both filled the engine to
+/// its bound, its callers would wait twice as long and nobody would see why.
+#[test]
+fn two_homes_together_stay_within_the_bound() {
+    let (mut granted, mut changes) = (0, 0);
+    for seed in 0..400 {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut fleet = Fleet::new();
+        let mut now = 1;
+        for _ in 0..500 {
+            now += rng.random_range(0..20);
+            let clock = ClockTime(now);
+            fleet.tell_former(now);
+            let engine = rng.random_range(0..ENGINES);
+            match rng.random_range(0..100) {
+                0..60 => {
+                    let asker = rng.random_range(0..NODES);
+                    let home = fleet.homes[engine];
+                    let former = fleet.former.get(&engine).map(|(old, _)| *old);
+                    let home = former.filter(|_| rng.random::<bool>()).unwrap_or(home);
+                    fleet.ask(engine, home, asker, clock);
+                }
+                60..85 => {
+                    let count = fleet.running[engine].len();
+                    if count > 0 {
+                        let index = rng.random_range(0..count);
+                        fleet.finish(engine, index, clock);
+                    }
+                }
+                85..92 => fleet.report(engine, clock),
+                92..97 => fleet.spread_digests(clock),
+                _ => {
+                    changes += 1;
+                    let home = rng.random_range(0..NODES);
+                    fleet.change_home(engine, home, now, rng.random_range(0..400));
+                }
+            }
+        }
+        granted += fleet.granted;
+    }
+    assert!(granted > 10_000, "only {granted} grants were checked");
+    assert!(changes > 3_000, "only {changes} changes of home were made");
+}
+
+/// An operator drains an engine, or it announces that it leaves. Work sent to it afterwards would
+/// be cut off when it stops.
+#[test]
+fn leaving_and_drained_engines_get_no_work() {
+    for drained in [false, true] {
+        let mut table = new_table(0);
+        for engine in 1..ENGINES {
+            table.remove_endpoint(engine_id(engine));
+        }
+        let gone = EndpointFacts {
+            leaving: !drained,
+            drained,
+            ..facts(0, 0)
+        };
+        table.upsert_endpoint(gone, ClockTime::ZERO);
+        let now = ClockTime(10);
+        let query = RouteQuery {
+            offer: OFFER,
+            hint: Some(engine_id(0)),
+            waited: Duration::from_secs(9),
+            ..RouteQuery::default()
+        };
+        let decision = table.choose(&query, now);
+        let code = RefusalCode::NoEndpoint;
+        assert!(matches!(decision, RouteDecision::Refuse { code: found, .. } if found == code));
+        let answer = table.grant_slot(engine_id(0), node_id(1), CustomerKey(1), now);
+        assert!(matches!(answer, SlotAnswer::Full { .. }), "{answer:?}");
+    }
+}
+
+/// A node dies with requests under way. Counted for ever, its slots would close the engines; taken
+/// off at once, they would let work in beside requests that still run.
+#[test]
+fn slots_of_a_dead_node_end_after_the_hold() {
+    let mut table = new_table(0);
+    for _ in 0..3 {
+        table.grant_slot(engine_id(0), node_id(2), CustomerKey(1), ClockTime(1_000));
+    }
+    assert_eq!(table.load_of(engine_id(0)), Some(3));
+    table.node_gone(node_id(2), ClockTime(2_000));
+    table.tick(ClockTime(6_900));
+    assert_eq!(table.load_of(engine_id(0)), Some(3));
+    table.tick(ClockTime(7_000));
+    assert_eq!(table.load_of(engine_id(0)), Some(0));
+}
+
+/// The release of a slot is lost with a connection. Its engine would look fuller than it is until
+/// the slot's longest life is over.
+#[test]
+fn reports_uncover_a_slot_whose_release_was_lost() {
+    let mut table = new_table(0);
+    table.grant_slot(engine_id(0), node_id(2), CustomerKey(1), ClockTime(1_000));
+    for second in 2..5 {
+        assert_eq!(table.load_of(engine_id(0)), Some(1));
+        table.observe_report(
+            engine_id(0),
+            LoadReport::default(),
+            ClockTime(second * 1000),
+        );
+    }
+    assert_eq!(table.load_of(engine_id(0)), Some(0));
+}
+
+/// A large customer fills an engine before a deadline. The part of its room kept in reserve must
+/// still take in a small customer.
+#[test]
+fn a_surging_customer_leaves_room_for_others() {
+    let mut table = RouteTable::new(RouteSettings {
+        node: node_id(0),
+        bound: LoadBound {
+            multiple: 100.0,
+            floor: 100,
+        },
+        ..RouteSettings::default()
+    });
+    table.upsert_endpoint(facts(0, 0), ClockTime::ZERO);
+    let small = CustomerKey(2);
+    let large = CustomerKey(1);
+    let now = ClockTime(1);
+    table.grant_slot(engine_id(0), node_id(0), small, now);
+    let mut taken = 0;
+    while let SlotAnswer::Granted { .. } = table.grant_slot(engine_id(0), node_id(0), large, now) {
+        taken += 1;
+    }
+    assert_eq!(
+        taken, 63,
+        "80 % of a room of 80, less the one of the small customer"
+    );
+    for _ in 0..16 {
+        let answer = table.grant_slot(engine_id(0), node_id(0), small, now);
+        assert!(matches!(answer, SlotAnswer::Granted { .. }), "{answer:?}");
+    }
+}
+
+#[test]
+fn the_bound_is_rounded_as_documented() {
+    let bound = LoadBound::default();
+    let cases = [
+        (0.0, 4),
+        (3.2, 4),
+        (3.3, 5),
+        (8.0, 10),
+        (8.1, 11),
+        (100.0, 125),
+    ];
+    for (mean, limit) in cases {
+        assert_eq!(bound.of_mean(mean), limit, "mean {mean}");
+    }
+    for tenths in 0..2_000 {
+        let mean = f64::from(tenths) / 10.0;
+        for members in [1, 3, 12, 750] {
+            let limit = bound.for_admission(mean, members, 1.2);
+            assert!(limit <= bound.of_mean(mean), "above the bound at {mean}");
+            assert!(f64::from(limit) > mean, "a fleet at {mean} would shrink");
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_routing/tests/limits.rs
@@ -0,0 +1,184 @@
+//! A customer's limit holds over the whole fleet, and is given out in full.
+
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+use ragwortroad_routing::prelude::*;
+use ragwortroad_types::prelude::*;
+
+const NODES: usize = 9;
+const CUSTOMER: CustomerKey = CustomerKey(7);
+
+/// Nodes whose messages take a second to reach each other.
+struct Fleet {
+    limiters: Vec<CustomerLimiter>,
+    ids: Vec<NodeId>,
+    messages: usize,
+}
+
+impl Fleet {
+    fn new(limit: CustomerLimit) -> Self {
+        let ids: Vec<NodeId> = (1..=NODES as u64).map(NodeId).collect();
+        let limiters = ids
+            .iter()
+            .map(|node| {
+                let mut limiter = CustomerLimiter::new(LimiterSettings {
+                    node: *node,
+                    ..LimiterSettings::default()
+                });
+                limiter.set_nodes(&ids, ClockTime::ZERO);
+                limiter.set_limit(CUSTOMER, limit, ClockTime::ZERO);
+                limiter
+            })
+            .collect();
+        Self {
+            limiters,
+            ids,
+            messages: 0,
+        }
+    }
+
+    fn index(&self, node: NodeId) -> usize {
+        let found = self.ids.iter().position(|id| *id == node);
+        found.expect("a digest for a node of the fleet")
+    }
+
+    fn exchange(&mut self, now: ClockTime) {
+        for node in 0..NODES {
+            for (keeper, digest) in self.limiters[node].demands(now) {
+                self.messages += 1;
+                let keeper = self.index(keeper);
+                self.limiters[keeper].merge_demand(self.ids[node], &digest, now);
+            }
+        }
+        for node in 0..NODES {
+            for (other, digest) in self.limiters[node].shares(now) {
+                self.messages += 1;
+                let other = self.index(other);
+                self.limiters[other].merge_share(&digest, now);
+            }
+        }
+    }
+
+    /// Runs `seconds` with `rate` requests a second spread by `weights`; returns how many were
+    /// admitted and refused.
+    fn run(&mut self, seed: u64, seconds: u64, rate: f64, weights: &[f64; NODES]) -> (u64, u64) {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let sum: f64 = weights.iter().sum();
+        let (mut admitted, mut refused) = (0, 0);
+        for milli in 0..seconds * 1000 {
+            let now = ClockTime(1 + milli);
+            if milli % 1000 == 999 {
+                self.exchange(now);
+            }
+            if rng.random::<f64>() >= rate / 1000.0 {
+                continue;
+            }
+            let mut point = rng.random::<f64>() * sum;
+            let node = weights.iter().position(|weight| {
+                point -= weight;
+                point < 0.0
+            });
+            let limiter = &mut self.limiters[node.unwrap_or(0)];
+            match limiter.admit(CUSTOMER, 0, now) {
+                LimitAnswer::Admitted { .. } => {
+                    limiter.finish(CUSTOMER, 0, 0);
+                    admitted += 1;
+                }
+                LimitAnswer::Refused { .. } => refused += 1,
+            }
+        }
+        (admitted, refused)
+    }
+}
+
+fn rate_limit(requests_per_s: f64) -> CustomerLimit {
+    CustomerLimit {
+        requests_per_s,
+        tokens_per_s: 1e9,
+        concurrent: 10_000,
+        ..CustomerLimit::default()
+    }
+}
+
+/// A large studio surges before a print deadline and asks all nodes for ten times its limit. If
+/// every node let the whole limit pass, the fleet would take in nine times as much, and the small
+/// customers would wait behind it.
+#[test]
+fn a_surge_over_all_nodes_is_held_to_the_limit() {
+    for (seed, weights) in [(1, [1.0; NODES]), (2, skewed())] {
+        let mut fleet = Fleet::new(rate_limit(20.0));
+        let (admitted, _) = fleet.run(seed, 120, 200.0, &weights);
+        // The rate, and once the bursts that were saved up.
+        let most = 20.0 * 120.0 + 20.0 * 5.0 + 2.0 * NODES as f64;
+        assert!(admitted as f64 <= most, "{admitted} of at most {most}");
+        assert!(admitted as f64 >= 0.9 * 20.0 * 120.0, "only {admitted}");
+        let each = fleet.messages as f64 / (NODES as f64 * 120.0);
+        assert!(each < 2.0, "{each} messages a node and second");
+    }
+}
+
+/// A customer well below its limit turns up unevenly at the nodes. Shares cut too small would
+/// refuse it although the fleet as a whole owes it more.
+#[test]
+fn a_customer_below_its_limit_is_hardly_refused() {
+    // A node lets two pass, or a few seconds of its even part, before its share has come. Three in a
+    // row at one node are mere chance at a request every two seconds, and rare at thirty a second.
+    for (rate, most) in [(0.5, 0.04), (3.0, 0.02), (30.0, 0.002)] {
+        for weights in [[1.0; NODES], skewed()] {
+            let mut fleet = Fleet::new(rate_limit(3.0 * rate));
+            let (admitted, refused) = fleet.run(3, 300, rate, &weights);
+            let share = refused as f64 / (admitted + refused) as f64;
+            assert!(
+                share < most,
+                "{refused} of {} at {rate}/s",
+                admitted + refused
+            );
+        }
+    }
+}
+
+/// Many slow requests of one customer run at once through all nodes.
+#[test]
+fn places_at_work_never_exceed_the_limit() {
+    let mut fleet = Fleet::new(CustomerLimit {
+        requests_per_s: 1e6,
+        tokens_per_s: 1e9,
+        concurrent: 40,
+        ..CustomerLimit::default()
+    });
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let mut most = 0;
+    for step in 0..20_000 {
+        let now = ClockTime(1 + step * 5);
+        if step % 200 == 199 {
+            fleet.exchange(now);
+        }
+        // The weight of the demand wanders over the nodes.
+        let node = (rng.random_range(0..3) + step as usize / 4_000) % NODES;
+        if rng.random::<f64>() < 0.55 {
+            fleet.limiters[node].admit(CUSTOMER, 0, now);
+        } else {
+            for limiter in &mut fleet.limiters {
+                if limiter.running(CUSTOMER) > 0 && rng.random::<f64>() < 0.3 {
+                    limiter.finish(CUSTOMER, 0, 0);
+                }
+            }
+        }
+        let running: u32 = fleet
+            .limiters
+            .iter()
+            .map(|limiter| limiter.running(CUSTOMER))
+            .sum();
+        most = most.max(running);
+    }
+    assert!(most >= 20, "the limit was never near: {most}");
+    assert!(most <= 40, "{most} at once where 40 were allowed");
+}
+
+fn skewed() -> [f64; NODES] {
+    [32.0, 16.0, 8.0, 4.0, 2.0, 1.0, 0.5, 0.25, 0.25]
+}
