--- a/crates/ragwortroad_bench/examples/decisions.rs
+++ b/crates/ragwortroad_bench/examples/decisions.rs
@@ -23,6 +23,9 @@
     /// Seconds measured.
     #[arg(long, default_value_t = 240)]
     seconds: u64,
+    /// Requests a second, as a multiple of the workload's.
+    #[arg(long, default_value_t = 1.0)]
+    load_factor: f64,
     /// Runs the planner and our whole policy only.
     #[arg(long)]
     short: bool,
@@ -54,6 +57,7 @@
         warm_seconds: args.warm_seconds,
         seconds: args.seconds,
         policies,
+        load_factor: args.load_factor,
         mean_margin: args.mean_margin,
     });
     if args.json {
--- a/crates/ragwortroad_bench/src/report/bench_report.rs
+++ b/crates/ragwortroad_bench/src/report/bench_report.rs
@@ -22,6 +22,8 @@
     pub workload: WorkloadKind,
     /// The disturbances, by name.
     pub disturbances: String,
+    /// Requests a second, as a multiple of the workload's.
+    pub load_factor: f64,
     /// Seconds before the measured time.
     pub warm_seconds: u64,
     /// Seconds measured.
@@ -45,6 +47,7 @@
             seed: settings.seed,
             workload: settings.workload,
             disturbances: settings.disturbances.name(),
+            load_factor: settings.load_factor,
             warm_seconds: settings.warm_seconds,
             seconds: settings.seconds,
             policies,
@@ -62,8 +65,13 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(
             formatter,
-            "workload {:?}, disturbances {}, seed {}, {} s after {} s",
-            self.workload, self.disturbances, self.seed, self.seconds, self.warm_seconds
+            "workload {:?} × {}, disturbances {}, seed {}, {} s after {} s",
+            self.workload,
+            self.load_factor,
+            self.disturbances,
+            self.seed,
+            self.seconds,
+            self.warm_seconds
         )?;
         for (index, row) in self.policies.iter().enumerate() {
             let cells = text_cells(row);
--- a/crates/ragwortroad_bench/src/report/text_cells.rs
+++ b/crates/ragwortroad_bench/src/report/text_cells.rs
@@ -15,6 +15,7 @@
         ("asked‰", format!("{:.1}", row.asked_per_1000)),
         ("heldMs", format!("{:.1}", row.held_mean_ms)),
         ("B/s", format!("{:.0}", row.control_bytes())),
+        ("done", row.completed.to_string()),
         ("refused", row.refused.to_string()),
         ("limited", row.limited.to_string()),
         ("failed", row.failed.to_string()),
--- a/crates/ragwortroad_bench/src/run/bench_settings.rs
+++ b/crates/ragwortroad_bench/src/run/bench_settings.rs
@@ -19,6 +19,8 @@
     pub seconds: u64,
     /// What is compared.
     pub policies: Vec<PolicyKind>,
+    /// Requests a second, as a multiple of the workload's.
+    pub load_factor: f64,
     /// Changes the settings of the tables, for trials of one value.
     pub mean_margin: Option<f64>,
 }
@@ -32,6 +34,7 @@
             warm_seconds: 120,
             seconds: 240,
             policies: PolicyKind::ladder(),
+            load_factor: 1.0,
             mean_margin: None,
         }
     }
--- a/crates/ragwortroad_bench/src/run/mod.rs
+++ b/crates/ragwortroad_bench/src/run/mod.rs
@@ -28,7 +28,8 @@
 
 /// Runs every policy of `settings` over the same arrivals and disturbances.
 pub fn run_bench(settings: &BenchSettings) -> BenchReport {
-    let spec = WorkloadSpec::of_kind(settings.workload);
+    let mut spec = WorkloadSpec::of_kind(settings.workload);
+    spec.rate *= settings.load_factor;
     let seconds = settings.warm_seconds + settings.seconds;
     let arrivals = ArrivalPlan::draw(&spec, settings.disturbances, settings.seed, seconds);
     let changes = DisturbancePlan::draw(&spec, settings.disturbances, settings.seed, seconds);
