Ask a full home again only for a chat whose context is there

Past saturation every request asked one home after another, and the same ones again when their pause was over. A place that answered full now stays full, for requests without context there, until a digest tells otherwise.

--- a/crates/ragwortroad_routing/src/table/remote_view.rs
+++ b/crates/ragwortroad_routing/src/table/remote_view.rs
@@ -12,6 +12,8 @@
     pub(crate) sent_since: u32,
     /// The home said that the endpoint is full until then.
     pub(crate) full_until: ClockTime,
+    /// It said so since the last digest.
+    pub(crate) was_full: bool,
 }
 
 impl RemoteView {
@@ -24,5 +26,12 @@
     pub(crate) fn observe(&mut self, load: u32) {
         self.load = load;
         self.sent_since = 0;
+        self.was_full = false;
+    }
+
+    /// Takes in the home's answer that the endpoint is full until then.
+    pub(crate) fn refused(&mut self, until: ClockTime) {
+        self.full_until = until;
+        self.was_full = true;
     }
 }
--- a/crates/ragwortroad_routing/src/table/route_choice.rs
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -164,13 +164,19 @@
         let pool = self.pools.get(&query.offer)?;
         ranking.best(
             pool,
-            |key| self.looks_open(key, query, now),
+            |key| self.looks_open(key, false, query, now),
             |key| self.fill_of(key),
         )
     }
 
-    /// Whether an endpoint seems able to take one more request.
-    fn looks_open(&self, key: EndpointKey, query: &RouteQuery<'_>, now: ClockTime) -> bool {
+    /// Whether an endpoint seems able to take one more request, whose `context` is there or not.
+    fn looks_open(
+        &self,
+        key: EndpointKey,
+        context: bool,
+        query: &RouteQuery<'_>,
+        now: ClockTime,
+    ) -> bool {
         let Some(state) = self.arena[key.index()].as_ref() else {
             return false;
         };
@@ -181,7 +187,10 @@
         if self.is_home(state) {
             return state.ledger.load() < limit && state.is_exclusive(now);
         }
-        state.view.expected() < limit && state.view.full_until <= now && !state.set_aside
+        // A chat whose context is there asks again when its home said; to others the place stays
+        // full until a digest tells otherwise, or a busy fleet spends itself on questions.
+        let refused = state.view.full_until > now || (state.view.was_full && !context);
+        state.view.expected() < limit && !refused && !state.set_aside
     }
 
     /// How full an endpoint seems, relative to its capacity.
@@ -205,7 +214,8 @@
         query: &RouteQuery<'_>,
         now: ClockTime,
     ) -> Option<RouteDecision> {
-        if !self.looks_open(key, query, now) {
+        let context = reason != RouteReason::Hash;
+        if !self.looks_open(key, context, query, now) {
             return None;
         }
         let state = self.arena[key.index()].as_ref()?;
--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -91,7 +91,7 @@
         let pause = self.settings.full_pause;
         self.change(key, |state| match answer {
             SlotAnswer::Granted { .. } => state.view.sent_since += 1,
-            SlotAnswer::Full { retry_after } => state.view.full_until = now.after(retry_after),
+            SlotAnswer::Full { retry_after } => state.view.refused(now.after(retry_after)),
             SlotAnswer::NotHome { .. } => state.view.full_until = now.after(pause),
         });
         if let (SlotAnswer::Granted { .. }, Some(chat)) = (answer, chat) {
