Keep the last room of a busy engine for chats that come back

Past saturation new chats and returning ones met the same limit, so the fleet recomputed contexts just when it could least afford to. In the last fifth of an engine's room a customer may now begin chats only up to half its equal part, and come back up to all of it.

--- a/crates/ragwortroad_bench/src/report/text_cells.rs
+++ b/crates/ragwortroad_bench/src/report/text_cells.rs
@@ -17,6 +17,7 @@
         ("B/s", format!("{:.0}", row.control_bytes())),
         ("done", row.completed.to_string()),
         ("refused", row.refused.to_string()),
+        ("small%", format!("{:.2}", 100.0 * row.refused_small_share)),
         ("limited", row.limited.to_string()),
         ("failed", row.failed.to_string()),
         ("lost", row.lost.to_string()),
--- a/crates/ragwortroad_bench/src/run/live_request.rs
+++ b/crates/ragwortroad_bench/src/run/live_request.rs
@@ -1,4 +1,7 @@
-use ragwortroad_routing::SlotId;
+use ragwortroad_routing::{
+    SlotClaim,
+    SlotId, //
+};
 use ragwortroad_types::EndpointId;
 
 /// A request from its arrival to its end.
@@ -18,6 +21,8 @@
     pub(crate) excluded_ids: Vec<EndpointId>,
     /// Homes that answered "full".
     pub(crate) refusals: u32,
+    /// What it claims of the home it asked last.
+    pub(crate) claim: SlotClaim,
     /// Questions asked for it.
     pub(crate) asked: u32,
     /// Attempts sent.
--- a/crates/ragwortroad_bench/src/run/request_flow.rs
+++ b/crates/ragwortroad_bench/src/run/request_flow.rs
@@ -151,11 +151,17 @@
                 self.requests[request as usize].slot = Some((node, slot));
                 self.send(request, engine);
             }
-            RouteDecision::AskHome { endpoint, home, .. } => {
+            RouteDecision::AskHome {
+                endpoint,
+                home,
+                claim,
+                ..
+            } => {
                 let engine = self.engine_index(endpoint);
                 let live = &mut self.requests[request as usize];
                 live.engine = engine;
                 live.asked += 1;
+                live.claim = claim;
                 if live.asked > MOST_ASKED {
                     return self.refuse(request);
                 }
@@ -183,7 +189,7 @@
         const SILENCE_MS: u64 = 50;
         let clock = self.clock();
         let live = &self.requests[request as usize];
-        let (node, engine) = (live.node, live.engine);
+        let (node, engine, claim) = (live.node, live.engine, live.claim);
         let customer = self.plan.arrivals[live.arrival].customer as usize;
         if !self.nodes[home].alive {
             let answer = SlotAnswer::NotHome { home: None };
@@ -195,6 +201,7 @@
             self.engine_ids[engine],
             self.node_ids[node],
             customer_key(customer),
+            claim,
             clock,
         );
         if let SlotAnswer::Granted { slot } = answer {
--- a/crates/ragwortroad_routing/src/lib.rs
+++ b/crates/ragwortroad_routing/src/lib.rs
@@ -103,6 +103,7 @@
             route_settings::RouteSettings,
             route_table::RouteTable,
             slot_answer::SlotAnswer,
+            slot_claim::SlotClaim,
             slot_outcome::SlotOutcome, //
         },
     };
--- a/crates/ragwortroad_routing/src/table/mod.rs
+++ b/crates/ragwortroad_routing/src/table/mod.rs
@@ -16,6 +16,7 @@
 pub(crate) mod route_settings;
 pub(crate) mod route_table;
 pub(crate) mod slot_answer;
+pub(crate) mod slot_claim;
 pub(crate) mod slot_grants;
 pub(crate) mod slot_ledger;
 pub(crate) mod slot_outcome;
--- a/crates/ragwortroad_routing/src/table/route_choice.rs
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -14,6 +14,7 @@
     RouteQuery,
     RouteReason,
     RouteTable,
+    SlotClaim,
     table::ranking::{
         Ranking,
         score, //
@@ -164,16 +165,16 @@
         let pool = self.pools.get(&query.offer)?;
         ranking.best(
             pool,
-            |key| self.looks_open(key, false, query, now),
+            |key| self.looks_open(key, SlotClaim::Arriving, query, now),
             |key| self.fill_of(key),
         )
     }
 
-    /// Whether an endpoint seems able to take one more request, whose `context` is there or not.
+    /// Whether an endpoint seems able to take one more request.
     fn looks_open(
         &self,
         key: EndpointKey,
-        context: bool,
+        claim: SlotClaim,
         query: &RouteQuery<'_>,
         now: ClockTime,
     ) -> bool {
@@ -189,7 +190,8 @@
         }
         // A chat whose context is there asks again when its home said; to others the place stays
         // full until a digest tells otherwise, or a busy fleet spends itself on questions.
-        let refused = state.view.full_until > now || (state.view.was_full && !context);
+        let refused =
+            state.view.full_until > now || (state.view.was_full && claim == SlotClaim::Arriving);
         state.view.expected() < limit && !refused && !state.set_aside
     }
 
@@ -214,8 +216,11 @@
         query: &RouteQuery<'_>,
         now: ClockTime,
     ) -> Option<RouteDecision> {
-        let context = reason != RouteReason::Hash;
-        if !self.looks_open(key, context, query, now) {
+        let claim = match reason {
+            RouteReason::Hash => SlotClaim::Arriving,
+            RouteReason::Hint | RouteReason::Memory | RouteReason::Prefix => SlotClaim::Returning,
+        };
+        if !self.looks_open(key, claim, query, now) {
             return None;
         }
         let state = self.arena[key.index()].as_ref()?;
@@ -224,10 +229,11 @@
             return Some(RouteDecision::AskHome {
                 endpoint,
                 home,
+                claim,
                 reason,
             });
         }
-        let slot = self.take_slot(key, self.settings.node, query.customer, now)?;
+        let slot = self.take_slot(key, self.settings.node, query.customer, claim, now)?;
         if let Some(chat) = query.chat {
             self.memory.put(chat.0, endpoint.0, now);
         }
--- a/crates/ragwortroad_routing/src/table/route_decision.rs
+++ b/crates/ragwortroad_routing/src/table/route_decision.rs
@@ -6,7 +6,10 @@
     RefusalCode, //
 };
 
-use crate::SlotId;
+use crate::{
+    SlotClaim,
+    SlotId, //
+};
 
 /// Where a request goes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +30,8 @@
         endpoint: EndpointId,
         /// The node to ask.
         home: NodeId,
+        /// To be told to it.
+        claim: SlotClaim,
         /// Why this endpoint.
         reason: RouteReason,
     },
--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -12,11 +12,16 @@
     EndpointKey,
     RouteTable,
     SlotAnswer,
+    SlotClaim,
     SlotId,
     SlotOutcome,
     table::endpoint_state::EndpointState, //
 };
 
+/// Part of its equal part of a nearly full endpoint up to which a customer may begin chats there; the
+/// rest is for those that come back.
+const ARRIVING_SHARE: f64 = 0.5;
+
 /// Slots of endpoints: granted and ended at the home, noted at the node that asked.
 impl RouteTable {
     /// The home's answer to a node that wants to send to `endpoint`.
@@ -25,6 +30,7 @@
         endpoint: EndpointId,
         asker: NodeId,
         customer: CustomerKey,
+        claim: SlotClaim,
         now: ClockTime,
     ) -> SlotAnswer {
         let Some(key) = self.ids.get(&endpoint).copied() else {
@@ -34,7 +40,7 @@
         if home != Some(self.settings.node) {
             return SlotAnswer::NotHome { home };
         }
-        match self.take_slot(key, asker, customer, now) {
+        match self.take_slot(key, asker, customer, claim, now) {
             Some(slot) => SlotAnswer::Granted { slot },
             None => SlotAnswer::Full {
                 retry_after: self.pause_of(key, now),
@@ -131,11 +137,12 @@
         key: EndpointKey,
         asker: NodeId,
         customer: CustomerKey,
+        claim: SlotClaim,
         now: ClockTime,
     ) -> Option<SlotId> {
         self.change(key, |state| state.ledger.sweep(now));
         let state = self.arena[key.index()].as_ref()?;
-        if !self.may_admit(state, customer, now) {
+        if !self.may_admit(state, customer, claim, now) {
             return None;
         }
         let slot = SlotId(self.next_slot);
@@ -147,7 +154,13 @@
         Some(slot)
     }
 
-    fn may_admit(&self, state: &EndpointState, customer: CustomerKey, now: ClockTime) -> bool {
+    fn may_admit(
+        &self,
+        state: &EndpointState,
+        customer: CustomerKey,
+        claim: SlotClaim,
+        now: ClockTime,
+    ) -> bool {
         // Before that moment an earlier home may still admit up to the bound on its own.
         if !state.is_exclusive(now) || !state.facts.takes_work() {
             return false;
@@ -161,6 +174,10 @@
             return true;
         }
         let (own, customers) = state.ledger.share_of(customer);
-        f64::from(own) < room / f64::from(customers)
+        let share = match claim {
+            SlotClaim::Returning => 1.0,
+            SlotClaim::Arriving => ARRIVING_SHARE,
+        };
+        f64::from(own) < share * room / f64::from(customers)
     }
 }
--- a/crates/ragwortroad_routing/tests/bound.rs
+++ b/crates/ragwortroad_routing/tests/bound.rs
@@ -81,7 +81,13 @@
         let table = &mut self.tables[home];
         let bound = table.settings().bound.of_mean(table.fleet_mean(FLEET));
         let id = engine_id(engine);
-        let answer = table.grant_slot(id, node_id(asker), CustomerKey(1), now);
+        let answer = table.grant_slot(
+            id,
+            node_id(asker),
+            CustomerKey(1),
+            SlotClaim::Returning,
+            now,
+        );
         if let SlotAnswer::Granted { slot } = answer {
             self.running[engine].push((home, slot));
             self.granted += 1;
@@ -221,7 +227,13 @@
         let decision = table.choose(&query, now);
         let code = RefusalCode::NoEndpoint;
         assert!(matches!(decision, RouteDecision::Refuse { code: found, .. } if found == code));
-        let answer = table.grant_slot(engine_id(0), node_id(1), CustomerKey(1), now);
+        let answer = table.grant_slot(
+            engine_id(0),
+            node_id(1),
+            CustomerKey(1),
+            SlotClaim::Returning,
+            now,
+        );
         assert!(matches!(answer, SlotAnswer::Full { .. }), "{answer:?}");
     }
 }
@@ -232,7 +244,13 @@
 fn slots_of_a_dead_node_end_after_the_hold() {
     let mut table = new_table(0);
     for _ in 0..3 {
-        table.grant_slot(engine_id(0), node_id(2), CustomerKey(1), ClockTime(1_000));
+        table.grant_slot(
+            engine_id(0),
+            node_id(2),
+            CustomerKey(1),
+            SlotClaim::Returning,
+            ClockTime(1_000),
+        );
     }
     assert_eq!(table.load_of(engine_id(0)), Some(3));
     table.node_gone(node_id(2), ClockTime(2_000));
@@ -247,7 +265,13 @@
 #[test]
 fn reports_uncover_a_slot_whose_release_was_lost() {
     let mut table = new_table(0);
-    table.grant_slot(engine_id(0), node_id(2), CustomerKey(1), ClockTime(1_000));
+    table.grant_slot(
+        engine_id(0),
+        node_id(2),
+        CustomerKey(1),
+        SlotClaim::Returning,
+        ClockTime(1_000),
+    );
     for second in 2..5 {
         assert_eq!(table.load_of(engine_id(0)), Some(1));
         table.observe_report(
@@ -275,9 +299,11 @@
     let small = CustomerKey(2);
     let large = CustomerKey(1);
     let now = ClockTime(1);
-    table.grant_slot(engine_id(0), node_id(0), small, now);
+    table.grant_slot(engine_id(0), node_id(0), small, SlotClaim::Returning, now);
     let mut taken = 0;
-    while let SlotAnswer::Granted { .. } = table.grant_slot(engine_id(0), node_id(0), large, now) {
+    while let SlotAnswer::Granted { .. } =
+        table.grant_slot(engine_id(0), node_id(0), large, SlotClaim::Returning, now)
+    {
         taken += 1;
     }
     assert_eq!(
@@ -285,7 +311,7 @@
         "80 % of a room of 80, less the one of the small customer"
     );
     for _ in 0..16 {
-        let answer = table.grant_slot(engine_id(0), node_id(0), small, now);
+        let answer = table.grant_slot(engine_id(0), node_id(0), small, SlotClaim::Returning, now);
         assert!(matches!(answer, SlotAnswer::Granted { .. }), "{answer:?}");
     }
 }
--- a/crates/ragwortroad_routing/tests/choice.rs
+++ b/crates/ragwortroad_routing/tests/choice.rs
@@ -109,9 +109,13 @@
         ..query(7)
     };
     let first = visit(&mut table, &asked);
-    while let SlotAnswer::Granted { .. } =
-        table.grant_slot(first, NodeId(2), CustomerKey(1), ClockTime(6))
-    {}
+    while let SlotAnswer::Granted { .. } = table.grant_slot(
+        first,
+        NodeId(2),
+        CustomerKey(1),
+        SlotClaim::Returning,
+        ClockTime(6),
+    ) {}
     let decision = table.choose(&asked, ClockTime(6));
     assert!(
         matches!(decision, RouteDecision::Hold { .. }),
