--- a/crates/ragwortroad_routing/tests/bound.rs
+++ b/crates/ragwortroad_routing/tests/bound.rs
@@ -310,7 +310,12 @@
         taken, 63,
         "80 % of a room of 80, less the one of the small customer"
     );
-    for _ in 0..16 {
+    let claim = SlotClaim::Arriving;
+    let answer = table.grant_slot(engine_id(0), node_id(0), large, claim, now);
+    assert!(matches!(answer, SlotAnswer::Full { .. }), "{answer:?}");
+    let answer = table.grant_slot(engine_id(0), node_id(0), small, claim, now);
+    assert!(matches!(answer, SlotAnswer::Granted { .. }), "{answer:?}");
+    for _ in 0..15 {
         let answer = table.grant_slot(engine_id(0), node_id(0), small, SlotClaim::Returning, now);
         assert!(matches!(answer, SlotAnswer::Granted { .. }), "{answer:?}");
     }
