--- a/crates/ragwortroad_routing/src/limit/limiter_settings.rs
+++ b/crates/ragwortroad_routing/src/limit/limiter_settings.rs
@@ -37,7 +37,7 @@
             node: NodeId::default(),
             even_share: 0.2,
             burst_s: 5.0,
-            least_burst: 2.0,
+            least_burst: 3.0,
             tell_change: 0.05,
             tell_every: Duration::from_secs(4),
             share_life: Duration::from_secs(10),
