Refuse answers that name another request from their first byte on

Cause: a stream all of whose chunks named another request passed until its last event, since only a change of the name within the stream was looked for. Change: engines name the request in each answer's id; the first chunk is held against it.

--- a/crates/ragwortroad_gateway/src/answer_check.rs
+++ b/crates/ragwortroad_gateway/src/answer_check.rs
@@ -35,6 +35,14 @@
     Err("the answer belongs to another request".to_owned())
 }
 
+/// The identity that an engine must give its answer, where it must name the request.
+///
+/// The header alone does not do: it is written before the answer is made, so an engine that mixes
+/// up two answers still sends the right one.
+pub(crate) fn answer_id(request: RequestId, must_echo: bool) -> Option<String> {
+    must_echo.then(|| format!("chatcmpl-{request}"))
+}
+
 /// Reads a whole body whose end the endpoint marked.
 ///
 /// A body that ends with its connection cannot be told from one cut short, so it counts as broken.
--- a/crates/ragwortroad_gateway/src/gateway_settings.rs
+++ b/crates/ragwortroad_gateway/src/gateway_settings.rs
@@ -50,7 +50,8 @@
     pub max_deadline: Duration,
     /// Attempts for one request, whatever the control thread would grant.
     pub max_attempts: u32,
-    /// Whether an engine's answer without `X-Request-Id` counts as broken.
+    /// Whether engines name the request in each answer: in `X-Request-Id`, and in the answer's `id`
+    /// as `chatcmpl-REQUEST`. An answer that then does not counts as broken.
     pub engines_must_echo: bool,
 }
 
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -13,6 +13,7 @@
 use crate::{
     AdmitCall, AttemptOutcome, RequestTarget,
     answer_check::{
+        answer_id,
         check_owner,
         read_whole, //
     },
@@ -41,6 +42,8 @@
 /// A whole answer's parts that the gateway reads.
 #[derive(Debug, serde::Deserialize)]
 struct WholeWire {
+    #[serde(default)]
+    id: Option<String>,
     #[serde(default)]
     usage: Option<UsageWire>,
 }
@@ -194,6 +197,18 @@
     }
 }
 
+/// Checks that a whole answer's own identity is the request's, where engines name it.
+fn check_id(flow: &RequestFlow, wire: &WholeWire) -> Result<(), String> {
+    let must_echo = flow.state.settings.engines_must_echo;
+    let wanted = answer_id(flow.context.request, must_echo);
+    match (wanted, &wire.id) {
+        (Some(wanted), Some(id)) if wanted != *id => {
+            Err("the answer's identity is another request's".to_owned())
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn serve_whole(flow: &mut RequestFlow, body: &Bytes) -> Result<Response<ReplyBody>, FlowEnd> {
     loop {
         let GoodAnswer { attempt, answer } = match open_engine(flow, body).await? {
@@ -205,6 +220,7 @@
         let parsed = whole.and_then(|bytes| {
             let wire = serde_json::from_slice::<WholeWire>(&bytes)
                 .map_err(|error| format!("the answer is not JSON: {error}"))?;
+            check_id(flow, &wire)?;
             Ok((bytes, wire))
         });
         let (bytes, wire) = match parsed {
--- a/crates/ragwortroad_gateway/src/stream_cursor.rs
+++ b/crates/ragwortroad_gateway/src/stream_cursor.rs
@@ -26,9 +26,11 @@
     uncounted: bool,
     /// Whether the engine numbers its tokens, so that its count at the end can be compared.
     numbered: bool,
+    /// Identity that every chunk must have, where engines name the request in it.
+    wanted_id: Option<String>,
     /// Identity in the chunks of the present attempt.
     ///
-    /// Invariant: set by an attempt's first chunk, equal in all that follow.
+    /// Invariant: the wanted one, or else set by an attempt's first chunk; equal in all that follow.
     attempt_id: Option<String>,
     /// Whether the present attempt is not the first.
     resumed: bool,
@@ -48,6 +50,15 @@
 }
 
 impl StreamCursor {
+    /// A cursor at the begin of an answer whose chunks must have this identity, if there is one.
+    pub(crate) fn new(wanted_id: Option<String>) -> Self {
+        Self {
+            attempt_id: wanted_id.clone(),
+            wanted_id,
+            ..Self::default()
+        }
+    }
+
     /// Whether another engine can go on where this stream stands.
     pub(crate) fn can_resume(&self) -> bool {
         !self.uncounted
@@ -55,7 +66,7 @@
 
     /// Readies the cursor for the next attempt.
     pub(crate) fn begin_attempt(&mut self) {
-        self.attempt_id = None;
+        self.attempt_id = self.wanted_id.clone();
         self.resumed = self.begun;
     }
 
--- a/crates/ragwortroad_gateway/src/stream_relay.rs
+++ b/crates/ragwortroad_gateway/src/stream_relay.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     AttemptOutcome,
+    answer_check::answer_id,
     engine_request::resume_body,
     model_relay::{
         EngineAnswer,
@@ -65,11 +66,13 @@
 ) -> Response<ReplyBody> {
     let (events, receiver) = mpsc::channel(EVENTS_AHEAD);
     let hint = good.attempt.grant.hint.clone();
+    let must_echo = flow.state.settings.engines_must_echo;
+    let wanted_id = answer_id(flow.context.request, must_echo);
     let relay = StreamRelay {
         flow,
         body,
         events,
-        cursor: StreamCursor::default(),
+        cursor: StreamCursor::new(wanted_id),
     };
     let mut reply = Response::new(ReplyBody::stream(
         receiver,
--- a/crates/ragwortroad_standin/src/engine_stream.rs
+++ b/crates/ragwortroad_standin/src/engine_stream.rs
@@ -122,12 +122,16 @@
         })
     }
 
+    /// Whom the answer names as its request at a token.
+    fn owner_at(&self, token: u32) -> &str {
+        match self.faults.cross_at {
+            Some(from) if token >= from => "another",
+            _ => self.echo_id(),
+        }
+    }
+
     fn chunk(&self, at: usize) -> Bytes {
-        let crossed = self.faults.cross_at.is_some_and(|from| at >= from as usize);
-        let owner = match crossed {
-            true => "another",
-            false => self.echo_id(),
-        };
+        let owner = self.owner_at(at as u32);
         let text = &self.tokens[at];
         let chunk = json!({
             "id": format!("chatcmpl-{owner}"),
@@ -172,7 +176,7 @@
     }
     let message = json!({"role": "assistant", "content": run.tokens.concat()});
     let answer = json!({
-        "id": format!("chatcmpl-{}", run.echo_id()),
+        "id": format!("chatcmpl-{}", run.owner_at(0)),
         "object": "chat.completion",
         "model": run.chat.model,
         "choices": [{"index": 0, "message": message, "finish_reason": "stop"}],
