--- a/crates/ragwortroad_gateway/examples/added_latency.rs
+++ b/crates/ragwortroad_gateway/examples/added_latency.rs
@@ -24,7 +24,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use bytes::Bytes;
--- a/crates/ragwortroad_gateway/src/answer_check.rs
+++ b/crates/ragwortroad_gateway/src/answer_check.rs
@@ -6,12 +6,14 @@
     Limited, //
 };
 use hyper::{
-    Method, Response, StatusCode,
+    Method,
+    Response,
+    StatusCode,
     body::Incoming,
     header::{
         CONTENT_LENGTH,
         TRANSFER_ENCODING, //
-    },
+    }, //
 };
 use ragwortroad_types::prelude::*;
 
--- a/crates/ragwortroad_gateway/src/body_room.rs
+++ b/crates/ragwortroad_gateway/src/body_room.rs
@@ -3,7 +3,7 @@
     atomic::{
         AtomicUsize,
         Ordering, //
-    },
+    }, //
 };
 
 /// The memory that request bodies may take together.
--- a/crates/ragwortroad_gateway/src/caller_socket.rs
+++ b/crates/ragwortroad_gateway/src/caller_socket.rs
@@ -6,7 +6,7 @@
         Context,
         Poll, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use ragwortroad_types::prelude::*;
@@ -21,7 +21,7 @@
         Instant,
         Sleep,
         sleep_until, //
-    },
+    }, //
 };
 
 use crate::exchange_phase::ExchangePhase;
--- a/crates/ragwortroad_gateway/src/connection_loop.rs
+++ b/crates/ragwortroad_gateway/src/connection_loop.rs
@@ -21,7 +21,7 @@
     time::{
         sleep,
         timeout, //
-    },
+    }, //
 };
 
 use crate::{
--- a/crates/ragwortroad_gateway/src/endpoint_link.rs
+++ b/crates/ragwortroad_gateway/src/endpoint_link.rs
@@ -7,12 +7,13 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    Request, Response,
+    Request,
+    Response,
     body::Incoming,
     client::conn::http1::{
         SendRequest,
         handshake, //
-    },
+    }, //
 };
 use hyper_util::rt::TokioIo;
 use tokio::{
--- a/crates/ragwortroad_gateway/src/endpoint_pool.rs
+++ b/crates/ragwortroad_gateway/src/endpoint_pool.rs
@@ -8,7 +8,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use crate::endpoint_link::EndpointLink;
--- a/crates/ragwortroad_gateway/src/engine_request.rs
+++ b/crates/ragwortroad_gateway/src/engine_request.rs
@@ -14,7 +14,7 @@
         DEADLINE,
         RequestContext, //
     },
-    stream_cursor::StreamCursor,
+    stream_cursor::StreamCursor, //
 };
 
 /// The engines' path for chats.
--- a/crates/ragwortroad_gateway/src/exchange_phase.rs
+++ b/crates/ragwortroad_gateway/src/exchange_phase.rs
@@ -3,7 +3,7 @@
     atomic::{
         AtomicU8,
         Ordering, //
-    },
+    }, //
 };
 
 /// How far a connection is with its present request, shared by its socket and its service.
--- a/crates/ragwortroad_gateway/src/gateway_server.rs
+++ b/crates/ragwortroad_gateway/src/gateway_server.rs
@@ -1,21 +1,12 @@
-use std::{
-    net::{
-        SocketAddr,
-        TcpListener, //
-    },
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use flume::Sender;
 use snafu::ResultExt;
-use socket2::{
-    Domain,
-    Protocol,
-    Socket,
-    Type, //
-};
 use tokio::{
+    net::{
+        TcpListener,
+        TcpSocket, //
+    },
     runtime::{
         Builder,
         Runtime, //
@@ -25,7 +16,7 @@
         watch, //
     },
     task::JoinHandle,
-    time::timeout,
+    time::timeout, //
 };
 
 use crate::{
@@ -43,7 +34,7 @@
 };
 
 /// Connections that wait to be accepted.
-const BACKLOG: i32 = 1024;
+const BACKLOG: u32 = 1024;
 
 /// Time for connections to close once no request is in flight.
 const CLOSE_TIME: Duration = Duration::from_secs(5);
@@ -66,22 +57,18 @@
         calls: Sender<ControlCall>,
         pages: GatewayPages,
     ) -> Result<Self, GatewayError> {
-        let listener = bind_listener(settings.listen).context(ListenSnafu {
-            address: settings.listen,
-        })?;
-        let address = listener.local_addr().context(ListenSnafu {
-            address: settings.listen,
-        })?;
         let runtime = Builder::new_multi_thread()
             .worker_threads(settings.traffic_threads.max(1))
             .thread_name("traffic")
             .enable_all()
             .build()
             .context(ThreadsSnafu)?;
+        let address = settings.listen;
         let listener = {
             let _entered = runtime.enter();
-            tokio::net::TcpListener::from_std(listener).context(ListenSnafu { address })?
+            listen_at(address).context(ListenSnafu { address })?
         };
+        let address = listener.local_addr().context(ListenSnafu { address })?;
         let (orders, order_queue) = mpsc::unbounded_channel();
         let (stop, stopped) = watch::channel(false);
         let state = Arc::new(GatewayState::new(settings, calls, pages, orders));
@@ -147,13 +134,13 @@
     }
 }
 
-/// A listener that can take the address of a process that ended a moment ago.
-fn bind_listener(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let domain = Domain::for_address(address);
-    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    Ok(socket.into())
+/// A listener that can take the address of a process that ended a moment ago. Needs a runtime.
+fn listen_at(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
--- a/crates/ragwortroad_gateway/src/gateway_settings.rs
+++ b/crates/ragwortroad_gateway/src/gateway_settings.rs
@@ -3,7 +3,7 @@
         Ipv4Addr,
         SocketAddr, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 /// How a [`GatewayServer`](crate::GatewayServer) listens and what it allows.
--- a/crates/ragwortroad_gateway/src/gateway_state.rs
+++ b/crates/ragwortroad_gateway/src/gateway_state.rs
@@ -11,7 +11,7 @@
             AtomicUsize,
             Ordering, //
         },
-    },
+    }, //
 };
 
 use flume::Sender;
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -11,7 +11,9 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    AdmitCall, AttemptOutcome, RequestTarget,
+    AdmitCall,
+    AttemptOutcome,
+    RequestTarget,
     answer_check::{
         answer_id,
         check_owner,
@@ -36,7 +38,7 @@
         OpenAttempt,
         RequestFlow, //
     },
-    stream_relay::stream_reply,
+    stream_relay::stream_reply, //
 };
 
 /// A whole answer's parts that the gateway reads.
--- a/crates/ragwortroad_gateway/src/page_handlers.rs
+++ b/crates/ragwortroad_gateway/src/page_handlers.rs
@@ -10,7 +10,10 @@
 use serde::Deserialize;
 
 use crate::{
-    AddressCall, AnnounceCall, ControlCall, OperatorCall,
+    AddressCall,
+    AnnounceCall,
+    ControlCall,
+    OperatorCall,
     body_reader::read_body,
     body_room::HeldRoom,
     control_ask::ask_control,
@@ -21,7 +24,7 @@
         json_reply,
         text_reply, //
     },
-    request_context::RequestContext,
+    request_context::RequestContext, //
 };
 
 /// The body of `POST /v1/operator`.
--- a/crates/ragwortroad_gateway/src/reply_body.rs
+++ b/crates/ragwortroad_gateway/src/reply_body.rs
@@ -5,7 +5,7 @@
     task::{
         Context,
         Poll, //
-    },
+    }, //
 };
 
 use bytes::Bytes;
--- a/crates/ragwortroad_gateway/src/reply_maker.rs
+++ b/crates/ragwortroad_gateway/src/reply_maker.rs
@@ -1,12 +1,13 @@
 //! Answers that the gateway makes itself.
 
 use hyper::{
-    Response, StatusCode,
+    Response,
+    StatusCode,
     header::{
         CONTENT_TYPE,
         HeaderValue,
         RETRY_AFTER, //
-    },
+    }, //
 };
 use ragwortroad_types::prelude::*;
 use serde::Serialize;
--- a/crates/ragwortroad_gateway/src/request_router.rs
+++ b/crates/ragwortroad_gateway/src/request_router.rs
@@ -40,7 +40,7 @@
     service_relay::{
         ServiceCall,
         relay_service, //
-    },
+    }, //
 };
 
 use crate::{
--- a/crates/ragwortroad_gateway/src/service_relay.rs
+++ b/crates/ragwortroad_gateway/src/service_relay.rs
@@ -3,19 +3,26 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{
-    HeaderMap, Method, Request, Response,
+    HeaderMap,
+    Method,
+    Request,
+    Response,
     header::{
         CONTENT_TYPE,
         HeaderName,
         HeaderValue, //
     },
-    http::request::Parts,
+    http::request::Parts, //
 };
 use ragwortroad_types::prelude::*;
 use tokio::time::timeout_at;
 
 use crate::{
-    AdmitCall, AdmitGrant, AttemptOutcome, RecordedAnswer, RequestTarget,
+    AdmitCall,
+    AdmitGrant,
+    AttemptOutcome,
+    RecordedAnswer,
+    RequestTarget,
     answer_check::{
         check_owner,
         read_whole, //
@@ -36,7 +43,7 @@
     request_flow::{
         FlowEnd,
         RequestFlow, //
-    },
+    }, //
 };
 
 /// Headers that belong to one connection or to the fleet, and are not passed on.
--- a/crates/ragwortroad_gateway/src/stream_relay.rs
+++ b/crates/ragwortroad_gateway/src/stream_relay.rs
@@ -12,7 +12,7 @@
     time::{
         timeout,
         timeout_at, //
-    },
+    }, //
 };
 use tracing::Instrument;
 
@@ -39,7 +39,7 @@
     stream_cursor::{
         EventStep,
         StreamCursor, //
-    },
+    }, //
 };
 
 /// Events between the relay and the connection. The relay runs only while the connection takes
--- a/crates/ragwortroad_gateway/src/tests.rs
+++ b/crates/ragwortroad_gateway/src/tests.rs
@@ -13,7 +13,7 @@
         Poll,
         Waker, //
     },
-    thread,
+    thread, //
 };
 
 use flume::{
--- a/crates/ragwortroad_gateway/tests/broken_answers.rs
+++ b/crates/ragwortroad_gateway/tests/broken_answers.rs
@@ -17,6 +17,13 @@
 use ragwortroad_standin::prelude::*;
 use ragwortroad_types::prelude::*;
 
+/// A plan with one fault in it.
+fn fault(change: impl FnOnce(&mut FaultPlan)) -> FaultPlan {
+    let mut plan = FaultPlan::default();
+    change(&mut plan);
+    plan
+}
+
 fn fleet_with(faults: FaultPlan) -> TestFleet {
     let fleet = TestFleet::start(GatewaySettings {
         stream_timeout: Duration::from_millis(1500),
@@ -41,42 +48,24 @@
     // or never comes. A library that takes such an answer would hand a photographer half a
     // caption, or another studio's.
     let faults = [
-        FaultPlan {
-            short_body: true,
-            ..FaultPlan::default()
-        },
-        FaultPlan {
-            echo_id: Some("00000000000000aa".to_owned()),
-            ..FaultPlan::default()
-        },
-        FaultPlan {
-            cross_at: Some(0),
-            ..FaultPlan::default()
-        },
-        FaultPlan {
-            redirect_to: Some("http://192.0.2.9/".to_owned()),
-            ..FaultPlan::default()
-        },
-        FaultPlan {
-            close_unanswered: true,
-            ..FaultPlan::default()
-        },
-        FaultPlan {
-            status: Some(503),
-            ..FaultPlan::default()
-        },
+        fault(|plan| plan.short_body = true),
+        fault(|plan| plan.echo_id = Some("00000000000000aa".to_owned())),
+        fault(|plan| plan.cross_at = Some(0)),
+        fault(|plan| plan.redirect_to = Some("http://192.0.2.9/".to_owned())),
+        fault(|plan| plan.close_unanswered = true),
+        fault(|plan| plan.status = Some(503)),
     ];
-    for fault in faults {
-        let fleet = fleet_with(fault.clone());
+    for plan in faults {
+        let fleet = fleet_with(plan.clone());
         let chat = chat_body(false);
         let answer = fleet.chat(&chat, "");
-        assert!(answer.starts_with("HTTP/1.1 200"), "{fault:?}: {answer}");
-        assert!(whole_is_own(&answer, &chat), "{fault:?}: {answer}");
+        assert!(answer.starts_with("HTTP/1.1 200"), "{plan:?}: {answer}");
+        assert!(whole_is_own(&answer, &chat), "{plan:?}: {answer}");
         let outcomes = fleet.stop().outcomes();
-        assert_eq!(outcomes[0], AttemptOutcome::Broken, "{fault:?}");
+        assert_eq!(outcomes[0], AttemptOutcome::Broken, "{plan:?}");
         assert!(
             matches!(outcomes[1], AttemptOutcome::Completed { .. }),
-            "{fault:?}"
+            "{plan:?}"
         );
     }
 }
@@ -119,10 +108,7 @@
 fn a_stream_without_its_final_marker_is_not_taken_as_whole() {
     // The engine ends the body in good order but leaves out the marker, as one does that was told
     // to stop. Without the check the caller would take the text as complete.
-    let fleet = fleet_with(FaultPlan {
-        drop_marker: true,
-        ..FaultPlan::default()
-    });
+    let fleet = fleet_with(fault(|plan| plan.drop_marker = true));
     let chat = chat_body(true);
     let answer = fleet.chat(&chat, "");
     assert!(is_own(&answer, &chat), "{answer}");
@@ -139,10 +125,7 @@
 fn a_stream_that_nobody_goes_on_with_ends_in_a_typed_error() {
     // The only engine dies in mid-stream. The caller must be able to tell that the text is not
     // whole, and must not be told that nothing ran.
-    let fleet = fleet_with(FaultPlan {
-        die_after_tokens: Some(5),
-        ..FaultPlan::default()
-    });
+    let fleet = fleet_with(fault(|plan| plan.die_after_tokens = Some(5)));
     fleet.control.routes.lock().unwrap().refuse_retries = true;
     let answer = fleet.chat(&chat_body(true), "");
     let (_, ended) = streamed_text(&answer.replace("data: {\"error\"", "error: {\"error\""));
@@ -157,10 +140,7 @@
 fn a_request_that_was_sent_is_never_refused_as_not_run() {
     // The first engine breaks off, and the control thread refuses the retry as not run, which is
     // true of the retry alone. A caller that believed it would run the request again.
-    let fleet = fleet_with(FaultPlan {
-        close_unanswered: true,
-        ..FaultPlan::default()
-    });
+    let fleet = fleet_with(fault(|plan| plan.close_unanswered = true));
     fleet.control.routes.lock().unwrap().refuse_retries = true;
     let refusal = refusal_of(&fleet.chat(&chat_body(false), ""));
     assert_eq!(refusal.outcome, RequestOutcome::Unknown);
@@ -172,18 +152,9 @@
     // The desk books, and its answer is lost, cut short or another's. Sent again elsewhere, the
     // booking would put two crews on one set.
     let faults = [
-        FaultPlan {
-            close_unanswered: true,
-            ..FaultPlan::default()
-        },
-        FaultPlan {
-            short_body: true,
-            ..FaultPlan::default()
-        },
-        FaultPlan {
-            echo_id: Some("00000000000000aa".to_owned()),
-            ..FaultPlan::default()
-        },
+        fault(|plan| plan.close_unanswered = true),
+        fault(|plan| plan.short_body = true),
+        fault(|plan| plan.echo_id = Some("00000000000000aa".to_owned())),
     ];
     for fault in faults {
         let fleet = fleet_with(fault);
@@ -206,10 +177,7 @@
     // is the caller's to decide.
     let fleet = fleet_with(FaultPlan::default());
     let other = format!("http://{}/bookings", fleet.services[1].address());
-    fleet.services[0].set_faults(FaultPlan {
-        redirect_to: Some(other.clone()),
-        ..FaultPlan::default()
-    });
+    fleet.services[0].set_faults(fault(|plan| plan.redirect_to = Some(other.clone())));
     let answer = fleet.book("");
     assert!(answer.starts_with("HTTP/1.1 307"), "{answer}");
     assert!(answer.contains(&format!("location: {other}\r\n")));
@@ -221,10 +189,7 @@
 fn an_endpoint_that_takes_no_connection_costs_nothing() {
     // An endpoint's process is gone and its address refuses. Nothing was sent, so even a booking
     // may go to the next endpoint, and runs there once.
-    let fleet = fleet_with(FaultPlan {
-        refuse_connections: true,
-        ..FaultPlan::default()
-    });
+    let fleet = fleet_with(fault(|plan| plan.refuse_connections = true));
     let refused = fleet.services[0].address();
     fleet.wait_for("the port closes", |_| {
         std::net::TcpStream::connect(refused).is_err()
@@ -242,10 +207,7 @@
 fn an_answer_after_the_deadline_is_not_handed_over() {
     // The endpoint answers when the caller has given up. Handed over late, the answer could meet
     // the caller's next request; and nobody knows whether the booking ran.
-    let fleet = fleet_with(FaultPlan {
-        answer_delay: Duration::from_secs(60),
-        ..FaultPlan::default()
-    });
+    let fleet = fleet_with(fault(|plan| plan.answer_delay = Duration::from_secs(60)));
     let answer = fleet.book("x-deadline-ms: 500\r\n");
     let refusal = refusal_of(&answer);
     assert_eq!(refusal.code, RefusalCode::DeadlinePassed);
--- a/crates/ragwortroad_gateway/tests/caller_faults.rs
+++ b/crates/ragwortroad_gateway/tests/caller_faults.rs
@@ -25,7 +25,7 @@
         chat_body,
         is_own,
         refusal_of, //
-    },
+    }, //
 };
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_standin::prelude::*;
--- a/crates/ragwortroad_gateway/tests/common/fake_control.rs
+++ b/crates/ragwortroad_gateway/tests/common/fake_control.rs
@@ -9,7 +9,7 @@
         self,
         JoinHandle, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use flume::{
--- a/crates/ragwortroad_gateway/tests/common/raw_client.rs
+++ b/crates/ragwortroad_gateway/tests/common/raw_client.rs
@@ -7,7 +7,7 @@
         SocketAddr,
         TcpStream, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 /// Longest wait for bytes that must come.
--- a/crates/ragwortroad_gateway/tests/common/test_fleet.rs
+++ b/crates/ragwortroad_gateway/tests/common/test_fleet.rs
@@ -4,7 +4,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use ragwortroad_gateway::prelude::*;
@@ -22,7 +22,7 @@
         BOUND,
         exchange,
         post, //
-    },
+    }, //
 };
 
 /// A gateway before two engines and two services, with a fake control thread.
--- a/crates/ragwortroad_gateway/tests/library_evidence.rs
+++ b/crates/ragwortroad_gateway/tests/library_evidence.rs
@@ -19,7 +19,7 @@
         self,
         JoinHandle, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use tiny_http::{
--- a/crates/ragwortroad_gateway/tests/node_drain.rs
+++ b/crates/ragwortroad_gateway/tests/node_drain.rs
@@ -20,7 +20,7 @@
         chat_body,
         is_own,
         refusal_of, //
-    },
+    }, //
 };
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_types::prelude::*;
--- a/crates/ragwortroad_load/src/address_book.rs
+++ b/crates/ragwortroad_load/src/address_book.rs
@@ -10,7 +10,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use ragwortroad_types::prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_load/src/caller_request.rs
@@ -0,0 +1,65 @@
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use minreq::Method;
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    AttemptNote,
+    CallEnd,
+    event_reader::UsageFigures, //
+};
+
+/// One request as it goes to a node.
+pub(crate) struct CallerRequest<'call> {
+    pub(crate) method: Method,
+    pub(crate) path: String,
+    pub(crate) body: String,
+    pub(crate) key: &'call str,
+    pub(crate) idempotency_key: Option<&'call str>,
+    pub(crate) chat: Option<&'call str>,
+    pub(crate) hint: Option<String>,
+    pub(crate) deadline: Duration,
+}
+
+/// What came back from one sending.
+pub(crate) struct CallerAnswer {
+    pub(crate) note: AttemptNote,
+    pub(crate) end: CallEnd,
+    pub(crate) refusal: Option<Box<RefusalWire>>,
+    pub(crate) hint: Option<String>,
+    pub(crate) first_token: Option<Instant>,
+    pub(crate) usage: UsageFigures,
+    pub(crate) body: Vec<u8>,
+}
+
+impl CallerAnswer {
+    pub(crate) fn unreachable(address: &str) -> Self {
+        let note = AttemptNote {
+            address: address.to_owned(),
+            request_id: None,
+            status: None,
+            outcome: None,
+            code: None,
+        };
+        Self {
+            note,
+            end: CallEnd::Unreachable,
+            refusal: None,
+            hint: None,
+            first_token: None,
+            usage: UsageFigures::default(),
+            body: Vec::new(),
+        }
+    }
+
+    pub(crate) fn take_refusal(&mut self, refusal: RefusalWire) {
+        let detail = &refusal.error;
+        self.note.outcome = Some(detail.outcome);
+        self.note.code = Some(detail.code);
+        self.end = CallEnd::Refused(detail.outcome, detail.code);
+        self.refusal = Some(Box::new(refusal));
+    }
+}
--- a/crates/ragwortroad_load/src/lib.rs
+++ b/crates/ragwortroad_load/src/lib.rs
@@ -20,13 +20,16 @@
 mod answer_check;
 mod arrival_plan;
 mod call_note;
+mod call_retry;
 mod caller_client;
+mod caller_request;
 mod chat_script;
 mod event_reader;
 mod latency_set;
 mod load_error;
 mod load_run;
 mod load_settings;
+mod load_state;
 mod run_check;
 mod run_report;
 
--- a/crates/ragwortroad_load/src/run_check.rs
+++ b/crates/ragwortroad_load/src/run_check.rs
@@ -4,7 +4,7 @@
         HashMap,
         HashSet, //
     },
-    fmt,
+    fmt, //
 };
 
 use ragwortroad_standin::{
--- a/crates/ragwortroad_standin/src/announce_loop.rs
+++ b/crates/ragwortroad_standin/src/announce_loop.rs
@@ -3,7 +3,7 @@
         self,
         JoinHandle, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use flume::{
--- a/crates/ragwortroad_standin/src/engine_handler.rs
+++ b/crates/ragwortroad_standin/src/engine_handler.rs
@@ -15,7 +15,9 @@
 use tokio::time::sleep;
 
 use crate::{
-    FaultPlan, RunEnd, RunRecord,
+    FaultPlan,
+    RunEnd,
+    RunRecord,
     answer_tokens::{
         TOKEN_BYTES,
         answer_tokens, //
@@ -40,7 +42,7 @@
         header_text,
         json_reply,
         redirect_reply, //
-    },
+    }, //
 };
 
 /// Answers one request to a stand-in engine.
--- a/crates/ragwortroad_standin/src/engine_pages.rs
+++ b/crates/ragwortroad_standin/src/engine_pages.rs
@@ -8,7 +8,8 @@
 use tokio::time::sleep;
 
 use crate::{
-    OrderAction, OrderWire,
+    OrderAction,
+    OrderWire,
     engine_state::{
         AttemptName,
         EngineParts,
@@ -18,7 +19,7 @@
         StandinBody,
         StandinReply,
         json_reply, //
-    },
+    }, //
 };
 
 /// The body of `POST /v1/cancel`.
--- a/crates/ragwortroad_standin/src/engine_settings.rs
+++ b/crates/ragwortroad_standin/src/engine_settings.rs
@@ -3,7 +3,7 @@
         Ipv4Addr,
         SocketAddr, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 use ragwortroad_types::prelude::*;
--- a/crates/ragwortroad_standin/src/engine_state.rs
+++ b/crates/ragwortroad_standin/src/engine_state.rs
@@ -14,7 +14,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use ragwortroad_types::prelude::*;
--- a/crates/ragwortroad_standin/src/engine_stream.rs
+++ b/crates/ragwortroad_standin/src/engine_stream.rs
@@ -9,7 +9,7 @@
     channel::{
         Channel,
         Sender, //
-    },
+    }, //
 };
 use hyper::Response;
 use ragwortroad_types::prelude::*;
@@ -26,11 +26,12 @@
         Instant,
         sleep,
         sleep_until, //
-    },
+    }, //
 };
 
 use crate::{
-    FaultPlan, RunEnd,
+    FaultPlan,
+    RunEnd,
     engine_state::{
         AttemptName,
         CountGuard,
@@ -42,7 +43,7 @@
         json_reply,
         mark_reply,
         short_reply, //
-    },
+    }, //
 };
 
 /// One chat being answered by a stand-in engine.
--- a/crates/ragwortroad_standin/src/lib.rs
+++ b/crates/ragwortroad_standin/src/lib.rs
@@ -27,6 +27,7 @@
 mod service_settings;
 mod standin_engine;
 mod standin_error;
+mod standin_host;
 mod standin_reply;
 mod standin_service;
 mod standin_shell;
--- a/crates/ragwortroad_standin/src/service_settings.rs
+++ b/crates/ragwortroad_standin/src/service_settings.rs
@@ -3,7 +3,7 @@
         Ipv4Addr,
         SocketAddr, //
     },
-    time::Duration,
+    time::Duration, //
 };
 
 /// What a [`StandinService`](crate::StandinService) is and how fast it works.
--- a/crates/ragwortroad_standin/src/standin_engine.rs
+++ b/crates/ragwortroad_standin/src/standin_engine.rs
@@ -3,22 +3,23 @@
     sync::{
         Arc,
         atomic::Ordering, //
-    },
+    }, //
 };
 
 use ragwortroad_types::prelude::*;
-use snafu::ResultExt;
 
 use crate::{
-    EngineSettings, FaultPlan, RunRecord, StandinError,
-    announce_loop::AnnounceLoop,
+    EngineSettings,
+    FaultPlan,
+    RunRecord,
+    StandinError,
     engine_handler::handle_engine,
     engine_state::EngineState,
-    standin_error::ThreadsSnafu,
-    standin_shell::{
-        ShellState,
-        StandinShell, //
+    standin_host::{
+        HostSettings,
+        StandinHost, //
     },
+    standin_shell::ShellState, //
 };
 
 /// A stand-in for a model engine.
@@ -27,8 +28,7 @@
 /// cancels, takes orders, and announces itself with a late load and with gaps in its cache events.
 pub struct StandinEngine {
     state: Arc<EngineState>,
-    shell: StandinShell,
-    announcer: Option<AnnounceLoop>,
+    host: StandinHost,
 }
 
 impl StandinEngine {
@@ -36,23 +36,20 @@
     pub fn start(settings: EngineSettings) -> Result<Self, StandinError> {
         let record = Arc::new(ShellState::new());
         let state = Arc::new(EngineState::new(settings, Arc::clone(&record)));
-        let settings = &state.settings;
-        let handled = Arc::clone(&state);
-        let handle = move |request| handle_engine(Arc::clone(&handled), request);
-        let shell = StandinShell::start(settings.listen, settings.threads, record, handle)?;
-        let address = shell.address().to_string();
-        let announced = Arc::clone(&state);
-        let announcer = AnnounceLoop::start(
-            settings.announce_to.clone(),
-            settings.join_secret.clone(),
-            move |epoch| announced.announce(&address, epoch),
-        )
-        .context(ThreadsSnafu)?;
-        Ok(Self {
-            state,
-            shell,
-            announcer,
-        })
+        let host = HostSettings {
+            listen: state.settings.listen,
+            threads: state.settings.threads,
+            announce_to: state.settings.announce_to.clone(),
+            join_secret: state.settings.join_secret.clone(),
+        };
+        let (handled, announced) = (Arc::clone(&state), Arc::clone(&state));
+        let host = StandinHost::start(
+            host,
+            record,
+            move |request| handle_engine(Arc::clone(&handled), request),
+            move |address, epoch| announced.announce(address, epoch),
+        )?;
+        Ok(Self { state, host })
     }
 
     /// The name it announces itself by.
@@ -62,7 +59,7 @@
 
     /// Where it takes requests.
     pub fn address(&self) -> SocketAddr {
-        self.shell.address()
+        self.host.address()
     }
 
     /// From now on misbehaves in this way.
@@ -102,10 +99,7 @@
     /// Cuts every connection and joins its threads, as a VM that is lost would. Returns what it
     /// ran.
     pub fn stop(self) -> Vec<RunRecord> {
-        if let Some(announcer) = self.announcer {
-            announcer.stop();
-        }
-        self.shell.stop();
+        self.host.stop();
         self.state.shell.records()
     }
 }
--- /dev/null
+++ b/crates/ragwortroad_standin/src/standin_host.rs
@@ -0,0 +1,71 @@
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::Arc, //
+};
+
+use hyper::{
+    Request,
+    body::Incoming, //
+};
+use ragwortroad_types::prelude::*;
+use snafu::ResultExt;
+
+use crate::{
+    StandinError,
+    announce_loop::AnnounceLoop,
+    standin_error::ThreadsSnafu,
+    standin_reply::StandinReply,
+    standin_shell::{
+        ShellState,
+        StandinShell, //
+    }, //
+};
+
+/// Everything that runs for one stand-in: its server and the thread that announces it.
+pub(crate) struct StandinHost {
+    shell: StandinShell,
+    announcer: Option<AnnounceLoop>,
+}
+
+/// Where a stand-in listens and to whom it announces itself.
+pub(crate) struct HostSettings {
+    pub(crate) listen: SocketAddr,
+    pub(crate) threads: usize,
+    pub(crate) announce_to: Vec<String>,
+    pub(crate) join_secret: String,
+}
+
+impl StandinHost {
+    /// Serves each request by `handle`, and announces what `announce` makes of the stand-in's
+    /// address and home epoch.
+    pub(crate) fn start<Handle, Reply>(
+        settings: HostSettings,
+        state: Arc<ShellState>,
+        handle: Handle,
+        mut announce: impl FnMut(&str, u64) -> AnnounceWire + Send + 'static,
+    ) -> Result<Self, StandinError>
+    where
+        Handle: Fn(Request<Incoming>) -> Reply + Clone + Send + Sync + 'static,
+        Reply: Future<Output = StandinReply> + Send + 'static,
+    {
+        let shell = StandinShell::start(settings.listen, settings.threads, state, handle)?;
+        let address = shell.address().to_string();
+        let make = move |epoch| announce(&address, epoch);
+        let announcer = AnnounceLoop::start(settings.announce_to, settings.join_secret, make)
+            .context(ThreadsSnafu)?;
+        Ok(Self { shell, announcer })
+    }
+
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.shell.address()
+    }
+
+    /// Cuts every connection and joins every thread.
+    pub(crate) fn stop(self) {
+        if let Some(announcer) = self.announcer {
+            announcer.stop();
+        }
+        self.shell.stop();
+    }
+}
--- a/crates/ragwortroad_standin/src/standin_service.rs
+++ b/crates/ragwortroad_standin/src/standin_service.rs
@@ -9,7 +9,7 @@
             AtomicU64,
             Ordering, //
         },
-    },
+    }, //
 };
 
 use http_body_util::BodyExt;
@@ -19,14 +19,19 @@
 };
 use ragwortroad_types::prelude::*;
 use serde_json::json;
-use snafu::ResultExt;
 use tokio::time::sleep;
 
 use crate::{
-    FaultPlan, RunEnd, RunRecord, ServiceSettings, StandinError,
-    announce_loop::AnnounceLoop,
+    FaultPlan,
+    RunEnd,
+    RunRecord,
+    ServiceSettings,
+    StandinError,
     engine_state::CountGuard,
-    standin_error::ThreadsSnafu,
+    standin_host::{
+        HostSettings,
+        StandinHost, //
+    },
     standin_reply::{
         StandinReply,
         header_text,
@@ -34,10 +39,7 @@
         redirect_reply,
         short_reply, //
     },
-    standin_shell::{
-        ShellState,
-        StandinShell, //
-    },
+    standin_shell::ShellState, //
 };
 
 /// What all requests of one stand-in service share.
@@ -55,8 +57,7 @@
 /// see to, and its records show whether it did.
 pub struct StandinService {
     state: Arc<ServiceState>,
-    shell: StandinShell,
-    announcer: Option<AnnounceLoop>,
+    host: StandinHost,
 }
 
 impl StandinService {
@@ -70,23 +71,20 @@
             running: AtomicU32::new(0),
             sequence: AtomicU64::new(0),
         });
-        let settings = &state.settings;
-        let handled = Arc::clone(&state);
-        let handle = move |request| handle_service(Arc::clone(&handled), request);
-        let shell = StandinShell::start(settings.listen, settings.threads, record, handle)?;
-        let address = shell.address().to_string();
-        let announced = Arc::clone(&state);
-        let announcer = AnnounceLoop::start(
-            settings.announce_to.clone(),
-            settings.join_secret.clone(),
-            move |epoch| announced.announce(&address, epoch),
-        )
-        .context(ThreadsSnafu)?;
-        Ok(Self {
-            state,
-            shell,
-            announcer,
-        })
+        let host = HostSettings {
+            listen: state.settings.listen,
+            threads: state.settings.threads,
+            announce_to: state.settings.announce_to.clone(),
+            join_secret: state.settings.join_secret.clone(),
+        };
+        let (handled, announced) = (Arc::clone(&state), Arc::clone(&state));
+        let host = StandinHost::start(
+            host,
+            record,
+            move |request| handle_service(Arc::clone(&handled), request),
+            move |address, epoch| announced.announce(address, epoch),
+        )?;
+        Ok(Self { state, host })
     }
 
     /// The name it announces itself by.
@@ -96,7 +94,7 @@
 
     /// Where it takes requests.
     pub fn address(&self) -> SocketAddr {
-        self.shell.address()
+        self.host.address()
     }
 
     /// From now on misbehaves in this way.
@@ -116,10 +114,7 @@
 
     /// Cuts every connection and joins its threads. Returns what it ran.
     pub fn stop(self) -> Vec<RunRecord> {
-        if let Some(announcer) = self.announcer {
-            announcer.stop();
-        }
-        self.shell.stop();
+        self.host.stop();
         self.state.shell.records()
     }
 }
--- a/crates/ragwortroad_standin/src/standin_shell.rs
+++ b/crates/ragwortroad_standin/src/standin_shell.rs
@@ -1,9 +1,7 @@
 use std::{
     future::Future,
-    net::{
-        SocketAddr,
-        TcpListener, //
-    },
+    io,
+    net::SocketAddr,
     sync::{
         Arc,
         Mutex,
@@ -12,7 +10,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use hyper::{
@@ -23,30 +21,34 @@
 };
 use hyper_util::rt::TokioIo;
 use snafu::ResultExt;
-use socket2::{
-    Domain,
-    Protocol,
-    Socket,
-    Type, //
-};
 use tokio::{
+    net::{
+        TcpListener,
+        TcpSocket, //
+    },
     runtime::{
         Builder,
         Runtime, //
     },
     task::JoinSet,
-    time::sleep,
+    time::sleep, //
 };
 
 use crate::{
-    FaultPlan, RunEnd, RunRecord, StandinError,
+    FaultPlan,
+    RunEnd,
+    RunRecord,
+    StandinError,
     standin_error::{
         ListenSnafu,
         ThreadsSnafu, //
     },
-    standin_reply::StandinReply,
+    standin_reply::StandinReply, //
 };
 
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
 /// How often a stand-in that refuses connections looks whether it may listen again.
 const LISTEN_POLL: Duration = Duration::from_millis(20);
 
@@ -145,16 +147,19 @@
         Handle: Fn(Request<Incoming>) -> Reply + Clone + Send + Sync + 'static,
         Reply: Future<Output = StandinReply> + Send + 'static,
     {
-        let listener = bind(listen).context(ListenSnafu { address: listen })?;
-        let address = listener
-            .local_addr()
-            .context(ListenSnafu { address: listen })?;
         let runtime = Builder::new_multi_thread()
             .worker_threads(threads.max(1))
             .thread_name("standin")
             .enable_all()
             .build()
             .context(ThreadsSnafu)?;
+        let listener = {
+            let _entered = runtime.enter();
+            bind(listen).context(ListenSnafu { address: listen })?
+        };
+        let address = listener
+            .local_addr()
+            .context(ListenSnafu { address: listen })?;
         runtime.spawn(serve(listener, address, state, handle));
         Ok(Self { address, runtime })
     }
@@ -169,14 +174,15 @@
     }
 }
 
-fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let domain = Domain::for_address(address);
-    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(1024)?;
-    Ok(socket.into())
+/// Listens at an address, also right after another listener there closed. Needs a runtime.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4(),
+        SocketAddr::V6(_) => TcpSocket::new_v6(),
+    }?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 async fn serve<Handle, Reply>(
@@ -191,8 +197,7 @@
     let mut waiting = Some(listener);
     loop {
         let bound = waiting.take().map_or_else(|| bind(address), Ok);
-        let listener = bound.and_then(tokio::net::TcpListener::from_std);
-        let Ok(listener) = listener else {
+        let Ok(listener) = bound else {
             sleep(LISTEN_POLL).await;
             continue;
         };
@@ -204,11 +209,8 @@
 }
 
 /// Accepts connections until the faults say to refuse them; that also cuts those that are open.
-async fn accept<Handle, Reply>(
-    listener: tokio::net::TcpListener,
-    state: &Arc<ShellState>,
-    handle: &Handle,
-) where
+async fn accept<Handle, Reply>(listener: TcpListener, state: &Arc<ShellState>, handle: &Handle)
+where
     Handle: Fn(Request<Incoming>) -> Reply + Clone + Send + Sync + 'static,
     Reply: Future<Output = StandinReply> + Send + 'static,
 {
--- a/crates/ragwortroad_standin/tests/standin_duties.rs
+++ b/crates/ragwortroad_standin/tests/standin_duties.rs
@@ -6,7 +6,7 @@
     time::{
         Duration,
         Instant, //
-    },
+    }, //
 };
 
 use ragwortroad_standin::prelude::*;
