Take a resumed stream only from engines that number its tokens

Cause: an engine that ignores the wish to resume begins again, and the caller would get tokens twice; one VM could take all connections of a node. Change: a resumed stream's tokens must be numbered; connections are limited for each IP number.

--- a/crates/ragwortroad_gateway/src/connection_loop.rs
+++ b/crates/ragwortroad_gateway/src/connection_loop.rs
@@ -29,6 +29,7 @@
         CallerSocket,
         SocketLimits, //
     },
+    connection_count::ConnectionCount,
     exchange_phase::ExchangePhase,
     gateway_state::GatewayState,
     request_router::route_request,
@@ -57,17 +58,23 @@
 ) {
     let mut connections = JoinSet::new();
     let mut turned_away = JoinSet::new();
+    let mut count = ConnectionCount::default();
     let watch = stop.clone();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
-                Ok((stream, _)) if connections.len() < state.settings.max_connections => {
-                    connections.spawn(serve_caller(Arc::clone(&state), stream, watch.clone()));
+                Ok((stream, peer)) if count.enter(peer.ip(), &state.settings) => {
+                    let serving = serve_caller(Arc::clone(&state), stream, watch.clone());
+                    connections.spawn(async move {
+                        serving.await;
+                        peer.ip()
+                    });
                 }
                 Ok((stream, _)) => {
                     metrics::counter!("ragwortroad_connections_refused_total").increment(1);
                     if turned_away.len() < TURNED_AWAY_AT_ONCE {
-                        turned_away.spawn(timeout(TURN_AWAY_TIME, turn_away(state.draw_request(), stream)));
+                        let telling = turn_away(state.draw_request(), stream);
+                        turned_away.spawn(timeout(TURN_AWAY_TIME, telling));
                     }
                 }
                 Err(error) => {
@@ -75,13 +82,17 @@
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
-            Some(_) = connections.join_next() => {}
+            Some(ended) = connections.join_next() => match ended {
+                Ok(address) => count.leave(address),
+                // Its place stays taken; a panic here is a fault to be mended.
+                Err(error) => tracing::error!(%error, "a caller's connection failed"),
+            },
             Some(_) = turned_away.join_next() => {}
             () = until_stopped(&mut stop) => {
                 break;
             }
         }
-        metrics::gauge!("ragwortroad_connections").set(connections.len() as f64);
+        metrics::gauge!("ragwortroad_connections").set(count.total() as f64);
     }
     drop(listener);
     while connections.join_next().await.is_some() {}
--- a/crates/ragwortroad_gateway/src/gateway_settings.rs
+++ b/crates/ragwortroad_gateway/src/gateway_settings.rs
@@ -27,6 +27,8 @@
     pub max_recorded: usize,
     /// Connections of callers at once.
     pub max_connections: usize,
+    /// Connections from one IP number at once.
+    pub max_per_address: usize,
     /// How long a connection may stay without a request.
     pub idle_timeout: Duration,
     /// How long a caller may take over a request's head.
@@ -67,6 +69,7 @@
             max_answer: 16 << 20,
             max_recorded: 64 << 10,
             max_connections: 4096,
+            max_per_address: 1024,
             idle_timeout: Duration::from_secs(60),
             header_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
--- a/crates/ragwortroad_gateway/src/lib.rs
+++ b/crates/ragwortroad_gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod caller_socket;
 mod cancel_worker;
 mod chunk_wire;
+mod connection_count;
 mod connection_loop;
 mod control_ask;
 mod endpoint_link;
--- a/crates/ragwortroad_gateway/src/stream_cursor.rs
+++ b/crates/ragwortroad_gateway/src/stream_cursor.rs
@@ -147,6 +147,11 @@
             Some(index) if index > self.tokens => {
                 return EventStep::Broken("a token is missing in the stream");
             }
+            // An engine that knows nothing of resuming begins again at the first token, and only
+            // its numbers could tell.
+            None if self.resumed && self.tokens > 0 => {
+                return EventStep::Broken("the engine does not say where it goes on");
+            }
             _ => {}
         }
         self.tokens += chunk.token_count.unwrap_or(1);
--- a/crates/ragwortroad_gateway/src/tests.rs
+++ b/crates/ragwortroad_gateway/src/tests.rs
@@ -33,7 +33,11 @@
     RequestTarget,
     TicketId,
     admit_wait::AdmitWait,
-    gateway_state::GatewayState, //
+    gateway_state::GatewayState,
+    stream_cursor::{
+        EventStep,
+        StreamCursor, //
+    }, //
 };
 
 fn state() -> (Arc<GatewayState>, Receiver<ControlCall>) {
@@ -144,3 +148,34 @@
         assert_eq!(back + usize::from(failed), 1, "ticket {ticket}");
     }
 }
+
+fn chunk(index: Option<u32>, content: &str) -> String {
+    let number = index.map_or(String::new(), |index| format!("\"token_index\":{index},"));
+    format!("data: {{{number}\"choices\":[{{\"delta\":{{\"content\":\"{content}\"}}}}]}}\n\n")
+}
+
+#[test]
+fn a_resumed_stream_must_say_where_it_goes_on() {
+    // The second engine knows nothing of resuming and begins again at the first token, without
+    // numbers. Its tokens look like those that are still to come.
+    let mut cursor = StreamCursor::new(None);
+    for text in ["a ", "b "] {
+        assert_eq!(
+            cursor.step(chunk(None, text).as_bytes()),
+            EventStep::Forward
+        );
+    }
+    cursor.begin_attempt();
+    let step = cursor.step(chunk(None, "a ").as_bytes());
+    assert!(matches!(step, EventStep::Broken(_)), "{step:?}");
+
+    // Numbered, the tokens that the caller has are left out and the others go through.
+    cursor.begin_attempt();
+    let steps = (0..4).map(|index| cursor.step(chunk(Some(index), "x ").as_bytes()));
+    let (skip, forward) = (EventStep::Skip, EventStep::Forward);
+    assert_eq!(
+        steps.collect::<Vec<_>>(),
+        [skip, EventStep::Skip, forward, EventStep::Forward]
+    );
+    assert_eq!((cursor.tokens, cursor.text.as_str()), (4, "a b x x "));
+}
--- a/crates/ragwortroad_gateway/tests/caller_faults.rs
+++ b/crates/ragwortroad_gateway/tests/caller_faults.rs
@@ -138,11 +138,21 @@
 
 #[test]
 fn callers_beyond_the_limit_of_connections_are_told_so() {
-    // One caller opens more connections than the node has room for.
-    let fleet = TestFleet::start(GatewaySettings {
-        max_connections: 4,
-        ..GatewaySettings::default()
-    });
+    // One caller opens more connections than the node has room for, in all or from one VM.
+    let limits = GatewaySettings::default();
+    let (all, own) = (limits.max_connections, limits.max_per_address);
+    for (max_connections, max_per_address) in [(4, own), (all, 4)] {
+        turns_away(GatewaySettings {
+            max_connections,
+            max_per_address,
+            ..GatewaySettings::default()
+        });
+    }
+}
+
+/// Fills a gateway that takes four connections, and then makes room.
+fn turns_away(settings: GatewaySettings) {
+    let fleet = TestFleet::start(settings);
     let mut held: Vec<_> = (0..4).map(|_| connect(fleet.address())).collect();
     for stream in &mut held {
         stream
