--- a/crates/ragwortroad_gateway/src/connection_loop.rs
+++ b/crates/ragwortroad_gateway/src/connection_loop.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::HashMap,
     sync::Arc,
     time::Duration, //
 };
@@ -59,16 +60,14 @@
     let mut connections = JoinSet::new();
     let mut turned_away = JoinSet::new();
     let mut count = ConnectionCount::default();
+    let mut peers = HashMap::new();
     let watch = stop.clone();
     loop {
         tokio::select! {
             accepted = listener.accept() => match accepted {
                 Ok((stream, peer)) if count.enter(peer.ip(), &state.settings) => {
                     let serving = serve_caller(Arc::clone(&state), stream, watch.clone());
-                    connections.spawn(async move {
-                        serving.await;
-                        peer.ip()
-                    });
+                    peers.insert(connections.spawn(serving).id(), peer.ip());
                 }
                 Ok((stream, _)) => {
                     metrics::counter!("ragwortroad_connections_refused_total").increment(1);
@@ -82,10 +81,17 @@
                     sleep(ACCEPT_PAUSE).await;
                 }
             },
-            Some(ended) = connections.join_next() => match ended {
-                Ok(address) => count.leave(address),
-                // Its place stays taken; a panic here is a fault to be mended.
-                Err(error) => tracing::error!(%error, "a caller's connection failed"),
+            Some(ended) = connections.join_next_with_id() => {
+                let id = match ended {
+                    Ok((id, ())) => id,
+                    Err(error) => {
+                        tracing::error!(%error, "a caller's connection failed");
+                        error.id()
+                    }
+                };
+                if let Some(address) = peers.remove(&id) {
+                    count.leave(address);
+                }
             },
             Some(_) = turned_away.join_next() => {}
             () = until_stopped(&mut stop) => {
