Count a connection's idle time from the last byte its caller took

Cause: the idle limit rested on the order in which the HTTP library polls its socket, and could have cut a long answer that a slow caller was still taking. Change: the limit runs from the last byte taken, in every phase but the making of an answer.

--- a/crates/ragwortroad_gateway/src/caller_socket.rs
+++ b/crates/ragwortroad_gateway/src/caller_socket.rs
@@ -52,6 +52,8 @@
     write_timer: Option<Pin<Box<Sleep>>>,
     /// Whether bytes of the request now being read have come.
     head_begun: bool,
+    /// When the head began, or else when bytes of an answer were last taken.
+    quiet_since: Instant,
     /// A refusal that is being written in place of the library's own reply.
     refusal: Option<RefusalWrite>,
 }
@@ -79,14 +81,14 @@
             read_timer: None,
             write_timer: None,
             head_begun: false,
+            quiet_since: Instant::now(),
             refusal: None,
         }
     }
 
     /// Fails once the caller has been silent for longer than the present phase allows.
     fn poll_read_limit(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
-        if !self.phase.is_reading() {
-            self.head_begun = false;
+        if self.phase.is_answering() {
             self.read_timer = None;
             return Poll::Pending;
         }
@@ -94,21 +96,36 @@
             true => self.limits.header,
             false => self.limits.idle,
         };
+        let until = self.quiet_since + limit;
         let timer = self
             .read_timer
-            .get_or_insert_with(|| Box::pin(sleep_until(Instant::now() + limit)));
-        match timer.as_mut().poll(context) {
-            Poll::Ready(()) => Poll::Ready(io::ErrorKind::TimedOut.into()),
-            Poll::Pending => Poll::Pending,
+            .get_or_insert_with(|| Box::pin(sleep_until(until)));
+        while timer.as_mut().poll(context).is_ready() {
+            if Instant::now() >= until {
+                return Poll::Ready(io::ErrorKind::TimedOut.into());
+            }
+            // Bytes of the last answer were taken since the timer was set.
+            timer.as_mut().reset(until);
         }
+        Poll::Pending
     }
 
-    /// Notes that bytes came: the head's time runs from its first byte, not from each one.
+    /// Notes that bytes came: a head's time runs from its first byte, not from each one.
     fn note_read(&mut self) {
-        if !self.phase.is_reading() || !self.head_begun {
+        if self.phase.is_answering() {
+            self.head_begun = false;
+        } else if !self.head_begun {
+            self.head_begun = true;
+            self.quiet_since = Instant::now();
             self.read_timer = None;
         }
-        self.head_begun = self.phase.is_reading();
+    }
+
+    /// Notes that bytes of an answer were taken, after which the caller may be quiet for a while.
+    fn note_written(&mut self) {
+        self.write_timer = None;
+        self.head_begun = false;
+        self.quiet_since = Instant::now();
     }
 
     fn poll_write_limit(&mut self, context: &mut Context<'_>) -> Poll<io::Error> {
@@ -204,7 +221,7 @@
         };
         match written {
             Poll::Ready(done) => {
-                socket.write_timer = None;
+                socket.note_written();
                 Poll::Ready(done)
             }
             Poll::Pending => socket.poll_write_limit(context).map(Err),
--- a/crates/ragwortroad_gateway/src/exchange_phase.rs
+++ b/crates/ragwortroad_gateway/src/exchange_phase.rs
@@ -40,6 +40,10 @@
         }
     }
 
+    pub(crate) fn is_answering(&self) -> bool {
+        self.phase.load(Ordering::Acquire) == ANSWERING
+    }
+
     pub(crate) fn is_reading(&self) -> bool {
         self.phase.load(Ordering::Acquire) == READING
     }
--- a/crates/ragwortroad_gateway/tests/caller_faults.rs
+++ b/crates/ragwortroad_gateway/tests/caller_faults.rs
@@ -95,8 +95,8 @@
 
 #[test]
 fn silent_and_slow_callers_are_closed_and_hold_up_nobody() {
-    // Callers open connections and send nothing, send a head byte by byte, or leave a body
-    // unfinished. Each would hold a connection for ever.
+    // Callers open connections and send nothing, leave a head or a body unfinished, or stay after
+    // their answer. Each would hold a connection for ever.
     let fleet = TestFleet::start(GatewaySettings {
         idle_timeout: Duration::from_millis(700),
         header_timeout: Duration::from_millis(700),
@@ -106,6 +106,10 @@
     let mut silent = connect(fleet.address());
     let mut slow = connect(fleet.address());
     slow.write_all(b"GET /heal").unwrap();
+    let mut served = connect(fleet.address());
+    let health = b"GET /healthz HTTP/1.1\r\nhost: n\r\n\r\n";
+    served.write_all(health).unwrap();
+    read_until(&mut served, "ok\n");
     let mut stuck = connect(fleet.address());
     let head = post("/v1/chat/completions", "", &"x".repeat(100));
     stuck.write_all(&head[..head.len() - 50]).unwrap();
@@ -113,6 +117,7 @@
     assert!(is_own(&fleet.chat(&good, ""), &good));
     assert_eq!(read_all(&mut silent), "");
     assert_eq!(read_all(&mut slow), "");
+    assert_eq!(read_all(&mut served), "");
     let refusal = refusal_of(&read_all(&mut stuck));
     assert_eq!(refusal.outcome, RequestOutcome::NotRun);
     assert_eq!(refusal.code, RefusalCode::DeadlinePassed);
