Let stand-in engines honour priorities, and fail them in every way under load

Cause: engines honour priorities, so what the fleet does with them must show against stand-ins; and faults one at a time leave out what they do together. Change: a batch whose places go by priority; a run in which endpoints fail in nine ways while chats and bookings go on; a kept connection whose engine restarted; a cache handed over.

--- a/crates/ragwortroad_gateway/tests/whole_path.rs
+++ b/crates/ragwortroad_gateway/tests/whole_path.rs
@@ -1,8 +1,16 @@
 //! Callers, endpoints and operators through one gateway, with nothing amiss.
+#![allow(clippy::unwrap_used)]
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    sync::atomic::{
+        AtomicBool,
+        Ordering, //
+    },
+    thread,
+    time::Duration, //
+};
 
 use common::test_fleet::{
     TestFleet,
@@ -11,13 +19,13 @@
 };
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_load::prelude::*;
+use ragwortroad_standin::prelude::*;
 
-#[test]
-fn chats_bookings_and_reads_get_their_own_answers() {
-    let fleet = TestFleet::start(GatewaySettings::default());
+/// Load on one gateway, whose bookings are never sent again.
+fn load_on(fleet: &TestFleet) -> LoadSettings {
     let address = fleet.address().to_string();
     fleet.control.routes.lock().unwrap().addresses = vec![address.clone()];
-    let settings = LoadSettings {
+    LoadSettings {
         nodes: vec![address],
         customers: vec![CustomerLoad {
             name: "studio-north".to_owned(),
@@ -28,8 +36,13 @@
         resend_percent: 0,
         pause: Duration::from_millis(200),
         ..LoadSettings::default()
-    };
-    let mut report = run_load(settings).unwrap();
+    }
+}
+
+#[test]
+fn chats_bookings_and_reads_get_their_own_answers() {
+    let fleet = TestFleet::start(GatewaySettings::default());
+    let mut report = run_load(load_on(&fleet)).unwrap();
     assert!(report.verify(&fleet.records()), "{report}");
     assert_eq!(report.answered(), report.calls(), "{report}");
     assert!(report.calls() > 20, "{report}");
@@ -48,3 +61,94 @@
     assert!(answer.contains(&format!("x-request-id: {id}\r\n")));
     fleet.stop();
 }
+
+#[test]
+fn no_answer_is_wrong_while_endpoints_fail_in_every_way() {
+    // Endpoints die, stall, cut, cross and delay answers, and refuse connections, each for a few
+    // requests at a time, while chats and bookings go on. Some bookings end as unknown; but none
+    // runs twice, none that is refused as not run ran, and no caller gets a part of an answer or
+    // another's.
+    let fleet = TestFleet::start(GatewaySettings {
+        stream_timeout: Duration::from_secs(1),
+        ..GatewaySettings::default()
+    });
+    let stop = AtomicBool::new(false);
+    let mut report = thread::scope(|scope| {
+        scope.spawn(|| {
+            for round in 0.. {
+                if stop.load(Ordering::Acquire) {
+                    return;
+                }
+                let plan = nth_fault(round);
+                fleet.engines[round % 2].set_faults(plan.clone());
+                fleet.services[round % 2].set_faults(plan);
+                thread::sleep(Duration::from_millis(40));
+            }
+        });
+        let settings = LoadSettings {
+            duration: Duration::from_secs(4),
+            chats_per_second: 20.0,
+            bookings_per_second: 40.0,
+            attempts: 1,
+            ..load_on(&fleet)
+        };
+        let report = run_load(settings).unwrap();
+        stop.store(true, Ordering::Release);
+        report
+    });
+    assert!(report.verify(&fleet.records()), "{report}");
+    assert!(report.answered() * 2 > report.calls(), "{report}");
+    let log = fleet.stop();
+    let broken = |outcome: &&AttemptOutcome| **outcome == AttemptOutcome::Broken;
+    assert!(
+        log.outcomes().iter().filter(broken).count() > 10,
+        "{report}"
+    );
+}
+
+/// A fault for a few requests; another one each time.
+fn nth_fault(round: usize) -> FaultPlan {
+    let place = Some(round as u32 % 24);
+    let mut plan = FaultPlan {
+        requests: Some(3),
+        ..FaultPlan::default()
+    };
+    match round % 9 {
+        0 => plan.die_after_tokens = place,
+        1 => plan.short_body = true,
+        2 => plan.echo_id = Some("00000000000000aa".to_owned()),
+        3 => plan.cross_at = place,
+        4 => plan.close_unanswered = true,
+        5 => plan.stall_after_tokens = place,
+        6 => plan.drop_marker = true,
+        7 => plan.skip_token = place,
+        _ => plan.refuse_connections = true,
+    }
+    plan
+}
+
+#[test]
+fn a_kept_connection_that_its_engine_closed_costs_nothing() {
+    // An engine's process restarts between two chats. The node still holds a connection to the old
+    // process, on which the next chat would be lost.
+    let fleet = TestFleet::start(GatewaySettings::default());
+    let chat = chat_body(true);
+    assert!(is_own(&fleet.chat(&chat, ""), &chat));
+    let address = fleet.engines[0].address();
+    let refused = |refuse_connections| FaultPlan {
+        refuse_connections,
+        ..FaultPlan::default()
+    };
+    fleet.engines[0].set_faults(refused(true));
+    fleet.wait_for("the engine is gone", |_| {
+        std::net::TcpStream::connect(address).is_err()
+    });
+    fleet.engines[0].set_faults(refused(false));
+    fleet.wait_for("the engine is back", |_| {
+        std::net::TcpStream::connect(address).is_ok()
+    });
+    assert!(is_own(&fleet.chat(&chat, ""), &chat));
+    let outcomes = fleet.stop().outcomes();
+    let completed = |outcome: &AttemptOutcome| matches!(outcome, AttemptOutcome::Completed { .. });
+    assert!(outcomes.iter().all(completed), "{outcomes:?}");
+}
--- a/crates/ragwortroad_standin/src/engine_handler.rs
+++ b/crates/ragwortroad_standin/src/engine_handler.rs
@@ -83,7 +83,15 @@
         attempt: text("x-attempt").parse().unwrap_or(0),
         request_id,
     };
-    let run = begin_run(&state, &chat, name, &customer, body, faults);
+    let priority = text("x-priority").parse().unwrap_or(u8::MAX);
+    let begin = RunBegin {
+        name,
+        customer,
+        priority,
+        body,
+        faults,
+    };
+    let run = begin_run(&state, &chat, begin);
     if run.faults.close_unanswered {
         state.shell.end_run(run.place, RunEnd::Cut);
         return Err(io::ErrorKind::ConnectionReset.into());
@@ -108,16 +116,25 @@
     })
 }
 
-fn begin_run(
-    state: &Arc<EngineState>,
-    chat: &ChatBody,
+/// What a run begins with, besides its chat.
+struct RunBegin<'body> {
     name: AttemptName,
-    customer: &str,
-    body: &[u8],
+    customer: String,
+    priority: u8,
+    body: &'body [u8],
     faults: FaultPlan,
-) -> EngineRun {
+}
+
+fn begin_run(state: &Arc<EngineState>, chat: &ChatBody, begin: RunBegin<'_>) -> EngineRun {
+    let RunBegin {
+        name,
+        customer,
+        priority,
+        body,
+        faults,
+    } = begin;
     let prompt = chat.prompt_text();
-    let chain = prefix_chain(customer, &chat.model, &prompt);
+    let chain = prefix_chain(&customer, &chat.model, &prompt);
     let matched = state.parts().cache.matched(&chain);
     let prompt_tokens = prompt.len().div_ceil(TOKEN_BYTES) as u32;
     let cached_tokens = (matched * PREFIX_BLOCK_BYTES / TOKEN_BYTES) as u32;
@@ -125,7 +142,7 @@
     let place = state.shell.begin_run(RunRecord {
         endpoint: state.settings.name.clone(),
         request_id: name.request_id.clone(),
-        customer: customer.to_owned(),
+        customer: customer.clone(),
         method: "POST".to_owned(),
         path: "/v1/chat/completions".to_owned(),
         idempotency_key: None,
@@ -141,7 +158,8 @@
     EngineRun {
         state: Arc::clone(state),
         name,
-        customer: customer.to_owned(),
+        customer,
+        priority,
         tokens: answer_tokens(chat),
         chat: chat.clone(),
         chain,
--- a/crates/ragwortroad_standin/src/engine_state.rs
+++ b/crates/ragwortroad_standin/src/engine_state.rs
@@ -18,13 +18,11 @@
 };
 
 use ragwortroad_types::prelude::*;
-use tokio::sync::{
-    Notify,
-    Semaphore, //
-};
+use tokio::sync::Notify;
 
 use crate::{
     EngineSettings,
+    batch_gate::BatchGate,
     prefix_cache::PrefixCache,
     standin_shell::ShellState, //
 };
@@ -33,7 +31,7 @@
 pub(crate) struct EngineState {
     pub(crate) settings: EngineSettings,
     pub(crate) shell: Arc<ShellState>,
-    pub(crate) slots: Semaphore,
+    pub(crate) gate: BatchGate,
     pub(crate) leaving: AtomicBool,
     pub(crate) queued: AtomicU32,
     pub(crate) running: AtomicU32,
@@ -74,7 +72,7 @@
             loads: VecDeque::new(),
         };
         Self {
-            slots: Semaphore::new(settings.capacity as usize),
+            gate: BatchGate::new(settings.capacity),
             settings,
             shell,
             leaving: AtomicBool::new(false),
--- a/crates/ragwortroad_standin/src/engine_stream.rs
+++ b/crates/ragwortroad_standin/src/engine_stream.rs
@@ -18,10 +18,7 @@
     json, //
 };
 use tokio::{
-    sync::{
-        Notify,
-        SemaphorePermit, //
-    },
+    sync::Notify,
     time::{
         Instant,
         sleep,
@@ -32,6 +29,7 @@
 use crate::{
     FaultPlan,
     RunEnd,
+    batch_gate::BatchPlace,
     engine_state::{
         AttemptName,
         CountGuard,
@@ -51,6 +49,8 @@
     pub(crate) state: Arc<EngineState>,
     pub(crate) name: AttemptName,
     pub(crate) customer: String,
+    /// Smaller goes first.
+    pub(crate) priority: u8,
     pub(crate) chat: ChatBody,
     pub(crate) chain: Vec<PrefixKey>,
     /// The whole answer.
@@ -73,15 +73,15 @@
 
 impl EngineRun {
     /// Registers the run for cancellation, waits for a place in the batch, and reads the prompt.
-    async fn prefill(&self) -> io::Result<(SemaphorePermit<'_>, CountGuard<'_>)> {
+    async fn prefill(&self) -> (BatchPlace<'_>, CountGuard<'_>) {
         let queued = CountGuard::new(&self.state.queued);
-        let permit = self.state.slots.acquire().await.map_err(io::Error::other)?;
+        let place = self.state.gate.enter(self.priority).await;
         drop(queued);
         let running = CountGuard::new(&self.state.running);
         let unread = self.prompt_tokens.saturating_sub(self.cached_tokens);
         sleep(self.state.settings.prefill_time * unread).await;
         self.state.parts().cache.store(&self.chain);
-        Ok((permit, running))
+        (place, running)
     }
 
     fn register(&self) -> Arc<Notify> {
@@ -165,7 +165,7 @@
 pub(crate) async fn whole_reply(run: EngineRun) -> StandinReply {
     let cancelled = run.register();
     let work = async {
-        let held = run.prefill().await?;
+        let held = run.prefill().await;
         let count = run.tokens.len() as u32;
         sleep(run.state.token_gap() * count).await;
         drop(held);
@@ -213,7 +213,7 @@
 }
 
 async fn feed_tokens(run: &EngineRun, sender: &mut Sender<Bytes, io::Error>) -> io::Result<()> {
-    let _held = run.prefill().await?;
+    let _held = run.prefill().await;
     let faults = &run.faults;
     let mut next = Instant::now();
     for at in run.from_token as usize..run.tokens.len() {
--- a/crates/ragwortroad_standin/src/lib.rs
+++ b/crates/ragwortroad_standin/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod announce_loop;
 mod answer_tokens;
+mod batch_gate;
 mod engine_handler;
 mod engine_pages;
 mod engine_settings;
--- a/crates/ragwortroad_standin/tests/standin_duties.rs
+++ b/crates/ragwortroad_standin/tests/standin_duties.rs
@@ -2,7 +2,14 @@
 #![allow(clippy::unwrap_used)]
 
 use std::{
-    thread,
+    sync::{
+        Arc,
+        Mutex, //
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
     time::{
         Duration,
         Instant, //
@@ -150,3 +157,73 @@
     let stopper = thread::spawn(move || engine.stop());
     assert_eq!(stopper.join().unwrap().len(), 5);
 }
+
+/// Asks in a thread of its own, with a priority; returns when it was answered, as a place.
+fn ask_later(
+    engine: &Arc<StandinEngine>,
+    order: &Arc<Mutex<Vec<u8>>>,
+    priority: u8,
+) -> JoinHandle<()> {
+    let (engine, order) = (Arc::clone(engine), Arc::clone(order));
+    thread::spawn(move || {
+        let url = format!("http://{}/v1/chat/completions", engine.address());
+        let body = serde_json::to_string(&chat("x")).unwrap();
+        let asked = minreq::post(url).with_header("x-priority", priority.to_string());
+        assert_eq!(asked.with_body(body).send().unwrap().status_code, 200);
+        order.lock().unwrap().push(priority);
+    })
+}
+
+#[test]
+fn a_full_batch_takes_the_urgent_first() {
+    // An engine has one place, and requests wait for it. The instructor's goes before the nightly
+    // drafts that came earlier.
+    let engine = Arc::new(
+        StandinEngine::start(EngineSettings {
+            capacity: 1,
+            token_gap: Duration::from_millis(200),
+            ..EngineSettings::default()
+        })
+        .unwrap(),
+    );
+    let order = Arc::new(Mutex::new(Vec::new()));
+    let mut threads = Vec::new();
+    for (waiting, priority) in [9, 5, 5, 1].into_iter().enumerate() {
+        threads.push(ask_later(&engine, &order, priority));
+        let start = Instant::now();
+        let queued = waiting as u32;
+        while engine.load().running != 1 || engine.load().queued != queued {
+            assert!(start.elapsed() < BOUND, "{:?}", engine.load());
+            thread::sleep(Duration::from_millis(1));
+        }
+    }
+    for thread in threads {
+        thread.join().unwrap();
+    }
+    assert_eq!(*order.lock().unwrap(), [9, 1, 5, 5]);
+    let engine = Arc::into_inner(engine).unwrap();
+    engine.stop();
+}
+
+#[test]
+fn a_cache_goes_over_to_another_engine() {
+    // An engine leaves, and its prefixes are handed to the one that takes over its chats.
+    let engine = || StandinEngine::start(EngineSettings::default()).unwrap();
+    let (old, new) = (engine(), engine());
+    ask(&old, &chat("ab cd ef "));
+    let url = |engine: &StandinEngine| format!("http://{}/v1/cache", engine.address());
+    let exported = minreq::get(url(&old)).send().unwrap();
+    let imported = minreq::post(url(&new))
+        .with_body(exported.as_bytes())
+        .send();
+    assert_eq!(imported.unwrap().status_code, 200);
+    let usage = ask(&new, &chat("ab cd ef "))["usage"].clone();
+    assert!(
+        usage["prompt_tokens_details"]["cached_tokens"]
+            .as_u64()
+            .unwrap()
+            > 500
+    );
+    old.stop();
+    new.stop();
+}
