--- a/crates/ragwortroad_gateway/src/exchange_phase.rs
+++ b/crates/ragwortroad_gateway/src/exchange_phase.rs
@@ -3,7 +3,7 @@
     atomic::{
         AtomicU8,
         Ordering, //
-    },
+    }, //
 };
 
 /// How far a connection is with its present request, shared by its socket and its service.
@@ -40,6 +40,10 @@
         }
     }
 
+    pub(crate) fn is_answering(&self) -> bool {
+        self.phase.load(Ordering::Acquire) == ANSWERING
+    }
+
     pub(crate) fn is_reading(&self) -> bool {
         self.phase.load(Ordering::Acquire) == READING
     }
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -11,8 +11,11 @@
 use tokio::time::timeout_at;
 
 use crate::{
-    AdmitCall, AttemptOutcome, RequestTarget,
+    AdmitCall,
+    AttemptOutcome,
+    RequestTarget,
     answer_check::{
+        answer_id,
         check_owner,
         read_whole, //
     },
@@ -35,12 +38,14 @@
         OpenAttempt,
         RequestFlow, //
     },
-    stream_relay::stream_reply,
+    stream_relay::stream_reply, //
 };
 
 /// A whole answer's parts that the gateway reads.
 #[derive(Debug, serde::Deserialize)]
 struct WholeWire {
+    #[serde(default)]
+    id: Option<String>,
     #[serde(default)]
     usage: Option<UsageWire>,
 }
@@ -196,6 +201,18 @@
     }
 }
 
+/// Checks that a whole answer's own identity is the request's, where engines name it.
+fn check_id(flow: &RequestFlow, wire: &WholeWire) -> Result<(), String> {
+    let must_echo = flow.state.settings.engines_must_echo;
+    let wanted = answer_id(flow.context.request, must_echo);
+    match (wanted, &wire.id) {
+        (Some(wanted), Some(id)) if wanted != *id => {
+            Err("the answer's identity is another request's".to_owned())
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn serve_whole(flow: &mut RequestFlow, body: &Bytes) -> Result<Response<ReplyBody>, FlowEnd> {
     loop {
         let GoodAnswer { attempt, answer } = match open_engine(flow, body).await? {
@@ -207,6 +224,7 @@
         let parsed = whole.and_then(|bytes| {
             let wire = serde_json::from_slice::<WholeWire>(&bytes)
                 .map_err(|error| format!("the answer is not JSON: {error}"))?;
+            check_id(flow, &wire)?;
             Ok((bytes, wire))
         });
         let (bytes, wire) = match parsed {
--- a/crates/ragwortroad_standin/src/lib.rs
+++ b/crates/ragwortroad_standin/src/lib.rs
@@ -15,6 +15,7 @@
 
 mod announce_loop;
 mod answer_tokens;
+mod batch_gate;
 mod engine_handler;
 mod engine_pages;
 mod engine_settings;
@@ -27,6 +28,7 @@
 mod service_settings;
 mod standin_engine;
 mod standin_error;
+mod standin_host;
 mod standin_reply;
 mod standin_service;
 mod standin_shell;
