Cut links, freeze and crash nodes from tests

A kill, a partition and a frozen process could not be brought about on the real nodes in one process: stop drains, and links on loopback never fail. The transport gets a gate that drops messages silently in both directions, the node a crash without farewell and a freeze of its control thread; all are hidden from the docs. SmallFleet uses them.

--- a/crates/ragwortroad_demo/src/lib.rs
+++ b/crates/ragwortroad_demo/src/lib.rs
@@ -36,7 +36,10 @@
             LineAnswer,
             OperatorClient, //
         },
-        small_fleet::SmallFleet,
+        small_fleet::{
+            SmallFleet,
+            wait_until, //
+        },
         timeline_gather::gather_timeline,
     };
 }
--- a/crates/ragwortroad_demo/src/small_fleet.rs
+++ b/crates/ragwortroad_demo/src/small_fleet.rs
@@ -18,6 +18,7 @@
 use ragwortroad_settings::prelude::*;
 use ragwortroad_standin::prelude::*;
 use ragwortroad_transport::prelude::*;
+use ragwortroad_types::prelude::*;
 use sha2::{
     Digest,
     Sha256, //
@@ -100,7 +101,7 @@
         incarnation: u64,
     ) -> Result<StandinEngine, DemoError> {
         let offers = self.plan.engine.offers.iter().cloned();
-        let offers = offers.map(|offer| ragwortroad_types::ModelOffer {
+        let offers = offers.map(|offer| ModelOffer {
             model: self.plan.model.clone(),
             ..offer
         });
@@ -147,12 +148,65 @@
         }
     }
 
+    /// Ends a node as if its VM had lost its power.
+    pub fn crash_node(&mut self, number: usize) {
+        if let Some(node) = self.nodes[number].take() {
+            node.crash();
+        }
+    }
+
+    /// Replaces the data folder of a stopped node by none, as on a VM with a new disk.
+    pub fn lose_disk(&self, number: usize) -> Result<(), DemoError> {
+        match &self.settings[number].state.data_folder {
+            Some(folder) => fs::remove_dir_all(folder).context(FolderSnafu),
+            None => Ok(()),
+        }
+    }
+
+    /// Cuts the links between these nodes and all others.
+    pub fn cut_off(&self, numbers: &[usize]) {
+        let id = |number: usize| NodeId::from_name(&self.settings[number].node.name);
+        for (number, node) in self.nodes.iter().enumerate() {
+            let is_inside = numbers.contains(&number);
+            let others = (0..self.nodes.len()).filter(|other| numbers.contains(other) != is_inside);
+            if let Some(node) = node {
+                node.gate().cut(others.map(id));
+            }
+        }
+    }
+
+    /// Heals all links.
+    pub fn heal(&self) {
+        for node in self.nodes.iter().flatten() {
+            node.gate().heal();
+        }
+    }
+
+    /// The number of the node that leads by its own word, as asked at one of the nodes `asked`.
+    pub fn leader(&self, asked: &[usize]) -> Option<usize> {
+        let operator = self.operator_at(asked);
+        let answer = operator.ask("show leader").ok()?;
+        let name = answer.body.get("rows")?.get(0)?.get("name")?.as_str()?.to_owned();
+        let mut settings = self.settings.iter();
+        settings.position(|settings| settings.node.name == name)
+    }
+
     /// `IP:port` of all nodes for callers, running or not.
     pub fn caller_addresses(&self) -> Vec<String> {
         let listen = self.settings.iter().map(|settings| settings.node.listen);
         listen.map(|address| address.to_string()).collect()
     }
 
+    /// An operator who may ask these nodes only.
+    pub fn operator_at(&self, numbers: &[usize]) -> OperatorClient {
+        let addresses = self.caller_addresses();
+        let nodes = numbers.iter().map(|number| addresses[*number].clone());
+        OperatorClient {
+            nodes: nodes.collect(),
+            key: OPERATOR_KEY.to_owned(),
+        }
+    }
+
     /// An operator who may ask any node.
     pub fn operator(&self) -> OperatorClient {
         OperatorClient {
@@ -251,7 +305,7 @@
 
 /// Waits for something with a generous bound; the bound decides nothing but how long a broken run
 /// takes.
-pub(crate) fn wait_until(what: &str, mut is_done: impl FnMut() -> bool) -> Result<(), DemoError> {
+pub fn wait_until(what: &str, mut is_done: impl FnMut() -> bool) -> Result<(), DemoError> {
     let start = Instant::now();
     while !is_done() {
         if start.elapsed() > PATIENCE {
--- a/crates/ragwortroad_gateway/src/gateway_server.rs
+++ b/crates/ragwortroad_gateway/src/gateway_server.rs
@@ -145,6 +145,12 @@
         // Dropping the runtime joins its threads; tasks that are left are dropped at once.
         drop(runtime);
     }
+
+    /// Cuts every connection at once and joins the threads, as the end of a killed process does.
+    #[doc(hidden)]
+    pub fn abandon(self) {
+        drop(self.runtime);
+    }
 }
 
 /// A listener that can take the address of a process that ended a moment ago.
--- a/crates/ragwortroad_node/src/control/control_inbox.rs
+++ b/crates/ragwortroad_node/src/control/control_inbox.rs
@@ -34,6 +34,10 @@
     Drain,
     /// End the thread; all traffic has ended.
     Stop,
+    /// End the thread as a killed process would: send nothing more, to nobody.
+    Crash,
+    /// Do nothing until the other end is dropped, as a process does that gets no processor.
+    Freeze(Receiver<()>),
     /// Answer a page that a traffic thread serves.
     Page(PageCall),
 }
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -102,6 +102,26 @@
     pub(crate) bytes: Arc<ByteCounts>,
 }
 
+/// How the control thread ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ThreadEnd {
+    /// In good order.
+    Stop,
+    /// As if the process were killed.
+    Crash,
+}
+
+impl ThreadEnd {
+    /// The end that an event asks for, if it asks for one.
+    fn of(event: &ControlEvent) -> Option<Self> {
+        match event {
+            ControlEvent::Steering(SteeringOrder::Stop) => Some(Self::Stop),
+            ControlEvent::Steering(SteeringOrder::Crash) => Some(Self::Crash),
+            _ => None,
+        }
+    }
+}
+
 /// Time between two ticks.
 const TICK: Duration = Duration::from_millis(50);
 
@@ -123,10 +143,11 @@
                 .next_due()
                 .map_or(next_tick, |due| due.min(next_tick));
             let patience = wake.since(now);
-            if let Some(event) = inbox.next(patience)
-                && self.serve_round(event, inbox)
-            {
-                break;
+            let end = inbox
+                .next(patience)
+                .and_then(|event| self.serve_round(event, inbox));
+            if let Some(end) = end {
+                return self.end(end);
             }
             let now = self.clock.now();
             if now >= next_tick {
@@ -135,30 +156,29 @@
             }
             self.flush(now);
         }
-        self.end();
     }
 
-    /// Handles one event and those that are there already; true when the thread is to stop.
-    fn serve_round(&mut self, first: ControlEvent, inbox: &ControlInbox) -> bool {
+    /// Handles one event and those that are there already; tells when the thread is to end.
+    fn serve_round(&mut self, first: ControlEvent, inbox: &ControlInbox) -> Option<ThreadEnd> {
         let mut next = Some(first);
         for _ in 0..ROUND_EVENTS {
             let Some(event) = next else {
-                return false;
+                return None;
             };
-            if matches!(event, ControlEvent::Steering(SteeringOrder::Stop)) {
-                return true;
+            if let Some(end) = ThreadEnd::of(&event) {
+                return Some(end);
             }
             self.handle(event);
             next = inbox.ready();
         }
         // The event taken last must not be lost with the round.
         if let Some(event) = next {
-            if matches!(event, ControlEvent::Steering(SteeringOrder::Stop)) {
-                return true;
+            if let Some(end) = ThreadEnd::of(&event) {
+                return Some(end);
             }
             self.handle(event);
         }
-        false
+        None
     }
 
     /// Handles one event.
@@ -170,7 +190,11 @@
             ControlEvent::Disk(report) => self.handle_disk(report, now),
             ControlEvent::Steering(SteeringOrder::Drain) => self.begin_drain(now),
             ControlEvent::Steering(SteeringOrder::Page(call)) => self.serve_page(call),
-            ControlEvent::Steering(SteeringOrder::Stop) => {}
+            ControlEvent::Steering(SteeringOrder::Freeze(held)) => {
+                // Nothing is ever sent; the channel closes when the freeze is over.
+                held.recv().unwrap_or_default();
+            }
+            ControlEvent::Steering(SteeringOrder::Stop | SteeringOrder::Crash) => {}
         }
     }
 
@@ -234,11 +258,21 @@
     }
 
     /// Ends what the thread has started.
-    fn end(self) {
+    fn end(self, end: ThreadEnd) {
+        let transport = match end {
+            ThreadEnd::Stop => Some(self.transport),
+            // Dropped without a farewell: its peers find out by its silence.
+            ThreadEnd::Crash => {
+                drop(self.transport);
+                None
+            }
+        };
         if let Some(seat) = self.member {
             seat.disk.join();
         }
-        self.transport.shutdown();
+        if let Some(transport) = transport {
+            transport.shutdown();
+        }
     }
 
     /// A random number that nobody foresees.
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -67,6 +67,7 @@
     steering: Sender<SteeringOrder>,
     peer_address: SocketAddr,
     bytes: Arc<ByteCounts>,
+    gate: Arc<LinkGate>,
 }
 
 /// Share of first attempts that may be repeated, and retries that are saved up for quiet times.
@@ -90,6 +91,7 @@
         })
         .context(PeersSnafu)?;
         let peer_address = transport.local_address();
+        let gate = transport.gate();
         let (calls, call_queue) = flume::unbounded();
         let (steering, steering_queue) = flume::unbounded();
         let (reports, disk) = flume::unbounded();
@@ -120,6 +122,7 @@
             steering,
             peer_address,
             bytes,
+            gate,
         })
     }
 
@@ -143,6 +146,36 @@
         self.bytes.read()
     }
 
+    /// The links to other nodes, which a test can cut.
+    #[doc(hidden)]
+    pub fn gate(&self) -> &LinkGate {
+        &self.gate
+    }
+
+    /// Keeps the control thread from doing anything until what is returned is dropped.
+    #[doc(hidden)]
+    pub fn freeze(&self) -> Sender<()> {
+        let (hold, held) = flume::bounded(0);
+        if self.steering.send(SteeringOrder::Freeze(held)).is_err() {
+            tracing::error!("the control thread ended before the freeze");
+        }
+        hold
+    }
+
+    /// Ends at once, as a process that is killed does: nothing is drained, finished or told.
+    ///
+    /// The control thread ends first, so that requests that are cut leave no trace in the log.
+    #[doc(hidden)]
+    pub fn crash(self) {
+        if self.steering.send(SteeringOrder::Crash).is_err() {
+            tracing::error!("the control thread ended before the crash");
+        }
+        if self.control.join().is_err() {
+            tracing::error!("the control thread panicked");
+        }
+        self.gateway.abandon();
+    }
+
     /// Drains: takes no new work, finishes every request in flight, joins every thread.
     pub fn stop(self) {
         if self.steering.send(SteeringOrder::Drain).is_err() {
--- a/crates/ragwortroad_transport/src/connection_reader.rs
+++ b/crates/ragwortroad_transport/src/connection_reader.rs
@@ -101,7 +101,8 @@
         async move {
             match timeout(limit, stream.read_to_end(max_frame)).await {
                 Ok(Ok(frame)) => {
-                    if let Some(event) = received(peer, &frame) {
+                    let event = received(peer, &frame).filter(|_| book.gate.passes(peer));
+                    if let Some(event) = event {
                         count(&book.messages_received);
                         // The owner may be gone during shutdown; then the message is void.
                         events.send_async(event).await.unwrap_or_default();
@@ -119,7 +120,8 @@
 
     /// Hands on a datagram; drops it where the owner is behind, as it is unreliable anyway.
     fn take_datagram(&self, frame: &[u8]) {
-        let Some(event) = received(self.peer, frame) else {
+        let passes = self.book.gate.passes(self.peer);
+        let Some(event) = received(self.peer, frame).filter(|_| passes) else {
             return;
         };
         match self.events.try_send(event) {
--- a/crates/ragwortroad_transport/src/lib.rs
+++ b/crates/ragwortroad_transport/src/lib.rs
@@ -36,6 +36,7 @@
 
 mod connection_reader;
 mod key_files;
+mod link_gate;
 mod peer_book;
 mod peer_channel;
 mod peer_event;
@@ -60,6 +61,7 @@
             add_keys,
             make_keys, //
         },
+        link_gate::LinkGate,
         peer_channel::PeerChannel,
         peer_event::{
             PeerEvent,
--- /dev/null
+++ b/crates/ragwortroad_transport/src/link_gate.rs
@@ -0,0 +1,50 @@
+use std::{
+    collections::HashSet,
+    sync::{
+        Mutex,
+        MutexGuard,
+        PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    }, //
+};
+
+use ragwortroad_types::prelude::*;
+
+/// Peers with which nothing is exchanged for now, so that tests can cut links.
+///
+/// A cut link is silent, as one is where a switch drops packets: messages vanish in both
+/// directions, those on their way included, and nobody is told.
+#[derive(Debug, Default)]
+pub struct LinkGate {
+    /// Invariant: false only if `peers` is empty, so that an open gate costs one load a message.
+    is_cut: AtomicBool,
+    peers: Mutex<HashSet<NodeId>>,
+}
+
+impl LinkGate {
+    /// Cuts the links to these peers.
+    pub fn cut(&self, peers: impl IntoIterator<Item = NodeId>) {
+        self.is_cut.store(true, Ordering::Release);
+        self.lock().extend(peers);
+    }
+
+    /// Heals every link.
+    pub fn heal(&self) {
+        let mut peers = self.lock();
+        peers.clear();
+        self.is_cut.store(false, Ordering::Release);
+    }
+
+    /// Whether messages to and from `peer` get through.
+    pub(crate) fn passes(&self, peer: NodeId) -> bool {
+        !self.is_cut.load(Ordering::Acquire) || !self.lock().contains(&peer)
+    }
+
+    /// The peers; no thread panics while it holds the lock, so a poisoned one is sound.
+    fn lock(&self) -> MutexGuard<'_, HashSet<NodeId>> {
+        self.peers.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/ragwortroad_transport/src/peer_book.rs
+++ b/crates/ragwortroad_transport/src/peer_book.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::HashMap,
     sync::{
+        Arc,
         Mutex,
         MutexGuard,
         PoisonError,
@@ -14,13 +15,18 @@
 use quinn::Connection;
 use ragwortroad_types::prelude::*;
 
-use crate::TransportStats;
+use crate::{
+    LinkGate,
+    TransportStats, //
+};
 
 /// The open connections and the counters, shared by all tasks of one transport.
 #[derive(Default)]
 pub(crate) struct PeerBook {
     /// Held for a few instructions only, never across an await.
     connections: Mutex<ConnectionMap>,
+    /// Links that are cut for a test.
+    pub(crate) gate: Arc<LinkGate>,
     /// See [`TransportStats::messages_queued`].
     pub(crate) messages_queued: AtomicU64,
     /// See [`TransportStats::messages_dropped`].
--- a/crates/ragwortroad_transport/src/peer_transport.rs
+++ b/crates/ragwortroad_transport/src/peer_transport.rs
@@ -38,6 +38,7 @@
 };
 
 use crate::{
+    LinkGate,
     PeerChannel,
     PeerEvent,
     SendOutcome,
@@ -169,6 +170,11 @@
             count(&self.book.messages_too_large);
             return SendOutcome::TooLarge;
         }
+        if !self.book.gate.passes(expected) {
+            // The sender is not told, as it is not told of packets that a switch drops.
+            count(&self.book.messages_dropped);
+            return SendOutcome::Queued;
+        }
         let mut frame = Vec::with_capacity(bytes.len() + 1);
         frame.push(channel.tag());
         frame.extend_from_slice(&bytes);
@@ -211,6 +217,12 @@
         }
     }
 
+    /// The links that can be cut for a test.
+    #[doc(hidden)]
+    pub fn gate(&self) -> Arc<LinkGate> {
+        Arc::clone(&self.book.gate)
+    }
+
     /// All counters; see [`TransportStats`] for what the bytes hold.
     pub fn stats(&self) -> TransportStats {
         self.book.stats()
