Bring about killed nodes, racing operators and cut-off nodes in tests

Cause: what must always hold for bookings and changes was tested in the pure crates only, not on joined nodes. Change: tests/failures of ragwortroad_demo, with histories of callers, runs and operators checked for linearizability, and broken variants noticed. Found: a change without a revision that was refused, sent again with its id after other changes, was refused as 'id reused' in place of its first outcome, since its base was looked up among accepted changes only. The base now comes from the kept outcomes, which hold refusals too.

--- a/crates/ragwortroad_demo/src/small_fleet.rs
+++ b/crates/ragwortroad_demo/src/small_fleet.rs
@@ -186,7 +186,13 @@
     pub fn leader(&self, asked: &[usize]) -> Option<usize> {
         let operator = self.operator_at(asked);
         let answer = operator.ask("show leader").ok()?;
-        let name = answer.body.get("rows")?.get(0)?.get("name")?.as_str()?.to_owned();
+        let name = answer
+            .body
+            .get("rows")?
+            .get(0)?
+            .get("name")?
+            .as_str()?
+            .to_owned();
         let mut settings = self.settings.iter();
         settings.position(|settings| settings.node.name == name)
     }
--- /dev/null
+++ b/crates/ragwortroad_demo/tests/failures/bookings.rs
@@ -0,0 +1,246 @@
+//! Bookings, which may run once at most.
+
+use std::{
+    sync::Barrier,
+    thread,
+    time::Duration, //
+};
+
+use ragwortroad_demo::prelude::*;
+use ragwortroad_load::prelude::*;
+use ragwortroad_standin::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::common::{
+    booking_history::{
+        KeyEvent,
+        KeyOp,
+        broken_keys,
+        is_linearizable,
+        key_events, //
+    },
+    caller::{
+        TestCall,
+        TestCaller,
+        violations, //
+    },
+    fleet::TestFleet, //
+};
+
+fn desk_plan() -> FleetPlan {
+    FleetPlan {
+        engines: 0,
+        ..FleetPlan::default()
+    }
+}
+
+/// Books one key through all nodes at the same moment.
+fn book_everywhere(fleet: &TestFleet, caller: &TestCaller, key: &str) -> Vec<TestCall> {
+    let count = fleet.nodes.len();
+    let start = Barrier::new(count);
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..count)
+            .map(|number| {
+                let address = fleet.address(number);
+                let start = &start;
+                scope.spawn(move || {
+                    start.wait();
+                    caller.book(&address, key)
+                })
+            })
+            .collect();
+        let threads = threads.into_iter();
+        threads.map(|thread| thread.join().unwrap()).collect()
+    })
+}
+
+/// Nothing that must never happen did, and each key's history fits one order of events.
+fn assert_sound(calls: &[TestCall], fleet: &SmallFleet) {
+    assert_eq!(violations(calls, fleet), []);
+    assert_eq!(broken_keys(calls, fleet), Vec::<String>::new());
+}
+
+fn runs_of(fleet: &SmallFleet, key: &str) -> usize {
+    let records = fleet.records().into_iter();
+    let of_key = records.filter(|record| record.idempotency_key.as_deref() == Some(key));
+    of_key.count()
+}
+
+/// A stylist's application loses its patience and books the same slot through every node at once;
+/// later it asks again through other nodes, and again after all VMs lost power. With two runs,
+/// rival crews would stand on one set. Each booking runs once, whoever is answered gets that run's
+/// answer, and the answer outlives the restart of every member.
+#[test]
+fn a_booking_sent_through_all_nodes_at_once_runs_once() {
+    let mut fleet = TestFleet::start(desk_plan());
+    let caller = TestCaller::new(&fleet.plan, 0);
+    let keys: Vec<String> = (0..12).map(|number| format!("at-once-{number}")).collect();
+    let mut calls = Vec::new();
+    for key in &keys {
+        calls.extend(book_everywhere(&fleet, &caller, key));
+    }
+    for (place, key) in keys.iter().enumerate() {
+        let address = fleet.address(place % 3);
+        calls.push(caller.book_until_answered(&address, key));
+        assert_eq!(runs_of(&fleet, key), 1, "{key}");
+    }
+    fleet.restart_all();
+    for (place, key) in keys.iter().enumerate() {
+        let address = fleet.address((place + 1) % 3);
+        let call = caller.book_until_answered(&address, key);
+        calls.push(call);
+    }
+    assert_sound(&calls, &fleet);
+}
+
+/// A node is killed while a booking is under way at the service. Its caller sees the connection
+/// break and asks again through another node, also after the killed one is back. The slot may be
+/// taken, so nobody may book it again on its behalf, and the caller is told just that: the outcome
+/// is unknown. It is never told "not run", and never waits without an end for "in progress".
+#[test]
+fn a_node_killed_between_dispatch_and_answer_leaves_one_run() {
+    for kills_leader in [false, true] {
+        let mut fleet = TestFleet::start(desk_plan());
+        let caller = TestCaller::new(&fleet.plan, 1);
+        let leader = fleet.wait_for_leader(&[0, 1, 2]);
+        let killed = match kills_leader {
+            true => leader,
+            false => (leader + 1) % 3,
+        };
+        for service in fleet.services.iter().flatten() {
+            service.set_faults(FaultPlan {
+                answer_delay: Duration::from_secs(2),
+                ..FaultPlan::default()
+            });
+        }
+        let address = fleet.address(killed);
+        let first = thread::spawn({
+            let caller = caller.clone();
+            move || caller.book(&address, "cut")
+        });
+        wait_until("the booking's run", || runs_of(&fleet, "cut") == 1).unwrap();
+        fleet.crash_node(killed);
+        let mut calls = vec![first.join().unwrap()];
+        assert!(!calls[0].is_answered());
+        let others: Vec<usize> = (0..3).filter(|number| *number != killed).collect();
+        wait_until("the outcome of the cut booking", || {
+            let call = caller.book(&fleet.address(others[calls.len() % 2]), "cut");
+            let end = call.note.end.clone();
+            calls.push(call);
+            let not_run = matches!(end, CallEnd::Refused(RequestOutcome::NotRun, code)
+                if !matches!(code, RefusalCode::ClaimUnavailable | RefusalCode::NotCurrent));
+            assert!(!not_run, "{end:?}");
+            matches!(end, CallEnd::Refused(_, code) if code != RefusalCode::KeyInProgress
+                && code != RefusalCode::ClaimUnavailable && code != RefusalCode::NotCurrent)
+        })
+        .unwrap_or_else(|error| panic!("leader killed: {kills_leader}: {error}: {calls:?}"));
+        let last = calls.last().unwrap();
+        let unknown = matches!(last.note.end, CallEnd::Refused(RequestOutcome::Unknown, _));
+        assert!(unknown, "{:?}", last.note.end);
+        fleet.restart_node(killed).unwrap();
+        calls.push(caller.book(&fleet.address(killed), "cut"));
+        assert!(!calls.last().unwrap().is_answered());
+        assert_eq!(runs_of(&fleet, "cut"), 1);
+        assert_sound(&calls, &fleet);
+    }
+}
+
+/// A node asks for a booking's claim, and is lost before it hears that the claim was granted, so
+/// that nothing was sent to the service. The other nodes cannot know that. A caller who asks again
+/// there is told that the outcome is not known; nobody runs the booking a second time on a guess,
+/// and the lost node does not either once it is back.
+#[test]
+fn a_node_lost_between_claim_and_dispatch_runs_nothing() {
+    let mut fleet = TestFleet::start(desk_plan());
+    let caller = TestCaller::new(&fleet.plan, 2);
+    let mut calls = Vec::new();
+    let mut found = None;
+    // The claim has to reach the frozen leader before the cut; where it did not, once more.
+    for number in 0..10 {
+        let key = format!("claimed-{number}");
+        let leader = fleet.wait_for_leader(&[0, 1, 2]);
+        let lost = (leader + 1) % 3;
+        let freeze = fleet.nodes[leader].as_ref().unwrap().freeze();
+        let first = thread::spawn({
+            let (caller, address, key) = (caller.clone(), fleet.address(lost), key.clone());
+            move || caller.book(&address, &key)
+        });
+        thread::sleep(Duration::from_millis(150));
+        fleet.cut_off(&[lost]);
+        drop(freeze);
+        fleet.crash_node(lost);
+        calls.push(first.join().unwrap());
+        fleet.heal();
+        let call = caller.book(&fleet.address(leader), &key);
+        let is_held = matches!(call.code(), Some(RefusalCode::KeyInProgress));
+        calls.push(call);
+        fleet.restart_node(lost).unwrap();
+        wait_until("the lost node's return", || {
+            caller.read(&fleet.address(lost)).is_answered()
+        })
+        .unwrap();
+        if is_held {
+            found = Some((key, lost));
+            break;
+        }
+    }
+    let (key, lost) = found.expect("a claim that outlived its node");
+    for number in [lost, (lost + 1) % 3, (lost + 2) % 3] {
+        let call = caller.book(&fleet.address(number), &key);
+        let unknown = matches!(call.note.end, CallEnd::Refused(RequestOutcome::Unknown, _));
+        assert!(unknown, "{:?}", call.note.end);
+        calls.push(call);
+    }
+    assert_eq!(runs_of(&fleet, &key), 0);
+    assert_sound(&calls, &fleet);
+}
+
+/// The checks themselves: with the claim left out, which the operator brings about here by
+/// declaring bookings repeatable, a resend runs twice, and both checks say so. A stale answer and
+/// answers that are crossed, put into a sound history, are noticed as well.
+#[test]
+fn the_booking_checks_notice_broken_variants() {
+    let fleet = TestFleet::start(desk_plan());
+    let caller = TestCaller::new(&fleet.plan, 0);
+    let mut calls = Vec::new();
+    for number in 0..3 {
+        let key = format!("sound-{number}");
+        calls.extend(book_everywhere(&fleet, &caller, &key));
+        calls.push(caller.book_until_answered(&fleet.address(number), &key));
+    }
+    assert_sound(&calls, &fleet);
+
+    let sound = key_events(&calls, &fleet);
+    let mut crossed = calls.clone();
+    let run = crossed.last().unwrap().run.clone();
+    crossed[2].run = run;
+    assert_eq!(broken_keys(&crossed, &fleet), ["sound-0"]);
+
+    let mut stale: Vec<KeyEvent> = sound[0].1.clone();
+    let first_run = stale
+        .iter()
+        .find(|event| matches!(event.what, KeyOp::Run(_)));
+    let before = first_run.unwrap().from - Duration::from_millis(1);
+    let answer = stale
+        .iter_mut()
+        .find(|event| matches!(event.what, KeyOp::Answer(_)));
+    let answer = answer.unwrap();
+    (answer.from, answer.until) = (before, Some(before));
+    assert!(!is_linearizable(&stale));
+
+    let line = format!(
+        "set service {} idempotent POST /bookings",
+        fleet.plan.service
+    );
+    assert_eq!(
+        fleet.operator().change(&line, "no-claims").unwrap().status,
+        200
+    );
+    let unclaimed: Vec<TestCall> = (0..3)
+        .map(|number| caller.book(&fleet.address(number), "unclaimed"))
+        .collect();
+    let found = violations(&unclaimed, &fleet);
+    let twice = |violation: &RunViolation| matches!(violation, RunViolation::RanTwice { .. });
+    assert!(found.iter().any(twice), "{found:?}");
+    assert_eq!(broken_keys(&unclaimed, &fleet), ["unclaimed"]);
+}
--- /dev/null
+++ b/crates/ragwortroad_demo/tests/failures/common/caller.rs
@@ -0,0 +1,181 @@
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use ragwortroad_demo::prelude::*;
+use ragwortroad_load::prelude::*;
+use ragwortroad_types::prelude::*;
+use serde_json::Value;
+
+/// A customer who calls one node at a time and writes down what came of it.
+#[derive(Clone, Debug)]
+pub(crate) struct TestCaller {
+    pub(crate) customer: String,
+    pub(crate) service: String,
+    /// How long it waits for an answer.
+    pub(crate) patience: Duration,
+}
+
+/// One sending and what came of it.
+#[derive(Clone, Debug)]
+pub(crate) struct TestCall {
+    pub(crate) note: CallNote,
+    pub(crate) called: Instant,
+    pub(crate) answered: Instant,
+    /// Which run the answer stems from: its endpoint, and its place among that one's runs.
+    pub(crate) run: Option<RunName>,
+    /// Whether a refusal told when to ask again.
+    pub(crate) has_pause: bool,
+}
+
+/// An endpoint's name and the place of a run in its records.
+pub(crate) type RunName = (String, u64);
+
+impl TestCaller {
+    pub(crate) fn new(plan: &FleetPlan, number: usize) -> Self {
+        Self {
+            customer: plan.customers[number].clone(),
+            service: plan.service.clone(),
+            patience: Duration::from_secs(20),
+        }
+    }
+
+    /// Books under a key, through the node at `address`.
+    pub(crate) fn book(&self, address: &str, key: &str) -> TestCall {
+        let body = format!("{{\"slot\":\"{key}\"}}");
+        self.call(address, minreq::Method::Post, Some(key), body)
+    }
+
+    /// Reads, which may be repeated, through the node at `address`.
+    pub(crate) fn read(&self, address: &str) -> TestCall {
+        self.call(address, minreq::Method::Get, None, String::new())
+    }
+
+    /// Books until the outcome is an answer or one that waiting does not change.
+    pub(crate) fn book_until_answered(&self, address: &str, key: &str) -> TestCall {
+        let mut last = None;
+        wait_until("an answer to a booking", || {
+            let call = self.book(address, key);
+            let is_answered = call.note.end == CallEnd::Answered;
+            last = Some(call);
+            is_answered
+        })
+        .unwrap_or_else(|error| panic!("{error}: {last:?}"));
+        last.unwrap()
+    }
+
+    fn call(
+        &self,
+        address: &str,
+        method: minreq::Method,
+        key: Option<&str>,
+        body: String,
+    ) -> TestCall {
+        let kind = key.map_or(CallKind::Read, |_| CallKind::Booking);
+        let url = format!("http://{address}/v1/services/{}/bookings", self.service);
+        let bearer = format!("Bearer {}", FleetPlan::key_of(&self.customer));
+        let deadline = self.patience.as_millis().to_string();
+        let mut request = minreq::Request::new(method, url)
+            .with_header("authorization", bearer)
+            .with_header("content-type", "application/json")
+            .with_header("x-deadline-ms", deadline)
+            .with_timeout(self.patience.as_secs() + 2)
+            .with_body(body);
+        if let Some(key) = key {
+            request = request.with_header("idempotency-key", key);
+        }
+        let called = Instant::now();
+        let answer = request.send();
+        let answered = Instant::now();
+        let mut attempt = AttemptNote {
+            address: address.to_owned(),
+            request_id: None,
+            status: None,
+            outcome: None,
+            code: None,
+        };
+        let mut run = None;
+        let mut has_pause = false;
+        let mut answer_hash = None;
+        let end = match answer {
+            Err(error) => CallEnd::Broken(error.to_string()),
+            // The library makes a status up where the connection closed without a byte.
+            Ok(answer) if answer.headers.is_empty() => CallEnd::Broken("no answer".to_owned()),
+            Ok(answer) => {
+                let mut headers = answer.headers.iter();
+                let id = headers.find(|(name, _)| name.eq_ignore_ascii_case("x-request-id"));
+                attempt.request_id = id.map(|(_, id)| id.clone());
+                attempt.status = Some(answer.status_code as u16);
+                answer_hash = Some(xxhash_rust::xxh3::xxh3_64(answer.as_bytes()));
+                match answer.status_code {
+                    200..=299 => {
+                        run = run_name(answer.as_bytes());
+                        check_own(answer.as_bytes(), key)
+                    }
+                    // Whatever is not the answer must be a refusal that a program can read.
+                    _ => match serde_json::from_slice::<RefusalWire>(answer.as_bytes()) {
+                        Ok(refusal) => {
+                            has_pause = refusal.error.retry_after_ms.is_some();
+                            attempt.outcome = Some(refusal.error.outcome);
+                            attempt.code = Some(refusal.error.code);
+                            CallEnd::Refused(refusal.error.outcome, refusal.error.code)
+                        }
+                        Err(_) => CallEnd::Wrong(AnswerFault::Unreadable),
+                    },
+                }
+            }
+        };
+        let note = CallNote {
+            kind,
+            customer: self.customer.clone(),
+            key: key.map(str::to_owned),
+            attempts: vec![attempt],
+            end,
+            first_token_us: None,
+            total_us: (answered - called).as_micros() as u64,
+            cached_tokens: 0,
+            prompt_tokens: 0,
+            answer_hash,
+        };
+        TestCall {
+            note,
+            called,
+            answered,
+            run,
+            has_pause,
+        }
+    }
+}
+
+impl TestCall {
+    pub(crate) fn is_answered(&self) -> bool {
+        self.note.end == CallEnd::Answered
+    }
+
+    pub(crate) fn code(&self) -> Option<RefusalCode> {
+        self.note.attempts[0].code
+    }
+}
+
+fn run_name(body: &[u8]) -> Option<RunName> {
+    let body: Value = serde_json::from_slice(body).ok()?;
+    let endpoint = body.get("endpoint")?.as_str()?.to_owned();
+    Some((endpoint, body.get("run")?.as_u64()?))
+}
+
+/// Whether an answer is to the booking under `key`.
+fn check_own(body: &[u8], key: Option<&str>) -> CallEnd {
+    let body: Option<Value> = serde_json::from_slice(body).ok();
+    let named = body.as_ref().and_then(|body| body.get("idempotency_key"));
+    match body.is_some() && named.and_then(Value::as_str) == key {
+        true => CallEnd::Answered,
+        false => CallEnd::Wrong(AnswerFault::Foreign),
+    }
+}
+
+/// What must always hold, over these calls and everything that endpoints ran.
+pub(crate) fn violations(calls: &[TestCall], fleet: &SmallFleet) -> Vec<RunViolation> {
+    let notes: Vec<CallNote> = calls.iter().map(|call| call.note.clone()).collect();
+    verify_run(&notes, &fleet.records())
+}
--- /dev/null
+++ b/crates/ragwortroad_demo/tests/failures/common/fleet.rs
@@ -0,0 +1,89 @@
+use std::{
+    ops::{
+        Deref,
+        DerefMut, //
+    },
+    sync::{
+        Condvar,
+        Mutex, //
+    },
+};
+
+use ragwortroad_demo::prelude::*;
+
+/// Fleets that run at once; more would take each other's processor time.
+const MOST_FLEETS: usize = 4;
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// A fleet of one test, which counts among those that run at once.
+pub(crate) struct TestFleet(Option<SmallFleet>);
+
+impl TestFleet {
+    /// Starts a fleet and declares what is in its plan.
+    pub(crate) fn start(plan: FleetPlan) -> Self {
+        let mut running = RUNNING.lock().unwrap();
+        while *running >= MOST_FLEETS {
+            running = ENDED.wait(running).unwrap();
+        }
+        *running += 1;
+        drop(running);
+        let test = Self(Some(SmallFleet::start(plan).unwrap()));
+        test.declare().unwrap();
+        test
+    }
+
+    /// `IP:port` for callers of the node with this number.
+    pub(crate) fn address(&self, number: usize) -> String {
+        self.settings[number].node.listen.to_string()
+    }
+
+    /// Waits until a node leads by the word of one of `asked`, and returns its number.
+    pub(crate) fn wait_for_leader(&self, asked: &[usize]) -> usize {
+        let mut found = None;
+        wait_until("a leader", || {
+            found = self.leader(asked).filter(|leader| asked.contains(leader));
+            found.is_some()
+        })
+        .unwrap();
+        found.unwrap()
+    }
+
+    /// Kills all nodes at once and starts them again on their folders.
+    pub(crate) fn restart_all(&mut self) {
+        for number in 0..self.nodes.len() {
+            self.crash_node(number);
+        }
+        for number in 0..self.nodes.len() {
+            self.restart_node(number).unwrap();
+        }
+    }
+}
+
+impl Deref for TestFleet {
+    type Target = SmallFleet;
+
+    fn deref(&self) -> &SmallFleet {
+        self.0.as_ref().unwrap()
+    }
+}
+
+impl DerefMut for TestFleet {
+    fn deref_mut(&mut self) -> &mut SmallFleet {
+        self.0.as_mut().unwrap()
+    }
+}
+
+impl Drop for TestFleet {
+    fn drop(&mut self) {
+        if let Some(fleet) = self.0.take() {
+            fleet.heal();
+            fleet.stop();
+        }
+        if let Ok(mut running) = RUNNING.lock() {
+            *running -= 1;
+        }
+        ENDED.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_demo/tests/failures/common/mod.rs
@@ -0,0 +1,4 @@
+pub(crate) mod booking_history;
+pub(crate) mod caller;
+pub(crate) mod fleet;
+pub(crate) mod operator_history;
--- /dev/null
+++ b/crates/ragwortroad_demo/tests/failures/common/operator_history.rs
@@ -0,0 +1,125 @@
+use std::{
+    collections::BTreeMap,
+    time::Instant, //
+};
+
+use ragwortroad_demo::prelude::*;
+use serde_json::Value;
+use todc_utils::{
+    linearizability::{
+        WGLChecker,
+        history::{
+            Action,
+            History, //
+        }, //
+    },
+    specifications::Specification, //
+};
+
+/// One change as its operator saw it.
+#[derive(Clone, Debug)]
+pub(crate) struct ChangeNote {
+    pub(crate) op: ChangeOp,
+    pub(crate) called: Instant,
+    pub(crate) answered: Instant,
+    pub(crate) answer: LineAnswer,
+}
+
+/// A change and what was decided on it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct ChangeOp {
+    pub(crate) id: String,
+    pub(crate) base: u64,
+    pub(crate) end: ChangeEnd,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) enum ChangeEnd {
+    /// Accepted as this revision.
+    Accepted(u64),
+    /// Refused, since this revision was there already.
+    Conflict(u64),
+    /// Nobody can tell yet.
+    Unknown,
+}
+
+/// A register that moves from one revision to the next; a change's first outcome stays.
+struct RevisionSpec;
+
+impl Specification for RevisionSpec {
+    type State = (u64, BTreeMap<String, (u64, bool)>);
+    type Operation = ChangeOp;
+
+    fn init() -> Self::State {
+        (0, BTreeMap::new())
+    }
+
+    fn apply(operation: &ChangeOp, state: &Self::State) -> (bool, Self::State) {
+        let (revision, mut outcomes) = state.clone();
+        let told = match operation.end {
+            ChangeEnd::Accepted(told) => (told, true),
+            ChangeEnd::Conflict(told) => (told, false),
+            ChangeEnd::Unknown => return (false, state.clone()),
+        };
+        if let Some(first) = outcomes.get(&operation.id) {
+            return (*first == told, state.clone());
+        }
+        let right = match operation.base == revision {
+            true => (revision + 1, true),
+            false => (revision, false),
+        };
+        outcomes.insert(operation.id.clone(), right);
+        (told == right, (right.0, outcomes))
+    }
+}
+
+/// Issues a change on a revision and writes down what came of it.
+pub(crate) fn issue(operator: &OperatorClient, edit: &str, base: u64, id: &str) -> ChangeNote {
+    let line = format!("{edit} on revision {base}");
+    let called = Instant::now();
+    let answer = operator.change(&line, id).unwrap();
+    let answered = Instant::now();
+    let op = ChangeOp {
+        id: id.to_owned(),
+        base,
+        end: change_end(&answer),
+    };
+    ChangeNote {
+        op,
+        called,
+        answered,
+        answer,
+    }
+}
+
+fn change_end(answer: &LineAnswer) -> ChangeEnd {
+    let refused = answer.body.pointer("/refused/conflict/revision");
+    let accepted = answer.body.get("revision").and_then(Value::as_u64);
+    match (accepted, refused.and_then(Value::as_u64)) {
+        (Some(revision), _) => ChangeEnd::Accepted(revision),
+        (None, Some(revision)) => ChangeEnd::Conflict(revision),
+        (None, None) => ChangeEnd::Unknown,
+    }
+}
+
+/// Whether one order of all decided changes fits the rule, from `base` on.
+pub(crate) fn is_linearizable(notes: &[ChangeNote], base: u64) -> bool {
+    let mut actions = Vec::new();
+    for (place, note) in notes.iter().enumerate() {
+        let mut op = note.op.clone();
+        // Histories start at 0.
+        op.base -= base;
+        op.end = match op.end {
+            ChangeEnd::Accepted(revision) => ChangeEnd::Accepted(revision - base),
+            ChangeEnd::Conflict(revision) => ChangeEnd::Conflict(revision - base),
+            ChangeEnd::Unknown => continue,
+        };
+        actions.push((note.called, place, Action::Call(op.clone())));
+        actions.push((note.answered, place, Action::Response(op)));
+    }
+    actions.sort_by_key(|(at, place, _)| (*at, *place));
+    let actions = actions.into_iter();
+    let history: Vec<_> = actions.map(|(_, place, action)| (place, action)).collect();
+    history.is_empty()
+        || WGLChecker::<RevisionSpec>::is_linearizable(History::from_actions(history))
+}
--- /dev/null
+++ b/crates/ragwortroad_demo/tests/failures/operators.rs
@@ -0,0 +1,257 @@
+//! Operators' changes: one winner, first outcomes, in force everywhere.
+
+use std::{
+    io::Write,
+    net::TcpStream,
+    sync::{
+        Barrier,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
+};
+
+use ragwortroad_demo::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::common::{
+    caller::{
+        TestCall,
+        TestCaller,
+        violations, //
+    },
+    fleet::TestFleet,
+    operator_history::{
+        ChangeEnd,
+        ChangeNote,
+        is_linearizable,
+        issue, //
+    }, //
+};
+
+fn small_plan() -> FleetPlan {
+    FleetPlan {
+        engines: 0,
+        services: 1,
+        follow_bound: Duration::from_secs(1),
+        ..FleetPlan::default()
+    }
+}
+
+/// The revision now, by the leader's word.
+fn revision(fleet: &SmallFleet) -> u64 {
+    let answer = fleet.operator().ask("show changes").unwrap();
+    let newest = answer.body.pointer("/rows/0/revision");
+    newest.and_then(serde_json::Value::as_u64).unwrap()
+}
+
+/// Two operators look at the same revision and each issue a change on it, at two nodes at the same
+/// moment. If both were accepted, the second would undo what the first operator was told is in
+/// force. One is accepted; the other is refused and shown what won. A resend after a lost answer,
+/// at another node and after every member lost power, gets what was decided first and changes
+/// nothing.
+#[test]
+fn two_operators_on_one_revision_have_one_winner() {
+    let mut fleet = TestFleet::start(small_plan());
+    let base = revision(&fleet);
+    let mut notes = Vec::new();
+    for round in 0..8 {
+        notes.extend(race(&fleet, base + round, round));
+    }
+    assert_eq!(revision(&fleet), base + 8);
+    for pair in notes.chunks(2) {
+        let accepted = pair
+            .iter()
+            .filter(|note| matches!(note.op.end, ChangeEnd::Accepted(_)));
+        assert_eq!(accepted.count(), 1, "{pair:?}");
+        let refused = pair
+            .iter()
+            .find(|note| matches!(note.op.end, ChangeEnd::Conflict(_)));
+        let text = &refused.expect("a refusal").answer.text;
+        assert!(text.contains("won with 'set multiple"), "{text}");
+    }
+    let resend = |fleet: &TestFleet, note: &ChangeNote, number: usize| {
+        let mut again = None;
+        wait_until("an outcome", || {
+            let operator = fleet.operator_at(&[number]);
+            let edit = edit_of(&note.op.id);
+            let sent = issue(&operator, &edit, note.op.base, &note.op.id);
+            again = Some(sent).filter(|sent| sent.op.end != ChangeEnd::Unknown);
+            again.is_some()
+        })
+        .unwrap();
+        again.unwrap()
+    };
+    let first = notes.clone();
+    for (place, note) in first.iter().enumerate() {
+        notes.push(resend(&fleet, note, place % 3));
+    }
+    fleet.restart_all();
+    for (place, note) in first.iter().enumerate() {
+        notes.push(resend(&fleet, note, (place + 1) % 3));
+    }
+    assert_eq!(revision(&fleet), base + 8);
+    for note in &notes[first.len()..] {
+        let before = first
+            .iter()
+            .find(|first| first.op.id == note.op.id)
+            .unwrap();
+        assert_eq!(note.op, before.op);
+    }
+    assert!(is_linearizable(&notes, base));
+
+    // A history in which both won, or a resend changed its outcome, is noticed.
+    let mut broken = notes.clone();
+    let refused = broken
+        .iter_mut()
+        .find(|note| matches!(note.op.end, ChangeEnd::Conflict(_)));
+    let refused = refused.unwrap();
+    refused.op.end = ChangeEnd::Accepted(refused.op.base + 1);
+    assert!(!is_linearizable(&broken, base));
+}
+
+/// Two operators' changes at one moment, at two nodes.
+fn race(fleet: &TestFleet, base: u64, round: u64) -> Vec<ChangeNote> {
+    let start = Barrier::new(2);
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..2)
+            .map(|side| {
+                let operator = fleet.operator_at(&[(round as usize + side) % 3]);
+                let start = &start;
+                let id = format!("race-{round}-{side}");
+                scope.spawn(move || {
+                    start.wait();
+                    issue(&operator, &edit_of(&id), base, &id)
+                })
+            })
+            .collect();
+        let threads = threads.into_iter();
+        threads.map(|thread| thread.join().unwrap()).collect()
+    })
+}
+
+/// An edit that depends on the change's id only, as a resend repeats it.
+fn edit_of(id: &str) -> String {
+    let digits: String = id.chars().filter(char::is_ascii_digit).collect();
+    format!("set multiple 1.{}", digits.parse::<u32>().unwrap() + 100)
+}
+
+/// An operator's change names no revision. Its answer is lost on the way, or it is refused because
+/// another change came first; the operator's tool sends it again with the same id. A resend that
+/// was taken for another change would be refused as "id reused", and nobody could tell what became
+/// of the first. It gets the first outcome, whatever was accepted since.
+#[test]
+fn a_resend_without_a_revision_gets_the_first_outcome() {
+    let fleet = TestFleet::start(small_plan());
+    let base = revision(&fleet);
+    let body = r#"{"line":"set multiple 1.7","may_change":true,"change_id":"lost"}"#;
+    let mut socket = TcpStream::connect(fleet.address(0)).unwrap();
+    let head = format!(
+        "POST /v1/operator HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {}\r\n\
+         content-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+        fleet.operator().key,
+        body.len()
+    );
+    socket.write_all(head.as_bytes()).unwrap();
+    wait_until("the change", || revision(&fleet) > base).unwrap();
+    drop(socket);
+    let invalid = "remove customer nobody-of-this-name";
+    let refused = fleet.operator().change(invalid, "refused").unwrap();
+    assert_eq!(refused.status, 409, "{refused:?}");
+    for step in 0..2 {
+        let other = fleet
+            .operator()
+            .change("set multiple 1.6", &format!("other-{step}"));
+        assert_eq!(other.unwrap().status, 200);
+    }
+    for number in 0..3 {
+        let operator = fleet.operator_at(&[number]);
+        let again = operator.change("set multiple 1.7", "lost").unwrap();
+        assert_eq!(again.body["revision"], base + 1, "{again:?}");
+        let again = operator.change(invalid, "refused").unwrap();
+        assert_eq!(again.body, refused.body);
+    }
+    assert_eq!(revision(&fleet), base + 3);
+}
+
+/// A customer loses its right to a service while one node is cut off from all others and goes on
+/// taking that customer's calls. An operator who reads "in force" must be able to rely on it: if
+/// the node went on admitting by the old configuration, a studio would still see what it may not.
+/// The cut-off node stops by itself before the change is reported, refuses with `not_run` and with
+/// other addresses, and takes up the new configuration once it is back.
+#[test]
+fn a_change_in_force_binds_a_node_that_is_cut_off() {
+    let plan = FleetPlan {
+        nodes: 4,
+        ..small_plan()
+    };
+    let fleet = TestFleet::start(plan);
+    let leader = fleet.wait_for_leader(&[0, 1, 2]);
+    for cut in [3, (leader + 1) % 3, leader] {
+        let customer = cut;
+        let caller = TestCaller::new(&fleet.plan, customer);
+        let others: Vec<usize> = (0..4).filter(|number| *number != cut).collect();
+        let stops = AtomicBool::new(false);
+        let (calls, reported) = thread::scope(|scope| {
+            let load = scope.spawn(|| {
+                let mut calls = Vec::new();
+                while !stops.load(Ordering::Relaxed) {
+                    calls.push(caller.read(&fleet.address(cut)));
+                    thread::sleep(Duration::from_millis(5));
+                }
+                calls
+            });
+            thread::sleep(Duration::from_millis(300));
+            fleet.cut_off(&[cut]);
+            let reported = deny(&fleet, &caller, &others);
+            thread::sleep(Duration::from_secs(1));
+            stops.store(true, Ordering::Relaxed);
+            (load.join().unwrap(), reported)
+        });
+        check_cut_off(&calls, reported, &fleet);
+        fleet.heal();
+        wait_until("the change at the node that was cut off", || {
+            caller.read(&fleet.address(cut)).code() == Some(RefusalCode::UnknownService)
+        })
+        .unwrap();
+    }
+}
+
+/// Takes a service from a customer; returns when the change was reported in force.
+fn deny(fleet: &TestFleet, caller: &TestCaller, asked: &[usize]) -> Instant {
+    let line = format!(
+        "deny customer {} service {}",
+        caller.customer, caller.service
+    );
+    let id = format!("deny-{}", caller.customer);
+    let operator = fleet.operator_at(asked);
+    wait_until("the change in force", || {
+        operator
+            .change(&line, &id)
+            .is_ok_and(|answer| answer.status == 200)
+    })
+    .unwrap();
+    Instant::now()
+}
+
+fn check_cut_off(calls: &[TestCall], reported: Instant, fleet: &SmallFleet) {
+    let (before, after): (Vec<&TestCall>, Vec<_>) =
+        calls.iter().partition(|call| call.called < reported);
+    assert!(before.iter().any(|call| call.is_answered()));
+    assert!(!after.is_empty());
+    for call in after {
+        assert!(
+            !call.is_answered(),
+            "admitted after it was in force: {call:?}"
+        );
+        assert_eq!(call.code(), Some(RefusalCode::NotCurrent));
+        assert!(call.has_pause);
+    }
+    assert_eq!(violations(calls, fleet), []);
+}
--- a/crates/ragwortroad_node/src/control/line_flow.rs
+++ b/crates/ragwortroad_node/src/control/line_flow.rs
@@ -201,15 +201,13 @@
     /// The revision that a change rests on whose line names none.
     ///
     /// A resend rests on the revision that the first sending rested on, or it would look like
-    /// another change under the same id.
+    /// another change under the same id and be refused, also where the first was refused.
     fn base_of(&self, change_id: &str) -> u64 {
         let Some(seat) = &self.member else {
             return 0;
         };
-        let mut history = seat.state.changes().history();
-        let first = history.find(|accepted| accepted.change_id == change_id);
-        let current = seat.state.config().revision;
-        first.map_or(current, |accepted| accepted.revision - 1)
+        let first = seat.state.changes().base_of(change_id);
+        first.unwrap_or(seat.state.config().revision)
     }
 
     /// The operator that a key belongs to.
--- a/crates/ragwortroad_standin/src/standin_engine.rs
+++ b/crates/ragwortroad_standin/src/standin_engine.rs
@@ -4,6 +4,7 @@
         Arc,
         atomic::Ordering, //
     },
+    time::Instant,
 };
 
 use ragwortroad_types::prelude::*;
@@ -65,6 +66,11 @@
         self.shell.address()
     }
 
+    /// The moment from which the times in its records count.
+    pub fn started(&self) -> Instant {
+        self.state.shell.started()
+    }
+
     /// From now on misbehaves in this way.
     pub fn set_faults(&self, plan: FaultPlan) {
         self.state.shell.set_faults(plan);
--- a/crates/ragwortroad_standin/src/standin_service.rs
+++ b/crates/ragwortroad_standin/src/standin_service.rs
@@ -10,6 +10,7 @@
             Ordering, //
         },
     },
+    time::Instant,
 };
 
 use http_body_util::BodyExt;
@@ -99,6 +100,11 @@
         self.shell.address()
     }
 
+    /// The moment from which the times in its records count.
+    pub fn started(&self) -> Instant {
+        self.state.shell.started()
+    }
+
     /// From now on misbehaves in this way.
     pub fn set_faults(&self, plan: FaultPlan) {
         self.state.shell.set_faults(plan);
--- a/crates/ragwortroad_standin/src/standin_shell.rs
+++ b/crates/ragwortroad_standin/src/standin_shell.rs
@@ -66,6 +66,10 @@
         }
     }
 
+    pub(crate) fn started(&self) -> Instant {
+        self.started
+    }
+
     pub(crate) fn elapsed_ms(&self) -> u64 {
         self.started.elapsed().as_millis() as u64
     }
--- a/crates/ragwortroad_state/src/change/change_log.rs
+++ b/crates/ragwortroad_state/src/change/change_log.rs
@@ -97,6 +97,12 @@
         Some(self.with_winner(kept))
     }
 
+    /// The revision on which an earlier change of this name was issued, while that is kept.
+    pub fn base_of(&self, change_id: &str) -> Option<u64> {
+        let kept = self.outcomes.get(change_id)?;
+        Some(kept.base_revision)
+    }
+
     fn with_winner(&self, kept: &KeptOutcome) -> ChangeOutcome {
         match kept.outcome {
             ChangeOutcome::Conflict { revision, .. } => ChangeOutcome::Conflict {
