--- a/crates/ragwortroad_demo/tests/idle_service.rs
+++ b/crates/ragwortroad_demo/tests/idle_service.rs
@@ -1,5 +1,7 @@
 //! A service that is nearly idle, called through a node that is not its home.
 
+#![allow(clippy::unwrap_used)]
+
 use ragwortroad_demo::prelude::*;
 use serde_json::Value;
 
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -62,9 +62,14 @@
                         .release(endpoint, slot, SlotOutcome::Neutral, now);
                     plan.excluded.push(endpoint);
                 }
-                RouteDecision::AskHome { endpoint, home, .. } => {
+                RouteDecision::AskHome {
+                    endpoint,
+                    home,
+                    claim,
+                    ..
+                } => {
                     if plan.asked < MOST_ASKED {
-                        return self.ask_home(plan, endpoint, home, now);
+                        return self.ask_home(plan, (endpoint, claim), home, now);
                     }
                     let message = "every engine asked is at its bound";
                     let refusal = AdmitRefusal::not_run(RefusalCode::Overloaded, message);
@@ -89,13 +94,13 @@
     fn ask_home(
         &mut self,
         mut plan: RequestPlan,
-        endpoint: EndpointId,
+        (endpoint, claim): (EndpointId, SlotClaim),
         home: NodeId,
         now: ClockTime,
     ) {
         let question = self.draw();
         plan.asked += 1;
-        self.send_ask(home, question, endpoint, &plan);
+        self.send_ask(home, question, endpoint, claim, &plan);
         let wait = SlotWait {
             plan,
             endpoint,
--- a/crates/ragwortroad_standin/src/standin_engine.rs
+++ b/crates/ragwortroad_standin/src/standin_engine.rs
@@ -3,7 +3,8 @@
     sync::{
         Arc,
         atomic::Ordering, //
-    }, //
+    },
+    time::Instant, //
 };
 
 use ragwortroad_types::prelude::*;
@@ -62,6 +63,11 @@
         self.host.address()
     }
 
+    /// The moment from which the times in its records count.
+    pub fn started(&self) -> Instant {
+        self.state.shell.started()
+    }
+
     /// From now on misbehaves in this way.
     pub fn set_faults(&self, plan: FaultPlan) {
         self.state.shell.set_faults(plan);
--- a/crates/ragwortroad_standin/src/standin_service.rs
+++ b/crates/ragwortroad_standin/src/standin_service.rs
@@ -9,7 +9,8 @@
             AtomicU64,
             Ordering, //
         },
-    }, //
+    },
+    time::Instant, //
 };
 
 use http_body_util::BodyExt;
@@ -97,6 +98,11 @@
         self.host.address()
     }
 
+    /// The moment from which the times in its records count.
+    pub fn started(&self) -> Instant {
+        self.state.shell.started()
+    }
+
     /// From now on misbehaves in this way.
     pub fn set_faults(&self, plan: FaultPlan) {
         self.state.shell.set_faults(plan);
