--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -264,6 +264,9 @@
     /// node_restarts, joined by '+'.
     #[arg(long, default_value = "churn")]
     pub(crate) disturbances: String,
+    /// Multiple of the workload's arrivals.
+    #[arg(long, default_value_t = 1.0)]
+    pub(crate) load_factor: f64,
     /// Seconds before the measured time.
     #[arg(long, default_value_t = 120)]
     pub(crate) warm_seconds: u64,
--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -23,6 +23,7 @@
         seconds: options.seconds,
         policies: PolicyKind::ladder(),
         mean_margin: None,
+        load_factor: options.load_factor,
     });
     match options.json {
         true => println!("{}", report.to_json()),
