Take the members to ask from the newest log

A learner restarted with an entry that was never accepted, which made it a voter beside one that was lost; it waited for ever for answers of that larger group. Change: the check after a restart asks the members of the newest log among the answers, not of the highest index.

--- a/crates/ragwortroad_consensus/src/core_new.rs
+++ b/crates/ragwortroad_consensus/src/core_new.rs
@@ -52,12 +52,14 @@
                 history.push(entry.index, set);
             }
         }
+        let is_unused = stored.snapshot.is_none() && stored.entries.is_empty();
+        let log = EntryLog::new(base, stored.entries);
         let is_own_word = stored.is_new || stored.is_same_boot;
         let is_trusted = is_own_word || settings.trust_disk || start.founders.is_some();
         let check = if is_trusted {
             RestartCheck::skipped()
         } else {
-            RestartCheck::new(history.latest_index(), history.latest().clone())
+            RestartCheck::new(log.last(), history.latest().clone())
         };
         // A leader may rely for its lease on what this member promised before it restarted.
         let promised = if stored.is_new {
@@ -65,7 +67,6 @@
         } else {
             now.after(settings.election_timeout)
         };
-        let is_unused = stored.snapshot.is_none() && stored.entries.is_empty();
         let mut core = Self {
             settings,
             id: MemberId(stored.identity),
@@ -73,7 +74,7 @@
             rng: Self::seeded(seed),
             vote: stored.vote,
             leader: None,
-            log: EntryLog::new(base, stored.entries),
+            log,
             members: history,
             snapshot: stored.snapshot.map(Arc::new),
             commit: base.index,
--- a/crates/ragwortroad_consensus/src/peer_message.rs
+++ b/crates/ragwortroad_consensus/src/peer_message.rs
@@ -118,9 +118,7 @@
         term: u64,
         /// Last entry of the sender's log.
         last: LogPosition,
-        /// Index of the sender's latest member set.
-        members_index: u64,
-        /// That set.
+        /// The members in force there.
         members: MemberSet,
         /// The latest starts the sender knows of.
         starts: Vec<MemberStart>,
--- a/crates/ragwortroad_consensus/src/rejoining.rs
+++ b/crates/ragwortroad_consensus/src/rejoining.rs
@@ -56,7 +56,6 @@
             asked: self.starts.latest(from),
             term: self.vote.term,
             last: self.log.last(),
-            members_index: self.members.latest_index(),
             members: self.members().clone(),
             starts: self.starts.wire(from, self.members.latest()),
         };
@@ -68,7 +67,6 @@
             asked,
             term,
             last,
-            members_index,
             members,
             starts,
         } = reply
@@ -79,8 +77,7 @@
             return;
         }
         let had = self.check.members().clone();
-        self.check
-            .answer(from, term, last, (members_index, members));
+        self.check.answer(from, term, last, members);
         for known in &starts {
             self.learn_start(known.member, known.start, now);
         }
--- a/crates/ragwortroad_consensus/src/restart_check.rs
+++ b/crates/ragwortroad_consensus/src/restart_check.rs
@@ -24,8 +24,11 @@
     pub(crate) log_floor: LogPosition,
     /// The last position of the log of each member that answered.
     answered: BTreeMap<MemberId, LogPosition>,
-    /// The newest member set among the answers and this member's own.
-    members: (u64, MemberSet),
+    /// The last position and the members of the newest log among the answers and this member's own.
+    ///
+    /// A set with a higher index in an older log may never have been accepted; members that it
+    /// alone names could be asked for ever.
+    members: (LogPosition, MemberSet),
     /// When the question was sent last.
     pub(crate) asked_at: Option<ClockTime>,
 }
@@ -33,18 +36,18 @@
 impl RestartCheck {
     /// A check that is done, for a folder that is new or trusted.
     pub(crate) fn skipped() -> Self {
-        let mut check = Self::new(0, MemberSet::default());
+        let mut check = Self::new(LogPosition::default(), MemberSet::default());
         check.is_done = true;
         check
     }
 
-    pub(crate) fn new(members_index: u64, members: MemberSet) -> Self {
+    pub(crate) fn new(last: LogPosition, members: MemberSet) -> Self {
         Self {
             is_done: false,
             vote_floor: 0,
             log_floor: LogPosition::default(),
             answered: BTreeMap::new(),
-            members: (members_index, members),
+            members: (last, members),
             asked_at: None,
         }
     }
@@ -60,12 +63,12 @@
         from: MemberId,
         term: u64,
         last: LogPosition,
-        members: (u64, MemberSet),
+        members: MemberSet,
     ) {
         self.answered.insert(from, last);
         self.vote_floor = self.vote_floor.max(term);
-        if members.0 > self.members.0 {
-            self.members = members;
+        if last > self.members.0 {
+            self.members = (last, members);
         }
     }
 
--- a/crates/ragwortroad_consensus/tests/schedules/main.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/main.rs
@@ -63,7 +63,7 @@
 /// an accepted command vanish, a stale read, or two leaders.
 #[test]
 fn faults_of_all_kinds_lose_nothing() {
-    let known = [37, 52, 201, 386];
+    let known = [37, 52, 201, 386, 1909];
     let counts = run_all("all faults", 28, &known, all_faults);
     assert!(counts.lost_disks > 20 && counts.torn_writes > 20);
 }
--- a/crates/ragwortroad_consensus/tests/schedules/world/mod.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/mod.rs
@@ -2,9 +2,11 @@
 
 mod fault_kind;
 mod sim_checker;
+mod sim_client;
 mod sim_clock;
 mod sim_counts;
 mod sim_faults;
+mod sim_network;
 mod sim_node;
 mod sim_operator;
 mod sim_plan;
