Join large fleets without choking the seeds; count what a packet really costs

With 120 nodes starting at once, the seeds answered every node's comparison and overdrew their budget for good; views were still apart after 600 s. Comparisons also went on for ever towards a peer that no longer spoke; it now answers.

message_cost measures QUIC on loopback: 130 to 134 bytes beside each datagram message, both ways, and 16,393 bytes to connect, of which probing for larger packets was 11.7 KB; without it 4,674. So a packet is counted with 140 bytes, and calls to strangers are rarer.

The handover test assumed that news reaches a third node without the pause between packets; it lets 300 ms pass now and checks the same. New nodes call absent seeds every second for 20 s: with 9 nodes one seed of five had not come together within 30 s.

--- /dev/null
+++ b/crates/ragwortroad_membership/examples/gossip_cost.rs
@@ -0,0 +1,200 @@
+//! What membership costs each node, by size of the fleet and by what goes on.
+//!
+//! ```text
+//! cargo run --release -p ragwortroad_membership --example gossip_cost -- [--seed N] [--long]
+//! ```
+//!
+//! Bytes are those a node sends, on the wire: packets' content, 140 bytes for each packet (QUIC,
+//! UDP, IP and the acknowledgement, as `message_cost` of the transport measures), and 2,337 bytes
+//! for each connection opened. Everything but the columns `core` and `KiB` follows from the seed.
+
+#[path = "../tests/fake_fleet/mod.rs"]
+mod fake_fleet;
+
+use fake_fleet::FakeFleet;
+use ragwortroad_membership::prelude::*;
+use rand::RngExt;
+
+/// Bytes of a handshake on one side.
+const HANDSHAKE: u64 = 2337;
+/// Measured time of each situation.
+const SPAN_MS: u64 = 300_000;
+/// Restarts a day in a fleet of 340.
+const RESTARTS_A_DAY: u64 = 260;
+
+/// What is going on while the cost is measured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum FleetMood {
+    /// Nothing changes.
+    Quiet,
+    /// Every second each endpoint's load moves with a chance of one half.
+    Load,
+    /// As before, and nodes restart at ten times the rate of an ordinary day, and an endpoint
+    /// restarts every ten seconds.
+    Churn,
+}
+
+/// What all nodes had sent at some moment.
+struct CostReading {
+    bytes: Vec<u64>,
+    packets: u64,
+    busy: std::time::Duration,
+    parts: [u64; 4],
+}
+
+impl CostReading {
+    fn new(fleet: &FakeFleet) -> Self {
+        let overhead = u64::from(fleet.settings.packet_overhead);
+        let wire = fleet.nodes.iter().map(|node| {
+            node.bytes_out + node.packets_out * overhead + node.connections_opened * HANDSHAKE
+        });
+        let mut parts = [0; 4];
+        for stats in fleet.tables().map(MembershipTable::stats) {
+            let found = [
+                stats.node_bytes,
+                stats.endpoint_bytes,
+                stats.load_bytes,
+                stats.direct_bytes,
+            ];
+            for (sum, bytes) in parts.iter_mut().zip(found) {
+                *sum += bytes;
+            }
+        }
+        Self {
+            bytes: wire.collect(),
+            packets: fleet.nodes.iter().map(|node| node.packets_out).sum(),
+            busy: fleet.busy,
+            parts,
+        }
+    }
+}
+
+fn churn(fleet: &mut FakeFleet, span: u64) {
+    let nodes = fleet.nodes.len();
+    let restarts = (10 * RESTARTS_A_DAY * span * nodes as u64).div_ceil(340 * 86_400_000);
+    let steps = span / 10_000;
+    for step in 0..steps {
+        let endpoint = fleet.rng.random_range(0..fleet.endpoints.len());
+        fleet.start_endpoint(endpoint);
+        if step * restarts / steps != (step + 1) * restarts / steps {
+            let node = fleet.rng.random_range(0..nodes);
+            fleet.start_node(node);
+        }
+        fleet.run(10_000);
+    }
+}
+
+fn measure(fleet: &mut FakeFleet, mood: FleetMood) {
+    let chance = if mood == FleetMood::Quiet { 0.0 } else { 0.5 };
+    for endpoint in &mut fleet.endpoints {
+        endpoint.load_change = chance;
+    }
+    fleet.run(30_000);
+    let before = CostReading::new(fleet);
+    match mood {
+        FleetMood::Churn => churn(fleet, SPAN_MS),
+        FleetMood::Quiet | FleetMood::Load => fleet.run(SPAN_MS),
+    }
+    let after = CostReading::new(fleet);
+    let nodes = fleet.nodes.len() as u64;
+    let seconds = SPAN_MS / 1000;
+    let spent: Vec<u64> = after
+        .bytes
+        .iter()
+        .zip(&before.bytes)
+        .map(|(to, from)| to - from)
+        .collect();
+    let mean = spent.iter().sum::<u64>() / nodes / seconds;
+    let most = spent.iter().max().copied().unwrap_or(0) / seconds;
+    let packets = (after.packets - before.packets) as f64 / (nodes * seconds) as f64;
+    let parts: Vec<String> = after
+        .parts
+        .iter()
+        .zip(before.parts)
+        .map(|(to, from)| (to.saturating_sub(from) / nodes / seconds).to_string())
+        .collect();
+    let busy = (after.busy - before.busy).as_secs_f64() / (nodes * seconds) as f64;
+    let mood = format!("{mood:?}").to_lowercase();
+    let endpoints = fleet.endpoints.len();
+    let each = mean as f64 / endpoints as f64;
+    println!(
+        "{nodes:>5} {endpoints:>5} {mood:>6} {mean:>7} {most:>7} {packets:>7.1} {each:>8.1}   {:<22} {:>8.4}%",
+        parts.join("/"),
+        busy * 100.0
+    );
+}
+
+/// Kibibytes of memory that this process has in use.
+fn resident_kib() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let number = line.and_then(|line| line.split_whitespace().nth(1));
+    number.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Two regions lose each other for `span` and meet again.
+fn part(fleet: &mut FakeFleet, span: u64) {
+    fleet.network.parted_regions.insert(0);
+    fleet.run(span);
+    let before = CostReading::new(fleet);
+    let downs = fleet.findings.node_downs;
+    fleet.network.parted_regions.clear();
+    let start = fleet.now;
+    let mut peak = 0;
+    let mut last = before.bytes.clone();
+    while fleet.disagreement().is_some() && fleet.now - start < 600_000 {
+        fleet.run(1000);
+        let now = CostReading::new(fleet).bytes;
+        let second = now.iter().zip(&last).map(|(to, from)| to - from).max();
+        peak = peak.max(second.unwrap_or(0));
+        last = now;
+    }
+    let spent: u64 = last
+        .iter()
+        .zip(&before.bytes)
+        .map(|(to, from)| to - from)
+        .sum();
+    println!(
+        "parted for {} s: equal views after {} ms, {} bytes a node in that time, at most {peak} by one node in a second, {} nodes taken for down by healing",
+        span / 1000,
+        fleet.now - start,
+        spent / fleet.nodes.len() as u64,
+        fleet.findings.node_downs - downs
+    );
+}
+
+fn main() {
+    let words: Vec<String> = std::env::args().collect();
+    let seed = words
+        .iter()
+        .position(|word| word == "--seed")
+        .and_then(|at| words.get(at + 1)?.parse().ok())
+        .unwrap_or(1);
+    let long = words.iter().any(|word| word == "--long");
+    println!(
+        "bytes and packets are per node and second; content is nodes/endpoints/load/comparing"
+    );
+    println!(
+        "nodes  ends   mood   bytes    most packets  per end   content                    core"
+    );
+    let all = [(9, 23, 3), (40, 90, 6), (120, 265, 9), (340, 750, 11)];
+    for (nodes, endpoints, zones) in all {
+        let empty = resident_kib();
+        let mut fleet = FakeFleet::new(
+            seed,
+            nodes,
+            endpoints,
+            zones,
+            &MembershipSettings::default(),
+        );
+        fleet.watch_homes = false;
+        let joined = fleet.settle(600_000);
+        for mood in [FleetMood::Quiet, FleetMood::Load, FleetMood::Churn] {
+            measure(&mut fleet, mood);
+        }
+        let kib = resident_kib().saturating_sub(empty) / nodes as u64;
+        println!("{nodes:>5} nodes started at once agreed after {joined} ms; {kib} KiB a node");
+        fleet.settle(600_000);
+        part(&mut fleet, if long { 3_600_000 } else { 120_000 });
+    }
+}
--- a/crates/ragwortroad_membership/src/membership_settings.rs
+++ b/crates/ragwortroad_membership/src/membership_settings.rs
@@ -32,9 +32,11 @@
     pub suspicion: Duration,
     /// Nodes asked to probe a silent neighbour.
     pub probe_helpers: usize,
-    /// Time between calls to nodes that are down, or to seeds never heard of.
+    /// Time between calls to nodes that are down, or to seeds never heard of; each costs some
+    /// handshake packets that nobody answers.
     pub revive_every: Duration,
-    /// Time between calls to any live node, which finds views that have grown apart.
+    /// Time between calls to any live node, which finds views that have grown apart; each costs a
+    /// handshake.
     pub stray_every: Duration,
     /// Time after which a node that is down is forgotten.
     pub forget_node_after: Duration,
@@ -44,7 +46,8 @@
     pub bytes_per_second: u32,
     /// Bytes that may be sent in one burst after a quiet time.
     pub burst_bytes: u32,
-    /// Bytes counted for each packet beside its content: headers below us.
+    /// Bytes counted for each packet beside its content: what QUIC, UDP and IP add, and the
+    /// acknowledgement that QUIC sends for it.
     pub packet_overhead: u32,
     /// Largest packet.
     pub max_packet: usize,
@@ -92,13 +95,13 @@
             suspect_after: Duration::from_millis(5000),
             suspicion: Duration::from_millis(5000),
             probe_helpers: 3,
-            revive_every: Duration::from_secs(10),
-            stray_every: Duration::from_secs(10),
-            forget_node_after: Duration::from_secs(48 * 3600),
+            revive_every: Duration::from_secs(30),
+            stray_every: Duration::from_secs(60),
+            forget_node_after: Duration::from_secs(6 * 3600),
             forget_endpoint_after: Duration::from_secs(2 * 3600),
             bytes_per_second: 4096,
             burst_bytes: 16384,
-            packet_overhead: 60,
+            packet_overhead: 140,
             max_packet: 1100,
             resend_after: Duration::from_millis(2500),
             resend_urgent_after: Duration::from_millis(300),
--- a/crates/ragwortroad_membership/src/node_table.rs
+++ b/crates/ragwortroad_membership/src/node_table.rs
@@ -25,6 +25,10 @@
 pub(crate) struct NodeTable {
     /// Ordered, so that a run can be replayed.
     entries: BTreeMap<NodeId, NodeEntry>,
+    /// Nodes that are not down; counted here, as it is asked for at every tick.
+    present: usize,
+    /// Nodes that are suspected.
+    suspected: usize,
     /// Counts up when a node appears, changes state or goes.
     pub(crate) generation: u64,
 }
@@ -67,14 +71,39 @@
         if !same_state {
             self.generation += 1;
         }
-        self.entries.insert(id, entry);
+        let state = entry.record.state;
+        let former = self.entries.insert(id, entry);
+        self.present += usize::from(state.is_present());
+        self.suspected += usize::from(state == NodeState::Suspected);
+        self.uncount(former.as_ref());
+    }
+
+    /// Takes an entry that was replaced or removed out of the counts.
+    fn uncount(&mut self, former: Option<&NodeEntry>) {
+        if let Some(entry) = former {
+            let state = entry.record.state;
+            self.present -= usize::from(state.is_present());
+            self.suspected -= usize::from(state == NodeState::Suspected);
+        }
+    }
+
+    /// Number of nodes that are not down, this one included.
+    pub(crate) fn present_count(&self) -> usize {
+        self.present
+    }
+
+    /// Whether any node is suspected.
+    pub(crate) fn has_suspects(&self) -> bool {
+        self.suspected > 0
     }
 
     /// Forgets `node`.
     pub(crate) fn remove(&mut self, node: NodeId) {
-        if self.entries.remove(&node).is_some() {
+        let former = self.entries.remove(&node);
+        if former.is_some() {
             self.generation += 1;
         }
+        self.uncount(former.as_ref());
     }
 
     /// All nodes.
--- a/crates/ragwortroad_membership/src/table/homes.rs
+++ b/crates/ragwortroad_membership/src/table/homes.rs
@@ -316,14 +316,13 @@
         }
     }
 
-    /// Asks former homes, ends claims of silent endpoints, and buries orphans.
+    /// Asks former homes, and ends claims of silent endpoints.
     pub(super) fn tend_claims(&mut self, now: ClockTime) {
         let ids: Vec<EndpointId> = self.claims.keys().copied().collect();
         for id in ids {
             self.ask_former(id, now);
             self.end_if_silent(id, now);
         }
-        self.bury_orphans(now);
     }
 
     /// Takes an endpoint for gone that has fallen silent.
@@ -342,7 +341,7 @@
 
     /// Takes endpoints for gone that name this node as home but never announced themselves to
     /// this process.
-    fn bury_orphans(&mut self, now: ClockTime) {
+    pub(super) fn bury_orphans(&mut self, now: ClockTime) {
         let patience = self.settings.endpoint_timeout;
         let young = self.started.is_none_or(|at| now.since(at) < patience);
         if young {
--- a/crates/ragwortroad_membership/src/table/links.rs
+++ b/crates/ragwortroad_membership/src/table/links.rs
@@ -77,7 +77,12 @@
     /// Sends to every peer what is due.
     pub(super) fn flush(&mut self, now: ClockTime) {
         self.budget.refill(now);
-        let peers: Vec<NodeId> = self.links.keys().copied().collect();
+        let mut peers: Vec<NodeId> = self.links.keys().copied().collect();
+        if !peers.is_empty() {
+            // Whoever comes first gets what is left of the budget, so each does in turn.
+            self.turn = (self.turn + 1) % peers.len();
+            peers.rotate_left(self.turn);
+        }
         for peer in peers {
             for _ in 0..MOST_PACKETS {
                 if !self.is_due(peer, now) || !self.send_packet(peer, now) {
--- a/crates/ragwortroad_membership/src/table/mod.rs
+++ b/crates/ragwortroad_membership/src/table/mod.rs
@@ -12,7 +12,10 @@
 mod queries;
 mod sync;
 
-use std::collections::BTreeMap;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use ragwortroad_types::prelude::*;
 use rand::{
@@ -37,6 +40,9 @@
     sync_digest::SyncDigest, //
 };
 
+/// Time between looking through all records.
+const CHORES_PAUSE: Duration = Duration::from_secs(1);
+
 /// One node's view of all nodes and endpoints.
 ///
 /// The owner passes in everything that happens with the time it happens at, and carries out the
@@ -70,6 +76,8 @@
     claims: BTreeMap<EndpointId, HomeClaim>,
     /// Bytes left to spend.
     budget: ByteBudget,
+    /// Which peer is served first, by its place among the links.
+    turn: usize,
     /// Seeded randomness.
     rng: Pcg64Mcg,
     /// State of the node table for which neighbours were last chosen.
@@ -80,6 +88,8 @@
     last_revive: ClockTime,
     /// When a random live node was last called.
     last_stray: ClockTime,
+    /// When all records were last looked through.
+    last_chores: ClockTime,
     /// Counters.
     stats: MembershipStats,
     /// Actions of the input at hand.
@@ -108,11 +118,13 @@
             digest: SyncDigest::default(),
             claims: BTreeMap::new(),
             budget: ByteBudget::new(settings.bytes_per_second, settings.burst_bytes),
+            turn: 0,
             rng,
             ring_generation: None,
             ring_chosen: ClockTime::ZERO,
             last_revive: ClockTime::ZERO,
             last_stray: ClockTime::ZERO,
+            last_chores: ClockTime::ZERO,
             stats: MembershipStats::default(),
             actions: Vec::new(),
             settings,
@@ -158,6 +170,10 @@
         self.start_syncs(now);
         self.tend_claims(now);
         self.spread_blobs(now);
-        self.forget_old(now);
+        if now.since(self.last_chores) >= CHORES_PAUSE {
+            self.last_chores = now;
+            self.bury_orphans(now);
+            self.forget_old(now);
+        }
     }
 }
--- a/crates/ragwortroad_membership/src/table/node_news.rs
+++ b/crates/ragwortroad_membership/src/table/node_news.rs
@@ -136,7 +136,10 @@
 
     /// Takes suspected nodes for down that did not speak up in time.
     pub(super) fn judge_suspects(&mut self, now: ClockTime) {
-        let patience = self.settings.suspicion_among(self.nodes.present().count());
+        if !self.nodes.has_suspects() {
+            return;
+        }
+        let patience = self.settings.suspicion_among(self.nodes.present_count());
         let heard_lately = |id: &NodeId| {
             let link = self.links.get(id);
             link.is_some_and(|link| link.silence(now) < self.settings.probe_after)
--- a/crates/ragwortroad_membership/src/table/packets.rs
+++ b/crates/ragwortroad_membership/src/table/packets.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use ragwortroad_types::prelude::*;
+use rand::seq::IndexedRandom;
 
 use crate::{
     MembershipTable,
@@ -29,6 +30,8 @@
 
 /// Longest time an acknowledgement waits for other things to send.
 const ACK_DELAY: Duration = Duration::from_millis(500);
+/// Nodes that a stranger is told of at once.
+const INTRODUCED_NODES: usize = 8;
 /// Shortest time between two corrections to one peer of news about itself.
 const CORRECT_PAUSE: Duration = Duration::from_secs(1);
 
@@ -43,7 +46,8 @@
         // A stranger introduces itself: its record goes first, whatever stands before it.
         items.sort_by_key(|item| !is_record_of(item, from));
         let introduced = items.first().is_some_and(|item| is_record_of(item, from));
-        if from == self.own || (self.nodes.get(from).is_none() && !introduced) {
+        let stranger = self.nodes.get(from).is_none();
+        if from == self.own || (stranger && !introduced) {
             self.stats.packets_refused += 1;
             return;
         }
@@ -52,6 +56,9 @@
         for item in items {
             self.take_item(from, item, now);
         }
+        if stranger {
+            self.introduce_others(from, now);
+        }
         self.answer_relays(from, now);
         self.correct_peer(from, now);
     }
@@ -163,6 +170,29 @@
         }
     }
 
+    /// Tells a node that has just joined of a few others.
+    ///
+    /// A fleet that starts as a whole knows only its seeds at first. If every node went on to
+    /// learn everything from these, they would spend their budget on answers for minutes.
+    fn introduce_others(&mut self, from: NodeId, now: ClockTime) {
+        let others: Vec<NodeId> = self
+            .nodes
+            .present()
+            .map(|(id, _)| id)
+            .filter(|id| *id != from && *id != self.own)
+            .collect();
+        let some: Vec<NodeId> = others
+            .sample(&mut self.rng, INTRODUCED_NODES)
+            .copied()
+            .collect();
+        for id in some {
+            if let Some(record) = self.nodes.record(id) {
+                let item = WireItem::Node(record.into());
+                self.open_link(from, now).push_direct(item);
+            }
+        }
+    }
+
     /// Tells whoever asked us to probe `from` that it answers.
     fn answer_relays(&mut self, from: NodeId, now: ClockTime) {
         for asked_by in self.relays.heard(from, now) {
--- a/crates/ragwortroad_membership/src/table/probes.rs
+++ b/crates/ragwortroad_membership/src/table/probes.rs
@@ -25,8 +25,10 @@
 const IDLE_LINK: Duration = Duration::from_secs(10);
 /// Time for which a node with a broken direct way is no neighbour.
 const AVOID_TIME: Duration = Duration::from_secs(30);
-/// Time between calls to seeds while nobody is known.
+/// Time between calls to absent seeds while this node is new or knows nobody.
 const SEED_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which a node is new.
+const JOIN_TIME: Duration = Duration::from_secs(20);
 /// Time between questions to a silent neighbour.
 const ASK_PAUSE: Duration = Duration::from_secs(1);
 
@@ -157,8 +159,10 @@
 
     /// Calls nodes beyond the neighbours, so that views which grew apart find together.
     pub(super) fn call_strangers(&mut self, now: ClockTime) {
-        let alone = self.nodes.present().count() == 1;
-        let pause = if alone {
+        let alone = self.nodes.present_count() == 1;
+        // Nodes that start together may each find another seed first, and so form several fleets.
+        let young = self.started.is_some_and(|at| now.since(at) < JOIN_TIME);
+        let pause = if alone || young {
             SEED_PAUSE
         } else {
             self.settings.revive_every
--- a/crates/ragwortroad_membership/src/table/sync.rs
+++ b/crates/ragwortroad_membership/src/table/sync.rs
@@ -47,7 +47,9 @@
     /// Answers a comparison of all buckets with the content of some that differ.
     pub(super) fn compare_buckets(&mut self, from: NodeId, hashes: &[u16], now: ClockTime) {
         let own = self.digest.bucket_hashes();
-        if hashes.len() != own.len() {
+        // Comparing comes after telling: a node that many compare with at once would otherwise
+        // spend everything on lists of what differs, and nothing on the records themselves.
+        if hashes.len() != own.len() || !self.budget.has_left() {
             return;
         }
         // A random start spreads different buckets over the neighbours of a node that lacks all.
@@ -59,6 +61,10 @@
             .collect();
         let link = self.open_link(from, now);
         link.last_sync = Some(now);
+        if differing.is_empty() {
+            // Any packet tells the peer our root, and so that there is nothing left to compare.
+            link.ack_due = Some(now);
+        }
         for bucket in differing {
             self.send_bucket(from, bucket as u8, false, now);
         }
--- a/crates/ragwortroad_membership/tests/fake_fleet/fake_node.rs
+++ b/crates/ragwortroad_membership/tests/fake_fleet/fake_node.rs
@@ -20,6 +20,7 @@
     pub(crate) paused_until: u64,
     pub(crate) packets_out: u64,
     pub(crate) bytes_out: u64,
+    pub(crate) connections_opened: u64,
     rate: f64,
     offset: u64,
 }
@@ -35,6 +36,7 @@
             paused_until: 0,
             packets_out: 0,
             bytes_out: 0,
+            connections_opened: 0,
             rate,
             offset,
         }
@@ -68,6 +70,11 @@
         address.port().checked_sub(FIRST_PORT).map(usize::from)
     }
 
+    pub(crate) fn index_at_caller(address: &str) -> Option<usize> {
+        let address: SocketAddr = address.parse().ok()?;
+        address.port().checked_sub(2 * FIRST_PORT).map(usize::from)
+    }
+
     pub(crate) fn seed(&self) -> SeedNode {
         SeedNode {
             node: self.id(),
--- a/crates/ragwortroad_membership/tests/handover.rs
+++ b/crates/ragwortroad_membership/tests/handover.rs
@@ -103,6 +103,8 @@
     assert!(!fleet.admits(0), "the former home must have given up");
     fleet.announce(1, 1, 4);
     assert!(fleet.admits(1));
+    // News that is not urgent waits for the pause between two packets.
+    fleet.pass(300);
     assert_eq!(fleet.state(2), HomeState::Elsewhere { home: fleet.id(1) });
 }
 
--- /dev/null
+++ b/crates/ragwortroad_transport/examples/message_cost.rs
@@ -0,0 +1,73 @@
+//! What a small message costs below itself: QUIC's headers, acknowledgements and handshake.
+//!
+//! Two transports on loopback send each other messages one a second and less often, as gossip
+//! does. Prints bytes on the wire for each message, with 28 bytes of IPv4 and UDP headers a
+//! datagram, beside the message's own.
+//!
+//! ```text
+//! cargo run --release -p ragwortroad_transport --example message_cost
+//! ```
+
+use std::{
+    error::Error,
+    thread::sleep,
+    time::Duration, //
+};
+
+use ragwortroad_transport::prelude::*;
+
+/// IPv4 and UDP headers.
+const HEADERS: u64 = 28;
+/// Messages each way in one measurement.
+const MESSAGES: u64 = 40;
+/// Time between two messages one way.
+const PAUSE: Duration = Duration::from_millis(250);
+
+fn wire_bytes(transport: &PeerTransport) -> u64 {
+    let stats = transport.stats();
+    stats.bytes_sent + HEADERS * stats.datagrams_sent
+}
+
+fn start(files: &KeyFiles, name: &str) -> Result<PeerTransport, Box<dyn Error>> {
+    let settings = TransportSettings {
+        keys: files.peer_keys(name)?,
+        ..TransportSettings::default()
+    };
+    let (transport, events) = PeerTransport::start(settings)?;
+    std::thread::spawn(move || while events.recv().is_ok() {});
+    Ok(transport)
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let files = make_keys("cost", &["a", "b"])?;
+    let (a, b) = (start(&files, "a")?, start(&files, "b")?);
+    let both = || wire_bytes(&a) + wire_bytes(&b);
+    let send = |from: &PeerTransport, to: &PeerTransport, channel, length| {
+        from.send(to.local_address(), to.node(), channel, vec![7; length]);
+    };
+    send(&a, &b, PeerChannel::Gossip, 100);
+    sleep(Duration::from_secs(2));
+    println!("handshake and first message, both ways: {} bytes", both());
+    for (name, channel, length) in [
+        ("datagram", PeerChannel::Gossip, 30),
+        ("datagram", PeerChannel::Gossip, 300),
+        ("datagram", PeerChannel::Gossip, 1000),
+        ("stream", PeerChannel::Slots, 30),
+        ("stream", PeerChannel::Slots, 300),
+    ] {
+        let before = both();
+        for _ in 0..MESSAGES {
+            send(&a, &b, channel, length);
+            sleep(PAUSE / 2);
+            send(&b, &a, channel, length);
+            sleep(PAUSE / 2);
+        }
+        sleep(Duration::from_millis(200));
+        let each = (both() - before) as f64 / (2 * MESSAGES) as f64;
+        let over = each - length as f64;
+        println!("{name} of {length} bytes: {each:.1} bytes each, {over:.1} of them beside it");
+    }
+    a.shutdown();
+    b.shutdown();
+    Ok(())
+}
--- a/crates/ragwortroad_transport/src/tls_setup.rs
+++ b/crates/ragwortroad_transport/src/tls_setup.rs
@@ -180,6 +180,8 @@
     config.max_concurrent_uni_streams(VarInt::from_u32(settings.streams_per_peer));
     config.stream_receive_window(window);
     config.receive_window(window);
+    // Probing for larger packets costs some 10 KB a connection, more than most of them carry.
+    config.mtu_discovery_config(None);
     config.datagram_send_buffer_size(DATAGRAM_BUFFER);
     config.datagram_receive_buffer_size(Some(DATAGRAM_BUFFER));
     config.max_idle_timeout(IdleTimeout::try_from(settings.idle_timeout).ok());
