--- a/crates/ragwortroad_membership/src/table/mod.rs
+++ b/crates/ragwortroad_membership/src/table/mod.rs
@@ -3,9 +3,11 @@
 mod announcements;
 mod blobs;
 mod endpoint_news;
+mod home_wishes;
 mod homes;
 mod links;
 pub(crate) mod membership_stats;
+mod news_items;
 mod node_news;
 mod packets;
 mod probes;
--- a/crates/ragwortroad_membership/tests/fake_fleet/mod.rs
+++ b/crates/ragwortroad_membership/tests/fake_fleet/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod fake_endpoint;
 pub(crate) mod fake_network;
 pub(crate) mod fake_node;
+pub(crate) mod fleet_checks;
 
 use std::{
     cmp::Reverse,
@@ -430,111 +431,4 @@
             self.findings.false_downs += 1;
         }
     }
-
-    /// Checks that at most one node may admit work to an endpoint now, each by its own clock.
-    pub(crate) fn check_home(&mut self, endpoint: usize) {
-        if !self.watch_homes {
-            return;
-        }
-        let id = self.endpoints[endpoint].id();
-        self.findings.home_checks += 1;
-        let mut holders = Vec::new();
-        for node in &self.nodes {
-            let clock = node.clock(self.now);
-            let Some(table) = &node.table else {
-                continue;
-            };
-            if table.home_state(id, clock).admits_at(clock) {
-                let incarnation = table.endpoint(id).map_or(0, |record| record.incarnation);
-                holders.push((incarnation, node.index));
-            }
-        }
-        holders.sort_unstable();
-        for pair in holders.windows(2) {
-            if pair[0].0 == pair[1].0 {
-                let found = format!("{} ms: endpoint {endpoint} at nodes {holders:?}", self.now);
-                self.findings.double_homes.push(found);
-            }
-        }
-    }
-
-    /// Checks all endpoints.
-    pub(crate) fn check_homes(&mut self) {
-        for endpoint in 0..self.endpoints.len() {
-            self.check_home(endpoint);
-        }
-    }
-
-    /// Lets time pass in small steps, checking all homes after each.
-    pub(crate) fn run_checked(&mut self, span: u64) {
-        let end = self.now + span;
-        while self.now < end {
-            self.run((end - self.now).min(50));
-            self.check_homes();
-        }
-    }
-
-    /// The views of nodes that run.
-    pub(crate) fn tables(&self) -> impl Iterator<Item = &MembershipTable> {
-        self.nodes.iter().filter_map(|node| node.table.as_ref())
-    }
-
-    /// Why the views are not all equal and right; nothing if they are.
-    pub(crate) fn disagreement(&self) -> Option<String> {
-        let up: Vec<NodeId> = self.tables().map(MembershipTable::own_id).collect();
-        let first = self.tables().next()?.view_hash();
-        for table in self.tables() {
-            let own = table.own_id();
-            if table.view_hash() != first {
-                return Some(format!("{own} has another view"));
-            }
-            let live: Vec<NodeId> = table.live_nodes().map(|(id, _)| id).collect();
-            if let Some(id) = up.iter().find(|id| !live.contains(id)) {
-                return Some(format!("{own} misses node {id}"));
-            }
-            if live.len() != up.len() {
-                return Some(format!(
-                    "{own} believes {} of {} nodes live",
-                    live.len(),
-                    up.len()
-                ));
-            }
-            for endpoint in &self.endpoints {
-                let available = table.is_available(endpoint.id());
-                if available != (endpoint.up && !endpoint.leaving) {
-                    return Some(format!(
-                        "{own} has {} available: {available}",
-                        endpoint.name
-                    ));
-                }
-            }
-        }
-        for endpoint in self.endpoints.iter().filter(|one| one.up) {
-            let holders = self.nodes.iter().filter(|node| {
-                let clock = node.clock(self.now);
-                let state = node
-                    .table
-                    .as_ref()
-                    .map(|table| table.home_state(endpoint.id(), clock));
-                state.is_some_and(|state| state.admits_at(clock))
-            });
-            let count = holders.count();
-            if count != 1 {
-                return Some(format!("{} has {count} homes", endpoint.name));
-            }
-        }
-        None
-    }
-
-    /// Lets time pass until all views are equal and right; the time it took.
-    pub(crate) fn settle(&mut self, most: u64) -> u64 {
-        let start = self.now;
-        loop {
-            let Some(why) = self.disagreement() else {
-                return self.now - start;
-            };
-            assert!(self.now - start < most, "after {most} ms still: {why}");
-            self.run(250);
-        }
-    }
 }
--- a/crates/ragwortroad_transport/src/key_files.rs
+++ b/crates/ragwortroad_transport/src/key_files.rs
@@ -39,7 +39,7 @@
 };
 
 /// File name of the authority's certificate.
-const AUTHORITY_FILE: &str = "authority.pem";
+pub(crate) const AUTHORITY_FILE: &str = "authority.pem";
 /// File name of the authority's private key.
 const AUTHORITY_KEY_FILE: &str = "authority.key";
 
--- a/crates/ragwortroad_transport/src/peer_keys.rs
+++ b/crates/ragwortroad_transport/src/peer_keys.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     TransportError,
+    key_files::AUTHORITY_FILE,
     transport_error::KeyFileSnafu, //
 };
 
@@ -23,6 +24,15 @@
 }
 
 impl PeerKeys {
+    /// Reads what [`KeyFiles::write_to`](crate::KeyFiles::write_to) wrote for the node `name`.
+    pub fn read_folder(folder: &Path, name: &str) -> Result<Self, TransportError> {
+        Self::read(
+            &folder.join(AUTHORITY_FILE),
+            &folder.join(format!("{name}.pem")),
+            &folder.join(format!("{name}.key")),
+        )
+    }
+
     /// Reads the three files named in the settings.
     pub fn read(
         authority: &Path,
--- a/crates/ragwortroad_transport/tests/loopback.rs
+++ b/crates/ragwortroad_transport/tests/loopback.rs
@@ -186,26 +186,38 @@
     b.shutdown();
 }
 
-/// A process is killed and started again on the same address while its peer still holds the old
-/// connection. The peer's messages must get through again long before an idle timeout.
+/// A process is killed, or shut down, and started again on the same address while its peer still
+/// holds the old connection. The peer's messages must get through again long before an idle
+/// timeout, or for that long the node looks up and is deaf.
 #[test]
 fn a_restarted_peer_is_reached_again_before_the_idle_timeout() {
-    let files = make_keys("fleet", &["a", "b"]).unwrap();
-    let (a, _a_events) = start(&files, "a");
-    let (b, b_events) = start(&files, "b");
-    let address = b.local_address();
-    a.send(address, id("b"), PeerChannel::Consensus, b"before".to_vec());
-    assert_eq!(next_message(&b_events).bytes, b"before");
-    b.shutdown();
-    let (b, b_events) = start_at(&files, "b", address);
-    let began = Instant::now();
-    wait_for("a message after the restart", || {
-        a.send(address, id("b"), PeerChannel::Consensus, b"after".to_vec());
-        b_events.recv_timeout(Duration::from_millis(50)).is_ok()
-    });
-    assert!(began.elapsed() < TransportSettings::default().idle_timeout);
-    a.shutdown();
-    b.shutdown();
+    for killed in [false, true] {
+        let files = make_keys("fleet", &["a", "b"]).unwrap();
+        let (a, _a_events) = start(&files, "a");
+        let (b, b_events) = start(&files, "b");
+        let address = b.local_address();
+        a.send(address, id("b"), PeerChannel::Consensus, b"before".to_vec());
+        assert_eq!(next_message(&b_events).bytes, b"before");
+        if killed {
+            // Dropped without a word to its peers, as a kill does it.
+            drop(b);
+        } else {
+            b.shutdown();
+        }
+        let (b, b_events) = start_at(&files, "b", address);
+        let began = Instant::now();
+        wait_for("a message after the restart", || {
+            a.send(address, id("b"), PeerChannel::Consensus, b"after".to_vec());
+            b_events.recv_timeout(Duration::from_millis(50)).is_ok()
+        });
+        println!(
+            "killed: {killed}, reached again after {:?}",
+            began.elapsed()
+        );
+        assert!(began.elapsed() < TransportSettings::default().idle_timeout / 2);
+        a.shutdown();
+        b.shutdown();
+    }
 }
 
 /// A VM vanishes without a word: its address swallows everything. The control thread goes on
@@ -254,7 +266,7 @@
         .permissions()
         .mode();
     assert_eq!(mode & 0o777, 0o600);
-    let read = PeerKeys::read(&path("authority.pem"), &path("a.pem"), &path("a.key")).unwrap();
+    let read = PeerKeys::read_folder(folder.path(), "a").unwrap();
     let settings = TransportSettings {
         keys: read,
         ..TransportSettings::default()
