Count suspended time; tell boots apart; let an operator trust a disk

Cause: the monotonic clock stands still while a VM is suspended, so a leader that wakes up would find its lease still running. And each restart of a process was taken for one of the machine, after which a member asks all others first. Change: the boot-time clock; the boot's name is kept in the data folder; the setting trust_disk for one start with too few members left.

--- a/crates/ragwortroad_node/src/member/member_seat.rs
+++ b/crates/ragwortroad_node/src/member/member_seat.rs
@@ -81,6 +81,7 @@
         let folder = FolderSettings {
             path,
             fresh_identity: start.fresh_identity,
+            boot: current_boot(),
             ..FolderSettings::default()
         };
         let (folder, stored) = LogFolder::open(&folder).context(FolderSnafu)?;
@@ -246,6 +247,7 @@
         heartbeat_every: settings.lease / 4,
         resend_after: settings.lease / 2,
         clock_drift_ppm: drift_ppm(settings),
+        trust_disk: settings.trust_disk,
         ..CoreSettings::default()
     }
 }
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -212,6 +212,7 @@
 ) -> Result<GatewayServer, NodeError> {
     let limits = &settings.limits;
     let gateway = GatewaySettings {
+        node_name: settings.node.name.clone(),
         listen: settings.node.listen,
         traffic_threads: settings.node.traffic_threads,
         max_body: limits.max_body as usize,
--- a/crates/ragwortroad_node/src/real_clock.rs
+++ b/crates/ragwortroad_node/src/real_clock.rs
@@ -1,25 +1,26 @@
 use std::time::{
     Duration,
-    Instant,
     SystemTime,
     UNIX_EPOCH, //
 };
 
 use ragwortroad_types::prelude::*;
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
 
 /// The one place of a process that reads clocks.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct RealClock {
-    /// Where this process's monotonic time starts.
-    start: Instant,
+    /// Where this process's time starts.
+    start: Duration,
 }
 
 impl RealClock {
     /// A clock that reads [`Self::LEAD`] now.
     pub(crate) fn start() -> Self {
-        Self {
-            start: Instant::now(),
-        }
+        Self { start: boot_time() }
     }
 
     /// Time that seems to have passed when the clock starts.
@@ -28,9 +29,13 @@
     /// cut off at zero and something that never happened would look recent.
     const LEAD: Duration = Duration::from_secs(3600);
 
-    /// Monotonic time.
+    /// Time that never goes back and goes on while the VM is suspended.
+    ///
+    /// The usual monotonic clock stands still then. A leader that was suspended for an hour would
+    /// find its lease still running when it wakes up, with another leader long elected.
     pub(crate) fn now(&self) -> ClockTime {
-        ClockTime::ZERO.after(Self::LEAD + self.start.elapsed())
+        let elapsed = boot_time().saturating_sub(self.start);
+        ClockTime::ZERO.after(Self::LEAD + elapsed)
     }
 
     /// Milliseconds since 1970, which may jump; only for people and for the hybrid logical clock.
@@ -39,3 +44,10 @@
         since.map_or(0, |span| span.as_millis() as u64)
     }
 }
+
+/// Time since the machine was booted, time in suspension included.
+fn boot_time() -> Duration {
+    let reading = clock_gettime(ClockId::Boottime);
+    // Neither part is negative: the clock starts at zero.
+    Duration::new(reading.tv_sec as u64, reading.tv_nsec as u32)
+}
--- a/crates/ragwortroad_settings/src/state_settings.rs
+++ b/crates/ragwortroad_settings/src/state_settings.rs
@@ -46,6 +46,11 @@
     pub drift_permille: u64,
     /// What to do while the members have no quorum.
     pub without_quorum: QuorumPolicy,
+    /// Start without asking the other members what they know, after the machine was restarted.
+    ///
+    /// An operator sets it for one start, when too few members are left to ask and it is certain
+    /// that no disk was rolled back.
+    pub trust_disk: bool,
 }
 
 impl Default for StateSettings {
@@ -57,6 +62,7 @@
             lease: Duration::from_secs(2),
             drift_permille: 10,
             without_quorum: QuorumPolicy::Refuse,
+            trust_disk: false,
         }
     }
 }
@@ -78,6 +84,7 @@
             (300, 17_000),
         );
         let lease = reader.span("state", "lease_ms", default.lease, (100, 15_000));
+        let trust = reader.optional_value("state", "trust_disk", "false");
         let policy = reader.optional_value("state", "without_quorum", "refuse");
         Self {
             members,
@@ -91,6 +98,7 @@
                 (0, 200),
             ),
             without_quorum: policy.unwrap_or_default(),
+            trust_disk: trust.unwrap_or(false),
         }
     }
 }
