Remove a settings key that nothing reads

Cause: the policy for a lost quorum is part of the replicated configuration; the key of the same purpose in a process's settings had no effect. Change: the key is gone. Conclusion: one place for one decision.

--- a/crates/ragwortroad_settings/src/lib.rs
+++ b/crates/ragwortroad_settings/src/lib.rs
@@ -39,10 +39,7 @@
             FaultList,
             SettingsFault, //
         },
-        state_settings::{
-            QuorumPolicy,
-            StateSettings, //
-        },
+        state_settings::StateSettings,
     };
 }
 
--- a/crates/ragwortroad_settings/src/state_settings.rs
+++ b/crates/ragwortroad_settings/src/state_settings.rs
@@ -1,6 +1,5 @@
 use std::{
     path::PathBuf,
-    str::FromStr,
     time::Duration, //
 };
 
@@ -9,28 +8,6 @@
     settings_reader::SettingsReader, //
 };
 
-/// What a node does while the state members have no quorum.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum QuorumPolicy {
-    /// Refuse new work: no accepted change can be missed.
-    #[default]
-    Refuse,
-    /// Go on with the last configuration that was confirmed.
-    Continue,
-}
-
-impl FromStr for QuorumPolicy {
-    type Err = String;
-
-    fn from_str(text: &str) -> Result<Self, Self::Err> {
-        match text {
-            "refuse" => Ok(Self::Refuse),
-            "continue" => Ok(Self::Continue),
-            _ => Err("neither 'refuse' nor 'continue'".to_owned()),
-        }
-    }
-}
-
 /// `[state]`: the replicated state, and this node's part in it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StateSettings {
@@ -44,8 +21,6 @@
     pub lease: Duration,
     /// The most by which two clocks drift apart, in thousandths.
     pub drift_permille: u64,
-    /// What to do while the members have no quorum.
-    pub without_quorum: QuorumPolicy,
     /// Start without asking the other members what they know, after the machine was restarted.
     ///
     /// An operator sets it for one start, when too few members are left to ask and it is certain
@@ -61,7 +36,6 @@
             follow_bound: Duration::from_secs(3),
             lease: Duration::from_secs(2),
             drift_permille: 10,
-            without_quorum: QuorumPolicy::Refuse,
             trust_disk: false,
         }
     }
@@ -85,7 +59,6 @@
         );
         let lease = reader.span("state", "lease_ms", default.lease, (100, 15_000));
         let trust = reader.optional_value("state", "trust_disk", "false");
-        let policy = reader.optional_value("state", "without_quorum", "refuse");
         Self {
             members,
             data_folder: reader.text("state", "data_folder").map(PathBuf::from),
@@ -97,7 +70,6 @@
                 default.drift_permille,
                 (0, 200),
             ),
-            without_quorum: policy.unwrap_or_default(),
             trust_disk: trust.unwrap_or(false),
         }
     }
