--- a/crates/ragwortroad_membership/src/endpoint_table.rs
+++ b/crates/ragwortroad_membership/src/endpoint_table.rs
@@ -21,6 +21,12 @@
 pub(crate) struct EndpointTable {
     /// Ordered, so that a run can be replayed.
     entries: BTreeMap<EndpointId, EndpointEntry>,
+    /// Endpoints that are not gone by their home; counted here, as every announcement asks for it.
+    ///
+    /// Invariant: no count is zero, and their sum is `total`.
+    counts: BTreeMap<NodeId, usize>,
+    /// Endpoints that are not gone.
+    total: usize,
 }
 
 impl EndpointTable {
@@ -48,7 +54,39 @@
             record,
             changed: now,
         };
-        self.entries.insert(entry.record.id, entry);
+        let counted = entry.record.home;
+        let there = entry.record.presence != EndpointPresence::Gone;
+        let former = self.entries.insert(entry.record.id, entry);
+        self.uncount(former.as_ref());
+        if there {
+            *self.counts.entry(counted).or_insert(0) += 1;
+            self.total += 1;
+        }
+    }
+
+    /// Takes an entry that was replaced or removed out of the counts.
+    fn uncount(&mut self, former: Option<&EndpointEntry>) {
+        let there = |entry: &&EndpointEntry| entry.record.presence != EndpointPresence::Gone;
+        let Some(entry) = former.filter(there) else {
+            return;
+        };
+        self.total -= 1;
+        if let Some(count) = self.counts.get_mut(&entry.record.home) {
+            *count -= 1;
+            if *count == 0 {
+                self.counts.remove(&entry.record.home);
+            }
+        }
+    }
+
+    /// Number of endpoints that are not gone, by home.
+    pub(crate) fn home_counts(&self) -> &BTreeMap<NodeId, usize> {
+        &self.counts
+    }
+
+    /// Number of endpoints that are not gone.
+    pub(crate) fn total(&self) -> usize {
+        self.total
     }
 
     /// Takes over a newer load; whether it was one.
@@ -68,7 +106,8 @@
 
     /// Forgets `endpoint`.
     pub(crate) fn remove(&mut self, endpoint: EndpointId) {
-        self.entries.remove(&endpoint);
+        let former = self.entries.remove(&endpoint);
+        self.uncount(former.as_ref());
     }
 
     /// All endpoints.
--- a/crates/ragwortroad_membership/src/home_choice.rs
+++ b/crates/ragwortroad_membership/src/home_choice.rs
@@ -22,27 +22,22 @@
     /// Settled nodes, or all where none is settled yet.
     candidates: Vec<HomeCandidate<'a>>,
     /// Endpoints by home.
-    counts: BTreeMap<NodeId, usize>,
+    counts: &'a BTreeMap<NodeId, usize>,
     /// Most endpoints a node should be home to.
     pub(crate) cap: usize,
 }
 
 impl<'a> HomeChoice<'a> {
-    /// A choice among `candidates`, given where all endpoints are now.
+    /// A choice among `candidates`, given how many endpoints each node has.
     pub(crate) fn new(
         mut candidates: Vec<HomeCandidate<'a>>,
-        homes: impl Iterator<Item = NodeId>,
+        counts: &'a BTreeMap<NodeId, usize>,
+        total: usize,
         multiple: f64,
     ) -> Self {
         if candidates.iter().any(|candidate| candidate.settled) {
             candidates.retain(|candidate| candidate.settled);
         }
-        let mut counts = BTreeMap::new();
-        let mut total = 0_usize;
-        for home in homes {
-            *counts.entry(home).or_insert(0) += 1;
-            total += 1;
-        }
         let mean = total as f64 / candidates.len().max(1) as f64;
         let cap = ((mean * multiple).ceil() as usize).max(1);
         Self {
--- a/crates/ragwortroad_membership/src/table/home_wishes.rs
+++ b/crates/ragwortroad_membership/src/table/home_wishes.rs
@@ -5,7 +5,6 @@
 use ragwortroad_types::prelude::*;
 
 use crate::{
-    EndpointPresence,
     HomeState,
     MembershipTable,
     NodeState,
@@ -123,11 +122,11 @@
                 settled: now.since(entry.up_since) >= self.settings.settle,
             })
             .collect();
-        let homes = self
-            .endpoints
-            .iter()
-            .filter(|(_, entry)| entry.record.presence != EndpointPresence::Gone)
-            .map(|(_, entry)| entry.record.home);
-        HomeChoice::new(candidates, homes, self.settings.home_multiple)
+        HomeChoice::new(
+            candidates,
+            self.endpoints.home_counts(),
+            self.endpoints.total(),
+            self.settings.home_multiple,
+        )
     }
 }
--- a/crates/ragwortroad_membership/tests/fake_fleet/mod.rs
+++ b/crates/ragwortroad_membership/tests/fake_fleet/mod.rs
@@ -355,7 +355,9 @@
         let Some(table) = &self.nodes[node].table else {
             return;
         };
+        let began = Instant::now();
         let answer = table.announce_answer(id, clock);
+        self.busy += began.elapsed();
         if let Some(delay) = self.network.announce_delay(&self.nodes[node]) {
             let (to, every) = (answer.announce_to, answer.every_ms);
             self.push(
