Hold the transport's handshakes to their limit

max_handshakes bounded only those not yet begun. Now those under way are counted; from half the limit on a peer must first prove its address. Shutdown waits one second for goodbyes, not the message time limit. Test: eleven callers against two handshakes at a time all get through.

--- a/crates/ragwortroad_transport/src/peer_book.rs
+++ b/crates/ragwortroad_transport/src/peer_book.rs
@@ -21,6 +21,8 @@
 pub(crate) struct PeerBook {
     /// Held for a few instructions only, never across an await.
     connections: Mutex<ConnectionMap>,
+    /// Handshakes that peers began and that are not over.
+    pub(crate) handshakes: AtomicU64,
     /// See [`TransportStats::messages_queued`].
     pub(crate) messages_queued: AtomicU64,
     /// See [`TransportStats::messages_dropped`].
--- a/crates/ragwortroad_transport/src/tls_setup.rs
+++ b/crates/ragwortroad_transport/src/tls_setup.rs
@@ -30,12 +30,15 @@
 use snafu::ResultExt;
 
 use crate::{
-    PeerKeys, TransportError, TransportSettings,
+    PeerKeys,
+    TransportError,
+    TransportSettings,
     peer_identity::certificate_node,
     transport_error::{
         KeyTextSnafu,
         KeysRefusedSnafu, //
     },
+    transport_root::WAITING_FACTOR, //
 };
 
 /// The application protocol both sides must name.
@@ -81,7 +84,7 @@
         client.transport_config(transport.clone());
         let mut server = server_config(keys, provider)?;
         server.transport_config(transport);
-        server.max_incoming(settings.max_handshakes);
+        server.max_incoming(settings.max_handshakes * WAITING_FACTOR);
         server.migration(false);
         Ok(Self {
             node,
--- a/crates/ragwortroad_transport/src/transport_root.rs
+++ b/crates/ragwortroad_transport/src/transport_root.rs
@@ -1,6 +1,12 @@
 //! The transport's root task, parent of all others.
 
-use std::sync::Arc;
+use std::{
+    sync::{
+        Arc,
+        atomic::Ordering, //
+    },
+    time::Duration, //
+};
 
 use flume::{
     Receiver,
@@ -38,6 +44,11 @@
 /// The QUIC error code for a peer whose certificate names no node.
 const CLOSE_UNKNOWN: VarInt = VarInt::from_u32(1);
 
+/// Longest time for telling peers that connections are closed.
+const CLOSE_TIME: Duration = Duration::from_secs(1);
+/// Peers that wait for their handshake to begin, for each handshake allowed.
+pub(crate) const WAITING_FACTOR: usize = 4;
+
 /// A new peer's queue, whose writer the root is to start.
 pub(crate) struct StartWriter {
     /// The peer.
@@ -100,19 +111,34 @@
         self.writers.spawn(writer.run());
     }
 
-    /// Starts the handshake with a peer, unless too many connections are open.
+    /// Starts the handshake with a peer, unless too much is under way.
+    ///
+    /// Handshakes cost processor time before anybody is proved. When half of those allowed are
+    /// under way, a peer must first show that it receives at the address it sends from, so that
+    /// forged senders cannot keep sound ones out.
     fn accept(&mut self, incoming: Incoming) {
         let open = self.readers.len().max(self.book.open_count());
-        if open >= self.settings.max_connections {
+        let shaking = self.book.handshakes.load(Ordering::Relaxed) as usize;
+        let most = self.settings.max_handshakes;
+        if open >= self.settings.max_connections || shaking >= most {
             count(&self.book.handshakes_refused);
             incoming.refuse();
             return;
         }
+        if shaking >= most / 2 && incoming.may_retry() {
+            if let Err(error) = incoming.retry() {
+                tracing::debug!(%error, "could not ask a peer to prove its address");
+            }
+            return;
+        }
         let book = self.book.clone();
         let events = self.events.clone();
         let settings = self.settings.clone();
+        count(&book.handshakes);
         self.readers.spawn(async move {
-            match shake_hands(incoming, &book, &events, &settings).await {
+            let reader = shake_hands(incoming, &book, &events, &settings).await;
+            book.handshakes.fetch_sub(1, Ordering::Relaxed);
+            match reader {
                 Some(reader) => reader.run().await,
                 None => count(&book.handshakes_refused),
             }
@@ -129,7 +155,10 @@
         }
         self.endpoint.close(CLOSE_ORDERLY, b"shutdown");
         self.readers.shutdown().await;
-        if timeout(limit, self.endpoint.wait_idle()).await.is_err() {
+        if timeout(CLOSE_TIME, self.endpoint.wait_idle())
+            .await
+            .is_err()
+        {
             tracing::debug!("connections did not close in time");
         }
     }
--- a/crates/ragwortroad_transport/tests/loopback.rs
+++ b/crates/ragwortroad_transport/tests/loopback.rs
@@ -365,3 +365,40 @@
         assert!(make_keys("fleet", names).is_err(), "{names:?}");
     }
 }
+
+/// Many nodes come up at once and call the same seed, more than it shakes hands with at a time.
+/// Some are asked to prove their address first or are refused, but all must get through.
+#[test]
+fn more_callers_than_handshakes_allowed_all_get_through() {
+    let names: Vec<String> = (0..12).map(|index| format!("n{index}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    let files = make_keys("fleet", &names).unwrap();
+    let settings = TransportSettings {
+        keys: files.peer_keys("n0").unwrap(),
+        max_handshakes: 2,
+        ..TransportSettings::default()
+    };
+    let (seed, seed_events) = PeerTransport::start(settings).unwrap();
+    let callers: Vec<_> = names[1..].iter().map(|name| start(&files, name)).collect();
+    let mut heard = std::collections::BTreeSet::new();
+    wait_for("all callers heard", || {
+        for (caller, _) in &callers {
+            caller.send(
+                seed.local_address(),
+                id("n0"),
+                PeerChannel::Slots,
+                b"hello".to_vec(),
+            );
+        }
+        while let Ok(event) = seed_events.recv_timeout(Duration::from_millis(30)) {
+            if let PeerEvent::Received(message) = event {
+                heard.insert(message.from);
+            }
+        }
+        heard.len() == callers.len()
+    });
+    for (caller, _events) in callers {
+        caller.shutdown();
+    }
+    seed.shutdown();
+}
