Count ended requests off what a node sent to another home's endpoint

Cause: a node that is not an endpoint's home added each grant to the load of the last digest. A home tells no digest while the load stays the same, so after a few short calls the node took an idle service for full, held each request and refused it as overloaded, for good. Seen when a full disk's test got stuck: no question was sent any more (the count of slot messages stood still), so neither the home nor its bounds were the cause. Change: the node counts the ends of its own requests off again. Before: a_quiet_service_is_never_taken_for_full fails, after: passes.

Also: tests of a leader cut off for long and of a full disk, which a quota of the data folder brings about ([state] data_quota_bytes).

--- a/crates/ragwortroad_demo/tests/failures/common/caller.rs
+++ b/crates/ragwortroad_demo/tests/failures/common/caller.rs
@@ -106,7 +106,7 @@
                 let mut headers = answer.headers.iter();
                 let id = headers.find(|(name, _)| name.eq_ignore_ascii_case("x-request-id"));
                 attempt.request_id = id.map(|(_, id)| id.clone());
-                attempt.status = Some(answer.status_code as u16);
+                attempt.status = Some(answer.status_code);
                 answer_hash = Some(xxhash_rust::xxh3::xxh3_64(answer.as_bytes()));
                 match answer.status_code {
                     200..=299 => {
--- a/crates/ragwortroad_demo/tests/failures/endpoints.rs
+++ b/crates/ragwortroad_demo/tests/failures/endpoints.rs
@@ -16,7 +16,10 @@
 use ragwortroad_standin::prelude::*;
 use ragwortroad_types::prelude::*;
 
-use crate::common::fleet::TestFleet;
+use crate::common::{
+    caller::TestCaller,
+    fleet::TestFleet, //
+};
 
 fn stream_plan() -> FleetPlan {
     FleetPlan {
@@ -244,3 +247,23 @@
     note.unwrap().end = CallEnd::Broken("cut".to_owned());
     assert_eq!(cut_answers(&report).len(), 1);
 }
+
+/// A quiet service answers each call within milliseconds, so that its load, as its home tells the
+/// others from time to time, never changes. A node that only adds up what it was granted since the
+/// last word would take the service for full after a few calls, and refuse a stylist's reads as
+/// overloaded for ever while the service is idle. Every call through every node is answered.
+#[test]
+fn a_quiet_service_is_never_taken_for_full() {
+    let fleet = TestFleet::start(FleetPlan {
+        engines: 0,
+        services: 1,
+        ..FleetPlan::default()
+    });
+    let caller = TestCaller::new(&fleet.plan, 0);
+    for number in 0..3 {
+        for _ in 0..30 {
+            let call = caller.read(&fleet.address(number));
+            assert!(call.is_answered(), "{call:?}");
+        }
+    }
+}
--- a/crates/ragwortroad_demo/tests/failures/members.rs
+++ b/crates/ragwortroad_demo/tests/failures/members.rs
@@ -6,6 +6,8 @@
 };
 
 use ragwortroad_demo::prelude::*;
+use ragwortroad_load::prelude::*;
+use ragwortroad_types::prelude::*;
 use serde_json::Value;
 
 use crate::common::{
@@ -185,6 +187,62 @@
     panic!("revision {wanted} did not come about");
 }
 
+/// The disk of the member in charge runs full while bookings are made. If it went on acknowledging,
+/// bookings and changes would rest on one disk and vanish with it; if its process ended, its VM
+/// would serve nobody. It goes on routing, and bookings go on through the other two members. When
+/// one of these is lost as well, no claim is granted any more: callers are told `not_run` and when
+/// to ask again. With room on the disk the member is whole again after a restart.
+#[test]
+fn a_full_disk_stops_acknowledgements_and_not_the_process() {
+    let mut fleet = TestFleet::start(state_plan());
+    let caller = TestCaller::new(&fleet.plan, 0);
+    let full = fleet.wait_for_leader(&[0, 1, 2]);
+    let (third, other) = ((full + 1) % 3, (full + 2) % 3);
+    let folder = fleet.settings[full].state.data_folder.clone().unwrap();
+    fleet.crash_node(full);
+    let taken = std::fs::read_dir(&folder)
+        .unwrap()
+        .map(|item| item.unwrap().metadata().unwrap().len());
+    let taken: u64 = taken.sum();
+    fleet.settings[full].state.data_quota = Some(taken + 12_000);
+    fleet.restart_node(full).unwrap();
+    wait_until("the member with little room", || is_whole(&fleet, &[full])).unwrap();
+    let mut calls = Vec::new();
+    for number in 0..60 {
+        let address = fleet.address(number % 3);
+        calls.push(caller.book_until_answered(&address, &format!("full-{number}")));
+    }
+    assert!(!is_whole(&fleet, &[third, other]));
+    assert!(caller.read(&fleet.address(full)).is_answered());
+
+    fleet.crash_node(third);
+    wait_until("the end of all claims", || {
+        let call = caller.book(&fleet.address(other), &format!("none-{}", calls.len()));
+        let is_refused = call.code() == Some(RefusalCode::ClaimUnavailable)
+            || call.code() == Some(RefusalCode::NotCurrent);
+        calls.push(call);
+        is_refused
+    })
+    .unwrap();
+    for number in [full, other] {
+        let call = caller.book(&fleet.address(number), &format!("no-quorum-{number}"));
+        let not_run = matches!(call.note.end, CallEnd::Refused(RequestOutcome::NotRun, _));
+        assert!(not_run && call.has_pause, "{call:?}");
+        calls.push(call);
+    }
+    fleet.restart_node(third).unwrap();
+    fleet.crash_node(full);
+    fleet.settings[full].state.data_quota = None;
+    fleet.restart_node(full).unwrap();
+    wait_until("the member with room again", || is_whole(&fleet, &[full])).unwrap();
+    for number in 0..3 {
+        let address = fleet.address(number);
+        calls.push(caller.book_until_answered(&address, &format!("full-{number}")));
+    }
+    assert_eq!(violations(&calls, &fleet), []);
+    assert_eq!(broken_keys(&calls, &fleet), Vec::<String>::new());
+}
+
 /// The newest revision by the word of the leader, asked through one node; 0 if there is none.
 fn revision(fleet: &SmallFleet, asked: usize) -> u64 {
     let answer = fleet.operator_at(&[asked]).ask("show changes");
--- a/crates/ragwortroad_demo/tests/failures/operators.rs
+++ b/crates/ragwortroad_demo/tests/failures/operators.rs
@@ -255,3 +255,63 @@
     }
     assert_eq!(violations(calls, fleet), []);
 }
+
+/// The node in charge is cut off from the others for many times its lease, and still takes
+/// operators and callers who reach it. If it went on believing itself in charge, it would accept
+/// changes that the rest of the fleet never sees, and let customers in by an old configuration.
+/// It accepts no change and takes in nothing past its bound; the others elect a leader that does
+/// both. Back again, it follows, and nothing it refused ever comes into force.
+#[test]
+fn a_leader_cut_off_for_long_decides_nothing() {
+    let fleet = TestFleet::start(small_plan());
+    let old = fleet.wait_for_leader(&[0, 1, 2]);
+    let others: Vec<usize> = (0..3).filter(|number| *number != old).collect();
+    let caller = TestCaller::new(&fleet.plan, 0);
+    let base = revision(&fleet);
+    fleet.cut_off(&[old]);
+    // The old leader may still have its lease when this one arrives.
+    let early = fleet
+        .operator_at(&[old])
+        .change("set multiple 1.9", "early")
+        .unwrap();
+    assert_ne!(early.status, 200, "{early:?}");
+    let new = fleet.wait_for_leader(&others);
+    assert_ne!(new, old);
+    for round in 0..4 {
+        let change = format!("set multiple 1.{}", 3 + round);
+        wait_until("a change at the new leader", || {
+            let id = format!("new-{round}");
+            let answer = fleet.operator_at(&[new]).change(&change, &id);
+            answer.is_ok_and(|answer| answer.status == 200)
+        })
+        .unwrap();
+        let answer = fleet
+            .operator_at(&[old])
+            .change("set multiple 1.9", &format!("old-{round}"));
+        let answer = answer.unwrap();
+        assert!(!matches!(answer.status, 200 | 202), "{answer:?}");
+        let mut calls = vec![caller.read(&fleet.address(old))];
+        calls.push(caller.book(&fleet.address(old), &format!("parted-{round}")));
+        for call in &calls {
+            assert_eq!(call.code(), Some(RefusalCode::NotCurrent), "{call:?}");
+        }
+        assert_eq!(violations(&calls, &fleet), []);
+    }
+    fleet.heal();
+    wait_until("the old leader's return", || {
+        caller.read(&fleet.address(old)).is_answered()
+    })
+    .unwrap();
+    for number in 0..3 {
+        let answer = fleet.operator_at(&[number]).ask("show changes").unwrap();
+        let rows = answer.body["rows"].as_array().unwrap();
+        let ids: Vec<&str> = rows.iter().map(|row| row["id"].as_str().unwrap()).collect();
+        assert_eq!(&ids[..4], ["new-3", "new-2", "new-1", "new-0"]);
+        assert!(
+            !ids.iter()
+                .any(|id| id.starts_with("old-") || *id == "early"),
+            "{ids:?}"
+        );
+    }
+    assert_eq!(revision(&fleet), base + 4);
+}
--- a/crates/ragwortroad_log/src/folder_settings.rs
+++ b/crates/ragwortroad_log/src/folder_settings.rs
@@ -13,6 +13,8 @@
     pub boot: String,
     /// Largest content of one entry in bytes.
     pub max_entry_bytes: usize,
+    /// Bytes that the folder's files may take; beyond them writes fail as on a full disk.
+    pub quota_bytes: Option<u64>,
 }
 
 impl Default for FolderSettings {
@@ -22,6 +24,7 @@
             fresh_identity: 0,
             boot: String::new(),
             max_entry_bytes: 4 << 20,
+            quota_bytes: None,
         }
     }
 }
--- a/crates/ragwortroad_log/src/log_folder.rs
+++ b/crates/ragwortroad_log/src/log_folder.rs
@@ -78,7 +78,7 @@
     pub fn open(settings: &FolderSettings) -> Result<(Self, StoredState), LogError> {
         let name = settings.path.display().to_string();
         let action = "open";
-        let opened = RealDisk::open(settings.path.clone());
+        let opened = RealDisk::open(settings.path.clone(), settings.quota_bytes);
         let disk = opened.context(DiskSnafu { action, name })?;
         match disk {
             Some(disk) => Self::open_on(DiskPort::Real(disk), settings),
--- a/crates/ragwortroad_log/src/real_disk.rs
+++ b/crates/ragwortroad_log/src/real_disk.rs
@@ -9,7 +9,10 @@
         self,
         Write, //
     },
-    path::PathBuf, //
+    path::{
+        Path,
+        PathBuf, //
+    }, //
 };
 
 /// Files of the operating system in one folder.
@@ -23,6 +26,8 @@
     _lock: File,
     /// The file written last, kept open because the log is appended to all the time.
     open: Option<(String, File)>,
+    /// Bytes that may still be written, where they are limited.
+    room: Option<u64>,
 }
 
 /// Name of the file whose lock says that a process uses the folder.
@@ -30,7 +35,9 @@
 
 impl RealDisk {
     /// Opens the folder at `path`, or creates it; nothing if another process has it open.
-    pub fn open(path: PathBuf) -> io::Result<Option<Self>> {
+    ///
+    /// Its files may take `quota` bytes together.
+    pub fn open(path: PathBuf, quota: Option<u64>) -> io::Result<Option<Self>> {
         fs::create_dir_all(&path)?;
         if let Some(parent) = path.parent().filter(|parent| parent.is_dir()) {
             File::open(parent)?.sync_all()?;
@@ -38,6 +45,7 @@
         let lock = File::create(path.join(LOCK_NAME))?;
         match lock.try_lock() {
             Ok(()) => Ok(Some(Self {
+                room: quota.map(|quota| room_below(&path, quota)).transpose()?,
                 path,
                 _lock: lock,
                 open: None,
@@ -68,7 +76,17 @@
     }
 
     pub(crate) fn append(&mut self, name: &str, bytes: &[u8]) -> io::Result<()> {
-        self.file(name)?.write_all(bytes)
+        let Some(room) = self.room else {
+            return self.file(name)?.write_all(bytes);
+        };
+        // As on a full disk, the bytes that fit are written, and the rest is not.
+        let fits = usize::try_from(room).unwrap_or(usize::MAX).min(bytes.len());
+        self.file(name)?.write_all(&bytes[..fits])?;
+        self.room = Some(room - fits as u64);
+        match fits == bytes.len() {
+            true => Ok(()),
+            false => Err(io::ErrorKind::StorageFull.into()),
+        }
     }
 
     pub(crate) fn sync(&mut self, name: &str) -> io::Result<()> {
@@ -82,7 +100,11 @@
 
     pub(crate) fn remove(&mut self, name: &str) -> io::Result<()> {
         self.open = None;
-        fs::remove_file(self.path.join(name))
+        let path = self.path.join(name);
+        let freed = fs::metadata(&path)?.len();
+        fs::remove_file(path)?;
+        self.room = self.room.map(|room| room + freed);
+        Ok(())
     }
 
     pub(crate) fn sync_folder(&mut self) -> io::Result<()> {
@@ -102,3 +124,12 @@
         }
     }
 }
+
+/// What a quota leaves beside the files that are there.
+fn room_below(path: &Path, quota: u64) -> io::Result<u64> {
+    let mut taken = 0;
+    for item in fs::read_dir(path)? {
+        taken += item?.metadata()?.len();
+    }
+    Ok(quota.saturating_sub(taken))
+}
--- a/crates/ragwortroad_node/src/member/member_seat.rs
+++ b/crates/ragwortroad_node/src/member/member_seat.rs
@@ -82,6 +82,7 @@
             path,
             fresh_identity: start.fresh_identity,
             boot: boot_name(),
+            quota_bytes: start.settings.state.data_quota,
             ..FolderSettings::default()
         };
         let (folder, stored) = LogFolder::open(&folder).context(FolderSnafu)?;
--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -67,7 +67,7 @@
         now: ClockTime,
     ) {
         let hold = self.settings.failure_hold;
-        self.observe_outcome(endpoint, outcome, now);
+        self.judge_outcome(endpoint, outcome, now);
         let Some(key) = self.ids.get(&endpoint).copied() else {
             return;
         };
@@ -101,6 +101,14 @@
 
     /// Notes how a request of this node ended at an endpoint whose home is elsewhere.
     pub fn observe_outcome(&mut self, endpoint: EndpointId, outcome: SlotOutcome, now: ClockTime) {
+        if let Some(key) = self.ids.get(&endpoint).copied() {
+            self.change(key, |state| state.view.ended_since += 1);
+        }
+        self.judge_outcome(endpoint, outcome, now);
+    }
+
+    /// Takes in whether an endpoint did what it was asked.
+    fn judge_outcome(&mut self, endpoint: EndpointId, outcome: SlotOutcome, now: ClockTime) {
         let Some(state) = self.state_of(endpoint) else {
             return;
         };
--- a/crates/ragwortroad_settings/src/state_settings.rs
+++ b/crates/ragwortroad_settings/src/state_settings.rs
@@ -38,6 +38,8 @@
     pub members: Vec<SeedAddress>,
     /// Where this node keeps its part; only members have one.
     pub data_folder: Option<PathBuf>,
+    /// Bytes that the data folder may take; beyond them this member acknowledges nothing.
+    pub data_quota: Option<u64>,
     /// How long a node may admit work after it last confirmed that its configuration is current.
     pub follow_bound: Duration,
     /// How long the leader is in charge after its quorum last answered.
@@ -53,6 +55,7 @@
         Self {
             members: Vec::new(),
             data_folder: None,
+            data_quota: None,
             follow_bound: Duration::from_secs(3),
             lease: Duration::from_secs(2),
             drift_permille: 10,
@@ -82,6 +85,7 @@
         Self {
             members,
             data_folder: reader.text("state", "data_folder").map(PathBuf::from),
+            data_quota: reader.optional_value("state", "data_quota_bytes", "1073741824"),
             follow_bound: bound,
             lease,
             drift_permille: reader.number(
