--- a/crates/ragwortroad_demo/tests/failures/common/caller.rs
+++ b/crates/ragwortroad_demo/tests/failures/common/caller.rs
@@ -52,6 +52,28 @@
         self.call(address, minreq::Method::Get, None, String::new())
     }
 
+    /// Asks for a whole answer to a chat of its own, and checks it.
+    pub(crate) fn chat(&self, address: &str, model: &str, text: &str, tokens: u32) -> TestCall {
+        let body = ChatBody {
+            model: model.to_owned(),
+            messages: vec![ChatMessage::text("user", text)],
+            max_tokens: Some(tokens),
+            ..ChatBody::default()
+        };
+        let check = AnswerCheck::new(&body);
+        let body = serde_json::to_string(&body).unwrap();
+        let url = format!("http://{address}/v1/chat/completions");
+        self.send(minreq::post(url).with_body(body), None, |answer| {
+            let answer: Value = serde_json::from_slice(answer).unwrap_or_default();
+            let content = answer.pointer("/choices/0/message/content");
+            let content = content.and_then(Value::as_str).unwrap_or_default();
+            match check.check_text(content) {
+                Ok(()) => CallEnd::Answered,
+                Err(fault) => CallEnd::Wrong(fault),
+            }
+        })
+    }
+
     /// Books until the outcome is an answer or one that waiting does not change.
     pub(crate) fn book_until_answered(&self, address: &str, key: &str) -> TestCall {
         let mut last = None;
@@ -72,16 +94,26 @@
         key: Option<&str>,
         body: String,
     ) -> TestCall {
-        let kind = key.map_or(CallKind::Read, |_| CallKind::Booking);
         let url = format!("http://{address}/v1/services/{}/bookings", self.service);
+        let request = minreq::Request::new(method, url).with_body(body);
+        self.send(request, key, |answer| check_own(answer, key))
+    }
+
+    /// Sends a request and writes down what came of it; `judge` says what a whole answer is worth.
+    fn send(
+        &self,
+        request: minreq::Request,
+        key: Option<&str>,
+        judge: impl Fn(&[u8]) -> CallEnd,
+    ) -> TestCall {
+        let kind = key.map_or(CallKind::Read, |_| CallKind::Booking);
         let bearer = format!("Bearer {}", FleetPlan::key_of(&self.customer));
         let deadline = self.patience.as_millis().to_string();
-        let mut request = minreq::Request::new(method, url)
+        let mut request = request
             .with_header("authorization", bearer)
             .with_header("content-type", "application/json")
             .with_header("x-deadline-ms", deadline)
-            .with_timeout(self.patience.as_secs() + 2)
-            .with_body(body);
+            .with_timeout(self.patience.as_secs() + 2);
         if let Some(key) = key {
             request = request.with_header("idempotency-key", key);
         }
@@ -89,7 +121,7 @@
         let answer = request.send();
         let answered = Instant::now();
         let mut attempt = AttemptNote {
-            address: address.to_owned(),
+            address: String::new(),
             request_id: None,
             status: None,
             outcome: None,
@@ -111,7 +143,7 @@
                 match answer.status_code {
                     200..=299 => {
                         run = run_name(answer.as_bytes());
-                        check_own(answer.as_bytes(), key)
+                        judge(answer.as_bytes())
                     }
                     // Whatever is not the answer must be a refusal that a program can read.
                     _ => match serde_json::from_slice::<RefusalWire>(answer.as_bytes()) {
--- /dev/null
+++ b/crates/ragwortroad_demo/tests/failures/common/load_spans.rs
@@ -0,0 +1,73 @@
+use std::time::{
+    Duration,
+    Instant, //
+};
+
+use ragwortroad_standin::prelude::*;
+
+/// The multiple of the fleet's mean that a fleet has until an operator sets another.
+const MULTIPLE: f64 = 1.25;
+
+/// Up to this load an engine is never above its bound.
+const FLOOR: usize = 4;
+
+/// The mean falls while requests that were admitted under a higher one still run; so the bound is
+/// that of the highest mean within this time, about the life of a request.
+const MEAN_SPAN: Duration = Duration::from_secs(1);
+
+/// When each run of one engine began and ended, by its own record.
+pub(crate) struct LoadSpans {
+    name: String,
+    spans: Vec<(Instant, Option<Instant>)>,
+}
+
+impl LoadSpans {
+    pub(crate) fn new(start: Instant, records: &[RunRecord]) -> Self {
+        let at = |moment: u64| start + Duration::from_millis(moment);
+        let span = |record: &RunRecord| (at(record.began_ms), record.ended_ms.map(at));
+        let name = records.first().map(|record| record.endpoint.clone());
+        Self {
+            name: name.unwrap_or_default(),
+            spans: records.iter().map(span).collect(),
+        }
+    }
+
+    /// Runs under way at `moment`.
+    fn load_at(&self, moment: Instant) -> usize {
+        let runs = self.spans.iter();
+        let under_way = |(from, until): &&(Instant, Option<Instant>)| {
+            *from <= moment && until.is_none_or(|until| until > moment)
+        };
+        runs.filter(under_way).count()
+    }
+}
+
+/// The loads beyond the bound, at every moment at which an engine began a run.
+pub(crate) fn beyond_bound(engines: &[LoadSpans]) -> Vec<String> {
+    let begins = |engine: &LoadSpans| engine.spans.iter().map(|(from, _)| *from).collect();
+    let mut moments: Vec<Instant> = engines
+        .iter()
+        .flat_map(|engine| -> Vec<Instant> { begins(engine) })
+        .collect();
+    moments.sort();
+    let mean_at = |moment| {
+        let total: usize = engines.iter().map(|engine| engine.load_at(moment)).sum();
+        total as f64 / engines.len() as f64
+    };
+    let means: Vec<(Instant, f64)> = moments.iter().map(|at| (*at, mean_at(*at))).collect();
+    let mut beyond = Vec::new();
+    for (moment, _) in &means {
+        let recent = means
+            .iter()
+            .filter(|(at, _)| at <= moment && *moment - *at <= MEAN_SPAN);
+        let mean = recent.map(|(_, mean)| *mean).fold(0.0, f64::max);
+        let bound = FLOOR.max((MULTIPLE * mean).ceil() as usize);
+        for engine in engines {
+            let load = engine.load_at(*moment);
+            if load > bound {
+                beyond.push(format!("{}: {load} at a mean of {mean:.2}", engine.name));
+            }
+        }
+    }
+    beyond
+}
--- a/crates/ragwortroad_demo/tests/failures/main.rs
+++ b/crates/ragwortroad_demo/tests/failures/main.rs
@@ -9,3 +9,5 @@
 mod endpoints;
 mod members;
 mod operators;
+mod overload;
+mod pairs;
--- /dev/null
+++ b/crates/ragwortroad_demo/tests/failures/pairs.rs
@@ -0,0 +1,206 @@
+//! Two failures at once.
+
+use std::{
+    sync::atomic::{
+        AtomicBool,
+        Ordering, //
+    },
+    thread,
+    time::Duration, //
+};
+
+use ragwortroad_demo::prelude::*;
+use ragwortroad_load::prelude::*;
+use ragwortroad_standin::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::common::{
+    booking_history::broken_keys,
+    caller::{
+        TestCall,
+        TestCaller,
+        violations, //
+    },
+    fleet::TestFleet,
+    load_spans::{
+        LoadSpans,
+        beyond_bound, //
+    }, //
+};
+
+/// Books new keys one after the other until it is told to stop, each again and again through other
+/// nodes until its outcome does not change any more.
+fn book_on(
+    addresses: &[String],
+    caller: &TestCaller,
+    name: &str,
+    stops: &AtomicBool,
+) -> Vec<TestCall> {
+    let mut calls = Vec::new();
+    for number in 0.. {
+        if stops.load(Ordering::Relaxed) {
+            break;
+        }
+        let key = format!("{name}-{number}");
+        for sending in 0..6 {
+            let call = caller.book(&addresses[(number + sending) % addresses.len()], &key);
+            let is_final = matches!(call.note.end, CallEnd::Answered)
+                || call.code() == Some(RefusalCode::BrokenAnswer);
+            calls.push(call);
+            // One more through the next node, which must say the same.
+            if is_final && sending > 0 {
+                break;
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    calls
+}
+
+/// The node in charge is killed while bookings are sent again, one replica of the service drops
+/// all its connections at that moment, and then another node is cut off before the killed one is
+/// back, so that there is no quorum for a while. A customer would find a slot booked twice, or
+/// would be told "not run" for a booking that is in the records. Each booking runs once at most,
+/// every answer is that run's, what was refused as not run did not run, and in the end bookings go
+/// on through every node.
+#[test]
+fn a_killed_leader_a_flapping_service_and_a_cut_leave_single_runs() {
+    let mut fleet = TestFleet::start(FleetPlan {
+        nodes: 4,
+        engines: 0,
+        services: 2,
+        desk: ServiceSettings {
+            work_time: Duration::from_millis(15),
+            ..ServiceSettings::default()
+        },
+        follow_bound: Duration::from_secs(1),
+        ..FleetPlan::default()
+    });
+    let addresses = fleet.caller_addresses();
+    let stops = AtomicBool::new(false);
+    let mut calls = thread::scope(|scope| {
+        let threads: Vec<_> = (0..4)
+            .map(|number| {
+                let caller = TestCaller {
+                    patience: Duration::from_secs(6),
+                    ..TestCaller::new(&fleet.plan, number)
+                };
+                let (addresses, stops) = (&addresses, &stops);
+                let name = format!("pair-{number}");
+                scope.spawn(move || book_on(addresses, &caller, &name, stops))
+            })
+            .collect();
+        for round in 0..3 {
+            let leader = fleet.wait_for_leader(&[0, 1, 2]);
+            let ran = fleet.records().len();
+            wait_until("bookings under way", || fleet.records().len() > ran + 5).unwrap();
+            fleet.services[round % 2]
+                .as_ref()
+                .unwrap()
+                .set_faults(FaultPlan {
+                    refuse_connections: true,
+                    ..FaultPlan::default()
+                });
+            fleet.crash_node(leader);
+            thread::sleep(Duration::from_millis(400));
+            fleet.services[round % 2]
+                .as_ref()
+                .unwrap()
+                .set_faults(FaultPlan::default());
+            fleet.cut_off(&[(leader + 1) % 3]);
+            thread::sleep(Duration::from_millis(1200));
+            fleet.restart_node(leader).unwrap();
+            fleet.heal();
+        }
+        fleet.wait_for_leader(&[0, 1, 2]);
+        stops.store(true, Ordering::Relaxed);
+        let threads = threads.into_iter();
+        let calls: Vec<TestCall> = threads.flat_map(|thread| thread.join().unwrap()).collect();
+        calls
+    });
+    let caller = TestCaller::new(&fleet.plan, 0);
+    for number in 0..4 {
+        calls.push(caller.book_until_answered(&fleet.address(number), &format!("after-{number}")));
+    }
+    assert_eq!(violations(&calls, &fleet), []);
+    assert_eq!(broken_keys(&calls, &fleet), Vec::<String>::new());
+    let lost = calls
+        .iter()
+        .filter(|call| matches!(call.note.end, CallEnd::Broken(_)));
+    assert!(lost.count() > 0, "no call was hit");
+    assert!(calls.iter().filter(|call| call.is_answered()).count() > 50);
+}
+
+/// An engine's VM is lost in the middle of streams at the moment at which the node in charge, home
+/// of others, is killed; then two nodes disagree about which engines exist. Callers whose node is
+/// killed see their connection break, which nobody can spare them; everybody else gets a whole
+/// answer of its own or a clear refusal. No engine is given more than its bound, although its home
+/// changes: two homes at once would each fill it on their own.
+#[test]
+fn homes_that_change_under_load_keep_each_engine_within_its_bound() {
+    let plan = FleetPlan {
+        nodes: 4,
+        engines: 6,
+        services: 0,
+        engine: EngineSettings {
+            token_gap: Duration::from_millis(6),
+            ..EngineSettings::default()
+        },
+        ..FleetPlan::default()
+    };
+    let mut fleet = TestFleet::start(plan);
+    let settings = LoadSettings {
+        duration: Duration::from_secs(11),
+        chats_per_second: 25.0,
+        turns: 2,
+        answer_tokens: 50,
+        attempts: 8,
+        bookings_per_second: 0.0,
+        reads_per_second: 0.0,
+        ..fleet.load_settings()
+    };
+    let load = thread::spawn(move || run_load(settings).unwrap());
+    thread::sleep(Duration::from_millis(1500));
+    fleet.cut_off(&[3]);
+    let lost = fleet.engines[0].take().unwrap();
+    let (lost_start, lost_records) = (lost.started(), lost.stop());
+    fleet.stopped_records.extend(lost_records.clone());
+    let leader = fleet.wait_for_leader(&[0, 1, 2]);
+    fleet.crash_node(leader);
+    thread::sleep(Duration::from_millis(2500));
+    fleet.heal();
+    fleet.restart_node(leader).unwrap();
+    thread::sleep(Duration::from_millis(2500));
+    fleet.crash_node(3);
+    thread::sleep(Duration::from_millis(500));
+    fleet.restart_node(3).unwrap();
+    let mut report = load.join().unwrap();
+    report.verify(&fleet.records());
+    assert_eq!(report.violations, []);
+    let answered = report
+        .notes
+        .iter()
+        .filter(|note| note.end == CallEnd::Answered);
+    assert!(
+        answered.count() * 10 > report.notes.len() * 7,
+        "{:?}",
+        report.outcomes
+    );
+    let mut spans = vec![LoadSpans::new(lost_start, &lost_records)];
+    for engine in fleet.engines.iter().flatten() {
+        spans.push(LoadSpans::new(engine.started(), &engine.records()));
+    }
+    assert_eq!(beyond_bound(&spans), Vec::<String>::new());
+
+    // Two homes that each fill an engine up to the bound are noticed.
+    let busiest = fleet
+        .engines
+        .iter()
+        .flatten()
+        .max_by_key(|engine| engine.records().len());
+    let busiest = busiest.unwrap();
+    let mut doubled = busiest.records();
+    doubled.extend(busiest.records());
+    spans.push(LoadSpans::new(busiest.started(), &doubled));
+    assert!(!beyond_bound(&spans).is_empty());
+}
