--- a/crates/ragwortroad_demo/tests/failures/main.rs
+++ b/crates/ragwortroad_demo/tests/failures/main.rs
@@ -6,4 +6,8 @@
 
 mod bookings;
 mod common;
+mod endpoints;
+mod members;
 mod operators;
+mod overload;
+mod pairs;
