Follow a corrected moment of exclusive admission

Membership may first know only that an engine wants this node as home, and shorten or set the wait later. The table took the moment only together with a new home: a later one was missed, and work that an earlier home had left did not count; an earlier one was missed too, and the engine stayed closed.

--- a/crates/ragwortroad_routing/src/table/endpoint_state.rs
+++ b/crates/ragwortroad_routing/src/table/endpoint_state.rs
@@ -57,6 +57,13 @@
         self.settled && self.exclusive_from <= now
     }
 
+    /// Takes in that membership now names another moment for the same home. A later one means that
+    /// somebody else may have admitted work meanwhile, which only a later report shows.
+    pub(crate) fn correct_exclusive(&mut self, exclusive_from: ClockTime) {
+        self.settled &= exclusive_from <= self.exclusive_from;
+        self.exclusive_from = exclusive_from;
+    }
+
     /// Takes in the endpoint's own report.
     pub(crate) fn observe(&mut self, report: LoadReport, now: ClockTime) {
         let moment = now.before(Duration::from_millis(u64::from(report.age_ms)));
--- a/crates/ragwortroad_routing/src/table/table_inputs.rs
+++ b/crates/ragwortroad_routing/src/table/table_inputs.rs
@@ -24,7 +24,9 @@
     /// `exclusive_from` is used where the home is new: from then on, and not before, the home may
     /// admit work, because an earlier home may still do so until then. It also waits for a report
     /// of the endpoint's load from after that moment, which shows what the earlier home left.
-    /// [`ClockTime::ZERO`] stands for an endpoint that just started and never had another home.
+    /// [`ClockTime::ZERO`] stands for an endpoint that just started and never had another home; for
+    /// one whose home stays the same it changes nothing, and any other time corrects the one given
+    /// before.
     pub fn upsert_endpoint(&mut self, facts: EndpointFacts, exclusive_from: ClockTime) {
         match self.ids.get(&facts.id).copied() {
             None => self.insert_endpoint(facts, exclusive_from),
@@ -148,7 +150,7 @@
         let Some(state) = self.arena[key.index()].as_ref() else {
             return;
         };
-        if state.facts == facts {
+        if state.facts == facts && state.exclusive_from == exclusive_from {
             return;
         }
         let (before, counted) = (state.facts.clone(), state.counted);
@@ -171,6 +173,8 @@
                     state.view.load
                 };
                 state.ledger.inherit(heard);
+            } else if facts.home == node && exclusive_from != ClockTime::ZERO {
+                state.correct_exclusive(exclusive_from);
             }
             state.facts = facts;
         });
--- a/crates/ragwortroad_routing/tests/bound.rs
+++ b/crates/ragwortroad_routing/tests/bound.rs
@@ -202,6 +202,39 @@
     assert!(changes > 3_000, "only {changes} changes of home were made");
 }
 
+/// Membership first knows only that an engine wants this node as its home, and later from when on
+/// earlier homes are out. Work that these left must count, and a shorter wait must be used.
+#[test]
+fn a_corrected_moment_is_waited_for_and_what_was_left_counts() {
+    let mut table = new_table(0);
+    let ask = |table: &mut RouteTable, now| {
+        let claim = SlotClaim::Returning;
+        table.grant_slot(engine_id(0), node_id(1), CustomerKey(1), claim, now)
+    };
+    let report = LoadReport {
+        running: 4,
+        ..LoadReport::default()
+    };
+    table.upsert_endpoint(facts(0, 0), ClockTime(5_000));
+    table.observe_report(engine_id(0), report, ClockTime(4_000));
+    assert!(matches!(
+        ask(&mut table, ClockTime(4_500)),
+        SlotAnswer::Full { .. }
+    ));
+    table.upsert_endpoint(facts(0, 0), ClockTime(3_000));
+    table.upsert_endpoint(facts(0, 0), ClockTime::ZERO);
+    assert!(matches!(
+        ask(&mut table, ClockTime(4_600)),
+        SlotAnswer::Full { .. }
+    ));
+    assert_eq!(table.load_of(engine_id(0)), Some(4));
+    table.observe_report(engine_id(0), LoadReport::default(), ClockTime(4_700));
+    assert!(matches!(
+        ask(&mut table, ClockTime(4_800)),
+        SlotAnswer::Granted { .. }
+    ));
+}
+
 /// An operator drains an engine, or it announces that it leaves. Work sent to it afterwards would
 /// be cut off when it stops.
 #[test]
