--- /dev/null
+++ b/crates/ragwortroad_consensus/src/core_new.rs
@@ -0,0 +1,149 @@
+//! Starting a member from what its data folder holds.
+
+use std::sync::Arc;
+
+use ragwortroad_log::{
+    StoredEntry,
+    StoredState,
+    VoteRecord, //
+};
+use ragwortroad_types::ClockTime;
+use snafu::{
+    ResultExt,
+    ensure, //
+};
+
+use crate::{
+    ConsensusCore,
+    CoreAction,
+    CoreError,
+    CoreSettings,
+    CoreStart,
+    EntryLog,
+    EntryPayload,
+    LogPosition,
+    MemberHistory,
+    MemberId,
+    MemberSet,
+    MemberState,
+    PersistGate,
+    RestartCheck,
+    StartTable,
+    core_error::{
+        AlreadyFoundedSnafu,
+        NotFounderSnafu,
+        UndecodableSnafu, //
+    }, //
+};
+
+impl ConsensusCore {
+    /// A member as of `start`, and what is to be done first.
+    pub fn new(
+        settings: CoreSettings,
+        start: CoreStart,
+        now: ClockTime,
+        seed: u64,
+    ) -> Result<(Self, Vec<CoreAction>), CoreError> {
+        let stored = start.stored;
+        let (base, members) = read_snapshot(&stored)?;
+        let mut history = MemberHistory::new(base.index, members);
+        for entry in &stored.entries {
+            if let EntryPayload::Members(set) = EntryPayload::decode(&entry.bytes)? {
+                history.push(entry.index, set);
+            }
+        }
+        let is_unused = stored.snapshot.is_none() && stored.entries.is_empty();
+        let log = EntryLog::new(base, stored.entries);
+        let is_own_word = stored.is_new || stored.is_same_boot;
+        let is_trusted = is_own_word || settings.trust_disk || start.founders.is_some();
+        let check = if is_trusted {
+            RestartCheck::skipped()
+        } else {
+            RestartCheck::new(log.last(), history.latest().clone())
+        };
+        // A leader may rely for its lease on what this member promised before it restarted.
+        let promised = if stored.is_new {
+            now
+        } else {
+            now.after(settings.election_timeout)
+        };
+        let mut core = Self {
+            settings,
+            id: MemberId(stored.identity),
+            start: start.start,
+            rng: Self::seeded(seed),
+            vote: stored.vote,
+            leader: None,
+            log,
+            members: history,
+            snapshot: stored.snapshot.map(Arc::new),
+            commit: base.index,
+            applied: base.index,
+            applied_bytes: 0,
+            snapshot_wanted: false,
+            agreed: base.index,
+            state: MemberState::Follower,
+            gate: PersistGate::default(),
+            check,
+            starts: StartTable::from_stored(&stored.starts),
+            is_confirmed: false,
+            assembly: None,
+            no_vote_until: promised,
+            election_at: now,
+            has_failed: false,
+            out: Vec::new(),
+        };
+        core.draw_election(now);
+        if let Some(founders) = start.founders {
+            ensure!(is_unused, AlreadyFoundedSnafu);
+            ensure!(founders.is_voter(core.id), NotFounderSnafu);
+            core.found(founders, now);
+        }
+        core.restore();
+        core.say_hello(now);
+        let first = core.handle(crate::CoreInput::Tick, now);
+        Ok((core, first))
+    }
+
+    /// Writes the first entry, as if this member had been elected in term 1.
+    fn found(&mut self, founders: MemberSet, now: ClockTime) {
+        let vote = VoteRecord {
+            term: self.vote.term.max(1),
+            voted_for: self.vote.voted_for.or(Some(self.id.0)),
+        };
+        self.vote = vote;
+        self.gate.change().vote = Some(vote);
+        let payload = EntryPayload::Members(founders.clone());
+        let entry = StoredEntry {
+            index: 1,
+            term: 1,
+            bytes: payload.encode(),
+        };
+        self.gate.change().entries.push(entry.clone());
+        self.log.push(entry);
+        self.members.push(1, founders);
+        self.election_at = now;
+    }
+
+    /// Hands out the state of the stored snapshot.
+    fn restore(&mut self) {
+        if let Some(snapshot) = &self.snapshot {
+            let index = snapshot.index;
+            let bytes = snapshot.bytes.clone();
+            self.out.push(CoreAction::RestoreSnapshot { index, bytes });
+        }
+    }
+}
+
+fn read_snapshot(stored: &StoredState) -> Result<(LogPosition, MemberSet), CoreError> {
+    let Some(snapshot) = &stored.snapshot else {
+        return Ok((LogPosition::default(), MemberSet::default()));
+    };
+    let what = "the members in the snapshot";
+    let members = postcard::from_bytes(&snapshot.members).context(UndecodableSnafu { what })?;
+    let base = LogPosition {
+        term: snapshot.term,
+        index: snapshot.index,
+    };
+    Ok((base, members))
+}
--- /dev/null
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -0,0 +1,268 @@
+//! Reading a data folder back, and deciding whether it can be trusted.
+
+use snafu::{
+    OptionExt,
+    ResultExt,
+    ensure, //
+};
+
+use crate::{
+    DiskPort,
+    FolderSettings,
+    LogError,
+    LogFolder,
+    StoredState,
+    folder_files::{
+        BOOT_NAME,
+        IDENTITY_NAME,
+        LOG_START,
+        SNAPSHOT_START,
+        TEMP_ENDING,
+        VOTE_NAME,
+        generation_of,
+        log_name,
+        write_frame,
+        write_vote,
+        write_whole, //
+    },
+    folder_replay::{
+        check_entries,
+        check_header,
+        check_vote,
+        corrupt,
+        last_vote,
+        read_file,
+        read_single,
+        read_snapshot,
+        replay_entries,
+        replay_starts, //
+    },
+    log_error::{
+        DiskSnafu,
+        RolledBackSnafu, //
+    },
+    log_record::{
+        CountedVote,
+        LogHeader,
+        LogRecord, //
+    },
+    record_frame::RecordFrame,
+    record_scan::RecordScan, //
+};
+
+/// Layout of the files this program writes and reads.
+pub(crate) const VERSION: u32 = 1;
+
+pub(crate) fn open(
+    mut port: DiskPort,
+    settings: &FolderSettings,
+) -> Result<(LogFolder, StoredState), LogError> {
+    let names = list_files(&mut port)?;
+    if names.iter().any(|name| name == IDENTITY_NAME) {
+        return open_existing(port, settings, &names);
+    }
+    refuse_if_used(&port, &names)?;
+    create(port, settings)
+}
+
+/// Names of all whole files; removes what a crash left unfinished.
+fn list_files(port: &mut DiskPort) -> Result<Vec<String>, LogError> {
+    let name = "the folder";
+    let action = "list";
+    let mut names = port.list().context(DiskSnafu { action, name })?;
+    for name in names.extract_if(.., |name| name.ends_with(TEMP_ENDING)) {
+        let action = "remove";
+        port.remove(&name).context(DiskSnafu { action, name })?;
+    }
+    names.sort();
+    Ok(names)
+}
+
+/// A folder without an identity file is empty, or was left in the middle of being created.
+///
+/// If the file of a folder in use were lost and the folder taken for empty, the member would
+/// forget its vote and vote again. So anything but the files of an unused folder is refused.
+fn refuse_if_used(port: &DiskPort, names: &[String]) -> Result<(), LogError> {
+    let used = names.iter().any(|name| {
+        let is_snapshot = name.starts_with(SNAPSHOT_START);
+        let is_log = name.starts_with(LOG_START);
+        is_snapshot || is_log && !is_unused_log(port, name)
+    });
+    let detail = "the identity file is missing, but there is a log";
+    ensure!(!used, RolledBackSnafu { detail });
+    Ok(())
+}
+
+fn is_unused_log(port: &DiskPort, name: &str) -> bool {
+    let bytes = port.read(name).unwrap_or_default();
+    let Ok(scan) = RecordScan::read(name, &bytes) else {
+        return false;
+    };
+    let is_whole = scan.intact_bytes == bytes.len();
+    let is_unused = scan.frames.iter().all(|frame| match &frame.record {
+        LogRecord::Header(header) => header.generation == 0 && header.vote.count == 0,
+        record => *record == LogRecord::Durable,
+    });
+    is_whole && is_unused && !bytes.is_empty()
+}
+
+/// Writes the identity last, so that a folder with one has all other files.
+fn create(
+    mut port: DiskPort,
+    settings: &FolderSettings,
+) -> Result<(LogFolder, StoredState), LogError> {
+    write_vote(&mut port, CountedVote::default())?;
+    let identity = settings.fresh_identity;
+    let mut folder = LogFolder {
+        port,
+        identity,
+        max_entry_bytes: settings.max_entry_bytes,
+        generation: 0,
+        next_sequence: 0,
+        synced_sequence: 0,
+        buffer: Vec::new(),
+        vote: CountedVote::default(),
+        vote_file_count: 0,
+        starts: Vec::new(),
+        boot: settings.boot.clone(),
+        confirms_boot: false,
+        last_index: 0,
+        snapshot_index: 0,
+        writes_refused: false,
+    };
+    folder.write_log(&[])?;
+    let frame = identity_frame(identity);
+    let mut bytes = Vec::new();
+    write_frame(&frame, &mut bytes)?;
+    write_whole(&mut folder.port, IDENTITY_NAME, &bytes)?;
+    let state = StoredState {
+        identity,
+        is_new: true,
+        ..StoredState::default()
+    };
+    Ok((folder, state))
+}
+
+fn identity_frame(identity: u64) -> RecordFrame {
+    let header = LogHeader {
+        version: VERSION,
+        identity,
+        generation: 0,
+        vote: CountedVote::default(),
+        starts: Vec::new(),
+        snapshot_index: 0,
+    };
+    RecordFrame {
+        sequence: 0,
+        synced: 0,
+        record: LogRecord::Header(header),
+    }
+}
+
+fn open_existing(
+    mut port: DiskPort,
+    settings: &FolderSettings,
+    names: &[String],
+) -> Result<(LogFolder, StoredState), LogError> {
+    let identity = match read_single(&port, IDENTITY_NAME)? {
+        LogRecord::Header(header) => header.identity,
+        _ => return corrupt(IDENTITY_NAME, 0, "it holds something else"),
+    };
+    let vote_copy = match read_single(&port, VOTE_NAME)? {
+        LogRecord::Vote(vote) => vote,
+        _ => return corrupt(VOTE_NAME, 0, "it holds something else"),
+    };
+    let generations = names
+        .iter()
+        .filter_map(|name| generation_of(name, LOG_START));
+    let detail = "the log file is missing";
+    let generation = generations.max().context(RolledBackSnafu { detail })?;
+
+    let name = log_name(generation);
+    let bytes = read_file(&port, &name)?;
+    let scan = RecordScan::read(&name, &bytes)?;
+    let header = check_header(&scan, &name, identity, generation)?;
+    let vote = last_vote(&scan.frames, header.vote);
+    check_vote(vote, vote_copy)?;
+    let snapshot = read_snapshot(&port, &header)?;
+    let starts = replay_starts(&scan.frames, &header);
+    let boot_known = port.read(BOOT_NAME).unwrap_or_default();
+    let entries = replay_entries(&scan.frames);
+    check_entries(&entries, &header, &name)?;
+
+    let cut_bytes = (bytes.len() - scan.intact_bytes) as u64;
+    let next_sequence = rewrite_log(&mut port, &name, &bytes, &scan)?;
+    remove_leftovers(&mut port, names, generation)?;
+    let mut folder = LogFolder {
+        port,
+        identity,
+        max_entry_bytes: settings.max_entry_bytes,
+        generation,
+        next_sequence,
+        synced_sequence: next_sequence,
+        buffer: Vec::new(),
+        vote,
+        vote_file_count: vote_copy.count,
+        starts: starts.clone(),
+        boot: settings.boot.clone(),
+        confirms_boot: false,
+        last_index: header.snapshot_index + entries.len() as u64,
+        snapshot_index: header.snapshot_index,
+        writes_refused: false,
+    };
+    folder.write_vote_copy()?;
+    let state = StoredState {
+        identity,
+        is_new: false,
+        is_same_boot: boot_known == settings.boot.as_bytes() && !settings.boot.is_empty(),
+        starts,
+        vote: vote.vote,
+        snapshot,
+        entries,
+        cut_bytes,
+    };
+    Ok((folder, state))
+}
+
+/// Writes the log file anew with what is intact, so that all of it is durable.
+///
+/// An earlier process may have seen a sync fail, and the operating system may since count the
+/// pages as clean: they read well, a further sync reports success, and a crash loses them. Copied
+/// bytes are dirty again, so their sync says the truth. It also cuts an unfinished write.
+///
+/// Returns the sequence of the next record.
+fn rewrite_log(
+    port: &mut DiskPort,
+    name: &str,
+    bytes: &[u8],
+    scan: &RecordScan,
+) -> Result<u64, LogError> {
+    let sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
+    let mark = RecordFrame {
+        sequence,
+        synced: sequence,
+        record: LogRecord::Durable,
+    };
+    let mut intact = bytes[..scan.intact_bytes].to_vec();
+    write_frame(&mark, &mut intact)?;
+    write_whole(port, name, &intact)?;
+    Ok(sequence + 1)
+}
+
+fn remove_leftovers(
+    port: &mut DiskPort,
+    names: &[String],
+    generation: u64,
+) -> Result<(), LogError> {
+    for name in names {
+        let of_log = generation_of(name, LOG_START);
+        let of_snapshot = generation_of(name, SNAPSHOT_START);
+        if of_log.or(of_snapshot).is_some_and(|of| of != generation) {
+            let action = "remove";
+            port.remove(name).context(DiskSnafu { action, name })?;
+        }
+    }
+    let action = "sync";
+    let name = "the folder";
+    port.sync_folder().context(DiskSnafu { action, name })
+}
--- /dev/null
+++ b/crates/ragwortroad_state/src/order/order_table.rs
@@ -0,0 +1,210 @@
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    EngineOrder,
+    EngineSight,
+    EngineTarget,
+    LoadQueue,
+    OrderAction,
+    OrderId,
+    OrderKey,
+    OrderSettings,
+    order::engine_state::EngineState, //
+};
+
+/// The holder's orders under way: brings what is seen to what is planned.
+///
+/// An order counts as done only when its effect is seen, or, for a role or a drain, which engines
+/// do not announce, when it was answered by the engine's present incarnation. An answer to an
+/// order that is no longer under way changes nothing.
+#[derive(Clone, Debug)]
+pub struct OrderTable {
+    settings: OrderSettings,
+    fence: FenceNumber,
+    next_number: u64,
+    engines: BTreeMap<String, EngineState>,
+    pending: BTreeMap<OrderId, PendingOrder>,
+    queue: LoadQueue,
+}
+
+#[derive(Clone, Debug)]
+struct PendingOrder {
+    order: EngineOrder,
+    first_sent: ClockTime,
+    last_sent: ClockTime,
+}
+
+impl OrderTable {
+    /// The orders of the holder with number `fence`; none yet.
+    pub fn new(settings: OrderSettings, fence: FenceNumber, now: ClockTime) -> Self {
+        Self {
+            settings,
+            fence,
+            next_number: 0,
+            engines: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            queue: LoadQueue::new(settings.rate, now),
+        }
+    }
+
+    /// What an engine shall be, and how urgently it is needed.
+    pub fn plan(&mut self, engine: &str, target: EngineTarget, urgency: u32) {
+        let state = self.engines.entry(engine.to_owned()).or_default();
+        state.target = target;
+        state.urgency = urgency;
+    }
+
+    /// What an engine was seen to be.
+    pub fn observe(&mut self, engine: &str, sight: EngineSight) {
+        let state = self.engines.entry(engine.to_owned()).or_default();
+        state.see(sight);
+    }
+
+    /// The engine is gone.
+    pub fn forget(&mut self, engine: &str) {
+        self.engines.remove(engine);
+    }
+
+    /// The engine answered that it carries the order out. False where the order is not under way.
+    pub fn answered(&mut self, id: OrderId) -> bool {
+        let Some(pending) = self.pending.get(&id) else {
+            return false;
+        };
+        let Some(state) = self.engines.get_mut(&pending.order.engine) else {
+            return false;
+        };
+        match pending.order.action {
+            OrderAction::SetRole { role } => state.role = role,
+            OrderAction::SetDrain { drain } => state.drain = drain,
+            OrderAction::Load { .. } | OrderAction::Unload { .. } => {}
+        }
+        true
+    }
+
+    /// Orders to send now: new ones, and those to send again.
+    ///
+    /// `may_order` says for an engine whether the [`OrderGate`](crate::OrderGate) is open, and
+    /// `size_of` gives a model's megabytes.
+    pub fn due(
+        &mut self,
+        now: ClockTime,
+        mut may_order: impl FnMut(&str) -> bool,
+        size_of: impl Fn(&str) -> u32,
+    ) -> Vec<EngineOrder> {
+        let wanted = self.wanted();
+        self.drop_unwanted(&wanted, now);
+        let under_way = self.under_way();
+        let mut starts = Vec::new();
+        for key in wanted {
+            if under_way.contains(&key) {
+                continue;
+            }
+            match &key.action {
+                OrderAction::Load { model, .. } => {
+                    let urgency = self
+                        .engines
+                        .get(&key.engine)
+                        .map_or(0, |state| state.urgency);
+                    let size = size_of(model);
+                    self.queue.want(key, size, urgency);
+                }
+                _ if may_order(&key.engine) => starts.push(key),
+                _ => {}
+            }
+        }
+        let resent = self.resend(now, &mut may_order);
+        while let Some(key) = self.queue.start_next(now, |key| may_order(&key.engine)) {
+            starts.push(key);
+        }
+        let mut orders: Vec<EngineOrder> =
+            starts.into_iter().map(|key| self.start(key, now)).collect();
+        orders.extend(resent);
+        orders
+    }
+
+    /// Orders under way.
+    pub fn pending(&self) -> impl Iterator<Item = &EngineOrder> {
+        self.pending.values().map(|pending| &pending.order)
+    }
+
+    /// Loads waiting for the weight store.
+    pub fn waiting_loads(&self) -> usize {
+        self.queue.waiting()
+    }
+
+    fn start(&mut self, key: OrderKey, now: ClockTime) -> EngineOrder {
+        self.next_number += 1;
+        let id = OrderId {
+            fence: self.fence,
+            number: self.next_number,
+        };
+        let OrderKey { engine, action } = key;
+        let order = EngineOrder { id, engine, action };
+        let pending = PendingOrder {
+            order: order.clone(),
+            first_sent: now,
+            last_sent: now,
+        };
+        self.pending.insert(id, pending);
+        order
+    }
+
+    /// What the orders under way are about.
+    fn under_way(&self) -> BTreeSet<OrderKey> {
+        let orders = self.pending.values().map(|pending| &pending.order);
+        orders.map(OrderKey::from).collect()
+    }
+
+    /// Everything in which an engine differs from its target.
+    fn wanted(&self) -> BTreeSet<OrderKey> {
+        let mut wanted = BTreeSet::new();
+        for (name, state) in &self.engines {
+            let actions = state.differences().into_iter();
+            let engine = || name.clone();
+            wanted.extend(actions.map(|action| OrderKey {
+                engine: engine(),
+                action,
+            }));
+        }
+        wanted
+    }
+
+    /// Forgets orders whose effect is seen or no longer wanted, and loads that take too long.
+    fn drop_unwanted(&mut self, wanted: &BTreeSet<OrderKey>, now: ClockTime) {
+        let load_bound = self.settings.load_bound;
+        let queue = &mut self.queue;
+        self.pending.retain(|_, pending| {
+            let key = OrderKey::from(&pending.order);
+            let is_load = matches!(key.action, OrderAction::Load { .. });
+            let late = is_load && now.since(pending.first_sent) > load_bound;
+            let keep = wanted.contains(&key) && !late;
+            if !keep {
+                queue.drop_load(&key);
+            }
+            keep
+        });
+        self.queue.keep_waiting(|key| wanted.contains(key));
+    }
+
+    fn resend(
+        &mut self,
+        now: ClockTime,
+        may_order: &mut impl FnMut(&str) -> bool,
+    ) -> Vec<EngineOrder> {
+        let resend_after = self.settings.resend_after;
+        let mut resent = Vec::new();
+        for pending in self.pending.values_mut() {
+            let due = now.since(pending.last_sent) >= resend_after;
+            if due && may_order(&pending.order.engine) {
+                pending.last_sent = now;
+                resent.push(pending.order.clone());
+            }
+        }
+        resent
+    }
+}
