Tell loads as the home counts them; forget a restarted asker's slots

Cause: gossip told an engine's own late report; an old report passed for a fresh one when facts changed; slots of a node that crashed and came back before it was missed stayed counted for ten minutes.

--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -42,9 +42,8 @@
         let endpoint = EndpointId::from_name(&call.announce.name);
         let load = call.announce.load;
         let events = call.announce.cache_events.clone();
-        let actions = self
-            .membership
-            .handle(GossipInput::Announce(call.announce), now);
+        let announce = self.with_own_count(call.announce, now);
+        let actions = self.membership.handle(GossipInput::Announce(announce), now);
         self.do_gossip(actions, now);
         if let HomeState::Home { .. } = self.membership.home_state(endpoint, now) {
             self.route.observe_report(endpoint, load, now);
@@ -53,6 +52,23 @@
         Ok(self.membership.announce_answer(endpoint, now))
     }
 
+    /// An announcement with the load that this node knows exactly, where it is the home.
+    ///
+    /// Other nodes choose by what gossip tells them. The endpoint's own report is older than the
+    /// home's count of what it admitted.
+    fn with_own_count(&self, announce: AnnounceWire, now: ClockTime) -> AnnounceWire {
+        let endpoint = EndpointId::from_name(&announce.name);
+        let is_home = self.membership.home_state(endpoint, now).admits_at(now);
+        let Some(running) = self.route.load_of(endpoint).filter(|_| is_home) else {
+            return announce;
+        };
+        let load = LoadReport {
+            running,
+            ..LoadReport::default()
+        };
+        AnnounceWire { load, ..announce }
+    }
+
     /// Lets time pass for membership.
     pub(crate) fn tick_membership(&mut self, now: ClockTime) {
         let actions = self.membership.handle(GossipInput::Tick, now);
@@ -184,11 +200,6 @@
             drained: self.follow.config.drains_endpoint(&record.name),
         };
         self.route.upsert_endpoint(facts, exclusive_from);
-        if home == self.node
-            && let Some(load) = self.membership.home_load(endpoint)
-        {
-            self.route.observe_report(endpoint, load, now);
-        }
     }
 
     /// Tells the route table that loads are as they were last told.
--- a/crates/ragwortroad_node/src/control/slot_flow.rs
+++ b/crates/ragwortroad_node/src/control/slot_flow.rs
@@ -48,7 +48,12 @@
                 customer,
                 returning,
                 request,
+                run,
             } => {
+                if self.grants.is_new_run(from, run) {
+                    self.route.node_gone(from, now);
+                    self.grants.node_gone(from);
+                }
                 let customer = CustomerKey(customer);
                 let claim = match returning {
                     true => SlotClaim::Returning,
@@ -154,6 +159,7 @@
             customer: plan.customer_key.0,
             returning: claim == SlotClaim::Returning,
             request: plan.call.request,
+            run: self.incarnation,
         };
         self.send_slots(home, &message);
     }
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -73,7 +73,11 @@
 /// Share of first attempts that may be repeated, and retries that are saved up for quiet times.
 const RETRY_SHARE: f64 = 0.1;
 /// Retries a node may make before it has earned any.
-const RETRY_RESERVE: u32 = 10;
+const RETRY_RESERVE: u32 = 32;
+
+/// Shortest time between two loads of one endpoint told to the fleet. Older loads make nodes crowd
+/// the engine that was idle a moment ago; the gossip budget bounds what newer ones cost.
+const LOAD_SPACING: Duration = Duration::from_secs(1);
 
 /// How long a page may take the control thread.
 const PAGE_PATIENCE: Duration = Duration::from_secs(2);
@@ -358,6 +362,7 @@
     let membership = MembershipSettings {
         seeds: seeds.collect(),
         clock_drift: settings.state.drift_permille as f64 / 1000.0,
+        load_spacing: LOAD_SPACING,
         ..MembershipSettings::default()
     };
     let record = NodeRecord {
--- a/crates/ragwortroad_node/src/slot/grant_book.rs
+++ b/crates/ragwortroad_node/src/slot/grant_book.rs
@@ -17,6 +17,8 @@
     grants: BTreeMap<(NodeId, u64), GrantRecord>,
     /// Released lately, with the time of the release.
     ended: BTreeMap<(NodeId, u64), ClockTime>,
+    /// The run of each asker's process, as it last said.
+    runs: BTreeMap<NodeId, u64>,
 }
 
 /// One granted question.
@@ -55,6 +57,15 @@
         }
     }
 
+    /// Notes an asker's run; true where its process was started anew since it last asked.
+    ///
+    /// A node that crashes and is back before it is missed gives nothing back of what its former
+    /// run held. Without this those slots would count until their longest life is over.
+    pub(crate) fn is_new_run(&mut self, asker: NodeId, run: u64) -> bool {
+        let former = self.runs.insert(asker, run);
+        former.is_some_and(|former| former != run)
+    }
+
     /// Notes a grant.
     pub(crate) fn grant(&mut self, asker: NodeId, question: u64, record: GrantRecord) {
         self.grants.insert((asker, question), record);
--- a/crates/ragwortroad_node/src/wire/slot_message.rs
+++ b/crates/ragwortroad_node/src/wire/slot_message.rs
@@ -26,6 +26,8 @@
         returning: bool,
         /// The request, for the time line.
         request: RequestId,
+        /// Differs between runs of the asker's process.
+        run: u64,
     },
     /// The home's answer.
     Answer {
