--- a/crates/ragwortroad_demo/tests/failures/operators.rs
+++ b/crates/ragwortroad_demo/tests/failures/operators.rs
@@ -197,6 +197,10 @@
         let customer = cut;
         let caller = TestCaller::new(&fleet.plan, customer);
         let others: Vec<usize> = (0..4).filter(|number| *number != cut).collect();
+        wait_until("service before the cut", || {
+            caller.read(&fleet.address(cut)).is_answered()
+        })
+        .unwrap();
         let stops = AtomicBool::new(false);
         let (calls, reported) = thread::scope(|scope| {
             let load = scope.spawn(|| {
--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -144,6 +144,7 @@
         self.change(key, |state| state.ledger.sweep(now));
         let state = self.arena[key.index()].as_ref()?;
         if !self.may_admit(state, customer, now) {
+            self.change(key, |state| state.ledger.note_refused(customer, now));
             return None;
         }
         let slot = SlotId(self.next_slot);
@@ -161,14 +162,18 @@
             return false;
         }
         let load = state.ledger.load();
-        if load >= self.limit_of(state, now) {
+        let limit = self.limit_of(state, now);
+        if load >= limit {
             return false;
         }
-        let room = f64::from(self.room_of(state));
-        if f64::from(load) < room * (1.0 - self.settings.fair_reserve) {
+        // Shares are parts of what may be admitted now; of an engine's whole room, which the bound
+        // seldom lets it reach, they would never be used up.
+        let room = f64::from(limit);
+        // Counted with the slot asked for: at small bounds the reserve would round to nothing.
+        if f64::from(load + 1) <= room * (1.0 - self.settings.fair_reserve) {
             return true;
         }
-        let (own, customers) = state.ledger.share_of(customer);
+        let (own, customers) = state.ledger.share_of(customer, now);
         f64::from(own) < room / f64::from(customers)
     }
 }
--- a/crates/ragwortroad_routing/src/table/slot_ledger.rs
+++ b/crates/ragwortroad_routing/src/table/slot_ledger.rs
@@ -25,6 +25,8 @@
     /// Slots held by each customer.
     /// Invariant: no count is zero, and their sum is the number of slots.
     customers: BTreeMap<CustomerKey, u32>,
+    /// Customers that were refused a slot lately, by when.
+    refused: BTreeMap<CustomerKey, ClockTime>,
     /// Recently ended slots, to tell what a late report still included.
     ended: VecDeque<(ClockTime, ClockTime)>,
     /// Work that an earlier home admitted, by the endpoint's reports.
@@ -43,6 +45,9 @@
     ends_at: ClockTime,
 }
 
+/// How long a customer that was refused counts among those that share an endpoint.
+const WANT_SPAN: Duration = Duration::from_secs(2);
+
 /// How long ended slots are kept; reports older than that say nothing.
 const ENDED_SPAN: Duration = Duration::from_secs(5);
 
@@ -53,10 +58,25 @@
     }
 
     /// Slots of `customer`, and the number of customers that would hold one with it.
-    pub(crate) fn share_of(&self, customer: CustomerKey) -> (u32, u32) {
+    ///
+    /// Who was refused lately counts: else a customer that holds every slot would share with
+    /// nobody, and take each slot that ends before the others ask again.
+    pub(crate) fn share_of(&self, customer: CustomerKey, now: ClockTime) -> (u32, u32) {
         let own = self.customers.get(&customer).copied().unwrap_or(0);
-        let others = self.customers.len() as u32 - u32::from(own > 0);
-        (own, others + 1)
+        let holders = self.customers.keys();
+        let holders = holders.filter(|other| **other != customer).count();
+        let wants = |(other, at): &(&CustomerKey, &ClockTime)| {
+            let is_new = **other != customer && !self.customers.contains_key(other);
+            is_new && now.since(**at) < WANT_SPAN
+        };
+        let waiting = self.refused.iter().filter(wants).count();
+        (own, (holders + waiting) as u32 + 1)
+    }
+
+    /// Notes that `customer` was refused a slot.
+    pub(crate) fn note_refused(&mut self, customer: CustomerKey, now: ClockTime) {
+        self.refused.retain(|_, at| now.since(*at) < WANT_SPAN);
+        self.refused.insert(customer, now);
     }
 
     /// The time between two slots that end, at the present load.
