Let fair shares bind at the bound only while a customer gets nothing

Change: a customer counts as starved once three requests in a row were refused; only then is a home asked that looks full, and only then do shares bind.

--- a/crates/ragwortroad_bench/src/run/request_flow.rs
+++ b/crates/ragwortroad_bench/src/run/request_flow.rs
@@ -237,6 +237,9 @@
         let live = &mut self.requests[request as usize];
         live.engine = engine;
         live.attempts += 1;
+        let (node, arrival) = (live.node, live.arrival);
+        let customer = self.plan.arrivals[arrival].customer as usize;
+        self.nodes[node].table.note_placed(customer_key(customer));
         let node = live.node;
         self.on_way[engine] += 1;
         self.nodes[node].view.engines[engine].sent += 1;
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -137,6 +137,7 @@
             claim: plan.claim.clone(),
         });
         self.note_dispatch(&plan, endpoint);
+        self.route.note_placed(plan.customer_key);
         let grant = AdmitGrant {
             ticket,
             endpoint,
--- a/crates/ragwortroad_node/src/control/slot_flow.rs
+++ b/crates/ragwortroad_node/src/control/slot_flow.rs
@@ -46,7 +46,7 @@
                 question,
                 endpoint,
                 customer,
-                returning,
+                claim,
                 request,
                 run,
             } => {
@@ -55,10 +55,7 @@
                     self.grants.node_gone(from);
                 }
                 let customer = CustomerKey(customer);
-                let claim = match returning {
-                    true => SlotClaim::Returning,
-                    false => SlotClaim::Arriving,
-                };
+                let claim = claim.into();
                 let answer = self.answer_ask((from, question), endpoint, (customer, claim), now);
                 let granted = answer == SlotVerdict::Granted;
                 self.note_slot(from, request, endpoint, granted);
@@ -157,7 +154,7 @@
             question,
             endpoint,
             customer: plan.customer_key.0,
-            returning: claim == SlotClaim::Returning,
+            claim: claim.into(),
             request: plan.call.request,
             run: self.incarnation,
         };
--- a/crates/ragwortroad_node/src/wire/slot_message.rs
+++ b/crates/ragwortroad_node/src/wire/slot_message.rs
@@ -22,8 +22,8 @@
         endpoint: EndpointId,
         /// The customer's key in the route table.
         customer: u64,
-        /// Whether the request's context is at the endpoint.
-        returning: bool,
+        /// What the request has to lose by going elsewhere.
+        claim: AskClaim,
         /// The request, for the time line.
         request: RequestId,
         /// Differs between runs of the asker's process.
@@ -57,6 +57,37 @@
     Share(Vec<(u64, u16, u16)>),
 }
 
+/// A [`SlotClaim`] on the wire.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum AskClaim {
+    /// One endpoint is as good as another.
+    Arriving,
+    /// Its context is at the endpoint.
+    Returning,
+    /// Its customer was refused everywhere a moment ago.
+    Starved,
+}
+
+impl From<SlotClaim> for AskClaim {
+    fn from(claim: SlotClaim) -> Self {
+        match claim {
+            SlotClaim::Arriving => Self::Arriving,
+            SlotClaim::Returning => Self::Returning,
+            SlotClaim::Starved => Self::Starved,
+        }
+    }
+}
+
+impl From<AskClaim> for SlotClaim {
+    fn from(claim: AskClaim) -> Self {
+        match claim {
+            AskClaim::Arriving => Self::Arriving,
+            AskClaim::Returning => Self::Returning,
+            AskClaim::Starved => Self::Starved,
+        }
+    }
+}
+
 /// A home's answer on the wire.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum SlotVerdict {
--- a/crates/ragwortroad_routing/src/table/route_choice.rs
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    CustomerKey,
     EndpointKey,
     RouteDecision,
     RouteQuery,
@@ -25,6 +26,13 @@
 /// or memory and cost no message.
 const TRIES: usize = 4;
 
+/// Requests of a customer refused one after the other from which on it counts as starved. Past
+/// saturation everybody is refused now and then; that alone must change no share.
+const STARVED_COUNT: u32 = 3;
+
+/// How long a customer whose request was refused for want of room counts as starved.
+pub(crate) const STARVED_SPAN: Duration = Duration::from_secs(5);
+
 /// What the table decides.
 impl RouteTable {
     /// Where a request goes now.
@@ -62,16 +70,30 @@
             let retry_after = self.settings.hold_step;
             return RouteDecision::Hold { retry_after };
         }
+        let refused = self.refused.entry(query.customer).or_default();
+        *refused = (refused.0 + 1, now);
         self.refuse(RefusalCode::Overloaded)
     }
 
-    /// Asks a home although the endpoint looks full from here, once for a request.
+    /// Notes that a request of the customer was placed.
+    pub fn note_placed(&mut self, customer: CustomerKey) {
+        self.refused.remove(&customer);
+    }
+
+    /// Whether the customer's last requests here were all refused for want of room.
+    fn is_starved(&self, customer: CustomerKey, now: ClockTime) -> bool {
+        let refused = self.refused.get(&customer);
+        refused.is_some_and(|(count, at)| *count >= STARVED_COUNT && now.since(*at) < STARVED_SPAN)
+    }
+
+    /// Asks a home for a starved customer although the endpoint looks full from here, once for a
+    /// request.
     ///
     /// Under a surge the digests always say full, and only the home knows which customer has less
     /// than its share. A node that went by the digests alone would refuse a small customer for as
     /// long as a large one surges, while the homes keep room that nobody asks for.
     fn ask_anyway(&self, query: &RouteQuery<'_>, now: ClockTime) -> Option<RouteDecision> {
-        if query.refusals > 0 {
+        if query.refusals > 0 || !self.is_starved(query.customer, now) {
             return None;
         }
         let pool = self.pools.get(&query.offer)?;
@@ -87,7 +109,7 @@
             endpoint,
             home,
             reason: RouteReason::Hash,
-            claim: SlotClaim::Arriving,
+            claim: SlotClaim::Starved,
         })
     }
 
@@ -246,6 +268,7 @@
         now: ClockTime,
     ) -> Option<RouteDecision> {
         let claim = match reason {
+            _ if self.is_starved(query.customer, now) => SlotClaim::Starved,
             RouteReason::Hash => SlotClaim::Arriving,
             RouteReason::Hint | RouteReason::Memory | RouteReason::Prefix => SlotClaim::Returning,
         };
--- a/crates/ragwortroad_routing/src/table/route_table.rs
+++ b/crates/ragwortroad_routing/src/table/route_table.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::{
+    CustomerKey,
     EndpointKey,
     FleetKey,
     OfferKey,
@@ -47,6 +48,9 @@
     pub(crate) memory: ChatMemory,
     pub(crate) prefixes: PrefixMemory,
     pub(crate) outliers: OutlierTable,
+    /// Requests of each customer that were refused here for want of room since its last one that
+    /// was placed, with the time of the latest.
+    pub(crate) refused: BTreeMap<CustomerKey, (u32, ClockTime)>,
     pub(crate) next_slot: u64,
 }
 
@@ -76,6 +80,7 @@
             memory,
             prefixes,
             outliers,
+            refused: BTreeMap::new(),
             next_slot: 0,
         }
     }
--- a/crates/ragwortroad_routing/src/table/slot_claim.rs
+++ b/crates/ragwortroad_routing/src/table/slot_claim.rs
@@ -6,4 +6,6 @@
     Arriving,
     /// Its context is at the endpoint.
     Returning,
+    /// Its customer was refused everywhere a moment ago.
+    Starved,
 }
--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -150,8 +150,11 @@
     ) -> Option<SlotId> {
         self.change(key, |state| state.ledger.sweep(now));
         let state = self.arena[key.index()].as_ref()?;
-        if !self.may_admit(state, customer, claim, now) {
-            self.change(key, |state| state.ledger.note_refused(customer, now));
+        let admits = self.may_admit(state, customer, claim, now);
+        if claim == SlotClaim::Starved {
+            self.change(key, |state| state.ledger.note_starved(customer, now));
+        }
+        if !admits {
             return None;
         }
         let slot = SlotId(self.next_slot);
@@ -179,16 +182,20 @@
         if load >= limit {
             return false;
         }
-        // Shares are parts of what may be admitted now; of an engine's whole room, which the bound
-        // seldom lets it reach, they would never be used up.
-        let room = f64::from(limit);
+        // While another customer gets nothing anywhere, shares are parts of what may be admitted
+        // now; of an engine's whole room, which the bound seldom lets it reach, they would never be
+        // used up. At other times that would only send chats away from their context.
+        let room = match state.ledger.starves_beside(customer, now) {
+            true => f64::from(limit),
+            false => f64::from(self.room_of(state)),
+        };
         // Counted with the slot asked for: at small bounds the reserve would round to nothing.
         if f64::from(load + 1) <= room * (1.0 - self.settings.fair_reserve) {
             return true;
         }
         let (own, customers) = state.ledger.share_of(customer, now);
         let share = match claim {
-            SlotClaim::Returning => 1.0,
+            SlotClaim::Returning | SlotClaim::Starved => 1.0,
             SlotClaim::Arriving => ARRIVING_SHARE,
         };
         f64::from(own) < share * room / f64::from(customers)
--- a/crates/ragwortroad_routing/src/table/slot_ledger.rs
+++ b/crates/ragwortroad_routing/src/table/slot_ledger.rs
@@ -25,8 +25,8 @@
     /// Slots held by each customer.
     /// Invariant: no count is zero, and their sum is the number of slots.
     customers: BTreeMap<CustomerKey, u32>,
-    /// Customers that were refused a slot lately, by when.
-    refused: BTreeMap<CustomerKey, ClockTime>,
+    /// Customers that asked lately after they were refused everywhere, by when.
+    starved: BTreeMap<CustomerKey, ClockTime>,
     /// Recently ended slots, to tell what a late report still included.
     ended: VecDeque<(ClockTime, ClockTime)>,
     /// Work that an earlier home admitted, by the endpoint's reports.
@@ -47,7 +47,7 @@
     ends_at: ClockTime,
 }
 
-/// How long a customer that was refused counts among those that share an endpoint.
+/// How long a customer that was refused everywhere counts among those that share an endpoint.
 const WANT_SPAN: Duration = Duration::from_secs(2);
 
 /// Reports in a row that must miss a slot's request before it counts as ended: a request on its way
@@ -66,7 +66,7 @@
 
     /// Slots of `customer`, and the number of customers that would hold one with it.
     ///
-    /// Who was refused lately counts: else a customer that holds every slot would share with
+    /// Who was refused everywhere lately counts: else a customer that holds every slot would share with
     /// nobody, and take each slot that ends before the others ask again.
     pub(crate) fn share_of(&self, customer: CustomerKey, now: ClockTime) -> (u32, u32) {
         let own = self.customers.get(&customer).copied().unwrap_or(0);
@@ -76,14 +76,20 @@
             let is_new = **other != customer && !self.customers.contains_key(other);
             is_new && now.since(**at) < WANT_SPAN
         };
-        let waiting = self.refused.iter().filter(wants).count();
+        let waiting = self.starved.iter().filter(wants).count();
         (own, (holders + waiting) as u32 + 1)
     }
 
-    /// Notes that `customer` was refused a slot.
-    pub(crate) fn note_refused(&mut self, customer: CustomerKey, now: ClockTime) {
-        self.refused.retain(|_, at| now.since(*at) < WANT_SPAN);
-        self.refused.insert(customer, now);
+    /// Notes that `customer` asks after it was refused everywhere.
+    pub(crate) fn note_starved(&mut self, customer: CustomerKey, now: ClockTime) {
+        self.starved.retain(|_, at| now.since(*at) < WANT_SPAN);
+        self.starved.insert(customer, now);
+    }
+
+    /// Whether another customer than this one gets nothing anywhere.
+    pub(crate) fn starves_beside(&self, customer: CustomerKey, now: ClockTime) -> bool {
+        let mut starved = self.starved.iter();
+        starved.any(|(other, at)| *other != customer && now.since(*at) < WANT_SPAN)
     }
 
     /// The time between two slots that end, at the present load.
--- a/crates/ragwortroad_routing/src/table/table_inputs.rs
+++ b/crates/ragwortroad_routing/src/table/table_inputs.rs
@@ -13,6 +13,7 @@
     RouteTable,
     table::{
         endpoint_state::EndpointState,
+        route_choice::STARVED_SPAN,
         route_table::PoolEntry, //
     }, //
 };
@@ -123,6 +124,8 @@
         for key in self.keys() {
             self.change(key, |state| state.ledger.sweep(now));
         }
+        self.refused
+            .retain(|_, (_, at)| now.since(*at) < STARVED_SPAN);
     }
 
     fn keys(&self) -> Vec<EndpointKey> {
