--- a/crates/ragwortroad_routing/src/table/table_inputs.rs
+++ b/crates/ragwortroad_routing/src/table/table_inputs.rs
@@ -64,6 +64,9 @@
     }
 
     /// Takes in an endpoint's own report of its load; for its home only.
+    ///
+    /// Each report is to be handed in once, when it comes: its age counts from `now`. One handed in
+    /// again later would pass for news, and hide what was sent to the endpoint since.
     pub fn observe_report(&mut self, endpoint: EndpointId, report: LoadReport, now: ClockTime) {
         if let Some(key) = self.ids.get(&endpoint).copied() {
             self.change(key, |state| state.observe(report, now));
