Hold back only those customers that have their part while another waits

Change: shares are parts of an engine's room again and homes that look full are not asked; only a customer that has its part of the bound is held back, and only while one that holds nothing there was refused in the last 2 s. Ruled out: asking anyway, which the small customer turned out not to need. The surge test still passes.

--- a/crates/ragwortroad_routing/src/table/route_choice.rs
+++ b/crates/ragwortroad_routing/src/table/route_choice.rs
@@ -55,9 +55,6 @@
             }
             ranking.skip(key);
         }
-        if let Some(decision) = self.ask_anyway(query, now) {
-            return decision;
-        }
         if query.waited < self.settings.hold_any {
             let retry_after = self.settings.hold_step;
             return RouteDecision::Hold { retry_after };
@@ -65,32 +62,6 @@
         self.refuse(RefusalCode::Overloaded)
     }
 
-    /// Asks a home although the endpoint looks full from here, once for a request.
-    ///
-    /// Under a surge the digests always say full, and only the home knows which customer has less
-    /// than its share. A node that went by the digests alone would refuse a small customer for as
-    /// long as a large one surges, while the homes keep room that nobody asks for.
-    fn ask_anyway(&self, query: &RouteQuery<'_>, now: ClockTime) -> Option<RouteDecision> {
-        if query.refusals > 0 {
-            return None;
-        }
-        let pool = self.pools.get(&query.offer)?;
-        let elsewhere = pool.iter().filter_map(|entry| {
-            let state = self.arena[entry.key.index()].as_ref()?;
-            let facts = &state.facts;
-            let may_ask = !self.is_home(state) && state.view.full_until <= now;
-            let usable = may_ask && !state.set_aside && !query.excluded.contains(&facts.id);
-            usable.then_some((score(entry.seed, query.salt), facts.id, facts.home))
-        });
-        let (_, endpoint, home) = elsewhere.max_by_key(|(rank, ..)| *rank)?;
-        Some(RouteDecision::AskHome {
-            endpoint,
-            home,
-            reason: RouteReason::Hash,
-            claim: SlotClaim::Arriving,
-        })
-    }
-
     /// How long to wait for room at the place that holds the request's context, if it is worth it.
     ///
     /// Without this a chat whose engine is at its bound for a moment is computed anew elsewhere,
--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -179,14 +179,16 @@
         if load >= limit {
             return false;
         }
-        // Shares are parts of what may be admitted now; of an engine's whole room, which the bound
-        // seldom lets it reach, they would never be used up.
-        let room = f64::from(limit);
-        // Counted with the slot asked for: at small bounds the reserve would round to nothing.
-        if f64::from(load + 1) <= room * (1.0 - self.settings.fair_reserve) {
+        let (own, customers, waiting) = state.ledger.share_of(customer, now);
+        // A customer that holds nothing here and was refused lately gets the next slot that ends,
+        // rather than one that has its part of what may be admitted now.
+        if waiting > 0 && own > 0 && own * (customers + waiting) >= limit {
+            return false;
+        }
+        let room = f64::from(self.room_of(state));
+        if f64::from(load) < room * (1.0 - self.settings.fair_reserve) {
             return true;
         }
-        let (own, customers) = state.ledger.share_of(customer, now);
         let share = match claim {
             SlotClaim::Returning => 1.0,
             SlotClaim::Arriving => ARRIVING_SHARE,
--- a/crates/ragwortroad_routing/src/table/slot_ledger.rs
+++ b/crates/ragwortroad_routing/src/table/slot_ledger.rs
@@ -64,11 +64,12 @@
         (self.slots.len() as u32).saturating_sub(ghosts) + self.inherited
     }
 
-    /// Slots of `customer`, and the number of customers that would hold one with it.
+    /// Slots of `customer`, the number of customers that would hold one with it, and of those that
+    /// hold none and were refused lately.
     ///
-    /// Who was refused lately counts: else a customer that holds every slot would share with
+    /// Without the last number a customer that holds every slot would share with
     /// nobody, and take each slot that ends before the others ask again.
-    pub(crate) fn share_of(&self, customer: CustomerKey, now: ClockTime) -> (u32, u32) {
+    pub(crate) fn share_of(&self, customer: CustomerKey, now: ClockTime) -> (u32, u32, u32) {
         let own = self.customers.get(&customer).copied().unwrap_or(0);
         let holders = self.customers.keys();
         let holders = holders.filter(|other| **other != customer).count();
@@ -77,7 +78,7 @@
             is_new && now.since(**at) < WANT_SPAN
         };
         let waiting = self.refused.iter().filter(wants).count();
-        (own, (holders + waiting) as u32 + 1)
+        (own, holders as u32 + 1, waiting as u32)
     }
 
     /// Notes that `customer` was refused a slot.
