Tell the state alone of nodes that come back unchanged

After a parted region heals every node refutes its own removal; each refutation carried the whole record for a minute. Whoever lacks the rest asks for it.

--- a/crates/ragwortroad_membership/examples/gossip_cost.rs
+++ b/crates/ragwortroad_membership/examples/gossip_cost.rs
@@ -1,7 +1,8 @@
 //! What membership costs each node, by size of the fleet and by what goes on.
 //!
 //! ```text
-//! cargo run --release -p ragwortroad_membership --example gossip_cost -- [--seed N] [--long]
+//! cargo run --release -p ragwortroad_membership --example gossip_cost -- \
+//!     [--seed N] [--nodes N] [--long]
 //! ```
 //!
 //! Bytes are those a node sends, on the wire: packets' content, 140 bytes for each packet (QUIC,
@@ -165,11 +166,12 @@
 
 fn main() {
     let words: Vec<String> = std::env::args().collect();
-    let seed = words
-        .iter()
-        .position(|word| word == "--seed")
-        .and_then(|at| words.get(at + 1)?.parse().ok())
-        .unwrap_or(1);
+    let number = |flag: &str| -> Option<u64> {
+        let at = words.iter().position(|word| word == flag)?;
+        words.get(at + 1)?.parse().ok()
+    };
+    let seed = number("--seed").unwrap_or(1);
+    let only = number("--nodes");
     let long = words.iter().any(|word| word == "--long");
     println!(
         "bytes and packets are per node and second; content is nodes/endpoints/load/comparing"
@@ -179,6 +181,9 @@
     );
     let all = [(9, 23, 3), (40, 90, 6), (120, 265, 9), (340, 750, 11)];
     for (nodes, endpoints, zones) in all {
+        if only.is_some_and(|only| only != nodes as u64) {
+            continue;
+        }
         let empty = resident_kib();
         let mut fleet = FakeFleet::new(
             seed,
--- a/crates/ragwortroad_membership/src/node_table.rs
+++ b/crates/ragwortroad_membership/src/node_table.rs
@@ -14,6 +14,8 @@
     pub(crate) record: NodeRecord,
     /// Hash of the record's facts.
     pub(crate) facts: u16,
+    /// When its present facts were first known.
+    pub(crate) facts_since: ClockTime,
     /// When it appeared or last came back from being down.
     pub(crate) up_since: ClockTime,
     /// When its state last changed.
@@ -56,8 +58,13 @@
         let former = self.entries.get(&id);
         let same_state = former.is_some_and(|entry| entry.record.state == record.state);
         let was_present = former.is_some_and(|entry| entry.record.state.is_present());
+        let facts = record.facts_hash();
         let entry = NodeEntry {
-            facts: record.facts_hash(),
+            facts,
+            facts_since: match former {
+                Some(entry) if entry.facts == facts => entry.facts_since,
+                _ => now,
+            },
             up_since: match former {
                 Some(entry) if was_present => entry.up_since,
                 _ => now,
--- a/crates/ragwortroad_membership/src/table/news_items.rs
+++ b/crates/ragwortroad_membership/src/table/news_items.rs
@@ -22,7 +22,8 @@
     }, //
 };
 
-/// Time after a node appeared in which its whole record is told.
+/// Time after a node appeared or moved in which its whole record is told; later its state alone,
+/// and whoever does not know the rest asks for it.
 const NEW_NODE_TIME: Duration = Duration::from_secs(60);
 impl MembershipTable {
     /// The item that tells the news named by `key` as it stands now.
@@ -30,7 +31,7 @@
         match key {
             NewsKey::Node(id) => {
                 let entry = self.nodes.get(id)?;
-                if now.since(entry.up_since) < NEW_NODE_TIME {
+                if now.since(entry.facts_since) < NEW_NODE_TIME {
                     return Some(WireItem::Node((&entry.record).into()));
                 }
                 Some(WireItem::NodeState(NodeStateItem {
