--- a/crates/ragwortroad_types/src/announce_wire.rs
+++ b/crates/ragwortroad_types/src/announce_wire.rs
@@ -39,7 +39,8 @@
     pub incarnation: u64,
     /// Counts up by one with every announcement of one incarnation.
     pub sequence: u64,
-    /// Counts up whenever the endpoint starts announcing itself to another node.
+    /// Counts up whenever the endpoint starts announcing itself to another node, and whenever an
+    /// announcement got no answer, even if the next one goes to the same node.
     #[serde(default)]
     pub home_epoch: u64,
     /// Its load, somewhat late.
