Plan what engines hold and send them their orders

Cause: the leader took the lease for orders and gave none. Change: once a second the leader compares what is declared with what engines announce and puts targets into the log; a thread of its own sends the orders, checks the lease again on the open connection directly before the write, and bounds by the socket's user timeout how late an order can arrive. Engines that hold nothing declared are left alone. The wire type moves to the types crate and knows roles and drains; stand-in engines write every order down. [orders] in the settings holds the weight store's rate.

--- a/crates/ragwortroad_demo/src/fleet_plan.rs
+++ b/crates/ragwortroad_demo/src/fleet_plan.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use ragwortroad_settings::prelude::*;
 use ragwortroad_standin::prelude::*;
 
 /// What a small fleet consists of.
@@ -29,6 +30,8 @@
     pub follow_bound: Duration,
     /// `lease_ms` of the nodes.
     pub lease: Duration,
+    /// `[orders]` of the nodes.
+    pub orders: PlacementKeys,
 }
 
 impl Default for FleetPlan {
@@ -47,6 +50,7 @@
             desk: ServiceSettings::default(),
             follow_bound: Duration::from_secs(3),
             lease: Duration::from_millis(1200),
+            orders: PlacementKeys::default(),
         }
     }
 }
--- a/crates/ragwortroad_demo/src/small_fleet.rs
+++ b/crates/ragwortroad_demo/src/small_fleet.rs
@@ -381,6 +381,7 @@
             lease: plan.lease,
             ..StateSettings::default()
         },
+        orders: plan.orders.clone(),
         ..ProcessSettings::default()
     };
     Ok((0..plan.nodes).map(settings).collect())
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -31,6 +31,7 @@
     event_log::EventLog,
     member::member_seat::MemberSeat,
     node_secrets::NodeSecrets,
+    order::order_worker::OrderWorker,
     real_clock::RealClock,
     request::{
         claim_desk::ClaimDesk,
@@ -90,6 +91,8 @@
     pub(crate) releases: ReleaseQueue,
     /// Operators' lines passed on to the leader.
     pub(crate) lines: LineTable,
+    /// Sends orders to engines; started with the first grant.
+    pub(crate) orders: Option<OrderWorker>,
     /// Events for the time line.
     pub(crate) events: EventLog,
     /// No new work is taken in any more.
@@ -221,6 +224,7 @@
         self.tick_lines(now);
         self.send_claims(now);
         self.propose_claims(now);
+        self.tick_orders(now);
         self.note_currency(now);
         if now.since(self.second) >= SECOND {
             self.second = now;
@@ -235,7 +239,9 @@
         self.grants.tick(now);
         self.send_shares(now);
         self.repeat_releases(now);
+        self.plan_engines(now);
         self.publish_gauges(now);
+        self.publish_order_gauges(now);
     }
 
     /// Sends what the round has gathered.
@@ -272,6 +278,9 @@
                 None
             }
         };
+        if let Some(worker) = self.orders {
+            worker.join();
+        }
         if let Some(seat) = self.member {
             seat.disk.join();
         }
--- a/crates/ragwortroad_node/src/control/event_flow.rs
+++ b/crates/ragwortroad_node/src/control/event_flow.rs
@@ -2,6 +2,7 @@
 
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_membership::prelude::*;
+use ragwortroad_state::prelude::*;
 use ragwortroad_timeline::prelude::*;
 use ragwortroad_types::prelude::*;
 
@@ -63,6 +64,16 @@
         });
     }
 
+    /// Keeps an event about an order to an engine.
+    pub(crate) fn note_order(&mut self, kind: EventKind, id: OrderId, engine: &str, what: String) {
+        self.events.note(FleetEvent {
+            endpoint: Some(engine.to_owned()),
+            fence: Some(id.fence),
+            detail: format!("order {}: {what}", id.number),
+            ..FleetEvent::new(kind)
+        });
+    }
+
     /// Keeps an event about a request that was let in.
     pub(crate) fn note_plan(&mut self, kind: EventKind, plan: &RequestPlan, detail: String) {
         self.events.note(FleetEvent {
--- a/crates/ragwortroad_node/src/control/leader_flow.rs
+++ b/crates/ragwortroad_node/src/control/leader_flow.rs
@@ -9,7 +9,10 @@
 use ragwortroad_types::prelude::*;
 
 use crate::{
-    control::control_state::ControlState,
+    control::{
+        control_state::ControlState,
+        order_flow::order_settings, //
+    },
     member::{
         leader_desk::{
             ForceWatch,
@@ -23,7 +26,8 @@
             LineOrigin,
             ProposalKind, //
         }, //
-    }, //
+    },
+    order::order_worker::OrderWorker,
 };
 
 /// Time between two commands that only move the state's clock on, so that claims expire.
@@ -295,10 +299,17 @@
     pub(crate) fn orders_taken(&mut self, fence: FenceNumber, now: ClockTime) {
         self.note_lead(EventKind::LeaseGranted, Some(fence));
         let timing = order_timing(&self.settings.state);
+        let rules = order_settings(&self.settings.orders);
         let desk = self.member.as_mut().and_then(|seat| seat.desk.as_mut());
         if let Some(desk) = desk {
             desk.gate = Some(OrderGate::new(timing, fence, now));
-            desk.orders = Some(OrderTable::new(OrderSettings::default(), fence, now));
+            desk.orders = Some(OrderTable::new(rules, fence, now));
+        }
+        if self.orders.is_none() {
+            match OrderWorker::start(self.clock) {
+                Ok(worker) => self.orders = Some(worker),
+                Err(error) => tracing::error!(%error, "engines get no orders from this node"),
+            }
         }
     }
 }
--- a/crates/ragwortroad_node/src/control/mod.rs
+++ b/crates/ragwortroad_node/src/control/mod.rs
@@ -19,6 +19,7 @@
 pub(crate) mod line_flow;
 pub(crate) mod line_table;
 pub(crate) mod member_flow;
+pub(crate) mod order_flow;
 pub(crate) mod peer_flow;
 pub(crate) mod show_flow;
 pub(crate) mod slot_flow;
--- a/crates/ragwortroad_node/src/lib.rs
+++ b/crates/ragwortroad_node/src/lib.rs
@@ -23,6 +23,7 @@
 mod node_error;
 mod node_process;
 mod node_secrets;
+mod order;
 mod real_clock;
 mod request;
 mod slot;
--- a/crates/ragwortroad_node/src/member/leader_desk.rs
+++ b/crates/ragwortroad_node/src/member/leader_desk.rs
@@ -1,3 +1,5 @@
+use std::collections::BTreeSet;
+
 use ragwortroad_state::prelude::*;
 use ragwortroad_types::prelude::*;
 
@@ -17,6 +19,8 @@
     pub(crate) gate: Option<OrderGate>,
     /// Orders under way; made together with the gate.
     pub(crate) orders: Option<OrderTable>,
+    /// Engines that the orders know.
+    pub(crate) ordered: BTreeSet<String>,
     /// Claim steps that go into the next command.
     pub(crate) claims: Vec<(ClaimBatch, Vec<ClaimStep>)>,
     /// Accepted changes whose operators wait until they are in force everywhere.
@@ -46,6 +50,7 @@
             table: AdmissionTable::new(timing, now, state.longest_grace()),
             gate: None,
             orders: None,
+            ordered: BTreeSet::new(),
             claims: Vec::new(),
             forced: Vec::new(),
             held: Vec::new(),
--- a/crates/ragwortroad_node/src/member/proposal_kind.rs
+++ b/crates/ragwortroad_node/src/member/proposal_kind.rs
@@ -9,6 +9,8 @@
     Tick,
     /// The leader takes the lease for orders.
     TakeOrders,
+    /// What engines shall be.
+    Plan,
     /// Batches of claim steps, in the order in which they stand in the command.
     Claims(Vec<ClaimBatch>),
     /// An operator's change.
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -333,6 +333,7 @@
         grants: GrantBook::default(),
         releases: ReleaseQueue::default(),
         lines: LineTable::default(),
+        orders: None,
         draining: false,
         second: ClockTime::ZERO,
         said_hello: ClockTime::ZERO,
--- /dev/null
+++ b/crates/ragwortroad_node/src/order/mod.rs
@@ -0,0 +1,9 @@
+//! Orders to engines: what they shall hold, and the thread that sends the orders.
+
+pub(crate) mod engine_view;
+pub(crate) mod offer_history;
+pub(crate) mod order_report;
+pub(crate) mod order_worker;
+pub(crate) mod target_plan;
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/ragwortroad_node/src/order/offer_history.rs
@@ -0,0 +1,34 @@
+use std::collections::BTreeSet;
+
+use ragwortroad_state::prelude::*;
+
+/// What operators once declared and took back, as far as the kept changes tell.
+///
+/// It tells a model that is to leave the engines from one that nobody ever declared, which is none
+/// of the fleet's business.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct OfferHistory {
+    /// Models that were removed.
+    pub(crate) models: BTreeSet<String>,
+    /// Adapters that were removed, with their models.
+    pub(crate) adapters: BTreeSet<(String, String)>,
+}
+
+impl OfferHistory {
+    /// What the changes in `log` took back.
+    pub(crate) fn of(log: &ChangeLog) -> Self {
+        let mut history = Self::default();
+        for edit in log.history().flat_map(|change| &change.edits) {
+            match edit {
+                ConfigEdit::RemoveModel { model } => {
+                    history.models.insert(model.clone());
+                }
+                ConfigEdit::RemoveAdapter { model, adapter } => {
+                    history.adapters.insert((model.clone(), adapter.clone()));
+                }
+                _ => {}
+            }
+        }
+        history
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_node/src/order/order_worker.rs
@@ -0,0 +1,235 @@
+use std::{
+    collections::BTreeSet,
+    io,
+    net::SocketAddr,
+    thread::{
+        Builder,
+        JoinHandle, //
+    },
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use flume::{
+    Receiver,
+    Sender, //
+};
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    Request,
+    client::conn::http1::handshake,
+    header::{
+        CONTENT_TYPE,
+        HOST, //
+    }, //
+};
+use hyper_util::rt::TokioIo;
+use ragwortroad_state::prelude::*;
+use ragwortroad_types::prelude::*;
+use snafu::ResultExt;
+use socket2::SockRef;
+use tokio::{
+    net::TcpStream,
+    runtime,
+    task::JoinSet,
+    time::timeout, //
+};
+
+use crate::{
+    member::member_seat::ORDER_FLIGHT,
+    node_error::{
+        NodeError,
+        ThreadSnafu, //
+    },
+    order::order_report::{
+        OrderEnd,
+        OrderReport,
+        OrderTask, //
+    },
+    real_clock::RealClock,
+};
+
+/// The thread that sends orders to engines.
+///
+/// An engine that does not answer must hold up neither the control thread nor the orders to other
+/// engines, so orders under way share this thread side by side.
+#[derive(Debug)]
+pub(crate) struct OrderWorker {
+    tasks: Sender<OrderTask>,
+    reports: Receiver<OrderReport>,
+    thread: JoinHandle<()>,
+}
+
+/// Time to open a connection; nothing is sent meanwhile, so it is no part of an order's flight.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
+/// Time in which what was written must be acknowledged by the engine's kernel, or the own one ends
+/// the connection and sends nothing again. It holds also while this process is paused.
+const DELIVERY_LIMIT: Duration = Duration::from_secs(2);
+
+/// Time an engine may take from the arrival of an order until nothing of it lies in a queue.
+const ENGINE_QUEUE: Duration = Duration::from_secs(2);
+
+/// Time for an answer, which comes when a load is over.
+const ANSWER_LIMIT: Duration = Duration::from_secs(120);
+
+/// Largest answer that is read.
+const ANSWER_BYTES: usize = 64 * 1024;
+
+/// Orders under way at once.
+const MOST_TASKS: usize = 256;
+
+/// What the flight is made up of must leave room for the instructions between check and write.
+const _: () = assert!(
+    DELIVERY_LIMIT.as_millis() + ENGINE_QUEUE.as_millis() < ORDER_FLIGHT.as_millis(),
+    "an order could take effect after the next leader's wait"
+);
+
+impl OrderWorker {
+    /// Starts the thread.
+    pub(crate) fn start(clock: RealClock) -> Result<Self, NodeError> {
+        let (tasks, queue) = flume::unbounded();
+        let (results, reports) = flume::unbounded();
+        let runtime = runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .context(ThreadSnafu { name: "orders" })?;
+        let thread = Builder::new()
+            .name("orders".to_owned())
+            .spawn(move || runtime.block_on(serve_tasks(&queue, &results, clock)))
+            .context(ThreadSnafu { name: "orders" })?;
+        Ok(Self {
+            tasks,
+            reports,
+            thread,
+        })
+    }
+
+    /// Hands an order over; one that is still under way is not sent a second time.
+    pub(crate) fn send(&self, task: OrderTask) {
+        if self.tasks.send(task).is_err() {
+            tracing::error!("the order thread is gone; engines get no orders from this node");
+        }
+    }
+
+    /// What came of orders since the last call.
+    pub(crate) fn reports(&self) -> Vec<OrderReport> {
+        self.reports.try_iter().collect()
+    }
+
+    /// Cuts what is under way and joins the thread.
+    pub(crate) fn join(self) {
+        drop(self.tasks);
+        if self.thread.join().is_err() {
+            tracing::error!("the order thread panicked");
+        }
+    }
+}
+
+/// Sends orders until the control thread drops its end.
+async fn serve_tasks(queue: &Receiver<OrderTask>, results: &Sender<OrderReport>, clock: RealClock) {
+    let mut under_way = JoinSet::new();
+    let mut ids = BTreeSet::new();
+    loop {
+        tokio::select! {
+            task = queue.recv_async() => {
+                let Ok(task) = task else {
+                    return;
+                };
+                if ids.len() < MOST_TASKS && ids.insert(task.order.id) {
+                    under_way.spawn(send_order(task, clock));
+                }
+            }
+            Some(ended) = under_way.join_next() => {
+                let Ok(report) = ended else {
+                    continue;
+                };
+                ids.remove(&report.id);
+                if results.send(report).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+/// Sends one order and awaits its answer.
+async fn send_order(task: OrderTask, clock: RealClock) -> OrderReport {
+    let end = match connect(task.address).await {
+        Ok(stream) => exchange(stream, &task, clock).await,
+        Err(error) => OrderEnd::Failed(error.to_string()),
+    };
+    let EngineOrder { id, engine, .. } = task.order;
+    OrderReport { id, engine, end }
+}
+
+/// Opens a connection from which nothing arrives later than the limit after it was written.
+async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await??;
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(&stream);
+    // Without these the kernel would repeat a lost order for a quarter of an hour; it would arrive
+    // after the next leader's orders, and an engine that ignores fencing numbers would obey it.
+    socket.set_tcp_user_timeout(Some(DELIVERY_LIMIT))?;
+    socket.set_linger(Some(Duration::ZERO))?;
+    Ok(stream)
+}
+
+/// Writes the order if the gate is still open, and awaits the answer.
+async fn exchange(stream: TcpStream, task: &OrderTask, clock: RealClock) -> OrderEnd {
+    let request = match order_request(task) {
+        Ok(request) => request,
+        Err(error) => return OrderEnd::Failed(error),
+    };
+    let (mut sender, connection) = match handshake(TokioIo::new(stream)).await {
+        Ok(parts) => parts,
+        Err(error) => return OrderEnd::Failed(error.to_string()),
+    };
+    let answer = async {
+        // The connection is open; from here to the write there is nothing to wait for.
+        let gate = &task.gate;
+        gate.may_order(clock.now(), task.lead_until, task.checks_fencing)
+            .map_err(OrderEnd::Withheld)?;
+        let failed = |error: &dyn std::fmt::Display| OrderEnd::Failed(error.to_string());
+        let response = sender.send_request(request).await;
+        let response = response.map_err(|error| failed(&error))?;
+        let status = response.status().as_u16();
+        let body = Limited::new(response.into_body(), ANSWER_BYTES).collect();
+        // An answer that was cut confirms nothing.
+        body.await.map_err(|error| failed(&error))?;
+        Ok(status)
+    };
+    let ended = tokio::select! {
+        ended = timeout(ANSWER_LIMIT, answer) => ended,
+        end = drive(connection) => return end,
+    };
+    match ended {
+        Ok(Ok(200)) => OrderEnd::Confirmed,
+        Ok(Ok(status)) => OrderEnd::Refused(status),
+        Ok(Err(end)) => end,
+        Err(_) => OrderEnd::Failed("it took too long".to_owned()),
+    }
+}
+
+/// Moves a connection's bytes; ends when it broke without an answer.
+async fn drive(connection: impl Future<Output = hyper::Result<()>>) -> OrderEnd {
+    if let Err(error) = connection.await {
+        return OrderEnd::Failed(error.to_string());
+    }
+    // Closed in good order: the answer is on its way to its reader.
+    std::future::pending().await
+}
+
+fn order_request(task: &OrderTask) -> Result<Request<Full<Bytes>>, String> {
+    let wire = OrderWire::from(&task.order);
+    let body = serde_json::to_vec(&wire).map_err(|error| error.to_string())?;
+    Request::post("/v1/orders")
+        .header(HOST, task.address.to_string())
+        .header(CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)))
+        .map_err(|error| error.to_string())
+}
--- a/crates/ragwortroad_settings/src/lib.rs
+++ b/crates/ragwortroad_settings/src/lib.rs
@@ -15,6 +15,7 @@
 mod line_index;
 mod log_settings;
 mod node_settings;
+mod placement_keys;
 mod process_settings;
 mod seed_address;
 mod settings_error;
@@ -32,6 +33,7 @@
             LogSettings, //
         },
         node_settings::NodeSettings,
+        placement_keys::PlacementKeys,
         process_settings::ProcessSettings,
         seed_address::SeedAddress,
         settings_error::SettingsError,
--- /dev/null
+++ b/crates/ragwortroad_settings/src/placement_keys.rs
@@ -0,0 +1,60 @@
+use std::time::Duration;
+
+use crate::settings_reader::SettingsReader;
+
+/// `[orders]`: what the leader may ask of engines and of the weight store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacementKeys {
+    /// Megabytes a second that the weight store gives.
+    pub store_mb_per_s: u32,
+    /// Megabytes that may be asked of it at once after a pause.
+    pub store_burst_mb: u32,
+    /// Loads running at once.
+    pub loads_at_once: usize,
+    /// Models, each version counted, that one engine has room for.
+    pub models_per_engine: usize,
+    /// Time after which an order whose effect is not seen is sent again.
+    pub resend: Duration,
+    /// Time after which a load that is not seen gives its place at the weight store up.
+    pub load_bound: Duration,
+}
+
+impl Default for PlacementKeys {
+    fn default() -> Self {
+        Self {
+            store_mb_per_s: 500,
+            store_burst_mb: 20_000,
+            loads_at_once: 4,
+            models_per_engine: 2,
+            resend: Duration::from_secs(5),
+            load_bound: Duration::from_secs(600),
+        }
+    }
+}
+
+impl PlacementKeys {
+    pub(crate) fn read(reader: &mut SettingsReader<'_>) -> Self {
+        let default = Self::default();
+        let mut number = |key, default: u64, most| reader.number("orders", key, default, (1, most));
+        let rate = number("store_mb_per_s", default.store_mb_per_s.into(), MOST_MB);
+        let burst = number("store_burst_mb", default.store_burst_mb.into(), MOST_MB);
+        let loads = number("loads_at_once", default.loads_at_once as u64, 1000);
+        let models = number("models_per_engine", default.models_per_engine as u64, 64);
+        Self {
+            store_mb_per_s: u32::try_from(rate).unwrap_or(default.store_mb_per_s),
+            store_burst_mb: u32::try_from(burst).unwrap_or(default.store_burst_mb),
+            loads_at_once: loads as usize,
+            models_per_engine: models as usize,
+            resend: reader.span("orders", "resend_ms", default.resend, (50, 600_000)),
+            load_bound: reader.span(
+                "orders",
+                "load_bound_ms",
+                default.load_bound,
+                (1000, 7_200_000),
+            ),
+        }
+    }
+}
+
+/// A terabyte, in megabytes.
+const MOST_MB: u64 = 1_000_000;
--- a/crates/ragwortroad_settings/src/process_settings.rs
+++ b/crates/ragwortroad_settings/src/process_settings.rs
@@ -12,6 +12,7 @@
     line_index::LineIndex,
     log_settings::LogSettings,
     node_settings::NodeSettings,
+    placement_keys::PlacementKeys,
     settings_error::{
         FaultySnafu,
         SettingsError,
@@ -34,6 +35,8 @@
     pub fleet: FleetSettings,
     /// `[state]`.
     pub state: StateSettings,
+    /// `[orders]`.
+    pub orders: PlacementKeys,
     /// `[limits]`.
     pub limits: LimitSettings,
     /// `[log]`.
@@ -72,6 +75,7 @@
             node: NodeSettings::read(&mut reader),
             fleet: FleetSettings::read(&mut reader),
             state: StateSettings::read(&mut reader),
+            orders: PlacementKeys::read(&mut reader),
             limits: LimitSettings::read(&mut reader),
             log: LogSettings::read(&mut reader),
         };
--- a/crates/ragwortroad_standin/src/engine_pages.rs
+++ b/crates/ragwortroad_standin/src/engine_pages.rs
@@ -1,5 +1,7 @@
 //! What a stand-in engine does besides answering chats.
 
+use std::time::Instant;
+
 use bytes::Bytes;
 use hyper::Response;
 use ragwortroad_types::prelude::*;
@@ -8,8 +10,7 @@
 use tokio::time::sleep;
 
 use crate::{
-    OrderAction,
-    OrderWire,
+    OrderRecord,
     engine_state::{
         AttemptName,
         EngineParts,
@@ -56,41 +57,77 @@
     let Ok(order) = serde_json::from_slice::<OrderWire>(body) else {
         return Ok(malformed());
     };
-    let checks = state.settings.checks_fencing && !state.shell.next_faults().ignore_fencing;
-    {
-        let mut parts = state.parts();
-        if checks && order.fence < parts.fence {
-            let error = json!({"error": "old fencing number", "highest": parts.fence});
-            return Ok(json_reply(409, "", &error));
-        }
-        parts.fence = parts.fence.max(order.fence);
+    let faults = state.shell.next_faults();
+    let checks = state.settings.checks_fencing && !faults.ignore_fencing;
+    if let Err(highest) = take_order(state, &order, checks) {
+        let error = json!({"error": "old fencing number", "highest": highest});
+        return Ok(json_reply(409, "", &error));
     }
-    if order.action == OrderAction::Load {
-        sleep(state.settings.load_time).await;
+    if !faults.idle_orders {
+        if matches!(order.kind, OrderKind::Load { .. }) {
+            sleep(state.settings.load_time).await;
+        }
+        carry_out(&mut state.parts(), order.kind);
     }
-    carry_out(&mut state.parts(), order);
+    sleep(faults.order_answer_delay).await;
     Ok(json_reply(200, "", &json!({"done": true})))
 }
 
+/// Writes an order down; the highest fencing number where its own is older and that is checked.
+fn take_order(state: &EngineState, order: &OrderWire, checks: bool) -> Result<(), FenceNumber> {
+    let mut parts = state.parts();
+    let obeyed = !checks || order.fence >= parts.fence;
+    parts.orders.push(OrderRecord {
+        endpoint: state.settings.name.clone(),
+        order: order.clone(),
+        obeyed,
+        came: Instant::now(),
+    });
+    if !obeyed {
+        return Err(parts.fence);
+    }
+    parts.fence = parts.fence.max(order.fence);
+    Ok(())
+}
+
 /// Does what an order asks; an order that comes again changes nothing.
-fn carry_out(parts: &mut EngineParts, order: OrderWire) {
-    let wanted = &order.offer;
-    let same = |offer: &ModelOffer| offer.model == wanted.model && offer.version == wanted.version;
-    match order.action {
-        OrderAction::Unload => parts.offers.retain(|offer| !same(offer)),
-        OrderAction::Load => match parts.offers.iter_mut().find(|offer| same(offer)) {
-            Some(offer) => {
-                for adapter in &wanted.adapters {
-                    if !offer.adapters.contains(adapter) {
-                        offer.adapters.push(adapter.clone());
-                    }
-                }
-            }
-            None => parts.offers.push(order.offer),
-        },
+fn carry_out(parts: &mut EngineParts, kind: OrderKind) {
+    match kind {
+        OrderKind::Load { offer } => load(parts, offer),
+        OrderKind::Unload { offer } => unload(parts, &offer),
+        OrderKind::SetRole { role } => parts.role = role,
+        OrderKind::SetDrain { drain } => parts.drain = drain,
     }
 }
 
+fn load(parts: &mut EngineParts, wanted: ModelOffer) {
+    let Some(offer) = parts.offers.iter_mut().find(|offer| same(offer, &wanted)) else {
+        return parts.offers.push(wanted);
+    };
+    for adapter in wanted.adapters {
+        if !offer.adapters.contains(&adapter) {
+            offer.adapters.push(adapter);
+        }
+    }
+}
+
+fn unload(parts: &mut EngineParts, unwanted: &ModelOffer) {
+    if unwanted.adapters.is_empty() {
+        return parts.offers.retain(|offer| !same(offer, unwanted));
+    }
+    for offer in parts.offers.iter_mut() {
+        if same(offer, unwanted) {
+            let adapters = &unwanted.adapters;
+            offer.adapters.retain(|name| !adapters.contains(name));
+        }
+    }
+}
+
+/// Whether two offers are of one version of one model.
+fn same(left: &ModelOffer, right: &ModelOffer) -> bool {
+    left.model == right.model && left.version == right.version
+}
+
 /// Everything in the prefix cache.
 pub(crate) fn answer_export(state: &EngineState) -> Response<StandinBody> {
     let prefixes = state.parts().cache.export();
--- a/crates/ragwortroad_standin/src/engine_state.rs
+++ b/crates/ragwortroad_standin/src/engine_state.rs
@@ -22,6 +22,7 @@
 
 use crate::{
     EngineSettings,
+    OrderRecord,
     batch_gate::BatchGate,
     prefix_cache::PrefixCache,
     standin_shell::ShellState, //
@@ -44,6 +45,10 @@
     pub(crate) offers: Vec<ModelOffer>,
     /// Highest fencing number of an order taken.
     pub(crate) fence: FenceNumber,
+    /// Every order that came, in order.
+    pub(crate) orders: Vec<OrderRecord>,
+    pub(crate) role: RoleWire,
+    pub(crate) drain: bool,
     /// Who to wake when a request's attempt is cancelled.
     pub(crate) cancels: HashMap<AttemptName, Arc<Notify>>,
     /// Requests that were cancelled from outside.
@@ -66,6 +71,9 @@
             cache: PrefixCache::new(settings.cache_blocks),
             offers: settings.offers.clone(),
             fence: FenceNumber::default(),
+            orders: Vec::new(),
+            role: RoleWire::default(),
+            drain: false,
             cancels: HashMap::new(),
             told: Vec::new(),
             sequence: 0,
--- a/crates/ragwortroad_standin/src/fault_plan.rs
+++ b/crates/ragwortroad_standin/src/fault_plan.rs
@@ -33,4 +33,8 @@
     pub refuse_connections: bool,
     /// Takes orders whatever their fencing number.
     pub ignore_fencing: bool,
+    /// Confirms orders and carries none out.
+    pub idle_orders: bool,
+    /// Waits this long before it answers an order that it has carried out.
+    pub order_answer_delay: Duration,
 }
--- a/crates/ragwortroad_standin/src/lib.rs
+++ b/crates/ragwortroad_standin/src/lib.rs
@@ -22,7 +22,7 @@
 mod engine_state;
 mod engine_stream;
 mod fault_plan;
-mod order_wire;
+mod order_record;
 mod prefix_cache;
 mod run_record;
 mod service_settings;
@@ -39,10 +39,7 @@
         answer_tokens::answer_tokens,
         engine_settings::EngineSettings,
         fault_plan::FaultPlan,
-        order_wire::{
-            OrderAction,
-            OrderWire, //
-        },
+        order_record::OrderRecord,
         run_record::{
             RunEnd,
             RunRecord, //
--- a/crates/ragwortroad_standin/src/standin_engine.rs
+++ b/crates/ragwortroad_standin/src/standin_engine.rs
@@ -12,6 +12,7 @@
 use crate::{
     EngineSettings,
     FaultPlan,
+    OrderRecord,
     RunRecord,
     StandinError,
     engine_handler::handle_engine,
@@ -102,6 +103,21 @@
         self.state.parts().offers.clone()
     }
 
+    /// Every order that came, in order.
+    pub fn orders(&self) -> Vec<OrderRecord> {
+        self.state.parts().orders.clone()
+    }
+
+    /// The role it was ordered to have.
+    pub fn role(&self) -> RoleWire {
+        self.state.parts().role
+    }
+
+    /// Whether it was ordered to take nothing new.
+    pub fn is_drained(&self) -> bool {
+        self.state.parts().drain
+    }
+
     /// Cuts every connection and joins its threads, as a VM that is lost would. Returns what it
     /// ran.
     pub fn stop(self) -> Vec<RunRecord> {
--- a/crates/ragwortroad_standin/tests/standin_duties.rs
+++ b/crates/ragwortroad_standin/tests/standin_duties.rs
@@ -47,11 +47,13 @@
 fn order(engine: &StandinEngine, fence: u64, version: &str) -> u16 {
     let wire = OrderWire {
         fence: FenceNumber(fence),
-        action: OrderAction::Load,
-        offer: ModelOffer {
-            model: "caption".to_owned(),
-            version: version.to_owned(),
-            adapters: Vec::new(),
+        number: 1,
+        kind: OrderKind::Load {
+            offer: ModelOffer {
+                model: "caption".to_owned(),
+                version: version.to_owned(),
+                adapters: Vec::new(),
+            },
         },
     };
     let url = format!("http://{}/v1/orders", engine.address());
--- a/crates/ragwortroad_state/src/order/engine_order.rs
+++ b/crates/ragwortroad_state/src/order/engine_order.rs
@@ -64,3 +64,41 @@
         drain: bool,
     },
 }
+
+impl From<&EngineOrder> for OrderWire {
+    fn from(order: &EngineOrder) -> Self {
+        let kind = match &order.action {
+            OrderAction::Load {
+                model,
+                version,
+                adapter,
+            } => OrderKind::Load {
+                offer: offer_of(model, version, adapter),
+            },
+            OrderAction::Unload {
+                model,
+                version,
+                adapter,
+            } => OrderKind::Unload {
+                offer: offer_of(model, version, adapter),
+            },
+            OrderAction::SetRole { role } => OrderKind::SetRole {
+                role: (*role).into(),
+            },
+            OrderAction::SetDrain { drain } => OrderKind::SetDrain { drain: *drain },
+        };
+        Self {
+            fence: order.id.fence,
+            number: order.id.number,
+            kind,
+        }
+    }
+}
+
+fn offer_of(model: &str, version: &str, adapter: &Option<String>) -> ModelOffer {
+    ModelOffer {
+        model: model.to_owned(),
+        version: version.to_owned(),
+        adapters: adapter.iter().cloned().collect(),
+    }
+}
--- a/crates/ragwortroad_state/src/order/engine_target.rs
+++ b/crates/ragwortroad_state/src/order/engine_target.rs
@@ -31,3 +31,13 @@
     /// Generates only.
     Decode,
 }
+
+impl From<EngineRole> for RoleWire {
+    fn from(role: EngineRole) -> Self {
+        match role {
+            EngineRole::Both => Self::Both,
+            EngineRole::Prefill => Self::Prefill,
+            EngineRole::Decode => Self::Decode,
+        }
+    }
+}
--- a/crates/ragwortroad_state/src/order/order_gate.rs
+++ b/crates/ragwortroad_state/src/order/order_gate.rs
@@ -54,6 +54,11 @@
         self.fence
     }
 
+    /// When the grant was applied.
+    pub fn applied_at(&self) -> ClockTime {
+        self.applied_at
+    }
+
     /// Whether an order may be written now, and with which number.
     ///
     /// `lead_until` is the reading up to which the node is proved to be the leader.
--- a/crates/ragwortroad_types/src/lib.rs
+++ b/crates/ragwortroad_types/src/lib.rs
@@ -23,6 +23,7 @@
 mod load_report;
 mod model_offer;
 mod node_id;
+mod order_wire;
 mod prefix_key;
 mod refusal_code;
 mod refusal_wire;
@@ -51,6 +52,11 @@
         load_report::LoadReport,
         model_offer::ModelOffer,
         node_id::NodeId,
+        order_wire::{
+            OrderKind,
+            OrderWire,
+            RoleWire, //
+        },
         prefix_key::{
             PREFIX_BLOCK_BYTES,
             PrefixKey,
