Count refused callers as demand, keep to the declared most, end a former holder's drains

Cause: engines report only work that reached them, so a full model looked no fuller than its bound allows. A drain that was taken back while the lead changed was never ended. Change: nodes tell refused requests in a gossip blob; OfferWant has a most; OrderTable doubts drains that the history says were taken back. Conclusion: a test each.

--- a/crates/ragwortroad_node/src/control/admit_flow.rs
+++ b/crates/ragwortroad_node/src/control/admit_flow.rs
@@ -314,6 +314,7 @@
     /// Refuses an attempt that was let in, and takes back what it holds.
     pub(crate) fn refuse_plan(&mut self, plan: RequestPlan, refusal: AdmitRefusal) {
         self.limiter.finish(plan.customer_key, plan.tokens, 0);
+        self.refused.note(plan.offer, refusal.code);
         if let Some(claim) = &plan.claim {
             self.claims.settle(claim.release_step());
         }
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -31,7 +31,10 @@
     event_log::EventLog,
     member::member_seat::MemberSeat,
     node_secrets::NodeSecrets,
-    order::order_worker::OrderWorker,
+    order::{
+        order_worker::OrderWorker,
+        refused_demand::RefusedDemand, //
+    },
     real_clock::RealClock,
     request::{
         claim_desk::ClaimDesk,
@@ -93,6 +96,8 @@
     pub(crate) lines: LineTable,
     /// Sends orders to engines; started with the first grant.
     pub(crate) orders: Option<OrderWorker>,
+    /// What was refused here for want of room; the leader places models by it.
+    pub(crate) refused: RefusedDemand,
     /// Events for the time line.
     pub(crate) events: EventLog,
     /// No new work is taken in any more.
@@ -239,6 +244,7 @@
         self.grants.tick(now);
         self.send_shares(now);
         self.repeat_releases(now);
+        self.tell_refused();
         self.plan_engines(now);
         self.publish_gauges(now);
         self.publish_order_gauges(now);
--- a/crates/ragwortroad_node/src/control/order_flow.rs
+++ b/crates/ragwortroad_node/src/control/order_flow.rs
@@ -9,6 +9,7 @@
 };
 
 use ragwortroad_membership::prelude::*;
+use ragwortroad_routing::prelude::*;
 use ragwortroad_settings::prelude::*;
 use ragwortroad_state::prelude::*;
 use ragwortroad_timeline::prelude::*;
@@ -26,6 +27,10 @@
             OrderTask, //
         },
         order_worker::OrderWorker,
+        refused_demand::{
+            REFUSED_BLOB,
+            RefusedDemand, //
+        },
         target_plan::{
             TargetInput,
             TargetPlan, //
@@ -41,6 +46,27 @@
 const FORGET_SETTLE: Duration = Duration::from_secs(60);
 
 impl ControlState {
+    /// Tells the others what this node refused for want of room.
+    pub(crate) fn tell_refused(&mut self) {
+        let blob = self.refused.end_second();
+        if !self.membership.set_blob(REFUSED_BLOB, blob) {
+            tracing::warn!("what was refused does not fit a blob; placement does not know of it");
+        }
+    }
+
+    /// A second's refusals over all live nodes.
+    fn refused_everywhere(&self) -> BTreeMap<OfferKey, u32> {
+        let live = self.membership.live_nodes().map(|(node, _)| node);
+        let live: BTreeSet<NodeId> = live.chain([self.node]).collect();
+        let mut sum = BTreeMap::new();
+        for (node, blob) in self.membership.blobs(REFUSED_BLOB) {
+            if live.contains(&node) {
+                RefusedDemand::add(&mut sum, blob);
+            }
+        }
+        sum
+    }
+
     /// Plans, once a second, what engines shall hold.
     pub(crate) fn plan_engines(&mut self, now: ClockTime) {
         let Some(seat) = self.member.as_ref().filter(|seat| seat.leads(now)) else {
@@ -54,11 +80,13 @@
         let endpoints = self.membership.endpoints();
         let engines = endpoints.filter_map(|record| EngineView::of(record, config));
         let engines: Vec<EngineView> = engines.collect();
+        let history = OfferHistory::of(state.changes());
         let plan = TargetPlan::of(&TargetInput {
             config,
-            history: &OfferHistory::of(state.changes()),
+            history: &history,
             plan: state.plan(),
             engines: &engines,
+            refused: &self.refused_everywhere(),
             room: self.settings.orders.models_per_engine,
             loads_at_once: self.settings.orders.loads_at_once,
         });
@@ -69,7 +97,7 @@
             let gone = gone.filter(|name| !known.contains(name));
             targets.extend(gone.map(|name| (name.to_owned(), None)));
         }
-        self.follow_plan(&plan.urgencies);
+        self.follow_plan(&plan.urgencies, &history);
         if !targets.is_empty() {
             let fence = gate.fence();
             let action = StateAction::Plan { fence, targets };
@@ -78,7 +106,7 @@
     }
 
     /// Tells the orders what is planned and what is seen.
-    fn follow_plan(&mut self, urgencies: &BTreeMap<String, u32>) {
+    fn follow_plan(&mut self, urgencies: &BTreeMap<String, u32>, history: &OfferHistory) {
         let Some(seat) = &mut self.member else {
             return;
         };
@@ -102,6 +130,9 @@
                 models: record.models.iter().cloned().collect(),
             };
             table.observe(name, sight);
+            if !ordered.contains(name) && history.undrained.contains(name) {
+                table.doubt_drain(name);
+            }
             there.insert(name.to_owned());
         }
         for name in ordered.difference(&there) {
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -44,6 +44,7 @@
         ThreadSnafu, //
     },
     node_secrets::NodeSecrets,
+    order::refused_demand::RefusedDemand,
     real_clock::RealClock,
     request::{
         claim_desk::ClaimDesk,
@@ -334,6 +335,7 @@
         releases: ReleaseQueue::default(),
         lines: LineTable::default(),
         orders: None,
+        refused: RefusedDemand::default(),
         draining: false,
         second: ClockTime::ZERO,
         said_hello: ClockTime::ZERO,
--- a/crates/ragwortroad_node/src/order/mod.rs
+++ b/crates/ragwortroad_node/src/order/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod offer_history;
 pub(crate) mod order_report;
 pub(crate) mod order_worker;
+pub(crate) mod refused_demand;
 pub(crate) mod target_plan;
 #[cfg(test)]
 mod tests;
--- a/crates/ragwortroad_node/src/order/offer_history.rs
+++ b/crates/ragwortroad_node/src/order/offer_history.rs
@@ -12,6 +12,8 @@
     pub(crate) models: BTreeSet<String>,
     /// Adapters that were removed, with their models.
     pub(crate) adapters: BTreeSet<(String, String)>,
+    /// Endpoints whose drain was ended.
+    pub(crate) undrained: BTreeSet<String>,
 }
 
 impl OfferHistory {
@@ -26,6 +28,11 @@
                 ConfigEdit::RemoveAdapter { model, adapter } => {
                     history.adapters.insert((model.clone(), adapter.clone()));
                 }
+                ConfigEdit::Undrain {
+                    target: DrainTarget::Endpoint(name),
+                } => {
+                    history.undrained.insert(name.clone());
+                }
                 _ => {}
             }
         }
--- a/crates/ragwortroad_node/src/order/target_plan.rs
+++ b/crates/ragwortroad_node/src/order/target_plan.rs
@@ -22,6 +22,8 @@
     pub(crate) plan: &'a OrderPlan,
     /// The engines that are there.
     pub(crate) engines: &'a [EngineView],
+    /// Requests a second that found no room, by what they asked for.
+    pub(crate) refused: &'a BTreeMap<OfferKey, u32>,
     /// Models an engine has room for.
     pub(crate) room: usize,
     /// Loads that may be under way at once.
@@ -95,18 +97,19 @@
     fn wants(&self) -> Vec<OfferWant> {
         let want = |(key, name): (&OfferKey, &VersionName)| {
             let holders = self.holders(name);
-            let (least, demand) = match self.declared_share(name) {
-                Some((least, most)) if holders >= most => (least.max(most), 0.0),
-                Some((least, _)) => (least, self.demand(name)),
+            let (least, most, demand) = match self.declared_share(name) {
+                Some((least, most)) => (least, most, self.demand(name)),
                 None if self.input.config.models.contains_key(&name.0) => {
-                    (self.least_replaced(name), 0.0)
+                    let least = self.least_replaced(name).min(holders);
+                    (least, least, 0.0)
                 }
-                None => (holders, 0.0),
+                None => (holders, holders, 0.0),
             };
             OfferWant {
                 offer: *key,
                 demand,
                 least,
+                most,
             }
         };
         self.names.iter().map(want).collect()
@@ -140,13 +143,23 @@
         lacking.saturating_sub(ROLL_STEP)
     }
 
-    /// Requests at work on a version; an engine's load counts in equal parts for all it serves.
+    /// Requests at work on a version and those that were refused. An engine's load counts in equal
+    /// parts for all it serves, a refused request as one that works for a second.
     fn demand(&self, name: &VersionName) -> f64 {
         let serving = self.input.engines.iter();
         let serving = serving.filter(|engine| is_seen(engine, name));
-        serving
-            .map(|engine| f64::from(engine.load) / engine.models.len().max(1) as f64)
-            .sum()
+        let loads =
+            serving.map(|engine| f64::from(engine.load) / engine.models.len().max(1) as f64);
+        loads.sum::<f64>() + f64::from(self.refused(name))
+    }
+
+    fn refused(&self, (model, version): &VersionName) -> u32 {
+        let entry = self.input.config.models.get(model);
+        let adapters = entry.into_iter().flat_map(|entry| &entry.adapters);
+        let adapters = adapters.map(|adapter| Some(adapter.as_str()));
+        let keys = adapters.chain([None]);
+        let keys = keys.map(|adapter| OfferKey::model(model, version, adapter));
+        keys.filter_map(|key| self.input.refused.get(&key)).sum()
     }
 
     fn holders(&self, name: &VersionName) -> usize {
--- a/crates/ragwortroad_node/src/order/tests.rs
+++ b/crates/ragwortroad_node/src/order/tests.rs
@@ -1,9 +1,13 @@
+use std::collections::BTreeMap;
+
+use ragwortroad_routing::prelude::*;
 use ragwortroad_state::prelude::*;
 use ragwortroad_types::prelude::*;
 
 use crate::order::{
     engine_view::EngineView,
     offer_history::OfferHistory,
+    refused_demand::RefusedDemand,
     target_plan::{
         TargetInput,
         TargetPlan, //
@@ -14,6 +18,7 @@
 struct PlanBench {
     state: FleetState,
     engines: Vec<EngineView>,
+    refused: BTreeMap<OfferKey, u32>,
     room: usize,
     index: u64,
 }
@@ -31,6 +36,7 @@
         Self {
             state: FleetState::default(),
             engines: (0..engines).map(engine).collect(),
+            refused: BTreeMap::new(),
             room: 2,
             index: 0,
         }
@@ -62,6 +68,7 @@
             history: &OfferHistory::of(self.state.changes()),
             plan: self.state.plan(),
             engines: &self.engines,
+            refused: &self.refused,
             room: self.room,
             loads_at_once: 4,
         });
@@ -226,3 +233,25 @@
     };
     assert!(of("tutor") > of("note"));
 }
+
+/// A model's engines are as full as their bound allows, and callers are turned away at the nodes.
+/// Engines cannot tell; nodes do, and the model gets engines up to what is declared, no further.
+#[test]
+fn refused_callers_bring_engines_up_to_what_is_declared() {
+    let mut bench = PlanBench::new(6, "caption");
+    bench.change(vec![add_model("caption", 4, 6), add_model("tutor", 1, 3)]);
+    bench.settle(&[]);
+    assert_eq!(bench.holders("tutor", "v1"), 1);
+    let mut refused = RefusedDemand::default();
+    let key = OfferKey::model("tutor", "v1", None);
+    for _ in 0..500 {
+        refused.note(key, RefusalCode::Overloaded);
+        refused.note(key, RefusalCode::WrongKey);
+    }
+    RefusedDemand::add(&mut bench.refused, &refused.end_second());
+    assert_eq!(bench.refused, BTreeMap::from([(key, 500)]));
+    bench.settle(&[]);
+    assert_eq!(bench.holders("tutor", "v1"), 3);
+    let quiet = (0..20).map(|_| refused.end_second()).last();
+    assert_eq!(quiet, Some(Vec::new()));
+}
--- a/crates/ragwortroad_routing/src/place/placement_input.rs
+++ b/crates/ragwortroad_routing/src/place/placement_input.rs
@@ -25,6 +25,8 @@
     pub demand: f64,
     /// Engines that hold it whatever the demand; 0 for one that is no longer declared.
     pub least: usize,
+    /// Engines that hold it at the most, whatever the demand.
+    pub most: usize,
 }
 
 /// One engine.
--- a/crates/ragwortroad_routing/src/place/placement_plan.rs
+++ b/crates/ragwortroad_routing/src/place/placement_plan.rs
@@ -131,7 +131,8 @@
 
     fn is_short(&self, want: &OfferWant, settings: &PlacementSettings) -> bool {
         let count = self.holders(want.offer).count();
-        count < want.least || (want.demand > 0.0 && self.fullness(want) > settings.high)
+        let is_overfull = want.demand > 0.0 && self.fullness(want) > settings.high;
+        count < want.least || (count < want.most && is_overfull)
     }
 
     /// Whether `offer` can do with one engine less.
--- a/crates/ragwortroad_routing/tests/after_failure.rs
+++ b/crates/ragwortroad_routing/tests/after_failure.rs
@@ -107,6 +107,7 @@
         offer: OfferKey(offer),
         demand,
         least: 1,
+        most: usize::MAX,
     }
 }
 
--- a/crates/ragwortroad_state/src/order/engine_state.rs
+++ b/crates/ragwortroad_state/src/order/engine_state.rs
@@ -18,6 +18,9 @@
     /// The role and drain that the present incarnation has confirmed.
     pub(crate) role: EngineRole,
     pub(crate) drain: bool,
+    /// A former holder may have drained it; what is known here is no more than a guess until this
+    /// holder's own order is answered.
+    pub(crate) drain_doubted: bool,
 }
 
 impl EngineState {
@@ -28,6 +31,7 @@
             // A restarted engine has its first role again and does not know that it drains.
             self.role = EngineRole::default();
             self.drain = false;
+            self.drain_doubted = false;
         }
         self.sight = Some(sight);
     }
@@ -44,7 +48,7 @@
             let role = self.target.role;
             actions.push(OrderAction::SetRole { role });
         }
-        if self.drain != self.target.drain {
+        if self.drain != self.target.drain || self.drain_doubted {
             let drain = self.target.drain;
             actions.push(OrderAction::SetDrain { drain });
         }
--- a/crates/ragwortroad_state/src/order/order_table.rs
+++ b/crates/ragwortroad_state/src/order/order_table.rs
@@ -65,6 +65,14 @@
         state.see(sight);
     }
 
+    /// A former holder may have drained this engine, which no announcement tells: it is ordered
+    /// anew, once. Without this an engine whose drain was taken back while the lead changed would
+    /// take nothing new for ever.
+    pub fn doubt_drain(&mut self, engine: &str) {
+        let state = self.engines.entry(engine.to_owned()).or_default();
+        state.drain_doubted = true;
+    }
+
     /// The engine is gone.
     pub fn forget(&mut self, engine: &str) {
         self.engines.remove(engine);
@@ -80,7 +88,10 @@
         };
         match pending.order.action {
             OrderAction::SetRole { role } => state.role = role,
-            OrderAction::SetDrain { drain } => state.drain = drain,
+            OrderAction::SetDrain { drain } => {
+                state.drain = drain;
+                state.drain_doubted = false;
+            }
             OrderAction::Load { .. } | OrderAction::Unload { .. } => {}
         }
         true
--- a/crates/ragwortroad_state/tests/engine_orders.rs
+++ b/crates/ragwortroad_state/tests/engine_orders.rs
@@ -324,6 +324,30 @@
     }
 }
 
+/// A holder drains an engine, the drain is taken back, and the holder is gone before it ordered
+/// so. Engines do not announce that they drain; were the next holder to take this one for open, it
+/// would stand idle until its next restart.
+#[test]
+fn a_drain_of_a_former_holder_is_ended_by_the_next() {
+    let now = ClockTime::ZERO;
+    let mut table = OrderTable::new(OrderSettings::default(), FenceNumber(2), now);
+    table.plan("engine", target("caption", "v1"), 0);
+    table.observe(
+        "engine",
+        EngineSight {
+            incarnation: 1,
+            models: target("caption", "v1").models,
+        },
+    );
+    assert!(table.due(now, |_| true, |_| 0).is_empty());
+    table.doubt_drain("engine");
+    let orders = table.due(now, |_| true, |_| 0);
+    let actions: Vec<_> = orders.iter().map(|order| &order.action).collect();
+    assert_eq!(actions, [&OrderAction::SetDrain { drain: false }]);
+    assert!(table.answered(orders[0].id));
+    assert!(table.due(now, |_| true, |_| 0).is_empty());
+}
+
 /// A plan of a holder that was deposed arrives in the log after the new one's. Taking it would
 /// bring models back that the new holder has just moved.
 #[test]
