--- a/crates/ragwortroad_membership/src/table/sync.rs
+++ b/crates/ragwortroad_membership/src/table/sync.rs
@@ -1,5 +1,7 @@
 //! Comparing views, so that news lost for any reason arrives in the end.
 
+use std::time::Duration;
+
 use ragwortroad_types::prelude::*;
 use rand::RngExt;
 
@@ -20,13 +22,31 @@
 /// Buckets compared in one go; the others follow in the next.
 const BUCKETS_AT_ONCE: usize = 4;
 
+/// Time after the start in which a node fetches what it lacks without waiting for the news that
+/// would otherwise bring it.
+const FRESH_TIME: Duration = Duration::from_secs(20);
+
+/// Time for which a fresh node's view may differ from a peer's before it compares.
+///
+/// A node that takes callers but knows no endpoint refuses them all; callers see a fleet that
+/// answers on some addresses only for as long as this takes.
+const FRESH_SYNC: Duration = Duration::from_millis(400);
+
 impl MembershipTable {
+    /// Whether this node has started only a moment ago.
+    fn is_fresh(&self, now: ClockTime) -> bool {
+        self.started.is_some_and(|at| now.since(at) < FRESH_TIME)
+    }
+
     /// Starts comparing views with peers whose view has differed for long.
     pub(super) fn start_syncs(&mut self, now: ClockTime) {
         if !self.budget.has_left() {
             return;
         }
-        let patience = self.settings.sync_after;
+        let patience = match self.is_fresh(now) {
+            true => FRESH_SYNC.min(self.settings.sync_after),
+            false => self.settings.sync_after,
+        };
         let hashes = self.digest.bucket_hashes();
         for (peer, link) in &mut self.links {
             // One side is enough; the other one helps out where the first does not act.
@@ -47,7 +67,9 @@
     /// Answers a comparison of all buckets with the content of some that differ.
     pub(super) fn compare_buckets(&mut self, from: NodeId, hashes: &[u16], now: ClockTime) {
         let own = self.digest.bucket_hashes();
-        if hashes.len() != own.len() {
+        // Comparing comes after telling: a node that many compare with at once would otherwise
+        // spend everything on lists of what differs, and nothing on the records themselves.
+        if hashes.len() != own.len() || !self.budget.has_left() {
             return;
         }
         // A random start spreads different buckets over the neighbours of a node that lacks all.
@@ -59,6 +81,10 @@
             .collect();
         let link = self.open_link(from, now);
         link.last_sync = Some(now);
+        if differing.is_empty() {
+            // Any packet tells the peer our root, and so that there is nothing left to compare.
+            link.ack_due = Some(now);
+        }
         for bucket in differing {
             self.send_bucket(from, bucket as u8, false, now);
         }
--- a/crates/ragwortroad_transport/src/peer_book.rs
+++ b/crates/ragwortroad_transport/src/peer_book.rs
@@ -27,6 +27,8 @@
     connections: Mutex<ConnectionMap>,
     /// Links that are cut for a test.
     pub(crate) gate: Arc<LinkGate>,
+    /// Handshakes that peers began and that are not over.
+    pub(crate) handshakes: AtomicU64,
     /// See [`TransportStats::messages_queued`].
     pub(crate) messages_queued: AtomicU64,
     /// See [`TransportStats::messages_dropped`].
