--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -44,6 +44,7 @@
         ThreadSnafu, //
     },
     node_secrets::NodeSecrets,
+    order::refused_demand::RefusedDemand,
     real_clock::RealClock,
     request::{
         claim_desk::ClaimDesk,
@@ -338,6 +339,8 @@
         grants: GrantBook::default(),
         releases: ReleaseQueue::default(),
         lines: LineTable::default(),
+        orders: None,
+        refused: RefusedDemand::default(),
         draining: false,
         second: ClockTime::ZERO,
         said_hello: ClockTime::ZERO,
