--- a/crates/ragwortroad_gateway/src/request_router.rs
+++ b/crates/ragwortroad_gateway/src/request_router.rs
@@ -79,7 +79,10 @@
     let answered = dispatch(Arc::clone(&state), context, request, &mut flight.room);
     let mut reply = match answered.instrument(span).await {
         Ok(reply) => reply,
-        Err(refusal) => {
+        Err(mut refusal) => {
+            // The control thread names some refusals by numbers of its own. A caller who quotes the
+            // body's identity to an operator must mean the same request as the header and the log.
+            refusal.error.request_id = id.to_string();
             count_refusal(&refusal);
             refusal_reply(&refusal)
         }
--- a/crates/ragwortroad_node/src/control/admit_flow.rs
+++ b/crates/ragwortroad_node/src/control/admit_flow.rs
@@ -307,7 +307,6 @@
         if matches!(code, RefusalCode::NodeDraining | RefusalCode::NotCurrent) {
             wire.error.addresses = self.other_addresses();
         }
-        metrics::counter!("ragwortroad_refusals_total", "code" => format!("{code:?}")).increment(1);
         wire
     }
 
--- a/crates/ragwortroad_node/src/control/claim_flow.rs
+++ b/crates/ragwortroad_node/src/control/claim_flow.rs
@@ -157,11 +157,17 @@
                     .refusal()
                     .unwrap_or((RequestOutcome::Unknown, RefusalCode::InternalFault));
                 self.limiter.finish(plan.customer_key, plan.tokens, 0);
+                // Waiting helps only where the key's outcome can still change; a caller told to wait
+                // with a key that is spent would come back for ever.
+                let may_change = matches!(
+                    code,
+                    RefusalCode::KeyInProgress | RefusalCode::ClaimUnavailable
+                );
                 let refusal = AdmitRefusal {
                     outcome,
                     code,
                     message: claim_text(&other),
-                    retry_after: Some(CLAIM_PAUSE),
+                    retry_after: may_change.then_some(CLAIM_PAUSE),
                 };
                 let detail = format!("{code:?}: {}", refusal.message);
                 self.note_plan(EventKind::RequestRefused, &plan, detail);
--- a/crates/ragwortroad_types/src/refusal_code.rs
+++ b/crates/ragwortroad_types/src/refusal_code.rs
@@ -73,7 +73,7 @@
         match self {
             Self::MalformedRequest => "send well-formed HTTP/1.1 with a JSON body",
             Self::TooLarge => "shorten the request, or ask the operator to raise the limit",
-            Self::WrongKey => "send the customer's key as 'Authorization: Bearer KEY'",
+            Self::WrongKey => "send your key or the join secret as 'Authorization: Bearer KEY'",
             Self::UnknownPath => "see the interface page for the paths this node serves",
             Self::UnknownModel => "name a model that the operator declared for this customer",
             Self::UnknownService => "name a service that the operator declared for this customer",
