--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -54,6 +54,8 @@
     Keys(KeyOptions),
     /// Run the decision bench: real decision code, small fakes, one seed.
     Bench(BenchOptions),
+    /// Print one self-contained HTML page with plots of measurement files.
+    Report(ReportOptions),
     /// Print shell completions.
     Completions(CompletionOptions),
 }
@@ -281,6 +283,17 @@
     pub(crate) json: bool,
 }
 
+/// Report.
+#[derive(Debug, Args)]
+#[command(after_help = "\
+Example:
+  ragwortroad bench --json > bench.json && ragwortroad report bench.json > report.html")]
+pub(crate) struct ReportOptions {
+    /// Files with the output of 'load --json', 'demo --json' or 'bench --json'.
+    #[arg(required = true, value_name = "FILE")]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// Shell completions.
 #[derive(Debug, Args)]
 pub(crate) struct CompletionOptions {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -7,6 +7,7 @@
 mod keys;
 mod load;
 mod operator;
+mod report;
 mod secret_file;
 mod serve;
 mod standin;
@@ -30,6 +31,7 @@
         CommandKind::Timeline(options) => timeline::run(&options),
         CommandKind::Keys(options) => keys::run(&options),
         CommandKind::Bench(options) => bench::run(&options),
+        CommandKind::Report(options) => report::run(&options),
         CommandKind::Completions(options) => completions::run(&options),
     }
 }
