--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -1,5 +1,7 @@
 //! Faulty input at the command line: a clear word, the right exit status, nothing started.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::{
     fs,
     process::{
--- a/tests/example_sites.rs
+++ b/tests/example_sites.rs
@@ -1,5 +1,7 @@
 //! The example settings and declarations of both deployments.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::{
     collections::BTreeSet,
     fs,
--- a/tests/interface_samples.rs
+++ b/tests/interface_samples.rs
@@ -1,5 +1,7 @@
 //! The samples of docs/INTERFACE.md: each request is sent, each answer compared.
 
+#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 use std::{
     fs,
     path::Path, //
