--- a/crates/ragwortroad_routing/src/table/slot_grants.rs
+++ b/crates/ragwortroad_routing/src/table/slot_grants.rs
@@ -73,7 +73,7 @@
         now: ClockTime,
     ) {
         let hold = self.settings.failure_hold;
-        self.observe_outcome(endpoint, outcome, now);
+        self.judge_outcome(endpoint, outcome, now);
         let Some(key) = self.ids.get(&endpoint).copied() else {
             return;
         };
@@ -108,11 +108,13 @@
     /// Notes how a request of this node ended at an endpoint whose home is elsewhere.
     pub fn observe_outcome(&mut self, endpoint: EndpointId, outcome: SlotOutcome, now: ClockTime) {
         if let Some(key) = self.ids.get(&endpoint).copied() {
-            self.change(key, |state| {
-                // What ended is no longer part of what was sent since the last digest.
-                state.view.sent_since = state.view.sent_since.saturating_sub(1);
-            });
+            self.change(key, |state| state.view.ended_since += 1);
         }
+        self.judge_outcome(endpoint, outcome, now);
+    }
+
+    /// Takes in whether an endpoint did what it was asked.
+    fn judge_outcome(&mut self, endpoint: EndpointId, outcome: SlotOutcome, now: ClockTime) {
         let Some(state) = self.state_of(endpoint) else {
             return;
         };
@@ -149,6 +151,7 @@
         self.change(key, |state| state.ledger.sweep(now));
         let state = self.arena[key.index()].as_ref()?;
         if !self.may_admit(state, customer, claim, now) {
+            self.change(key, |state| state.ledger.note_refused(customer, now));
             return None;
         }
         let slot = SlotId(self.next_slot);
@@ -172,14 +175,18 @@
             return false;
         }
         let load = state.ledger.load();
-        if load >= self.limit_of(state, now) {
+        let limit = self.limit_of(state, now);
+        if load >= limit {
             return false;
         }
-        let room = f64::from(self.room_of(state));
-        if f64::from(load) < room * (1.0 - self.settings.fair_reserve) {
+        // Shares are parts of what may be admitted now; of an engine's whole room, which the bound
+        // seldom lets it reach, they would never be used up.
+        let room = f64::from(limit);
+        // Counted with the slot asked for: at small bounds the reserve would round to nothing.
+        if f64::from(load + 1) <= room * (1.0 - self.settings.fair_reserve) {
             return true;
         }
-        let (own, customers) = state.ledger.share_of(customer);
+        let (own, customers) = state.ledger.share_of(customer, now);
         let share = match claim {
             SlotClaim::Returning => 1.0,
             SlotClaim::Arriving => ARRIVING_SHARE,
