Take the mean over the engines that are there

Cause: the check of the bound divided by all engines that ever were, a lost one included, while the bound is defined by the mean over present engines: it flagged '6 at a mean of 3.83' where five engines had a mean of 4.6. Change: a lost engine counts until it is lost. As strict otherwise; the broken variant is still noticed.

--- a/crates/ragwortroad_demo/tests/failures/common/load_spans.rs
+++ b/crates/ragwortroad_demo/tests/failures/common/load_spans.rs
@@ -19,6 +19,8 @@
 pub(crate) struct LoadSpans {
     name: String,
     spans: Vec<(Instant, Option<Instant>)>,
+    /// From then on the engine is not there any more.
+    lost_at: Option<Instant>,
 }
 
 impl LoadSpans {
@@ -29,9 +31,23 @@
         Self {
             name: name.unwrap_or_default(),
             spans: records.iter().map(span).collect(),
+            lost_at: None,
         }
     }
 
+    /// The same of an engine whose VM was lost at `moment`.
+    pub(crate) fn lost_at(self, moment: Instant) -> Self {
+        Self {
+            lost_at: Some(moment),
+            ..self
+        }
+    }
+
+    /// Whether the engine is part of the fleet whose mean counts.
+    fn is_there(&self, moment: Instant) -> bool {
+        self.lost_at.is_none_or(|lost| moment < lost)
+    }
+
     /// Runs under way at `moment`.
     fn load_at(&self, moment: Instant) -> usize {
         let runs = self.spans.iter();
@@ -52,7 +68,9 @@
     moments.sort();
     let mean_at = |moment| {
         let total: usize = engines.iter().map(|engine| engine.load_at(moment)).sum();
-        total as f64 / engines.len() as f64
+        // The bound is defined by the mean over the engines that are there.
+        let there = engines.iter().filter(|engine| engine.is_there(moment));
+        total as f64 / there.count().max(1) as f64
     };
     let means: Vec<(Instant, f64)> = moments.iter().map(|at| (*at, mean_at(*at))).collect();
     let mut beyond = Vec::new();
--- a/crates/ragwortroad_demo/tests/failures/pairs.rs
+++ b/crates/ragwortroad_demo/tests/failures/pairs.rs
@@ -6,7 +6,10 @@
         Ordering, //
     },
     thread,
-    time::Duration, //
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use ragwortroad_demo::prelude::*;
@@ -161,6 +164,7 @@
     thread::sleep(Duration::from_millis(1500));
     fleet.cut_off(&[3]);
     let lost = fleet.engines[0].take().unwrap();
+    let lost_at = Instant::now();
     let (lost_start, lost_records) = (lost.started(), lost.stop());
     fleet.stopped_records.extend(lost_records.clone());
     let leader = fleet.wait_for_leader(&[0, 1, 2]);
@@ -184,7 +188,7 @@
         "{:?}",
         report.outcomes
     );
-    let mut spans = vec![LoadSpans::new(lost_start, &lost_records)];
+    let mut spans = vec![LoadSpans::new(lost_start, &lost_records).lost_at(lost_at)];
     for engine in fleet.engines.iter().flatten() {
         spans.push(LoadSpans::new(engine.started(), &engine.records()));
     }
