Give up claims of nodes found down as a lead begins; show loads everywhere

Cause: keys of a node that died between two leaders stayed in progress for ten minutes; `show endpoints` had loads only for the leader's own; a node without a configuration told named operators that their key is wrong; lease ends and damped endpoints were missing from the time line. Change: as said.

--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -119,14 +119,16 @@
 
     fn endpoint_changed(&mut self, endpoint: EndpointId, now: ClockTime) {
         let is_new = self.route.load_of(endpoint).is_none();
-        let presence = self
-            .membership
-            .endpoint(endpoint)
-            .map(|record| record.presence);
+        let record = self.membership.endpoint(endpoint);
+        let presence = record.map(|record| record.presence);
+        let is_damped = record.is_some_and(|record| record.damped);
         match presence {
             Some(EndpointPresence::Leaving) => {
                 self.note_endpoint(EventKind::EndpointLeaving, endpoint);
             }
+            Some(EndpointPresence::Present) if is_damped => {
+                self.note_endpoint(EventKind::EndpointDamped, endpoint);
+            }
             Some(EndpointPresence::Present) if is_new => {
                 self.note_endpoint(EventKind::EndpointJoined, endpoint);
             }
--- a/crates/ragwortroad_node/src/control/leader_flow.rs
+++ b/crates/ragwortroad_node/src/control/leader_flow.rs
@@ -51,6 +51,7 @@
                 seat.desk = Some(LeaderDesk::new(&seat.state, timing, now));
                 tracing::info!(term = core.term(), "this node leads");
                 self.note_lead(EventKind::LeaderElected, None);
+                self.lose_absent_nodes();
                 let action = StateAction::TakeOrders { holder: self.node };
                 self.propose(action, ProposalKind::TakeOrders, now);
             }
@@ -60,6 +61,19 @@
         }
     }
 
+    /// Gives up the claims of nodes that are down as the lead begins.
+    ///
+    /// A node that died under no leader was missed by nobody who could say so in the log. Its keys
+    /// would be "in progress" for ten minutes, and callers would wait for an attempt that is over.
+    fn lose_absent_nodes(&mut self) {
+        let nodes = self.membership.nodes();
+        let down = nodes.filter(|(_, record)| !record.state.is_present());
+        let down: Vec<NodeId> = down.map(|(node, _)| node).collect();
+        for node in down {
+            self.claims.settle(ClaimStep::NodeLost { node });
+        }
+    }
+
     /// Proposes a command to the log.
     pub(crate) fn propose(&mut self, action: StateAction, kind: ProposalKind, now: ClockTime) {
         let wall_ms = self.clock.wall_ms();
@@ -77,6 +91,9 @@
         };
         tracing::info!("this node no longer leads");
         self.note_lead(EventKind::LeaderDeposed, None);
+        if let Some(gate) = desk.gate {
+            self.note_lead(EventKind::LeaseEnded, Some(gate.fence()));
+        }
         let forced = desk.forced.into_iter().map(|watch| watch.origin);
         let held = desk.held.into_iter().map(|(_, origin)| origin);
         for origin in forced.chain(held) {
--- a/crates/ragwortroad_node/src/control/line_flow.rs
+++ b/crates/ragwortroad_node/src/control/line_flow.rs
@@ -147,6 +147,10 @@
             .operator_name(&line.key_hash, &self.follow.config)
             .is_none()
         {
+            if self.follow.confirmed == ClockTime::ZERO {
+                let text = "this node has no configuration yet; ask another node";
+                return self.answer_line(origin, 503, text, json!({ "outcome": "not_run" }));
+            }
             return self.refuse_key(origin);
         }
         match parse_line(&line.line) {
--- a/crates/ragwortroad_node/src/control/show_flow.rs
+++ b/crates/ragwortroad_node/src/control/show_flow.rs
@@ -42,7 +42,7 @@
 
     fn show_endpoints(&self, table: &mut ResultTable) {
         for record in self.membership.endpoints() {
-            let load = self.membership.home_load(record.id);
+            let load = self.known_load(record);
             table.push([
                 text(&record.name),
                 text(match record.kind {
@@ -60,12 +60,21 @@
         }
     }
 
+    /// An endpoint's load: exact where this node is its home, else as it was last told.
+    fn known_load(&self, record: &EndpointRecord) -> Option<LoadReport> {
+        let told = LoadReport {
+            running: record.load.requests(record.capacity),
+            ..LoadReport::default()
+        };
+        self.membership.home_load(record.id).or(Some(told))
+    }
+
     fn show_engines(&self, table: &mut ResultTable) {
         let endpoints = self.membership.endpoints();
         let engines = endpoints.filter(|record| record.kind == EndpointKind::Engine);
         let seat = self.member.as_ref();
         for record in engines {
-            let load = self.membership.home_load(record.id);
+            let load = self.known_load(record);
             let target = seat.and_then(|seat| seat.state.plan().target(&record.name));
             let wanted = target.map(|target| target.models.iter().cloned().collect::<Vec<_>>());
             let role = target.map(|target| format!("{:?}", target.role).to_lowercase());
