Give load a surge of a few customers

Cause: the load tool's surge was a setting of the library and no option. Measured: lints clean; help shows both. Conclusion: a surge can be tried on a running fleet.

--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -188,6 +188,12 @@
     /// Seed of the arrivals.
     #[arg(long, default_value_t = 1)]
     pub(crate) seed: u64,
+    /// How many customers, the first of the file, surge in the middle third of the run.
+    #[arg(long, default_value_t = 0)]
+    pub(crate) surge_customers: usize,
+    /// By how much the surging customers' chats multiply.
+    #[arg(long, default_value_t = 5.0)]
+    pub(crate) surge_factor: f64,
     /// Print the report as JSON.
     #[arg(long)]
     pub(crate) json: bool,
--- a/src/commands/load.rs
+++ b/src/commands/load.rs
@@ -36,6 +36,7 @@
         chats_per_second: options.rate / 2.0 / f64::from(base.turns),
         bookings_per_second: options.rate / 4.0,
         reads_per_second: options.rate / 4.0,
+        surge: surge(options),
         ..base
     };
     match run_load(settings) {
@@ -53,6 +54,17 @@
     }
 }
 
+/// The surge that the options ask for, in the middle third of the run.
+fn surge(options: &LoadOptions) -> Option<SurgePlan> {
+    let run = Duration::from_secs(options.seconds);
+    (options.surge_customers > 0).then(|| SurgePlan {
+        customers: options.surge_customers,
+        from: run / 3,
+        until: run / 3 * 2,
+        factor: options.surge_factor,
+    })
+}
+
 /// Customers of a file with one 'NAME KEY' a line.
 fn read_customers(options: &LoadOptions) -> Result<Vec<CustomerLoad>, String> {
     let text = fs::read_to_string(&options.customers).map_err(|error| error.to_string())?;
