--- a/crates/ragwortroad_state/tests/claim_schedules.rs
+++ b/crates/ragwortroad_state/tests/claim_schedules/claim_world.rs
@@ -1,40 +1,27 @@
-//! Claims under seeded schedules: nodes crash, answers are lost, steps come late and twice, time
-//! passes, leaders restart from snapshots. No key may run twice, and nothing that was refused as
-//! not run may ever run.
-#![allow(clippy::unwrap_used, reason = "a test fails by panicking")]
-
-mod common;
+//! Nodes, a log and a service as a seed drives them, with the claims of all.
 
 use std::collections::{
     BTreeMap,
     BTreeSet, //
 };
 
-use todc_utils::{
-    linearizability::{
-        WGLChecker,
-        history::{
-            Action,
-            History, //
-        }, //
-    },
-    specifications::Specification, //
-};
+use ragwortroad_state::prelude::*;
+use ragwortroad_types::prelude::*;
 
-use common::{
+use crate::common::{
     SeededDraw,
+    attempt,
     change,
-    command, //
+    command,
+    state_with, //
 };
-use ragwortroad_state::prelude::*;
-use ragwortroad_types::prelude::*;
 
-const NODES: u64 = 4;
-const BODY: [u8; 16] = [9; 16];
+pub(crate) const NODES: u64 = 4;
+pub(crate) const BODY: [u8; 16] = [9; 16];
 
 /// A fault put into nodes or surroundings, which the checks must notice.
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum ClaimFault {
+pub(crate) enum ClaimFault {
     None,
     /// A timeout after dispatch is taken for "not sent".
     ReleasesAfterSend,
@@ -49,7 +36,7 @@
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
-enum NodePhase {
+pub(crate) enum NodePhase {
     Waiting,
     GaveUp,
     Sent,
@@ -58,55 +45,55 @@
 
 /// One submission of a key at one node.
 #[derive(Clone, Debug)]
-struct NodeAttempt {
-    key: ClaimKey,
-    attempt: ClaimAttempt,
-    phase: NodePhase,
+pub(crate) struct NodeAttempt {
+    pub(crate) key: ClaimKey,
+    pub(crate) attempt: ClaimAttempt,
+    pub(crate) phase: NodePhase,
 }
 
 /// A claim step on its way, with the operation of the history that it belongs to.
 #[derive(Clone, Debug)]
-struct WireStep {
-    step: ClaimStep,
-    operation: usize,
+pub(crate) struct WireStep {
+    pub(crate) step: ClaimStep,
+    pub(crate) operation: usize,
 }
 
 #[derive(Clone, Debug)]
-struct ClaimOp {
-    key: ClaimKey,
-    step: ClaimStep,
-    outcome: Option<ClaimOutcome>,
-    called: usize,
-    answered: Option<usize>,
+pub(crate) struct ClaimOp {
+    pub(crate) key: ClaimKey,
+    pub(crate) step: ClaimStep,
+    pub(crate) outcome: Option<ClaimOutcome>,
+    pub(crate) called: usize,
+    pub(crate) answered: Option<usize>,
 }
 
-struct ClaimWorld {
-    draw: SeededDraw,
-    fault: ClaimFault,
-    state: FleetState,
-    saved: FleetState,
-    now_ms: u64,
-    next_request: u64,
-    keys: Vec<ClaimKey>,
-    attempts: Vec<NodeAttempt>,
-    wire: Vec<WireStep>,
+pub(crate) struct ClaimWorld {
+    pub(crate) draw: SeededDraw,
+    pub(crate) fault: ClaimFault,
+    pub(crate) state: FleetState,
+    pub(crate) saved: FleetState,
+    pub(crate) now_ms: u64,
+    pub(crate) next_request: u64,
+    pub(crate) keys: Vec<ClaimKey>,
+    pub(crate) attempts: Vec<NodeAttempt>,
+    pub(crate) wire: Vec<WireStep>,
     /// Requests on their way to the service.
-    sent: Vec<NodeAttempt>,
-    runs: BTreeMap<ClaimKey, Vec<ClaimAttempt>>,
-    not_run: BTreeSet<ClaimAttempt>,
-    wrong_answer: Option<ClaimAttempt>,
-    history: Vec<ClaimOp>,
-    events: usize,
+    pub(crate) sent: Vec<NodeAttempt>,
+    pub(crate) runs: BTreeMap<ClaimKey, Vec<ClaimAttempt>>,
+    pub(crate) not_run: BTreeSet<ClaimAttempt>,
+    pub(crate) wrong_answer: Option<ClaimAttempt>,
+    pub(crate) history: Vec<ClaimOp>,
+    pub(crate) events: usize,
     /// Whether time passes and nodes are declared lost.
-    eventful: bool,
-    counts: BTreeMap<&'static str, u64>,
+    pub(crate) eventful: bool,
+    pub(crate) counts: BTreeMap<&'static str, u64>,
 }
 
-fn opaque_key(number: u64) -> ClaimKey {
+pub(crate) fn opaque_key(number: u64) -> ClaimKey {
     ClaimKey::new("north", "desk", &format!("key-{number}"))
 }
 
-fn dated_key(now_ms: u64, number: u64) -> ClaimKey {
+pub(crate) fn dated_key(now_ms: u64, number: u64) -> ClaimKey {
     let issued = 1_700_000_000_000 + now_ms;
     let (high, low) = (issued >> 16, issued & 0xffff);
     let text = format!("{high:08x}-{low:04x}-7000-8000-{number:012x}");
@@ -116,8 +103,8 @@
 }
 
 impl ClaimWorld {
-    fn new(seed: u64, fault: ClaimFault, eventful: bool) -> Self {
-        let mut state = common::state_with(&["north"]);
+    pub(crate) fn new(seed: u64, fault: ClaimFault, eventful: bool) -> Self {
+        let mut state = state_with(&["north"]);
         let rules = ClaimsEdit {
             window_s: Some(60),
             run_bound_s: Some(20),
@@ -150,11 +137,11 @@
         }
     }
 
-    fn count(&mut self, what: &'static str) {
+    pub(crate) fn count(&mut self, what: &'static str) {
         *self.counts.entry(what).or_default() += 1;
     }
 
-    fn step(&mut self) {
+    pub(crate) fn step(&mut self) {
         self.events += 1;
         match self.draw.below(20) {
             0..=4 => self.submit(),
@@ -171,7 +158,7 @@
     }
 
     /// A caller sends a new key, or an old one again through any node.
-    fn submit(&mut self) {
+    pub(crate) fn submit(&mut self) {
         let number = self.keys.len() as u64;
         if self.keys.is_empty() || self.draw.chance(25) {
             let dated = self.draw.chance(50);
@@ -190,7 +177,7 @@
         let place = self.keys.len() - 1 - self.draw.below(recent as u64) as usize;
         let key = self.keys[place].clone();
         self.next_request += 1;
-        let attempt = common::attempt(self.draw.below(NODES), self.next_request);
+        let attempt = attempt(self.draw.below(NODES), self.next_request);
         let phase = NodePhase::Waiting;
         let claim = ClaimStep::Claim {
             key: key.clone(),
@@ -209,7 +196,7 @@
         self.send(claim);
     }
 
-    fn send(&mut self, step: ClaimStep) {
+    pub(crate) fn send(&mut self, step: ClaimStep) {
         let key = match &step {
             ClaimStep::Claim { key, .. }
             | ClaimStep::Finish { key, .. }
@@ -231,7 +218,7 @@
         }
     }
 
-    fn repeat_step(&mut self) {
+    pub(crate) fn repeat_step(&mut self) {
         if !self.wire.is_empty() {
             let place = self.draw.below(self.wire.len() as u64) as usize;
             self.wire.push(self.wire[place].clone());
@@ -240,7 +227,7 @@
     }
 
     /// The leader takes some steps, in any order, into one entry of the log.
-    fn apply_batch(&mut self) {
+    pub(crate) fn apply_batch(&mut self) {
         let mut batch = Vec::new();
         for _ in 0..1 + self.draw.below(3) {
             batch.extend(self.draw.take(&mut self.wire));
@@ -264,7 +251,7 @@
     }
 
     /// The answer to a step reaches the node.
-    fn answer(&mut self, wire: WireStep, outcome: ClaimOutcome) {
+    pub(crate) fn answer(&mut self, wire: WireStep, outcome: ClaimOutcome) {
         self.events += 1;
         let operation = &mut self.history[wire.operation];
         if operation.answered.is_none() {
@@ -307,7 +294,7 @@
         }
     }
 
-    fn dispatch(&mut self, place: usize) {
+    pub(crate) fn dispatch(&mut self, place: usize) {
         let known = self.attempts[place].clone();
         if self.draw.chance(15) {
             // The endpoint could not be reached: not one byte was sent.
@@ -330,7 +317,7 @@
         }
     }
 
-    fn finish(&mut self, known: &NodeAttempt, result: ClaimResult) {
+    pub(crate) fn finish(&mut self, known: &NodeAttempt, result: ClaimResult) {
         let (key, attempt) = (known.key.clone(), known.attempt);
         self.send(ClaimStep::Finish {
             key,
@@ -340,7 +327,7 @@
     }
 
     /// A request reaches the service and runs.
-    fn deliver_to_service(&mut self) {
+    pub(crate) fn deliver_to_service(&mut self) {
         let Some(known) = self.draw.take(&mut self.sent) else {
             return;
         };
@@ -364,7 +351,7 @@
     }
 
     /// A node waits no longer for its claim.
-    fn give_up(&mut self) {
+    pub(crate) fn give_up(&mut self) {
         let waiting = |known: &NodeAttempt| known.phase == NodePhase::Waiting;
         let Some(place) = self.attempts.iter().position(waiting) else {
             return;
@@ -376,13 +363,13 @@
         self.send(release(&known));
     }
 
-    fn crash(&mut self) {
+    pub(crate) fn crash(&mut self) {
         let node = NodeId(self.draw.below(NODES));
         self.attempts.retain(|known| known.attempt.node != node);
         self.count("crashes");
     }
 
-    fn restart_leader(&mut self) {
+    pub(crate) fn restart_leader(&mut self) {
         self.count("restarts from a snapshot");
         let from = if self.fault == ClaimFault::LosesAccepted {
             &self.saved
@@ -393,7 +380,7 @@
         self.saved = self.state.clone();
     }
 
-    fn pass_time(&mut self) {
+    pub(crate) fn pass_time(&mut self) {
         self.now_ms += self.draw.below(30_000);
         if self.fault == ClaimFault::ForgetsSpent {
             let customer = "north".to_owned();
@@ -407,13 +394,13 @@
     }
 
     /// A node is declared lost, rightly or not.
-    fn declare_lost(&mut self) {
+    pub(crate) fn declare_lost(&mut self) {
         let node = NodeId(self.draw.below(NODES));
         self.send(ClaimStep::NodeLost { node });
     }
 
     /// What went wrong, if anything.
-    fn violation(&self) -> Option<String> {
+    pub(crate) fn violation(&self) -> Option<String> {
         if let Some(attempt) = self.wrong_answer {
             return Some(format!(
                 "{attempt:?} was given an answer that is not the run's"
@@ -431,7 +418,7 @@
     }
 }
 
-fn release(known: &NodeAttempt) -> ClaimStep {
+pub(crate) fn release(known: &NodeAttempt) -> ClaimStep {
     ClaimStep::Release {
         key: known.key.clone(),
         body: BODY,
@@ -439,213 +426,17 @@
     }
 }
 
-fn wire_key(step: &ClaimStep) -> ClaimKey {
+pub(crate) fn wire_key(step: &ClaimStep) -> ClaimKey {
     match step {
         ClaimStep::Claim { key, .. } => key.clone(),
         _ => panic!("a claim was answered"),
     }
 }
 
-fn run_world(seed: u64, fault: ClaimFault, eventful: bool, steps: usize) -> ClaimWorld {
+pub(crate) fn run_world(seed: u64, fault: ClaimFault, eventful: bool, steps: usize) -> ClaimWorld {
     let mut world = ClaimWorld::new(seed, fault, eventful);
     for _ in 0..steps {
         world.step();
     }
     world
 }
-
-/// A stylist books a studio; the answer is lost, the node crashes, her app sends the same key to
-/// other nodes, minutes or hours later. The studio must be booked once, and an app that was told
-/// "not run" must be able to rely on it.
-#[test]
-fn no_key_runs_twice_and_nothing_refused_ever_runs() {
-    let mut counts: BTreeMap<&str, u64> = BTreeMap::new();
-    for seed in 0..200 {
-        let world = run_world(seed, ClaimFault::None, true, 3000);
-        assert_eq!(world.violation(), None, "seed {seed}");
-        for (what, count) in &world.counts {
-            *counts.entry(what).or_default() += count;
-        }
-        *counts.entry("keys").or_default() += world.keys.len() as u64;
-    }
-    println!("200 schedules of 3000 steps: {counts:?}");
-    assert!(
-        counts["runs"] > 20_000,
-        "the schedules ran too little: {counts:?}"
-    );
-}
-
-/// The check above is worth something only if it notices nodes and members that go wrong.
-#[test]
-fn the_check_notices_each_fault() {
-    for fault in [
-        ClaimFault::ReleasesAfterSend,
-        ClaimFault::SendsBeforeGrant,
-        ClaimFault::UsesLateGrant,
-        ClaimFault::LosesAccepted,
-        ClaimFault::ForgetsSpent,
-    ] {
-        let worlds = (0..20).map(|seed| run_world(seed, fault, true, 3000));
-        let noticed = worlds.filter(|world| world.violation().is_some()).count();
-        println!("{fault:?}: noticed in {noticed} of 20 schedules");
-        assert!(
-            noticed >= 10,
-            "{fault:?} noticed in {noticed} of 20 schedules"
-        );
-    }
-}
-
-/// One key as a single place would keep it.
-struct KeySpec;
-
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-enum KeyPhase {
-    Free,
-    Held(u64),
-    Unknown(u64),
-    Done(u64, Vec<u8>),
-}
-
-#[derive(Clone, Debug)]
-struct KeyOp {
-    step: ClaimStep,
-    /// Nothing where no answer came: any is right then.
-    outcome: Option<ClaimOutcome>,
-}
-
-impl Specification for KeySpec {
-    /// The phase, and the attempts that were released.
-    type State = (KeyPhase, BTreeSet<u64>);
-    type Operation = KeyOp;
-
-    fn init() -> Self::State {
-        (KeyPhase::Free, BTreeSet::new())
-    }
-
-    fn apply(operation: &KeyOp, state: &Self::State) -> (bool, Self::State) {
-        let (mut phase, mut released) = state.clone();
-        let outcome = match &operation.step {
-            ClaimStep::Claim { attempt, .. } => {
-                let request = attempt.request.0;
-                match &phase {
-                    _ if released.contains(&request) => ClaimOutcome::Withdrawn,
-                    KeyPhase::Free => {
-                        phase = KeyPhase::Held(request);
-                        ClaimOutcome::Granted
-                    }
-                    KeyPhase::Held(holder) if *holder == request => ClaimOutcome::Granted,
-                    KeyPhase::Held(_) => ClaimOutcome::InProgress,
-                    KeyPhase::Unknown(_) => ClaimOutcome::Unknown,
-                    KeyPhase::Done(_, body) => ClaimOutcome::Recorded(ClaimAnswer {
-                        status: 201,
-                        content_type: String::new(),
-                        body: body.clone(),
-                    }),
-                }
-            }
-            ClaimStep::Finish {
-                attempt, result, ..
-            } => {
-                let request = attempt.request.0;
-                match (&phase, result) {
-                    (KeyPhase::Held(holder) | KeyPhase::Unknown(holder), _)
-                        if *holder != request =>
-                    {
-                        ClaimOutcome::NotHeld
-                    }
-                    (KeyPhase::Free, _) => ClaimOutcome::NotHeld,
-                    (KeyPhase::Done(holder, _), _) if *holder != request => ClaimOutcome::NotHeld,
-                    (KeyPhase::Done(..), _) => ClaimOutcome::Noted,
-                    (_, ClaimResult::Answered(answer)) => {
-                        phase = KeyPhase::Done(request, answer.body.clone());
-                        ClaimOutcome::Noted
-                    }
-                    _ => {
-                        phase = KeyPhase::Unknown(request);
-                        ClaimOutcome::Noted
-                    }
-                }
-            }
-            ClaimStep::Release { attempt, .. } => {
-                let request = attempt.request.0;
-                released.insert(request);
-                if phase == KeyPhase::Held(request) {
-                    phase = KeyPhase::Free;
-                }
-                ClaimOutcome::Noted
-            }
-            ClaimStep::NodeLost { .. } => ClaimOutcome::Noted,
-        };
-        let fits = operation
-            .outcome
-            .as_ref()
-            .is_none_or(|told| *told == outcome);
-        (fits, (phase, released))
-    }
-}
-
-/// The operations on one key in the order of their calls and answers; those without an answer end
-/// after all others.
-fn key_history(world: &ClaimWorld, key: &ClaimKey) -> Vec<(usize, Action<KeyOp>)> {
-    let mut actions = Vec::new();
-    let of_key = world
-        .history
-        .iter()
-        .filter(|operation| operation.key == *key);
-    for (place, operation) in of_key.enumerate() {
-        let op = KeyOp {
-            step: operation.step.clone(),
-            outcome: operation.outcome.clone(),
-        };
-        actions.push((operation.called * 2, place, Action::Call(op.clone())));
-        let end = operation.answered.map_or(usize::MAX, |at| at * 2 + 1);
-        actions.push((end, place, Action::Response(op)));
-    }
-    actions.sort_by_key(|(at, ..)| *at);
-    actions
-        .into_iter()
-        .map(|(_, place, action)| (place, action))
-        .collect()
-}
-
-/// Every answer that nodes got on a key must fit one order of all steps, one after the other;
-/// otherwise two nodes were told things of one booking that cannot both be true.
-#[test]
-fn claim_histories_are_linearizable() {
-    let (mut histories, mut operations) = (0, 0);
-    for seed in 0..60 {
-        let world = run_world(seed, ClaimFault::None, false, 400);
-        for key in &world.keys {
-            let actions = key_history(&world, key);
-            // Longer ones are left out: the search grows too fast with operations left open.
-            if actions.is_empty() || actions.len() > 36 {
-                continue;
-            }
-            histories += 1;
-            operations += actions.len() / 2;
-            let history = History::from_actions(actions);
-            assert!(
-                WGLChecker::<KeySpec>::is_linearizable(history),
-                "seed {seed} {key:?}"
-            );
-        }
-    }
-    println!("{operations} operations in {histories} histories of one key each");
-    assert!(operations > 5000);
-}
-
-/// A table that loses accepted steps must be noticed by the history check too.
-#[test]
-fn the_history_check_notices_lost_steps() {
-    let noticed = (0..20).filter(|seed| {
-        let world = run_world(*seed, ClaimFault::LosesAccepted, false, 400);
-        let mut histories = world.keys.iter().map(|key| key_history(&world, key));
-        histories.any(|actions| {
-            let checked = !actions.is_empty() && actions.len() <= 36;
-            checked && !WGLChecker::<KeySpec>::is_linearizable(History::from_actions(actions))
-        })
-    });
-    let noticed = noticed.count();
-    println!("lost steps noticed in {noticed} of 20 schedules");
-    assert!(noticed >= 10);
-}
