--- a/crates/ragwortroad_node/src/real_clock.rs
+++ b/crates/ragwortroad_clock/src/real_clock.rs
@@ -12,14 +12,14 @@
 
 /// The one place of a process that reads clocks.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct RealClock {
+pub struct RealClock {
     /// Where this process's time starts.
     start: Duration,
 }
 
 impl RealClock {
     /// A clock that reads [`Self::LEAD`] now.
-    pub(crate) fn start() -> Self {
+    pub fn start() -> Self {
         Self { start: boot_time() }
     }
 
@@ -33,13 +33,13 @@
     ///
     /// The usual monotonic clock stands still then. A leader that was suspended for an hour would
     /// find its lease still running when it wakes up, with another leader long elected.
-    pub(crate) fn now(&self) -> ClockTime {
+    pub fn now(&self) -> ClockTime {
         let elapsed = boot_time().saturating_sub(self.start);
         ClockTime::ZERO.after(Self::LEAD + elapsed)
     }
 
     /// Milliseconds since 1970, which may jump; only for people and for the hybrid logical clock.
-    pub(crate) fn wall_ms(&self) -> u64 {
+    pub fn wall_ms(&self) -> u64 {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
         since.map_or(0, |span| span.as_millis() as u64)
     }
--- /dev/null
+++ b/crates/ragwortroad_dispatch/src/endpoint_book.rs
@@ -0,0 +1,197 @@
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    time::Duration, //
+};
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    EndpointRecord,
+    EndpointStage,
+    registry_table::is_outdated, //
+};
+
+/// A registry that an edge hears of endpoints from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SourceKey(pub u32);
+
+/// An endpoint known to an edge.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointKey(pub u32);
+
+/// How long an endpoint stays known that no registry vouches for any more.
+///
+/// A registry that is lost takes its first-hand knowledge along, and its endpoints need a few
+/// announcements to find another one. Removing them at once would leave a site without endpoints
+/// whenever all registries restart; an endpoint that is really gone is noticed by the requests
+/// that fail there, within one of them.
+const ORPHAN_TIME: Duration = Duration::from_secs(8);
+
+/// How long it stays known that an incarnation has left; late announcements are older than that.
+const FAREWELL_MEMORY: Duration = Duration::from_secs(60);
+
+/// What an edge knows of endpoints, merged from all registries.
+#[derive(Debug, Default)]
+pub struct EndpointBook {
+    names: BTreeMap<String, EndpointKey>,
+    entries: BTreeMap<EndpointKey, BookEntry>,
+    next_key: u32,
+}
+
+#[derive(Debug)]
+struct BookEntry {
+    record: EndpointRecord,
+    /// Registries that vouch for it.
+    holders: BTreeSet<SourceKey>,
+    /// Since when nobody vouches for it, or it is known to be gone.
+    unheld_since: Option<ClockTime>,
+}
+
+/// What came of a piece of news.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BookChange {
+    /// Nothing that matters to requests.
+    Same,
+    /// It is new, or started anew.
+    Started(EndpointKey),
+    /// It takes no new work any more.
+    Stopped(EndpointKey),
+    /// It takes work as before, with other details.
+    Changed(EndpointKey),
+}
+
+impl EndpointBook {
+    /// Takes what `source` heard from an endpoint itself.
+    pub fn told(
+        &mut self,
+        source: SourceKey,
+        record: EndpointRecord,
+        now: ClockTime,
+    ) -> BookChange {
+        let Some(&key) = self.names.get(&record.name) else {
+            return self.insert(source, record, now);
+        };
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return BookChange::Same;
+        };
+        // A registry may know of a goodbye and of fewer announcements than others: the goodbye
+        // is the later word all the same.
+        let same_start = record.started_ms == entry.record.started_ms;
+        let is_farewell = same_start && record.stage == EndpointStage::Gone;
+        if is_outdated(&entry.record, &record) && !is_farewell {
+            return BookChange::Same;
+        }
+        let restarted = record.started_ms > entry.record.started_ms;
+        let before = entry.record.stage;
+        entry.holders.insert(source);
+        entry.unheld_since = (record.stage == EndpointStage::Gone).then_some(now);
+        entry.record = record;
+        let ready = entry.record.stage == EndpointStage::Ready;
+        match (before == EndpointStage::Ready, ready) {
+            (true, false) => BookChange::Stopped(key),
+            (false, true) => BookChange::Started(key),
+            (true, true) if restarted => BookChange::Started(key),
+            (true, true) => BookChange::Changed(key),
+            (false, false) => BookChange::Same,
+        }
+    }
+
+    fn insert(&mut self, source: SourceKey, record: EndpointRecord, now: ClockTime) -> BookChange {
+        let key = EndpointKey(self.next_key);
+        self.next_key += 1;
+        self.names.insert(record.name.clone(), key);
+        let ready = record.stage == EndpointStage::Ready;
+        let gone = record.stage == EndpointStage::Gone;
+        let entry = BookEntry {
+            record,
+            holders: BTreeSet::from([source]),
+            unheld_since: gone.then_some(now),
+        };
+        self.entries.insert(key, entry);
+        match ready {
+            true => BookChange::Started(key),
+            false => BookChange::Same,
+        }
+    }
+
+    /// `source` has not heard of an endpoint for too long.
+    pub fn lost(&mut self, source: SourceKey, name: &str, now: ClockTime) {
+        let key = self.names.get(name);
+        if let Some(entry) = key.and_then(|key| self.entries.get_mut(key)) {
+            entry.holders.remove(&source);
+            entry.note_unheld(now);
+        }
+    }
+
+    /// An endpoint said goodbye at some registry.
+    pub fn said_goodbye(&mut self, name: &str, now: ClockTime) -> BookChange {
+        let Some(&key) = self.names.get(name) else {
+            return BookChange::Same;
+        };
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return BookChange::Same;
+        };
+        let was_ready = entry.record.stage == EndpointStage::Ready;
+        entry.record.stage = EndpointStage::Gone;
+        entry.unheld_since = Some(now);
+        match was_ready {
+            true => BookChange::Stopped(key),
+            false => BookChange::Same,
+        }
+    }
+
+    /// The connection to `source` ended: its word counts no longer.
+    pub fn drop_source(&mut self, source: SourceKey, now: ClockTime) {
+        for entry in self.entries.values_mut() {
+            if entry.holders.remove(&source) {
+                entry.note_unheld(now);
+            }
+        }
+    }
+
+    /// Forgets what nobody has vouched for long enough; returns the endpoints forgotten.
+    pub fn expire(&mut self, now: ClockTime) -> Vec<EndpointKey> {
+        let mut forgotten = Vec::new();
+        self.entries.retain(|&key, entry| {
+            let limit = match entry.record.stage {
+                EndpointStage::Gone => FAREWELL_MEMORY,
+                _ => ORPHAN_TIME,
+            };
+            let keep = entry
+                .unheld_since
+                .is_none_or(|since| now.since(since) < limit);
+            if !keep {
+                forgotten.push(key);
+            }
+            keep
+        });
+        let entries = &self.entries;
+        self.names.retain(|_, key| entries.contains_key(key));
+        forgotten
+    }
+
+    /// What an endpoint said last.
+    pub fn record(&self, key: EndpointKey) -> Option<&EndpointRecord> {
+        self.entries.get(&key).map(|entry| &entry.record)
+    }
+
+    /// Endpoints of a service that take new work.
+    pub fn ready(&self, service: &str) -> impl Iterator<Item = (EndpointKey, &EndpointRecord)> {
+        let entries = self.entries.iter();
+        let records = entries.map(|(&key, entry)| (key, &entry.record));
+        records.filter(move |(_, record)| {
+            record.stage == EndpointStage::Ready && record.service == service
+        })
+    }
+}
+
+impl BookEntry {
+    fn note_unheld(&mut self, now: ClockTime) {
+        if self.holders.is_empty() && self.unheld_since.is_none() {
+            self.unheld_since = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_dispatch/src/endpoint_load.rs
@@ -0,0 +1,130 @@
+use std::time::Duration;
+
+use ragwortroad_types::prelude::*;
+
+/// After this time an endpoint's own reading says nothing about its load any more.
+///
+/// A generated answer takes one to two seconds, so the requests of a reading are half replaced by
+/// then.
+const READING_LIFE: Duration = Duration::from_millis(1500);
+
+/// Time for which an endpoint is left alone after its first failure; doubled by each further one.
+const FIRST_PAUSE: Duration = Duration::from_millis(500);
+
+/// Longest time for which an endpoint is left alone before one request tries it again.
+const LONGEST_PAUSE: Duration = Duration::from_secs(8);
+
+/// Weight of one outcome in the moving share of failures: about the last ten count.
+const FAILURE_WEIGHT: f64 = 0.1;
+
+/// What an endpoint said of its load with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReading {
+    /// Requests it works on.
+    pub running: u32,
+    /// Requests that wait there.
+    pub waiting: u32,
+}
+
+/// What one edge knows of one endpoint's load and health.
+#[derive(Clone, Debug, Default)]
+pub struct EndpointLoad {
+    /// Requests of this edge that are under way there.
+    own: u32,
+    /// The last reading, with the time and this edge's own requests at that time.
+    reading: Option<(LoadReading, ClockTime, u32)>,
+    /// Requests under way there from other edges, as the registries told last.
+    others: u32,
+    /// Failures in a row.
+    failures: u32,
+    /// No request goes there before this time.
+    paused_until: ClockTime,
+    /// Moving share of requests that failed by the endpoint's fault, from 0 to 1.
+    failing: f64,
+}
+
+impl EndpointLoad {
+    /// Notes that a request goes there.
+    pub fn begin(&mut self) {
+        self.own += 1;
+    }
+
+    /// Notes that a request there has ended, however it did.
+    pub fn end(&mut self) {
+        self.own = self.own.saturating_sub(1);
+    }
+
+    /// Requests of this edge that are under way there.
+    pub fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Takes a reading that came with an answer.
+    pub fn read(&mut self, reading: LoadReading, now: ClockTime) {
+        self.reading = Some((reading, now, self.own));
+    }
+
+    /// Takes the number of requests that other edges have there.
+    pub fn set_others(&mut self, others: u32) {
+        self.others = others;
+    }
+
+    /// Requests that are at the endpoint by the best knowledge here.
+    ///
+    /// The endpoint's own reading, moved by what this edge has sent and got back since, or what the
+    /// edges counted together, whichever is more: both miss what was sent a moment ago, and an
+    /// endpoint taken for emptier than it is gets the next rush of all edges.
+    pub fn estimate(&self, now: ClockTime) -> u32 {
+        let counted = self.own + self.others;
+        let Some((reading, read_at, own_then)) = self.reading else {
+            return counted;
+        };
+        if now.since(read_at) > READING_LIFE {
+            return counted;
+        }
+        let total = reading.running + reading.waiting;
+        let moved = (total + self.own).saturating_sub(own_then);
+        moved.max(counted)
+    }
+
+    /// Notes an answer that shows the endpoint well.
+    pub fn succeed(&mut self) {
+        self.failures = 0;
+        self.failing *= 1.0 - FAILURE_WEIGHT;
+    }
+
+    /// Notes a failure that is the endpoint's own.
+    ///
+    /// Without the pause every edge would go on offering requests to a dead endpoint until its
+    /// announcements are missed, some seconds later; with it a handful of requests meet it.
+    pub fn fail(&mut self, now: ClockTime) {
+        let doublings = self.failures.min(4);
+        let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
+        self.failures += 1;
+        self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+        self.paused_until = now.after(pause);
+    }
+
+    /// Notes an answer that the endpoint spoiled while others are well.
+    pub fn stumble(&mut self) {
+        self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+    }
+
+    /// Share of its requests that failed lately, from 0 to 1.
+    pub fn failing(&self) -> f64 {
+        self.failing
+    }
+
+    /// Whether requests may go there.
+    pub fn is_open(&self, now: ClockTime) -> bool {
+        now >= self.paused_until
+    }
+
+    /// Starts anew, for an endpoint that has started anew.
+    pub fn reset(&mut self) {
+        *self = Self {
+            own: self.own,
+            ..Self::default()
+        };
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -0,0 +1,77 @@
+//! Decisions of a fleet that forwards requests by host and path.
+//!
+//! An *edge* takes requests from callers and passes them on to endpoints; a *registry* holds the
+//! site's configuration and hears the endpoints' announcements. This crate decides for both: which
+//! route a request has, whose key it carries, which endpoints exist, where a request goes, when it
+//! may be repeated, and who has a seat among the registries that vote. Nothing here reads a clock,
+//! draws unseeded randomness, or does input or output.
+
+mod config_fault;
+mod endpoint_book;
+mod endpoint_load;
+mod endpoint_record;
+mod place_choice;
+mod registry_table;
+mod retry_purse;
+mod route_map;
+mod seat_plan;
+mod site_config;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        config_fault::ConfigFault,
+        endpoint_book::{
+            BookChange,
+            EndpointBook,
+            EndpointKey,
+            SourceKey, //
+        },
+        endpoint_load::{
+            EndpointLoad,
+            LoadReading, //
+        },
+        endpoint_record::{
+            EndpointRecord,
+            EndpointStage, //
+        },
+        place_choice::{
+            PlaceCandidate,
+            PlaceRequest,
+            PlaceSettings,
+            choose_engine,
+            choose_replica,
+            shared_key, //
+        },
+        registry_table::{
+            RegistryChange,
+            RegistryTable, //
+        },
+        retry_purse::{
+            PurseSettings,
+            RetryPurse, //
+        },
+        route_map::{
+            CustomerKey,
+            RouteKey,
+            RouteMap, //
+        },
+        seat_plan::{
+            SeatHolder,
+            SeatPlan,
+            SeatSettings, //
+        },
+        site_config::{
+            CallerLimits,
+            CustomerRule,
+            EngineRule,
+            RequestKind,
+            RouteRule,
+            RouteTarget,
+            ServiceRule,
+            SiteConfig, //
+        }, //
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_dispatch/src/place_choice.rs
@@ -0,0 +1,116 @@
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::EndpointKey;
+
+/// Figures of the choice of a place.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlaceSettings {
+    /// An engine takes requests up to this multiple of the mean load.
+    ///
+    /// Lower spreads better, higher keeps more shared text where it was read. The site's bound on
+    /// skew is 2; the rest is room for what other edges sent a moment ago.
+    pub load_multiple: f64,
+    /// Requests above that multiple which harm nobody: at small means one request more or less is
+    /// a large multiple.
+    pub load_slack: f64,
+}
+
+impl Default for PlaceSettings {
+    fn default() -> Self {
+        Self {
+            load_multiple: 1.25,
+            load_slack: 1.0,
+        }
+    }
+}
+
+/// An endpoint that may take a request.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceCandidate<'a> {
+    /// Whom it stands for.
+    pub key: EndpointKey,
+    /// Its name, the same at all edges.
+    pub name: &'a str,
+    /// Requests that are there by the best knowledge here.
+    pub load: u32,
+    /// Requests it works on at once.
+    pub slots: u32,
+    /// Whether it is in this edge's failure domain.
+    pub is_near: bool,
+    /// Share of its requests that failed lately, from 0 to 1.
+    pub failing: f64,
+}
+
+/// What matters of a request to where it goes.
+#[derive(Clone, Copy, Debug)]
+pub struct PlaceRequest {
+    /// Key of the text that it shares with others; nothing where it shares none.
+    pub shared_text: Option<u64>,
+    /// A draw between 0 and 1, for choices that nothing else decides.
+    pub draw: f64,
+}
+
+/// Share of failures from which an endpoint counts as failing.
+///
+/// Services fail one request in seven for reasons of the request; with the weight of the moving
+/// share, a well endpoint stays below this and one that fails four in ten is above after eight.
+const FAILING_SHARE: f64 = 0.3;
+
+/// Where a request to a model engine goes.
+///
+/// All edges rank the engines for a shared text in the same order without a message: a hash of
+/// text and engine. The first one in that order that is not above the bound gets the request, so a
+/// text is read by few engines, the same ones each time, and a text that is asked for too often
+/// overflows to the next in its order. Answers the loads of a site with many shared texts and a
+/// few very busy ones; at 12 engines and equal texts it comes to the first in order nearly always.
+pub fn choose_engine(
+    candidates: &[PlaceCandidate<'_>],
+    request: PlaceRequest,
+    settings: &PlaceSettings,
+) -> Option<EndpointKey> {
+    let well = well_candidates(candidates);
+    let total: u32 = well.iter().map(|candidate| candidate.load).sum();
+    let mean = f64::from(total) / well.len().max(1) as f64;
+    let bound = mean * settings.load_multiple + settings.load_slack;
+    let text = request.shared_text.unwrap_or(request.draw.to_bits());
+    let rank = |candidate: &PlaceCandidate<'_>| xxh3_64_with_seed(candidate.name.as_bytes(), text);
+    let free = |candidate: &&PlaceCandidate<'_>| f64::from(candidate.load) <= bound;
+    let first = well
+        .iter()
+        .filter(free)
+        .max_by_key(|candidate| rank(candidate));
+    let least = || well.iter().min_by_key(|candidate| candidate.load);
+    first.or_else(least).map(|candidate| candidate.key)
+}
+
+/// Where a request to a plain service goes: where least is under way, near places first.
+pub fn choose_replica(
+    candidates: &[PlaceCandidate<'_>],
+    request: PlaceRequest,
+) -> Option<EndpointKey> {
+    let well = well_candidates(candidates);
+    let offset = (request.draw * well.len() as f64) as usize;
+    let turned = well.iter().cycle().skip(offset).take(well.len());
+    turned
+        .min_by_key(|candidate| (candidate.load, !candidate.is_near))
+        .map(|candidate| candidate.key)
+}
+
+/// The candidates without those that fail often, unless all do.
+fn well_candidates<'a>(candidates: &[PlaceCandidate<'a>]) -> Vec<PlaceCandidate<'a>> {
+    let is_well = |candidate: &&PlaceCandidate<'a>| candidate.failing < FAILING_SHARE;
+    let well: Vec<_> = candidates.iter().filter(is_well).copied().collect();
+    // Where most of a service fails, its requests or the service as a whole are at fault, and the
+    // few others would break down under all of its load.
+    if well.len() * 2 < candidates.len() {
+        return candidates.to_vec();
+    }
+    well
+}
+
+/// Key of a text that is made of parts, all but the last of them shared.
+pub fn shared_key(parts: &[u64]) -> Option<u64> {
+    let (_, shared) = parts.split_last()?;
+    let last = shared.last()?;
+    Some(*last)
+}
--- /dev/null
+++ b/crates/ragwortroad_dispatch/src/registry_table.rs
@@ -0,0 +1,136 @@
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
+
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    EndpointRecord,
+    EndpointStage, //
+};
+
+/// Announcements that may be missed before an endpoint counts as lost.
+///
+/// Endpoints announce themselves about once an interval and try the next registry where one does
+/// not answer within a second; three missed in a row, plus that second, are no accident of timing.
+const MISSED_ANNOUNCEMENTS: u32 = 3;
+
+/// Time for an endpoint to find another registry where one did not answer.
+const SEARCH_TIME: Duration = Duration::from_millis(1500);
+
+/// How long it stays known that an incarnation has left.
+///
+/// An announcement can arrive seconds late; without the note it would bring an endpoint back that
+/// is gone, and requests would run into its closed port. A minute is far beyond such delays.
+const FAREWELL_MEMORY: Duration = Duration::from_secs(60);
+
+/// What one registry heard from endpoints itself.
+///
+/// Each registry passes on only what it has heard first-hand, to every edge directly; edges merge
+/// (see [`EndpointBook`](crate::EndpointBook)). So news of a drain takes one hop, whichever
+/// registries are cut off from each other.
+#[derive(Debug)]
+pub struct RegistryTable {
+    interval: Duration,
+    entries: BTreeMap<String, TableEntry>,
+}
+
+#[derive(Debug)]
+struct TableEntry {
+    record: EndpointRecord,
+    heard_at: ClockTime,
+}
+
+/// What edges have to be told.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RegistryChange {
+    /// What an endpoint says now.
+    Told(EndpointRecord),
+    /// An endpoint has not been heard of here for too long.
+    Lost(String),
+    /// An endpoint said that it leaves for good.
+    Goodbye(String),
+}
+
+impl RegistryTable {
+    /// A table for endpoints that announce themselves every `interval`.
+    pub fn new(interval: Duration) -> Self {
+        Self {
+            interval,
+            entries: BTreeMap::new(),
+        }
+    }
+
+    /// Takes an announcement; tells what edges must know of it.
+    pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) -> Option<RegistryChange> {
+        if let Some(entry) = self.entries.get_mut(&record.name) {
+            if is_outdated(&entry.record, &record) {
+                return None;
+            }
+            let is_news = !says_the_same(&entry.record, &record);
+            entry.heard_at = now;
+            entry.record = record.clone();
+            return is_news.then_some(RegistryChange::Told(record));
+        }
+        let entry = TableEntry {
+            record: record.clone(),
+            heard_at: now,
+        };
+        self.entries.insert(record.name.clone(), entry);
+        Some(RegistryChange::Told(record))
+    }
+
+    /// Takes a goodbye, which names nothing but the endpoint; tells what edges must know of it.
+    ///
+    /// Edges are told also where nothing was heard of it here: another registry may have been the
+    /// one it announced itself to, and requests would go on to an endpoint that has left.
+    pub fn leave(&mut self, name: &str, now: ClockTime) -> RegistryChange {
+        if let Some(entry) = self.entries.get_mut(name) {
+            entry.record.stage = EndpointStage::Gone;
+            entry.heard_at = now;
+        }
+        RegistryChange::Goodbye(name.to_owned())
+    }
+
+    /// Drops what has not been heard of for too long; tells what edges must know of it.
+    pub fn expire(&mut self, now: ClockTime) -> Vec<RegistryChange> {
+        let patience = self.interval * (MISSED_ANNOUNCEMENTS + 1) + SEARCH_TIME;
+        let mut changes = Vec::new();
+        self.entries.retain(|name, entry| {
+            let silent = now.since(entry.heard_at);
+            if entry.record.stage == EndpointStage::Gone {
+                return silent < FAREWELL_MEMORY;
+            }
+            if silent < patience {
+                return true;
+            }
+            changes.push(RegistryChange::Lost(name.clone()));
+            false
+        });
+        changes
+    }
+
+    /// All that an edge must know when it connects.
+    pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
+        self.entries.values().map(|entry| &entry.record)
+    }
+}
+
+/// Whether `record` was overtaken by what is known.
+pub(crate) fn is_outdated(known: &EndpointRecord, record: &EndpointRecord) -> bool {
+    let same_start = known.started_ms == record.started_ms;
+    if same_start && known.stage == EndpointStage::Gone {
+        return true;
+    }
+    record.freshness() < known.freshness()
+}
+
+fn says_the_same(known: &EndpointRecord, record: &EndpointRecord) -> bool {
+    let renumbered = EndpointRecord {
+        sequence: known.sequence,
+        warming_ms: known.warming_ms,
+        ..record.clone()
+    };
+    *known == renumbered
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/caller_server.rs
@@ -0,0 +1,117 @@
+use std::{
+    convert::Infallible,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    task::spawn_local,
+    time::sleep, //
+};
+
+use crate::{
+    edge_state::EdgeShared,
+    request_flow::answer_caller, //
+};
+
+/// Pause after an accept that failed, so that a lack of descriptors does not make the loop spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// The HTTP library's least buffer for a head.
+const LEAST_HEAD: usize = 8192;
+
+/// Accepts callers for as long as the process runs.
+pub(crate) async fn serve_callers(shared: Rc<EdgeShared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(serve_caller(Rc::clone(&shared), stream));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a caller could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_caller(shared: Rc<EdgeShared>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        tracing::debug!(%error, "a caller's socket is gone");
+        return;
+    }
+    let map = shared.state.borrow().map.clone();
+    let limits = map.map_or_else(CallerLimits::default, |map| map.config().limits);
+    let service = service_fn(|request| answer_caller(Rc::clone(&shared), request));
+    // The library counts the time between two requests into the time for a head.
+    let silence = limits.idle_timeout + limits.head_timeout;
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(silence)
+        .max_buf_size(limits.max_head_bytes.max(LEAST_HEAD))
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+    if let Err(error) = served {
+        tracing::debug!(%error, "a caller's connection ended");
+    }
+}
+
+/// Tells whoever asks whether this edge takes callers.
+pub(crate) async fn serve_readiness(shared: Rc<EdgeShared>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "a question for readiness could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let shared = Rc::clone(&shared);
+        spawn_local(async move {
+            let service = service_fn(|request| tell_readiness(Rc::clone(&shared), request));
+            let served = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(%error, "a question for readiness ended early");
+            }
+        });
+    }
+}
+
+async fn tell_readiness(
+    shared: Rc<EdgeShared>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let stage = shared.state.borrow().stage;
+    let is_asked = (shared.port.asks_readiness)(request.method(), request.uri());
+    let status = match (is_asked, stage) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, EdgeStage::Ready) => StatusCode::OK,
+        (true, EdgeStage::Starting | EdgeStage::Draining) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    let mut answer = Response::new(Full::new(Bytes::from(format!("{stage:?}\n"))));
+    *answer.status_mut() = status;
+    Ok(answer)
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/edge_error.rs
@@ -0,0 +1,32 @@
+use std::{
+    io,
+    net::SocketAddr, //
+};
+
+use snafu::Snafu;
+
+/// Why an edge cannot run.
+#[derive(Debug, Snafu)]
+#[snafu(visibility(pub(crate)))]
+pub enum EdgeError {
+    /// A setting that an edge needs is missing.
+    #[snafu(display("[edge] {key} is missing; an edge cannot run without it"))]
+    MissingSetting {
+        /// The setting.
+        key: &'static str,
+    },
+    /// An address is in use or not this VM's.
+    #[snafu(display("cannot listen on {address}: {source}; stop what uses it or change it"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// No runtime could be had.
+    #[snafu(display("cannot start: {source}; look at the VM's memory and limits"))]
+    Start {
+        /// What the system said.
+        source: io::Error,
+    },
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -0,0 +1,291 @@
+//! Connections of an edge to the registries, and what comes over them.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use ragwortroad_types::prelude::*;
+use tokio::{
+    task::spawn_local,
+    time::sleep, //
+};
+
+use crate::edge_state::{
+    EdgeShared,
+    EdgeState, //
+};
+
+/// Pause before a registry that was lost is dialled again; doubled by each failure.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest pause; a registry that comes back is found within it.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
+
+/// Time after which a configuration that was asked for is asked of another registry.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+
+/// Time that this edge's own registry has to announce a version before another is asked.
+///
+/// All edges hear of a change from the leader first; if all asked it, its link would carry every
+/// copy. A registry that follows knows of a change a heartbeat later.
+const OWN_REGISTRY_TIME: Duration = Duration::from_millis(250);
+
+/// Time after a start in which a configuration is awaited that is surely the newest.
+///
+/// A registry that was cut off may have an older one; with the word of more than half of the
+/// voters there is none newer. Without them the edge still serves with what it has.
+const CERTAINTY_TIME: Duration = Duration::from_millis(1500);
+
+/// A registry as an edge knows it.
+#[derive(Debug)]
+pub(crate) struct RegistryLink {
+    pub(crate) address: SocketAddr,
+    /// Takes what it is told, while it is connected.
+    pub(crate) queue: Option<LinkQueue>,
+    /// Version that it has announced on this connection.
+    pub(crate) version: Option<u64>,
+    /// Whether it has told all that it knows on this connection.
+    pub(crate) has_told: bool,
+}
+
+/// Dials the registries that the settings name.
+pub(crate) fn dial_seeds(shared: &Rc<EdgeShared>, seeds: &[SocketAddr]) {
+    let port = shared.settings.inner.port();
+    let addresses = seeds.iter().map(|seed| SocketAddr::new(seed.ip(), port));
+    dial_registries(shared, addresses.collect());
+}
+
+fn dial_registries(shared: &Rc<EdgeShared>, addresses: Vec<SocketAddr>) {
+    for address in addresses {
+        let mut state = shared.state.borrow_mut();
+        if !state.registries.insert(address) {
+            continue;
+        }
+        let source = SourceKey(state.next_source);
+        state.next_source += 1;
+        let link = RegistryLink {
+            address,
+            queue: None,
+            version: None,
+            has_told: false,
+        };
+        state.links.insert(source, link);
+        drop(state);
+        spawn_local(keep_registry(Rc::clone(shared), source, address));
+    }
+}
+
+/// Keeps a connection to one registry for as long as the process runs.
+async fn keep_registry(shared: Rc<EdgeShared>, source: SourceKey, address: SocketAddr) {
+    let settings = LinkSettings::default();
+    let mut pause = FIRST_PAUSE;
+    loop {
+        match dial_link(address, &settings).await {
+            Ok(stream) => {
+                pause = FIRST_PAUSE;
+                let (queue, receiver) = LinkQueue::new(&settings);
+                begin_link(&shared, source, &queue);
+                let inward = Rc::clone(&shared);
+                let take = move |message| take_message(&inward, source, message);
+                let ended = run_link(stream, (queue, receiver), true, &settings, take).await;
+                tracing::info!(registry = %address, %ended, "registry lost");
+                end_link(&shared, source);
+            }
+            Err(error) => tracing::debug!(registry = %address, %error, "registry not reached"),
+        }
+        sleep(pause).await;
+        pause = (pause * 2).min(LONGEST_PAUSE);
+    }
+}
+
+fn begin_link(shared: &EdgeShared, source: SourceKey, queue: &LinkQueue) {
+    let mut state = shared.state.borrow_mut();
+    let callers = shared.settings.callers;
+    if let Some(address) = callers {
+        queue.send(&LinkMessage::EdgeHello {
+            node: shared.settings.name.clone(),
+            address,
+            stage: state.stage,
+        });
+    }
+    if let Some(link) = state.links.get_mut(&source) {
+        tracing::info!(registry = %link.address, "registry connected");
+        link.queue = Some(queue.clone());
+        link.version = None;
+        link.has_told = false;
+    }
+}
+
+fn end_link(shared: &EdgeShared, source: SourceKey) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    state.book.drop_source(source, now);
+    if let Some(link) = state.links.get_mut(&source) {
+        link.queue = None;
+        link.version = None;
+    }
+}
+
+fn take_message(shared: &Rc<EdgeShared>, source: SourceKey, message: LinkMessage) {
+    let now = shared.now();
+    match message {
+        LinkMessage::Fleet {
+            registries,
+            voters,
+            edges,
+        } => {
+            let mut state = shared.state.borrow_mut();
+            state.voters = voters;
+            state.edges = edges;
+            drop(state);
+            dial_registries(shared, registries);
+        }
+        LinkMessage::ConfigVersion(version) => take_version(shared, source, version),
+        LinkMessage::ConfigDocument { version, packed } => {
+            take_document(shared, version, &packed);
+        }
+        LinkMessage::EndpointsWhole(records) => {
+            let mut state = shared.state.borrow_mut();
+            for record in records {
+                take_record(&mut state, source, record, now);
+            }
+            if let Some(link) = state.links.get_mut(&source) {
+                link.has_told = true;
+            }
+        }
+        LinkMessage::EndpointTold(record) => {
+            let mut state = shared.state.borrow_mut();
+            take_record(&mut state, source, record, now);
+        }
+        LinkMessage::EndpointLost(name) => {
+            shared.state.borrow_mut().book.lost(source, &name, now);
+        }
+        LinkMessage::EndpointGoodbye(name) => {
+            let mut state = shared.state.borrow_mut();
+            let change = state.book.said_goodbye(&name, now);
+            tracing::info!(endpoint = name, ?change, "endpoint left");
+            state.follow_change(change);
+        }
+        other => tracing::warn!(?other, "a message that no registry sends an edge"),
+    }
+    settle_config(shared);
+}
+
+fn take_record(state: &mut EdgeState, source: SourceKey, record: EndpointRecord, now: ClockTime) {
+    let name = record.name.clone();
+    let stage = record.stage;
+    let change = state.book.told(source, record, now);
+    if change != BookChange::Same {
+        tracing::info!(endpoint = name, ?stage, ?change, "endpoint news");
+    }
+    state.follow_change(change);
+}
+
+fn take_version(shared: &EdgeShared, source: SourceKey, version: u64) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    if let Some(link) = state.links.get_mut(&source) {
+        link.version = Some(version);
+    }
+    if state.announced.is_none_or(|(known, _)| version > known) {
+        state.announced = Some((version, now));
+    }
+}
+
+fn take_document(shared: &EdgeShared, version: u64, packed: &[u8]) {
+    let mut state = shared.state.borrow_mut();
+    state.asked_at = None;
+    // An older one would take back what is in force here.
+    if state.version().is_some_and(|known| version <= known) {
+        return;
+    }
+    let document = match unpack_document(packed) {
+        Ok(document) => document,
+        Err(error) => {
+            tracing::error!(version, %error, "a configuration cannot be unpacked");
+            return;
+        }
+    };
+    match (shared.port.decode_config)(&document) {
+        Ok(config) => {
+            tracing::info!(
+                version,
+                routes = config.routes.len(),
+                services = config.services.len(),
+                "configuration in force"
+            );
+            state.map = Some(Rc::new(RouteMap::new(config)));
+        }
+        Err(fault) => tracing::error!(version, %fault, "a configuration cannot be used"),
+    }
+}
+
+/// Asks for the configuration where one is known to be newer, and says so once this edge is ready.
+pub(crate) fn settle_config(shared: &EdgeShared) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    ask_config(shared, &mut state, now);
+    if state.stage == EdgeStage::Starting && is_settled(&state, now) {
+        state.set_stage(EdgeStage::Ready);
+    }
+}
+
+fn is_settled(state: &EdgeState, now: ClockTime) -> bool {
+    let Some(version) = state.version() else {
+        return false;
+    };
+    let is_newest = state.announced.is_none_or(|(known, _)| version >= known);
+    let heard = state.links.values();
+    let heard = heard.filter(|link| link.version.is_some() && link.has_told);
+    let is_certain = heard.count() as u32 > state.voters / 2 && state.voters > 0;
+    // Readings of a process's clock start an hour after zero.
+    let running = now.since(ClockTime::ZERO.after(Duration::from_secs(3600)));
+    is_newest && (is_certain || running > CERTAINTY_TIME)
+}
+
+fn ask_config(shared: &EdgeShared, state: &mut EdgeState, now: ClockTime) {
+    let Some((announced, first_at)) = state.announced else {
+        return;
+    };
+    let own = state.version();
+    let is_behind = own.is_none_or(|version| version < announced);
+    let is_awaited = state
+        .asked_at
+        .is_some_and(|asked_at| now.since(asked_at) < ASK_AGAIN);
+    if !is_behind || is_awaited {
+        return;
+    }
+    let able = state.links.values().filter(|link| {
+        let has_it = link.version.is_some_and(|version| version >= announced);
+        has_it && link.queue.is_some()
+    });
+    // Each edge prefers another registry; which one does not matter.
+    let weight = |link: &&RegistryLink| {
+        let text = format!("{} {}", shared.settings.name, link.address);
+        NodeId::from_name(&text)
+    };
+    let all_best = state.links.values().filter(|link| link.queue.is_some());
+    let preferred = all_best.max_by_key(weight).map(|link| link.address);
+    let mut able: Vec<&RegistryLink> = able.collect();
+    able.sort_by_key(|link| link.address != preferred.unwrap_or(link.address));
+    let Some(chosen) = able.first() else {
+        return;
+    };
+    let is_preferred = Some(chosen.address) == preferred;
+    let is_first = own.is_none();
+    if !is_preferred && !is_first && now.since(first_at) < OWN_REGISTRY_TIME {
+        return;
+    }
+    let above = own.unwrap_or(0);
+    let asked = chosen
+        .queue
+        .as_ref()
+        .is_some_and(|queue| queue.send(&LinkMessage::WantConfig { above }));
+    if asked {
+        state.asked_at = Some(now);
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -0,0 +1,173 @@
+use std::{
+    cell::RefCell,
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use flume::Receiver;
+use ragwortroad_clock::prelude::*;
+use ragwortroad_link::prelude::*;
+use ragwortroad_settings::prelude::*;
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
+use tokio::{
+    net::TcpListener,
+    runtime::Builder,
+    sync::Notify,
+    task::{
+        LocalSet,
+        spawn_local, //
+    },
+    time::sleep, //
+};
+
+use crate::{
+    EdgeError,
+    EdgePort,
+    caller_server::{
+        serve_callers,
+        serve_readiness, //
+    },
+    connection_pool::ConnectionPool,
+    edge_error::{
+        ListenSnafu,
+        MissingSettingSnafu,
+        StartSnafu, //
+    },
+    edge_links::{
+        dial_seeds,
+        settle_config, //
+    },
+    edge_state::{
+        EdgeShared,
+        EdgeState, //
+    }, //
+};
+
+/// Time between two rounds of what is done from time to time.
+const ROUND_TIME: Duration = Duration::from_millis(100);
+
+/// Time for which a stopping edge goes on taking callers who have not heard of it.
+///
+/// The directory's answers are kept for two seconds, by some for six.
+const LEAST_DRAIN: Duration = Duration::from_millis(2500);
+
+/// Time without a new request after which a stopping edge takes it that its callers have moved.
+const QUIET_DRAIN: Duration = Duration::from_millis(1500);
+
+/// Time before the end of the grace time at which a stopping edge ends in any case.
+const GRACE_MARGIN: Duration = Duration::from_millis(300);
+
+/// What an edge is told from outside its tasks.
+#[derive(Clone, Debug, PartialEq)]
+pub enum EdgeSignal {
+    /// The settings have changed.
+    Reload(Box<ForwardSettings>),
+    /// The process is to stop.
+    Stop,
+}
+
+/// Runs an edge until it is told to stop.
+pub fn run_edge(
+    settings: ForwardSettings,
+    port: EdgePort,
+    signals: Receiver<EdgeSignal>,
+) -> Result<(), EdgeError> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(StartSnafu)?;
+    let local = LocalSet::new();
+    runtime.block_on(local.run_until(serve_edge(settings, port, signals)))
+}
+
+async fn serve_edge(
+    settings: ForwardSettings,
+    port: EdgePort,
+    signals: Receiver<EdgeSignal>,
+) -> Result<(), EdgeError> {
+    let key = "callers";
+    let callers = settings.callers.context(MissingSettingSnafu { key })?;
+    let key = "readiness";
+    let readiness = settings.readiness.context(MissingSettingSnafu { key })?;
+    let callers = listen(callers).await?;
+    let readiness = listen(readiness).await?;
+    let seeds = settings.seeds.clone();
+    let shared = Rc::new(EdgeShared {
+        settings,
+        port,
+        clock: RealClock::start(),
+        state: RefCell::new(EdgeState::default()),
+        pool: ConnectionPool::default(),
+        stop: Notify::new(),
+    });
+    dial_seeds(&shared, &seeds);
+    spawn_local(serve_callers(Rc::clone(&shared), callers));
+    spawn_local(serve_readiness(Rc::clone(&shared), readiness));
+    spawn_local(keep_rounds(Rc::clone(&shared)));
+    spawn_local(follow_signals(Rc::clone(&shared), signals));
+    shared.stop.notified().await;
+    drain(&shared).await;
+    Ok(())
+}
+
+/// Does what is due from time to time.
+async fn keep_rounds(shared: Rc<EdgeShared>) {
+    loop {
+        sleep(ROUND_TIME).await;
+        let now = shared.now();
+        let mut state = shared.state.borrow_mut();
+        for key in state.book.expire(now) {
+            state.loads.remove(&key);
+        }
+        drop(state);
+        shared.pool.expire(now);
+        settle_config(&shared);
+    }
+}
+
+async fn follow_signals(shared: Rc<EdgeShared>, signals: Receiver<EdgeSignal>) {
+    while let Ok(signal) = signals.recv_async().await {
+        match signal {
+            EdgeSignal::Reload(settings) => {
+                tracing::info!(seeds = settings.seeds.len(), "settings read again");
+                dial_seeds(&shared, &settings.seeds);
+            }
+            EdgeSignal::Stop => shared.stop.notify_one(),
+        }
+    }
+}
+
+/// Takes this edge out of the directory and lets what is under way end.
+///
+/// Idle connections stay open: a caller that has not heard yet would lose the request that crosses
+/// the close. Each answer from now on closes its connection instead.
+async fn drain(shared: &EdgeShared) {
+    let begun = shared.now();
+    let limit = shared.settings.grace.saturating_sub(GRACE_MARGIN);
+    begin_drain(&mut shared.state.borrow_mut());
+    loop {
+        sleep(ROUND_TIME).await;
+        let now = shared.now();
+        let state = shared.state.borrow();
+        let is_quiet = now.since(state.last_caller_at) > QUIET_DRAIN;
+        let is_done = state.in_flight == 0 && is_quiet && now.since(begun) > LEAST_DRAIN;
+        if is_done || now.since(begun) >= limit {
+            tracing::info!(in_flight = state.in_flight, "stopped");
+            return;
+        }
+    }
+}
+
+fn begin_drain(state: &mut EdgeState) {
+    tracing::info!(in_flight = state.in_flight, "stopping");
+    state.set_stage(EdgeStage::Draining);
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, EdgeError> {
+    let bound = TcpListener::bind(address).await;
+    bound.context(ListenSnafu { address })
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -0,0 +1,125 @@
+use std::{
+    cell::RefCell,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    rc::Rc, //
+};
+
+use ragwortroad_clock::prelude::*;
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use ragwortroad_settings::prelude::*;
+use ragwortroad_types::prelude::*;
+use tokio::sync::Notify;
+
+use crate::{
+    EdgePort,
+    connection_pool::ConnectionPool,
+    edge_links::RegistryLink, //
+};
+
+/// What the tasks of an edge share; all of them run on one thread.
+pub(crate) struct EdgeShared {
+    pub(crate) settings: ForwardSettings,
+    pub(crate) port: EdgePort,
+    pub(crate) clock: RealClock,
+    pub(crate) state: RefCell<EdgeState>,
+    pub(crate) pool: ConnectionPool,
+    /// Told when the edge is to stop.
+    pub(crate) stop: Notify,
+}
+
+/// All that an edge knows.
+///
+/// Borrowed for moments only, never across an await.
+#[derive(Default)]
+pub(crate) struct EdgeState {
+    /// The configuration in force here; nothing before the first one.
+    pub(crate) map: Option<Rc<RouteMap>>,
+    pub(crate) book: EndpointBook,
+    pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
+    purses: BTreeMap<String, RetryPurse>,
+    pub(crate) links: BTreeMap<SourceKey, RegistryLink>,
+    pub(crate) registries: BTreeSet<SocketAddr>,
+    pub(crate) next_source: u32,
+    /// Voters among the registries, as they told last.
+    pub(crate) voters: u32,
+    /// Edges of the fleet, as the registries told last.
+    pub(crate) edges: u32,
+    pub(crate) stage: EdgeStage,
+    /// When the configuration was asked for last, if the answer is still awaited.
+    pub(crate) asked_at: Option<ClockTime>,
+    /// Highest version that a registry has announced, and when it was first.
+    pub(crate) announced: Option<(u64, ClockTime)>,
+    /// Requests under way.
+    pub(crate) in_flight: usize,
+    /// When a connection or a request came last.
+    pub(crate) last_caller_at: ClockTime,
+}
+
+impl EdgeState {
+    /// The version in force here.
+    pub(crate) fn version(&self) -> Option<u64> {
+        self.map.as_ref().map(|map| map.config().version)
+    }
+
+    /// The load of an endpoint.
+    pub(crate) fn load_mut(&mut self, key: EndpointKey) -> &mut EndpointLoad {
+        self.loads.entry(key).or_default()
+    }
+
+    /// The budget of a service.
+    pub(crate) fn purse_mut(
+        &mut self,
+        service: &str,
+        settings: &ForwardSettings,
+        now: ClockTime,
+    ) -> &mut RetryPurse {
+        let edges = self.edges;
+        if !self.purses.contains_key(service) {
+            let figures = PurseSettings {
+                ratio: settings.retry_ratio,
+                slack: settings.retry_slack,
+                window: settings.retry_window,
+            };
+            let purse = RetryPurse::new(figures, edges, now);
+            self.purses.insert(service.to_owned(), purse);
+        }
+        // The entry was made above where there was none.
+        self.purses
+            .entry(service.to_owned())
+            .or_insert_with(|| RetryPurse::new(PurseSettings::default(), edges, now))
+    }
+
+    /// Takes what came of a piece of news about an endpoint.
+    pub(crate) fn follow_change(&mut self, change: BookChange) {
+        match change {
+            BookChange::Started(key) => self.load_mut(key).reset(),
+            BookChange::Stopped(_) | BookChange::Changed(_) | BookChange::Same => {}
+        }
+    }
+
+    /// Tells all registries this edge's stage.
+    pub(crate) fn set_stage(&mut self, stage: EdgeStage) {
+        if self.stage == stage {
+            return;
+        }
+        tracing::info!(?stage, version = self.version(), "this edge's stage");
+        self.stage = stage;
+        for link in self.links.values() {
+            if let Some(queue) = &link.queue {
+                queue.send(&LinkMessage::EdgeStaged(stage));
+            }
+        }
+    }
+}
+
+impl EdgeShared {
+    /// The time.
+    pub(crate) fn now(&self) -> ClockTime {
+        self.clock.now()
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -0,0 +1,250 @@
+//! One request at one endpoint.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc, //
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    Full, //
+};
+use hyper::{
+    HeaderMap,
+    Request,
+    Response,
+    StatusCode,
+    body::Incoming, //
+};
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
+
+use crate::{
+    AnswerFacts,
+    SendingFacts,
+    edge_state::EdgeShared,
+    endpoint_choice::ChosenEndpoint,
+    endpoint_connection::{
+        EndpointConnection,
+        SendFailure, //
+    },
+    flight_guard::FlightGuard,
+    request_plan::{
+        RequestPlan,
+        strip_connection, //
+    }, //
+};
+
+/// What became of a request at an endpoint.
+pub(crate) enum CallEnd {
+    /// Nothing reached it.
+    NotSent { reason: String },
+    /// It says that it did not run the request.
+    NotRun,
+    /// Another endpoint has its address, and did not run the request.
+    Misdirected,
+    /// It may have run the request, and no usable answer came.
+    Lost { reason: String },
+    /// The time is over.
+    TimedOut,
+    /// An answer came in full.
+    Whole(WholeAnswer),
+    /// Events are coming.
+    Events(Box<EventAnswer>),
+}
+
+/// An answer that is there.
+pub(crate) struct WholeAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+}
+
+/// A stream of events that has begun.
+pub(crate) struct EventAnswer {
+    pub(crate) status: StatusCode,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Incoming,
+    pub(crate) facts: AnswerFacts,
+    pub(crate) connection: EndpointConnection,
+    pub(crate) address: SocketAddr,
+    pub(crate) guard: FlightGuard,
+}
+
+/// Sends a request to an endpoint and waits for its answer, or for a stream's beginning.
+pub(crate) async fn call_endpoint(
+    shared: &Rc<EdgeShared>,
+    plan: &RequestPlan,
+    chosen: &ChosenEndpoint,
+    after_event: Option<u64>,
+) -> CallEnd {
+    let guard = FlightGuard::new(shared, chosen.key);
+    let calling = exchange(shared, plan, chosen, after_event, guard);
+    let end = match timeout_at(plan.deadline, calling).await {
+        Ok(end) => end,
+        Err(_) => CallEnd::TimedOut,
+    };
+    note_end(shared, chosen, &end);
+    end
+}
+
+async fn exchange(
+    shared: &Rc<EdgeShared>,
+    plan: &RequestPlan,
+    chosen: &ChosenEndpoint,
+    after_event: Option<u64>,
+    guard: FlightGuard,
+) -> CallEnd {
+    let mut pooled = shared.pool.take(chosen.address, shared.now());
+    loop {
+        let was_pooled = pooled.is_some();
+        let mut connection = match pooled.take() {
+            Some(connection) => connection,
+            None => match EndpointConnection::open(chosen.address).await {
+                Ok(connection) => connection,
+                Err(error) => {
+                    let reason = error.to_string();
+                    return CallEnd::NotSent { reason };
+                }
+            },
+        };
+        let request = match make_request(shared, plan, chosen, after_event) {
+            Ok(request) => request,
+            Err(error) => {
+                let reason = error.to_string();
+                return CallEnd::NotSent { reason };
+            }
+        };
+        match connection.send(request).await {
+            Ok(answer) => {
+                return read_answer(shared, plan, chosen, connection, answer, guard).await;
+            }
+            // The endpoint closed a kept connection before anything was sent on it.
+            Err(SendFailure::NotSent) if was_pooled => {}
+            Err(SendFailure::NotSent) => {
+                let reason = "closed before the request".to_owned();
+                return CallEnd::NotSent { reason };
+            }
+            Err(SendFailure::Lost(error)) => {
+                let reason = format!("{error} (kept connection: {was_pooled})");
+                return CallEnd::Lost { reason };
+            }
+        }
+    }
+}
+
+fn make_request(
+    shared: &EdgeShared,
+    plan: &RequestPlan,
+    chosen: &ChosenEndpoint,
+    after_event: Option<u64>,
+) -> Result<Request<Full<Bytes>>, hyper::http::Error> {
+    let mut request = Request::builder()
+        .method(plan.method.clone())
+        .uri(plan.target.clone())
+        .body(Full::new(plan.body.clone()))?;
+    let customer = plan.customer;
+    let sending = SendingFacts {
+        time_left: plan.deadline.saturating_duration_since(Instant::now()),
+        endpoint: &chosen.name,
+        customer: customer.and_then(|key| plan.map.customer_name(key)),
+        rank: Some(plan.map.rank(plan.route, customer)),
+        after_event,
+    };
+    let mut headers = plan.headers.clone();
+    (shared.port.dress_request)(&mut headers, &sending);
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+async fn read_answer(
+    shared: &Rc<EdgeShared>,
+    plan: &RequestPlan,
+    chosen: &ChosenEndpoint,
+    connection: EndpointConnection,
+    answer: Response<Incoming>,
+    guard: FlightGuard,
+) -> CallEnd {
+    let (head, body) = answer.into_parts();
+    let facts = (shared.port.read_answer)(head.status, &head.headers);
+    if facts.id.as_deref().is_some_and(|id| id != plan.id) {
+        // An answer that belongs to another request, late on a kept connection. Handed over, a
+        // caller would get what is another customer's.
+        let reason = "the answer names another request".to_owned();
+        return CallEnd::Lost { reason };
+    }
+    if let Some(load) = facts.load {
+        let now = shared.now();
+        let mut state = shared.state.borrow_mut();
+        state.load_mut(chosen.key).read(load, now);
+    }
+    if facts.is_misdirected {
+        keep_connection(shared, chosen.address, connection, &facts);
+        return CallEnd::Misdirected;
+    }
+    let is_success = head.status.is_success();
+    if is_success && (!facts.is_signed || facts.is_encoded || facts.id.is_none()) {
+        let reason = "a success without the endpoint's signature".to_owned();
+        return CallEnd::Lost { reason };
+    }
+    let mut headers = head.headers;
+    strip_connection(&mut headers);
+    if is_success && facts.is_events {
+        return CallEnd::Events(Box::new(EventAnswer {
+            status: head.status,
+            headers,
+            body,
+            facts,
+            connection,
+            address: chosen.address,
+            guard,
+        }));
+    }
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => {
+            let reason = format!("the answer broke off: {error}");
+            return CallEnd::Lost { reason };
+        }
+    };
+    keep_connection(shared, chosen.address, connection, &facts);
+    if facts.is_not_run {
+        return CallEnd::NotRun;
+    }
+    CallEnd::Whole(WholeAnswer {
+        status: head.status,
+        headers,
+        body,
+    })
+}
+
+/// Gives a connection back whose answer was read in full.
+pub(crate) fn keep_connection(
+    shared: &EdgeShared,
+    address: SocketAddr,
+    mut connection: EndpointConnection,
+    facts: &AnswerFacts,
+) {
+    if !facts.is_closing {
+        connection.is_reused = true;
+        let now = shared.now();
+        shared.pool.keep(address, connection, facts.idle_life, now);
+    }
+}
+
+/// Remembers how the endpoint did.
+fn note_end(shared: &EdgeShared, chosen: &ChosenEndpoint, end: &CallEnd) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    let load = state.load_mut(chosen.key);
+    match end {
+        CallEnd::NotSent { .. } | CallEnd::Misdirected => load.fail(now),
+        CallEnd::Lost { .. } | CallEnd::TimedOut => load.stumble(),
+        CallEnd::Whole(answer) if answer.status.is_server_error() => load.stumble(),
+        CallEnd::Whole(_) | CallEnd::Events(_) => load.succeed(),
+        CallEnd::NotRun => {}
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -0,0 +1,81 @@
+//! Which endpoint a request goes to, from what the edge knows now.
+
+use std::net::SocketAddr;
+
+use ragwortroad_dispatch::prelude::*;
+
+use crate::{
+    edge_state::EdgeShared,
+    request_plan::RequestPlan, //
+};
+
+/// An endpoint chosen for a request.
+#[derive(Clone, Debug)]
+pub(crate) struct ChosenEndpoint {
+    pub(crate) key: EndpointKey,
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
+    /// Requests there by the best knowledge here.
+    pub(crate) load: u32,
+    /// Endpoints among which it was chosen.
+    pub(crate) among: usize,
+}
+
+/// Chooses an endpoint that was not tried, if there is one.
+pub(crate) fn choose_endpoint(
+    shared: &EdgeShared,
+    plan: &RequestPlan,
+    tried: &[EndpointKey],
+) -> Option<ChosenEndpoint> {
+    let now = shared.now();
+    let state = shared.state.borrow();
+    let candidate = |(key, record): (EndpointKey, &'_ EndpointRecord)| {
+        let load = state.loads.get(&key);
+        let is_open = load.is_none_or(|load| load.is_open(now));
+        (
+            is_open,
+            key,
+            record.name.clone(),
+            record.zone.clone(),
+            record.slots,
+        )
+    };
+    let ready = state.book.ready(&plan.service);
+    let ready = ready.filter(|(key, _)| !tried.contains(key));
+    let known: Vec<_> = ready.map(candidate).collect();
+    // Where all of them failed lately, one of them is still a better guess than a refusal.
+    let has_open = known.iter().any(|(is_open, ..)| *is_open);
+    let usable = known.iter().filter(|(is_open, ..)| *is_open || !has_open);
+    let candidates: Vec<PlaceCandidate<'_>> = usable
+        .map(|(_, key, name, zone, slots)| {
+            let load = state.loads.get(key);
+            PlaceCandidate {
+                key: *key,
+                name,
+                load: load.map_or(0, |load| load.estimate(now)),
+                slots: *slots,
+                is_near: *zone == shared.settings.zone,
+                failing: load.map_or(0.0, EndpointLoad::failing),
+            }
+        })
+        .collect();
+    let parts: Vec<u64> = plan.facts.parts.iter().map(|part| part.key).collect();
+    let request = PlaceRequest {
+        shared_text: shared_key(&parts),
+        draw: rand::random(),
+    };
+    let service = plan.map.service(&plan.service);
+    let key = match service.is_some_and(|service| service.engine.is_some()) {
+        true => choose_engine(&candidates, request, &PlaceSettings::default()),
+        false => choose_replica(&candidates, request),
+    }?;
+    let chosen = candidates.iter().find(|candidate| candidate.key == key)?;
+    let record = state.book.record(key)?;
+    Some(ChosenEndpoint {
+        key,
+        name: record.name.clone(),
+        address: record.address,
+        load: chosen.load,
+        among: candidates.len(),
+    })
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/event_cutter.rs
@@ -0,0 +1,70 @@
+use bytes::{
+    Buf,
+    Bytes,
+    BytesMut, //
+};
+
+/// Cuts a stream of bytes into whole events.
+///
+/// An endpoint can break off in the middle of an event. A caller that was handed the half and then
+/// the next run's events would join the two; so only whole events are handed over.
+#[derive(Debug, Default)]
+pub struct EventCutter {
+    /// Bytes that do not make a whole event yet.
+    rest: BytesMut,
+    last_id: Option<u64>,
+}
+
+impl EventCutter {
+    /// Takes bytes; returns the whole events that they complete, if any.
+    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+        // The end mark can begin in what was there before.
+        let searched = self.rest.len().saturating_sub(END_MARK_REACH);
+        self.rest.extend_from_slice(bytes);
+        let end = last_event_end(&self.rest[searched..])? + searched;
+        let whole = self.rest.copy_to_bytes(end);
+        if let Some(id) = last_event_id(&whole) {
+            self.last_id = Some(id);
+        }
+        Some(whole)
+    }
+
+    /// Number of the last whole event, once one has come that has a number.
+    pub fn last_id(&self) -> Option<u64> {
+        self.last_id
+    }
+
+    /// Whether an event has begun and not ended.
+    pub fn is_within_event(&self) -> bool {
+        !self.rest.is_empty()
+    }
+
+    /// Forgets the half of an event, before another run goes on behind the last whole one.
+    pub fn drop_half(&mut self) {
+        self.rest.clear();
+    }
+}
+
+/// Bytes of the longest end mark, less one.
+const END_MARK_REACH: usize = 3;
+
+/// Where the last whole event ends: behind an empty line.
+fn last_event_end(bytes: &[u8]) -> Option<usize> {
+    for end in (1..=bytes.len()).rev() {
+        let before = &bytes[..end];
+        if before.ends_with(b"\n\n") || before.ends_with(b"\n\r\n") {
+            return Some(end);
+        }
+    }
+    None
+}
+
+/// The number of the last event that has one.
+fn last_event_id(bytes: &[u8]) -> Option<u64> {
+    let mut lines = bytes.split(|byte| *byte == b'\n').rev();
+    lines.find_map(|line| {
+        let value = line.strip_prefix(b"id:")?;
+        let text = std::str::from_utf8(value).ok()?;
+        text.trim().parse().ok()
+    })
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -0,0 +1,45 @@
+//! The process that takes callers' requests and passes them on to endpoints.
+//!
+//! An edge keeps nothing that must survive. It connects to every registry, learns the site's
+//! configuration and its endpoints from them, and forwards each request by host and path. How
+//! callers and endpoints name things is not known here: an [`EdgePort`](prelude::EdgePort) reads
+//! their headers and writes ours.
+
+mod caller_server;
+mod connection_pool;
+mod edge_body;
+mod edge_error;
+mod edge_links;
+mod edge_port;
+mod edge_process;
+mod edge_state;
+mod endpoint_call;
+mod endpoint_choice;
+mod endpoint_connection;
+mod event_cutter;
+mod flight_guard;
+mod refusal_answer;
+mod request_flow;
+mod request_plan;
+mod stream_body;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        edge_error::EdgeError,
+        edge_port::{
+            AnswerFacts,
+            EdgePort,
+            RequestFacts,
+            SendingFacts,
+            TextPart, //
+        },
+        edge_process::{
+            EdgeSignal,
+            run_edge, //
+        },
+        event_cutter::EventCutter, //
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_edge/src/refusal_answer.rs
@@ -0,0 +1,90 @@
+use std::time::Duration;
+
+use hyper::{
+    Response,
+    StatusCode,
+    header::{
+        CONTENT_TYPE,
+        HeaderValue,
+        RETRY_AFTER, //
+    }, //
+};
+
+use crate::edge_body::EdgeBody;
+
+/// Why an edge answers a request by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RefusalReason {
+    /// No configuration is known here yet.
+    Starting,
+    /// No route leads anywhere.
+    NoRoute,
+    /// The key is unknown.
+    UnknownKey,
+    /// The request names no identity.
+    NoIdentity,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The body did not come in time.
+    SlowBody,
+    /// The body ended before its end.
+    CutBody,
+    /// No endpoint of the service takes work.
+    NoEndpoint,
+    /// The endpoints refused the request.
+    NotRun,
+    /// An endpoint may have run the request, and no answer came of it.
+    Unknown,
+    /// The time is over.
+    TimedOut,
+}
+
+impl RefusalReason {
+    /// The status that tells a caller whether the request has run.
+    pub(crate) fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::NoIdentity | Self::CutBody => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
+            Self::Starting | Self::NoEndpoint | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    fn message(self) -> &'static str {
+        match self {
+            Self::Starting => "no configuration yet; try another address",
+            Self::NoRoute => "no route for this host and path",
+            Self::UnknownKey => "the key is not known; check it with the operator",
+            Self::NoIdentity => "the request has no identity; send one with each attempt",
+            Self::TooLarge => "the body is larger than the operator allows",
+            Self::SlowBody => "the body did not come in time; send it again",
+            Self::CutBody => "the body ended early; send it again",
+            Self::NoEndpoint => "no endpoint takes work now; come back after the time given",
+            Self::NotRun => "the endpoints are full; come back after the time given",
+            Self::Unknown => "an endpoint failed; whether the request ran is not known",
+            Self::TimedOut => "the time is over; whether the request ran is not known",
+        }
+    }
+}
+
+/// The answer to a request that is not passed on, or from which nothing came.
+pub(crate) fn refusal_answer(
+    reason: RefusalReason,
+    come_back: Option<Duration>,
+) -> Response<EdgeBody> {
+    let mut answer = Response::new(EdgeBody::whole(reason.message()));
+    *answer.status_mut() = reason.status();
+    let headers = answer.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+    if let Some(span) = come_back {
+        let text = format!("{:.3}", span.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    answer
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -0,0 +1,379 @@
+//! One request of a caller, from its head to its answer.
+
+use std::{
+    convert::Infallible,
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::{
+    Request,
+    Response,
+    Uri,
+    body::Incoming,
+    header::{
+        CONNECTION,
+        HeaderValue, //
+    }, //
+};
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use rand::RngExt;
+use tokio::time::{
+    Instant,
+    timeout_at, //
+};
+
+use crate::{
+    RequestFacts,
+    edge_body::EdgeBody,
+    edge_state::EdgeShared,
+    endpoint_call::{
+        CallEnd,
+        WholeAnswer,
+        call_endpoint, //
+    },
+    endpoint_choice::{
+        ChosenEndpoint,
+        choose_endpoint, //
+    },
+    refusal_answer::{
+        RefusalReason,
+        refusal_answer, //
+    },
+    request_plan::{
+        RequestPlan,
+        find_target,
+        strip_connection, //
+    },
+    stream_body::StreamBody, //
+};
+
+/// Endpoints that are dialled in vain before a request is refused.
+///
+/// A failure to connect costs up to the connect timeout; a caller is better served by a refusal
+/// that names a time than by a third wait.
+const MAX_DIALS: u32 = 3;
+
+/// Longest time for which a request without a deadline of its own is kept.
+const DEFAULT_TIME: Duration = Duration::from_secs(60);
+
+/// Shortest and longest time after which a refused caller may come back.
+///
+/// Spread, so that callers refused together do not return together.
+const COME_BACK_MS: (u64, u64) = (80, 240);
+
+/// Answers one request.
+pub(crate) async fn answer_caller(
+    shared: Rc<EdgeShared>,
+    request: Request<Incoming>,
+) -> Result<Response<EdgeBody>, Infallible> {
+    {
+        let now = shared.now();
+        let mut state = shared.state.borrow_mut();
+        state.in_flight += 1;
+        state.last_caller_at = now;
+    }
+    let mut counted = InFlight {
+        shared: Rc::clone(&shared),
+        is_handed_over: false,
+    };
+    let mut answer = match read_plan(&shared, request).await {
+        Ok(plan) => pass_on(&shared, Rc::new(plan)).await,
+        Err((reason, id)) => {
+            tracing::info!(request = id, outcome = "refused", ?reason, "request over");
+            let again = (reason == RefusalReason::Starting).then(come_back);
+            refusal_answer(reason, again)
+        }
+    };
+    counted.is_handed_over = matches!(answer.body(), EdgeBody::Stream(_));
+    if shared.state.borrow().stage == EdgeStage::Draining {
+        let close = HeaderValue::from_static("close");
+        answer.headers_mut().insert(CONNECTION, close);
+    }
+    Ok(answer)
+}
+
+/// Counts a request as under way until its answer is there, or its stream counts itself.
+struct InFlight {
+    shared: Rc<EdgeShared>,
+    is_handed_over: bool,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        if !self.is_handed_over {
+            self.shared.state.borrow_mut().in_flight -= 1;
+        }
+    }
+}
+
+/// Reads a request in full and finds out what it is about.
+async fn read_plan(
+    shared: &EdgeShared,
+    request: Request<Incoming>,
+) -> Result<RequestPlan, (RefusalReason, Option<String>)> {
+    let came_at = Instant::now();
+    let facts = (shared.port.read_request)(request.headers());
+    let id = facts.id.clone();
+    let map = shared.state.borrow().map.clone();
+    let map = map.ok_or((RefusalReason::Starting, id.clone()))?;
+    let target = find_target(&map, &request, &facts).map_err(|reason| (reason, id.clone()))?;
+    let rule = map.route(target.route);
+    let patience = facts.time_left.unwrap_or(DEFAULT_TIME).min(rule.timeout);
+    let deadline = came_at + patience;
+    let service = map.draw_target(target.route, rand::random()).to_owned();
+    let limit = map.config().limits.max_body_bytes;
+    let (mut parts, body) = request.into_parts();
+    let body = read_body(body, limit, deadline)
+        .await
+        .map_err(|reason| (reason, id))?;
+    strip_connection(&mut parts.headers);
+    let path = parts.uri.path_and_query().cloned();
+    Ok(RequestPlan {
+        route: target.route,
+        customer: target.customer,
+        service,
+        facts: RequestFacts { key: None, ..facts },
+        id: target.id,
+        method: parts.method,
+        target: path.map_or(parts.uri, Uri::from),
+        headers: parts.headers,
+        body,
+        came_at,
+        deadline,
+        map,
+    })
+}
+
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, RefusalReason> {
+    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::TooLarge),
+        Ok(Err(error)) => {
+            tracing::debug!(%error, "a body ended early");
+            Err(RefusalReason::CutBody)
+        }
+        Err(_) => Err(RefusalReason::SlowBody),
+    }
+}
+
+/// Passes a request on until an endpoint has answered it or it must be refused.
+async fn pass_on(shared: &Rc<EdgeShared>, plan: Rc<RequestPlan>) -> Response<EdgeBody> {
+    let mut way = RequestWay::default();
+    earn_repeat(shared, &plan);
+    loop {
+        let Some(chosen) = choose_endpoint(shared, &plan, &way.tried) else {
+            return refuse(&plan, &way, RefusalReason::NoEndpoint);
+        };
+        way.tried.push(chosen.key);
+        let end = call_endpoint(shared, &plan, &chosen, plan.facts.after_event).await;
+        let step = way.take(shared, &plan, &chosen, end);
+        match step {
+            WayStep::Again => {}
+            WayStep::Refuse(reason) => return refuse(&plan, &way, reason),
+            WayStep::Answer(answer) => return hand_over(&plan, &way, &chosen, answer),
+            WayStep::Stream(run) => {
+                tracing::info!(
+                    request = plan.id,
+                    outcome = "stream",
+                    route = plan.rule().name,
+                    endpoint = chosen.name,
+                    load = chosen.load,
+                    among = chosen.among,
+                    attempts = way.attempts,
+                    took_ms = plan.came_at.elapsed().as_millis() as u64,
+                    "request answered"
+                );
+                let mut answer = Response::new(EdgeBody::whole(Bytes::new()));
+                *answer.status_mut() = run.status;
+                *answer.headers_mut() = run.headers.clone();
+                let stream = StreamBody::new(
+                    shared,
+                    Rc::clone(&plan),
+                    run,
+                    way.tried.clone(),
+                    way.attempts,
+                );
+                *answer.body_mut() = EdgeBody::Stream(Box::new(stream));
+                return answer;
+            }
+        }
+    }
+}
+
+/// What has become of a request so far.
+#[derive(Default)]
+struct RequestWay {
+    tried: Vec<EndpointKey>,
+    /// Endpoints that were sent the request.
+    attempts: u32,
+    /// Endpoints that could not be reached.
+    dials: u32,
+    /// Whether some endpoint may have run it.
+    may_have_run: bool,
+}
+
+/// What comes next.
+enum WayStep {
+    Again,
+    Refuse(RefusalReason),
+    Answer(WholeAnswer),
+    Stream(Box<crate::endpoint_call::EventAnswer>),
+}
+
+impl RequestWay {
+    fn take(
+        &mut self,
+        shared: &EdgeShared,
+        plan: &RequestPlan,
+        chosen: &ChosenEndpoint,
+        end: CallEnd,
+    ) -> WayStep {
+        let (reason, refusal) = match end {
+            CallEnd::Whole(answer) => return self.take_answer(shared, plan, chosen, answer),
+            CallEnd::Events(run) => {
+                self.attempts += 1;
+                return WayStep::Stream(run);
+            }
+            CallEnd::NotSent { reason } => {
+                self.dials += 1;
+                self.note(plan, chosen, &reason);
+                return match self.dials < MAX_DIALS {
+                    true => WayStep::Again,
+                    false => WayStep::Refuse(RefusalReason::NoEndpoint),
+                };
+            }
+            CallEnd::TimedOut => {
+                self.may_have_run = true;
+                return WayStep::Refuse(RefusalReason::TimedOut);
+            }
+            CallEnd::NotRun => ("not run".to_owned(), RefusalReason::NotRun),
+            CallEnd::Misdirected => (
+                "another endpoint is there".to_owned(),
+                RefusalReason::NotRun,
+            ),
+            CallEnd::Lost { reason } => {
+                self.may_have_run = true;
+                (reason, RefusalReason::Unknown)
+            }
+        };
+        self.attempts += 1;
+        self.note(plan, chosen, &reason);
+        let may_repeat = !self.may_have_run || plan.rule().is_repeatable();
+        match may_repeat && self.may_try_again(shared, plan) {
+            true => WayStep::Again,
+            false => WayStep::Refuse(refusal),
+        }
+    }
+
+    /// Passes an answer on, unless it is a failure that another endpoint may do better.
+    fn take_answer(
+        &mut self,
+        shared: &EdgeShared,
+        plan: &RequestPlan,
+        chosen: &ChosenEndpoint,
+        answer: WholeAnswer,
+    ) -> WayStep {
+        self.attempts += 1;
+        let is_failure = answer.status.is_server_error();
+        if !is_failure || !plan.rule().is_repeatable() || !self.may_try_again(shared, plan) {
+            return WayStep::Answer(answer);
+        }
+        self.may_have_run = true;
+        self.note(plan, chosen, answer.status.as_str());
+        WayStep::Again
+    }
+
+    fn may_try_again(&self, shared: &EdgeShared, plan: &RequestPlan) -> bool {
+        let is_within = self.attempts < plan.rule().max_attempts;
+        let has_time = Instant::now() < plan.deadline;
+        is_within && has_time && {
+            let now = shared.now();
+            let mut state = shared.state.borrow_mut();
+            let purse = state.purse_mut(&plan.service, &shared.settings, now);
+            purse.spend()
+        }
+    }
+
+    fn note(&self, plan: &RequestPlan, chosen: &ChosenEndpoint, reason: &str) {
+        tracing::info!(
+            request = plan.id,
+            endpoint = chosen.name,
+            address = %chosen.address,
+            load = chosen.load,
+            attempts = self.attempts,
+            reason,
+            "attempt failed"
+        );
+    }
+}
+
+fn earn_repeat(shared: &EdgeShared, plan: &RequestPlan) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    let edges = state.edges;
+    let purse = state.purse_mut(&plan.service, &shared.settings, now);
+    purse.earn(edges, now);
+}
+
+fn hand_over(
+    plan: &RequestPlan,
+    way: &RequestWay,
+    chosen: &ChosenEndpoint,
+    answer: WholeAnswer,
+) -> Response<EdgeBody> {
+    tracing::info!(
+        request = plan.id,
+        outcome = "answered",
+        route = plan.rule().name,
+        status = answer.status.as_u16(),
+        endpoint = chosen.name,
+        load = chosen.load,
+        attempts = way.attempts,
+        took_ms = plan.came_at.elapsed().as_millis() as u64,
+        "request over"
+    );
+    let mut response = Response::new(EdgeBody::whole(answer.body));
+    *response.status_mut() = answer.status;
+    *response.headers_mut() = answer.headers;
+    response
+}
+
+fn refuse(plan: &RequestPlan, way: &RequestWay, reason: RefusalReason) -> Response<EdgeBody> {
+    // A refusal that says "not run" must be true of every attempt, not just of the last one.
+    let is_promise = matches!(reason, RefusalReason::NotRun | RefusalReason::NoEndpoint);
+    let reason = match is_promise && way.may_have_run {
+        true => RefusalReason::Unknown,
+        false => reason,
+    };
+    let again = is_promise && !way.may_have_run;
+    let again = again.then(come_back);
+    tracing::info!(
+        request = plan.id,
+        outcome = "refused",
+        route = plan.rule().name,
+        ?reason,
+        attempts = way.attempts,
+        dials = way.dials,
+        come_back_ms = again.map(|span| span.as_millis() as u64),
+        took_ms = plan.came_at.elapsed().as_millis() as u64,
+        "request over"
+    );
+    refusal_answer(reason, again)
+}
+
+fn come_back() -> Duration {
+    let (least, most) = COME_BACK_MS;
+    Duration::from_millis(rand::rng().random_range(least..=most))
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/request_plan.rs
@@ -0,0 +1,111 @@
+use std::rc::Rc;
+
+use bytes::Bytes;
+use hyper::{
+    HeaderMap,
+    Method,
+    Request,
+    Uri,
+    header::{
+        CONNECTION,
+        HOST,
+        HeaderName, //
+    }, //
+};
+use ragwortroad_dispatch::prelude::*;
+use tokio::time::Instant;
+
+use crate::{
+    RequestFacts,
+    refusal_answer::RefusalReason, //
+};
+
+/// A caller's request, as it goes to endpoints.
+pub(crate) struct RequestPlan {
+    /// The configuration it is handled by, from its beginning to its end.
+    pub(crate) map: Rc<RouteMap>,
+    pub(crate) route: RouteKey,
+    pub(crate) customer: Option<CustomerKey>,
+    pub(crate) service: String,
+    pub(crate) facts: RequestFacts,
+    /// Identity of the caller's attempt.
+    pub(crate) id: String,
+    pub(crate) method: Method,
+    pub(crate) target: Uri,
+    /// The caller's headers without those of its connection.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) came_at: Instant,
+    /// When the caller or the operator ends it.
+    pub(crate) deadline: Instant,
+}
+
+/// Headers that concern one connection only.
+const CONNECTION_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes headers that concern one connection only, with those that it names.
+///
+/// Passed on, they would make the next hop read the message's end elsewhere than we do.
+pub(crate) fn strip_connection(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in CONNECTION_HEADERS {
+        headers.remove(name);
+    }
+}
+
+/// What a request is about, before its body has come.
+pub(crate) struct RequestTarget {
+    pub(crate) route: RouteKey,
+    pub(crate) customer: Option<CustomerKey>,
+    pub(crate) id: String,
+}
+
+/// Finds route and customer of a request.
+pub(crate) fn find_target<B>(
+    map: &RouteMap,
+    request: &Request<B>,
+    facts: &RequestFacts,
+) -> Result<RequestTarget, RefusalReason> {
+    let host = request.headers().get(HOST);
+    let host = host.and_then(|value| value.to_str().ok());
+    let host = host.or(request.uri().host()).unwrap_or_default();
+    let route = map.find(host, request.uri().path());
+    let route = route.ok_or(RefusalReason::NoRoute)?;
+    let known = facts.key.as_deref().and_then(|key| map.customer_of(key));
+    let needs_key = map.asks_for_keys() && !map.route(route).is_open;
+    if needs_key && known.is_none() {
+        return Err(RefusalReason::UnknownKey);
+    }
+    let id = facts.id.clone().ok_or(RefusalReason::NoIdentity)?;
+    Ok(RequestTarget {
+        route,
+        customer: known,
+        id,
+    })
+}
+
+impl RequestPlan {
+    /// The rule of its route.
+    pub(crate) fn rule(&self) -> &RouteRule {
+        self.map.route(self.route)
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_link/src/link_connection.rs
@@ -0,0 +1,214 @@
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use flume::{
+    Receiver,
+    Sender, //
+};
+use futures_util::{
+    SinkExt,
+    StreamExt, //
+};
+use snafu::ResultExt;
+use socket2::SockRef;
+use tokio::{
+    net::{
+        TcpStream,
+        tcp::{
+            OwnedReadHalf,
+            OwnedWriteHalf, //
+        }, //
+    },
+    sync::Notify,
+    time::{
+        Instant,
+        timeout, //
+    }, //
+};
+use tokio_util::codec::{
+    FramedRead,
+    FramedWrite,
+    LengthDelimitedCodec, //
+};
+
+use crate::{
+    LinkError,
+    LinkMessage,
+    LinkSettings,
+    link_error::{
+        BrokenSnafu,
+        DialSnafu,
+        MeaninglessSnafu, //
+    }, //
+};
+
+/// The end of a connection that its user writes to.
+#[derive(Clone, Debug)]
+pub struct LinkQueue {
+    sender: Sender<Bytes>,
+    /// Told when the connection is to end.
+    end: Arc<Notify>,
+}
+
+impl LinkQueue {
+    /// A queue, and the end that [`run_link`] empties.
+    pub fn new(settings: &LinkSettings) -> (Self, Receiver<Bytes>) {
+        let (sender, receiver) = flume::bounded(settings.queue_length);
+        let end = Arc::new(Notify::new());
+        (Self { sender, end }, receiver)
+    }
+
+    /// Ends the connection.
+    pub fn close(&self) {
+        self.end.notify_one();
+    }
+
+    /// Queues a message; tells whether it was taken.
+    ///
+    /// A peer that reads too slowly loses its connection rather than messages in the middle of it:
+    /// what it has missed comes as a whole when it connects again.
+    pub fn send(&self, message: &LinkMessage) -> bool {
+        match encode_message(message) {
+            Ok(bytes) => self.send_encoded(bytes),
+            Err(error) => {
+                tracing::error!(%error, "a message to another process could not be encoded");
+                false
+            }
+        }
+    }
+
+    /// Queues a message that was encoded for several receivers.
+    pub fn send_encoded(&self, bytes: Bytes) -> bool {
+        let taken = self.sender.try_send(bytes).is_ok();
+        if !taken {
+            self.close();
+        }
+        taken
+    }
+}
+
+/// A message as it goes into a frame.
+pub fn encode_message(message: &LinkMessage) -> Result<Bytes, LinkError> {
+    let bytes = postcard::to_stdvec(message).context(MeaninglessSnafu)?;
+    Ok(bytes.into())
+}
+
+/// Connects to another process.
+pub async fn dial_link(
+    address: SocketAddr,
+    settings: &LinkSettings,
+) -> Result<TcpStream, LinkError> {
+    let limit = settings.dial_timeout;
+    match timeout(limit, TcpStream::connect(address)).await {
+        Ok(connected) => connected.context(DialSnafu),
+        Err(_) => Err(LinkError::DialTimeout { limit }),
+    }
+}
+
+/// Carries messages over `stream` until it breaks, falls silent, or the queue's user closes it.
+///
+/// `dialled` tells which side this is: the dialling one says a word when there is nothing else to
+/// say, the other one answers it.
+pub async fn run_link(
+    stream: TcpStream,
+    queue: (LinkQueue, Receiver<Bytes>),
+    dialled: bool,
+    settings: &LinkSettings,
+    on_message: impl FnMut(LinkMessage),
+) -> LinkError {
+    let (own_queue, receiver) = queue;
+    let prepared = stream.set_nodelay(true);
+    let limit = Some(settings.silence);
+    let prepared = prepared.and_then(|()| SockRef::from(&stream).set_tcp_user_timeout(limit));
+    if let Err(source) = prepared {
+        return LinkError::Broken { source };
+    }
+    let (reading, writing) = stream.into_split();
+    let codec = LengthDelimitedCodec::builder()
+        .max_frame_length(settings.max_message)
+        .new_codec();
+    let reader = FramedRead::new(reading, codec.clone());
+    let writer = FramedWrite::new(writing, codec);
+    let word = dialled.then_some(settings.word_every);
+    let end = Arc::clone(&own_queue.end);
+    let answers = (!dialled).then_some(own_queue);
+    tokio::select! {
+        error = read_messages(reader, answers, settings.silence, on_message) => error,
+        error = write_messages(writer, receiver, word) => error,
+        () = end.notified() => LinkError::GivenUp,
+    }
+}
+
+async fn read_messages(
+    mut reader: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    answers: Option<LinkQueue>,
+    limit: Duration,
+    mut on_message: impl FnMut(LinkMessage),
+) -> LinkError {
+    loop {
+        let frame = match timeout(limit, reader.next()).await {
+            Err(_) => return LinkError::Silent { limit },
+            Ok(None) => return LinkError::Closed,
+            Ok(Some(Err(source))) => return LinkError::Broken { source },
+            Ok(Some(Ok(frame))) => frame,
+        };
+        match postcard::from_bytes(&frame) {
+            Ok(LinkMessage::Word) => {
+                let answered = answers
+                    .as_ref()
+                    .is_none_or(|queue| queue.send(&LinkMessage::Word));
+                if !answered {
+                    return LinkError::GivenUp;
+                }
+            }
+            Ok(message) => on_message(message),
+            Err(source) => return LinkError::Meaningless { source },
+        }
+    }
+}
+
+async fn write_messages(
+    mut writer: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    receiver: Receiver<Bytes>,
+    word: Option<Duration>,
+) -> LinkError {
+    let mut next_word = word.map(|every| Instant::now() + every);
+    loop {
+        let bytes = match next_word {
+            None => receiver.recv_async().await,
+            Some(at) => tokio::select! {
+                received = receiver.recv_async() => received,
+                () = tokio::time::sleep_until(at) => {
+                    next_word = word.map(|every| Instant::now() + every);
+                    match encode_message(&LinkMessage::Word) {
+                        Ok(bytes) => Ok(bytes),
+                        Err(error) => return error,
+                    }
+                }
+            },
+        };
+        let Ok(first) = bytes else {
+            return LinkError::GivenUp;
+        };
+        if let Err(error) = write_batch(&mut writer, first, &receiver).await {
+            return error;
+        }
+    }
+}
+
+/// Writes what is queued with one call where it fits, since each call costs a wake-up there.
+async fn write_batch(
+    writer: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
+    first: Bytes,
+    receiver: &Receiver<Bytes>,
+) -> Result<(), LinkError> {
+    writer.feed(first).await.context(BrokenSnafu)?;
+    while let Ok(bytes) = receiver.try_recv() {
+        writer.feed(bytes).await.context(BrokenSnafu)?;
+    }
+    SinkExt::<Bytes>::flush(writer).await.context(BrokenSnafu)
+}
--- /dev/null
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -0,0 +1,126 @@
+use std::net::SocketAddr;
+
+use ragwortroad_dispatch::prelude::*;
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+/// What edges and registries say to each other.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum LinkMessage {
+    /// The dialling side is there; the other side answers with the same.
+    Word,
+    /// An edge presents itself; its first message.
+    EdgeHello {
+        /// Its name.
+        node: String,
+        /// Where callers reach it.
+        address: SocketAddr,
+        /// Whether it takes callers.
+        stage: EdgeStage,
+    },
+    /// An edge's stage has changed.
+    EdgeStaged(EdgeStage),
+    /// An edge wants the configuration, if it is above this version.
+    WantConfig {
+        /// The version it has.
+        above: u64,
+    },
+    /// Requests that an edge has under way, by endpoint; those not named have none.
+    EdgeLoads(Vec<(String, u32)>),
+    /// A registry tells an edge what it knows of the fleet.
+    Fleet {
+        /// Where registries listen for links.
+        registries: Vec<SocketAddr>,
+        /// Registries that vote.
+        voters: u32,
+        /// Edges that are connected here.
+        edges: u32,
+    },
+    /// The version that a registry has in force.
+    ConfigVersion(u64),
+    /// A configuration.
+    ConfigDocument {
+        /// Its version.
+        version: u64,
+        /// The document, compressed.
+        packed: Vec<u8>,
+    },
+    /// What a registry heard from endpoints itself; with it an edge knows all of it.
+    EndpointsWhole(Vec<EndpointRecord>),
+    /// What a registry heard from endpoints since.
+    EndpointTold(EndpointRecord),
+    /// A registry has not heard of an endpoint for too long.
+    EndpointLost(String),
+    /// An endpoint has said that it leaves for good.
+    EndpointGoodbye(String),
+    /// Requests that all edges have under way, by endpoint.
+    FleetLoads(Vec<(String, u32)>),
+    /// A registry presents itself to another; its first message, and again from time to time.
+    MemberHello(MemberHello),
+    /// A frame of the agreement.
+    Consensus(Vec<u8>),
+    /// A registry that does not lead passes on a command.
+    ForwardPut {
+        /// Returned with the outcome.
+        token: u64,
+        /// The command.
+        command: Vec<u8>,
+    },
+    /// What became of a command that was passed on.
+    ForwardDone {
+        /// The token that came with it.
+        token: u64,
+        /// What became of it.
+        outcome: PutOutcome,
+    },
+    /// A registry that does not lead asks for a proof that its state is current.
+    ReadAsk {
+        /// Returned with the answer.
+        token: u64,
+    },
+    /// The index to which a state must be applied to be current; nothing if none can be told.
+    ReadDone {
+        /// The token that came with the question.
+        token: u64,
+        /// The index.
+        index: Option<u64>,
+    },
+}
+
+/// Whether an edge takes callers.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EdgeStage {
+    /// It has no configuration yet.
+    #[default]
+    Starting,
+    /// It does.
+    Ready,
+    /// It finishes what it has.
+    Draining,
+}
+
+/// What a registry says of itself to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberHello {
+    /// Where it listens for links; this also names its VM.
+    pub address: SocketAddr,
+    /// Identity of its data folder; nothing while the folder cannot be opened.
+    pub member: Option<u64>,
+    /// Whether the folder has never been part of a group.
+    pub is_empty: bool,
+    /// Registries that it knows.
+    pub known: Vec<SocketAddr>,
+}
+
+/// What became of a command.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PutOutcome {
+    /// It is durable on a quorum.
+    Committed,
+    /// It may or may not come into force; send it again.
+    Unknown,
+    /// It was not taken; send it again.
+    NotTaken,
+}
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -3,6 +3,7 @@
     time::Duration, //
 };
 
+use ragwortroad_clock::prelude::*;
 use ragwortroad_consensus::prelude::*;
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_membership::prelude::*;
@@ -35,7 +36,6 @@
         order_worker::OrderWorker,
         refused_demand::RefusedDemand, //
     },
-    real_clock::RealClock,
     request::{
         claim_desk::ClaimDesk,
         ended_attempts::EndedAttempts,
--- a/crates/ragwortroad_node/src/event_log.rs
+++ b/crates/ragwortroad_node/src/event_log.rs
@@ -2,7 +2,7 @@
 
 use ragwortroad_timeline::prelude::*;
 
-use crate::real_clock::RealClock;
+use ragwortroad_clock::prelude::*;
 
 /// This node's events, and the clock that stamps them and every message.
 #[derive(Debug)]
--- a/crates/ragwortroad_node/src/lib.rs
+++ b/crates/ragwortroad_node/src/lib.rs
@@ -24,7 +24,7 @@
 mod node_process;
 mod node_secrets;
 mod order;
-mod real_clock;
+
 mod request;
 mod slot;
 mod wire;
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -9,6 +9,7 @@
 };
 
 use flume::Sender;
+use ragwortroad_clock::prelude::*;
 use ragwortroad_gateway::prelude::*;
 use ragwortroad_membership::prelude::*;
 use ragwortroad_routing::prelude::*;
@@ -45,7 +46,6 @@
     },
     node_secrets::NodeSecrets,
     order::refused_demand::RefusedDemand,
-    real_clock::RealClock,
     request::{
         claim_desk::ClaimDesk,
         ended_attempts::EndedAttempts,
--- a/crates/ragwortroad_node/src/order/order_worker.rs
+++ b/crates/ragwortroad_node/src/order/order_worker.rs
@@ -28,6 +28,7 @@
     }, //
 };
 use hyper_util::rt::TokioIo;
+use ragwortroad_clock::prelude::*;
 use ragwortroad_state::prelude::*;
 use ragwortroad_types::prelude::*;
 use snafu::ResultExt;
@@ -50,7 +51,6 @@
         OrderReport,
         OrderTask, //
     },
-    real_clock::RealClock,
 };
 
 /// The thread that sends orders to engines.
--- /dev/null
+++ b/crates/ragwortroad_registry/src/call_server.rs
@@ -0,0 +1,107 @@
+use std::{
+    convert::Infallible,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use flume::Sender;
+use http_body_util::{
+    BodyExt,
+    Full,
+    Limited, //
+};
+use hyper::{
+    Request,
+    Response,
+    body::Incoming,
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::{
+    TokioIo,
+    TokioTimer, //
+};
+use tokio::{
+    net::TcpListener,
+    sync::oneshot,
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    }, //
+};
+
+use crate::{
+    ControlCall,
+    ControlReply,
+    RegistryPort,
+    registry_event::RegistryEvent, //
+};
+
+/// Bytes of one call's body; a configuration of some ten thousand routes fits.
+const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// Time for a call's body to come in.
+const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Time without a request after which a connection is closed.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Pause after an accept that failed, so that a lack of descriptors does not make the loop spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves operators, endpoints and callers that ask for addresses.
+pub(crate) async fn serve_calls(
+    listener: TcpListener,
+    port: RegistryPort,
+    events: Sender<RegistryEvent>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(%error, "a connection could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let events = events.clone();
+        spawn_local(async move {
+            let service = service_fn(|request| answer_request(port, events.clone(), request));
+            let served = http1::Builder::new()
+                .timer(TokioTimer::new())
+                .header_read_timeout(IDLE_TIMEOUT)
+                .serve_connection(TokioIo::new(stream), service)
+                .await;
+            if let Err(error) = served {
+                tracing::debug!(%error, "a connection to the control interface ended");
+            }
+        });
+    }
+}
+
+async fn answer_request(
+    port: RegistryPort,
+    events: Sender<RegistryEvent>,
+    request: Request<Incoming>,
+) -> Result<Response<Full<Bytes>>, Infallible> {
+    let (parts, body) = request.into_parts();
+    let reading = Limited::new(body, MAX_BODY_BYTES).collect();
+    let call = match timeout(BODY_TIMEOUT, reading).await {
+        Ok(Ok(body)) => (port.decode_call)(&parts.method, &parts.uri, body.to_bytes()),
+        Ok(Err(error)) => {
+            tracing::info!(%error, path = parts.uri.path(), "a call was not read in full");
+            ControlCall::Unknown
+        }
+        Err(_) => ControlCall::Unknown,
+    };
+    let (reply, answer) = oneshot::channel();
+    let unavailable = ControlReply::Unavailable {
+        reason: "this registry is stopping",
+    };
+    let answer = match events.send(RegistryEvent::Call { call, reply }) {
+        Ok(()) => answer.await.unwrap_or(unavailable),
+        Err(_) => unavailable,
+    };
+    Ok((port.encode_reply)(&answer))
+}
--- /dev/null
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -0,0 +1,208 @@
+//! What a registry does with edges and endpoints.
+
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    ControlReply,
+    registry_event::LinkKey,
+    registry_state::RegistryState, //
+};
+
+/// Time after a start in which edges find this registry.
+///
+/// Callers give up connections to addresses that an answer lacks. An answer before the edges are
+/// connected would send all of them to the first one.
+const GATHER_TIME: Duration = Duration::from_millis(1200);
+
+/// Seconds for which callers may keep an answer of the directory.
+///
+/// Some keep it three times as long, and an edge that stops has to be forgotten within its grace
+/// time; shorter answers cost the directory more questions.
+const DIRECTORY_LIFE_S: u64 = 2;
+
+/// Most addresses in one answer of the directory; callers take no more.
+const MAX_ADDRESSES: usize = 64;
+
+/// An edge that is connected.
+#[derive(Debug)]
+pub(crate) struct EdgeEntry {
+    node: String,
+    address: SocketAddr,
+    stage: EdgeStage,
+}
+
+impl RegistryState {
+    pub(crate) fn greet_edge(
+        &mut self,
+        link: LinkKey,
+        node: String,
+        address: SocketAddr,
+        stage: EdgeStage,
+        now: ClockTime,
+    ) {
+        tracing::info!(edge = node, %address, ?stage, "edge connected");
+        // A restarted edge may be back before its old connection is found dead.
+        self.edges.retain(|_, edge| edge.address != address);
+        let entry = EdgeEntry {
+            node,
+            address,
+            stage,
+        };
+        self.edges.insert(link, entry);
+        let Some(queue) = self.links.get(&link) else {
+            return;
+        };
+        queue.send(&self.fleet_message(now));
+        let records = self.table.records().cloned().collect();
+        queue.send(&LinkMessage::EndpointsWhole(records));
+        if let Some(version) = self.seat.register().version() {
+            queue.send(&LinkMessage::ConfigVersion(version));
+        }
+    }
+
+    pub(crate) fn stage_edge(&mut self, link: LinkKey, stage: EdgeStage) {
+        if let Some(edge) = self.edges.get_mut(&link) {
+            tracing::info!(edge = edge.node, ?stage, "edge says its stage");
+            edge.stage = stage;
+        }
+    }
+
+    pub(crate) fn end_link(&mut self, link: LinkKey) {
+        self.links.remove(&link);
+        if let Some(edge) = self.edges.remove(&link) {
+            tracing::info!(edge = edge.node, "edge lost");
+        }
+    }
+
+    /// Sends an edge the configuration, if it lacks it.
+    pub(crate) fn give_config(&self, link: LinkKey, above: u64) {
+        let register = self.seat.register();
+        let (Some(version), Some(packed)) = (register.version(), register.packed()) else {
+            return;
+        };
+        let Some(queue) = self.links.get(&link) else {
+            return;
+        };
+        if version > above {
+            let packed = packed.as_ref().clone();
+            queue.send(&LinkMessage::ConfigDocument { version, packed });
+        }
+    }
+
+    pub(crate) fn announce_version(&self) {
+        if let Some(version) = self.seat.register().version() {
+            tracing::info!(version, edges = self.edges.len(), "configuration in force");
+            self.tell_edges(&LinkMessage::ConfigVersion(version));
+        }
+    }
+
+    /// Passes on what all edges have under way.
+    pub(crate) fn take_loads(&mut self, _link: LinkKey, _loads: Vec<(String, u32)>) {}
+
+    pub(crate) fn tell_fleet(&mut self, now: ClockTime) {
+        let message = self.fleet_message(now);
+        if self.told_fleet.as_ref() != Some(&message) {
+            self.tell_edges(&message);
+            self.told_fleet = Some(message);
+        }
+    }
+
+    fn fleet_message(&self, now: ClockTime) -> LinkMessage {
+        let voters = self.seat.core().map(|core| core.members().voters().count());
+        LinkMessage::Fleet {
+            registries: self.known_registries(now),
+            voters: voters.unwrap_or(0) as u32,
+            edges: self.edges.len() as u32,
+        }
+    }
+
+    fn tell_edges(&self, message: &LinkMessage) {
+        let bytes = match encode_message(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::error!(%error, "a message to all edges could not be encoded");
+                return;
+            }
+        };
+        let queues = self.edges.keys().filter_map(|link| self.links.get(link));
+        for queue in queues {
+            queue.send_encoded(bytes.clone());
+        }
+    }
+
+    fn tell_change(&self, change: RegistryChange) {
+        let message = match change {
+            RegistryChange::Told(record) => LinkMessage::EndpointTold(record),
+            RegistryChange::Lost(name) => LinkMessage::EndpointLost(name),
+            RegistryChange::Goodbye(name) => LinkMessage::EndpointGoodbye(name),
+        };
+        tracing::info!(?message, edges = self.edges.len(), "endpoint news");
+        self.tell_edges(&message);
+    }
+
+    pub(crate) fn expire_endpoints(&mut self, now: ClockTime) {
+        for change in self.table.expire(now) {
+            self.tell_change(change);
+        }
+    }
+
+    /// Takes an announcement, if there is an edge to pass it on to.
+    ///
+    /// A registry that is cut off from all edges must not acknowledge: the endpoint would count on
+    /// its drain being known, and go on getting work. It then tries another registry.
+    pub(crate) fn take_announcement(
+        &mut self,
+        record: EndpointRecord,
+        now: ClockTime,
+    ) -> ControlReply {
+        if self.edges.is_empty() {
+            return ControlReply::Unavailable {
+                reason: "no edge is connected here; announce at another registry",
+            };
+        }
+        if let Some(change) = self.table.announce(record, now) {
+            self.tell_change(change);
+        }
+        ControlReply::Done
+    }
+
+    pub(crate) fn take_goodbye(&mut self, name: &str, now: ClockTime) -> ControlReply {
+        if self.edges.is_empty() {
+            return ControlReply::Unavailable {
+                reason: "no edge is connected here; say goodbye at another registry",
+            };
+        }
+        let change = self.table.leave(name, now);
+        self.tell_change(change);
+        ControlReply::Done
+    }
+
+    /// Edges that take callers.
+    pub(crate) fn find_edges(&self, now: ClockTime) -> ControlReply {
+        if now.since(self.started_at) < GATHER_TIME {
+            return ControlReply::Unavailable {
+                reason: "edges are still being gathered",
+            };
+        }
+        let edges = self.edges.values();
+        let ready = edges.filter(|edge| edge.stage == EdgeStage::Ready);
+        let addresses: Vec<SocketAddr> =
+            ready.map(|edge| edge.address).take(MAX_ADDRESSES).collect();
+        if addresses.is_empty() {
+            return ControlReply::Unavailable {
+                reason: "no edge takes callers",
+            };
+        }
+        ControlReply::Edges {
+            addresses,
+            keep_s: DIRECTORY_LIFE_S.min(self.settings.directory_life.as_secs().max(1)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -0,0 +1,45 @@
+//! The process that holds a site's configuration and hears its endpoints.
+//!
+//! A few VMs with disks run a registry each. They agree on the configuration by a replicated log,
+//! answer operators, take endpoints' announcements, and tell callers which edges to use. Edges
+//! connect to every registry and are told at once what each has heard.
+//!
+//! The public interface is not known here: a [`RegistryPort`](prelude::RegistryPort) turns requests
+//! into [`ControlCall`](prelude::ControlCall)s and replies back into answers.
+
+mod call_flow;
+mod call_server;
+mod config_register;
+mod control_call;
+mod edge_flow;
+mod folder_worker;
+mod group_seat;
+mod peer_dialer;
+mod peer_flow;
+mod registry_error;
+mod registry_event;
+mod registry_port;
+mod registry_process;
+mod registry_state;
+
+/// Everything a dependent crate usually needs.
+pub mod prelude {
+    pub use crate::{
+        config_register::{
+            ConfigRegister,
+            RegisterCommand, //
+        },
+        control_call::{
+            ControlCall,
+            ControlReply, //
+        },
+        registry_error::RegistryError,
+        registry_port::RegistryPort,
+        registry_process::{
+            RegistrySignal,
+            run_registry, //
+        }, //
+    };
+}
+
+pub use prelude::*;
--- /dev/null
+++ b/crates/ragwortroad_registry/src/registry_event.rs
@@ -0,0 +1,68 @@
+use std::net::SocketAddr;
+
+use ragwortroad_link::prelude::*;
+use tokio::sync::oneshot;
+
+use crate::{
+    ControlCall,
+    ControlReply,
+    folder_worker::FolderReport, //
+};
+
+/// A connection that was accepted or dialled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct LinkKey(pub(crate) u64);
+
+/// What happens to a registry.
+#[derive(Debug)]
+pub(crate) enum RegistryEvent {
+    /// Someone outside asks.
+    Call {
+        /// What.
+        call: ControlCall,
+        /// Takes the answer.
+        reply: oneshot::Sender<ControlReply>,
+    },
+    /// Another process has connected.
+    Accepted {
+        /// Names the connection.
+        link: LinkKey,
+        /// Takes what it is told.
+        queue: LinkQueue,
+    },
+    /// Another registry was reached.
+    Reached {
+        /// Where it listens.
+        peer: SocketAddr,
+        /// Takes what it is told.
+        queue: LinkQueue,
+    },
+    /// A process that has connected says something.
+    Said {
+        /// The connection.
+        link: LinkKey,
+        /// What.
+        message: LinkMessage,
+    },
+    /// A registry that was reached answers on that connection.
+    PeerSaid {
+        /// What.
+        message: LinkMessage,
+    },
+    /// A process's connection has ended.
+    Ended {
+        /// The connection.
+        link: LinkKey,
+    },
+    /// A registry cannot be reached any more.
+    Unreached {
+        /// Where it listened.
+        peer: SocketAddr,
+    },
+    /// The disk has done something.
+    Folder(FolderReport),
+    /// The settings name these registries now.
+    Seeds(Vec<SocketAddr>),
+    /// The process is to stop.
+    Stop,
+}
--- /dev/null
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -0,0 +1,168 @@
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use ragwortroad_consensus::prelude::*;
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use ragwortroad_settings::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    call_flow::{
+        PutWait,
+        ReadSettle,
+        ReadWait, //
+    },
+    edge_flow::EdgeEntry,
+    group_seat::{
+        GroupSeat,
+        SeatEffect, //
+    },
+    peer_flow::PeerEntry,
+    registry_event::{
+        LinkKey,
+        RegistryEvent, //
+    }, //
+};
+
+/// Time between two rounds of what is done from time to time.
+///
+/// Waiting calls are tried again at this pace; an operator waits a second for an answer.
+const ROUND_TIME: Duration = Duration::from_millis(100);
+
+/// All that a registry knows, on its control thread.
+pub(crate) struct RegistryState {
+    pub(crate) settings: ForwardSettings,
+    pub(crate) seat: GroupSeat,
+    pub(crate) table: RegistryTable,
+    pub(crate) plan: SeatPlan,
+    pub(crate) started_at: ClockTime,
+    /// Connections that were accepted, by edges and registries.
+    pub(crate) links: BTreeMap<LinkKey, LinkQueue>,
+    pub(crate) edges: BTreeMap<LinkKey, EdgeEntry>,
+    /// Registries, by where they listen.
+    pub(crate) peers: BTreeMap<SocketAddr, PeerEntry>,
+    /// Registries that are still to be dialled.
+    pub(crate) undialled: BTreeSet<SocketAddr>,
+    pub(crate) puts: BTreeMap<u64, PutWait>,
+    pub(crate) reads: BTreeMap<u64, ReadWait>,
+    pub(crate) settles: Vec<ReadSettle>,
+    pub(crate) next_token: u64,
+    pub(crate) hello_at: ClockTime,
+    pub(crate) plan_at: ClockTime,
+    pub(crate) round_at: ClockTime,
+    /// What edges were told last of the fleet.
+    pub(crate) told_fleet: Option<LinkMessage>,
+    /// Whether the process is to stop.
+    pub(crate) is_stopping: bool,
+}
+
+impl RegistryState {
+    pub(crate) fn new(settings: ForwardSettings, seat: GroupSeat, now: ClockTime) -> Self {
+        let mut state = Self {
+            table: RegistryTable::new(settings.announce_every),
+            settings,
+            seat,
+            plan: SeatPlan::default(),
+            started_at: now,
+            links: BTreeMap::new(),
+            edges: BTreeMap::new(),
+            peers: BTreeMap::new(),
+            undialled: BTreeSet::new(),
+            puts: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            settles: Vec::new(),
+            next_token: 0,
+            hello_at: now,
+            plan_at: now,
+            round_at: now,
+            told_fleet: None,
+            is_stopping: false,
+        };
+        state.learn_seeds();
+        state
+    }
+
+    /// Takes one event.
+    pub(crate) fn handle(&mut self, event: RegistryEvent, now: ClockTime) {
+        match event {
+            RegistryEvent::Call { call, reply } => self.take_call(call, reply, now),
+            RegistryEvent::Accepted { link, queue } => {
+                self.links.insert(link, queue);
+            }
+            RegistryEvent::Reached { peer, queue } => self.reach_peer(peer, queue, now),
+            RegistryEvent::Said { link, message } => self.take_message(link, message, now),
+            RegistryEvent::PeerSaid { message } => self.take_peer_message(message, now),
+            RegistryEvent::Ended { link } => self.end_link(link),
+            RegistryEvent::Unreached { peer } => {
+                if let Some(entry) = self.peers.get_mut(&peer) {
+                    entry.queue = None;
+                }
+            }
+            RegistryEvent::Folder(report) => {
+                let effects = self.seat.take_report(report, now);
+                self.carry_out(effects, now);
+            }
+            RegistryEvent::Seeds(seeds) => {
+                self.settings.seeds = seeds;
+                self.learn_seeds();
+            }
+            RegistryEvent::Stop => self.stop(now),
+        }
+    }
+
+    /// Does what is due by now; returns when something is due next.
+    pub(crate) fn tick(&mut self, now: ClockTime) -> ClockTime {
+        if self.seat.core().is_some_and(|core| now >= core.wake_at()) {
+            let effects = self.seat.handle(CoreInput::Tick, now);
+            self.carry_out(effects, now);
+        }
+        if now >= self.round_at {
+            self.round_at = now.after(ROUND_TIME);
+            self.retry_calls(now);
+            self.expire_endpoints(now);
+            self.tell_fleet(now);
+        }
+        self.say_hello(now);
+        self.plan_seats(now);
+        let core_wake = self.seat.core().map(ConsensusCore::wake_at);
+        let wake = core_wake.unwrap_or(self.round_at).min(self.hello_at);
+        match self.puts.is_empty() && self.reads.is_empty() && self.settles.is_empty() {
+            true => wake.min(now.after(ROUND_TIME * 5)),
+            false => wake.min(self.round_at),
+        }
+    }
+
+    /// Does what the group wants done.
+    pub(crate) fn carry_out(&mut self, effects: Vec<SeatEffect>, now: ClockTime) {
+        for effect in effects {
+            match effect {
+                SeatEffect::Send(frame) => self.send_frame(&frame),
+                SeatEffect::Decided { token, result } => self.decide_put(token, result, now),
+                SeatEffect::Readable { token, index } => self.prove_read(token, Some(index), now),
+                SeatEffect::Unreadable { token } => self.prove_read(token, None, now),
+                SeatEffect::ConfigChanged => self.announce_version(),
+            }
+        }
+        self.settle_reads(now);
+    }
+
+    pub(crate) fn draw_token(&mut self) -> u64 {
+        self.next_token += 1;
+        self.next_token
+    }
+
+    fn stop(&mut self, now: ClockTime) {
+        tracing::info!("stopping");
+        self.is_stopping = true;
+        // Without a handover the group has no leader until an election timeout has passed.
+        let effects = self.seat.handle(CoreInput::HandOver, now);
+        self.carry_out(effects, now);
+    }
+}
--- /dev/null
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -0,0 +1,183 @@
+use std::{
+    fs,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    time::Duration, //
+};
+
+use snafu::ResultExt;
+
+use crate::{
+    log_settings::LogSettings,
+    process_settings::read_whole,
+    settings_error::{
+        FaultySnafu,
+        SettingsError,
+        UnreadableSnafu, //
+    },
+    settings_fault::FaultList,
+    settings_reader::SettingsReader, //
+};
+
+/// Settings of an edge or a registry: a process of a fleet that forwards by host and path.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ForwardSettings {
+    /// Name of this process's VM.
+    pub name: String,
+    /// Its failure domain.
+    pub zone: String,
+    /// Where it talks to the fleet's other processes.
+    pub inner: SocketAddr,
+    /// Registries' public addresses that are known from the start; the IP numbers matter.
+    pub seeds: Vec<SocketAddr>,
+    /// Whether the whole fleet starts for the first time, with empty disks.
+    pub first_start: bool,
+    /// Where callers reach an edge.
+    pub callers: Option<SocketAddr>,
+    /// Where an edge tells whether it is ready.
+    pub readiness: Option<SocketAddr>,
+    /// Where operators and endpoints reach a registry.
+    pub control: Option<SocketAddr>,
+    /// Where callers ask a registry for addresses of edges.
+    pub directory: Option<SocketAddr>,
+    /// Where the process's metrics are read.
+    pub metrics: Option<SocketAddr>,
+    /// Where a registry keeps what must survive.
+    pub data_folder: Option<PathBuf>,
+    /// Bytes that the data folder may take.
+    pub data_quota: Option<u64>,
+    /// Time between two announcements of an endpoint.
+    pub announce_every: Duration,
+    /// Time from the request to stop until the process is ended by force.
+    pub grace: Duration,
+    /// Longest time for which callers may keep an answer of the directory.
+    pub directory_life: Duration,
+    /// Repeats that a service may get for each request.
+    pub retry_ratio: f64,
+    /// Repeats beyond that in each window, over the whole fleet.
+    pub retry_slack: f64,
+    /// Length of that window.
+    pub retry_window: Duration,
+    /// Multiple of a service's mean load that no endpoint may exceed.
+    pub load_multiple: f64,
+    /// `[log]`.
+    pub log: LogSettings,
+}
+
+impl Default for ForwardSettings {
+    fn default() -> Self {
+        let nowhere = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+        Self {
+            name: String::new(),
+            zone: String::new(),
+            inner: nowhere,
+            seeds: Vec::new(),
+            first_start: false,
+            callers: None,
+            readiness: None,
+            control: None,
+            directory: None,
+            metrics: None,
+            data_folder: None,
+            data_quota: None,
+            announce_every: Duration::from_secs(1),
+            grace: Duration::from_secs(8),
+            directory_life: Duration::from_secs(5),
+            retry_ratio: 0.2,
+            retry_slack: 10.0,
+            retry_window: Duration::from_secs(10),
+            load_multiple: 2.0,
+            log: LogSettings::default(),
+        }
+    }
+}
+
+impl ForwardSettings {
+    /// Reads and checks the file at `path`; starts nothing.
+    ///
+    /// # Errors
+    ///
+    /// [`SettingsError::Unreadable`] where the file cannot be read, and
+    /// [`SettingsError::Faulty`] with every fault where it can.
+    pub fn from_file(path: &Path) -> Result<Self, SettingsError> {
+        let bytes = fs::read(path).context(UnreadableSnafu { path })?;
+        Self::from_bytes(&bytes).context(FaultySnafu { path })
+    }
+
+    /// Checks the bytes of a settings file.
+    ///
+    /// # Errors
+    ///
+    /// All faults, in the order of their lines.
+    pub fn from_bytes(bytes: &[u8]) -> Result<Self, FaultList> {
+        read_whole(bytes, Self::read)
+    }
+
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
+        let default = Self::default();
+        let address = "10.0.0.7:8080";
+        let inner = reader.required_value("vm", "inner", address);
+        let first_start = reader.optional_value("vm", "first_start", "false");
+        let span = |reader: &mut SettingsReader<'_>, key, value| {
+            reader.span("bounds", key, value, (1, 3_600_000))
+        };
+        Self {
+            name: reader.required("vm", "name"),
+            zone: reader.required("vm", "zone"),
+            inner: inner.unwrap_or(default.inner),
+            seeds: reader.list("vm", "seeds", address),
+            first_start: first_start.unwrap_or(false),
+            callers: optional_address(reader, "edge", "callers"),
+            readiness: optional_address(reader, "edge", "readiness"),
+            control: optional_address(reader, "registry", "control"),
+            directory: optional_address(reader, "registry", "directory"),
+            metrics: optional_address(reader, "vm", "metrics"),
+            data_folder: reader
+                .text("registry", "data_folder")
+                .filter(|text| !text.is_empty())
+                .map(PathBuf::from),
+            data_quota: reader.optional_value("registry", "data_quota_bytes", "134217728"),
+            announce_every: span(reader, "announce_every_ms", default.announce_every),
+            grace: span(reader, "grace_ms", default.grace),
+            directory_life: span(reader, "directory_life_ms", default.directory_life),
+            retry_ratio: fraction(reader, "retry_ratio", default.retry_ratio),
+            retry_slack: fraction(reader, "retry_slack", default.retry_slack),
+            retry_window: span(reader, "retry_window_ms", default.retry_window),
+            load_multiple: fraction(reader, "load_multiple", default.load_multiple),
+            log: LogSettings::read(reader),
+        }
+    }
+}
+
+/// An address that may be missing or empty: a template leaves out what a process does not serve.
+fn optional_address(
+    reader: &mut SettingsReader<'_>,
+    section: &'static str,
+    key: &'static str,
+) -> Option<SocketAddr> {
+    let text = reader.text(section, key)?;
+    if text.is_empty() {
+        return None;
+    }
+    reader.optional_value(section, key, "10.0.0.7:8080")
+}
+
+fn fraction(reader: &mut SettingsReader<'_>, key: &'static str, default: f64) -> f64 {
+    let value: Option<f64> = reader.optional_value("bounds", key, "0.2");
+    match value {
+        Some(value) if !value.is_finite() || value < 0.0 => {
+            let remedy = "give a number from 0 up".to_owned();
+            reader.fault("bounds", key, format!("{value} is out of range"), remedy);
+            default
+        }
+        Some(value) => value,
+        None => default,
+    }
+}
--- a/crates/ragwortroad_settings/src/lib.rs
+++ b/crates/ragwortroad_settings/src/lib.rs
@@ -11,6 +11,7 @@
 //! ```
 
 mod fleet_settings;
+mod forward_settings;
 mod limit_settings;
 mod line_index;
 mod log_settings;
@@ -27,6 +28,7 @@
 pub mod prelude {
     pub use crate::{
         fleet_settings::FleetSettings,
+        forward_settings::ForwardSettings,
         limit_settings::LimitSettings,
         log_settings::{
             LogFormat,
--- a/crates/ragwortroad_settings/src/process_settings.rs
+++ b/crates/ragwortroad_settings/src/process_settings.rs
@@ -61,30 +61,20 @@
     ///
     /// All faults, in the order of their lines.
     pub fn from_bytes(bytes: &[u8]) -> Result<Self, FaultList> {
-        let text = utf8_text(bytes).map_err(|fault| FaultList(vec![fault]))?;
-        let file = Ini::load_from_str_noescape(text).map_err(|error| {
-            FaultList(vec![SettingsFault {
-                line: error.line,
-                key: "file".to_owned(),
-                message: format!("is not INI here ({})", error.msg),
-                remedy: "write '[section]', 'key = value', or a comment after '#'".to_owned(),
-            }])
-        })?;
-        let mut reader = SettingsReader::new(&file, LineIndex::new(text));
+        read_whole(bytes, Self::read)
+    }
+
+    fn read(reader: &mut SettingsReader<'_>) -> Self {
         let settings = Self {
-            node: NodeSettings::read(&mut reader),
-            fleet: FleetSettings::read(&mut reader),
-            state: StateSettings::read(&mut reader),
-            orders: PlacementKeys::read(&mut reader),
-            limits: LimitSettings::read(&mut reader),
-            log: LogSettings::read(&mut reader),
+            node: NodeSettings::read(reader),
+            fleet: FleetSettings::read(reader),
+            state: StateSettings::read(reader),
+            orders: PlacementKeys::read(reader),
+            limits: LimitSettings::read(reader),
+            log: LogSettings::read(reader),
         };
-        settings.check_together(&mut reader);
-        let faults = reader.finish();
-        if faults.is_empty() {
-            return Ok(settings);
-        }
-        Err(FaultList(faults))
+        settings.check_together(reader);
+        settings
     }
 
     /// Whether this process holds a part of the replicated state.
@@ -115,6 +105,35 @@
     }
 }
 
+/// What `read` makes of a file, or every fault of it.
+///
+/// Some editors begin a file with a byte order mark. It is no part of the first section's name.
+pub(crate) fn read_whole<T>(
+    bytes: &[u8],
+    read: impl FnOnce(&mut SettingsReader<'_>) -> T,
+) -> Result<T, FaultList> {
+    let bytes = bytes.strip_prefix(BYTE_ORDER_MARK).unwrap_or(bytes);
+    let text = utf8_text(bytes).map_err(|fault| FaultList(vec![fault]))?;
+    let file = Ini::load_from_str_noescape(text).map_err(|error| {
+        FaultList(vec![SettingsFault {
+            line: error.line,
+            key: "file".to_owned(),
+            message: format!("is not INI here ({})", error.msg),
+            remedy: "write '[section]', 'key = value', or a comment after '#'".to_owned(),
+        }])
+    })?;
+    let mut reader = SettingsReader::new(&file, LineIndex::new(text));
+    let settings = read(&mut reader);
+    let faults = reader.finish();
+    match faults.is_empty() {
+        true => Ok(settings),
+        false => Err(FaultList(faults)),
+    }
+}
+
+/// U+FEFF in UTF-8.
+const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
+
 /// The text of a file, or the fault with the line of the first byte that is not UTF-8.
 fn utf8_text(bytes: &[u8]) -> Result<&str, SettingsFault> {
     std::str::from_utf8(bytes).map_err(|error| {
--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -36,6 +36,10 @@
 pub(crate) enum CommandKind {
     /// Run one node of the fleet; SIGTERM or SIGINT drains it.
     Serve(SettingsFile),
+    /// Run an edge of a fleet that forwards by host and path; SIGTERM or SIGINT drains it.
+    Edge(SettingsFile),
+    /// Run a registry of a fleet that forwards by host and path; it holds the configuration.
+    Registry(SettingsFile),
     /// Report every fault of a settings file; start nothing.
     Check(SettingsFile),
     /// Run three nodes with stand-in endpoints on loopback, and check what callers saw.
--- /dev/null
+++ b/src/commands/forward.rs
@@ -0,0 +1,221 @@
+//! `edge` and `registry`: the processes of a fleet that forwards by host and path.
+
+use std::{
+    fs,
+    path::{
+        Path,
+        PathBuf, //
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::Duration, //
+};
+
+use flume::Sender;
+use ragwortroad_edge::prelude::*;
+use ragwortroad_registry::prelude::*;
+use ragwortroad_settings::prelude::*;
+use signal_hook::{
+    consts::{
+        SIGHUP,
+        SIGINT,
+        SIGTERM, //
+    },
+    iterator::{
+        Handle,
+        Signals, //
+    }, //
+};
+
+use crate::{
+    exit_status::ExitStatus,
+    log_output::start_process_log, //
+};
+
+/// Time between two looks at a settings file, which may change without a signal.
+const LOOK_EVERY: Duration = Duration::from_secs(1);
+
+/// Runs an edge until SIGTERM or SIGINT.
+pub(crate) fn run_edge_process(path: &Path) -> ExitStatus {
+    run_process(path, "edge", |settings, watch| {
+        let (signals, queue) = flume::unbounded();
+        let watching = watch(Box::new(move |news| {
+            let signal = match news {
+                ProcessNews::Reload(settings) => EdgeSignal::Reload(settings),
+                ProcessNews::Stop => EdgeSignal::Stop,
+            };
+            signals.send(signal).is_ok()
+        }));
+        let ended = run_edge(settings, ragwortroad_platform::edge_port(), queue);
+        (ended.map_err(|error| error.to_string()), watching)
+    })
+}
+
+/// Runs a registry until SIGTERM or SIGINT.
+pub(crate) fn run_registry_process(path: &Path) -> ExitStatus {
+    run_process(path, "registry", |settings, watch| {
+        let (signals, queue) = flume::unbounded();
+        let watching = watch(Box::new(move |news| {
+            let signal = match news {
+                ProcessNews::Reload(settings) => RegistrySignal::Reload(settings),
+                ProcessNews::Stop => RegistrySignal::Stop,
+            };
+            signals.send(signal).is_ok()
+        }));
+        let ended = run_registry(settings, ragwortroad_platform::registry_port(), queue);
+        (ended.map_err(|error| error.to_string()), watching)
+    })
+}
+
+/// What a process is told from outside.
+enum ProcessNews {
+    Reload(Box<ForwardSettings>),
+    Stop,
+}
+
+/// Passes news on; tells whether anybody still takes them.
+type TellNews = Box<dyn Fn(ProcessNews) -> bool + Send>;
+
+/// The threads that watch signals and the settings file.
+struct ProcessWatch {
+    signals: Handle,
+    end_look: Sender<()>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl ProcessWatch {
+    fn join(self) {
+        self.signals.close();
+        drop(self.end_look);
+        for thread in self.threads {
+            if thread.join().is_err() {
+                tracing::error!("a thread that watches signals or settings panicked");
+            }
+        }
+    }
+}
+
+fn run_process(
+    path: &Path,
+    role: &'static str,
+    body: impl FnOnce(
+        ForwardSettings,
+        &dyn Fn(TellNews) -> ProcessWatch,
+    ) -> (Result<(), String>, ProcessWatch),
+) -> ExitStatus {
+    let settings = match ForwardSettings::from_file(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("{error}");
+            return ExitStatus::BadInput;
+        }
+    };
+    let _log = start_process_log(&settings.log);
+    // Taken over before the first thread starts, so that no signal falls between.
+    let signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
+        Ok(signals) => signals,
+        Err(error) => {
+            eprintln!("signals cannot be taken over: {error}");
+            return ExitStatus::Unusable;
+        }
+    };
+    tracing::info!(role, name = settings.name, zone = settings.zone, "started");
+    let signals = std::cell::RefCell::new(Some(signals));
+    let watched = path.to_owned();
+    let first = settings.clone();
+    let watch = |tell: TellNews| {
+        let signals = signals.borrow_mut().take();
+        start_watch(signals, watched.clone(), first.clone(), tell)
+    };
+    let (ended, watching) = body(settings, &watch);
+    watching.join();
+    match ended {
+        Ok(()) => {
+            tracing::info!(role, "stopped");
+            ExitStatus::Done
+        }
+        Err(error) => {
+            tracing::error!(role, error, "ended");
+            eprintln!("{error}");
+            ExitStatus::Unusable
+        }
+    }
+}
+
+fn start_watch(
+    signals: Option<Signals>,
+    path: PathBuf,
+    settings: ForwardSettings,
+    tell: TellNews,
+) -> ProcessWatch {
+    let Some(mut signals) = signals else {
+        unreachable!("a process starts its watch once");
+    };
+    let handle = signals.handle();
+    let (end_look, looking) = flume::bounded::<()>(0);
+    let (hang_ups, hung_up) = flume::unbounded::<()>();
+    let (news, told) = flume::unbounded();
+    let stops = news.clone();
+    let watch_signals = thread::spawn(move || {
+        for signal in signals.forever() {
+            tracing::info!(signal, "signal");
+            let sent = match signal {
+                SIGHUP => hang_ups.send(()).is_ok(),
+                _ => stops.send(ProcessNews::Stop).is_ok(),
+            };
+            if !sent {
+                return;
+            }
+        }
+    });
+    let watch_file = thread::spawn(move || {
+        let mut known = settings;
+        loop {
+            let ended = flume::Selector::new()
+                .recv(&looking, |_| true)
+                .recv(&hung_up, |_| false)
+                .wait_timeout(LOOK_EVERY);
+            if ended == Ok(true) {
+                return;
+            }
+            if let Some(changed) = read_changed(&path, &known) {
+                known = changed.clone();
+                if news.send(ProcessNews::Reload(Box::new(changed))).is_err() {
+                    return;
+                }
+            }
+        }
+    });
+    let pass_news = thread::spawn(move || {
+        while let Ok(news) = told.recv() {
+            if !tell(news) {
+                return;
+            }
+        }
+    });
+    ProcessWatch {
+        signals: handle,
+        end_look,
+        threads: vec![watch_signals, watch_file, pass_news],
+    }
+}
+
+/// The settings, if the file holds others than those known.
+fn read_changed(path: &Path, known: &ForwardSettings) -> Option<ForwardSettings> {
+    let bytes = match fs::read(path) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            tracing::warn!(%error, "the settings cannot be read; the known ones stay in force");
+            return None;
+        }
+    };
+    match ForwardSettings::from_bytes(&bytes) {
+        Ok(settings) => (settings != *known).then_some(settings),
+        Err(faults) => {
+            tracing::warn!(%faults, "the settings have faults; the known ones stay in force");
+            None
+        }
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod completions;
 mod demo;
+mod forward;
 mod keys;
 mod load;
 mod operator;
@@ -22,6 +23,8 @@
 pub(crate) fn run(command: CommandKind) -> ExitStatus {
     match command {
         CommandKind::Serve(file) => serve::run(&file.settings),
+        CommandKind::Edge(file) => forward::run_edge_process(&file.settings),
+        CommandKind::Registry(file) => forward::run_registry_process(&file.settings),
         CommandKind::Check(file) => check::run(&file.settings),
         CommandKind::Demo(options) => demo::run(&options),
         CommandKind::Standin(options) => standin::run(&options),
