--- a/crates/ragwortroad_dispatch/src/place_choice.rs
+++ b/crates/ragwortroad_dispatch/src/place_choice.rs
@@ -18,8 +18,8 @@
 impl Default for PlaceSettings {
     fn default() -> Self {
         Self {
-            load_multiple: 1.25,
-            load_slack: 1.0,
+            load_multiple: 1.6,
+            load_slack: 2.0,
         }
     }
 }
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -25,7 +25,7 @@
 ///
 /// Some keep it three times as long, and an edge that stops has to be forgotten within its grace
 /// time; shorter answers cost the directory more questions.
-const DIRECTORY_LIFE_S: u64 = 2;
+const DIRECTORY_LIFE_S: u64 = 1;
 
 /// Most addresses in one answer of the directory; callers take no more.
 const MAX_ADDRESSES: usize = 64;
