--- a/crates/ragwortroad_registry/src/call_flow.rs
+++ b/crates/ragwortroad_registry/src/call_flow.rs
@@ -319,6 +319,8 @@
         let applied = self.seat.applied();
         for settle in std::mem::take(&mut self.settles) {
             if settle.index <= applied {
+                let version = self.seat.register().version();
+                tracing::info!(version, index = settle.index, applied, "configuration read");
                 answer_call(settle.reply, self.read_reply());
             } else if now.since(settle.came_at) < CALL_PATIENCE {
                 self.settles.push(settle);
