Send configurations as steps against the one before them

Cause: with 1600 more routes a configuration takes 24 kB compressed; the leader sent it whole to eight members and to its edges with each change, and again every 400 ms while it was still under way.

Now the leader compresses against the configuration in force (zstd with the document before it as prefix), one entry under way at a time, the highest version first; edges get the steps they lack; nothing is sent again within 1.5 s while a link lasts. Ruled out: a failure of the disk (no report in the logs) and the wiped member (leaders changed before it, too).

--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -1,6 +1,7 @@
 //! Connections of an edge to the registries, and what comes over them.
 
 use std::{
+    io,
     net::SocketAddr,
     rc::Rc,
     time::Duration, //
@@ -26,7 +27,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 
 /// Time after which a configuration that was asked for is asked of another registry.
-const ASK_AGAIN: Duration = Duration::from_millis(400);
+///
+/// A large one takes a second over a registry's link, and asking twice would send it twice.
+const ASK_AGAIN: Duration = Duration::from_millis(1200);
 
 /// Time that this edge's own registry has to announce a version before another is asked.
 ///
@@ -124,6 +127,8 @@
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
     state.book.drop_source(source, now);
+    // The registry that was asked may have been this one.
+    state.asked_at = None;
     if let Some(link) = state.links.get_mut(&source) {
         link.queue = None;
         link.version = None;
@@ -145,9 +150,7 @@
             dial_registries(shared, registries);
         }
         LinkMessage::ConfigVersion(version) => take_version(shared, source, version),
-        LinkMessage::ConfigDocument { version, packed } => {
-            take_document(shared, version, &packed);
-        }
+        LinkMessage::ConfigSteps(steps) => take_steps(shared, &steps),
         LinkMessage::EndpointsWhole(records) => {
             let mut state = shared.state.borrow_mut();
             for record in records {
@@ -196,14 +199,19 @@
     }
 }
 
-fn take_document(shared: &EdgeShared, version: u64, packed: &[u8]) {
+/// Takes the steps to a configuration.
+fn take_steps(shared: &EdgeShared, steps: &[ConfigStep]) {
     let mut state = shared.state.borrow_mut();
     state.asked_at = None;
+    let Some(last) = steps.last() else {
+        return;
+    };
     // An older one would take back what is in force here.
-    if state.version().is_some_and(|known| version <= known) {
+    if state.version().is_some_and(|known| last.version <= known) {
         return;
     }
-    let document = match unpack_document(packed) {
+    let version = last.version;
+    let document = match open_steps(state.document.clone(), state.version(), steps) {
         Ok(document) => document,
         Err(error) => {
             tracing::error!(version, %error, "a configuration cannot be unpacked");
@@ -216,14 +224,35 @@
                 version,
                 routes = config.routes.len(),
                 services = config.services.len(),
+                steps = steps.len(),
                 "configuration in force"
             );
             state.map = Some(Rc::new(RouteMap::new(config)));
+            state.document = Some(document.into());
         }
         Err(fault) => tracing::error!(version, %fault, "a configuration cannot be used"),
     }
 }
 
+/// The document that steps lead to from the one in force here.
+fn open_steps(
+    own: Option<Rc<[u8]>>,
+    own_version: Option<u64>,
+    steps: &[ConfigStep],
+) -> io::Result<Vec<u8>> {
+    let mut document = own.map(|own| own.to_vec());
+    let mut version = own_version;
+    for step in steps {
+        if step.base.is_some() && step.base != version {
+            return Err(io::Error::other("it was made against another one"));
+        }
+        let base = step.base.and(document.as_deref());
+        document = Some(step.open(base)?);
+        version = Some(step.version);
+    }
+    document.ok_or_else(|| io::Error::other("there is no step"))
+}
+
 /// Asks for the configuration where one is known to be newer, and says so once this edge is ready.
 pub(crate) fn settle_config(shared: &EdgeShared) {
     let now = shared.now();
@@ -280,7 +309,7 @@
     if !is_preferred && !is_first && now.since(first_at) < OWN_REGISTRY_TIME {
         return;
     }
-    let above = own.unwrap_or(0);
+    let above = own;
     let asked = chosen
         .queue
         .as_ref()
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -39,6 +39,8 @@
 pub(crate) struct EdgeState {
     /// The configuration in force here; nothing before the first one.
     pub(crate) map: Option<Rc<RouteMap>>,
+    /// The document it was made of, against which the next one comes.
+    pub(crate) document: Option<Rc<[u8]>>,
     pub(crate) book: EndpointBook,
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     purses: BTreeMap<String, RetryPurse>,
--- /dev/null
+++ b/crates/ragwortroad_link/src/config_step.rs
@@ -0,0 +1,26 @@
+use std::io;
+
+use serde::{
+    Deserialize,
+    Serialize, //
+};
+
+use crate::unpack_document;
+
+/// A configuration as it goes between processes: against the one before it, or whole.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigStep {
+    /// Its version.
+    pub version: u64,
+    /// Version of the document it was compressed against; nothing where it is whole.
+    pub base: Option<u64>,
+    /// The document, compressed.
+    pub packed: Vec<u8>,
+}
+
+impl ConfigStep {
+    /// The document, given the one of the base's version.
+    pub fn open(&self, base: Option<&[u8]>) -> io::Result<Vec<u8>> {
+        unpack_document(&self.packed, base)
+    }
+}
--- a/crates/ragwortroad_link/src/lib.rs
+++ b/crates/ragwortroad_link/src/lib.rs
@@ -4,6 +4,7 @@
 //! messages both ways, says when its other end is silent for too long, and never makes its user
 //! wait: what does not fit into the queue ends the connection, and the user connects anew.
 
+mod config_step;
 mod link_connection;
 mod link_error;
 mod link_message;
@@ -13,6 +14,7 @@
 /// Everything a dependent crate usually needs.
 pub mod prelude {
     pub use crate::{
+        config_step::ConfigStep,
         link_connection::{
             LinkQueue,
             dial_link,
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -6,6 +6,8 @@
     Serialize, //
 };
 
+use crate::ConfigStep;
+
 /// What edges and registries say to each other.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LinkMessage {
@@ -22,10 +24,10 @@
     },
     /// An edge's stage has changed.
     EdgeStaged(EdgeStage),
-    /// An edge wants the configuration, if it is above this version.
+    /// An edge wants the configuration, if it is above the version it has.
     WantConfig {
-        /// The version it has.
-        above: u64,
+        /// That version, if it has any.
+        above: Option<u64>,
     },
     /// Requests that an edge has under way, by endpoint; those not named have none.
     EdgeLoads(Vec<(String, u32)>),
@@ -40,13 +42,8 @@
     },
     /// The version that a registry has in force.
     ConfigVersion(u64),
-    /// A configuration.
-    ConfigDocument {
-        /// Its version.
-        version: u64,
-        /// The document, compressed.
-        packed: Vec<u8>,
-    },
+    /// Steps that lead from the version an edge has, or from nothing, to the one in force.
+    ConfigSteps(Vec<ConfigStep>),
     /// What a registry heard from endpoints itself; with it an edge knows all of it.
     EndpointsWhole(Vec<EndpointRecord>),
     /// What a registry heard from endpoints since.
@@ -61,12 +58,12 @@
     MemberHello(MemberHello),
     /// A frame of the agreement.
     Consensus(Vec<u8>),
-    /// A registry that does not lead passes on a command.
+    /// A registry that does not lead passes on a configuration.
     ForwardPut {
         /// Returned with the outcome.
         token: u64,
-        /// The command.
-        command: Vec<u8>,
+        /// The configuration, whole.
+        step: ConfigStep,
     },
     /// What became of a command that was passed on.
     ForwardDone {
--- a/crates/ragwortroad_link/src/packed_document.rs
+++ b/crates/ragwortroad_link/src/packed_document.rs
@@ -4,31 +4,53 @@
     Write, //
 };
 
-use flate2::{
-    Compression,
-    read::DeflateDecoder,
-    write::DeflateEncoder, //
+use zstd::stream::{
+    read::Decoder,
+    write::Encoder, //
 };
 
 /// Bytes of one document at most, unpacked; some ten thousand routes fit.
 pub const MAX_DOCUMENT_BYTES: u64 = 16 << 20;
 
+/// Effort of the compression: the fastest, since a registry has a twentieth of a core.
+const LEVEL: i32 = 1;
+
+/// Least and greatest logarithm of the bytes that a match may reach back.
+const WINDOW_LOGS: (u32, u32) = (17, 25);
+
 /// A document compressed for the way between processes and for the log.
 ///
-/// A configuration of some hundred routes has a hundred kilobytes that mostly repeat themselves;
-/// at 6 Mbit/s it would keep a registry's link busy for a second with each change and ten
-/// receivers. Compressed it takes about a tenth.
-pub fn pack_document(bytes: &[u8]) -> io::Result<Vec<u8>> {
-    let mut encoder = DeflateEncoder::new(Vec::new(), Compression::fast());
-    encoder.write_all(bytes)?;
+/// With `base`, a document that the receiver has, only what differs takes room. A configuration of
+/// two thousand routes has half a megabyte and compresses to some 60 kB; at 4 Mbit/s a registry
+/// would need a second to pass one on to eight others and as long for its edges, and its
+/// heartbeats would wait behind it until another leader is elected. Against the configuration
+/// before it, a change of one route takes less than a kilobyte.
+pub fn pack_document(document: &[u8], base: Option<&[u8]>) -> io::Result<Vec<u8>> {
+    let base = base.unwrap_or_default();
+    let reach = (document.len() + base.len()).max(1);
+    let (least, most) = WINDOW_LOGS;
+    let window = (reach.ilog2() + 1).clamp(least, most);
+    let mut encoder = Encoder::with_ref_prefix(Vec::new(), LEVEL, base)?;
+    encoder.window_log(window)?;
+    // Finds what stands far back, which the tables of the fastest effort forget.
+    encoder.long_distance_matching(!base.is_empty())?;
+    encoder.include_contentsize(false)?;
+    encoder.write_all(document)?;
     encoder.finish()
 }
 
-/// The document that was packed.
-pub fn unpack_document(packed: &[u8]) -> io::Result<Vec<u8>> {
-    let mut bytes = Vec::new();
-    let decoder = DeflateDecoder::new(packed);
-    let mut bounded = decoder.take(MAX_DOCUMENT_BYTES);
-    bounded.read_to_end(&mut bytes)?;
-    Ok(bytes)
+/// The document that was packed, with the same base.
+pub fn unpack_document(packed: &[u8], base: Option<&[u8]>) -> io::Result<Vec<u8>> {
+    let base = base.unwrap_or_default();
+    let decoder = Decoder::with_ref_prefix(packed, base)?;
+    let mut document = Vec::new();
+    let read = decoder
+        .take(MAX_DOCUMENT_BYTES + 1)
+        .read_to_end(&mut document)?;
+    if read as u64 > MAX_DOCUMENT_BYTES {
+        return Err(io::Error::other(
+            "the document is larger than any that is accepted",
+        ));
+    }
+    Ok(document)
 }
--- /dev/null
+++ b/crates/ragwortroad_link/tests/documents.rs
@@ -0,0 +1,60 @@
+//! What documents take on the way between processes.
+
+use std::fmt::Write;
+
+use ragwortroad_link::prelude::*;
+
+/// A configuration of `routes` routes whose names repeat nothing, with one timeout set apart.
+fn document(routes: u64, changed: u64, timeout: u64) -> Vec<u8> {
+    let mut text = String::new();
+    for route in 0..routes {
+        let name = route.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let timeout = if route == changed { timeout } else { 15_000 };
+        writeln!(
+            text,
+            "{{\"name\":\"r-{name:x}\",\"host\":\"{:x}.example\",\"prefix\":\"/{:x}/\",\
+             \"timeout\":{timeout},\"target\":600,\"attempts\":2,\"kind\":\"streaming\"}}",
+            name >> 40,
+            name >> 20,
+        )
+        .expect("a string takes all");
+    }
+    text.into_bytes()
+}
+
+#[test]
+fn a_document_comes_back_as_it_was() {
+    for routes in [0, 1, 40, 3000] {
+        let document = document(routes, 0, 1);
+        let packed = pack_document(&document, None).expect("packs");
+        assert_eq!(unpack_document(&packed, None).expect("unpacks"), document);
+    }
+}
+
+/// A large configuration is changed often. Sent in full to every process each time, it would fill
+/// the small links of the registries, and operators would wait for seconds for each change.
+#[test]
+fn a_change_of_a_large_document_takes_little() {
+    let before = document(2000, 5, 1000);
+    let after = document(2000, 1500, 2000);
+    let whole = pack_document(&after, None).expect("packs");
+    let change = pack_document(&after, Some(&before)).expect("packs");
+    assert!(
+        change.len() * 20 < whole.len(),
+        "{} of {}",
+        change.len(),
+        whole.len()
+    );
+    let unpacked = unpack_document(&change, Some(&before)).expect("unpacks");
+    assert_eq!(unpacked, after);
+}
+
+/// A process that lacks the base, or has another one, must notice and not take half a document.
+#[test]
+fn a_change_against_another_base_is_refused_or_differs() {
+    let before = document(300, 5, 1000);
+    let after = document(300, 100, 2000);
+    let change = pack_document(&after, Some(&before)).expect("packs");
+    let unpacked = unpack_document(&change, None);
+    assert!(unpacked.is_err(), "{unpacked:?}");
+}
--- a/crates/ragwortroad_registry/src/call_flow.rs
+++ b/crates/ragwortroad_registry/src/call_flow.rs
@@ -22,6 +22,12 @@
 /// them do so with a reason.
 const CALL_PATIENCE: Duration = Duration::from_millis(900);
 
+/// Bytes of a compressed configuration for which its sender waits a millisecond longer.
+///
+/// About the pace of a link of 4 Mbit/s with five copies under way; operators wait longer for large
+/// bodies.
+const BYTES_A_MILLISECOND: u64 = 100;
+
 /// Time after which a question that was passed on is asked again.
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 
@@ -40,11 +46,11 @@
 /// A configuration on its way into the log.
 #[derive(Debug)]
 pub(crate) struct PutWait {
-    /// Its version, where it was read here.
-    version: Option<u64>,
-    command: Vec<u8>,
+    /// The configuration, whole.
+    step: ConfigStep,
     origin: PutOrigin,
-    came_at: ClockTime,
+    /// When its sender is told that it was not done.
+    ends_at: ClockTime,
     /// When it was proposed or passed on last; nothing if it has to be done again.
     tried_at: Option<ClockTime>,
 }
@@ -120,36 +126,38 @@
             answer_call(reply, ControlReply::Done);
             return;
         }
-        let packed = pack_document(document).map_err(|error| error.to_string());
-        let command = packed.and_then(|packed| {
-            let command = RegisterCommand::Put { version, packed };
-            postcard::to_stdvec(&command).map_err(|error| error.to_string())
-        });
-        match command {
-            Ok(command) => {
-                self.take_put(Some(version), command, PutOrigin::Operator(reply), now);
+        match pack_document(document, None) {
+            Ok(packed) => {
+                let base = None;
+                let step = ConfigStep {
+                    version,
+                    base,
+                    packed,
+                };
+                tracing::info!(
+                    version,
+                    bytes = document.len(),
+                    packed = step.packed.len(),
+                    leads = self.seat.core().is_some_and(ConsensusCore::is_leader),
+                    "a configuration came"
+                );
+                self.take_put(step, PutOrigin::Operator(reply), now);
             }
-            Err(reason) => {
-                tracing::error!(reason, "a configuration could not be encoded");
-                let reason = "the configuration could not be encoded";
+            Err(error) => {
+                tracing::error!(%error, "a configuration could not be packed");
+                let reason = "the configuration could not be packed";
                 answer_call(reply, ControlReply::Unavailable { reason });
             }
         }
     }
 
-    pub(crate) fn take_put(
-        &mut self,
-        version: Option<u64>,
-        command: Vec<u8>,
-        origin: PutOrigin,
-        now: ClockTime,
-    ) {
+    pub(crate) fn take_put(&mut self, step: ConfigStep, origin: PutOrigin, now: ClockTime) {
         let token = self.draw_token();
+        let size = Duration::from_millis(step.packed.len() as u64 / BYTES_A_MILLISECOND);
         let wait = PutWait {
-            version,
-            command,
+            step,
             origin,
-            came_at: now,
+            ends_at: now.after(CALL_PATIENCE + size),
             tried_at: None,
         };
         if self.puts.len() >= MAX_WAITING {
@@ -162,60 +170,108 @@
 
     /// Proposes a configuration here, or passes it on to the leader.
     fn try_put(&mut self, token: u64, now: ClockTime) {
-        let Some(wait) = self.puts.get_mut(&token) else {
+        let Some(wait) = self.puts.get(&token) else {
             return;
         };
         let Some(core) = self.seat.core() else {
             return;
         };
         if core.is_leader() {
-            wait.tried_at = Some(now);
-            let command = wait.command.clone();
-            let effects = self.seat.handle(CoreInput::Propose { token, command }, now);
-            self.carry_out(effects, now);
+            self.propose_next(now);
             return;
         }
         // What was passed on once is not passed on further: two registries that each take the
         // other for the leader would send it back and forth.
         if !matches!(wait.origin, PutOrigin::Operator(_)) {
-            self.finish_put(token, PutOutcome::NotTaken);
+            self.finish_put(token, PutOutcome::NotTaken, now);
             return;
         }
-        let command = wait.command.clone();
+        let step = wait.step.clone();
         let queue = core.leader().and_then(|leader| self.queue_of(leader));
-        let sent =
-            queue.is_some_and(|queue| queue.send(&LinkMessage::ForwardPut { token, command }));
+        let sent = queue.is_some_and(|queue| queue.send(&LinkMessage::ForwardPut { token, step }));
         if let Some(wait) = self.puts.get_mut(&token) {
             wait.tried_at = sent.then_some(now);
         }
     }
 
+    /// Proposes the waiting configuration with the highest version, unless one is under way.
+    ///
+    /// Each is compressed against the one in force, so only one can be under way; those below it
+    /// need no entry of their own once it is in force.
+    fn propose_next(&mut self, now: ClockTime) {
+        if self.proposed.is_some() {
+            return;
+        }
+        let waiting = self.puts.iter();
+        let Some((&token, wait)) = waiting.max_by_key(|(_, wait)| wait.step.version) else {
+            return;
+        };
+        let register = self.seat.register();
+        let opened = wait.step.open(None);
+        let step = opened.and_then(|document| register.step_to(wait.step.version, &document));
+        let command = match step {
+            Ok(step) => postcard::to_stdvec(&RegisterCommand::Put(step)),
+            Err(error) => {
+                tracing::error!(%error, "a configuration could not be packed");
+                self.finish_put(token, PutOutcome::NotTaken, now);
+                return;
+            }
+        };
+        let command = match command {
+            Ok(command) => command,
+            Err(error) => {
+                tracing::error!(%error, "a configuration could not be encoded");
+                self.finish_put(token, PutOutcome::NotTaken, now);
+                return;
+            }
+        };
+        if let Some(wait) = self.puts.get_mut(&token) {
+            wait.tried_at = Some(now);
+        }
+        self.proposed = Some(token);
+        let effects = self.seat.handle(CoreInput::Propose { token, command }, now);
+        self.carry_out(effects, now);
+    }
+
     pub(crate) fn decide_put(&mut self, token: u64, result: ProposeResult, now: ClockTime) {
+        if self.proposed != Some(token) {
+            // A change of seats; the plan tries it again where it is still wanted.
+            return;
+        }
+        self.proposed = None;
         let outcome = match result {
             ProposeResult::Committed { .. } => PutOutcome::Committed,
             ProposeResult::Unknown => PutOutcome::Unknown,
-            ProposeResult::NotLeader { .. } | ProposeResult::Busy => PutOutcome::NotTaken,
-            ProposeResult::TooLarge => {
-                tracing::error!("a configuration is larger than the log takes");
-                PutOutcome::NotTaken
-            }
-            ProposeResult::Refused(refusal) => {
-                tracing::info!(%refusal, "a seat does not change yet");
-                return;
-            }
+            ProposeResult::NotLeader { .. }
+            | ProposeResult::Busy
+            | ProposeResult::TooLarge
+            | ProposeResult::Refused(_) => PutOutcome::NotTaken,
         };
-        tracing::debug!(token, ?outcome, at = now.0, "a proposal was decided");
-        self.finish_put(token, outcome);
+        if result == ProposeResult::TooLarge {
+            tracing::error!("a configuration is larger than the log takes");
+        }
+        let wait = self.puts.get(&token);
+        let version = wait.map(|wait| wait.step.version);
+        let covers = version.is_some_and(|version| self.seat.register().covers(version));
+        match outcome == PutOutcome::Committed && !covers {
+            // It was made against a configuration that was replaced meanwhile.
+            true => self.finish_put(token, PutOutcome::NotTaken, now),
+            false => self.finish_put(token, outcome, now),
+        }
+        self.finish_covered(now);
+        if self.seat.core().is_some_and(ConsensusCore::is_leader) {
+            self.propose_next(now);
+        }
     }
 
-    pub(crate) fn finish_put(&mut self, token: u64, outcome: PutOutcome) {
+    pub(crate) fn finish_put(&mut self, token: u64, outcome: PutOutcome, now: ClockTime) {
         let Some(mut wait) = self.puts.remove(&token) else {
             return;
         };
         let is_final = outcome == PutOutcome::Committed;
         let is_ours = matches!(wait.origin, PutOrigin::Operator(_));
-        if is_ours && !is_final {
-            // The same command twice changes nothing, so it is tried again while there is time.
+        if is_ours && !is_final && now < wait.ends_at {
+            // The same configuration twice changes nothing, so it is tried again in time.
             wait.tried_at = None;
             self.puts.insert(token, wait);
             return;
@@ -223,8 +279,19 @@
         self.end_put(wait, outcome);
     }
 
+    /// Answers the waiting configurations that the one in force has overtaken.
+    fn finish_covered(&mut self, now: ClockTime) {
+        let register = self.seat.register();
+        let puts = self.puts.iter();
+        let covered = puts.filter(|(_, wait)| register.covers(wait.step.version));
+        let tokens: Vec<u64> = covered.map(|(token, _)| *token).collect();
+        for token in tokens {
+            self.finish_put(token, PutOutcome::Committed, now);
+        }
+    }
+
     fn end_put(&self, wait: PutWait, outcome: PutOutcome) {
-        let version = wait.version;
+        let version = wait.step.version;
         match wait.origin {
             PutOrigin::Operator(reply) => {
                 tracing::info!(version, ?outcome, "a configuration was decided");
@@ -332,17 +399,11 @@
     }
 
     fn read_reply(&self) -> ControlReply {
-        let Some(packed) = self.seat.register().packed() else {
-            let reason = "no configuration has been accepted yet";
-            return ControlReply::Unavailable { reason };
-        };
-        match unpack_document(&packed) {
-            Ok(document) => ControlReply::Config(document.into()),
-            Err(error) => {
-                tracing::error!(%error, "the configuration in force cannot be unpacked");
-                let reason = "the configuration cannot be read here";
-                ControlReply::Unavailable { reason }
-            }
+        match self.seat.register().document() {
+            Some(document) => ControlReply::Config(document.as_ref().clone().into()),
+            None => ControlReply::Unavailable {
+                reason: "no configuration has been accepted yet",
+            },
         }
     }
 
@@ -362,45 +423,40 @@
 
     /// Tries waiting calls again and ends those that have waited for too long.
     pub(crate) fn retry_calls(&mut self, now: ClockTime) {
-        let is_due = |tried: Option<ClockTime>| tried.is_none_or(|at| now.since(at) >= ASK_AGAIN);
-        let covered = |wait: &PutWait| {
-            let version = wait.version;
-            version.is_some_and(|version| self.seat.register().covers(version))
-        };
-        let tokens: Vec<u64> = self.puts.keys().copied().collect();
-        let done: Vec<u64> = self
-            .puts
-            .iter()
-            .filter(|(_, wait)| covered(wait))
-            .map(|(token, _)| *token)
-            .collect();
-        for token in done {
-            self.finish_put(token, PutOutcome::Committed);
+        self.finish_covered(now);
+        let leads = self.seat.core().is_some_and(ConsensusCore::is_leader);
+        if !leads {
+            // The core that would have told is gone or has stepped down.
+            self.proposed = None;
         }
+        let tokens: Vec<u64> = self.puts.keys().copied().collect();
         for token in tokens {
             let Some(wait) = self.puts.get(&token) else {
                 continue;
             };
-            if now.since(wait.came_at) >= CALL_PATIENCE {
+            if now >= wait.ends_at {
                 if let Some(wait) = self.puts.remove(&token) {
                     self.end_put(wait, PutOutcome::Unknown);
                 }
-            } else if is_due(wait.tried_at) && !self.is_proposed_here(token) {
+            } else if wait.tried_at.is_none() {
                 self.try_put(token, now);
             }
         }
-        self.retry_reads(now, is_due);
+        self.retry_reads(now);
         self.settle_reads(now);
     }
 
-    /// Whether a proposal waits in this registry's own log; a second one would only add to it.
-    fn is_proposed_here(&self, token: u64) -> bool {
-        let leads = self.seat.core().is_some_and(ConsensusCore::is_leader);
-        let wait = self.puts.get(&token);
-        leads && wait.is_some_and(|wait| wait.tried_at.is_some())
+    /// A connection to another registry has ended: what was passed on there is passed on again.
+    pub(crate) fn pass_on_again(&mut self) {
+        for wait in self.puts.values_mut() {
+            if matches!(wait.origin, PutOrigin::Operator(_)) {
+                wait.tried_at = None;
+            }
+        }
     }
 
-    fn retry_reads(&mut self, now: ClockTime, is_due: impl Fn(Option<ClockTime>) -> bool) {
+    fn retry_reads(&mut self, now: ClockTime) {
+        let is_due = |tried: Option<ClockTime>| tried.is_none_or(|at| now.since(at) >= ASK_AGAIN);
         let tokens: Vec<u64> = self.reads.keys().copied().collect();
         for token in tokens {
             let Some(wait) = self.reads.get(&token) else {
--- a/crates/ragwortroad_registry/src/config_register.rs
+++ b/crates/ragwortroad_registry/src/config_register.rs
@@ -1,5 +1,9 @@
-use std::sync::Arc;
+use std::{
+    io,
+    sync::Arc, //
+};
 
+use ragwortroad_link::prelude::*;
 use serde::{
     Deserialize,
     Serialize, //
@@ -9,51 +13,102 @@
 ///
 /// Invariant: the version never goes down, and the first document of a version stays its only one,
 /// since commands are applied in the same order everywhere.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ConfigRegister {
+    held: Option<HeldConfig>,
+}
+
+/// The configuration in force.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct HeldConfig {
     version: u64,
-    packed: Arc<Vec<u8>>,
-    /// Whether any document has been accepted; a version may be 0.
-    is_set: bool,
+    document: Arc<Vec<u8>>,
 }
 
 /// A command of the replicated log.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RegisterCommand {
     /// Takes a configuration, unless its version is not above the one held.
-    Put {
-        /// Its version.
-        version: u64,
-        /// The document, compressed.
-        packed: Vec<u8>,
+    Put(ConfigStep),
+}
+
+/// What a command has led to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum RegisterChange {
+    /// Another configuration is in force.
+    Changed,
+    /// Its version is not above the one held.
+    Covered,
+    /// It was made against a configuration that is not the one held; it has to be made anew.
+    OtherBase,
+    /// The bytes are no document; all members skip it alike.
+    Unreadable {
+        /// What the codec said.
+        reason: String,
     },
 }
 
 impl ConfigRegister {
-    /// Applies a command; tells whether the configuration in force has changed.
-    pub fn apply(&mut self, command: RegisterCommand) -> bool {
-        let RegisterCommand::Put { version, packed } = command;
-        if self.covers(version) {
-            return false;
+    /// Applies a command.
+    pub fn apply(&mut self, command: &RegisterCommand) -> RegisterChange {
+        let RegisterCommand::Put(step) = command;
+        if self.covers(step.version) {
+            return RegisterChange::Covered;
+        }
+        if step.base.is_some() && step.base != self.version() {
+            return RegisterChange::OtherBase;
+        }
+        let base = step.base.and_then(|_| self.document());
+        match step.open(base.as_deref().map(Vec::as_slice)) {
+            Ok(document) => {
+                self.held = Some(HeldConfig {
+                    version: step.version,
+                    document: Arc::new(document),
+                });
+                RegisterChange::Changed
+            }
+            Err(error) => RegisterChange::Unreadable {
+                reason: error.to_string(),
+            },
         }
-        self.version = version;
-        self.packed = Arc::new(packed);
-        self.is_set = true;
-        true
     }
 
     /// Whether a declaration of `version` would change nothing any more.
     pub fn covers(&self, version: u64) -> bool {
-        self.is_set && version <= self.version
+        self.version().is_some_and(|held| version <= held)
     }
 
     /// The version in force, if any.
     pub fn version(&self) -> Option<u64> {
-        self.is_set.then_some(self.version)
+        self.held.as_ref().map(|held| held.version)
+    }
+
+    /// The document in force.
+    pub fn document(&self) -> Option<Arc<Vec<u8>>> {
+        self.held.as_ref().map(|held| Arc::clone(&held.document))
+    }
+
+    /// The step that leads from the configuration in force to `document`.
+    pub fn step_to(&self, version: u64, document: &[u8]) -> io::Result<ConfigStep> {
+        let base = self.document();
+        let packed = pack_document(document, base.as_deref().map(Vec::as_slice))?;
+        Ok(ConfigStep {
+            version,
+            base: self.version(),
+            packed,
+        })
     }
 
-    /// The compressed document in force.
-    pub fn packed(&self) -> Option<Arc<Vec<u8>>> {
-        self.is_set.then(|| Arc::clone(&self.packed))
+    /// The step that leads from nothing to the configuration in force.
+    pub fn whole_step(&self) -> io::Result<Option<ConfigStep>> {
+        let Some(held) = &self.held else {
+            return Ok(None);
+        };
+        let packed = pack_document(&held.document, None)?;
+        Ok(Some(ConfigStep {
+            version: held.version,
+            base: None,
+            packed,
+        }))
     }
 }
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -81,18 +81,26 @@
         }
     }
 
-    /// Sends an edge the configuration, if it lacks it.
-    pub(crate) fn give_config(&self, link: LinkKey, above: u64) {
+    /// Sends an edge the configuration, if it lacks it: the steps since the one it has, or whole.
+    pub(crate) fn give_config(&self, link: LinkKey, above: Option<u64>) {
         let register = self.seat.register();
-        let (Some(version), Some(packed)) = (register.version(), register.packed()) else {
-            return;
-        };
         let Some(queue) = self.links.get(&link) else {
             return;
         };
-        if version > above {
-            let packed = packed.as_ref().clone();
-            queue.send(&LinkMessage::ConfigDocument { version, packed });
+        if above >= register.version() {
+            return;
+        }
+        let known = above.and_then(|version| self.seat.history().since(version));
+        if let Some(steps) = known {
+            queue.send(&LinkMessage::ConfigSteps(steps));
+            return;
+        }
+        match register.whole_step() {
+            Ok(Some(step)) => {
+                queue.send(&LinkMessage::ConfigSteps(vec![step]));
+            }
+            Ok(None) => {}
+            Err(error) => tracing::error!(%error, "the configuration cannot be packed"),
         }
     }
 
--- a/crates/ragwortroad_registry/src/group_seat.rs
+++ b/crates/ragwortroad_registry/src/group_seat.rs
@@ -7,12 +7,14 @@
 
 use crate::{
     ConfigRegister,
+    RegisterChange,
     RegisterCommand,
     folder_worker::{
         FolderOrder,
         FolderReport,
         FolderWorker, //
-    }, //
+    },
+    step_history::StepHistory, //
 };
 
 /// What a seat wants done beside its disk's work.
@@ -48,6 +50,7 @@
     founders: Vec<NodeId>,
     core: Option<ConsensusCore>,
     register: ConfigRegister,
+    history: StepHistory,
     start: u64,
     seed: u64,
 }
@@ -81,6 +84,7 @@
             founders: start.founders,
             core: None,
             register: ConfigRegister::default(),
+            history: StepHistory::default(),
             start: start.start,
             seed: start.seed,
         }
@@ -91,6 +95,11 @@
         &self.register
     }
 
+    /// The last steps of the configuration.
+    pub(crate) fn history(&self) -> &StepHistory {
+        &self.history
+    }
+
     /// The core, once it runs.
     pub(crate) fn core(&self) -> Option<&ConsensusCore> {
         self.core.as_ref()
@@ -254,39 +263,65 @@
     }
 
     fn apply(&mut self, command: &[u8]) -> Option<SeatEffect> {
-        match postcard::from_bytes::<RegisterCommand>(command) {
-            Ok(command) => self
-                .register
-                .apply(command)
-                .then_some(SeatEffect::ConfigChanged),
+        let command = match postcard::from_bytes::<RegisterCommand>(command) {
+            Ok(command) => command,
             Err(error) => {
                 // All members skip it alike, so the state stays the same everywhere.
                 tracing::error!(%error, "a command of the log means nothing and is skipped");
+                return None;
+            }
+        };
+        match self.register.apply(&command) {
+            RegisterChange::Changed => {
+                let RegisterCommand::Put(step) = command;
+                self.history.push(step);
+                Some(SeatEffect::ConfigChanged)
+            }
+            RegisterChange::Covered | RegisterChange::OtherBase => None,
+            RegisterChange::Unreadable { reason } => {
+                tracing::error!(reason, "a configuration of the log is skipped");
                 None
             }
         }
     }
 
+    /// Takes the state of a snapshot: the log continues from it, so it is never older than what
+    /// was applied here, except after a failed disk was opened anew.
     fn restore(&mut self, bytes: &[u8]) -> Option<SeatEffect> {
-        match postcard::from_bytes::<ConfigRegister>(bytes) {
-            // After a failed disk the folder may hold less than what was applied here already.
-            Ok(register) if register.version() < self.register.version() => None,
-            Ok(register) => {
-                self.register = register;
-                Some(SeatEffect::ConfigChanged)
-            }
+        let step = match postcard::from_bytes::<Option<ConfigStep>>(bytes) {
+            Ok(step) => step?,
             Err(error) => {
                 tracing::error!(%error, "the snapshot means nothing; run one version on all VMs");
+                return None;
+            }
+        };
+        match self.register.apply(&RegisterCommand::Put(step)) {
+            RegisterChange::Changed => {
+                self.history.clear();
+                Some(SeatEffect::ConfigChanged)
+            }
+            RegisterChange::Covered => None,
+            other => {
+                tracing::error!(?other, "the snapshot's configuration cannot be used");
                 None
             }
         }
     }
 
     fn snapshot(&mut self, index: u64, now: ClockTime) -> Vec<SeatEffect> {
-        match postcard::to_stdvec(&self.register) {
+        let whole = self
+            .register
+            .whole_step()
+            .map_err(|error| error.to_string());
+        let encoded =
+            whole.and_then(|step| postcard::to_stdvec(&step).map_err(|error| error.to_string()));
+        match encoded {
             Ok(bytes) => self.handle(CoreInput::SnapshotTaken { index, bytes }, now),
-            Err(error) => {
-                tracing::error!(%error, "the state could not be encoded; the log goes on growing");
+            Err(reason) => {
+                tracing::error!(
+                    reason,
+                    "the state could not be encoded; the log goes on growing"
+                );
                 Vec::new()
             }
         }
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -21,12 +21,14 @@
 mod registry_port;
 mod registry_process;
 mod registry_state;
+mod step_history;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
     pub use crate::{
         config_register::{
             ConfigRegister,
+            RegisterChange,
             RegisterCommand, //
         },
         control_call::{
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -107,9 +107,9 @@
         match message {
             LinkMessage::MemberHello(hello) => self.take_hello(hello, now),
             LinkMessage::Consensus(bytes) => self.take_frame(&bytes, now),
-            LinkMessage::ForwardPut { token, command } => {
+            LinkMessage::ForwardPut { token, step } => {
                 let origin = PutOrigin::Forwarded { link, token };
-                self.take_put(None, command, origin, now);
+                self.take_put(step, origin, now);
             }
             LinkMessage::ReadAsk { token } => {
                 self.take_read(ReadOrigin::Asked { link, token }, now);
@@ -129,7 +129,7 @@
     /// Takes what another registry answers on the connection to it.
     pub(crate) fn take_peer_message(&mut self, message: LinkMessage, now: ClockTime) {
         match message {
-            LinkMessage::ForwardDone { token, outcome } => self.finish_put(token, outcome),
+            LinkMessage::ForwardDone { token, outcome } => self.finish_put(token, outcome, now),
             LinkMessage::ReadDone { token, index } => self.prove_read(token, index, now),
             other => tracing::warn!(?other, "a message that no registry answers"),
         }
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -65,11 +65,17 @@
 ///
 /// It is above the pauses of a twentieth of a core that is busy with a large configuration for
 /// some hundred milliseconds, and short of the seconds in which a change must be accepted.
-const ELECTION_TIMEOUT: Duration = Duration::from_millis(1000);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(1200);
 
 /// Time between two words of the leader; four may be late before an election.
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(200);
 
+/// Time after which an entry is sent again that was not confirmed.
+///
+/// Links lose nothing while they last; sending a large configuration again that is still on its way
+/// would double what a small link carries. This is for what was under way when one broke.
+const RESEND_AFTER: Duration = Duration::from_millis(1500);
+
 /// Entries after which the log is folded into a snapshot: there is one configuration to keep.
 const SNAPSHOT_ENTRIES: u64 = 500;
 
@@ -250,7 +256,7 @@
     CoreSettings {
         election_timeout: ELECTION_TIMEOUT,
         heartbeat_every: HEARTBEAT_EVERY,
-        resend_after: HEARTBEAT_EVERY * 2,
+        resend_after: RESEND_AFTER,
         max_command_bytes: MAX_COMMAND_BYTES,
         snapshot_entries: SNAPSHOT_ENTRIES,
         snapshot_bytes: SNAPSHOT_BYTES,
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -51,6 +51,8 @@
     /// Registries that are still to be dialled.
     pub(crate) undialled: BTreeSet<SocketAddr>,
     pub(crate) puts: BTreeMap<u64, PutWait>,
+    /// The configuration whose entry is under way, on the leader.
+    pub(crate) proposed: Option<u64>,
     pub(crate) reads: BTreeMap<u64, ReadWait>,
     pub(crate) settles: Vec<ReadSettle>,
     pub(crate) next_token: u64,
@@ -76,6 +78,7 @@
             peers: BTreeMap::new(),
             undialled: BTreeSet::new(),
             puts: BTreeMap::new(),
+            proposed: None,
             reads: BTreeMap::new(),
             settles: Vec::new(),
             next_token: 0,
@@ -104,6 +107,7 @@
                 if let Some(entry) = self.peers.get_mut(&peer) {
                     entry.queue = None;
                 }
+                self.pass_on_again();
             }
             RegistryEvent::Folder(report) => {
                 let effects = self.seat.take_report(report, now);
