Keep a shared text where it was read, whichever engines come and go

Cause: edges found a text's engine by hash alone, so each engine that came or left moved texts although the engine that had them was well.

Edges now note which engine reads which text and tell each other by way of a registry, only when that is new; an engine that holds a text takes it up to 1.7 x mean + 2, another one up to 1.3 x mean + 2. A restarted edge is told the last 2000 places.

--- a/crates/ragwortroad_dispatch/src/endpoint_book.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_book.rs
@@ -173,6 +173,11 @@
         forgotten
     }
 
+    /// The endpoint of a name.
+    pub fn find(&self, name: &str) -> Option<EndpointKey> {
+        self.names.get(name).copied()
+    }
+
     /// What an endpoint said last.
     pub fn record(&self, key: EndpointKey) -> Option<&EndpointRecord> {
         self.entries.get(&key).map(|entry| &entry.record)
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod route_map;
 mod seat_plan;
 mod site_config;
+mod text_table;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
@@ -70,7 +71,8 @@
             RouteTarget,
             ServiceRule,
             SiteConfig, //
-        }, //
+        },
+        text_table::TextTable, //
     };
 }
 
--- a/crates/ragwortroad_dispatch/src/place_choice.rs
+++ b/crates/ragwortroad_dispatch/src/place_choice.rs
@@ -5,20 +5,25 @@
 /// Figures of the choice of a place.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PlaceSettings {
-    /// An engine takes requests up to this multiple of the mean load.
+    /// An engine that has read a request's text takes it up to this multiple of the mean load.
     ///
-    /// Lower spreads better, higher keeps more shared text where it was read. The site's bound on
-    /// skew is 2; the rest is room for what other edges sent a moment ago.
+    /// Lower spreads better, higher reads less text again. The site's bound on skew is 2; the rest
+    /// is room for what other edges sent a moment ago.
+    pub hold_multiple: f64,
+    /// An engine that has not read the text takes it up to this multiple.
+    ///
+    /// Below the other, so that new texts go where there is room and stay there.
     pub load_multiple: f64,
-    /// Requests above that multiple which harm nobody: at small means one request more or less is
-    /// a large multiple.
+    /// Requests above those multiples which harm nobody: at small means one request more or less
+    /// is a large multiple.
     pub load_slack: f64,
 }
 
 impl Default for PlaceSettings {
     fn default() -> Self {
         Self {
-            load_multiple: 1.6,
+            hold_multiple: 1.7,
+            load_multiple: 1.3,
             load_slack: 2.0,
         }
     }
@@ -39,6 +44,8 @@
     pub is_near: bool,
     /// Share of its requests that failed lately, from 0 to 1.
     pub failing: f64,
+    /// Whether it has read the request's shared text.
+    pub holds_text: bool,
 }
 
 /// What matters of a request to where it goes.
@@ -58,11 +65,12 @@
 
 /// Where a request to a model engine goes.
 ///
-/// All edges rank the engines for a shared text in the same order without a message: a hash of
-/// text and engine. The first one in that order that is not above the bound gets the request, so a
-/// text is read by few engines, the same ones each time, and a text that is asked for too often
-/// overflows to the next in its order. Answers the loads of a site with many shared texts and a
-/// few very busy ones; at 12 engines and equal texts it comes to the first in order nearly always.
+/// First to an engine that has read the request's shared text, while that one is not far above the
+/// mean. Otherwise all edges rank the engines for a text in the same order without a message, by a
+/// hash of text and engine, and the first one that has room takes it. So a text is read by few
+/// engines, the same ones each time, and one that is asked for too often overflows to the next in
+/// its order. Answers the loads of a site with many shared texts, a few of them very busy, whose
+/// engines come and go.
 pub fn choose_engine(
     candidates: &[PlaceCandidate<'_>],
     request: PlaceRequest,
@@ -71,16 +79,23 @@
     let well = well_candidates(candidates);
     let total: u32 = well.iter().map(|candidate| candidate.load).sum();
     let mean = f64::from(total) / well.len().max(1) as f64;
-    let bound = mean * settings.load_multiple + settings.load_slack;
     let text = request.shared_text.unwrap_or(request.draw.to_bits());
     let rank = |candidate: &PlaceCandidate<'_>| xxh3_64_with_seed(candidate.name.as_bytes(), text);
-    let free = |candidate: &&PlaceCandidate<'_>| f64::from(candidate.load) <= bound;
-    let first = well
-        .iter()
-        .filter(free)
+    let is_below = |candidate: &PlaceCandidate<'_>, multiple: f64| {
+        f64::from(candidate.load) <= mean * multiple + settings.load_slack
+    };
+    let holders = well.iter().filter(|candidate| candidate.holds_text);
+    let holder = holders
+        .filter(|candidate| is_below(candidate, settings.hold_multiple))
         .max_by_key(|candidate| rank(candidate));
+    let first = || {
+        let free = well.iter();
+        let free = free.filter(|candidate| is_below(candidate, settings.load_multiple));
+        free.max_by_key(|candidate| rank(candidate))
+    };
     let least = || well.iter().min_by_key(|candidate| candidate.load);
-    first.or_else(least).map(|candidate| candidate.key)
+    let chosen = holder.or_else(first).or_else(least);
+    chosen.map(|candidate| candidate.key)
 }
 
 /// Where a request to a plain service goes: where least is under way, near places first.
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -151,6 +151,14 @@
         }
         LinkMessage::ConfigVersion(version) => take_version(shared, source, version),
         LinkMessage::ConfigSteps(steps) => take_steps(shared, &steps),
+        LinkMessage::TextsPlaced(placed) => {
+            let mut state = shared.state.borrow_mut();
+            for place in placed {
+                if let Some(key) = state.book.find(&place.engine) {
+                    state.texts.note(place.text, key, now);
+                }
+            }
+        }
         LinkMessage::EndpointsWhole(records) => {
             let mut state = shared.state.borrow_mut();
             for record in records {
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -122,7 +122,9 @@
         let mut state = shared.state.borrow_mut();
         for key in state.book.expire(now) {
             state.loads.remove(&key);
+            state.texts.forget(key);
         }
+        state.tell_places();
         drop(state);
         shared.pool.expire(now);
         settle_config(&shared);
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -43,6 +43,9 @@
     pub(crate) document: Option<Rc<[u8]>>,
     pub(crate) book: EndpointBook,
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
+    pub(crate) texts: TextTable,
+    /// Places of texts that the other edges are still to be told.
+    pub(crate) placed: Vec<PlacedText>,
     purses: BTreeMap<String, RetryPurse>,
     pub(crate) links: BTreeMap<SourceKey, RegistryLink>,
     pub(crate) registries: BTreeSet<SocketAddr>,
@@ -99,11 +102,26 @@
     /// Takes what came of a piece of news about an endpoint.
     pub(crate) fn follow_change(&mut self, change: BookChange) {
         match change {
-            BookChange::Started(key) => self.load_mut(key).reset(),
+            BookChange::Started(key) => {
+                self.load_mut(key).reset();
+                self.texts.forget(key);
+            }
             BookChange::Stopped(_) | BookChange::Changed(_) | BookChange::Same => {}
         }
     }
 
+    /// Tells the other edges, by way of one registry, where texts were placed here.
+    pub(crate) fn tell_places(&mut self) {
+        if self.placed.is_empty() {
+            return;
+        }
+        let queue = self.links.values().find_map(|link| link.queue.as_ref());
+        if let Some(queue) = queue {
+            let placed = std::mem::take(&mut self.placed);
+            queue.send(&LinkMessage::TextsPlaced(placed));
+        }
+    }
+
     /// Tells all registries this edge's stage.
     pub(crate) fn set_stage(&mut self, stage: EdgeStage) {
         if self.stage == stage {
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
 
 use crate::{
     edge_state::EdgeShared,
@@ -19,6 +20,8 @@
     pub(crate) load: u32,
     /// Endpoints among which it was chosen.
     pub(crate) among: usize,
+    /// Whether it has read the request's shared text.
+    pub(crate) holds_text: bool,
 }
 
 /// Chooses an endpoint that was not tried, if there is one.
@@ -46,6 +49,12 @@
     // Where all of them failed lately, one of them is still a better guess than a refusal.
     let has_open = known.iter().any(|(is_open, ..)| *is_open);
     let usable = known.iter().filter(|(is_open, ..)| *is_open || !has_open);
+    let parts: Vec<u64> = plan.facts.parts.iter().map(|part| part.key).collect();
+    let shared_text = shared_key(&parts);
+    let holders: Vec<EndpointKey> = match shared_text {
+        Some(text) => state.texts.holders(text, now).collect(),
+        None => Vec::new(),
+    };
     let candidates: Vec<PlaceCandidate<'_>> = usable
         .map(|(_, key, name, zone, slots)| {
             let load = state.loads.get(key);
@@ -56,26 +65,45 @@
                 slots: *slots,
                 is_near: *zone == shared.settings.zone,
                 failing: load.map_or(0.0, EndpointLoad::failing),
+                holds_text: holders.contains(key),
             }
         })
         .collect();
-    let parts: Vec<u64> = plan.facts.parts.iter().map(|part| part.key).collect();
     let request = PlaceRequest {
-        shared_text: shared_key(&parts),
+        shared_text,
         draw: rand::random(),
     };
     let service = plan.map.service(&plan.service);
-    let key = match service.is_some_and(|service| service.engine.is_some()) {
+    let is_engine = service.is_some_and(|service| service.engine.is_some());
+    let key = match is_engine {
         true => choose_engine(&candidates, request, &PlaceSettings::default()),
         false => choose_replica(&candidates, request),
     }?;
     let chosen = candidates.iter().find(|candidate| candidate.key == key)?;
     let record = state.book.record(key)?;
-    Some(ChosenEndpoint {
+    let found = ChosenEndpoint {
         key,
         name: record.name.clone(),
         address: record.address,
         load: chosen.load,
         among: candidates.len(),
-    })
+        holds_text: chosen.holds_text,
+    };
+    drop(state);
+    if let Some(text) = shared_text.filter(|_| is_engine) {
+        note_place(shared, text, &found);
+    }
+    Some(found)
+}
+
+/// Remembers that an engine reads a text, and has the other edges told if they do not know.
+fn note_place(shared: &EdgeShared, text: u64, chosen: &ChosenEndpoint) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    if state.texts.note(text, chosen.key, now) {
+        state.placed.push(PlacedText {
+            text,
+            engine: chosen.name.clone(),
+        });
+    }
 }
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -191,6 +191,7 @@
                     endpoint = chosen.name,
                     load = chosen.load,
                     among = chosen.among,
+                    holds_text = chosen.holds_text,
                     attempts = way.attempts,
                     took_ms = plan.came_at.elapsed().as_millis() as u64,
                     "request answered"
--- a/crates/ragwortroad_link/src/lib.rs
+++ b/crates/ragwortroad_link/src/lib.rs
@@ -26,6 +26,7 @@
             EdgeStage,
             LinkMessage,
             MemberHello,
+            PlacedText,
             PutOutcome, //
         },
         link_settings::LinkSettings,
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -29,8 +29,8 @@
         /// That version, if it has any.
         above: Option<u64>,
     },
-    /// Requests that an edge has under way, by endpoint; those not named have none.
-    EdgeLoads(Vec<(String, u32)>),
+    /// Texts that an edge has sent to engines which had not read them.
+    TextsPlaced(Vec<PlacedText>),
     /// A registry tells an edge what it knows of the fleet.
     Fleet {
         /// Where registries listen for links.
@@ -52,8 +52,6 @@
     EndpointLost(String),
     /// An endpoint has said that it leaves for good.
     EndpointGoodbye(String),
-    /// Requests that all edges have under way, by endpoint.
-    FleetLoads(Vec<(String, u32)>),
     /// A registry presents itself to another; its first message, and again from time to time.
     MemberHello(MemberHello),
     /// A frame of the agreement.
@@ -86,6 +84,15 @@
     },
 }
 
+/// A shared text that an engine is reading.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacedText {
+    /// Identity of the text.
+    pub text: u64,
+    /// Name of the engine.
+    pub engine: String,
+}
+
 /// Whether an edge takes callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum EdgeStage {
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -32,6 +32,9 @@
 /// time; shorter answers cost the directory more questions.
 const DIRECTORY_LIFE_S: u64 = 1;
 
+/// Places of texts remembered for edges that start; each takes some forty bytes, also on the link.
+const MAX_PLACES: usize = 2000;
+
 /// Most addresses in one answer of the directory; callers take no more.
 const MAX_ADDRESSES: usize = 64;
 
@@ -71,6 +74,10 @@
         if let Some(version) = self.seat.register().version() {
             queue.send(&LinkMessage::ConfigVersion(version));
         }
+        if !self.places.is_empty() {
+            let places = self.places.iter().cloned().collect();
+            queue.send(&LinkMessage::TextsPlaced(places));
+        }
     }
 
     pub(crate) fn stage_edge(&mut self, link: LinkKey, stage: EdgeStage) {
@@ -116,8 +123,22 @@
         }
     }
 
-    /// Passes on what all edges have under way.
-    pub(crate) fn take_loads(&mut self, _link: LinkKey, _loads: Vec<(String, u32)>) {}
+    /// Passes on where an edge has placed texts, and remembers it for edges that come later.
+    pub(crate) fn take_places(&mut self, link: LinkKey, placed: Vec<PlacedText>) {
+        let message = LinkMessage::TextsPlaced(placed.clone());
+        self.places.extend(placed);
+        let surplus = self.places.len().saturating_sub(MAX_PLACES);
+        self.places.drain(..surplus);
+        match encode_message(&message) {
+            Ok(bytes) => {
+                let others = self.edges.keys().filter(|other| **other != link);
+                for queue in others.filter_map(|other| self.links.get(other)) {
+                    queue.send_encoded(bytes.clone());
+                }
+            }
+            Err(error) => tracing::error!(%error, "places of texts could not be encoded"),
+        }
+    }
 
     pub(crate) fn tell_fleet(&mut self, now: ClockTime) {
         let message = self.fleet_message(now);
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -1,7 +1,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        VecDeque, //
     },
     net::SocketAddr,
     time::Duration, //
@@ -61,6 +62,8 @@
     pub(crate) hello_at: ClockTime,
     pub(crate) plan_at: ClockTime,
     pub(crate) round_at: ClockTime,
+    /// Where edges have placed texts lately, the newest last.
+    pub(crate) places: VecDeque<PlacedText>,
     /// What edges were told last of the fleet.
     pub(crate) told_fleet: Option<LinkMessage>,
     /// Whether the process is to stop.
@@ -88,6 +91,7 @@
             hello_at: now,
             plan_at: now,
             round_at: now,
+            places: VecDeque::new(),
             told_fleet: None,
             is_stopping: false,
         };
