--- a/crates/ragwortroad_dispatch/src/place_choice.rs
+++ b/crates/ragwortroad_dispatch/src/place_choice.rs
@@ -7,8 +7,8 @@
 pub struct PlaceSettings {
     /// An engine that has read a request's text takes it up to this multiple of the mean load.
     ///
-    /// Lower spreads better, higher reads less text again. The site's bound on skew is 2; the rest
-    /// is room for what other edges sent a moment ago.
+    /// Lower spreads better, higher reads less text again. Sites bound skew at 2 and three more; the
+    /// rest is room for what other edges sent a moment ago.
     pub hold_multiple: f64,
     /// An engine that has not read the text takes it up to this multiple.
     ///
@@ -19,12 +19,28 @@
     pub load_slack: f64,
 }
 
+/// Part of a site's bound on skew up to which an engine takes requests for text that it holds.
+const HOLD_PART: f64 = 0.9;
+
+impl PlaceSettings {
+    /// Figures for a site that lets no engine carry more than `bound` times the mean.
+    pub fn within(bound: f64) -> Self {
+        let default = Self::default();
+        let hold_multiple = (bound * HOLD_PART).max(1.0);
+        Self {
+            hold_multiple,
+            load_multiple: default.load_multiple.min(hold_multiple),
+            ..default
+        }
+    }
+}
+
 impl Default for PlaceSettings {
     fn default() -> Self {
         Self {
-            hold_multiple: 1.7,
+            hold_multiple: 1.8,
             load_multiple: 1.3,
-            load_slack: 2.0,
+            load_slack: 2.5,
         }
     }
 }
--- /dev/null
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -0,0 +1,225 @@
+//! What registries and edges believe about endpoints, from announcements that are late, doubled,
+//! or come by several ways.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{
+    at,
+    record, //
+};
+use ragwortroad_dispatch::prelude::*;
+
+const HERE: SourceKey = SourceKey(1);
+const THERE: SourceKey = SourceKey(2);
+
+fn ready(book: &EndpointBook) -> Vec<String> {
+    book.ready("llm")
+        .map(|(_, record)| record.name.clone())
+        .collect()
+}
+
+fn draining(name: &str, sequence: u64) -> EndpointRecord {
+    EndpointRecord {
+        stage: EndpointStage::Draining,
+        sequence,
+        ..record(name)
+    }
+}
+
+/// An announcement is held up by the network and arrives after the endpoint has said that it
+/// leaves. Taken for news, it would bring work to an endpoint that is about to stop.
+#[test]
+fn a_late_announcement_does_not_undo_a_drain() {
+    let mut book = EndpointBook::default();
+    book.told(HERE, record("e"), at(0));
+    let drained = book.told(HERE, draining("e", 3), at(10));
+    assert!(matches!(drained, BookChange::Stopped(_)));
+    let late = EndpointRecord {
+        sequence: 2,
+        ..record("e")
+    };
+    assert_eq!(book.told(THERE, late, at(20)), BookChange::Same);
+    assert!(ready(&book).is_empty());
+}
+
+/// An endpoint says goodbye at one registry; another one still passes on an announcement from
+/// before, with a number that the edge has not seen. The endpoint is gone all the same.
+#[test]
+fn a_goodbye_is_final_for_an_incarnation() {
+    let mut book = EndpointBook::default();
+    book.told(HERE, record("e"), at(0));
+    assert!(matches!(
+        book.said_goodbye("e", at(10)),
+        BookChange::Stopped(_)
+    ));
+    let late = EndpointRecord {
+        sequence: 9,
+        ..record("e")
+    };
+    assert_eq!(book.told(THERE, late, at(20)), BookChange::Same);
+    assert!(ready(&book).is_empty());
+    let restarted = EndpointRecord {
+        started_ms: 2000,
+        sequence: 1,
+        ..record("e")
+    };
+    assert!(matches!(
+        book.told(THERE, restarted, at(30)),
+        BookChange::Started(_)
+    ));
+    assert_eq!(ready(&book), ["e"]);
+}
+
+/// A registry that knows of a goodbye has heard fewer announcements than the edge has been told
+/// of. An edge that connects to it anew must believe the goodbye.
+#[test]
+fn a_goodbye_counts_whatever_its_number() {
+    let mut book = EndpointBook::default();
+    let heard = EndpointRecord {
+        sequence: 9,
+        ..record("e")
+    };
+    book.told(HERE, heard, at(0));
+    let gone = EndpointRecord {
+        stage: EndpointStage::Gone,
+        sequence: 4,
+        ..record("e")
+    };
+    assert!(matches!(
+        book.told(THERE, gone, at(10)),
+        BookChange::Stopped(_)
+    ));
+    assert!(ready(&book).is_empty());
+}
+
+/// All registries restart at once and know nothing for some seconds. Edges go on with the
+/// endpoints that they know; otherwise nobody would be served although every endpoint is well.
+#[test]
+fn endpoints_outlive_the_registries_for_a_while() {
+    let mut book = EndpointBook::default();
+    book.told(HERE, record("e"), at(0));
+    book.told(THERE, record("f"), at(0));
+    book.drop_source(HERE, at(100));
+    book.drop_source(THERE, at(100));
+    assert!(book.expire(at(5_000)).is_empty());
+    assert_eq!(ready(&book), ["e", "f"]);
+    book.told(
+        HERE,
+        EndpointRecord {
+            sequence: 5,
+            ..record("e")
+        },
+        at(5_100),
+    );
+    assert_eq!(book.expire(at(20_000)).len(), 1);
+    assert_eq!(ready(&book), ["e"]);
+}
+
+/// An endpoint turns to another registry. The first one stops hearing of it and says so; it is
+/// well all the same.
+#[test]
+fn the_word_of_one_registry_is_enough() {
+    let mut book = EndpointBook::default();
+    book.told(HERE, record("e"), at(0));
+    book.told(
+        THERE,
+        EndpointRecord {
+            sequence: 2,
+            ..record("e")
+        },
+        at(1000),
+    );
+    book.lost(HERE, "e", at(6000));
+    assert!(book.expire(at(60_000)).is_empty());
+    assert_eq!(ready(&book), ["e"]);
+}
+
+/// An endpoint crashes and says nothing more. Its registry notices by the missing announcements,
+/// and the edges drop it.
+#[test]
+fn a_silent_endpoint_is_lost() {
+    let interval = Duration::from_millis(1000);
+    let mut table = RegistryTable::new(interval);
+    assert!(table.announce(record("e"), at(0)).is_some());
+    assert!(table.expire(at(3500)).is_empty());
+    let lost = table.expire(at(6000));
+    assert_eq!(lost, [RegistryChange::Lost("e".to_owned())]);
+    assert_eq!(table.records().count(), 0);
+}
+
+/// Most announcements say what is known. Passed on, each would be a message to every edge.
+#[test]
+fn only_news_is_passed_on() {
+    let mut table = RegistryTable::new(Duration::from_millis(1000));
+    let next = |sequence| EndpointRecord {
+        sequence,
+        ..record("e")
+    };
+    assert!(table.announce(next(1), at(0)).is_some());
+    assert_eq!(table.announce(next(2), at(1000)), None);
+    assert!(table.announce(draining("e", 3), at(1100)).is_some());
+    assert_eq!(
+        table.announce(next(2), at(1200)),
+        None,
+        "a late one is no news"
+    );
+    assert_eq!(
+        table.leave("e", at(1300)),
+        RegistryChange::Goodbye("e".to_owned())
+    );
+    assert_eq!(table.announce(next(7), at(1400)), None, "it has left");
+}
+
+/// An endpoint that announced itself elsewhere says goodbye here. The edges have to hear of it.
+#[test]
+fn a_goodbye_of_an_unknown_endpoint_is_passed_on() {
+    let mut table = RegistryTable::new(Duration::from_millis(1000));
+    let change = table.leave("stranger", at(0));
+    assert_eq!(change, RegistryChange::Goodbye("stranger".to_owned()));
+}
+
+/// An endpoint dies. Every request offered to it costs its caller the time of a failed connection,
+/// so after the first ones it is left alone, and then tried by few.
+#[test]
+fn failures_pause_an_endpoint_for_longer_each_time() {
+    let mut load = EndpointLoad::default();
+    assert!(load.is_open(at(0)));
+    load.fail(at(0));
+    assert!(!load.is_open(at(400)) && load.is_open(at(600)));
+    load.fail(at(600));
+    assert!(!load.is_open(at(1500)) && load.is_open(at(1700)));
+    for step in 0..10 {
+        load.fail(at(2000 + step));
+    }
+    assert!(!load.is_open(at(9000)) && load.is_open(at(10_100)));
+    load.succeed();
+    load.fail(at(20_000));
+    assert!(
+        load.is_open(at(20_600)),
+        "a success forgets the failures before"
+    );
+}
+
+/// An endpoint tells its load with an answer; this edge has sent and got back requests since, and
+/// later the reading is too old to mean anything.
+#[test]
+fn a_reading_moves_with_what_this_edge_did_since() {
+    let mut load = EndpointLoad::default();
+    load.begin();
+    let reading = LoadReading {
+        running: 5,
+        waiting: 2,
+    };
+    load.read(reading, at(0));
+    assert_eq!(load.estimate(at(10)), 7);
+    load.begin();
+    load.begin();
+    assert_eq!(load.estimate(at(10)), 9);
+    load.end();
+    load.end();
+    load.end();
+    assert_eq!(load.estimate(at(10)), 6);
+    assert_eq!(load.estimate(at(10_000)), 0);
+}
--- /dev/null
+++ b/crates/ragwortroad_dispatch/tests/retries.rs
@@ -0,0 +1,78 @@
+//! The budget for sending requests once more, over a whole fleet of edges that share nothing.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use ragwortroad_dispatch::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+
+const RATIO: f64 = 0.2;
+const SLACK: f64 = 58.0;
+const WINDOW_MS: u64 = 10_000;
+
+fn settings() -> PurseSettings {
+    PurseSettings {
+        ratio: RATIO,
+        slack: SLACK,
+        window: Duration::from_millis(WINDOW_MS),
+    }
+}
+
+/// A service fails all its requests for a minute, and each edge would like to send every one of
+/// them again. In no window may the repeats be more than the site allows, however the requests are
+/// spread over the edges; and some must be made, or a single bad endpoint would fail callers whom
+/// another one could serve.
+#[test]
+fn an_outage_keeps_repeats_within_the_budget_of_the_fleet() {
+    for (seed, edges, per_second) in [(1, 9, 60), (2, 9, 200), (3, 65, 250), (4, 2, 20)] {
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let mut purses: Vec<RetryPurse> = (0..edges)
+            .map(|_| RetryPurse::new(settings(), edges, at(0)))
+            .collect();
+        let mut requests = Vec::new();
+        let mut repeats = Vec::new();
+        for ms in 0..60_000_u64 {
+            if !rng.random_bool(f64::from(per_second) / 1000.0) {
+                continue;
+            }
+            // Half of the callers use one edge.
+            let edge = match rng.random_bool(0.5) {
+                true => 0,
+                false => rng.random_range(0..edges) as usize,
+            };
+            requests.push(ms);
+            purses[edge].earn(edges, at(ms));
+            if purses[edge].spend() {
+                repeats.push(ms);
+            }
+        }
+        for start in (0..50_000).step_by(250) {
+            let within = |times: &[u64]| {
+                let window = start..start + WINDOW_MS;
+                times.iter().filter(|ms| window.contains(ms)).count() as f64
+            };
+            let allowed = RATIO * within(&requests) + SLACK;
+            assert!(
+                within(&repeats) <= allowed,
+                "{} of {allowed}",
+                within(&repeats)
+            );
+        }
+        let share = repeats.len() as f64 / requests.len() as f64;
+        assert!(share > 0.1, "only {share} of the requests were sent again");
+    }
+}
+
+/// An edge that starts in an outage has earned nothing yet; it may still send a few again.
+#[test]
+fn a_new_purse_allows_little() {
+    let mut purse = RetryPurse::new(settings(), 9, at(0));
+    let spent = (0..100).filter(|_| purse.spend()).count();
+    assert!((1..=6).contains(&spent), "{spent}");
+}
--- /dev/null
+++ b/crates/ragwortroad_dispatch/tests/seats.rs
@@ -0,0 +1,167 @@
+//! Which registries vote, as VMs come, go, and lose their disks.
+
+use std::time::Duration;
+
+use ragwortroad_consensus::prelude::*;
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_types::prelude::*;
+
+/// A site: the members in force, and the registries that the leader hears of.
+struct Site {
+    members: MemberSet,
+    holders: Vec<SeatHolder>,
+    /// The leader's identity.
+    leader: MemberId,
+}
+
+impl Site {
+    /// A group founded by the first three of `count` registries.
+    fn founded(count: u64) -> Self {
+        let voters = (1..=3).map(|id| (MemberId(id), NodeId(id)));
+        Self {
+            members: MemberSet::from_voters(voters),
+            holders: (2..=count).map(|id| holder(id, id)).collect(),
+            leader: MemberId(1),
+        }
+    }
+
+    /// Takes steps until there is none; returns them.
+    fn settle(&mut self) -> Vec<MemberChange> {
+        let mut steps = Vec::new();
+        while let Some(step) =
+            SeatPlan::default().next_step(&self.members, self.leader, &self.holders)
+        {
+            self.apply(&step);
+            steps.push(step);
+            assert!(steps.len() < 40, "the plan goes round: {steps:?}");
+        }
+        steps
+    }
+
+    fn apply(&mut self, step: &MemberChange) {
+        let mut records = self.members.records().to_vec();
+        match *step {
+            MemberChange::AddLearner { member, node } => records.push(MemberRecord {
+                member,
+                node,
+                role: MemberRole::Learner,
+            }),
+            MemberChange::Promote { member } => {
+                let record = records.iter_mut().find(|record| record.member == member);
+                record.expect("a member").role = MemberRole::Voter;
+            }
+            MemberChange::Remove { member } => {
+                assert_ne!(member, self.leader, "the leader stays");
+                records.retain(|record| record.member != member);
+            }
+        }
+        let bytes = postcard_of(&records);
+        self.members = bytes;
+    }
+
+    fn voters(&self) -> Vec<u64> {
+        self.members.voters().map(|member| member.0).collect()
+    }
+
+    fn hold(&mut self, id: u64) -> &mut SeatHolder {
+        let found = self
+            .holders
+            .iter_mut()
+            .find(|holder| holder.member == MemberId(id));
+        found.expect("a registry")
+    }
+}
+
+/// A set with exactly these records, by the steps that lead there.
+fn postcard_of(records: &[MemberRecord]) -> MemberSet {
+    let bytes = postcard::to_stdvec(&(records,)).expect("encodes");
+    postcard::from_bytes(&bytes).expect("decodes")
+}
+
+fn holder(member: u64, node: u64) -> SeatHolder {
+    SeatHolder {
+        member: MemberId(member),
+        node: NodeId(node),
+        silent_for: Duration::ZERO,
+        is_caught_up: true,
+    }
+}
+
+/// A fleet starts: three registries found the group, the others join until all of five vote. A
+/// sixth, added beside them, learns and waits: six would stand no more losses than five.
+#[test]
+fn all_registries_of_an_odd_site_vote() {
+    let mut site = Site::founded(5);
+    site.settle();
+    assert_eq!(site.voters(), [1, 2, 3, 4, 5]);
+    site.holders.push(holder(6, 6));
+    site.settle();
+    assert_eq!(site.voters(), [1, 2, 3, 4, 5]);
+    assert!(site.members.find(MemberId(6)).is_some());
+}
+
+/// A VM loses its disk and comes back as a new identity. Its old vote must not count again, and
+/// its seat goes to it once it has caught up.
+#[test]
+fn a_lost_disk_gets_its_seat_back_under_a_new_identity() {
+    let mut site = Site::founded(5);
+    site.settle();
+    site.holders.retain(|holder| holder.member != MemberId(4));
+    site.holders.push(SeatHolder {
+        is_caught_up: false,
+        ..holder(44, 4)
+    });
+    let first = SeatPlan::default().next_step(&site.members, site.leader, &site.holders);
+    assert_eq!(
+        first,
+        Some(MemberChange::Remove {
+            member: MemberId(4)
+        })
+    );
+    site.settle();
+    assert_eq!(site.voters(), [1, 2, 3, 5]);
+    site.hold(44).is_caught_up = true;
+    site.settle();
+    assert_eq!(site.voters(), [1, 2, 3, 5, 44]);
+}
+
+/// A VM is gone for good and another one starts elsewhere: it takes the seat. Until one does, the
+/// absent voter keeps it, for it may come back.
+#[test]
+fn an_absent_voter_gives_its_seat_to_a_successor_only() {
+    let mut site = Site::founded(5);
+    site.settle();
+    site.hold(3).silent_for = Duration::from_secs(60);
+    assert!(site.settle().is_empty());
+    site.holders.push(holder(6, 6));
+    site.settle();
+    assert_eq!(site.voters(), [1, 2, 4, 5, 6]);
+}
+
+/// A voter restarts, or is cut off for two seconds, while a successor stands by. Its seat is not
+/// given away for that.
+#[test]
+fn a_short_absence_costs_no_seat() {
+    let mut site = Site::founded(5);
+    site.settle();
+    site.holders.push(holder(6, 6));
+    site.settle();
+    site.hold(2).silent_for = Duration::from_secs(2);
+    assert!(site.settle().is_empty());
+}
+
+/// Registries leave one after the other, each with a successor. The group never shrinks to fewer
+/// voters than before by more than the one that is being replaced.
+#[test]
+fn a_series_of_replacements_keeps_the_number_of_voters() {
+    let mut site = Site::founded(5);
+    site.settle();
+    for (old, new) in [(2, 12), (3, 13), (4, 14), (5, 15)] {
+        site.hold(old).silent_for = Duration::from_secs(60);
+        site.holders.push(holder(new, new));
+        site.settle();
+        site.holders.retain(|holder| holder.member != MemberId(old));
+        assert_eq!(site.voters().len(), 5);
+    }
+    assert_eq!(site.voters(), [1, 12, 13, 14, 15]);
+}
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -76,7 +76,10 @@
     let service = plan.map.service(&plan.service);
     let is_engine = service.is_some_and(|service| service.engine.is_some());
     let key = match is_engine {
-        true => choose_engine(&candidates, request, &PlaceSettings::default()),
+        true => {
+            let settings = PlaceSettings::within(shared.settings.load_multiple);
+            choose_engine(&candidates, request, &settings)
+        }
         false => choose_replica(&candidates, request),
     }?;
     let chosen = candidates.iter().find(|candidate| candidate.key == key)?;
