End what was at an address where a later start announces itself

Now the later start ends the former record, an endpoint that answers for another refutes it, and one whose registry missed its announcements is dropped 1.5 s later instead of 8 s.

--- a/crates/ragwortroad_dispatch/src/endpoint_book.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_book.rs
@@ -30,6 +30,12 @@
 /// that fail there, within one of them.
 const ORPHAN_TIME: Duration = Duration::from_secs(8);
 
+/// How long an endpoint stays known whose registry has missed its announcements.
+///
+/// It has been silent for several intervals then; this is for one that turned to another registry
+/// a moment ago.
+const LOST_TIME: Duration = Duration::from_millis(1500);
+
 /// How long it stays known that an incarnation has left; late announcements are older than that.
 const FAREWELL_MEMORY: Duration = Duration::from_secs(60);
 
@@ -48,6 +54,8 @@
     holders: BTreeSet<SourceKey>,
     /// Since when nobody vouches for it, or it is known to be gone.
     unheld_since: Option<ClockTime>,
+    /// Whether the last one that vouched for it has missed its announcements since.
+    is_lost: bool,
 }
 
 /// What came of a piece of news.
@@ -71,6 +79,7 @@
         record: EndpointRecord,
         now: ClockTime,
     ) -> BookChange {
+        self.end_former(&record, now);
         let Some(&key) = self.names.get(&record.name) else {
             return self.insert(source, record, now);
         };
@@ -87,6 +96,7 @@
         let restarted = record.started_ms > entry.record.started_ms;
         let before = entry.record.stage;
         entry.holders.insert(source);
+        entry.is_lost = false;
         entry.unheld_since = (record.stage == EndpointStage::Gone).then_some(now);
         entry.record = record;
         let ready = entry.record.stage == EndpointStage::Ready;
@@ -109,6 +119,7 @@
             record,
             holders: BTreeSet::from([source]),
             unheld_since: gone.then_some(now),
+            is_lost: false,
         };
         self.entries.insert(key, entry);
         match ready {
@@ -123,6 +134,34 @@
         if let Some(entry) = key.and_then(|key| self.entries.get_mut(key)) {
             entry.holders.remove(&source);
             entry.note_unheld(now);
+            entry.is_lost = entry.holders.is_empty();
+        }
+    }
+
+    /// Another endpoint has answered at the address of this one: this incarnation is gone.
+    pub fn refute(&mut self, key: EndpointKey, now: ClockTime) {
+        if let Some(entry) = self.entries.get_mut(&key) {
+            entry.record.stage = EndpointStage::Gone;
+            entry.unheld_since = Some(now);
+        }
+    }
+
+    /// Ends what was at the address of an endpoint that has started later.
+    ///
+    /// An endpoint that crashed comes back at its address within a second or two under a new name.
+    /// Its former name goes on being known until announcements are missed; each request sent to it
+    /// meanwhile is turned down, and costs its caller one of few attempts.
+    fn end_former(&mut self, record: &EndpointRecord, now: ClockTime) {
+        for entry in self.entries.values_mut() {
+            let former = &entry.record;
+            let is_former = former.address == record.address
+                && former.name != record.name
+                && former.started_ms < record.started_ms
+                && former.stage != EndpointStage::Gone;
+            if is_former {
+                entry.record.stage = EndpointStage::Gone;
+                entry.unheld_since = Some(now);
+            }
         }
     }
 
@@ -158,6 +197,7 @@
         self.entries.retain(|&key, entry| {
             let limit = match entry.record.stage {
                 EndpointStage::Gone => FAREWELL_MEMORY,
+                _ if entry.is_lost => LOST_TIME,
                 _ => ORPHAN_TIME,
             };
             let keep = entry
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -72,6 +72,65 @@
     assert_eq!(ready(&book), ["e"]);
 }
 
+/// An endpoint crashes and is back at its address within two seconds under a new name. Requests
+/// sent to the former name would be turned down until its announcements are missed, and a caller
+/// with one attempt be refused though the endpoint is well.
+#[test]
+fn a_later_start_at_an_address_ends_the_former_one() {
+    let mut book = EndpointBook::default();
+    book.told(HERE, record("before"), at(0));
+    let after = EndpointRecord {
+        started_ms: 5000,
+        ..record("after")
+    };
+    assert!(matches!(
+        book.told(THERE, after, at(100)),
+        BookChange::Started(_)
+    ));
+    assert_eq!(ready(&book), ["after"]);
+    let late = EndpointRecord {
+        sequence: 7,
+        ..record("before")
+    };
+    assert_eq!(book.told(THERE, late, at(200)), BookChange::Same);
+    assert_eq!(ready(&book), ["after"]);
+}
+
+/// Another endpoint answers at an address. What was there before is gone, whatever is announced
+/// late; a later start of the same name is not.
+#[test]
+fn a_refuted_endpoint_stays_out_until_it_starts_anew() {
+    let mut book = EndpointBook::default();
+    let BookChange::Started(key) = book.told(HERE, record("e"), at(0)) else {
+        panic!("it is new");
+    };
+    book.refute(key, at(10));
+    assert!(ready(&book).is_empty());
+    let late = EndpointRecord {
+        sequence: 5,
+        ..record("e")
+    };
+    book.told(THERE, late, at(20));
+    assert!(ready(&book).is_empty());
+    let anew = EndpointRecord {
+        started_ms: 9000,
+        ..record("e")
+    };
+    book.told(THERE, anew, at(30));
+    assert_eq!(ready(&book), ["e"]);
+}
+
+/// The registry that an endpoint announced itself to has missed several announcements: it is
+/// dropped soon, and not kept as long as one whose registry was lost.
+#[test]
+fn a_missed_endpoint_is_dropped_soon() {
+    let mut book = EndpointBook::default();
+    book.told(HERE, record("e"), at(0));
+    book.lost(HERE, "e", at(1000));
+    assert!(book.expire(at(2000)).is_empty());
+    assert_eq!(book.expire(at(2600)).len(), 1);
+}
+
 /// A registry that knows of a goodbye has heard fewer announcements than the edge has been told
 /// of. An edge that connects to it anew must believe the goodbye.
 #[test]
