--- a/crates/ragwortroad_bench/examples/decisions.rs
+++ b/crates/ragwortroad_bench/examples/decisions.rs
@@ -5,7 +5,8 @@
 use ragwortroad_bench::prelude::*;
 
 /// Compares ways of choosing an engine on seeded, deterministic runs.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 struct DecisionArgs {
     /// Decides every draw.
     #[arg(long, default_value_t = 7)]
--- a/crates/ragwortroad_bench/src/policy/policy_kind.rs
+++ b/crates/ragwortroad_bench/src/policy/policy_kind.rs
@@ -4,7 +4,8 @@
 };
 
 /// A way of choosing an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PolicyKind {
     /// Knows every cache and load at every moment, and chooses the engine within the bound that
@@ -25,7 +26,8 @@
 }
 
 /// What is added to plain admission by home nodes and rendezvous hashing.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct IdeaSet {
     /// Chats go back to where they were, by the caller's hint or the node's memory.
     pub hints: bool,
--- a/crates/ragwortroad_bench/src/report/bench_report.rs
+++ b/crates/ragwortroad_bench/src/report/bench_report.rs
@@ -14,7 +14,8 @@
 };
 
 /// What a bench found; the same to the letter for the same settings.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct BenchReport {
     /// The seed.
     pub seed: u64,
--- a/crates/ragwortroad_bench/src/report/policy_report.rs
+++ b/crates/ragwortroad_bench/src/report/policy_report.rs
@@ -9,7 +9,8 @@
 use crate::run::bench_run::BenchRun;
 
 /// What one policy did.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct PolicyReport {
     /// Its name.
     pub policy: String,
--- a/crates/ragwortroad_bench/src/workload/disturbance_set.rs
+++ b/crates/ragwortroad_bench/src/workload/disturbance_set.rs
@@ -4,7 +4,8 @@
 };
 
 /// What goes wrong during a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct DisturbanceSet {
     /// An engine leaves, crashes or joins every ten seconds.
     pub churn: bool,
--- a/crates/ragwortroad_bench/src/workload/workload_spec.rs
+++ b/crates/ragwortroad_bench/src/workload/workload_spec.rs
@@ -4,7 +4,8 @@
 };
 
 /// Which deployment is imitated.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum WorkloadKind {
     /// A dozen engines, short shared briefs, a few large customers.
--- a/crates/ragwortroad_consensus/src/core_error.rs
+++ b/crates/ragwortroad_consensus/src/core_error.rs
@@ -1,7 +1,8 @@
 use snafu::Snafu;
 
 /// Why a member cannot start from what its data folder holds.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum CoreError {
     /// Something stored cannot be decoded.
--- a/crates/ragwortroad_consensus/src/entry_payload.rs
+++ b/crates/ragwortroad_consensus/src/entry_payload.rs
@@ -12,7 +12,8 @@
 };
 
 /// What a log entry holds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum EntryPayload {
     /// First entry of a leader's term, so that earlier terms' entries can be committed.
     Noop,
--- a/crates/ragwortroad_consensus/src/founding_table.rs
+++ b/crates/ragwortroad_consensus/src/founding_table.rs
@@ -12,7 +12,8 @@
 };
 
 /// What a node with a disk says of itself while a group is being founded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FoundingHello {
     /// The node.
     pub node: NodeId,
--- a/crates/ragwortroad_consensus/src/member_id.rs
+++ b/crates/ragwortroad_consensus/src/member_id.rs
@@ -9,9 +9,8 @@
 ///
 /// A member whose disk was replaced has an empty folder and so another identity; nothing that the
 /// old identity promised is expected of the new one.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberId(pub u64);
 
 impl fmt::Display for MemberId {
--- a/crates/ragwortroad_consensus/src/member_record.rs
+++ b/crates/ragwortroad_consensus/src/member_record.rs
@@ -7,7 +7,8 @@
 use crate::MemberId;
 
 /// Whether a member counts in quorums.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub enum MemberRole {
     /// Votes, and its acknowledgement counts.
     Voter,
@@ -16,7 +17,8 @@
 }
 
 /// One member of the group.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberRecord {
     /// The identity of its data folder.
     pub member: MemberId,
--- a/crates/ragwortroad_consensus/src/member_set.rs
+++ b/crates/ragwortroad_consensus/src/member_set.rs
@@ -13,7 +13,8 @@
 };
 
 /// The members of the group.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberSet {
     /// Invariant: sorted by identity, each once.
     records: Vec<MemberRecord>,
--- a/crates/ragwortroad_consensus/src/peer_frame.rs
+++ b/crates/ragwortroad_consensus/src/peer_frame.rs
@@ -14,7 +14,8 @@
 };
 
 /// A message with its two ends, as it goes over the wire.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PeerFrame {
     /// Who says it.
     pub from: MemberId,
@@ -30,7 +31,8 @@
 pub const MAX_FRAME_BYTES: usize = 1 << 20;
 
 /// Why bytes are no frame.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 pub enum FrameError {
     /// Too many bytes.
     #[snafu(display(
--- a/crates/ragwortroad_consensus/src/peer_message.rs
+++ b/crates/ragwortroad_consensus/src/peer_message.rs
@@ -14,7 +14,8 @@
 ///
 /// `sent_at` is a reading of the leader's own clock, which a member returns as it got it: the
 /// leader learns when a confirmed message left without keeping a table of rounds.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PeerMessage {
     /// Leader: I am still in charge.
     Heartbeat {
@@ -145,7 +146,8 @@
 }
 
 /// An entry on its way; its index follows from its place in the message.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct WireEntry {
     /// The term of the leader that created it.
     pub term: u64,
@@ -154,7 +156,8 @@
 }
 
 /// Whether entries fitted a member's log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum AppendOutcome {
     /// The member's log equals the leader's up to this index, durably.
     Matched(u64),
@@ -168,7 +171,8 @@
 }
 
 /// The latest start of a member that the sender knows of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberStart {
     /// The member.
     pub member: MemberId,
@@ -177,7 +181,8 @@
 }
 
 /// A piece of a snapshot.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SnapshotChunk {
     /// The leader's term.
     pub term: u64,
--- a/crates/ragwortroad_demo/src/demo_error.rs
+++ b/crates/ragwortroad_demo/src/demo_error.rs
@@ -7,7 +7,8 @@
 use snafu::Snafu;
 
 /// Why a small fleet could not be had or did not do what it was asked.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum DemoError {
     /// The temporary folder or a file in it could not be made.
--- a/crates/ragwortroad_demo/src/demo_report.rs
+++ b/crates/ragwortroad_demo/src/demo_report.rs
@@ -4,7 +4,8 @@
 use serde::Serialize;
 
 /// What the demonstration showed.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct DemoReport {
     /// Nodes that ran.
     pub nodes: usize,
--- a/crates/ragwortroad_dispatch/src/config_fault.rs
+++ b/crates/ragwortroad_dispatch/src/config_fault.rs
@@ -1,7 +1,8 @@
 use snafu::Snafu;
 
 /// Why a declared configuration cannot come into force.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(visibility(pub))]
 pub enum ConfigFault {
     /// The document has no such shape.
--- a/crates/ragwortroad_dispatch/src/endpoint_book.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_book.rs
@@ -11,6 +11,7 @@
 use crate::{
     EndpointRecord,
     EndpointStage,
+    EndpointTag,
     registry_table::is_outdated, //
 };
 
@@ -43,6 +44,7 @@
 #[derive(Debug, Default)]
 pub struct EndpointBook {
     names: BTreeMap<String, EndpointKey>,
+    tags: BTreeMap<EndpointTag, EndpointKey>,
     entries: BTreeMap<EndpointKey, BookEntry>,
     next_key: u32,
 }
@@ -112,6 +114,7 @@
     fn insert(&mut self, source: SourceKey, record: EndpointRecord, now: ClockTime) -> BookChange {
         let key = EndpointKey(self.next_key);
         self.next_key += 1;
+        self.tags.insert(EndpointTag::of(&record.name), key);
         self.names.insert(record.name.clone(), key);
         let ready = record.stage == EndpointStage::Ready;
         let gone = record.stage == EndpointStage::Gone;
@@ -210,12 +213,13 @@
         });
         let entries = &self.entries;
         self.names.retain(|_, key| entries.contains_key(key));
+        self.tags.retain(|_, key| entries.contains_key(key));
         forgotten
     }
 
-    /// The endpoint of a name.
-    pub fn find(&self, name: &str) -> Option<EndpointKey> {
-        self.names.get(name).copied()
+    /// The endpoint of a tag.
+    pub fn find(&self, tag: EndpointTag) -> Option<EndpointKey> {
+        self.tags.get(&tag).copied()
     }
 
     /// What an endpoint said last.
--- a/crates/ragwortroad_dispatch/src/endpoint_record.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_record.rs
@@ -6,7 +6,8 @@
 };
 
 /// What an endpoint says of itself in an announcement.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EndpointRecord {
     /// Name of this incarnation; a restart mostly draws a new one.
     pub name: String,
@@ -29,7 +30,8 @@
 }
 
 /// Whether an endpoint takes new work.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum EndpointStage {
     /// It does.
     Ready,
--- a/crates/ragwortroad_dispatch/src/load_board.rs
+++ b/crates/ragwortroad_dispatch/src/load_board.rs
@@ -7,7 +7,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 /// An endpoint in messages about load: a hash of its name, a third of its length.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct EndpointTag(pub u32);
 
 impl EndpointTag {
@@ -18,7 +19,8 @@
 }
 
 /// Requests under way at an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadCount {
     /// The endpoint.
     pub endpoint: EndpointTag,
--- a/crates/ragwortroad_edge/src/edge_error.rs
+++ b/crates/ragwortroad_edge/src/edge_error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Why an edge cannot run.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum EdgeError {
     /// A setting that an edge needs is missing.
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -189,7 +189,7 @@
         LinkMessage::TextsPlaced(placed) => {
             let mut state = shared.state.borrow_mut();
             for place in placed {
-                if let Some(key) = state.book.find(&place.engine) {
+                if let Some(key) = state.book.find(place.engine) {
                     state.texts.note(place.text, key, now);
                 }
             }
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -149,8 +149,10 @@
         if self.placed.is_empty() {
             return;
         }
-        let queue = self.links.values().find_map(|link| link.queue.as_ref());
-        if let Some(queue) = queue {
+        // Another one than adds up loads, where there are two: both fill a registry's small link.
+        let connected = self.links.values().filter(|link| link.queue.is_some());
+        let link = connected.max_by_key(|link| link.address);
+        if let Some(queue) = link.and_then(|link| link.queue.as_ref()) {
             let placed = std::mem::take(&mut self.placed);
             queue.send(&LinkMessage::TextsPlaced(placed));
         }
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -103,7 +103,7 @@
     if state.texts.note(text, chosen.key, now) {
         state.placed.push(PlacedText {
             text,
-            engine: chosen.name.clone(),
+            engine: EndpointTag::of(&chosen.name),
         });
     }
 }
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -46,7 +46,8 @@
 const LAST_EVENTS: Duration = Duration::from_millis(200);
 
 /// A stream that cannot be brought to its end; the caller's connection breaks off.
-#[derive(Clone, Copy, Debug, Snafu)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Snafu)]
 #[snafu(display("the stream broke off ({reason}); resume it behind its last event"))]
 pub(crate) struct StreamBroken {
     reason: &'static str,
--- a/crates/ragwortroad_gateway/src/chunk_wire.rs
+++ b/crates/ragwortroad_gateway/src/chunk_wire.rs
@@ -3,7 +3,8 @@
 use serde::Deserialize;
 
 /// One chunk of a streamed answer in the OpenAI chat format, as far as the gateway reads it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct ChunkWire<'text> {
     #[serde(borrow, default)]
     pub(crate) id: Option<Cow<'text, str>>,
@@ -23,7 +24,8 @@
 }
 
 /// One choice of a chunk.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 pub(crate) struct ChunkChoice<'text> {
     #[serde(default)]
     pub(crate) index: u32,
@@ -34,7 +36,8 @@
 }
 
 /// What a chunk adds.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct ChunkDelta<'text> {
     #[serde(borrow, default)]
     pub(crate) content: Option<Cow<'text, str>>,
@@ -43,7 +46,8 @@
 }
 
 /// What a request cost, as the engine counts.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct UsageWire {
     /// Tokens of the whole answer, for a resumed stream as well.
     #[serde(default)]
@@ -53,7 +57,8 @@
 }
 
 /// How the prompt's tokens were got.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct TokenDetails {
     #[serde(default)]
     pub(crate) cached_tokens: Option<u32>,
--- a/crates/ragwortroad_gateway/src/gateway_error.rs
+++ b/crates/ragwortroad_gateway/src/gateway_error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Why a gateway could not start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum GatewayError {
     /// The address is taken or not this VM's.
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -42,7 +42,8 @@
 };
 
 /// A whole answer's parts that the gateway reads.
-#[derive(Debug, serde::Deserialize)]
+#[derive(Debug)]
+#[derive(serde::Deserialize)]
 struct WholeWire {
     #[serde(default)]
     id: Option<String>,
--- a/crates/ragwortroad_gateway/src/page_handlers.rs
+++ b/crates/ragwortroad_gateway/src/page_handlers.rs
@@ -28,7 +28,8 @@
 };
 
 /// The body of `POST /v1/operator`.
-#[derive(Debug, Deserialize)]
+#[derive(Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct OperatorBody {
     line: String,
--- a/crates/ragwortroad_language/src/language_error.rs
+++ b/crates/ragwortroad_language/src/language_error.rs
@@ -3,7 +3,8 @@
 use snafu::Snafu;
 
 /// What is wrong with a word of a line.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum LanguageFault {
     /// The line has no word.
--- a/crates/ragwortroad_link/src/config_step.rs
+++ b/crates/ragwortroad_link/src/config_step.rs
@@ -8,7 +8,8 @@
 use crate::unpack_document;
 
 /// A configuration as it goes between processes: against the one before it, or whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigStep {
     /// Its version.
     pub version: u64,
--- a/crates/ragwortroad_link/src/link_error.rs
+++ b/crates/ragwortroad_link/src/link_error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Why a connection to another process of the fleet ended.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum LinkError {
     /// It could not be established.
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -9,7 +9,8 @@
 use crate::ConfigStep;
 
 /// What edges and registries say to each other.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub enum LinkMessage {
     /// The dialling side is there; the other side answers with the same.
     Word,
@@ -87,16 +88,18 @@
 }
 
 /// A shared text that an engine is reading.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlacedText {
     /// Identity of the text.
     pub text: u64,
-    /// Name of the engine.
-    pub engine: String,
+    /// The engine.
+    pub engine: EndpointTag,
 }
 
 /// Whether an edge takes callers.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum EdgeStage {
     /// It has no configuration yet.
     #[default]
@@ -108,7 +111,8 @@
 }
 
 /// What a registry says of itself to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberHello {
     /// Where it listens for links; this also names its VM.
     pub address: SocketAddr,
@@ -121,7 +125,8 @@
 }
 
 /// What became of a command.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PutOutcome {
     /// It is durable on a quorum.
     Committed,
--- a/crates/ragwortroad_load/src/answer_check.rs
+++ b/crates/ragwortroad_load/src/answer_check.rs
@@ -14,7 +14,8 @@
 }
 
 /// What is wrong with an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum AnswerFault {
     /// It ends early, yet was given as whole.
--- a/crates/ragwortroad_load/src/call_note.rs
+++ b/crates/ragwortroad_load/src/call_note.rs
@@ -7,7 +7,8 @@
 use crate::AnswerFault;
 
 /// What one caller saw of one request, over all its attempts.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CallNote {
     /// What it was.
     pub kind: CallKind,
@@ -32,7 +33,8 @@
 }
 
 /// What a call was.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CallKind {
     /// A chat's first turn.
@@ -48,7 +50,8 @@
 }
 
 /// One sending of a request to one node.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AttemptNote {
     /// `IP:port` of the node.
     pub address: String,
@@ -63,7 +66,8 @@
 }
 
 /// How a call ended for its caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CallEnd {
     /// With a whole answer of its own.
--- a/crates/ragwortroad_load/src/event_reader.rs
+++ b/crates/ragwortroad_load/src/event_reader.rs
@@ -26,7 +26,8 @@
 }
 
 /// A chunk of an answer.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct StreamChunk {
     #[serde(default)]
     pub(crate) id: String,
@@ -37,21 +38,24 @@
 }
 
 /// A chunk's choice.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct StreamChoice {
     #[serde(default)]
     delta: StreamDelta,
 }
 
 /// What a chunk adds.
-#[derive(Debug, Default, Deserialize)]
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
 struct StreamDelta {
     #[serde(default)]
     content: Option<String>,
 }
 
 /// What an answer cost.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
 pub(crate) struct UsageFigures {
     #[serde(default)]
     pub(crate) prompt_tokens: u32,
@@ -60,7 +64,8 @@
 }
 
 /// How much of a prompt was in a cache.
-#[derive(Clone, Copy, Debug, Default, Deserialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize)]
 struct CachedFigures {
     #[serde(default)]
     cached_tokens: u32,
--- a/crates/ragwortroad_load/src/latency_set.rs
+++ b/crates/ragwortroad_load/src/latency_set.rs
@@ -24,7 +24,8 @@
 const LONGEST_US: u64 = 600_000_000;
 
 /// One histogram in a few figures, in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LatencySummary {
     /// Values counted.
     pub count: u64,
--- a/crates/ragwortroad_load/src/load_error.rs
+++ b/crates/ragwortroad_load/src/load_error.rs
@@ -3,7 +3,8 @@
 use snafu::Snafu;
 
 /// Why a load run could not be made.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum LoadError {
     /// Threads could not be started.
--- a/crates/ragwortroad_load/src/run_check.rs
+++ b/crates/ragwortroad_load/src/run_check.rs
@@ -25,7 +25,8 @@
 };
 
 /// Something that must never happen, and did.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunViolation {
     /// A request under an idempotency key ran more than once.
--- a/crates/ragwortroad_load/src/run_report.rs
+++ b/crates/ragwortroad_load/src/run_report.rs
@@ -21,7 +21,8 @@
 };
 
 /// What a load run showed.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunReport {
     /// The seed of its arrivals.
     pub seed: u64,
@@ -49,7 +50,8 @@
 }
 
 /// How many calls of one kind ended in one way.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OutcomeCount {
     /// What they were.
     pub kind: CallKind,
--- a/crates/ragwortroad_log/src/log_error.rs
+++ b/crates/ragwortroad_log/src/log_error.rs
@@ -1,7 +1,8 @@
 use snafu::Snafu;
 
 /// Why a data folder could not be opened or written.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum LogError {
     /// The operating system refused a file operation.
--- a/crates/ragwortroad_log/src/log_record.rs
+++ b/crates/ragwortroad_log/src/log_record.rs
@@ -11,7 +11,8 @@
 };
 
 /// What one record of a file says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum LogRecord {
     /// First record of a log file.
     Header(LogHeader),
@@ -33,7 +34,8 @@
 }
 
 /// What a log file starts with.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct LogHeader {
     /// Layout of the files.
     pub(crate) version: u32,
@@ -54,7 +56,8 @@
 /// The vote is in the log and, right after, in a file of its own. If the log alone goes back to an
 /// older copy, the vote file's count is ahead of the log's; if the vote file goes back, it is more
 /// than one behind. Either would let the member vote twice in a term, so neither folder opens.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct CountedVote {
     pub(crate) count: u64,
     pub(crate) vote: VoteRecord,
--- a/crates/ragwortroad_log/src/member_start.rs
+++ b/crates/ragwortroad_log/src/member_start.rs
@@ -4,7 +4,8 @@
 };
 
 /// A start of another member that this one knows of.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct MemberStart {
     /// The identity of the member's folder.
     pub member: u64,
--- a/crates/ragwortroad_log/src/stored_entry.rs
+++ b/crates/ragwortroad_log/src/stored_entry.rs
@@ -4,7 +4,8 @@
 };
 
 /// One entry of the replicated log as it lies on the disk.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredEntry {
     /// Position in the log; the first entry has 1.
     pub index: u64,
--- a/crates/ragwortroad_log/src/stored_snapshot.rs
+++ b/crates/ragwortroad_log/src/stored_snapshot.rs
@@ -4,7 +4,8 @@
 };
 
 /// The state that stands for all entries up to one index.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StoredSnapshot {
     /// Index of the last entry the snapshot stands for.
     pub index: u64,
--- a/crates/ragwortroad_log/src/vote_record.rs
+++ b/crates/ragwortroad_log/src/vote_record.rs
@@ -4,7 +4,8 @@
 };
 
 /// The term a member is in and whom it voted for in that term.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct VoteRecord {
     /// The highest term the member has taken part in.
     pub term: u64,
--- a/crates/ragwortroad_membership/src/wire/endpoint_item.rs
+++ b/crates/ragwortroad_membership/src/wire/endpoint_item.rs
@@ -17,7 +17,8 @@
 };
 
 /// A whole [`EndpointRecord`]; the identity follows from the name.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct EndpointItem {
     name: String,
     address: SocketAddr,
--- a/crates/ragwortroad_membership/src/wire/node_item.rs
+++ b/crates/ragwortroad_membership/src/wire/node_item.rs
@@ -15,7 +15,8 @@
 };
 
 /// A whole [`NodeRecord`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct NodeItem {
     name: String,
     zone: String,
--- a/crates/ragwortroad_membership/src/wire/packet_head.rs
+++ b/crates/ragwortroad_membership/src/wire/packet_head.rs
@@ -4,7 +4,8 @@
 };
 
 /// What every packet opens with; items follow until its end.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct PacketHead {
     /// Drawn at random by the sender's process, so that a restart is noticed.
     #[serde(with = "postcard::fixint::le")]
--- a/crates/ragwortroad_membership/src/wire/wire_error.rs
+++ b/crates/ragwortroad_membership/src/wire/wire_error.rs
@@ -1,7 +1,8 @@
 use snafu::Snafu;
 
 /// Why a packet could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub(crate) enum WireError {
     /// The bytes are not what this version writes.
--- a/crates/ragwortroad_membership/src/wire/wire_item.rs
+++ b/crates/ragwortroad_membership/src/wire/wire_item.rs
@@ -9,7 +9,8 @@
 };
 
 /// One piece of news, question or answer in a packet.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum WireItem {
     /// A node's whole record.
     Node(NodeItem),
@@ -38,7 +39,8 @@
 }
 
 /// Incarnation and state of a node.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct NodeStateItem {
     /// The node.
     #[serde(with = "postcard::fixint::le")]
@@ -53,7 +55,8 @@
 }
 
 /// An endpoint's load.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct LoadItem {
     /// Short name of the endpoint.
     #[serde(with = "postcard::fixint::le")]
@@ -67,7 +70,8 @@
 }
 
 /// What a node attached.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct BlobItem {
     /// The node.
     #[serde(with = "postcard::fixint::le")]
@@ -83,7 +87,8 @@
 }
 
 /// Names a node to probe.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ProbeItem {
     /// The node.
     #[serde(with = "postcard::fixint::le")]
@@ -91,7 +96,8 @@
 }
 
 /// Asks a former home to give up.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct HandoverAskItem {
     /// The endpoint.
     #[serde(with = "postcard::fixint::le")]
@@ -103,7 +109,8 @@
 }
 
 /// A former home's answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct HandoverItem {
     /// The endpoint.
     #[serde(with = "postcard::fixint::le")]
@@ -117,7 +124,8 @@
 }
 
 /// What a node holds in one bucket of its digest.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct BucketItem {
     /// The bucket.
     pub(crate) bucket: u8,
@@ -128,7 +136,8 @@
 }
 
 /// One record in a bucket.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct BucketEntry {
     /// Short name of the record.
     #[serde(with = "postcard::fixint::le")]
--- a/crates/ragwortroad_node/src/node_error.rs
+++ b/crates/ragwortroad_node/src/node_error.rs
@@ -9,7 +9,8 @@
 use snafu::Snafu;
 
 /// Why a node could not start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum NodeError {
     /// The system gave no thread.
--- a/crates/ragwortroad_node/src/wire/follow_message.rs
+++ b/crates/ragwortroad_node/src/wire/follow_message.rs
@@ -7,7 +7,8 @@
 };
 
 /// What nodes and state members tell each other beside the replicated log itself.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum FollowMessage {
     /// What a member's data folder is, while a group is being founded.
     Founding(FoundingHello),
@@ -85,7 +86,8 @@
 }
 
 /// An operator's line on its way to the leader.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct OperatorLine {
     /// SHA-256 of the operator's key; the leader checks it against its own configuration.
     pub(crate) key_hash: [u8; 32],
--- a/crates/ragwortroad_node/src/wire/slot_message.rs
+++ b/crates/ragwortroad_node/src/wire/slot_message.rs
@@ -12,7 +12,8 @@
 /// A question's number is drawn by the asker and names the slot from then on, so that every
 /// message can be repeated: a repeated `Ask` returns the same slot, a repeated `Release` ends it
 /// once.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum SlotMessage {
     /// May one request of this customer be sent to the endpoint?
     Ask {
@@ -58,7 +59,8 @@
 }
 
 /// A [`SlotClaim`] on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum AskClaim {
     /// One endpoint is as good as another.
     Arriving,
@@ -89,7 +91,8 @@
 }
 
 /// A home's answer on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum SlotVerdict {
     /// Send it.
     Granted,
@@ -132,7 +135,8 @@
 }
 
 /// How the request of a slot ended, on the wire.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum ReleaseOutcome {
     /// A whole answer.
     Succeeded,
--- a/crates/ragwortroad_registry/src/config_register.rs
+++ b/crates/ragwortroad_registry/src/config_register.rs
@@ -28,7 +28,8 @@
 }
 
 /// A command of the replicated log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum RegisterCommand {
     /// Takes a configuration, unless its version is not above the one held.
     Put(ConfigStep),
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -37,7 +37,14 @@
 /// With 65 edges each takes a registry some two milliseconds of its twentieth of a core.
 const LOADS_EVERY: Duration = Duration::from_millis(200);
 
-/// Places of texts remembered for edges that start; each takes some forty bytes, also on the link.
+/// Time between two tellings of new places of texts to the edges.
+///
+/// Passed on one by one, those of 64 edges filled a registry's link of 4 Mbit/s, and what is urgent
+/// came seconds late. An edge that does not know of a place yet finds the same one by its hash
+/// unless engines have come or gone.
+const PLACES_EVERY: Duration = Duration::from_millis(500);
+
+/// Places of texts remembered for edges that start; each takes some ten bytes on the link.
 const MAX_PLACES: usize = 2000;
 
 /// Most addresses in one answer of the directory; callers take no more.
@@ -84,7 +91,7 @@
             queue.send(&LinkMessage::Loads(loads));
         }
         if !self.places.is_empty() {
-            let places = self.places.iter().cloned().collect();
+            let places = self.places.iter().copied().collect();
             queue.send(&LinkMessage::TextsPlaced(places));
         }
     }
@@ -145,20 +152,23 @@
         }
     }
 
-    /// Passes on where an edge has placed texts, and remembers it for edges that come later.
-    pub(crate) fn take_places(&mut self, link: LinkKey, placed: Vec<PlacedText>) {
-        let message = LinkMessage::TextsPlaced(placed.clone());
+    /// Takes where an edge has placed texts.
+    pub(crate) fn take_places(&mut self, placed: &[PlacedText]) {
+        self.new_places.extend(placed);
         self.places.extend(placed);
         let surplus = self.places.len().saturating_sub(MAX_PLACES);
         self.places.drain(..surplus);
-        match encode_message(&message) {
-            Ok(bytes) => {
-                let others = self.edges.keys().filter(|other| **other != link);
-                for queue in others.filter_map(|other| self.links.get(other)) {
-                    queue.send_encoded(bytes.clone());
-                }
-            }
-            Err(error) => tracing::error!(%error, "places of texts could not be encoded"),
+    }
+
+    /// Tells all edges where texts were placed since the last time.
+    pub(crate) fn tell_places(&mut self, now: ClockTime) {
+        if now < self.places_at {
+            return;
+        }
+        self.places_at = now.after(PLACES_EVERY);
+        let placed = std::mem::take(&mut self.new_places);
+        if !placed.is_empty() {
+            self.tell_edges(&LinkMessage::TextsPlaced(placed));
         }
     }
 
--- a/crates/ragwortroad_registry/src/registry_error.rs
+++ b/crates/ragwortroad_registry/src/registry_error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Why a registry cannot run.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum RegistryError {
     /// A setting that a registry needs is missing.
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -67,6 +67,9 @@
     pub(crate) board_at: ClockTime,
     /// Where edges have placed texts lately, the newest last.
     pub(crate) places: VecDeque<PlacedText>,
+    /// Those that the edges are still to be told.
+    pub(crate) new_places: Vec<PlacedText>,
+    pub(crate) places_at: ClockTime,
     /// What edges were told last of the fleet.
     pub(crate) told_fleet: Option<LinkMessage>,
     /// Whether the process is to stop.
@@ -97,6 +100,8 @@
             board: LoadBoard::default(),
             board_at: now,
             places: VecDeque::new(),
+            new_places: Vec::new(),
+            places_at: now,
             told_fleet: None,
             is_stopping: false,
         };
@@ -148,6 +153,7 @@
         self.say_hello(now);
         self.plan_seats(now);
         self.tell_loads(now);
+        self.tell_places(now);
         let core_wake = self.seat.core().map(ConsensusCore::wake_at);
         let wake = core_wake.unwrap_or(self.round_at).min(self.hello_at);
         match self.puts.is_empty() && self.reads.is_empty() && self.settles.is_empty() {
--- a/crates/ragwortroad_report/src/bench_figures.rs
+++ b/crates/ragwortroad_report/src/bench_figures.rs
@@ -1,7 +1,8 @@
 use serde::Deserialize;
 
 /// What a page shows of a decision bench's report.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct BenchFigures {
     /// The seed.
     pub seed: u64,
@@ -14,7 +15,8 @@
 }
 
 /// What a page shows of one policy.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct PolicyFigures {
     /// Its name.
     pub policy: String,
--- a/crates/ragwortroad_report/src/load_figures.rs
+++ b/crates/ragwortroad_report/src/load_figures.rs
@@ -1,7 +1,8 @@
 use serde::Deserialize;
 
 /// What a page shows of a load run's report.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct LoadFigures {
     /// The seed of its arrivals.
     pub seed: u64,
@@ -26,7 +27,8 @@
 }
 
 /// How many calls of one kind ended in one way.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct OutcomeFigures {
     /// What they were.
     pub kind: String,
@@ -37,7 +39,8 @@
 }
 
 /// Percentiles in microseconds.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Deserialize)]
 pub struct LatencyFigures {
     /// Values counted.
     pub count: u64,
--- a/crates/ragwortroad_report/src/measurement.rs
+++ b/crates/ragwortroad_report/src/measurement.rs
@@ -37,7 +37,8 @@
 }
 
 /// What a page shows of the demonstration's report.
-#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Deserialize)]
 pub struct DemoFigures {
     /// Nodes that ran.
     pub nodes: usize,
--- a/crates/ragwortroad_report/src/report_error.rs
+++ b/crates/ragwortroad_report/src/report_error.rs
@@ -1,7 +1,8 @@
 use snafu::Snafu;
 
 /// Why no page could be made.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum ReportError {
     /// A file is no JSON.
--- a/crates/ragwortroad_settings/src/settings_error.rs
+++ b/crates/ragwortroad_settings/src/settings_error.rs
@@ -8,7 +8,8 @@
 use crate::FaultList;
 
 /// Why settings could not be had from a file.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum SettingsError {
     /// The file could not be read.
--- a/crates/ragwortroad_standin/src/run_record.rs
+++ b/crates/ragwortroad_standin/src/run_record.rs
@@ -4,7 +4,8 @@
 };
 
 /// One request as a stand-in saw it, from the moment its whole body was there.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RunRecord {
     /// The stand-in's name.
     pub endpoint: String,
@@ -37,7 +38,8 @@
 }
 
 /// How a run ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RunEnd {
     /// Still under way.
--- a/crates/ragwortroad_standin/src/standin_error.rs
+++ b/crates/ragwortroad_standin/src/standin_error.rs
@@ -6,7 +6,8 @@
 use snafu::Snafu;
 
 /// Why a stand-in could not start.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StandinError {
     /// The address is taken or not this VM's.
--- a/crates/ragwortroad_state/src/change/accepted_change.rs
+++ b/crates/ragwortroad_state/src/change/accepted_change.rs
@@ -9,7 +9,8 @@
 };
 
 /// A change that was accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AcceptedChange {
     /// The revision it led to.
     pub revision: u64,
--- a/crates/ragwortroad_state/src/change/change_command.rs
+++ b/crates/ragwortroad_state/src/change/change_command.rs
@@ -10,7 +10,8 @@
 use crate::ConfigEdit;
 
 /// A change that an operator wants.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChangeCommand {
     /// The change's own name, drawn by who issues it, so that a resend is known as one.
     pub change_id: String,
--- a/crates/ragwortroad_state/src/change/change_log.rs
+++ b/crates/ragwortroad_state/src/change/change_log.rs
@@ -42,13 +42,15 @@
     digest: u64,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 struct KeptChange {
     change: AcceptedChange,
     bytes: u32,
 }
 
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct KeptOutcome {
     digest: [u8; 16],
     base_revision: u64,
--- a/crates/ragwortroad_state/src/change/change_outcome.rs
+++ b/crates/ragwortroad_state/src/change/change_outcome.rs
@@ -9,7 +9,8 @@
 };
 
 /// What became of a change. A resend gets the same.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ChangeOutcome {
     /// It is durable on a quorum as this revision.
--- a/crates/ragwortroad_state/src/change/config_update.rs
+++ b/crates/ragwortroad_state/src/change/config_update.rs
@@ -10,7 +10,8 @@
 };
 
 /// What a follower needs to come up to a revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ConfigUpdate {
     /// The changes it missed, in order; none where it is as current as who answers.
     Delta {
@@ -24,7 +25,8 @@
 }
 
 /// Why an update cannot be followed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum FollowError {
     /// Changes between the follower's revision and the update's first are missing.
--- a/crates/ragwortroad_state/src/claim/claim_entry.rs
+++ b/crates/ragwortroad_state/src/claim/claim_entry.rs
@@ -14,7 +14,8 @@
 const KEPT_RELEASES: usize = 8;
 
 /// All that is remembered of one key within the window.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct ClaimEntry {
     pub(crate) body: [u8; 16],
     /// Invariant: only this attempt may finish or release the claim.
@@ -28,7 +29,8 @@
 }
 
 /// How far a claimed request is known to have come.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) enum ClaimPhase {
     /// The attempt may be running.
     Running,
--- a/crates/ragwortroad_state/src/claim/claim_key.rs
+++ b/crates/ragwortroad_state/src/claim/claim_key.rs
@@ -8,7 +8,8 @@
 };
 
 /// A customer's idempotency key for one service, as the state keeps it.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimKey {
     /// The customer's name.
     pub customer: String,
--- a/crates/ragwortroad_state/src/claim/claim_outcome.rs
+++ b/crates/ragwortroad_state/src/claim/claim_outcome.rs
@@ -7,7 +7,8 @@
 use crate::ClaimAnswer;
 
 /// The state's answer to one claim step.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ClaimOutcome {
     /// The attempt, and no other, may send the request.
     Granted,
--- a/crates/ragwortroad_state/src/claim/claim_step.rs
+++ b/crates/ragwortroad_state/src/claim/claim_step.rs
@@ -11,9 +11,8 @@
 ///
 /// A node draws a new request identity for every request it takes in, so that an attempt names the
 /// one process run that may send the request.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimAttempt {
     /// The node that sends the request.
     pub node: NodeId,
@@ -22,7 +21,8 @@
 }
 
 /// One step on the claim of a key. Nodes send them, the leader batches them into the log.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ClaimStep {
     /// May this attempt run? The node sends nothing before it has seen this granted.
     Claim {
@@ -62,7 +62,8 @@
 }
 
 /// What came of an attempt whose first byte was sent.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum ClaimResult {
     /// It ran, with this whole answer.
     Answered(ClaimAnswer),
@@ -76,7 +77,8 @@
 }
 
 /// A recorded answer.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimAnswer {
     /// HTTP status.
     pub status: u16,
--- a/crates/ragwortroad_state/src/claim/claim_table.rs
+++ b/crates/ragwortroad_state/src/claim/claim_table.rs
@@ -34,7 +34,8 @@
 const SWEPT_KEYS: u32 = 64;
 
 /// Which idempotency keys were claimed, by whom, and what came of them.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimTable {
     customers: BTreeMap<String, CustomerClaims>,
     /// Nodes declared gone, with the time up to which their claims are unknown.
--- a/crates/ragwortroad_state/src/claim/customer_claims.rs
+++ b/crates/ragwortroad_state/src/claim/customer_claims.rs
@@ -23,7 +23,8 @@
 };
 
 /// One customer's keys.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct CustomerClaims {
     pub(crate) entries: BTreeMap<[u8; 16], ClaimEntry>,
     /// Keys in the order in which they were claimed.
--- a/crates/ragwortroad_state/src/config/call_pattern.rs
+++ b/crates/ragwortroad_state/src/config/call_pattern.rs
@@ -8,7 +8,8 @@
 /// A method and a path pattern of a plain service's calls.
 ///
 /// In the path `*` stands for one whole segment and a last `**` for all that follows.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct CallPattern {
     /// The HTTP method in capitals.
     pub method: String,
--- a/crates/ragwortroad_state/src/config/claim_rules.rs
+++ b/crates/ragwortroad_state/src/config/claim_rules.rs
@@ -9,7 +9,8 @@
 ///
 /// These stand in the replicated configuration and not in a process's settings: two members that
 /// applied the same claims under different rules would disagree about which key is free.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimRules {
     /// Seconds for which a key's outcome is remembered in full.
     pub window_s: u32,
--- a/crates/ragwortroad_state/src/config/config_edit.rs
+++ b/crates/ragwortroad_state/src/config/config_edit.rs
@@ -12,7 +12,8 @@
 };
 
 /// One edit of the configuration; a change is a list of them that takes effect as a whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum ConfigEdit {
     /// A new customer with the default limits.
@@ -216,7 +217,8 @@
 }
 
 /// The limits that an edit changes.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LimitsEdit {
     /// Requests a second.
     pub requests_per_s: Option<u32>,
@@ -231,7 +233,8 @@
 }
 
 /// The rules on idempotency keys that an edit changes; see [`ClaimRules`](crate::ClaimRules).
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimsEdit {
     /// Seconds remembered in full.
     pub window_s: Option<u32>,
@@ -250,7 +253,8 @@
 }
 
 /// Whether calls may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum CallRepeat {
     /// They are idempotent.
--- a/crates/ragwortroad_state/src/config/config_fault.rs
+++ b/crates/ragwortroad_state/src/config/config_fault.rs
@@ -5,7 +5,8 @@
 use snafu::Snafu;
 
 /// Why a configuration or an edit of it cannot be accepted.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 #[snafu(visibility(pub(crate)))]
 pub enum ConfigFault {
--- a/crates/ragwortroad_state/src/config/customer_entry.rs
+++ b/crates/ragwortroad_state/src/config/customer_entry.rs
@@ -11,7 +11,8 @@
 use crate::KeyHash;
 
 /// What a customer may use and how much of it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CustomerEntry {
     /// Hashes of the keys that name the customer; several while keys are exchanged.
     ///
@@ -37,7 +38,8 @@
 }
 
 /// A customer's rates and shares over the whole fleet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CustomerLimits {
     /// Requests a second.
     pub requests_per_s: u32,
@@ -64,7 +66,8 @@
 }
 
 /// How a customer may use one model.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ModelAccess {
     /// Adapters the customer may name.
     pub adapters: BTreeSet<String>,
--- a/crates/ragwortroad_state/src/config/drain_target.rs
+++ b/crates/ragwortroad_state/src/config/drain_target.rs
@@ -6,7 +6,8 @@
 };
 
 /// What an operator takes out of service.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum DrainTarget {
     /// An endpoint, by the name under which it announces itself.
--- a/crates/ragwortroad_state/src/config/fleet_config.rs
+++ b/crates/ragwortroad_state/src/config/fleet_config.rs
@@ -32,7 +32,8 @@
 const MOST_EDITS: usize = 256;
 
 /// All that operators declare, at one revision.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FleetConfig {
     /// Counts up by one with every accepted change.
     pub revision: u64,
--- a/crates/ragwortroad_state/src/config/model_entry.rs
+++ b/crates/ragwortroad_state/src/config/model_entry.rs
@@ -12,7 +12,8 @@
 pub(crate) const FULL_SHARE: u32 = 100;
 
 /// A model with its versions, adapters and replicas.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ModelEntry {
     /// Percent of new chats each version gets.
     ///
@@ -31,7 +32,8 @@
 }
 
 /// How many engines hold a model.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ReplicaRange {
     /// Never fewer.
     pub min: u32,
--- a/crates/ragwortroad_state/src/config/quorum_loss.rs
+++ b/crates/ragwortroad_state/src/config/quorum_loss.rs
@@ -6,7 +6,8 @@
 };
 
 /// What a node does that cannot confirm that its configuration is current.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum QuorumLoss {
     /// It stops admitting work when its admission lease is over.
--- a/crates/ragwortroad_state/src/config/service_entry.rs
+++ b/crates/ragwortroad_state/src/config/service_entry.rs
@@ -8,7 +8,8 @@
 use crate::CallPattern;
 
 /// A plain service and which of its calls may be repeated.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ServiceEntry {
     /// Calls declared idempotent beside the default.
     pub idempotent: BTreeSet<CallPattern>,
--- a/crates/ragwortroad_state/src/fleet_state.rs
+++ b/crates/ragwortroad_state/src/fleet_state.rs
@@ -67,7 +67,8 @@
 
 /// Why a command cannot be applied. The member must stop applying: going on without the command
 /// would make its state differ from the others' for good.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum ApplyError {
     /// Its place in the log is not after the last one's.
     #[snafu(display(
--- a/crates/ragwortroad_state/src/force/currency_guard.rs
+++ b/crates/ragwortroad_state/src/force/currency_guard.rs
@@ -36,7 +36,8 @@
 }
 
 /// Why a node may not admit work now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum NotCurrent {
     /// It has had no answer since its start.
     #[snafu(display("this node has no configuration yet; use another of the fleet's addresses"))]
--- a/crates/ragwortroad_state/src/force/in_force_wait.rs
+++ b/crates/ragwortroad_state/src/force/in_force_wait.rs
@@ -2,7 +2,8 @@
 use snafu::Snafu;
 
 /// What a change waits for before it is in force everywhere.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Snafu)]
 #[snafu(display(
     "waits for {} nodes and {} ms for former leaders' leases; each node takes it up or stops \
      admitting work within the follow bound",
--- a/crates/ragwortroad_state/src/grace_record.rs
+++ b/crates/ragwortroad_state/src/grace_record.rs
@@ -15,7 +15,8 @@
 /// Admission leases granted under it may run on after it was made shorter. A new leader that knew
 /// only the shorter one would count a change as in force while a node that was granted the longer
 /// one still admits work without it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub(crate) struct GraceRecord {
     grace: Duration,
     until: StateTime,
--- a/crates/ragwortroad_state/src/order/engine_order.rs
+++ b/crates/ragwortroad_state/src/order/engine_order.rs
@@ -7,9 +7,8 @@
 use crate::EngineRole;
 
 /// Names one order; a resend has the same.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderId {
     /// The holder's fencing number.
     pub fence: FenceNumber,
@@ -21,7 +20,8 @@
 ///
 /// It says what shall be and not what to do next, so that an engine that gets it twice, or late,
 /// does nothing the second time.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineOrder {
     /// The order's name, with the fencing number.
     pub id: OrderId,
@@ -32,7 +32,8 @@
 }
 
 /// What an order is about.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum OrderAction {
     /// Hold a model in a version, with an adapter where one is named.
--- a/crates/ragwortroad_state/src/order/engine_target.rs
+++ b/crates/ragwortroad_state/src/order/engine_target.rs
@@ -7,7 +7,8 @@
 };
 
 /// What one engine shall be.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineTarget {
     /// Models with versions and adapters it shall hold.
     pub models: BTreeSet<ModelOffer>,
@@ -18,9 +19,8 @@
 }
 
 /// Which part of a request an engine works on.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EngineRole {
     /// Reads prompts and generates.
--- a/crates/ragwortroad_state/src/order/lease_table.rs
+++ b/crates/ragwortroad_state/src/order/lease_table.rs
@@ -10,7 +10,8 @@
 ///
 /// The consensus leader asks for the lease with the first command of its term. The log decides
 /// between two who ask; the later one has the higher number.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LeaseTable {
     /// Invariant: never falls, and grows with each grant.
     fence: FenceNumber,
--- a/crates/ragwortroad_state/src/order/order_gate.rs
+++ b/crates/ragwortroad_state/src/order/order_gate.rs
@@ -20,7 +20,8 @@
 }
 
 /// Why no order may be sent now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum GateRefusal {
     /// The own lease is over.
     #[snafu(display(
--- a/crates/ragwortroad_state/src/order/order_plan.rs
+++ b/crates/ragwortroad_state/src/order/order_plan.rs
@@ -15,13 +15,15 @@
 ///
 /// Part of the replicated state, so that a new holder goes on with the old one's plan instead of
 /// moving models about.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderPlan {
     targets: BTreeMap<String, EngineTarget>,
 }
 
 /// What became of a change of the plan.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum PlanOutcome {
     /// It is part of the plan.
     Taken,
--- a/crates/ragwortroad_state/src/snapshot_wire.rs
+++ b/crates/ragwortroad_state/src/snapshot_wire.rs
@@ -49,7 +49,8 @@
 }
 
 /// Why bytes are no snapshot.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum SnapshotError {
     /// Another program version wrote it.
     #[snafu(display(
--- a/crates/ragwortroad_state/src/stamp_clock.rs
+++ b/crates/ragwortroad_state/src/stamp_clock.rs
@@ -7,7 +7,8 @@
 use crate::StateTime;
 
 /// The two times a leader puts into each command.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CommandStamp {
     /// The state's clock.
     pub state: StateTime,
--- a/crates/ragwortroad_state/src/state_command.rs
+++ b/crates/ragwortroad_state/src/state_command.rs
@@ -20,7 +20,8 @@
 pub const COMMAND_VERSION: u8 = 1;
 
 /// One command of the log with the leader's stamp.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct StateCommand {
     /// The leader's clocks when it proposed the command.
     pub stamp: CommandStamp,
@@ -29,7 +30,8 @@
 }
 
 /// What a command does.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub enum StateAction {
     /// Nothing but moving the clock on.
     Tick,
@@ -52,7 +54,8 @@
 }
 
 /// Why bytes of the log are no command.
-#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
 pub enum CommandError {
     /// A newer program wrote it.
     #[snafu(display(
--- a/crates/ragwortroad_state/src/state_time.rs
+++ b/crates/ragwortroad_state/src/state_time.rs
@@ -13,9 +13,8 @@
 /// It advances only by the stamps of applied commands. It never runs ahead of true time by more
 /// than the drift of one clock, and stands still while nobody leads; spans that are measured by it
 /// can only come out longer than declared.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct StateTime(pub u64);
 
 impl StateTime {
--- a/crates/ragwortroad_timeline/src/event_filter.rs
+++ b/crates/ragwortroad_timeline/src/event_filter.rs
@@ -10,7 +10,8 @@
 };
 
 /// Which events are wanted; what is empty lets everything pass.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EventFilter {
     /// Only events of this request.
     pub request: Option<RequestId>,
--- a/crates/ragwortroad_timeline/src/event_kind.rs
+++ b/crates/ragwortroad_timeline/src/event_kind.rs
@@ -14,7 +14,8 @@
 };
 
 /// What happened.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EventKind {
     /// This process started.
--- a/crates/ragwortroad_timeline/src/fleet_event.rs
+++ b/crates/ragwortroad_timeline/src/fleet_event.rs
@@ -14,7 +14,8 @@
 /// Something that happened on a node.
 ///
 /// Made by update syntax from [`FleetEvent::new`]; what does not apply stays empty.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct FleetEvent {
     /// When, by the node's hybrid clock.
     pub stamp: HybridTime,
--- a/crates/ragwortroad_timeline/src/fleet_timeline.rs
+++ b/crates/ragwortroad_timeline/src/fleet_timeline.rs
@@ -12,7 +12,8 @@
 };
 
 /// A node whose events are missing.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct UnreachableNode {
     /// Its name.
     pub node: String,
@@ -21,7 +22,8 @@
 }
 
 /// A node whose events are there.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct TimelineLane {
     /// Its name.
     pub node: String,
@@ -34,7 +36,8 @@
 }
 
 /// An event and the lane it stands in.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct PlacedEvent {
     /// Index into [`FleetTimeline::lanes`].
     pub lane: usize,
@@ -44,7 +47,8 @@
 }
 
 /// The events of many nodes in one order.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct FleetTimeline {
     /// The nodes, by zone and name.
     pub lanes: Vec<TimelineLane>,
--- a/crates/ragwortroad_timeline/src/hybrid_time.rs
+++ b/crates/ragwortroad_timeline/src/hybrid_time.rs
@@ -15,9 +15,8 @@
 ///
 /// Invariant: the upper 48 bits are milliseconds since 1970, the lower 16 a counter, so stamps
 /// compare as numbers.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct HybridTime(pub u64);
 
 impl HybridTime {
--- a/crates/ragwortroad_timeline/src/node_timeline.rs
+++ b/crates/ragwortroad_timeline/src/node_timeline.rs
@@ -11,7 +11,8 @@
 };
 
 /// One node's part of a time line, as it travels between nodes.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeTimeline {
     /// The node's name.
     pub node: String,
--- a/crates/ragwortroad_timeline/src/timeline_error.rs
+++ b/crates/ragwortroad_timeline/src/timeline_error.rs
@@ -1,7 +1,8 @@
 use snafu::Snafu;
 
 /// Why something for the time line could not be read.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum TimelineError {
     /// No kind of event has this name.
--- a/crates/ragwortroad_transport/src/peer_writer.rs
+++ b/crates/ragwortroad_transport/src/peer_writer.rs
@@ -64,7 +64,8 @@
 }
 
 /// Why a message did not get out.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 enum WriteFailure {
     /// The peer was tried a moment ago.
     #[snafu(display("the last attempt failed a moment ago"))]
--- a/crates/ragwortroad_transport/src/transport_error.rs
+++ b/crates/ragwortroad_transport/src/transport_error.rs
@@ -7,7 +7,8 @@
 use snafu::Snafu;
 
 /// Why keys could not be made or read, or the transport not started.
-#[derive(Debug, Snafu)]
+#[derive(Debug)]
+#[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum TransportError {
     /// No node was named.
--- a/crates/ragwortroad_types/src/address_answer.rs
+++ b/crates/ragwortroad_types/src/address_answer.rs
@@ -4,7 +4,8 @@
 };
 
 /// The answer to a caller's question which addresses to use.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AddressAnswer {
     /// `IP:port` of nodes, best first.
     pub addresses: Vec<String>,
--- a/crates/ragwortroad_types/src/announce_answer.rs
+++ b/crates/ragwortroad_types/src/announce_answer.rs
@@ -4,7 +4,8 @@
 };
 
 /// The answer to an endpoint's announcement.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AnnounceAnswer {
     /// `IP:port` of the nodes to announce to from now on, the home node first.
     pub announce_to: Vec<String>,
--- a/crates/ragwortroad_types/src/announce_wire.rs
+++ b/crates/ragwortroad_types/src/announce_wire.rs
@@ -14,7 +14,8 @@
 ///
 /// An endpoint announces itself to one node at a time: the first of the addresses in the last
 /// [`AnnounceAnswer`](crate::AnnounceAnswer), and the next one when that does not answer.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct AnnounceWire {
     /// The endpoint's name, unique in the fleet.
     pub name: String,
--- a/crates/ragwortroad_types/src/chat_body.rs
+++ b/crates/ragwortroad_types/src/chat_body.rs
@@ -9,7 +9,8 @@
 };
 
 /// A model request's body in the OpenAI chat format, as far as the fleet reads it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChatBody {
     /// The model's name, followed by `:adapter` where an adapter is wanted.
     pub model: String,
@@ -36,7 +37,8 @@
 }
 
 /// One message of a chat.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ChatMessage {
     /// Who speaks: `system`, `user`, `assistant` or `tool`.
     pub role: String,
--- a/crates/ragwortroad_types/src/chat_key.rs
+++ b/crates/ragwortroad_types/src/chat_key.rs
@@ -6,9 +6,8 @@
 };
 
 /// A chat of one customer, as a hash over both names.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ChatKey(pub u64);
 
 impl ChatKey {
--- a/crates/ragwortroad_types/src/clock_time.rs
+++ b/crates/ragwortroad_types/src/clock_time.rs
@@ -13,9 +13,8 @@
 /// Pure crates never read a clock: the caller passes the time with every input, so that a run can
 /// be replayed. Within one process it is a monotonic clock's reading; between processes only
 /// differences of one process's own readings mean anything.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClockTime(pub u64);
 
 impl ClockTime {
--- a/crates/ragwortroad_types/src/endpoint_id.rs
+++ b/crates/ragwortroad_types/src/endpoint_id.rs
@@ -6,9 +6,8 @@
 };
 
 /// Identity of one endpoint: the hash of the name under which it announces itself.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct EndpointId(pub u64);
 
 impl EndpointId {
--- a/crates/ragwortroad_types/src/endpoint_kind.rs
+++ b/crates/ragwortroad_types/src/endpoint_kind.rs
@@ -4,7 +4,8 @@
 };
 
 /// What an endpoint does with a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum EndpointKind {
     /// Serves models; caches prompt prefixes.
--- a/crates/ragwortroad_types/src/fence_number.rs
+++ b/crates/ragwortroad_types/src/fence_number.rs
@@ -6,9 +6,8 @@
 };
 
 /// Fencing number of an order to an endpoint: grows with every change of who may give orders.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct FenceNumber(pub u64);
 
 impl fmt::Display for FenceNumber {
--- a/crates/ragwortroad_types/src/load_report.rs
+++ b/crates/ragwortroad_types/src/load_report.rs
@@ -4,7 +4,8 @@
 };
 
 /// The load an endpoint reports of itself, always somewhat late.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// Requests being worked on.
     pub running: u32,
--- a/crates/ragwortroad_types/src/model_offer.rs
+++ b/crates/ragwortroad_types/src/model_offer.rs
@@ -4,7 +4,8 @@
 };
 
 /// A model, in one version, that an engine holds ready.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ModelOffer {
     /// The model's name.
     pub model: String,
--- a/crates/ragwortroad_types/src/node_id.rs
+++ b/crates/ragwortroad_types/src/node_id.rs
@@ -6,9 +6,8 @@
 };
 
 /// Identity of one node of the fleet: the hash of the name in its settings.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct NodeId(pub u64);
 
 impl NodeId {
--- a/crates/ragwortroad_types/src/order_wire.rs
+++ b/crates/ragwortroad_types/src/order_wire.rs
@@ -12,7 +12,8 @@
 ///
 /// It says what shall be and not what to do next, so that an engine that gets it twice, or late,
 /// does nothing the second time.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderWire {
     /// The fencing number of whoever gives the order.
     pub fence: FenceNumber,
@@ -25,7 +26,8 @@
 }
 
 /// What an order asks for.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "action", rename_all = "snake_case")]
 pub enum OrderKind {
     /// Hold the model, with the adapters that are named.
@@ -51,7 +53,8 @@
 }
 
 /// Which part of a request an engine works on.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RoleWire {
     /// Reads prompts and generates.
--- a/crates/ragwortroad_types/src/prefix_key.rs
+++ b/crates/ragwortroad_types/src/prefix_key.rs
@@ -6,9 +6,8 @@
 };
 
 /// A prompt prefix, as the hash chain over its blocks up to one block's end.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct PrefixKey(pub u64);
 
 impl fmt::Display for PrefixKey {
--- a/crates/ragwortroad_types/src/refusal_code.rs
+++ b/crates/ragwortroad_types/src/refusal_code.rs
@@ -4,7 +4,8 @@
 };
 
 /// The stable reason for a refusal, for programs to act upon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RefusalCode {
     /// The request could not be read as HTTP or as the body its path wants.
--- a/crates/ragwortroad_types/src/refusal_wire.rs
+++ b/crates/ragwortroad_types/src/refusal_wire.rs
@@ -10,14 +10,16 @@
 };
 
 /// The JSON body of every refusal: `{"error": {...}}`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RefusalWire {
     /// The refusal itself.
     pub error: RefusalDetail,
 }
 
 /// What a refusal tells the caller.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct RefusalDetail {
     /// Whether the request ran.
     pub outcome: RequestOutcome,
--- a/crates/ragwortroad_types/src/request_id.rs
+++ b/crates/ragwortroad_types/src/request_id.rs
@@ -6,9 +6,8 @@
 };
 
 /// Identity of one caller's request, drawn at random by the node that took it in.
-#[derive(
-    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
-)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct RequestId(pub u64);
 
 impl fmt::Display for RequestId {
--- a/crates/ragwortroad_types/src/request_outcome.rs
+++ b/crates/ragwortroad_types/src/request_outcome.rs
@@ -4,7 +4,8 @@
 };
 
 /// What is known of a request that got no ordinary answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum RequestOutcome {
     /// Not one byte of it can have reached an endpoint.
--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -10,7 +10,8 @@
 use ragwortroad_timeline::EventKind;
 
 /// A router fleet for very many returning chats.
-#[derive(Debug, Parser)]
+#[derive(Debug)]
+#[derive(Parser)]
 #[command(name = "ragwortroad", version, max_term_width = 100)]
 #[command(after_help = "\
 Exit status:
@@ -32,7 +33,8 @@
 }
 
 /// The subcommands.
-#[derive(Debug, Subcommand)]
+#[derive(Debug)]
+#[derive(Subcommand)]
 pub(crate) enum CommandKind {
     /// Run one node of the fleet; SIGTERM or SIGINT drains it.
     Serve(SettingsFile),
@@ -65,7 +67,8 @@
 }
 
 /// Which settings to use.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub(crate) struct SettingsFile {
     /// INI file of this process.
     #[arg(long, value_name = "FILE")]
@@ -73,7 +76,8 @@
 }
 
 /// How to reach the fleet as an operator.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub(crate) struct OperatorAccess {
     /// Any node, as IP:port; the next one given is asked where one does not answer.
     #[arg(long, value_name = "IP:PORT", required = true)]
@@ -84,7 +88,8 @@
 }
 
 /// A question.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 #[command(after_help = "\
 Examples:
   ragwortroad ask --node 127.0.0.1:8001 --key operator.key 'show customers'
@@ -100,7 +105,8 @@
 }
 
 /// A change.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 #[command(after_help = "\
 A change whose answer was lost may be sent again with the same --id: it is made once, and the
 resend returns the first outcome.
@@ -117,7 +123,8 @@
 }
 
 /// The demonstration.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub(crate) struct DemoOptions {
     /// Seed of all that is random in it.
     #[arg(long, default_value_t = 1)]
@@ -134,7 +141,8 @@
 }
 
 /// Stand-ins.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 #[command(after_help = "\
 Example:
   ragwortroad standin --announce 127.0.0.1:8001 --join-secret join.secret --engines 12 --services 3")]
@@ -169,7 +177,8 @@
 }
 
 /// Load.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub(crate) struct LoadOptions {
     /// Nodes to ask for addresses, as IP:port.
     #[arg(long, value_name = "IP:PORT", required = true)]
@@ -204,7 +213,8 @@
 }
 
 /// Time line.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 #[command(after_help = "\
 Examples:
   ragwortroad timeline --node 127.0.0.1:8001 --key operator.key --format html > line.html
@@ -240,7 +250,8 @@
 }
 
 /// How a time line is printed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, ValueEnum)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(ValueEnum)]
 pub(crate) enum TimelineForm {
     /// One line an event.
     Text,
@@ -253,7 +264,8 @@
 }
 
 /// Keys.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub(crate) struct KeyOptions {
     /// The fleet's name.
     #[arg(long)]
@@ -267,7 +279,8 @@
 }
 
 /// Decision bench.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub(crate) struct BenchOptions {
     /// ljosmynd, splashmark or target.
     #[arg(long, default_value = "ljosmynd")]
@@ -294,7 +307,8 @@
 }
 
 /// Report.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 #[command(after_help = "\
 Example:
   ragwortroad bench --json > bench.json && ragwortroad report bench.json > report.html")]
@@ -305,7 +319,8 @@
 }
 
 /// Shell completions.
-#[derive(Debug, Args)]
+#[derive(Debug)]
+#[derive(Args)]
 pub(crate) struct CompletionOptions {
     /// The shell.
     pub(crate) shell: Shell,
