--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -52,8 +52,10 @@
     pub(crate) queue: Option<LinkQueue>,
     /// Version that it has announced on this connection.
     pub(crate) version: Option<u64>,
+    /// Voters among the registries by its word; none where it has not joined the group.
+    voters: u32,
     /// Whether it has told all that it knows on this connection.
-    pub(crate) has_told: bool,
+    has_told: bool,
     /// Requests of the edges that tell this registry, by endpoint.
     pub(crate) totals: HashMap<EndpointTag, u32>,
     /// This edge's own requests as it told this registry last.
@@ -66,6 +68,7 @@
             address,
             queue: None,
             version: None,
+            voters: 0,
             has_told: false,
             totals: HashMap::new(),
             reported: HashMap::new(),
@@ -168,8 +171,10 @@
             edges,
         } => {
             let mut state = shared.state.borrow_mut();
-            state.voters = voters;
             state.edges = edges;
+            if let Some(link) = state.links.get_mut(&source) {
+                link.voters = voters;
+            }
             drop(state);
             dial_registries(shared, registries);
         }
@@ -311,9 +316,11 @@
         return false;
     };
     let is_newest = state.announced.is_none_or(|(known, _)| version >= known);
+    // One that has just lost its disk knows of no voters, and must not make others count for less.
+    let voters = state.links.values().map(|link| link.voters).max().unwrap_or(0);
     let heard = state.links.values();
     let heard = heard.filter(|link| link.version.is_some() && link.has_told);
-    let is_certain = heard.count() as u32 > state.voters / 2 && state.voters > 0;
+    let is_certain = heard.count() as u32 > voters / 2 && voters > 0;
     // Readings of a process's clock start an hour after zero.
     let running = now.since(ClockTime::ZERO.after(Duration::from_secs(3600)));
     is_newest && (is_certain || running > CERTAINTY_TIME)
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -50,8 +50,6 @@
     pub(crate) links: BTreeMap<SourceKey, RegistryLink>,
     pub(crate) registries: BTreeSet<SocketAddr>,
     pub(crate) next_source: u32,
-    /// Voters among the registries, as they told last.
-    pub(crate) voters: u32,
     /// Edges of the fleet, as the registries told last.
     pub(crate) edges: u32,
     pub(crate) stage: EdgeStage,
