Have a registry that no longer adds up loads forget what it was told

Cause: an edge tells its requests under way to the lowest registry that it reaches. Ruled out: late counts (true less believed load was -7, not above).

Now the others are told of nothing under way.

--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -38,9 +38,10 @@
             EndpointStage, //
         },
         load_board::{
+            CountReport, //
             EndpointTag,
             LoadBoard,
-            LoadCount, //
+            LoadCount,
         },
         place_choice::{
             PlaceCandidate,
--- a/crates/ragwortroad_dispatch/src/load_board.rs
+++ b/crates/ragwortroad_dispatch/src/load_board.rs
@@ -1,4 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use serde::{
     Deserialize,
@@ -34,6 +37,40 @@
 /// what a registry's link carries with 65 edges.
 const TOLD_PART: f64 = 0.8;
 
+/// What one edge has told one registry of its requests under way.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CountReport {
+    /// Invariant: no count is zero.
+    told: BTreeMap<EndpointTag, u32>,
+}
+
+impl CountReport {
+    /// What has to be told so that the registry knows `current`, and nothing besides.
+    ///
+    /// A registry that is no longer the one that adds up is told of nothing under way: otherwise it
+    /// would go on telling counts of long ago, all engines would seem fuller than they are, and
+    /// the bound with them.
+    pub fn changes(&mut self, current: &BTreeMap<EndpointTag, u32>) -> Vec<LoadCount> {
+        let known = self.told.keys().chain(current.keys());
+        let endpoints: BTreeSet<EndpointTag> = known.copied().collect();
+        let mut changes = Vec::new();
+        for endpoint in endpoints {
+            let count = current.get(&endpoint).copied().unwrap_or(0);
+            if self.count(endpoint) != count {
+                changes.push(LoadCount { endpoint, count });
+            }
+        }
+        self.told = current.clone();
+        self.told.retain(|_, count| *count > 0);
+        changes
+    }
+
+    /// What was told of an endpoint.
+    pub fn count(&self, endpoint: EndpointTag) -> u32 {
+        self.told.get(&endpoint).copied().unwrap_or(0)
+    }
+}
+
 /// What the edges have under way, added up by one registry for all of them.
 ///
 /// Sixty edges that each send one request in a while to the engine that holds a busy text see
--- a/crates/ragwortroad_dispatch/tests/places.rs
+++ b/crates/ragwortroad_dispatch/tests/places.rs
@@ -239,6 +239,27 @@
     assert!(news.contains(&count("busy", 0)), "{news:?}");
 }
 
+/// The registry that adds up is cut off for a while, and the edges tell another one. When it is
+/// back, the other one must forget what it was told: else engines seem fuller than they are for
+/// good, and the bound rises with that.
+#[test]
+fn a_registry_that_no_longer_adds_up_forgets() {
+    let busy = EndpointTag::of("busy");
+    let current = BTreeMap::from([(busy, 5)]);
+    let nothing = BTreeMap::new();
+    let mut board = LoadBoard::default();
+    let mut report = CountReport::default();
+    board.take(1, &report.changes(&current));
+    assert_eq!(board.news().len(), 1);
+    assert!(report.changes(&current).is_empty(), "it knows that");
+    assert_eq!(report.count(busy), 5);
+    board.take(1, &report.changes(&nothing));
+    let count = 0;
+    let endpoint = busy;
+    assert_eq!(board.news(), [LoadCount { endpoint, count }]);
+    assert_eq!(report.count(busy), 0);
+}
+
 /// An engine answers and fails four times in ten. Requests go elsewhere; but where most engines
 /// fail, the few others must not get everything.
 #[test]
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -59,7 +59,7 @@
     /// Requests of the edges that tell this registry, by endpoint.
     pub(crate) totals: HashMap<EndpointTag, u32>,
     /// This edge's own requests as it told this registry last.
-    pub(crate) reported: HashMap<EndpointTag, u32>,
+    pub(crate) report: CountReport,
 }
 
 impl RegistryLink {
@@ -71,7 +71,7 @@
             voters: 0,
             has_told: false,
             totals: HashMap::new(),
-            reported: HashMap::new(),
+            report: CountReport::default(),
         }
     }
 
@@ -86,8 +86,7 @@
     /// Requests of other edges at an endpoint, as far as this registry tells.
     pub(crate) fn others(&self, endpoint: EndpointTag) -> u32 {
         let total = self.totals.get(&endpoint).copied().unwrap_or(0);
-        let own = self.reported.get(&endpoint).copied().unwrap_or(0);
-        total.saturating_sub(own)
+        total.saturating_sub(self.report.count(endpoint))
     }
 }
 
@@ -317,7 +316,12 @@
     };
     let is_newest = state.announced.is_none_or(|(known, _)| version >= known);
     // One that has just lost its disk knows of no voters, and must not make others count for less.
-    let voters = state.links.values().map(|link| link.voters).max().unwrap_or(0);
+    let voters = state
+        .links
+        .values()
+        .map(|link| link.voters)
+        .max()
+        .unwrap_or(0);
     let heard = state.links.values();
     let heard = heard.filter(|link| link.version.is_some() && link.has_told);
     let is_certain = heard.count() as u32 > voters / 2 && voters > 0;
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -115,25 +115,23 @@
         let Self {
             links, loads, book, ..
         } = self;
+        let own = loads.iter().filter_map(|(&key, load)| {
+            let record = book.record(key)?;
+            Some((EndpointTag::of(&record.name), load.own()))
+        });
+        let current: BTreeMap<EndpointTag, u32> = own.filter(|(_, count)| *count > 0).collect();
         let connected = links.values_mut().filter(|link| link.queue.is_some());
-        let Some(link) = connected.min_by_key(|link| link.address) else {
-            return;
-        };
-        let mut changes = Vec::new();
-        for (&key, load) in loads.iter() {
-            let Some(record) = book.record(key) else {
-                continue;
+        let mut connected: Vec<_> = connected.collect();
+        connected.sort_by_key(|link| link.address);
+        for (index, link) in connected.into_iter().enumerate() {
+            let changes = match index {
+                0 => link.report.changes(&current),
+                _ => link.report.changes(&BTreeMap::new()),
             };
-            let endpoint = EndpointTag::of(&record.name);
-            let count = load.own();
-            if link.reported.get(&endpoint).copied().unwrap_or(0) != count {
-                link.reported.insert(endpoint, count);
-                changes.push(LoadCount { endpoint, count });
+            if let Some(queue) = link.queue.as_ref().filter(|_| !changes.is_empty()) {
+                queue.send(&LinkMessage::Loads(changes));
             }
         }
-        if let Some(queue) = link.queue.as_ref().filter(|_| !changes.is_empty()) {
-            queue.send(&LinkMessage::Loads(changes));
-        }
     }
 
     /// Requests of other edges at an endpoint.
