Answer what hangs before a stopping edge ends; refuse what it cannot finish

Cause: a stopping edge cut whatever was left at the end of its grace time, also requests that a silent endpoint held, and took streams on until then. Callers saw connections that broke for no reason.

Now, 0.6 s before the end, requests without an answer get one (504, nothing is known), and a request that cannot be whole by then is refused at once (503, not run): streams within 4.6 s of the end, other answers within 1.2 s.

--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -16,12 +16,18 @@
 use tokio::{
     net::TcpListener,
     runtime::Builder,
-    sync::Notify,
+    sync::{
+        Notify,
+        watch, //
+    },
     task::{
         LocalSet,
         spawn_local, //
     },
-    time::sleep, //
+    time::{
+        Instant,
+        sleep, //
+    }, //
 };
 
 use crate::{
@@ -64,6 +70,12 @@
 /// Time before the end of the grace time at which a stopping edge ends in any case.
 const GRACE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before the end at which requests without an answer are told that none will come.
+///
+/// An endpoint that has gone silent holds a request until its deadline. Cut with the process, its
+/// caller would see a connection that broke for no reason, and not be told what is known.
+const LAST_CALL: Duration = Duration::from_millis(600);
+
 /// What an edge is told from outside its tasks.
 #[derive(Clone, Debug, PartialEq)]
 pub enum EdgeSignal {
@@ -106,6 +118,7 @@
         state: RefCell::new(EdgeState::default()),
         pool: ConnectionPool::default(),
         stop: Notify::new(),
+        last_call: watch::Sender::new(false),
     });
     dial_seeds(&shared, &seeds);
     spawn_local(serve_callers(Rc::clone(&shared), callers));
@@ -158,10 +171,13 @@
 async fn drain(shared: &EdgeShared) {
     let begun = shared.now();
     let limit = shared.settings.grace.saturating_sub(GRACE_MARGIN);
-    begin_drain(&mut shared.state.borrow_mut());
+    begin_drain(&mut shared.state.borrow_mut(), limit);
     loop {
         sleep(ROUND_TIME).await;
         let now = shared.now();
+        if now.since(begun) + LAST_CALL >= limit {
+            shared.last_call.send_replace(true);
+        }
         let state = shared.state.borrow();
         let is_quiet = now.since(state.last_caller_at) > QUIET_DRAIN;
         let is_done = state.in_flight == 0 && is_quiet && now.since(begun) > LEAST_DRAIN;
@@ -172,8 +188,9 @@
     }
 }
 
-fn begin_drain(state: &mut EdgeState) {
+fn begin_drain(state: &mut EdgeState, limit: Duration) {
     tracing::info!(in_flight = state.in_flight, "stopping");
+    state.ends_at = Some(Instant::now() + limit);
     state.set_stage(EdgeStage::Draining);
 }
 
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -13,7 +13,13 @@
 use ragwortroad_link::prelude::*;
 use ragwortroad_settings::prelude::*;
 use ragwortroad_types::prelude::*;
-use tokio::sync::Notify;
+use tokio::{
+    sync::{
+        Notify,
+        watch, //
+    },
+    time::Instant, //
+};
 
 use crate::{
     EdgePort,
@@ -30,6 +36,8 @@
     pub(crate) pool: ConnectionPool,
     /// Told when the edge is to stop.
     pub(crate) stop: Notify,
+    /// Turns true shortly before a stopping edge ends: what has no answer by then gets one.
+    pub(crate) last_call: watch::Sender<bool>,
 }
 
 /// All that an edge knows.
@@ -53,6 +61,8 @@
     /// Edges of the fleet, as the registries told last.
     pub(crate) edges: u32,
     pub(crate) stage: EdgeStage,
+    /// When a stopping edge ends in any case.
+    pub(crate) ends_at: Option<Instant>,
     /// When the configuration was asked for last, if the answer is still awaited.
     pub(crate) asked_at: Option<ClockTime>,
     /// Highest version that a registry has announced, and when it was first.
--- a/crates/ragwortroad_edge/src/refusal_answer.rs
+++ b/crates/ragwortroad_edge/src/refusal_answer.rs
@@ -37,6 +37,8 @@
     Unknown,
     /// The time is over.
     TimedOut,
+    /// This edge stops before an answer could be whole.
+    Stopping,
 }
 
 impl RefusalReason {
@@ -48,7 +50,9 @@
             Self::NoIdentity | Self::CutBody => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::Starting | Self::NoEndpoint | Self::NotRun => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Starting | Self::NoEndpoint | Self::NotRun | Self::Stopping => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -66,6 +70,7 @@
             Self::NoEndpoint => "no endpoint takes work now; come back after the time given",
             Self::NotRun => "the endpoints are full; come back after the time given",
             Self::Unknown => "an endpoint failed; whether the request ran is not known",
+            Self::Stopping => "this address is about to close; use another one",
             Self::TimedOut => "the time is over; whether the request ran is not known",
         }
     }
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -64,6 +64,12 @@
 /// Longest time for which a request without a deadline of its own is kept.
 const DEFAULT_TIME: Duration = Duration::from_secs(60);
 
+/// Time in which nearly all streams end: some hundred tokens at some ten milliseconds each.
+const STREAM_TIME: Duration = Duration::from_millis(4600);
+
+/// Time in which nearly all answers of plain services are there.
+const ANSWER_TIME: Duration = Duration::from_millis(1200);
+
 /// Shortest and longest time after which a refused caller may come back.
 ///
 /// Spread, so that callers refused together do not return together.
@@ -88,7 +94,8 @@
         Ok(plan) => pass_on(&shared, Rc::new(plan)).await,
         Err((reason, id)) => {
             tracing::info!(request = id, outcome = "refused", ?reason, "request over");
-            let again = (reason == RefusalReason::Starting).then(come_back);
+            let again = matches!(reason, RefusalReason::Starting | RefusalReason::Stopping);
+            let again = again.then(come_back);
             refusal_answer(reason, again)
         }
     };
@@ -128,6 +135,9 @@
     let rule = map.route(target.route);
     let patience = facts.time_left.unwrap_or(DEFAULT_TIME).min(rule.timeout);
     let deadline = came_at + patience;
+    if !has_time_here(shared, rule, deadline) {
+        return Err((RefusalReason::Stopping, id));
+    }
     let service = map.draw_target(target.route, rand::random()).to_owned();
     let limit = map.config().limits.max_body_bytes;
     let (mut parts, body) = request.into_parts();
@@ -152,6 +162,21 @@
     })
 }
 
+/// Whether an answer can be whole before this edge ends, if it is stopping.
+///
+/// Callers who keep an answer of the directory for long come some seconds after an edge was told to
+/// stop. What it takes on then and cannot finish is cut; refused at once, they go elsewhere.
+fn has_time_here(shared: &EdgeShared, rule: &RouteRule, deadline: Instant) -> bool {
+    let Some(ends_at) = shared.state.borrow().ends_at else {
+        return true;
+    };
+    let needed = match rule.kind {
+        RequestKind::Stream => STREAM_TIME,
+        RequestKind::Safe | RequestKind::Unsafe => ANSWER_TIME,
+    };
+    ends_at >= deadline.min(Instant::now() + needed)
+}
+
 async fn read_body(
     body: Incoming,
     limit: usize,
@@ -177,7 +202,13 @@
             return refuse(&plan, &way, RefusalReason::NoEndpoint);
         };
         way.tried.push(chosen.key);
-        let end = call_endpoint(shared, &plan, &chosen, plan.facts.after_event).await;
+        let calling = call_endpoint(shared, &plan, &chosen, plan.facts.after_event);
+        let mut last_call = shared.last_call.subscribe();
+        let end = tokio::select! {
+            end = calling => end,
+            // The sender lives as long as the edge, so this ends only by the last call.
+            _ = last_call.wait_for(|is_last| *is_last) => CallEnd::TimedOut,
+        };
         let step = way.take(shared, &plan, &chosen, end);
         match step {
             WayStep::Again => {}
