Serve metrics of edges and registries; keep the platform's words in the adapter

Metrics: ragwortroad_telemetry with the names, histograms and the page, read at the address of the settings; labels are kinds, outcomes and reasons only.

--- a/crates/ragwortroad_dispatch/src/endpoint_book.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_book.rs
@@ -227,6 +227,13 @@
         self.entries.get(&key).map(|entry| &entry.record)
     }
 
+    /// Number of endpoints that take new work.
+    pub fn ready_count(&self) -> usize {
+        let entries = self.entries.values();
+        let ready = entries.filter(|entry| entry.record.stage == EndpointStage::Ready);
+        ready.count()
+    }
+
     /// Endpoints of a service that take new work.
     pub fn ready(&self, service: &str) -> impl Iterator<Item = (EndpointKey, &EndpointRecord)> {
         let entries = self.entries.iter();
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -9,6 +9,7 @@
 use ragwortroad_clock::prelude::*;
 use ragwortroad_link::prelude::*;
 use ragwortroad_settings::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use snafu::{
     OptionExt,
     ResultExt, //
@@ -85,24 +86,26 @@
     Stop,
 }
 
-/// Runs an edge until it is told to stop.
+/// Runs an edge until it is told to stop; `page` is where its metrics are read, if they are kept.
 pub fn run_edge(
     settings: ForwardSettings,
     port: EdgePort,
     signals: Receiver<EdgeSignal>,
+    page: Option<MetricsPage>,
 ) -> Result<(), EdgeError> {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .context(StartSnafu)?;
     let local = LocalSet::new();
-    runtime.block_on(local.run_until(serve_edge(settings, port, signals)))
+    runtime.block_on(local.run_until(serve_edge(settings, port, signals, page)))
 }
 
 async fn serve_edge(
     settings: ForwardSettings,
     port: EdgePort,
     signals: Receiver<EdgeSignal>,
+    page: Option<MetricsPage>,
 ) -> Result<(), EdgeError> {
     let key = "callers";
     let callers = settings.callers.context(MissingSettingSnafu { key })?;
@@ -110,6 +113,12 @@
     let readiness = settings.readiness.context(MissingSettingSnafu { key })?;
     let callers = listen(callers).await?;
     let readiness = listen(readiness).await?;
+    if let Some(page) = page {
+        spawn_local(page.clone().keep_folded());
+        if let Some(address) = settings.metrics {
+            spawn_local(page.serve(listen(address).await?));
+        }
+    }
     let seeds = settings.seeds.clone();
     let shared = Rc::new(EdgeShared {
         settings,
@@ -142,6 +151,7 @@
             state.texts.forget(key);
         }
         state.tell_places();
+        state.set_gauges();
         round += 1;
         if round.is_multiple_of(LOAD_ROUNDS) {
             state.tell_loads();
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -12,6 +12,7 @@
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
 use ragwortroad_settings::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
 use tokio::{
     sync::{
@@ -118,6 +119,15 @@
         }
     }
 
+    /// Brings the metrics of what is known up to date.
+    pub(crate) fn set_gauges(&self) {
+        let connected = self.links.values().filter(|link| link.queue.is_some());
+        metrics::gauge!(metric_names::IN_FLIGHT).set(self.in_flight as f64);
+        metrics::gauge!(metric_names::REGISTRIES).set(connected.count() as f64);
+        metrics::gauge!(metric_names::ENDPOINTS).set(self.book.ready_count() as f64);
+        metrics::gauge!(metric_names::CONFIG_VERSION).set(self.version().unwrap_or(0) as f64);
+    }
+
     /// Tells one registry what this edge has under way where that has changed.
     ///
     /// All edges that reach the same registries take the same one.
--- a/crates/ragwortroad_edge/src/refusal_answer.rs
+++ b/crates/ragwortroad_edge/src/refusal_answer.rs
@@ -58,6 +58,24 @@
         }
     }
 
+    /// Its name in metrics.
+    pub(crate) fn label(self) -> &'static str {
+        match self {
+            Self::Starting => "starting",
+            Self::NoRoute => "no_route",
+            Self::UnknownKey => "unknown_key",
+            Self::NoIdentity => "no_identity",
+            Self::TooLarge => "too_large",
+            Self::SlowBody => "slow_body",
+            Self::CutBody => "cut_body",
+            Self::NoEndpoint => "no_endpoint",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::TimedOut => "timed_out",
+            Self::Stopping => "stopping",
+        }
+    }
+
     fn message(self) -> &'static str {
         match self {
             Self::Starting => "no configuration yet; try another address",
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -24,6 +24,7 @@
 };
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use rand::RngExt;
 use tokio::time::{
     Instant,
@@ -94,6 +95,7 @@
         Ok(plan) => pass_on(&shared, Rc::new(plan)).await,
         Err((reason, id)) => {
             tracing::info!(request = id, outcome = "refused", ?reason, "request over");
+            count_request("unread", "refused", reason.label());
             let again = matches!(reason, RefusalReason::Starting | RefusalReason::Stopping);
             let again = again.then(come_back);
             refusal_answer(reason, again)
@@ -215,6 +217,8 @@
             WayStep::Refuse(reason) => return refuse(&plan, &way, reason),
             WayStep::Answer(answer) => return hand_over(&plan, &way, &chosen, answer),
             WayStep::Stream(run) => {
+                count_request(kind_label(&plan), "stream", "");
+                note_answer(&plan, &chosen);
                 tracing::info!(
                     request = plan.id,
                     outcome = "stream",
@@ -301,6 +305,7 @@
             }
         };
         self.attempts += 1;
+        metrics::counter!(metric_names::FAILED_ATTEMPTS, "reason" => refusal.label()).increment(1);
         self.note(plan, chosen, &reason);
         let may_repeat = !self.may_have_run || plan.rule().is_repeatable();
         match may_repeat && self.may_try_again(shared, plan) {
@@ -334,7 +339,10 @@
             let now = shared.now();
             let mut state = shared.state.borrow_mut();
             let purse = state.purse_mut(&plan.service, &shared.settings, now);
-            purse.spend()
+            let may = purse.spend();
+            let outcome = if may { "made" } else { "over_budget" };
+            metrics::counter!(metric_names::REPEATS, "outcome" => outcome).increment(1);
+            may
         }
     }
 
@@ -365,6 +373,12 @@
     chosen: &ChosenEndpoint,
     answer: WholeAnswer,
 ) -> Response<EdgeBody> {
+    let reason = match answer.status.is_server_error() {
+        true => "endpoint_failed",
+        false => "",
+    };
+    count_request(kind_label(plan), "answered", reason);
+    note_answer(plan, chosen);
     tracing::info!(
         request = plan.id,
         outcome = "answered",
@@ -389,6 +403,7 @@
         true => RefusalReason::Unknown,
         false => reason,
     };
+    count_request(kind_label(plan), "refused", reason.label());
     let again = is_promise && !way.may_have_run;
     let again = again.then(come_back);
     tracing::info!(
@@ -405,6 +420,32 @@
     refusal_answer(reason, again)
 }
 
+/// The kind of a request, for metrics.
+fn kind_label(plan: &RequestPlan) -> &'static str {
+    match plan.rule().kind {
+        RequestKind::Safe => "safe",
+        RequestKind::Unsafe => "unsafe",
+        RequestKind::Stream => "stream",
+    }
+}
+
+fn count_request(kind: &'static str, outcome: &'static str, reason: &'static str) {
+    let labels = [("kind", kind), ("outcome", outcome), ("reason", reason)];
+    metrics::counter!(metric_names::REQUESTS, &labels).increment(1);
+}
+
+/// Notes how long an answer took, and what was believed of the endpoint that gave it.
+fn note_answer(plan: &RequestPlan, chosen: &ChosenEndpoint) {
+    let kind = kind_label(plan);
+    let took = plan.came_at.elapsed();
+    metrics::histogram!(metric_names::ANSWER_SECONDS, "kind" => kind).record(took);
+    metrics::histogram!(metric_names::BELIEVED_LOAD).record(chosen.load);
+    if !plan.facts.parts.is_empty() {
+        let held = if chosen.holds_text { "yes" } else { "no" };
+        metrics::counter!(metric_names::TEXT_PLACES, "held" => held).increment(1);
+    }
+}
+
 fn come_back() -> Duration {
     let (least, most) = COME_BACK_MS;
     Duration::from_millis(rand::rng().random_range(least..=most))
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -16,6 +16,7 @@
 };
 use hyper::body::Incoming;
 use ragwortroad_dispatch::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use snafu::Snafu;
 use tokio::time::{
     Instant,
@@ -258,6 +259,7 @@
 
     fn fail(&mut self, reason: &'static str) -> Poll<NextEvents> {
         self.is_over = true;
+        metrics::counter!(metric_names::STREAMS, "outcome" => "broken").increment(1);
         tracing::info!(
             request = self.plan.id,
             outcome = "broken",
@@ -270,6 +272,8 @@
 
     fn finish(&mut self) {
         self.is_over = true;
+        metrics::counter!(metric_names::STREAMS, "outcome" => "whole").increment(1);
+        metrics::histogram!(metric_names::PAUSE_SECONDS).record(self.longest_pause);
         let endpoint = self.run.as_ref().map(|run| run.guard.key().0);
         tracing::info!(
             request = self.plan.id,
@@ -296,6 +300,7 @@
     fn drop(&mut self) {
         self.shared.state.borrow_mut().in_flight -= 1;
         if !self.is_over {
+            metrics::counter!(metric_names::STREAMS, "outcome" => "left").increment(1);
             tracing::debug!(
                 request = self.plan.id,
                 events = self.events,
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -7,6 +7,7 @@
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
 
 use crate::{
@@ -173,6 +174,9 @@
     }
 
     pub(crate) fn tell_fleet(&mut self, now: ClockTime) {
+        metrics::gauge!(metric_names::EDGES).set(self.edges.len() as f64);
+        let version = self.seat.register().version().unwrap_or(0);
+        metrics::gauge!(metric_names::CONFIG_VERSION).set(version as f64);
         let message = self.fleet_message(now);
         if self.told_fleet.as_ref() != Some(&message) {
             self.tell_edges(&message);
--- a/crates/ragwortroad_registry/src/group_seat.rs
+++ b/crates/ragwortroad_registry/src/group_seat.rs
@@ -6,6 +6,7 @@
 use ragwortroad_consensus::prelude::*;
 use ragwortroad_link::prelude::*;
 use ragwortroad_log::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
 
 use crate::{
@@ -258,11 +259,13 @@
                 }
                 CoreAction::LeaderChanged { term, leader } => {
                     let leader = leader.map(|member| member.0);
+                    metrics::counter!(metric_names::LEADER_CHANGES).increment(1);
                     tracing::info!(term, leader, "another leader");
                 }
                 CoreAction::MembersChanged { index, members } => {
                     let voters = members.voters().count();
                     let all = members.records().len();
+                    metrics::gauge!(metric_names::VOTERS).set(voters as f64);
                     tracing::info!(index, voters, all, "other members");
                 }
             }
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -14,6 +14,7 @@
 use ragwortroad_link::prelude::*;
 use ragwortroad_log::prelude::*;
 use ragwortroad_settings::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
 use rand::random;
 use snafu::{
@@ -94,24 +95,26 @@
     Stop,
 }
 
-/// Runs a registry until it is told to stop.
+/// Runs a registry until it is told to stop; `page` is where its metrics are read, if any are kept.
 pub fn run_registry(
     settings: ForwardSettings,
     port: RegistryPort,
     signals: Receiver<RegistrySignal>,
+    page: Option<MetricsPage>,
 ) -> Result<(), RegistryError> {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .context(StartSnafu)?;
     let local = LocalSet::new();
-    runtime.block_on(local.run_until(serve_registry(settings, port, signals)))
+    runtime.block_on(local.run_until(serve_registry(settings, port, signals, page)))
 }
 
 async fn serve_registry(
     settings: ForwardSettings,
     port: RegistryPort,
     signals: Receiver<RegistrySignal>,
+    page: Option<MetricsPage>,
 ) -> Result<(), RegistryError> {
     let key = "control";
     let control = settings.control.context(MissingSettingSnafu { key })?;
@@ -124,6 +127,12 @@
     if let Some(directory) = settings.directory.filter(|address| *address != control) {
         spawn_local(serve_calls(listen(directory).await?, port, events.clone()));
     }
+    if let Some(page) = page {
+        spawn_local(page.clone().keep_folded());
+        if let Some(address) = settings.metrics {
+            spawn_local(page.serve(listen(address).await?));
+        }
+    }
     spawn_local(accept_links(links, events.clone()));
     spawn_local(pass_signals(signals, events.clone()));
     let clock = RealClock::start();
--- /dev/null
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -0,0 +1,36 @@
+//! Names of all metrics of edges and registries, with what they count.
+
+/// Requests that are over, by `kind`, `outcome` and `reason`.
+pub const REQUESTS: &str = "ragwortroad_requests_total";
+/// Seconds from a request's head to its answer's head, by `kind`.
+pub const ANSWER_SECONDS: &str = "ragwortroad_answer_seconds";
+/// Longest pause between two pieces of a stream, in seconds.
+pub const PAUSE_SECONDS: &str = "ragwortroad_stream_pause_seconds";
+/// Streams that are over, by `outcome`.
+pub const STREAMS: &str = "ragwortroad_streams_total";
+/// Attempts at endpoints that brought no usable answer, by `reason`.
+pub const FAILED_ATTEMPTS: &str = "ragwortroad_failed_attempts_total";
+/// Requests sent once more, by `outcome`: made, or refused by the budget.
+pub const REPEATS: &str = "ragwortroad_repeats_total";
+/// Requests under way.
+pub const IN_FLIGHT: &str = "ragwortroad_requests_in_flight";
+/// Requests at an endpoint by this edge's belief as it sent one more.
+pub const BELIEVED_LOAD: &str = "ragwortroad_believed_load";
+/// Whether the engine chosen had read the request's shared text, by `held`.
+pub const TEXT_PLACES: &str = "ragwortroad_text_places_total";
+/// Version of the configuration in force here.
+pub const CONFIG_VERSION: &str = "ragwortroad_config_version";
+/// Registries that this edge is connected to.
+pub const REGISTRIES: &str = "ragwortroad_registries_connected";
+/// Endpoints that take work, as known here.
+pub const ENDPOINTS: &str = "ragwortroad_endpoints_ready";
+/// Calls at a registry, by `outcome`.
+pub const CALLS: &str = "ragwortroad_control_calls_total";
+/// Changes of the leader that this registry knows of.
+pub const LEADER_CHANGES: &str = "ragwortroad_leader_changes_total";
+/// Voters of the group.
+pub const VOTERS: &str = "ragwortroad_voters";
+/// Edges that are connected to this registry.
+pub const EDGES: &str = "ragwortroad_edges_connected";
+/// Log lines that were dropped because nobody read them in time.
+pub const DROPPED_LINES: &str = "ragwortroad_log_lines_dropped_total";
--- /dev/null
+++ b/crates/ragwortroad_telemetry/src/metrics_page.rs
@@ -0,0 +1,130 @@
+use std::{
+    convert::Infallible,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::{
+    Request,
+    Response,
+    body::Incoming,
+    header::{
+        CONTENT_TYPE,
+        HeaderValue, //
+    },
+    server::conn::http1,
+    service::service_fn, //
+};
+use hyper_util::rt::TokioIo;
+use metrics_exporter_prometheus::{
+    BuildError,
+    Matcher,
+    PrometheusBuilder,
+    PrometheusHandle, //
+};
+use snafu::{
+    ResultExt,
+    Snafu, //
+};
+use tokio::{
+    net::TcpListener,
+    task::spawn_local,
+    time::sleep, //
+};
+
+use crate::metric_names::{
+    ANSWER_SECONDS,
+    BELIEVED_LOAD,
+    PAUSE_SECONDS, //
+};
+
+/// Bounds of the histograms of time, in seconds: from a local answer to a request's longest life.
+const SECONDS: [f64; 13] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 1.0, 2.5, 5.0, 15.0,
+];
+
+/// Bounds of the histogram of loads, in requests.
+const REQUESTS: [f64; 9] = [0.0, 1.0, 2.0, 4.0, 8.0, 16.0, 32.0, 64.0, 128.0];
+
+/// Time between two foldings of the samples into their histograms, which else pile up unread.
+const FOLD_EVERY: Duration = Duration::from_secs(5);
+
+/// Pause after an accept that failed.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Why metrics cannot be kept.
+#[derive(Debug, Snafu)]
+#[snafu(display("metrics cannot be kept: {source}; start one process only once"))]
+pub struct MetricsError {
+    source: BuildError,
+}
+
+/// The page that a process's metrics are read from.
+#[derive(Clone, Debug)]
+pub struct MetricsPage {
+    handle: PrometheusHandle,
+}
+
+impl MetricsPage {
+    /// Keeps this process's metrics from now on.
+    pub fn install() -> Result<Self, MetricsError> {
+        let handle = builder()
+            .and_then(PrometheusBuilder::install_recorder)
+            .context(MetricsSnafu)?;
+        Ok(Self { handle })
+    }
+
+    /// The page as text.
+    pub fn render(&self) -> String {
+        self.handle.render()
+    }
+
+    /// Folds samples from time to time for as long as the process runs.
+    pub async fn keep_folded(self) {
+        loop {
+            sleep(FOLD_EVERY).await;
+            self.handle.run_upkeep();
+        }
+    }
+
+    /// Serves the page to whoever asks, on any path.
+    pub async fn serve(self, listener: TcpListener) {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    tracing::warn!(%error, "a reader of metrics could not be accepted");
+                    sleep(ACCEPT_PAUSE).await;
+                    continue;
+                }
+            };
+            let page = self.clone();
+            spawn_local(async move {
+                let service = service_fn(|request| page.answer(request));
+                let served = http1::Builder::new()
+                    .keep_alive(false)
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+                if let Err(error) = served {
+                    tracing::debug!(%error, "a reader of metrics left early");
+                }
+            });
+        }
+    }
+
+    async fn answer(&self, _: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+        let mut answer = Response::new(Full::new(Bytes::from(self.render())));
+        let content = HeaderValue::from_static("text/plain; version=0.0.4");
+        answer.headers_mut().insert(CONTENT_TYPE, content);
+        Ok(answer)
+    }
+}
+
+fn builder() -> Result<PrometheusBuilder, BuildError> {
+    let exactly = |name: &str| Matcher::Full(name.to_owned());
+    PrometheusBuilder::new()
+        .set_buckets_for_metric(exactly(ANSWER_SECONDS), &SECONDS)?
+        .set_buckets_for_metric(exactly(PAUSE_SECONDS), &SECONDS)?
+        .set_buckets_for_metric(exactly(BELIEVED_LOAD), &REQUESTS)
+}
--- /dev/null
+++ b/crates/ragwortroad_telemetry/tests/page.rs
@@ -0,0 +1,23 @@
+//! What the page of a process's metrics shows.
+
+use ragwortroad_telemetry::prelude::*;
+
+#[test]
+fn counters_and_histograms_stand_on_the_page() {
+    let page = MetricsPage::install().expect("the first of this process");
+    let labels = [("kind", "safe"), ("outcome", "answered"), ("reason", "")];
+    metrics::counter!(metric_names::REQUESTS, &labels).increment(3);
+    metrics::histogram!(metric_names::ANSWER_SECONDS, "kind" => "safe").record(0.03);
+    let text = page.render();
+    assert!(
+        text.contains(
+            "ragwortroad_requests_total{kind=\"safe\",outcome=\"answered\",reason=\"\"} 3"
+        ),
+        "{text}"
+    );
+    assert!(
+        text.contains("ragwortroad_answer_seconds_bucket{kind=\"safe\",le=\"0.05\"} 1"),
+        "{text}"
+    );
+    assert!(MetricsPage::install().is_err(), "one process has one page");
+}
--- a/src/commands/forward.rs
+++ b/src/commands/forward.rs
@@ -17,6 +17,7 @@
 use ragwortroad_edge::prelude::*;
 use ragwortroad_registry::prelude::*;
 use ragwortroad_settings::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use signal_hook::{
     consts::{
         SIGHUP,
@@ -39,7 +40,7 @@
 
 /// Runs an edge until SIGTERM or SIGINT.
 pub(crate) fn run_edge_process(path: &Path) -> ExitStatus {
-    run_process(path, "edge", |settings, watch| {
+    run_process(path, "edge", |settings, page, watch| {
         let (signals, queue) = flume::unbounded();
         let watching = watch(Box::new(move |news| {
             let signal = match news {
@@ -48,14 +49,14 @@
             };
             signals.send(signal).is_ok()
         }));
-        let ended = run_edge(settings, ragwortroad_platform::edge_port(), queue);
+        let ended = run_edge(settings, ragwortroad_platform::edge_port(), queue, page);
         (ended.map_err(|error| error.to_string()), watching)
     })
 }
 
 /// Runs a registry until SIGTERM or SIGINT.
 pub(crate) fn run_registry_process(path: &Path) -> ExitStatus {
-    run_process(path, "registry", |settings, watch| {
+    run_process(path, "registry", |settings, page, watch| {
         let (signals, queue) = flume::unbounded();
         let watching = watch(Box::new(move |news| {
             let signal = match news {
@@ -64,7 +65,7 @@
             };
             signals.send(signal).is_ok()
         }));
-        let ended = run_registry(settings, ragwortroad_platform::registry_port(), queue);
+        let ended = run_registry(settings, ragwortroad_platform::registry_port(), queue, page);
         (ended.map_err(|error| error.to_string()), watching)
     })
 }
@@ -102,6 +103,7 @@
     role: &'static str,
     body: impl FnOnce(
         ForwardSettings,
+        Option<MetricsPage>,
         &dyn Fn(TellNews) -> ProcessWatch,
     ) -> (Result<(), String>, ProcessWatch),
 ) -> ExitStatus {
@@ -122,6 +124,14 @@
         }
     };
     tracing::info!(role, name = settings.name, zone = settings.zone, "started");
+    let page = match MetricsPage::install() {
+        Ok(page) => Some(page),
+        Err(error) => {
+            // Callers are served all the same.
+            tracing::error!(%error, "no metrics");
+            None
+        }
+    };
     let signals = std::cell::RefCell::new(Some(signals));
     let watched = path.to_owned();
     let first = settings.clone();
@@ -129,7 +139,7 @@
         let signals = signals.borrow_mut().take();
         start_watch(signals, watched.clone(), first.clone(), tell)
     };
-    let (ended, watching) = body(settings, &watch);
+    let (ended, watching) = body(settings, page, &watch);
     watching.join();
     match ended {
         Ok(()) => {
--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -4,10 +4,17 @@
 //! in `KNOWN-RED.txt` run apart and are printed; they decide nothing until their fault is mended.
 
 mod known_red;
+mod platform_words;
+#[cfg(test)]
+mod tests;
 
-use std::process::{
-    Command,
-    ExitCode, //
+use std::{
+    fs,
+    path::Path,
+    process::{
+        Command,
+        ExitCode, //
+    }, //
 };
 
 use known_red::KnownRed;
@@ -37,6 +44,9 @@
             return ExitCode::FAILURE;
         }
     };
+    if !platform_words_are_kept() {
+        return ExitCode::FAILURE;
+    }
     for check in CHECKS {
         if !run_cargo(check) {
             return ExitCode::FAILURE;
@@ -62,6 +72,31 @@
     }
 }
 
+/// Tells whether the platform's words stand in the adapter only, and prints those that do not.
+fn platform_words_are_kept() -> bool {
+    println!("words of {}", platform_words::WORDS_PATH);
+    let found = fs::read_to_string(platform_words::WORDS_PATH).and_then(|text| {
+        let words = platform_words::read_words(&text);
+        platform_words::find_below(Path::new("."), &words)
+    });
+    match found {
+        Ok(found) => {
+            for stray in &found {
+                let path = stray.path.display();
+                eprintln!(
+                    "{path}:{}: '{}' belongs into platform/",
+                    stray.line, stray.word
+                );
+            }
+            found.is_empty()
+        }
+        Err(error) => {
+            eprintln!("the platform's words cannot be checked: {error}");
+            false
+        }
+    }
+}
+
 /// Runs one cargo command and tells whether it succeeded.
 fn run_cargo(arguments: &[&str]) -> bool {
     println!("cargo {}", arguments.join(" "));
--- /dev/null
+++ b/tools/ci/src/platform_words.rs
@@ -0,0 +1,76 @@
+//! Keeps the words of the users' platform inside the adapter.
+//!
+//! A name of the platform that stands elsewhere ties code to it that should not know it; with a
+//! second platform both would have to change.
+
+use std::{
+    fs,
+    io,
+    path::{
+        Path,
+        PathBuf, //
+    }, //
+};
+
+/// The list of words, beside the adapter.
+pub(crate) const WORDS_PATH: &str = "platform/words.txt";
+
+/// Folders that may hold the words, or no source of ours.
+const FREE_FOLDERS: [&str; 5] = ["platform", "deploy", "target", "journal", ".git"];
+
+/// A word where it must not stand.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct StrayWord {
+    pub(crate) path: PathBuf,
+    pub(crate) line: usize,
+    pub(crate) word: String,
+}
+
+/// The words of a list: a line each, without comments.
+pub(crate) fn read_words(text: &str) -> Vec<String> {
+    let lines = text.lines().map(str::trim);
+    let words = lines.filter(|line| !line.is_empty() && !line.starts_with('#'));
+    words.map(str::to_owned).collect()
+}
+
+/// Finds the words in one file's text, whatever their case.
+pub(crate) fn find_in(path: &Path, text: &str, words: &[String]) -> Vec<StrayWord> {
+    let mut found = Vec::new();
+    for (index, line) in text.lines().enumerate() {
+        let lower = line.to_ascii_lowercase();
+        for word in words {
+            if lower.contains(&word.to_ascii_lowercase()) {
+                found.push(StrayWord {
+                    path: path.to_owned(),
+                    line: index + 1,
+                    word: word.clone(),
+                });
+            }
+        }
+    }
+    found
+}
+
+/// Finds the words in all Rust sources below `root`, but for the free folders.
+pub(crate) fn find_below(root: &Path, words: &[String]) -> io::Result<Vec<StrayWord>> {
+    let mut found = Vec::new();
+    let mut folders = vec![root.to_owned()];
+    while let Some(folder) = folders.pop() {
+        for entry in fs::read_dir(&folder)? {
+            let path = entry?.path();
+            let name = path.file_name().and_then(|name| name.to_str());
+            let is_free = folder == root && name.is_some_and(|name| FREE_FOLDERS.contains(&name));
+            let is_own_list = path.ends_with("tools/ci/src/tests.rs");
+            if is_free || is_own_list {
+                continue;
+            }
+            if path.is_dir() {
+                folders.push(path);
+            } else if path.extension().is_some_and(|extension| extension == "rs") {
+                let text = fs::read_to_string(&path)?;
+                found.extend(find_in(&path, &text, words));
+            }
+        }
+    }
+    Ok(found)
+}
