--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -56,6 +56,8 @@
     Change(ChangeOptions),
     /// Gather the time line of events from all nodes that can be reached.
     Timeline(TimelineOptions),
+    /// Print one request's way through the log files of edges, in the order of time.
+    Explain(ExplainOptions),
     /// Make the certificates and keys with which nodes prove themselves to each other.
     Keys(KeyOptions),
     /// Run the decision bench: real decision code, small fakes, one seed.
@@ -75,6 +77,17 @@
     pub(crate) settings: PathBuf,
 }
 
+/// Which request to explain.
+#[derive(Debug, Args)]
+pub(crate) struct ExplainOptions {
+    /// Identity of the caller's attempt.
+    #[arg(value_name = "ID")]
+    pub(crate) request: String,
+    /// Log files, one of each process.
+    #[arg(value_name = "FILE", required = true)]
+    pub(crate) files: Vec<PathBuf>,
+}
+
 /// How to reach the fleet as an operator.
 #[derive(Debug)]
 #[derive(Args)]
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -1,13 +1,44 @@
 //! `check`: every fault of a settings file at once.
 
-use std::path::Path;
+use std::{
+    fs,
+    path::Path, //
+};
 
 use ragwortroad_settings::prelude::*;
 
 use crate::exit_status::ExitStatus;
 
 /// Checks the file and starts nothing.
+///
+/// The section `[vm]` tells the settings of an edge or a registry from those of a node.
 pub(crate) fn run(path: &Path) -> ExitStatus {
+    let is_forwarding =
+        fs::read_to_string(path).is_ok_and(|text| text.lines().any(|line| line.trim() == "[vm]"));
+    match is_forwarding {
+        true => check_forwarding(path),
+        false => check_node(path),
+    }
+}
+
+fn check_forwarding(path: &Path) -> ExitStatus {
+    match ForwardSettings::from_file(path) {
+        Ok(settings) => {
+            let role = match settings.control {
+                Some(_) => "is a registry",
+                None => "is an edge",
+            };
+            println!("{}: no faults; {} {role}", path.display(), settings.name);
+            ExitStatus::Done
+        }
+        Err(error) => {
+            eprintln!("{error}");
+            ExitStatus::BadInput
+        }
+    }
+}
+
+fn check_node(path: &Path) -> ExitStatus {
     match ProcessSettings::from_file(path) {
         Ok(settings) => {
             let role = if settings.is_member() {
--- /dev/null
+++ b/src/commands/explain.rs
@@ -0,0 +1,139 @@
+//! `explain`: one request's way through the log files of many processes.
+
+use std::{
+    fs::File,
+    io::{
+        self,
+        BufRead,
+        BufReader, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    }, //
+};
+
+use serde_json::{
+    Map,
+    Value, //
+};
+
+use crate::{
+    command_line::ExplainOptions,
+    exit_status::ExitStatus, //
+};
+
+/// Fields that every line has, and that say nothing of the request.
+const FRAME_FIELDS: [&str; 5] = ["timestamp", "level", "target", "message", "request"];
+
+/// One line about the request.
+struct RequestLine {
+    time: String,
+    file: String,
+    message: String,
+    /// What decided and what came of it, in the line's own order.
+    fields: Vec<(String, String)>,
+}
+
+/// What one file has.
+#[derive(Default)]
+struct FileReading {
+    lines: Vec<RequestLine>,
+    /// Lines that are no JSON object.
+    unreadable: usize,
+}
+
+/// Prints the lines of a request in the order of their time.
+///
+/// A bench may put the time and the process's name before each object; what stands before the
+/// first brace is passed over.
+pub(crate) fn run(options: &ExplainOptions) -> ExitStatus {
+    let mut lines = Vec::new();
+    let mut silent = Vec::new();
+    for path in &options.files {
+        match read_file(path, &options.request) {
+            Ok(reading) => {
+                if reading.unreadable > 0 {
+                    let count = reading.unreadable;
+                    println!("{}: {count} lines cannot be read", path.display());
+                }
+                if reading.lines.is_empty() {
+                    silent.push(path);
+                }
+                lines.extend(reading.lines);
+            }
+            Err(error) => {
+                eprintln!("{}: {error}; name a log file of a process", path.display());
+                return ExitStatus::Unusable;
+            }
+        }
+    }
+    lines.sort_by(|left, right| left.time.cmp(&right.time));
+    for line in &lines {
+        print_line(line);
+    }
+    print_silent(&silent);
+    match lines.is_empty() {
+        true => {
+            println!("no file has the request {}", options.request);
+            ExitStatus::Failed
+        }
+        false => ExitStatus::Done,
+    }
+}
+
+fn print_line(line: &RequestLine) {
+    println!("{} {}: {}", line.time, line.file, line.message);
+    for (name, value) in &line.fields {
+        println!("    {name} = {value}");
+    }
+}
+
+fn print_silent(silent: &[&PathBuf]) {
+    if !silent.is_empty() {
+        let names: Vec<String> = silent.iter().map(|path| file_name(path)).collect();
+        println!("nothing in {}", names.join(", "));
+    }
+}
+
+fn read_file(path: &Path, request: &str) -> io::Result<FileReading> {
+    let mut reading = FileReading::default();
+    for line in BufReader::new(File::open(path)?).split(b'\n') {
+        let bytes = line?;
+        let text = String::from_utf8_lossy(&bytes);
+        let Some(begin) = text.find('{') else {
+            reading.unreadable += usize::from(!text.trim().is_empty());
+            continue;
+        };
+        match serde_json::from_str::<Map<String, Value>>(&text[begin..]) {
+            Ok(object) => {
+                let is_it = object.get("request").and_then(Value::as_str) == Some(request);
+                if is_it {
+                    reading.lines.push(to_line(path, &object));
+                }
+            }
+            Err(_) => reading.unreadable += 1,
+        }
+    }
+    Ok(reading)
+}
+
+fn to_line(path: &Path, object: &Map<String, Value>) -> RequestLine {
+    let text = |name: &str| object.get(name).and_then(Value::as_str).unwrap_or("?");
+    let own = object
+        .iter()
+        .filter(|(name, _)| !FRAME_FIELDS.contains(&name.as_str()));
+    RequestLine {
+        time: text("timestamp").to_owned(),
+        file: file_name(path),
+        message: text("message").to_owned(),
+        fields: own
+            .map(|(name, value)| (name.clone(), value.to_string()))
+            .collect(),
+    }
+}
+
+fn file_name(path: &Path) -> String {
+    let name = path.file_name().unwrap_or(path.as_os_str());
+    name.to_string_lossy().into_owned()
+}
--- a/src/commands/forward.rs
+++ b/src/commands/forward.rs
@@ -29,6 +29,7 @@
         Signals, //
     }, //
 };
+use tracing_appender::non_blocking::ErrorCounter;
 
 use crate::{
     exit_status::ExitStatus,
@@ -114,7 +115,8 @@
             return ExitStatus::BadInput;
         }
     };
-    let _log = start_process_log(&settings.log);
+    // Dropped last, so that the last lines are written.
+    let (_log, dropped) = start_process_log(&settings.log);
     // Taken over before the first thread starts, so that no signal falls between.
     let signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
         Ok(signals) => signals,
@@ -137,7 +139,12 @@
     let first = settings.clone();
     let watch = |tell: TellNews| {
         let signals = signals.borrow_mut().take();
-        start_watch(signals, watched.clone(), first.clone(), tell)
+        let watched = WatchedFile {
+            path: watched.clone(),
+            known: first.clone(),
+            dropped: dropped.clone(),
+        };
+        start_watch(signals, watched, tell)
     };
     let (ended, watching) = body(settings, page, &watch);
     watching.join();
@@ -154,12 +161,7 @@
     }
 }
 
-fn start_watch(
-    signals: Option<Signals>,
-    path: PathBuf,
-    settings: ForwardSettings,
-    tell: TellNews,
-) -> ProcessWatch {
+fn start_watch(signals: Option<Signals>, mut watched: WatchedFile, tell: TellNews) -> ProcessWatch {
     let Some(mut signals) = signals else {
         unreachable!("a process starts its watch once");
     };
@@ -181,7 +183,6 @@
         }
     });
     let watch_file = thread::spawn(move || {
-        let mut known = settings;
         loop {
             let ended = flume::Selector::new()
                 .recv(&looking, |_| true)
@@ -190,11 +191,11 @@
             if ended == Ok(true) {
                 return;
             }
-            if let Some(changed) = read_changed(&path, &known) {
-                known = changed.clone();
-                if news.send(ProcessNews::Reload(Box::new(changed))).is_err() {
-                    return;
-                }
+            watched.count_dropped();
+            let changed = watched.read_changed();
+            let reload = changed.map(|settings| ProcessNews::Reload(Box::new(settings)));
+            if reload.is_some_and(|reload| news.send(reload).is_err()) {
+                return;
             }
         }
     });
@@ -212,20 +213,40 @@
     }
 }
 
-/// The settings, if the file holds others than those known.
-fn read_changed(path: &Path, known: &ForwardSettings) -> Option<ForwardSettings> {
-    let bytes = match fs::read(path) {
-        Ok(bytes) => bytes,
-        Err(error) => {
-            tracing::warn!(%error, "the settings cannot be read; the known ones stay in force");
-            return None;
-        }
-    };
-    match ForwardSettings::from_bytes(&bytes) {
-        Ok(settings) => (settings != *known).then_some(settings),
-        Err(faults) => {
-            tracing::warn!(%faults, "the settings have faults; the known ones stay in force");
-            None
+/// A settings file that is looked at from time to time, and what is looked at beside it.
+struct WatchedFile {
+    path: PathBuf,
+    known: ForwardSettings,
+    /// Log lines that nobody read in time.
+    dropped: ErrorCounter,
+}
+
+impl WatchedFile {
+    /// The settings, if the file holds others than those known.
+    fn read_changed(&mut self) -> Option<ForwardSettings> {
+        let bytes = match fs::read(&self.path) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                tracing::warn!(%error, "the settings cannot be read; the known ones stay in force");
+                return None;
+            }
+        };
+        match ForwardSettings::from_bytes(&bytes) {
+            Ok(settings) if settings == self.known => None,
+            Ok(settings) => {
+                self.known = settings.clone();
+                Some(settings)
+            }
+            Err(faults) => {
+                tracing::warn!(%faults, "the settings have faults; the known ones stay in force");
+                None
+            }
         }
     }
+
+    /// Brings the metric of lost log lines up to date.
+    fn count_dropped(&self) {
+        let lines = self.dropped.dropped_lines() as u64;
+        metrics::counter!(metric_names::DROPPED_LINES).absolute(lines);
+    }
 }
--- a/src/log_output.rs
+++ b/src/log_output.rs
@@ -4,6 +4,7 @@
 
 use ragwortroad_settings::prelude::*;
 use tracing_appender::non_blocking::{
+    ErrorCounter,
     NonBlockingBuilder,
     WorkerGuard, //
 };
@@ -18,11 +19,13 @@
 /// Sends the log of an edge or a registry to standard output, a JSON object a line.
 ///
 /// Lines are written by a thread of their own; the guard writes the last ones when it is dropped.
-pub(crate) fn start_process_log(settings: &LogSettings) -> WorkerGuard {
+/// The counter tells how many were dropped because nobody read them in time.
+pub(crate) fn start_process_log(settings: &LogSettings) -> (WorkerGuard, ErrorCounter) {
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(WAITING_LINES)
         .lossy(true)
         .finish(io::stdout());
+    let counter = writer.error_counter();
     let filter = EnvFilter::try_new(&settings.level).unwrap_or_else(|_| EnvFilter::new("info"));
     let started = tracing_subscriber::fmt()
         .with_env_filter(filter)
@@ -35,7 +38,7 @@
     if let Err(error) = started {
         eprintln!("the log could not be started: {error}");
     }
-    guard
+    (guard, counter)
 }
 
 /// Sends the log of this process to standard error, as the settings say.
--- /dev/null
+++ b/tests/forward_settings.rs
@@ -0,0 +1,57 @@
+//! Settings of edges and registries, as the template fills them in.
+
+use ragwortroad_settings::prelude::*;
+
+/// The template with values as on an edge; what an edge does not serve stays empty.
+fn filled(control: &str) -> String {
+    let template = include_str!("../deploy/settings.ini");
+    let values = [
+        ("{{node}}", "front-a-1"),
+        ("{{zone}}", "a"),
+        ("{{ip}}", "10.1.0.40"),
+        ("{{innerPortRange.0}}", "7340"),
+        ("{{seeds}}", "10.1.0.43:8229,10.2.0.32:8229"),
+        ("{{bootstrap}}", "true"),
+        ("{{listen.front}}", "10.1.0.40:8227"),
+        ("{{listen.ready}}", "10.1.0.40:8220"),
+        ("{{listen.control}}", control),
+        ("{{listen.directory}}", ""),
+        ("{{dataDir}}", ""),
+        ("{{heartbeatMs}}", "1200"),
+        ("{{bounds.graceS}}", "8"),
+        ("{{bounds.ttl_max_s}}", "5"),
+        ("{{bounds.retryBudgetRatio}}", "0.2"),
+        ("{{bounds.budgetSlack}}", "58"),
+        ("{{bounds.budgetWindowS}}", "10"),
+        ("{{bounds.capFactor}}", "2"),
+    ];
+    let fill = |text: String, (name, value): (&str, &str)| text.replace(name, value);
+    values.into_iter().fold(template.to_owned(), fill)
+}
+
+#[test]
+fn the_filled_template_has_no_faults() {
+    let text = filled("");
+    assert!(!text.contains("{{"), "{text}");
+    let settings = ForwardSettings::from_bytes(text.as_bytes()).expect("no faults");
+    assert_eq!(settings.seeds.len(), 2);
+    assert_eq!(settings.control, None);
+    assert_eq!(settings.grace.as_secs(), 8);
+    assert_eq!(settings.retry_slack, 58.0);
+    assert!(settings.first_start);
+}
+
+/// An operator's editor writes a byte order mark, or a value is mistyped. The mark is no fault; each
+/// fault is named with its key.
+#[test]
+fn a_mark_is_accepted_and_faults_are_named() {
+    let marked = format!("\u{feff}{}", filled("10.1.0.40:8229"));
+    assert!(ForwardSettings::from_bytes(marked.as_bytes()).is_ok());
+    let faulty = filled("nowhere").replace("grace_ms = 8000", "grace_ms = soon");
+    let faults = ForwardSettings::from_bytes(faulty.as_bytes()).expect_err("two faults");
+    let text = faults.to_string();
+    assert!(
+        text.contains("registry.control") && text.contains("bounds.grace_ms"),
+        "{text}"
+    );
+}
