--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -109,6 +109,7 @@
             CoreInput::PersistFailed => self.fail(),
             CoreInput::SnapshotTaken { index, bytes } => self.take_snapshot(index, bytes),
             CoreInput::ChangeMember { token, change } => self.change_member(token, &change, now),
+            CoreInput::PeerReached { member } => self.send_lost(member, now),
             CoreInput::HandOver => self.hand_over(now),
             CoreInput::TrustDisk => self.check = RestartCheck::skipped(),
         }
--- a/crates/ragwortroad_consensus/src/core_input.rs
+++ b/crates/ragwortroad_consensus/src/core_input.rs
@@ -1,5 +1,6 @@
 use crate::{
     MemberChange,
+    MemberId,
     PeerFrame, //
 };
 
@@ -43,6 +44,11 @@
         /// The step.
         change: MemberChange,
     },
+    /// A new connection to a member: what was under way on the one before it may be lost.
+    PeerReached {
+        /// The member.
+        member: MemberId,
+    },
     /// Hand over the leadership, before this process stops.
     HandOver,
     /// An operator declares that the data folder was not rolled back.
--- a/crates/ragwortroad_consensus/src/replicating.rs
+++ b/crates/ragwortroad_consensus/src/replicating.rs
@@ -208,6 +208,21 @@
         }
     }
 
+    /// Sends again at once what a broken connection may have lost on its way to `member`.
+    ///
+    /// Where nothing is lost while a connection lasts, sending again is for this case only, and its
+    /// time may be long; without this a member that has just come back would wait that time.
+    pub(crate) fn send_lost(&mut self, member: MemberId, now: ClockTime) {
+        let last = self.log.last().index;
+        let Some(progress) = self.progress_mut(member) else {
+            return;
+        };
+        if progress.in_flight > 0 || progress.match_index < last {
+            progress.send_again();
+            self.send_entries(member, now);
+        }
+    }
+
     fn progress_mut(&mut self, member: MemberId) -> Option<&mut MemberProgress> {
         self.leading_mut()?.progress.get_mut(&member)
     }
--- a/crates/ragwortroad_consensus/tests/by_hand/main.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/main.rs
@@ -205,3 +205,25 @@
     other.take(hello(2, true));
     assert_eq!(other.step(), FoundingStep::Follow);
 }
+
+/// The connection to a member breaks while an entry is on its way, and is there again a moment
+/// later. Where entries are sent again only after a long time, since connections lose nothing while
+/// they last, the member would miss what is accepted until then, and tell others what is old.
+#[test]
+fn a_new_connection_brings_what_the_old_one_lost() {
+    let mut group = HandGroup::new(3, CoreSettings::default());
+    group.wait(0, 3);
+    assert!(group.core(0).is_leader());
+    group.propose(0, b"change");
+    group.carry(|_, _, to| to != 2);
+    assert_eq!(group.members[0].applied, [b"change".to_vec()]);
+    let behind = group.core(2).last_position().index;
+    assert!(behind < group.core(0).last_position().index);
+    let member = member_id(2);
+    group.input(0, CoreInput::PeerReached { member });
+    group.carry(|_, _, _| true);
+    assert_eq!(group.core(2).last_position(), group.core(0).last_position());
+    // To a member that lacks nothing, nothing is sent.
+    group.input(0, CoreInput::PeerReached { member });
+    assert!(group.hold(0, 2).is_empty());
+}
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -62,7 +62,13 @@
     pub(crate) fn reach_peer(&mut self, peer: SocketAddr, queue: LinkQueue, now: ClockTime) {
         let hello = self.own_hello(now);
         queue.send(&LinkMessage::MemberHello(hello));
-        self.peers.entry(peer).or_default().queue = Some(queue);
+        let entry = self.peers.entry(peer).or_default();
+        entry.queue = Some(queue);
+        let hello = entry.hello.as_ref();
+        if let Some(member) = hello.and_then(|(hello, _)| hello.member).map(MemberId) {
+            let effects = self.seat.handle(CoreInput::PeerReached { member }, now);
+            self.carry_out(effects, now);
+        }
     }
 
     fn own_hello(&self, now: ClockTime) -> MemberHello {
@@ -143,10 +149,18 @@
             self.learn_peer(peer);
         }
         let effects = self.seat.take_hello(&hello, now);
+        let mut is_first = false;
+        let member = hello.member.map(MemberId);
         if let Some(entry) = self.peers.get_mut(&hello.address) {
+            is_first = entry.hello.is_none();
             entry.hello = Some((hello, now));
         }
         self.carry_out(effects, now);
+        // Until its first word nobody knew which member is reached there.
+        if let Some(member) = member.filter(|_| is_first) {
+            let effects = self.seat.handle(CoreInput::PeerReached { member }, now);
+            self.carry_out(effects, now);
+        }
     }
 
     fn take_frame(&mut self, bytes: &[u8], now: ClockTime) {
