Trust disks on the platform; tell the fleet once a second at the most

Cause: after a common loss of power each member first asked most others what they know, for a disk restored from a backup; disks there keep what was synced or come back empty, so the platform's settings say that they can be trusted (new key, off by default). A change of the number of edges was told to all of them at once, 65 times at a start.

--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -44,6 +44,12 @@
 /// edges, that took a registry's twentieth of a core 0.3 s in which it could not vote.
 const NEWS_EVERY: Duration = Duration::from_millis(40);
 
+/// Time between two tellings of the fleet's registries and number of edges.
+///
+/// After a common restart the number changes with each edge that connects; told each time, 65 edges
+/// cost a registry 650 messages a second when it has most to do.
+const FLEET_EVERY: Duration = Duration::from_secs(1);
+
 /// Time between two tellings of new places of texts to the edges.
 ///
 /// Passed on one by one, those of 64 edges filled a registry's link of 4 Mbit/s, and what is urgent
@@ -183,6 +189,10 @@
         metrics::gauge!(metric_names::EDGES).set(self.edges.len() as f64);
         let version = self.seat.register().version().unwrap_or(0);
         metrics::gauge!(metric_names::CONFIG_VERSION).set(version as f64);
+        if now < self.fleet_at {
+            return;
+        }
+        self.fleet_at = now.after(FLEET_EVERY);
         let message = self.fleet_message(now);
         if self.told_fleet.as_ref() != Some(&message) {
             self.tell_edges(&message);
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -147,7 +147,7 @@
     let seat = GroupSeat::new(SeatStart {
         node: node_at(settings.inner),
         founders: founders_of(&settings),
-        settings: core_settings(),
+        settings: core_settings(&settings),
         disk,
         start: clock.wall_ms(),
         seed: random(),
@@ -261,8 +261,9 @@
         .collect()
 }
 
-fn core_settings() -> CoreSettings {
+fn core_settings(settings: &ForwardSettings) -> CoreSettings {
     CoreSettings {
+        trust_disk: settings.trust_disk,
         election_timeout: ELECTION_TIMEOUT,
         heartbeat_every: HEARTBEAT_EVERY,
         resend_after: RESEND_AFTER,
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -75,6 +75,7 @@
     pub(crate) places_at: ClockTime,
     /// What edges were told last of the fleet.
     pub(crate) told_fleet: Option<LinkMessage>,
+    pub(crate) fleet_at: ClockTime,
     /// Whether the process is to stop.
     pub(crate) is_stopping: bool,
 }
@@ -108,6 +109,7 @@
             new_places: Vec::new(),
             places_at: now,
             told_fleet: None,
+            fleet_at: now,
             is_stopping: false,
         };
         state.learn_seeds();
--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -53,6 +53,11 @@
     pub data_folder: Option<PathBuf>,
     /// Bytes that the data folder may take.
     pub data_quota: Option<u64>,
+    /// Whether a disk is never older than what was synced to it, also after a loss of power.
+    ///
+    /// Without it a member whose VM has restarted first asks the others what they know, for its
+    /// disk may have been restored from a backup; after a common loss of power all wait for most.
+    pub trust_disk: bool,
     /// Time between two announcements of an endpoint.
     pub announce_every: Duration,
     /// Time from the request to stop until the process is ended by force.
@@ -87,6 +92,7 @@
             metrics: None,
             data_folder: None,
             data_quota: None,
+            trust_disk: false,
             announce_every: Duration::from_secs(1),
             grace: Duration::from_secs(8),
             directory_life: Duration::from_secs(5),
@@ -125,6 +131,7 @@
         let address = "10.0.0.7:8080";
         let inner = reader.required_value("vm", "inner", address);
         let first_start = reader.optional_value("vm", "first_start", "false");
+        let trust_disk = reader.optional_value("registry", "trust_disk", "false");
         let span = |reader: &mut SettingsReader<'_>, key, value| {
             reader.span("bounds", key, value, (1, 3_600_000))
         };
@@ -144,6 +151,7 @@
                 .filter(|text| !text.is_empty())
                 .map(PathBuf::from),
             data_quota: reader.optional_value("registry", "data_quota_bytes", "134217728"),
+            trust_disk: trust_disk.unwrap_or(false),
             announce_every: span(reader, "announce_every_ms", default.announce_every),
             grace: span(reader, "grace_ms", default.grace),
             directory_life: span(reader, "directory_life_ms", default.directory_life),
