Add a soak of the real programs as separate processes

Registries and edges are killed, paused, stopped, started again and lose their disks, all registries at once too, from a seed, while callers, endpoints and an operator go on and check what they see. Not yet: a proxy that delays, resets or silences connections, clocks and storage that misbehave.

--- /dev/null
+++ b/tests/soak/main.rs
@@ -0,0 +1,306 @@
+//! A randomized soak of the real programs as separate processes, with faults from outside.
+//!
+//! One short seed runs in CI. By hand, with fresh seeds and longer:
+//! `SOAK_SEED=100 SOAK_SEEDS=50 SOAK_SECONDS=30 cargo test --release --test soak -- --nocapture`.
+//! The logs of a run that fails stay; their folder is printed.
+
+#[allow(dead_code, reason = "the whole path uses more of it")]
+#[path = "../../platform/tests/whole_path/caller.rs"]
+mod caller;
+#[path = "../../platform/tests/whole_path/document.rs"]
+mod document;
+mod processes;
+#[allow(dead_code, reason = "the whole path uses more of it")]
+#[path = "../../platform/tests/whole_path/replica.rs"]
+mod replica;
+
+use std::{
+    env,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    },
+};
+
+use caller::send;
+use document::{
+    announcement,
+    open_document,
+    version_of, //
+};
+use processes::{
+    SoakProcess,
+    make_processes, //
+};
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
+use replica::{
+    EVENTS,
+    Replica, //
+};
+use rustix::process::Signal;
+
+/// Longest time for the fleet to serve again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(30);
+
+/// What the threads of one run share.
+struct SoakRun {
+    is_over: AtomicBool,
+    edges: Vec<SocketAddr>,
+    registries: Vec<SocketAddr>,
+    replicas: [Replica; 2],
+    /// Highest version that an operator was told is accepted.
+    acked: AtomicU64,
+    next_call: AtomicU64,
+    served: AtomicU64,
+    /// Promises that were broken.
+    broken: Mutex<Vec<String>>,
+}
+
+impl SoakRun {
+    fn note(&self, text: String) {
+        println!("broken: {text}");
+        self.broken.lock().expect("no thread panicked").push(text);
+    }
+
+    fn runs(&self, path: &str) -> usize {
+        self.replicas.iter().map(|replica| replica.runs(path)).sum()
+    }
+
+    /// A caller: each call has an id and a path of its own, so that its runs can be counted.
+    fn call(&self, rng: &mut Pcg64Mcg) {
+        let call = self.next_call.fetch_add(1, Ordering::SeqCst);
+        let (kind, deed) = [
+            ("safe", "ok"),
+            ("safe", "crossed"),
+            ("unsafe", "ok"),
+            ("unsafe", "lost"),
+            ("unsafe", "short"),
+            ("resumable", "breaking"),
+            ("once", "stream"),
+        ][rng.random_range(0..7)];
+        let path = format!("/{kind}/{call}/{deed}");
+        let edge = self.edges[rng.random_range(0..self.edges.len())];
+        let id = format!("call-{call}");
+        let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "3000")];
+        let answer = send(edge, &format!("POST {path}"), &headers, b"words");
+        if answer.status == 200 && answer.is_whole {
+            self.served.fetch_add(1, Ordering::SeqCst);
+            self.check_body(kind, &path, &answer.text());
+        }
+        let is_once = kind == "unsafe" || kind == "once";
+        let runs = self.runs(&path);
+        if is_once && runs > 1 {
+            self.note(format!("{path} ran {runs} times"));
+        }
+        if is_once && answer.status == 503 && answer.is_whole && runs > 0 {
+            self.note(format!("{path} was said not to have run, and ran"));
+        }
+    }
+
+    fn check_body(&self, kind: &str, path: &str, text: &str) {
+        let is_right = match kind {
+            "resumable" | "once" => {
+                let ids = text.lines().filter_map(|line| line.strip_prefix("id: "));
+                ids.eq((1..=EVENTS).map(|event| event.to_string()))
+            }
+            _ => text.ends_with("answers"),
+        };
+        if !is_right {
+            self.note(format!("{path} was answered with {text:?}"));
+        }
+    }
+
+    /// An operator: declares the next version somewhere, and reads somewhere.
+    fn operate(&self, version: u64, rng: &mut Pcg64Mcg) {
+        let at = |rng: &mut Pcg64Mcg| self.registries[rng.random_range(0..self.registries.len())];
+        let document = open_document(version);
+        let answer = send(at(rng), "PUT /config", &[], document.as_bytes());
+        match answer.status {
+            200 => {
+                self.acked.fetch_max(version, Ordering::SeqCst);
+            }
+            status @ 400..=499 => self.note(format!("version {version} was refused: {status}")),
+            _ => {}
+        }
+        let acked = self.acked.load(Ordering::SeqCst);
+        let read = send(at(rng), "GET /config", &[], b"");
+        let found = version_of(&read.text());
+        if read.status == 200 && read.is_whole && found < Some(acked) {
+            self.note(format!("read {found:?} after {acked} was accepted"));
+        }
+    }
+
+    /// The endpoints announce themselves, each at the next registry that takes it.
+    fn announce(&self, sequence: u64) {
+        for replica in &self.replicas {
+            let (line, body) = announcement(&replica.name, &replica.address.to_string(), sequence);
+            self.registries
+                .iter()
+                .any(|registry| send(*registry, &line, &[], body.as_bytes()).status == 200);
+        }
+    }
+}
+
+/// Does one thing to one process and leaves it running again, or brings all down at once.
+fn disturb(registries: &mut [SoakProcess], edges: &mut [SoakProcess], rng: &mut Pcg64Mcg) {
+    let pause = Duration::from_millis(rng.random_range(50..1500));
+    let registry = rng.random_range(0..registries.len());
+    let edge = rng.random_range(0..edges.len());
+    match rng.random_range(0..7) {
+        0 => restart(&mut registries[registry], pause, SoakProcess::kill),
+        1 => restart(&mut registries[registry], pause, |process| {
+            process.kill();
+            process.wipe();
+        }),
+        2 => restart(&mut edges[edge], pause, SoakProcess::kill),
+        3 => freeze(&registries[registry], pause * 2),
+        4 => freeze(&edges[edge], pause),
+        5 => restart(&mut edges[edge], pause, |process| {
+            process.signal(Signal::TERM);
+            // It ends within its grace time.
+            while !process.has_ended() {
+                thread::sleep(Duration::from_millis(20));
+            }
+        }),
+        _ => {
+            registries.iter_mut().for_each(SoakProcess::kill);
+            thread::sleep(pause);
+            registries.iter_mut().for_each(SoakProcess::start);
+            // A disk may be lost next, and the others must have what it had by then.
+            thread::sleep(Duration::from_secs(3));
+        }
+    }
+}
+
+fn restart(process: &mut SoakProcess, pause: Duration, end: impl Fn(&mut SoakProcess)) {
+    let is_counted = process.data.is_some();
+    end(process);
+    thread::sleep(pause);
+    process.start();
+    if is_counted {
+        // Only one registry may be lost at a time, and it counts until it has caught up.
+        thread::sleep(Duration::from_secs(4));
+    }
+}
+
+fn freeze(process: &SoakProcess, pause: Duration) {
+    process.signal(Signal::STOP);
+    thread::sleep(pause);
+    process.signal(Signal::CONT);
+}
+
+/// Plays one seed; returns what was broken.
+fn soak(seed: u64, span: Duration) -> Vec<String> {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut registries, mut edges) = make_processes(folder.path());
+    let run = SoakRun {
+        is_over: AtomicBool::new(false),
+        edges: edges.iter().map(|edge| edge.address).collect(),
+        registries: registries.iter().map(|registry| registry.address).collect(),
+        replicas: [Replica::start("i-one"), Replica::start("i-two")],
+        acked: AtomicU64::new(0),
+        next_call: AtomicU64::new(0),
+        served: AtomicU64::new(0),
+        broken: Mutex::new(Vec::new()),
+    };
+    registries.iter_mut().for_each(SoakProcess::start);
+    edges.iter_mut().for_each(SoakProcess::start);
+    thread::scope(|scope| {
+        for caller in 0..4 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + caller);
+            let run = &run;
+            scope.spawn(move || {
+                while !run.is_over.load(Ordering::SeqCst) {
+                    run.call(&mut rng);
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 50);
+        let run = &run;
+        scope.spawn(move || {
+            let mut version = 0;
+            while !run.is_over.load(Ordering::SeqCst) {
+                version += rng.random_range(1..4);
+                run.operate(version, &mut rng);
+                thread::sleep(Duration::from_millis(100));
+            }
+        });
+        scope.spawn(move || {
+            let mut sequence = 0;
+            while !run.is_over.load(Ordering::SeqCst) {
+                sequence += 1;
+                run.announce(sequence);
+                thread::sleep(Duration::from_millis(400));
+            }
+        });
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        let begun = Instant::now();
+        thread::sleep(Duration::from_secs(2));
+        while begun.elapsed() < span {
+            disturb(&mut registries, &mut edges, &mut rng);
+        }
+        check_recovery(run);
+        run.is_over.store(true, Ordering::SeqCst);
+    });
+    let served = run.served.load(Ordering::SeqCst);
+    let acked = run.acked.load(Ordering::SeqCst);
+    println!("seed {seed}: {served} served, version {acked} accepted");
+    let broken = run.broken.into_inner().expect("no thread panicked");
+    if !broken.is_empty() {
+        println!("logs of seed {seed}: {}", folder.keep().display());
+    }
+    broken
+}
+
+/// After the last fault every edge serves and the configuration can be read again.
+fn check_recovery(run: &SoakRun) {
+    let begun = Instant::now();
+    let serves = |edge: &SocketAddr| {
+        let headers = [("X-Request-Id", "recovery"), ("X-Deadline-Ms", "2000")];
+        send(*edge, "POST /safe/recovery/ok", &headers, b"").status == 200
+    };
+    let reads = || send(run.registries[0], "GET /config", &[], b"").status == 200;
+    while !(run.edges.iter().all(serves) && reads()) {
+        if begun.elapsed() > RECOVERY {
+            run.note(format!("no service {RECOVERY:?} after the last fault"));
+            return;
+        }
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+fn number(name: &str, default: u64) -> u64 {
+    let text = env::var(name).ok();
+    text.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+/// Processes are killed, paused, stopped and started again, and lose their disks, while callers,
+/// endpoints and an operator go on. No caller may get anything but its own whole answer, no call
+/// that must run once may run twice or run after it was said not to have, no accepted
+/// configuration may be lost, and in the end all must be served again.
+#[test]
+fn promises_hold_while_processes_come_and_go() {
+    let first = number("SOAK_SEED", 1);
+    let span = Duration::from_secs(number("SOAK_SECONDS", 15));
+    let mut broken = Vec::new();
+    for seed in first..first + number("SOAK_SEEDS", 1) {
+        let found = soak(seed, span);
+        broken.extend(found.into_iter().map(|text| format!("seed {seed}: {text}")));
+    }
+    assert!(broken.is_empty(), "{broken:#?}");
+}
--- /dev/null
+++ b/tests/soak/processes.rs
@@ -0,0 +1,156 @@
+//! The fleet's real processes, and what is done to them from outside.
+
+use std::{
+    fs::{
+        self,
+        File, //
+    },
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr,
+        TcpListener, //
+    },
+    path::{
+        Path,
+        PathBuf, //
+    },
+    process::{
+        Child,
+        Command,
+        Stdio, //
+    },
+};
+
+use rustix::process::{
+    Pid,
+    Signal,
+    kill_process, //
+};
+
+/// One process of the fleet.
+pub(crate) struct SoakProcess {
+    role: &'static str,
+    settings: PathBuf,
+    /// Where it keeps what must survive, if it is a registry.
+    pub(crate) data: Option<PathBuf>,
+    log: PathBuf,
+    child: Option<Child>,
+    /// Where it is reached: callers at an edge, operators at a registry.
+    pub(crate) address: SocketAddr,
+}
+
+impl SoakProcess {
+    /// Starts it, unless it runs.
+    pub(crate) fn start(&mut self) {
+        if self.child.is_some() {
+            return;
+        }
+        let log = File::options().create(true).append(true).open(&self.log);
+        let child = Command::new(env!("CARGO_BIN_EXE_ragwortroad"))
+            .args([self.role, "--settings"])
+            .arg(&self.settings)
+            .stdout(Stdio::from(log.expect("a log file")))
+            .stderr(Stdio::null())
+            .spawn();
+        self.child = Some(child.expect("starts"));
+    }
+
+    /// Sends it a signal, if it runs.
+    pub(crate) fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().map(Child::id);
+        let id = id.and_then(|id| Pid::from_raw(id as i32));
+        if let Some(Err(error)) = id.map(|id| kill_process(id, signal)) {
+            println!("{}: {error}", self.log.display());
+        }
+    }
+
+    /// Ends it by force and waits for its end.
+    pub(crate) fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            child.kill().expect("it is ours");
+            child.wait().expect("it ends");
+        }
+    }
+
+    /// Whether it has ended by itself; it can be started again then.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        let ended = self.child.as_mut().is_none_or(|child| {
+            let status = child.try_wait().expect("it is ours");
+            status.is_some()
+        });
+        if ended {
+            self.child = None;
+        }
+        ended
+    }
+
+    /// Takes its disk away.
+    pub(crate) fn wipe(&mut self) {
+        if let Some(data) = &self.data {
+            fs::remove_dir_all(data).expect("a folder");
+            let text = fs::read_to_string(&self.settings).expect("its settings");
+            let text = text.replace("first_start = true", "first_start = false");
+            fs::write(&self.settings, text).expect("its settings");
+        }
+    }
+}
+
+impl Drop for SoakProcess {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// Three registries and two edges, with addresses of their own and files below `folder`.
+pub(crate) fn make_processes(folder: &Path) -> (Vec<SoakProcess>, Vec<SoakProcess>) {
+    let net = (std::process::id() % 100) as u8 + 20;
+    let ip = |host| IpAddr::V4(Ipv4Addr::new(127, net, 200, host));
+    let ports: Vec<u16> = (0..4).map(|_| free_port(ip(1))).collect();
+    let at = |host, port: usize| SocketAddr::new(ip(host), ports[port]);
+    let seeds: Vec<String> = (1..=3).map(|host| at(host, 1).to_string()).collect();
+    let common = |host| {
+        format!(
+            "[vm]\nname = vm-{host}\nzone = a\ninner = {}\nseeds = {}\nfirst_start = true\n\
+             [bounds]\nannounce_every_ms = 500\ngrace_ms = 5000\nretry_slack = 400\n",
+            at(host, 0),
+            seeds.join(",")
+        )
+    };
+    let make = |host: u8, role, own: String, data: Option<PathBuf>, address| {
+        let settings = folder.join(format!("{role}-{host}.ini"));
+        fs::write(&settings, common(host) + &own).expect("a settings file");
+        SoakProcess {
+            role,
+            settings,
+            data,
+            log: folder.join(format!("{role}-{host}.log")),
+            child: None,
+            address,
+        }
+    };
+    let registry = |host| {
+        let data = folder.join(format!("data-{host}"));
+        let own = format!(
+            "[registry]\ncontrol = {}\ndirectory = {}\ndata_folder = {}\ntrust_disk = true\n",
+            at(host, 1),
+            at(host, 2),
+            data.display()
+        );
+        make(host, "registry", own, Some(data), at(host, 1))
+    };
+    let edge = |host| {
+        let own = format!(
+            "[edge]\ncallers = {}\nreadiness = {}\n",
+            at(host, 2),
+            at(host, 3)
+        );
+        make(host, "edge", own, None, at(host, 2))
+    };
+    ((1..=3).map(registry).collect(), (4..=5).map(edge).collect())
+}
+
+fn free_port(ip: IpAddr) -> u16 {
+    let listener = TcpListener::bind(SocketAddr::new(ip, 0)).expect("binds");
+    listener.local_addr().expect("an address").port()
+}
