Keep what edges are told to a part of a registry's link; pack large messages

Cause: what all edges are told grows with edges and endpoints at once.

Loads may take 0.3 of the link, places of texts 0.1, beyond that they come later; 300 endpoints are told of at once, the fullest first; messages of 1200 bytes or more are compressed.

--- a/crates/ragwortroad_dispatch/src/load_board.rs
+++ b/crates/ragwortroad_dispatch/src/load_board.rs
@@ -37,6 +37,10 @@
 /// what a registry's link carries with 65 edges.
 const TOLD_PART: f64 = 0.8;
 
+/// Endpoints told of at once, the fullest first: only those near the bound matter, and at thousands
+/// of endpoints and hundreds of edges the rest would fill a registry's link.
+const MAX_NEWS: usize = 300;
+
 /// What one edge has told one registry of its requests under way.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct CountReport {
@@ -131,6 +135,10 @@
                 news.push(LoadCount { endpoint, count });
             }
         }
+        if news.len() > MAX_NEWS {
+            news.sort_by_key(|change| std::cmp::Reverse(change.count));
+            news.truncate(MAX_NEWS);
+        }
         for change in &news {
             match change.count {
                 0 => self.told.remove(&change.endpoint),
--- a/crates/ragwortroad_link/src/lib.rs
+++ b/crates/ragwortroad_link/src/lib.rs
@@ -17,6 +17,7 @@
         config_step::ConfigStep,
         link_connection::{
             LinkQueue,
+            decode_message,
             dial_link,
             encode_message,
             run_link, //
--- a/crates/ragwortroad_link/src/link_connection.rs
+++ b/crates/ragwortroad_link/src/link_connection.rs
@@ -44,6 +44,8 @@
         DialSnafu,
         MeaninglessSnafu, //
     }, //
+    pack_document,
+    unpack_document,
 };
 
 /// The end of a connection that its user writes to.
@@ -91,10 +93,37 @@
     }
 }
 
+/// Bytes from which a message is compressed.
+///
+/// Records of endpoints repeat themselves: those of a thousand take a quarter, and after a common
+/// restart each edge is told all of them. Below a packet's size nothing is gained.
+const PACK_FROM: usize = 1200;
+
 /// A message as it goes into a frame.
 pub fn encode_message(message: &LinkMessage) -> Result<Bytes, LinkError> {
     let bytes = postcard::to_stdvec(message).context(MeaninglessSnafu)?;
-    Ok(bytes.into())
+    if bytes.len() < PACK_FROM {
+        return Ok(bytes.into());
+    }
+    let packed = pack_document(&bytes, None).context(BrokenSnafu)?;
+    let packed = LinkMessage::Packed(packed);
+    let packed = postcard::to_stdvec(&packed).context(MeaninglessSnafu)?;
+    // What is compressed already does not shrink.
+    match packed.len() < bytes.len() {
+        true => Ok(packed.into()),
+        false => Ok(bytes.into()),
+    }
+}
+
+/// The message in a frame.
+pub fn decode_message(frame: &[u8]) -> Result<LinkMessage, LinkError> {
+    match postcard::from_bytes(frame).context(MeaninglessSnafu)? {
+        LinkMessage::Packed(packed) => {
+            let bytes = unpack_document(&packed, None).context(BrokenSnafu)?;
+            postcard::from_bytes(&bytes).context(MeaninglessSnafu)
+        }
+        message => Ok(message),
+    }
 }
 
 /// Connects to another process.
@@ -156,7 +185,7 @@
             Ok(Some(Err(source))) => return LinkError::Broken { source },
             Ok(Some(Ok(frame))) => frame,
         };
-        match postcard::from_bytes(&frame) {
+        match decode_message(&frame) {
             Ok(LinkMessage::Word) => {
                 let answered = answers
                     .as_ref()
@@ -166,7 +195,7 @@
                 }
             }
             Ok(message) => on_message(message),
-            Err(source) => return LinkError::Meaningless { source },
+            Err(error) => return error,
         }
     }
 }
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -14,6 +14,8 @@
 pub enum LinkMessage {
     /// The dialling side is there; the other side answers with the same.
     Word,
+    /// Another message, compressed.
+    Packed(Vec<u8>),
     /// An edge presents itself; its first message.
     EdgeHello {
         /// Its name.
--- a/crates/ragwortroad_link/tests/documents.rs
+++ b/crates/ragwortroad_link/tests/documents.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Write;
 
+use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
 
 /// A configuration of `routes` routes whose names repeat nothing, with one timeout set apart.
@@ -22,6 +23,23 @@
     text.into_bytes()
 }
 
+/// A registry tells an edge of a thousand endpoints. Packed, they are the same, and take little.
+#[test]
+fn large_messages_are_packed_on_the_way() {
+    let news = (0..1000_u64).map(|index| {
+        let name = format!("i-{:x}", index.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24);
+        RegistryChange::Lost(name)
+    });
+    let message = LinkMessage::EndpointNews(news.collect());
+    let plain = postcard::to_stdvec(&message).expect("encodes").len();
+    let frame = encode_message(&message).expect("encodes");
+    assert!(frame.len() * 10 < plain * 8, "{} of {plain}", frame.len());
+    assert_eq!(decode_message(&frame).expect("decodes"), message);
+    let small = encode_message(&LinkMessage::Word).expect("encodes");
+    assert_eq!(decode_message(&small).expect("decodes"), LinkMessage::Word);
+    assert!(decode_message(&frame[..frame.len() / 2]).is_err());
+}
+
 #[test]
 fn a_document_comes_back_as_it_was() {
     for routes in [0, 1, 40, 3000] {
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -44,6 +44,16 @@
 /// edges, that took a registry's twentieth of a core 0.3 s in which it could not vote.
 const NEWS_EVERY: Duration = Duration::from_millis(40);
 
+/// Parts of a registry's link that loads and places of texts may take.
+///
+/// What is told is the same for each edge, so it grows with edges and endpoints at once. Beyond
+/// these parts it comes later; without them, at 300 edges and 3000 endpoints, it filled the links,
+/// and neither drains nor configurations came through.
+const LOADS_PART: f64 = 0.3;
+
+/// The same for places of texts.
+const PLACES_PART: f64 = 0.1;
+
 /// Time between two tellings of the fleet's registries and number of edges.
 ///
 /// After a common restart the number changes with each edge that connects; told each time, 65 edges
@@ -158,11 +168,21 @@
         if now < self.board_at {
             return;
         }
-        self.board_at = now.after(LOADS_EVERY);
         let news = self.board.news();
-        if !news.is_empty() {
-            self.tell_edges(&LinkMessage::Loads(news));
-        }
+        let span = match news.is_empty() {
+            true => LOADS_EVERY,
+            false => {
+                let bytes = self.tell_edges(&LinkMessage::Loads(news));
+                LOADS_EVERY.max(self.time_for(bytes, LOADS_PART))
+            }
+        };
+        self.board_at = now.after(span);
+    }
+
+    /// Time in which a part of this VM's link carries some bytes.
+    fn time_for(&self, bytes: usize, part: f64) -> Duration {
+        let bytes_a_second = self.settings.link_mbps * 1e6 / 8.0 * part;
+        Duration::from_secs_f64(bytes as f64 / bytes_a_second)
     }
 
     /// Takes where an edge has placed texts.
@@ -178,11 +198,18 @@
         if now < self.places_at {
             return;
         }
-        self.places_at = now.after(PLACES_EVERY);
-        let placed = std::mem::take(&mut self.new_places);
-        if !placed.is_empty() {
-            self.tell_edges(&LinkMessage::TextsPlaced(placed));
-        }
+        let mut placed = std::mem::take(&mut self.new_places);
+        let surplus = placed.len().saturating_sub(MAX_PLACES);
+        // The oldest are what other edges found out by themselves most likely.
+        placed.drain(..surplus);
+        let span = match placed.is_empty() {
+            true => PLACES_EVERY,
+            false => {
+                let bytes = self.tell_edges(&LinkMessage::TextsPlaced(placed));
+                PLACES_EVERY.max(self.time_for(bytes, PLACES_PART))
+            }
+        };
+        self.places_at = now.after(span);
     }
 
     pub(crate) fn tell_fleet(&mut self, now: ClockTime) {
@@ -209,18 +236,20 @@
         }
     }
 
-    fn tell_edges(&self, message: &LinkMessage) {
+    /// Tells all edges the same; returns how many bytes that takes.
+    fn tell_edges(&self, message: &LinkMessage) -> usize {
         let bytes = match encode_message(message) {
             Ok(bytes) => bytes,
             Err(error) => {
                 tracing::error!(%error, "a message to all edges could not be encoded");
-                return;
+                return 0;
             }
         };
         let queues = self.edges.keys().filter_map(|link| self.links.get(link));
         for queue in queues {
             queue.send_encoded(bytes.clone());
         }
+        bytes.len() * self.edges.len()
     }
 
     fn tell_change(&mut self, change: RegistryChange) {
--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -47,6 +47,8 @@
     pub control: Option<SocketAddr>,
     /// Where callers ask a registry for addresses of edges.
     pub directory: Option<SocketAddr>,
+    /// What the VM's link carries, in megabits a second.
+    pub link_mbps: f64,
     /// Where the process's metrics are read.
     pub metrics: Option<SocketAddr>,
     /// Where a registry keeps what must survive.
@@ -90,6 +92,7 @@
             control: None,
             directory: None,
             metrics: None,
+            link_mbps: 100.0,
             data_folder: None,
             data_quota: None,
             trust_disk: false,
@@ -131,6 +134,7 @@
         let address = "10.0.0.7:8080";
         let inner = reader.required_value("vm", "inner", address);
         let first_start = reader.optional_value("vm", "first_start", "false");
+        let link_mbps: Option<f64> = reader.optional_value("vm", "link_mbps", "100");
         let trust_disk = reader.optional_value("registry", "trust_disk", "false");
         let span = |reader: &mut SettingsReader<'_>, key, value| {
             reader.span("bounds", key, value, (1, 3_600_000))
@@ -146,6 +150,9 @@
             control: optional_address(reader, "registry", "control"),
             directory: optional_address(reader, "registry", "directory"),
             metrics: optional_address(reader, "vm", "metrics"),
+            link_mbps: link_mbps
+                .filter(|mbps| *mbps > 0.0)
+                .unwrap_or(default.link_mbps),
             data_folder: reader
                 .text("registry", "data_folder")
                 .filter(|text| !text.is_empty())
--- a/tests/forward_settings.rs
+++ b/tests/forward_settings.rs
@@ -24,6 +24,7 @@
         ("{{bounds.budgetSlack}}", "58"),
         ("{{bounds.budgetWindowS}}", "10"),
         ("{{bounds.capFactor}}", "2"),
+        ("{{limits.linkMbps}}", "4.2"),
     ];
     let fill = |text: String, (name, value): (&str, &str)| text.replace(name, value);
     values.into_iter().fold(template.to_owned(), fill)
