Give the soak a copy of the program; warn of links between two versions

Trace: the program was built anew at 02:03:44 in the middle of the run, the edge restarted at 02:03:49 was the new one and the registries, started at 02:03:40, the old one; the new one's first message meant nothing to them, and only a debug line said so.

--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -219,7 +219,12 @@
                 }
             };
             let ended = run_link(stream, (queue, receiver), false, &settings, say).await;
-            tracing::debug!(%ended, "a link ended");
+            match ended {
+                // Two versions of the program that do not understand each other; nothing else
+                // would show why an edge stays without a configuration.
+                LinkError::Meaningless { .. } => tracing::warn!(%ended, "a link ended"),
+                _ => tracing::debug!(%ended, "a link ended"),
+            }
             if events.send(RegistryEvent::Ended { link }).is_err() {
                 tracing::debug!("a link ended after the control loop");
             }
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -31,6 +31,8 @@
 /// One process of the fleet.
 pub(crate) struct SoakProcess {
     role: &'static str,
+    /// The program; a copy of its own, for a build in the middle of a run would mix two versions.
+    program: PathBuf,
     settings: PathBuf,
     /// Where it keeps what must survive, if it is a registry.
     pub(crate) data: Option<PathBuf>,
@@ -47,7 +49,7 @@
             return;
         }
         let log = File::options().create(true).append(true).open(&self.log);
-        let child = Command::new(env!("CARGO_BIN_EXE_ragwortroad"))
+        let child = Command::new(&self.program)
             .args([self.role, "--settings"])
             .arg(&self.settings)
             .stdout(Stdio::from(log.expect("a log file")))
@@ -117,11 +119,14 @@
             seeds.join(",")
         )
     };
+    let program = folder.join("ragwortroad");
+    fs::copy(env!("CARGO_BIN_EXE_ragwortroad"), &program).expect("a copy");
     let make = |host: u8, role, own: String, data: Option<PathBuf>, address| {
         let settings = folder.join(format!("{role}-{host}.ini"));
         fs::write(&settings, common(host) + &own).expect("a settings file");
         SoakProcess {
             role,
+            program: program.clone(),
             settings,
             data,
             log: folder.join(format!("{role}-{host}.log")),
