Name types of edges and registries by the field's terms

Read as a newcomer: purse, seat plan, book, board and word are metaphors where the field has budget, voters, table, totals and keepalive.

--- a/crates/ragwortroad_dispatch/src/endpoint_book.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -42,15 +42,15 @@
 
 /// What an edge knows of endpoints, merged from all registries.
 #[derive(Debug, Default)]
-pub struct EndpointBook {
+pub struct EndpointTable {
     names: BTreeMap<String, EndpointKey>,
     tags: BTreeMap<EndpointTag, EndpointKey>,
-    entries: BTreeMap<EndpointKey, BookEntry>,
+    entries: BTreeMap<EndpointKey, KnownEndpoint>,
     next_key: u32,
 }
 
 #[derive(Debug)]
-struct BookEntry {
+struct KnownEndpoint {
     record: EndpointRecord,
     /// Registries that vouch for it.
     holders: BTreeSet<SourceKey>,
@@ -62,7 +62,7 @@
 
 /// What came of a piece of news.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum BookChange {
+pub enum EndpointChange {
     /// Nothing that matters to requests.
     Same,
     /// It is new, or started anew.
@@ -73,27 +73,27 @@
     Changed(EndpointKey),
 }
 
-impl EndpointBook {
+impl EndpointTable {
     /// Takes what `source` heard from an endpoint itself.
     pub fn told(
         &mut self,
         source: SourceKey,
         record: EndpointRecord,
         now: ClockTime,
-    ) -> BookChange {
+    ) -> EndpointChange {
         self.end_former(&record, now);
         let Some(&key) = self.names.get(&record.name) else {
             return self.insert(source, record, now);
         };
         let Some(entry) = self.entries.get_mut(&key) else {
-            return BookChange::Same;
+            return EndpointChange::Same;
         };
         // A registry may know of a goodbye and of fewer announcements than others: the goodbye
         // is the later word all the same.
         let same_start = record.started_ms == entry.record.started_ms;
         let is_farewell = same_start && record.stage == EndpointStage::Gone;
         if is_outdated(&entry.record, &record) && !is_farewell {
-            return BookChange::Same;
+            return EndpointChange::Same;
         }
         let restarted = record.started_ms > entry.record.started_ms;
         let before = entry.record.stage;
@@ -103,22 +103,27 @@
         entry.record = record;
         let ready = entry.record.stage == EndpointStage::Ready;
         match (before == EndpointStage::Ready, ready) {
-            (true, false) => BookChange::Stopped(key),
-            (false, true) => BookChange::Started(key),
-            (true, true) if restarted => BookChange::Started(key),
-            (true, true) => BookChange::Changed(key),
-            (false, false) => BookChange::Same,
+            (true, false) => EndpointChange::Stopped(key),
+            (false, true) => EndpointChange::Started(key),
+            (true, true) if restarted => EndpointChange::Started(key),
+            (true, true) => EndpointChange::Changed(key),
+            (false, false) => EndpointChange::Same,
         }
     }
 
-    fn insert(&mut self, source: SourceKey, record: EndpointRecord, now: ClockTime) -> BookChange {
+    fn insert(
+        &mut self,
+        source: SourceKey,
+        record: EndpointRecord,
+        now: ClockTime,
+    ) -> EndpointChange {
         let key = EndpointKey(self.next_key);
         self.next_key += 1;
         self.tags.insert(EndpointTag::of(&record.name), key);
         self.names.insert(record.name.clone(), key);
         let ready = record.stage == EndpointStage::Ready;
         let gone = record.stage == EndpointStage::Gone;
-        let entry = BookEntry {
+        let entry = KnownEndpoint {
             record,
             holders: BTreeSet::from([source]),
             unheld_since: gone.then_some(now),
@@ -126,8 +131,8 @@
         };
         self.entries.insert(key, entry);
         match ready {
-            true => BookChange::Started(key),
-            false => BookChange::Same,
+            true => EndpointChange::Started(key),
+            false => EndpointChange::Same,
         }
     }
 
@@ -169,19 +174,19 @@
     }
 
     /// An endpoint said goodbye at some registry.
-    pub fn said_goodbye(&mut self, name: &str, now: ClockTime) -> BookChange {
+    pub fn said_goodbye(&mut self, name: &str, now: ClockTime) -> EndpointChange {
         let Some(&key) = self.names.get(name) else {
-            return BookChange::Same;
+            return EndpointChange::Same;
         };
         let Some(entry) = self.entries.get_mut(&key) else {
-            return BookChange::Same;
+            return EndpointChange::Same;
         };
         let was_ready = entry.record.stage == EndpointStage::Ready;
         entry.record.stage = EndpointStage::Gone;
         entry.unheld_since = Some(now);
         match was_ready {
-            true => BookChange::Stopped(key),
-            false => BookChange::Same,
+            true => EndpointChange::Stopped(key),
+            false => EndpointChange::Same,
         }
     }
 
@@ -244,7 +249,7 @@
     }
 }
 
-impl BookEntry {
+impl KnownEndpoint {
     fn note_unheld(&mut self, now: ClockTime) {
         if self.holders.is_empty() && self.unheld_since.is_none() {
             self.unheld_since = Some(now);
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -7,28 +7,22 @@
 //! draws unseeded randomness, or does input or output.
 
 mod config_fault;
-mod endpoint_book;
 mod endpoint_load;
 mod endpoint_record;
-mod load_board;
+mod endpoint_table;
+mod load_totals;
 mod place_choice;
 mod registry_table;
-mod retry_purse;
+mod retry_budget;
 mod route_map;
-mod seat_plan;
 mod site_config;
 mod text_table;
+mod voter_plan;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
     pub use crate::{
         config_fault::ConfigFault,
-        endpoint_book::{
-            BookChange,
-            EndpointBook,
-            EndpointKey,
-            SourceKey, //
-        },
         endpoint_load::{
             EndpointLoad,
             LoadReading, //
@@ -37,11 +31,17 @@
             EndpointRecord,
             EndpointStage, //
         },
-        load_board::{
+        endpoint_table::{
+            EndpointChange,
+            EndpointKey,
+            EndpointTable,
+            SourceKey, //
+        },
+        load_totals::{
             CountReport, //
             EndpointTag,
-            LoadBoard,
             LoadCount,
+            LoadTotals,
         },
         place_choice::{
             PlaceCandidate,
@@ -55,20 +55,15 @@
             RegistryChange,
             RegistryTable, //
         },
-        retry_purse::{
-            PurseSettings,
-            RetryPurse, //
+        retry_budget::{
+            BudgetSettings,
+            RetryBudget, //
         },
         route_map::{
             CustomerKey,
             RouteKey,
             RouteMap, //
         },
-        seat_plan::{
-            SeatHolder,
-            SeatPlan,
-            SeatSettings, //
-        },
         site_config::{
             CallerLimits,
             CustomerRule,
@@ -80,6 +75,11 @@
             SiteConfig, //
         },
         text_table::TextTable, //
+        voter_plan::{
+            MemberSighting,
+            VoterPlan,
+            VoterSettings, //
+        },
     };
 }
 
--- a/crates/ragwortroad_dispatch/src/load_board.rs
+++ b/crates/ragwortroad_dispatch/src/load_totals.rs
@@ -82,7 +82,7 @@
 /// beginning, too late and too rarely at one edge. Here every edge's count is known a quarter of a
 /// second later.
 #[derive(Debug, Default)]
-pub struct LoadBoard {
+pub struct LoadTotals {
     /// Counts of each edge, by the registry's number for it.
     edges: BTreeMap<u64, BTreeMap<EndpointTag, u32>>,
     totals: BTreeMap<EndpointTag, u32>,
@@ -90,7 +90,7 @@
     told: BTreeMap<EndpointTag, u32>,
 }
 
-impl LoadBoard {
+impl LoadTotals {
     /// Takes counts of an edge that have changed.
     pub fn take(&mut self, edge: u64, counts: &[LoadCount]) {
         let known = self.edges.entry(edge).or_default();
--- a/crates/ragwortroad_dispatch/src/registry_table.rs
+++ b/crates/ragwortroad_dispatch/src/registry_table.rs
@@ -32,7 +32,7 @@
 /// What one registry heard from endpoints itself.
 ///
 /// Each registry passes on only what it has heard first-hand, to every edge directly; edges merge
-/// (see [`EndpointBook`](crate::EndpointBook)). So news of a drain takes one hop, whichever
+/// (see [`EndpointTable`](crate::EndpointTable)). So news of a drain takes one hop, whichever
 /// registries are cut off from each other.
 #[derive(Debug)]
 pub struct RegistryTable {
--- a/crates/ragwortroad_dispatch/src/retry_purse.rs
+++ b/crates/ragwortroad_dispatch/src/retry_budget.rs
@@ -4,7 +4,7 @@
 
 /// Figures of the budget for sending requests once more.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct PurseSettings {
+pub struct BudgetSettings {
     /// Repeats allowed for each request.
     pub ratio: f64,
     /// Repeats allowed beyond that in each window, over the whole fleet.
@@ -13,7 +13,7 @@
     pub window: Duration,
 }
 
-impl Default for PurseSettings {
+impl Default for BudgetSettings {
     /// A fifth of the requests, as is common for such budgets, and no slack.
     fn default() -> Self {
         Self {
@@ -33,11 +33,11 @@
 /// One edge's part of one service's budget for sending requests once more.
 ///
 /// When a service fails, each repeat is more load on what is left of it, and repeats of repeats
-/// keep it down; one notices arrivals far above the callers' requests. The purse earns a part of a
+/// keep it down; one notices arrivals far above the callers' requests. The budget earns a part of a
 /// repeat with each request and holds no more than a window earns, so repeats stay that part.
 #[derive(Clone, Debug)]
-pub struct RetryPurse {
-    settings: PurseSettings,
+pub struct RetryBudget {
+    settings: BudgetSettings,
     /// Repeats that may be made now.
     ///
     /// Invariant: between 0 and `most`.
@@ -49,17 +49,17 @@
 /// Repeats that an edge with few requests may save up, so that one failure does not use it up.
 const LEAST_SAVING: f64 = 2.0;
 
-impl RetryPurse {
-    /// A purse at the time `now`, for one of `edges`.
-    pub fn new(settings: PurseSettings, edges: u32, now: ClockTime) -> Self {
-        let purse = Self {
+impl RetryBudget {
+    /// A budget at the time `now`, for one of `edges`.
+    pub fn new(settings: BudgetSettings, edges: u32, now: ClockTime) -> Self {
+        let budget = Self {
             settings,
             balance: 0.0,
             filled_at: now,
         };
         Self {
-            balance: purse.slack_part(edges) / 2.0,
-            ..purse
+            balance: budget.slack_part(edges) / 2.0,
+            ..budget
         }
     }
 
--- a/crates/ragwortroad_dispatch/src/seat_plan.rs
+++ b/crates/ragwortroad_dispatch/src/voter_plan.rs
@@ -5,8 +5,8 @@
 
 /// Figures of the plan.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SeatSettings {
-    /// Time without a word after which a voter's seat goes to a learner that is ready.
+pub struct VoterSettings {
+    /// Time without a message after which a voter's seat goes to a learner that is ready.
     ///
     /// Longer than a restart and than an election; a voter that is only cut off for that long
     /// becomes a learner when it is back, which costs one change of members and loses nothing.
@@ -15,7 +15,7 @@
     pub most_voters: usize,
 }
 
-impl Default for SeatSettings {
+impl Default for VoterSettings {
     fn default() -> Self {
         Self {
             absence: Duration::from_secs(5),
@@ -26,7 +26,7 @@
 
 /// A registry with a data folder, as the leader knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct SeatHolder {
+pub struct MemberSighting {
     /// Identity of its data folder.
     pub member: MemberId,
     /// The VM's place: a folder that was lost leaves its node with another identity.
@@ -39,12 +39,12 @@
 
 /// Decides which registries vote, one step at a time.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct SeatPlan {
+pub struct VoterPlan {
     /// Its figures.
-    pub settings: SeatSettings,
+    pub settings: VoterSettings,
 }
 
-impl SeatPlan {
+impl VoterPlan {
     /// The next step, if there is one, given all registries heard of, the leader among them.
     ///
     /// Every registry that is heard of becomes a learner. A voter whose node has come back with
@@ -56,7 +56,7 @@
         &self,
         members: &MemberSet,
         leader: MemberId,
-        holders: &[SeatHolder],
+        holders: &[MemberSighting],
     ) -> Option<MemberChange> {
         self.remove_replaced(members, leader, holders)
             .or_else(|| self.add_learner(members, holders))
@@ -67,15 +67,15 @@
         &self,
         members: &MemberSet,
         leader: MemberId,
-        holders: &[SeatHolder],
+        holders: &[MemberSighting],
     ) -> Option<MemberChange> {
         let is_replaced = |record: &&MemberRecord| {
-            let newer = |holder: &&SeatHolder| {
+            let newer = |holder: &&MemberSighting| {
                 holder.node == record.node
                     && holder.member != record.member
                     && members.find(holder.member).is_none()
             };
-            let heard = |holder: &SeatHolder| {
+            let heard = |holder: &MemberSighting| {
                 holder.member == record.member && holder.silent_for < self.settings.absence
             };
             record.member != leader
@@ -87,9 +87,9 @@
         Some(MemberChange::Remove { member })
     }
 
-    fn add_learner(&self, members: &MemberSet, holders: &[SeatHolder]) -> Option<MemberChange> {
-        let present = |holder: &&SeatHolder| holder.silent_for < self.settings.absence;
-        let unknown = |holder: &&SeatHolder| members.find(holder.member).is_none();
+    fn add_learner(&self, members: &MemberSet, holders: &[MemberSighting]) -> Option<MemberChange> {
+        let present = |holder: &&MemberSighting| holder.silent_for < self.settings.absence;
+        let unknown = |holder: &&MemberSighting| members.find(holder.member).is_none();
         let holder = holders.iter().filter(present).find(unknown)?;
         Some(MemberChange::AddLearner {
             member: holder.member,
@@ -101,7 +101,7 @@
         &self,
         members: &MemberSet,
         leader: MemberId,
-        holders: &[SeatHolder],
+        holders: &[MemberSighting],
     ) -> Option<MemberChange> {
         let find = |member| holders.iter().find(|holder| holder.member == member);
         let learners = members.records().iter();
@@ -127,7 +127,7 @@
         (fits && stays_odd).then_some(MemberChange::Promote { member: heir })
     }
 
-    fn hears(&self, holder: &SeatHolder) -> bool {
+    fn hears(&self, holder: &MemberSighting) -> bool {
         holder.silent_for < self.settings.absence
     }
 }
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -14,8 +14,9 @@
 const HERE: SourceKey = SourceKey(1);
 const THERE: SourceKey = SourceKey(2);
 
-fn ready(book: &EndpointBook) -> Vec<String> {
-    book.ready("llm")
+fn ready(table: &EndpointTable) -> Vec<String> {
+    table
+        .ready("llm")
         .map(|(_, record)| record.name.clone())
         .collect()
 }
@@ -32,44 +33,44 @@
 /// leaves. Taken for news, it would bring work to an endpoint that is about to stop.
 #[test]
 fn a_late_announcement_does_not_undo_a_drain() {
-    let mut book = EndpointBook::default();
-    book.told(HERE, record("e"), at(0));
-    let drained = book.told(HERE, draining("e", 3), at(10));
-    assert!(matches!(drained, BookChange::Stopped(_)));
+    let mut table = EndpointTable::default();
+    table.told(HERE, record("e"), at(0));
+    let drained = table.told(HERE, draining("e", 3), at(10));
+    assert!(matches!(drained, EndpointChange::Stopped(_)));
     let late = EndpointRecord {
         sequence: 2,
         ..record("e")
     };
-    assert_eq!(book.told(THERE, late, at(20)), BookChange::Same);
-    assert!(ready(&book).is_empty());
+    assert_eq!(table.told(THERE, late, at(20)), EndpointChange::Same);
+    assert!(ready(&table).is_empty());
 }
 
 /// An endpoint says goodbye at one registry; another one still passes on an announcement from
 /// before, with a number that the edge has not seen. The endpoint is gone all the same.
 #[test]
 fn a_goodbye_is_final_for_an_incarnation() {
-    let mut book = EndpointBook::default();
-    book.told(HERE, record("e"), at(0));
+    let mut table = EndpointTable::default();
+    table.told(HERE, record("e"), at(0));
     assert!(matches!(
-        book.said_goodbye("e", at(10)),
-        BookChange::Stopped(_)
+        table.said_goodbye("e", at(10)),
+        EndpointChange::Stopped(_)
     ));
     let late = EndpointRecord {
         sequence: 9,
         ..record("e")
     };
-    assert_eq!(book.told(THERE, late, at(20)), BookChange::Same);
-    assert!(ready(&book).is_empty());
+    assert_eq!(table.told(THERE, late, at(20)), EndpointChange::Same);
+    assert!(ready(&table).is_empty());
     let restarted = EndpointRecord {
         started_ms: 2000,
         sequence: 1,
         ..record("e")
     };
     assert!(matches!(
-        book.told(THERE, restarted, at(30)),
-        BookChange::Started(_)
+        table.told(THERE, restarted, at(30)),
+        EndpointChange::Started(_)
     ));
-    assert_eq!(ready(&book), ["e"]);
+    assert_eq!(ready(&table), ["e"]);
 }
 
 /// An endpoint crashes and is back at its address within two seconds under a new name. Requests
@@ -77,94 +78,94 @@
 /// with one attempt be refused though the endpoint is well.
 #[test]
 fn a_later_start_at_an_address_ends_the_former_one() {
-    let mut book = EndpointBook::default();
-    book.told(HERE, record("before"), at(0));
+    let mut table = EndpointTable::default();
+    table.told(HERE, record("before"), at(0));
     let after = EndpointRecord {
         started_ms: 5000,
         ..record("after")
     };
     assert!(matches!(
-        book.told(THERE, after, at(100)),
-        BookChange::Started(_)
+        table.told(THERE, after, at(100)),
+        EndpointChange::Started(_)
     ));
-    assert_eq!(ready(&book), ["after"]);
+    assert_eq!(ready(&table), ["after"]);
     let late = EndpointRecord {
         sequence: 7,
         ..record("before")
     };
-    assert_eq!(book.told(THERE, late, at(200)), BookChange::Same);
-    assert_eq!(ready(&book), ["after"]);
+    assert_eq!(table.told(THERE, late, at(200)), EndpointChange::Same);
+    assert_eq!(ready(&table), ["after"]);
 }
 
 /// Another endpoint answers at an address. What was there before is gone, whatever is announced
 /// late; a later start of the same name is not.
 #[test]
 fn a_refuted_endpoint_stays_out_until_it_starts_anew() {
-    let mut book = EndpointBook::default();
-    let BookChange::Started(key) = book.told(HERE, record("e"), at(0)) else {
+    let mut table = EndpointTable::default();
+    let EndpointChange::Started(key) = table.told(HERE, record("e"), at(0)) else {
         panic!("it is new");
     };
-    book.refute(key, at(10));
-    assert!(ready(&book).is_empty());
+    table.refute(key, at(10));
+    assert!(ready(&table).is_empty());
     let late = EndpointRecord {
         sequence: 5,
         ..record("e")
     };
-    book.told(THERE, late, at(20));
-    assert!(ready(&book).is_empty());
+    table.told(THERE, late, at(20));
+    assert!(ready(&table).is_empty());
     let anew = EndpointRecord {
         started_ms: 9000,
         ..record("e")
     };
-    book.told(THERE, anew, at(30));
-    assert_eq!(ready(&book), ["e"]);
+    table.told(THERE, anew, at(30));
+    assert_eq!(ready(&table), ["e"]);
 }
 
 /// The registry that an endpoint announced itself to has missed several announcements: it is
 /// dropped soon, and not kept as long as one whose registry was lost.
 #[test]
 fn a_missed_endpoint_is_dropped_soon() {
-    let mut book = EndpointBook::default();
-    book.told(HERE, record("e"), at(0));
-    book.lost(HERE, "e", at(1000));
-    assert!(book.expire(at(2000)).is_empty());
-    assert_eq!(book.expire(at(2600)).len(), 1);
+    let mut table = EndpointTable::default();
+    table.told(HERE, record("e"), at(0));
+    table.lost(HERE, "e", at(1000));
+    assert!(table.expire(at(2000)).is_empty());
+    assert_eq!(table.expire(at(2600)).len(), 1);
 }
 
 /// A registry that knows of a goodbye has heard fewer announcements than the edge has been told
 /// of. An edge that connects to it anew must believe the goodbye.
 #[test]
 fn a_goodbye_counts_whatever_its_number() {
-    let mut book = EndpointBook::default();
+    let mut table = EndpointTable::default();
     let heard = EndpointRecord {
         sequence: 9,
         ..record("e")
     };
-    book.told(HERE, heard, at(0));
+    table.told(HERE, heard, at(0));
     let gone = EndpointRecord {
         stage: EndpointStage::Gone,
         sequence: 4,
         ..record("e")
     };
     assert!(matches!(
-        book.told(THERE, gone, at(10)),
-        BookChange::Stopped(_)
+        table.told(THERE, gone, at(10)),
+        EndpointChange::Stopped(_)
     ));
-    assert!(ready(&book).is_empty());
+    assert!(ready(&table).is_empty());
 }
 
 /// All registries restart at once and know nothing for some seconds. Edges go on with the
 /// endpoints that they know; otherwise nobody would be served although every endpoint is well.
 #[test]
 fn endpoints_outlive_the_registries_for_a_while() {
-    let mut book = EndpointBook::default();
-    book.told(HERE, record("e"), at(0));
-    book.told(THERE, record("f"), at(0));
-    book.drop_source(HERE, at(100));
-    book.drop_source(THERE, at(100));
-    assert!(book.expire(at(5_000)).is_empty());
-    assert_eq!(ready(&book), ["e", "f"]);
-    book.told(
+    let mut table = EndpointTable::default();
+    table.told(HERE, record("e"), at(0));
+    table.told(THERE, record("f"), at(0));
+    table.drop_source(HERE, at(100));
+    table.drop_source(THERE, at(100));
+    assert!(table.expire(at(5_000)).is_empty());
+    assert_eq!(ready(&table), ["e", "f"]);
+    table.told(
         HERE,
         EndpointRecord {
             sequence: 5,
@@ -172,17 +173,17 @@
         },
         at(5_100),
     );
-    assert_eq!(book.expire(at(20_000)).len(), 1);
-    assert_eq!(ready(&book), ["e"]);
+    assert_eq!(table.expire(at(20_000)).len(), 1);
+    assert_eq!(ready(&table), ["e"]);
 }
 
 /// An endpoint turns to another registry. The first one stops hearing of it and says so; it is
 /// well all the same.
 #[test]
 fn the_word_of_one_registry_is_enough() {
-    let mut book = EndpointBook::default();
-    book.told(HERE, record("e"), at(0));
-    book.told(
+    let mut table = EndpointTable::default();
+    table.told(HERE, record("e"), at(0));
+    table.told(
         THERE,
         EndpointRecord {
             sequence: 2,
@@ -190,9 +191,9 @@
         },
         at(1000),
     );
-    book.lost(HERE, "e", at(6000));
-    assert!(book.expire(at(60_000)).is_empty());
-    assert_eq!(ready(&book), ["e"]);
+    table.lost(HERE, "e", at(6000));
+    assert!(table.expire(at(60_000)).is_empty());
+    assert_eq!(ready(&table), ["e"]);
 }
 
 /// An endpoint crashes and says nothing more. Its registry notices by the missing announcements,
--- a/crates/ragwortroad_dispatch/tests/places.rs
+++ b/crates/ragwortroad_dispatch/tests/places.rs
@@ -226,16 +226,16 @@
         endpoint: tag(name),
         count,
     };
-    let mut board = LoadBoard::default();
-    board.take(1, &[count("busy", 4), count("idle", 1)]);
-    board.take(2, &[count("busy", 3)]);
-    assert_eq!(board.news(), [count("busy", 7)]);
-    assert!(board.news().is_empty(), "nothing has changed");
-    board.take(1, &[count("busy", 0)]);
-    assert_eq!(board.news(), [count("busy", 3)]);
-    assert_eq!(board.told(), [count("busy", 3)]);
-    board.drop_edge(2);
-    let news = board.news();
+    let mut totals = LoadTotals::default();
+    totals.take(1, &[count("busy", 4), count("idle", 1)]);
+    totals.take(2, &[count("busy", 3)]);
+    assert_eq!(totals.news(), [count("busy", 7)]);
+    assert!(totals.news().is_empty(), "nothing has changed");
+    totals.take(1, &[count("busy", 0)]);
+    assert_eq!(totals.news(), [count("busy", 3)]);
+    assert_eq!(totals.told(), [count("busy", 3)]);
+    totals.drop_edge(2);
+    let news = totals.news();
     assert!(news.contains(&count("busy", 0)), "{news:?}");
 }
 
@@ -247,16 +247,16 @@
     let busy = EndpointTag::of("busy");
     let current = BTreeMap::from([(busy, 5)]);
     let nothing = BTreeMap::new();
-    let mut board = LoadBoard::default();
+    let mut totals = LoadTotals::default();
     let mut report = CountReport::default();
-    board.take(1, &report.changes(&current));
-    assert_eq!(board.news().len(), 1);
+    totals.take(1, &report.changes(&current));
+    assert_eq!(totals.news().len(), 1);
     assert!(report.changes(&current).is_empty(), "it knows that");
     assert_eq!(report.count(busy), 5);
-    board.take(1, &report.changes(&nothing));
+    totals.take(1, &report.changes(&nothing));
     let count = 0;
     let endpoint = busy;
-    assert_eq!(board.news(), [LoadCount { endpoint, count }]);
+    assert_eq!(totals.news(), [LoadCount { endpoint, count }]);
     assert_eq!(report.count(busy), 0);
 }
 
--- a/crates/ragwortroad_dispatch/tests/retries.rs
+++ b/crates/ragwortroad_dispatch/tests/retries.rs
@@ -16,8 +16,8 @@
 const SLACK: f64 = 58.0;
 const WINDOW_MS: u64 = 10_000;
 
-fn settings() -> PurseSettings {
-    PurseSettings {
+fn settings() -> BudgetSettings {
+    BudgetSettings {
         ratio: RATIO,
         slack: SLACK,
         window: Duration::from_millis(WINDOW_MS),
@@ -32,8 +32,8 @@
 fn an_outage_keeps_repeats_within_the_budget_of_the_fleet() {
     for (seed, edges, per_second) in [(1, 9, 60), (2, 9, 200), (3, 65, 250), (4, 2, 20)] {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let mut purses: Vec<RetryPurse> = (0..edges)
-            .map(|_| RetryPurse::new(settings(), edges, at(0)))
+        let mut budgets: Vec<RetryBudget> = (0..edges)
+            .map(|_| RetryBudget::new(settings(), edges, at(0)))
             .collect();
         let mut requests = Vec::new();
         let mut repeats = Vec::new();
@@ -47,8 +47,8 @@
                 false => rng.random_range(0..edges) as usize,
             };
             requests.push(ms);
-            purses[edge].earn(edges, at(ms));
-            if purses[edge].spend() {
+            budgets[edge].earn(edges, at(ms));
+            if budgets[edge].spend() {
                 repeats.push(ms);
             }
         }
@@ -71,8 +71,8 @@
 
 /// An edge that starts in an outage has earned nothing yet; it may still send a few again.
 #[test]
-fn a_new_purse_allows_little() {
-    let mut purse = RetryPurse::new(settings(), 9, at(0));
-    let spent = (0..100).filter(|_| purse.spend()).count();
+fn a_new_budget_allows_little() {
+    let mut budget = RetryBudget::new(settings(), 9, at(0));
+    let spent = (0..100).filter(|_| budget.spend()).count();
     assert!((1..=6).contains(&spent), "{spent}");
 }
--- a/crates/ragwortroad_dispatch/tests/seats.rs
+++ b/crates/ragwortroad_dispatch/tests/voters.rs
@@ -9,7 +9,7 @@
 /// A site: the members in force, and the registries that the leader hears of.
 struct Site {
     members: MemberSet,
-    holders: Vec<SeatHolder>,
+    holders: Vec<MemberSighting>,
     /// The leader's identity.
     leader: MemberId,
 }
@@ -29,7 +29,7 @@
     fn settle(&mut self) -> Vec<MemberChange> {
         let mut steps = Vec::new();
         while let Some(step) =
-            SeatPlan::default().next_step(&self.members, self.leader, &self.holders)
+            VoterPlan::default().next_step(&self.members, self.leader, &self.holders)
         {
             self.apply(&step);
             steps.push(step);
@@ -63,7 +63,7 @@
         self.members.voters().map(|member| member.0).collect()
     }
 
-    fn hold(&mut self, id: u64) -> &mut SeatHolder {
+    fn hold(&mut self, id: u64) -> &mut MemberSighting {
         let found = self
             .holders
             .iter_mut()
@@ -78,8 +78,8 @@
     postcard::from_bytes(&bytes).expect("decodes")
 }
 
-fn holder(member: u64, node: u64) -> SeatHolder {
-    SeatHolder {
+fn holder(member: u64, node: u64) -> MemberSighting {
+    MemberSighting {
         member: MemberId(member),
         node: NodeId(node),
         silent_for: Duration::ZERO,
@@ -107,11 +107,11 @@
     let mut site = Site::founded(5);
     site.settle();
     site.holders.retain(|holder| holder.member != MemberId(4));
-    site.holders.push(SeatHolder {
+    site.holders.push(MemberSighting {
         is_caught_up: false,
         ..holder(44, 4)
     });
-    let first = SeatPlan::default().next_step(&site.members, site.leader, &site.holders);
+    let first = VoterPlan::default().next_step(&site.members, site.leader, &site.holders);
     assert_eq!(
         first,
         Some(MemberChange::Remove {
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -159,7 +159,7 @@
 fn end_link(shared: &EdgeShared, source: SourceKey) {
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
-    state.book.drop_source(source, now);
+    state.endpoints.drop_source(source, now);
     // The registry that was asked may have been this one.
     state.asked_at = None;
     if let Some(link) = state.links.get_mut(&source) {
@@ -199,7 +199,7 @@
         LinkMessage::TextsPlaced(placed) => {
             let mut state = shared.state.borrow_mut();
             for place in placed {
-                if let Some(key) = state.book.find(place.engine) {
+                if let Some(key) = state.endpoints.find(place.engine) {
                     state.texts.note(place.text, key, now);
                 }
             }
@@ -227,9 +227,9 @@
 fn take_change(state: &mut EdgeState, source: SourceKey, change: RegistryChange, now: ClockTime) {
     match change {
         RegistryChange::Told(record) => take_record(state, source, record, now),
-        RegistryChange::Lost(name) => state.book.lost(source, &name, now),
+        RegistryChange::Lost(name) => state.endpoints.lost(source, &name, now),
         RegistryChange::Goodbye(name) => {
-            let change = state.book.said_goodbye(&name, now);
+            let change = state.endpoints.said_goodbye(&name, now);
             tracing::info!(endpoint = name, ?change, "endpoint left");
             state.follow_change(change);
         }
@@ -239,8 +239,8 @@
 fn take_record(state: &mut EdgeState, source: SourceKey, record: EndpointRecord, now: ClockTime) {
     let name = record.name.clone();
     let stage = record.stage;
-    let change = state.book.told(source, record, now);
-    if change != BookChange::Same {
+    let change = state.endpoints.told(source, record, now);
+    if change != EndpointChange::Same {
         tracing::info!(endpoint = name, ?stage, ?change, "endpoint news");
     }
     state.follow_change(change);
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -75,7 +75,7 @@
 ///
 /// An endpoint that has gone silent holds a request until its deadline. Cut with the process, its
 /// caller would see a connection that broke for no reason, and not be told what is known.
-const LAST_CALL: Duration = Duration::from_millis(600);
+const END_NOTICE: Duration = Duration::from_millis(600);
 
 /// What an edge is told from outside its tasks.
 #[derive(Clone, Debug, PartialEq)]
@@ -127,7 +127,7 @@
         state: RefCell::new(EdgeState::default()),
         pool: ConnectionPool::default(),
         stop: Notify::new(),
-        last_call: watch::Sender::new(false),
+        end_soon: watch::Sender::new(false),
     });
     dial_seeds(&shared, &seeds);
     spawn_local(serve_callers(Rc::clone(&shared), callers));
@@ -146,7 +146,7 @@
         sleep(ROUND_TIME).await;
         let now = shared.now();
         let mut state = shared.state.borrow_mut();
-        for key in state.book.expire(now) {
+        for key in state.endpoints.expire(now) {
             state.loads.remove(&key);
             state.texts.forget(key);
         }
@@ -185,11 +185,11 @@
     loop {
         sleep(ROUND_TIME).await;
         let now = shared.now();
-        if now.since(begun) + LAST_CALL >= limit {
-            shared.last_call.send_replace(true);
+        if now.since(begun) + END_NOTICE >= limit {
+            shared.end_soon.send_replace(true);
         }
         let state = shared.state.borrow();
-        let is_quiet = now.since(state.last_caller_at) > QUIET_DRAIN;
+        let is_quiet = now.since(state.end_sooner_at) > QUIET_DRAIN;
         let is_done = state.in_flight == 0 && is_quiet && now.since(begun) > LEAST_DRAIN;
         if is_done || now.since(begun) >= limit {
             tracing::info!(in_flight = state.in_flight, "stopped");
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -38,7 +38,7 @@
     /// Told when the edge is to stop.
     pub(crate) stop: Notify,
     /// Turns true shortly before a stopping edge ends: what has no answer by then gets one.
-    pub(crate) last_call: watch::Sender<bool>,
+    pub(crate) end_soon: watch::Sender<bool>,
 }
 
 /// All that an edge knows.
@@ -50,12 +50,12 @@
     pub(crate) map: Option<Rc<RouteMap>>,
     /// The document it was made of, against which the next one comes.
     pub(crate) document: Option<Rc<[u8]>>,
-    pub(crate) book: EndpointBook,
+    pub(crate) endpoints: EndpointTable,
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     pub(crate) texts: TextTable,
     /// Places of texts that the other edges are still to be told.
     pub(crate) placed: Vec<PlacedText>,
-    purses: BTreeMap<String, RetryPurse>,
+    budgets: BTreeMap<String, RetryBudget>,
     pub(crate) links: BTreeMap<SourceKey, RegistryLink>,
     pub(crate) registries: BTreeSet<SocketAddr>,
     pub(crate) next_source: u32,
@@ -71,7 +71,7 @@
     /// Requests under way.
     pub(crate) in_flight: usize,
     /// When a connection or a request came last.
-    pub(crate) last_caller_at: ClockTime,
+    pub(crate) end_sooner_at: ClockTime,
 }
 
 impl EdgeState {
@@ -86,36 +86,36 @@
     }
 
     /// The budget of a service.
-    pub(crate) fn purse_mut(
+    pub(crate) fn budget_mut(
         &mut self,
         service: &str,
         settings: &ForwardSettings,
         now: ClockTime,
-    ) -> &mut RetryPurse {
+    ) -> &mut RetryBudget {
         let edges = self.edges;
-        if !self.purses.contains_key(service) {
-            let figures = PurseSettings {
+        if !self.budgets.contains_key(service) {
+            let figures = BudgetSettings {
                 ratio: settings.retry_ratio,
                 slack: settings.retry_slack,
                 window: settings.retry_window,
             };
-            let purse = RetryPurse::new(figures, edges, now);
-            self.purses.insert(service.to_owned(), purse);
+            let budget = RetryBudget::new(figures, edges, now);
+            self.budgets.insert(service.to_owned(), budget);
         }
         // The entry was made above where there was none.
-        self.purses
+        self.budgets
             .entry(service.to_owned())
-            .or_insert_with(|| RetryPurse::new(PurseSettings::default(), edges, now))
+            .or_insert_with(|| RetryBudget::new(BudgetSettings::default(), edges, now))
     }
 
     /// Takes what came of a piece of news about an endpoint.
-    pub(crate) fn follow_change(&mut self, change: BookChange) {
+    pub(crate) fn follow_change(&mut self, change: EndpointChange) {
         match change {
-            BookChange::Started(key) => {
+            EndpointChange::Started(key) => {
                 self.load_mut(key).reset();
                 self.texts.forget(key);
             }
-            BookChange::Stopped(_) | BookChange::Changed(_) | BookChange::Same => {}
+            EndpointChange::Stopped(_) | EndpointChange::Changed(_) | EndpointChange::Same => {}
         }
     }
 
@@ -124,7 +124,7 @@
         let connected = self.links.values().filter(|link| link.queue.is_some());
         metrics::gauge!(metric_names::IN_FLIGHT).set(self.in_flight as f64);
         metrics::gauge!(metric_names::REGISTRIES).set(connected.count() as f64);
-        metrics::gauge!(metric_names::ENDPOINTS).set(self.book.ready_count() as f64);
+        metrics::gauge!(metric_names::ENDPOINTS).set(self.endpoints.ready_count() as f64);
         metrics::gauge!(metric_names::CONFIG_VERSION).set(self.version().unwrap_or(0) as f64);
     }
 
@@ -133,10 +133,13 @@
     /// All edges that reach the same registries take the same one.
     pub(crate) fn tell_loads(&mut self) {
         let Self {
-            links, loads, book, ..
+            links,
+            loads,
+            endpoints,
+            ..
         } = self;
         let own = loads.iter().filter_map(|(&key, load)| {
-            let record = book.record(key)?;
+            let record = endpoints.record(key)?;
             Some((EndpointTag::of(&record.name), load.own()))
         });
         let current: BTreeMap<EndpointTag, u32> = own.filter(|(_, count)| *count > 0).collect();
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -240,7 +240,7 @@
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
     if matches!(end, CallEnd::Misdirected) {
-        state.book.refute(chosen.key, now);
+        state.endpoints.refute(chosen.key, now);
     }
     let load = state.load_mut(chosen.key);
     match end {
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -37,7 +37,7 @@
         let is_open = load.is_none_or(|load| load.is_open(now));
         (is_open, key, record.name.clone(), record.slots)
     };
-    let ready = state.book.ready(&plan.service);
+    let ready = state.endpoints.ready(&plan.service);
     let ready = ready.filter(|(key, _)| !tried.contains(key));
     let known: Vec<_> = ready.map(candidate).collect();
     // Where all of them failed lately, one of them is still a better guess than a refusal.
@@ -80,7 +80,7 @@
         false => choose_replica(&candidates, request),
     }?;
     let chosen = candidates.iter().find(|candidate| candidate.key == key)?;
-    let record = state.book.record(key)?;
+    let record = state.endpoints.record(key)?;
     let found = ChosenEndpoint {
         key,
         name: record.name.clone(),
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -85,7 +85,7 @@
         let now = shared.now();
         let mut state = shared.state.borrow_mut();
         state.in_flight += 1;
-        state.last_caller_at = now;
+        state.end_sooner_at = now;
     }
     let mut counted = InFlight {
         shared: Rc::clone(&shared),
@@ -205,11 +205,11 @@
         };
         way.tried.push(chosen.key);
         let calling = call_endpoint(shared, &plan, &chosen, plan.facts.after_event);
-        let mut last_call = shared.last_call.subscribe();
+        let mut end_soon = shared.end_soon.subscribe();
         let end = tokio::select! {
             end = calling => end,
             // The sender lives as long as the edge, so this ends only by the last call.
-            _ = last_call.wait_for(|is_last| *is_last) => CallEnd::TimedOut,
+            _ = end_soon.wait_for(|is_last| *is_last) => CallEnd::TimedOut,
         };
         let step = way.take(shared, &plan, &chosen, end);
         match step {
@@ -338,8 +338,8 @@
         is_within && has_time && {
             let now = shared.now();
             let mut state = shared.state.borrow_mut();
-            let purse = state.purse_mut(&plan.service, &shared.settings, now);
-            let may = purse.spend();
+            let budget = state.budget_mut(&plan.service, &shared.settings, now);
+            let may = budget.spend();
             let outcome = if may { "made" } else { "over_budget" };
             metrics::counter!(metric_names::REPEATS, "outcome" => outcome).increment(1);
             may
@@ -363,8 +363,8 @@
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
     let edges = state.edges;
-    let purse = state.purse_mut(&plan.service, &shared.settings, now);
-    purse.earn(edges, now);
+    let budget = state.budget_mut(&plan.service, &shared.settings, now);
+    budget.earn(edges, now);
 }
 
 fn hand_over(
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -234,8 +234,8 @@
         let may = has_time && rule.is_repeatable() && self.attempts < rule.max_attempts;
         let may = may && {
             let mut state = self.shared.state.borrow_mut();
-            let purse = state.purse_mut(&self.plan.service, &self.shared.settings, now);
-            purse.spend()
+            let budget = state.budget_mut(&self.plan.service, &self.shared.settings, now);
+            budget.spend()
         };
         tracing::info!(
             request = self.plan.id,
--- a/crates/ragwortroad_link/src/link_connection.rs
+++ b/crates/ragwortroad_link/src/link_connection.rs
@@ -140,7 +140,7 @@
 
 /// Carries messages over `stream` until it breaks, falls silent, or the queue's user closes it.
 ///
-/// `dialled` tells which side this is: the dialling one says a word when there is nothing else to
+/// `dialled` tells which side this is: the dialling one sends a keepalive when there is nothing else to
 /// say, the other one answers it.
 pub async fn run_link(
     stream: TcpStream,
@@ -162,12 +162,12 @@
         .new_codec();
     let reader = FramedRead::new(reading, codec.clone());
     let writer = FramedWrite::new(writing, codec);
-    let word = dialled.then_some(settings.word_every);
+    let keepalive = dialled.then_some(settings.keepalive_every);
     let end = Arc::clone(&own_queue.end);
     let answers = (!dialled).then_some(own_queue);
     tokio::select! {
         error = read_messages(reader, answers, settings.silence, on_message) => error,
-        error = write_messages(writer, receiver, word) => error,
+        error = write_messages(writer, receiver, keepalive) => error,
         () = end.notified() => LinkError::GivenUp,
     }
 }
@@ -186,10 +186,10 @@
             Ok(Some(Ok(frame))) => frame,
         };
         match decode_message(&frame) {
-            Ok(LinkMessage::Word) => {
+            Ok(LinkMessage::Keepalive) => {
                 let answered = answers
                     .as_ref()
-                    .is_none_or(|queue| queue.send(&LinkMessage::Word));
+                    .is_none_or(|queue| queue.send(&LinkMessage::Keepalive));
                 if !answered {
                     return LinkError::GivenUp;
                 }
@@ -203,17 +203,17 @@
 async fn write_messages(
     mut writer: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
     receiver: Receiver<Bytes>,
-    word: Option<Duration>,
+    keepalive: Option<Duration>,
 ) -> LinkError {
-    let mut next_word = word.map(|every| Instant::now() + every);
+    let mut next_keepalive = keepalive.map(|every| Instant::now() + every);
     loop {
-        let bytes = match next_word {
+        let bytes = match next_keepalive {
             None => receiver.recv_async().await,
             Some(at) => tokio::select! {
                 received = receiver.recv_async() => received,
                 () = tokio::time::sleep_until(at) => {
-                    next_word = word.map(|every| Instant::now() + every);
-                    match encode_message(&LinkMessage::Word) {
+                    next_keepalive = keepalive.map(|every| Instant::now() + every);
+                    match encode_message(&LinkMessage::Keepalive) {
                         Ok(bytes) => Ok(bytes),
                         Err(error) => return error,
                     }
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -13,7 +13,7 @@
 #[derive(Serialize, Deserialize)]
 pub enum LinkMessage {
     /// The dialling side is there; the other side answers with the same.
-    Word,
+    Keepalive,
     /// Another message, compressed.
     Packed(Vec<u8>),
     /// An edge presents itself; its first message.
--- a/crates/ragwortroad_link/src/link_settings.rs
+++ b/crates/ragwortroad_link/src/link_settings.rs
@@ -3,13 +3,13 @@
 /// Figures of a connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkSettings {
-    /// Time without anything to send after which a side that dialled says that it is there.
+    /// Time without anything to send after which a side that dialled sends a keepalive.
     ///
-    /// Each such word costs two wake-ups; a registry with 65 edges has 130 a second at this pace.
-    pub word_every: Duration,
-    /// Time without a word after which the other side counts as lost.
+    /// Each keepalive costs two wake-ups; a registry with 65 edges has 130 a second at this pace.
+    pub keepalive_every: Duration,
+    /// Time without a message after which the other side counts as lost.
     ///
-    /// A connection can go silent for good without an error, and only this shows it. Two words may
+    /// A connection can go silent for good without an error, and only this shows it. Two keepalives may
     /// be late before it ends.
     pub silence: Duration,
     /// Time for a connection to be established.
@@ -23,7 +23,7 @@
 impl Default for LinkSettings {
     fn default() -> Self {
         Self {
-            word_every: Duration::from_millis(800),
+            keepalive_every: Duration::from_millis(800),
             silence: Duration::from_millis(2200),
             dial_timeout: Duration::from_millis(800),
             queue_length: 512,
--- a/crates/ragwortroad_link/tests/documents.rs
+++ b/crates/ragwortroad_link/tests/documents.rs
@@ -35,8 +35,11 @@
     let frame = encode_message(&message).expect("encodes");
     assert!(frame.len() * 10 < plain * 8, "{} of {plain}", frame.len());
     assert_eq!(decode_message(&frame).expect("decodes"), message);
-    let small = encode_message(&LinkMessage::Word).expect("encodes");
-    assert_eq!(decode_message(&small).expect("decodes"), LinkMessage::Word);
+    let small = encode_message(&LinkMessage::Keepalive).expect("encodes");
+    assert_eq!(
+        decode_message(&small).expect("decodes"),
+        LinkMessage::Keepalive
+    );
     assert!(decode_message(&frame[..frame.len() / 2]).is_err());
 }
 
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -107,7 +107,7 @@
         if let Some(version) = self.seat.register().version() {
             queue.send(&LinkMessage::ConfigVersion(version));
         }
-        let loads = self.board.told();
+        let loads = self.totals.told();
         if !loads.is_empty() {
             queue.send(&LinkMessage::Loads(loads));
         }
@@ -126,7 +126,7 @@
 
     pub(crate) fn end_link(&mut self, link: LinkKey) {
         self.links.remove(&link);
-        self.board.drop_edge(link.0);
+        self.totals.drop_edge(link.0);
         if let Some(edge) = self.edges.remove(&link) {
             tracing::info!(edge = edge.node, "edge lost");
         }
@@ -163,10 +163,10 @@
 
     /// Tells the edges what they have under way together.
     pub(crate) fn tell_loads(&mut self, now: ClockTime) {
-        if now < self.board_at {
+        if now < self.totals_at {
             return;
         }
-        let news = self.board.news();
+        let news = self.totals.news();
         let span = match news.is_empty() {
             true => LOADS_EVERY,
             false => {
@@ -174,7 +174,7 @@
                 LOADS_EVERY.max(self.time_for(bytes))
             }
         };
-        self.board_at = now.after(span);
+        self.totals_at = now.after(span);
     }
 
     /// Time in which the part of this VM's link that tellings may take carries some bytes.
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -127,7 +127,7 @@
             } => self.greet_edge(link, node, address, stage, now),
             LinkMessage::EdgeStaged(stage) => self.stage_edge(link, stage),
             LinkMessage::WantConfig { above } => self.give_config(link, above),
-            LinkMessage::Loads(counts) => self.board.take(link.0, &counts),
+            LinkMessage::Loads(counts) => self.totals.take(link.0, &counts),
             LinkMessage::TextsPlaced(placed) => self.take_places(&placed),
             other => tracing::warn!(?other, "a message that no process sends here"),
         }
@@ -196,7 +196,7 @@
     }
 
     /// Takes the next step of the plan of seats, if this registry leads.
-    pub(crate) fn plan_seats(&mut self, now: ClockTime) {
+    pub(crate) fn plan_voters(&mut self, now: ClockTime) {
         let Some(core) = self.seat.core() else {
             return;
         };
@@ -204,7 +204,7 @@
             return;
         }
         self.plan_at = now.after(PLAN_EVERY);
-        let holders = self.seat_holders(core, now);
+        let holders = self.member_sightings(core, now);
         let step = self.plan.next_step(core.members(), core.id(), &holders);
         if let Some(change) = step {
             tracing::info!(?change, heard_of = holders.len(), "a seat changes");
@@ -216,13 +216,13 @@
         }
     }
 
-    fn seat_holders(&self, core: &ConsensusCore, now: ClockTime) -> Vec<SeatHolder> {
+    fn member_sightings(&self, core: &ConsensusCore, now: ClockTime) -> Vec<MemberSighting> {
         let mut holders = Vec::new();
         for (hello, heard_at) in self.peers.values().filter_map(|peer| peer.hello.as_ref()) {
             let Some(member) = hello.member.map(MemberId) else {
                 continue;
             };
-            holders.push(SeatHolder {
+            holders.push(MemberSighting {
                 member,
                 node: NodeId::from_name(&hello.address.to_string()),
                 silent_for: now.since(*heard_at),
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -62,13 +62,13 @@
 /// Most events handled before the clock is read and due work is done.
 const EVENTS_A_ROUND: usize = 64;
 
-/// Time without a leader's word after which another is elected.
+/// Time without a leader's heartbeat after which another is elected.
 ///
 /// It is above the pauses of a twentieth of a core that is busy with a large configuration for
 /// some hundred milliseconds. Nothing is accepted while there is no leader, so longer is dearer.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// Time between two words of the leader; four may be late before an election.
+/// Time between two heartbeats of the leader; four may be late before an election.
 const HEARTBEAT_EVERY: Duration = Duration::from_millis(150);
 
 /// Time after which an entry is sent again that was not confirmed.
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -42,7 +42,7 @@
     pub(crate) settings: ForwardSettings,
     pub(crate) seat: GroupSeat,
     pub(crate) table: RegistryTable,
-    pub(crate) plan: SeatPlan,
+    pub(crate) plan: VoterPlan,
     pub(crate) started_at: ClockTime,
     /// When an edge connected last.
     pub(crate) joined_at: ClockTime,
@@ -66,8 +66,8 @@
     pub(crate) news: Vec<RegistryChange>,
     pub(crate) news_at: ClockTime,
     /// What the edges have under way, of those that tell this registry.
-    pub(crate) board: LoadBoard,
-    pub(crate) board_at: ClockTime,
+    pub(crate) totals: LoadTotals,
+    pub(crate) totals_at: ClockTime,
     /// Where edges have placed texts lately, the newest last.
     pub(crate) places: VecDeque<PlacedText>,
     /// Those that the edges are still to be told.
@@ -86,7 +86,7 @@
             table: RegistryTable::new(settings.announce_every),
             settings,
             seat,
-            plan: SeatPlan::default(),
+            plan: VoterPlan::default(),
             started_at: now,
             joined_at: now,
             links: BTreeMap::new(),
@@ -103,8 +103,8 @@
             round_at: now,
             news: Vec::new(),
             news_at: now,
-            board: LoadBoard::default(),
-            board_at: now,
+            totals: LoadTotals::default(),
+            totals_at: now,
             places: VecDeque::new(),
             new_places: Vec::new(),
             places_at: now,
@@ -158,19 +158,19 @@
             self.tell_fleet(now);
         }
         self.say_hello(now);
-        self.plan_seats(now);
+        self.plan_voters(now);
         self.tell_news(now);
         self.tell_loads(now);
         self.tell_places(now);
         let news_wake = match self.news.is_empty() {
-            true => self.board_at,
+            true => self.totals_at,
             false => self.news_at,
         };
         let core_wake = self.seat.core().map(ConsensusCore::wake_at);
         let wake = core_wake.unwrap_or(self.round_at).min(self.hello_at);
         let wake = wake.min(news_wake);
         match self.puts.is_empty() && self.reads.is_empty() && self.settles.is_empty() {
-            true => wake.min(self.board_at),
+            true => wake.min(self.totals_at),
             false => wake.min(self.round_at),
         }
     }
