--- a/crates/ragwortroad_link/src/packed_document.rs
+++ b/crates/ragwortroad_link/src/packed_document.rs
@@ -21,10 +21,10 @@
 /// A document compressed for the way between processes and for the log.
 ///
 /// With `base`, a document that the receiver has, only what differs takes room. A configuration of
-/// two thousand routes has half a megabyte and compresses to some 60 kB; at 4 Mbit/s a registry
+/// two thousand routes has 280 kB and compresses to 29 kB; at 4 Mbit/s a registry
 /// would need a second to pass one on to eight others and as long for its edges, and its
 /// heartbeats would wait behind it until another leader is elected. Against the configuration
-/// before it, a change of one route takes less than a kilobyte.
+/// before it, a change of one route takes 58 bytes (`tests/documents.rs` prints the sizes).
 pub fn pack_document(document: &[u8], base: Option<&[u8]>) -> io::Result<Vec<u8>> {
     let base = base.unwrap_or_default();
     let reach = (document.len() + base.len()).max(1);
--- a/crates/ragwortroad_link/tests/documents.rs
+++ b/crates/ragwortroad_link/tests/documents.rs
@@ -60,6 +60,12 @@
     let after = document(2000, 1500, 2000);
     let whole = pack_document(&after, None).expect("packs");
     let change = pack_document(&after, Some(&before)).expect("packs");
+    println!(
+        "{} bytes: whole {}, a change {}",
+        after.len(),
+        whole.len(),
+        change.len()
+    );
     assert!(
         change.len() * 20 < whole.len(),
         "{} of {}",
--- a/tools/ci/src/platform_words.rs
+++ b/tools/ci/src/platform_words.rs
@@ -60,8 +60,7 @@
             let path = entry?.path();
             let name = path.file_name().and_then(|name| name.to_str());
             let is_free = folder == root && name.is_some_and(|name| FREE_FOLDERS.contains(&name));
-            let is_own_list = path.ends_with("tools/ci/src/tests.rs");
-            if is_free || is_own_list {
+            if is_free {
                 continue;
             }
             if path.is_dir() {
