Copy texts between engines; keep places of texts over a common restart

Two reasons: a text that overflows or whose engine leaves was read anew, and after a loss of power of all VMs no edge knew any more where texts were, so the hash chose. Ruled out: engines running out of memory (12 x 844,704 tokens hold ten times the texts of the site).

A request that goes to an engine which lacks its text now names one that has it, if links between engines are faster than reading; the decision is choose_source. The registry that passes places on keeps them on disk; edges hold places of engines that have not announced themselves again yet.

--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -16,6 +16,8 @@
 mod retry_budget;
 mod route_map;
 mod site_config;
+mod stray_places;
+mod text_source;
 mod text_table;
 mod voter_plan;
 
@@ -74,6 +76,11 @@
             ServiceRule,
             SiteConfig, //
         },
+        stray_places::StrayPlaces,
+        text_source::{
+            TextSource,
+            choose_source, //
+        },
         text_table::TextTable, //
         voter_plan::{
             MemberSighting,
--- a/crates/ragwortroad_dispatch/src/place_choice.rs
+++ b/crates/ragwortroad_dispatch/src/place_choice.rs
@@ -78,7 +78,7 @@
 ///
 /// Services fail one request in seven for reasons of the request; with the weight of the moving
 /// share, a well endpoint stays below this and one that fails four in ten is above after eight.
-const FAILING_SHARE: f64 = 0.3;
+pub(crate) const FAILING_SHARE: f64 = 0.3;
 
 /// Where a request to a model engine goes.
 ///
--- a/crates/ragwortroad_dispatch/src/site_config.rs
+++ b/crates/ragwortroad_dispatch/src/site_config.rs
@@ -89,6 +89,11 @@
     pub memory_tokens: u64,
     /// Tokens that one event of a stream holds.
     pub event_tokens: u32,
+    /// Bytes of memory that one token takes; 0 where it is not told.
+    pub token_bytes: f64,
+    /// Speed of the links over which engines copy each other's memory, in megabits a second; 0
+    /// where they cannot.
+    pub link_mbps: f64,
 }
 
 /// What a caller may send, and how slowly.
--- /dev/null
+++ b/crates/ragwortroad_dispatch/tests/sources.rs
@@ -0,0 +1,66 @@
+//! Which engine a text is copied from, and when it is read anew instead.
+
+use ragwortroad_dispatch::prelude::*;
+
+/// Engines whose memory moves forty times as fast as they read.
+fn fast_links() -> EngineRule {
+    EngineRule {
+        slots: 128,
+        memory_tokens: 800_000,
+        event_tokens: 6,
+        token_bytes: 35_136.0,
+        link_mbps: 1_100_000.0,
+    }
+}
+
+fn source(key: u32, is_near: bool, load: u32) -> TextSource {
+    TextSource {
+        key: EndpointKey(key),
+        is_near,
+        load,
+        failing: 0.0,
+    }
+}
+
+/// The engine of a busy text is full and the next one has to take a request. Read anew, the text
+/// delays that request and all streams beside it.
+#[test]
+fn a_long_text_is_copied_from_the_nearest_engine_with_least_to_do() {
+    let sources = [source(1, false, 0), source(2, true, 9), source(3, true, 4)];
+    let chosen = choose_source(&sources, 10_512, &fast_links());
+    assert_eq!(chosen, Some(EndpointKey(3)));
+    assert_eq!(choose_source(&[], 10_512, &fast_links()), None);
+}
+
+/// An engine answers with failures while it seems well. Copying from it would hand its trouble on
+/// to requests at engines that are well.
+#[test]
+fn a_failing_engine_is_no_source() {
+    let failing = TextSource {
+        failing: 0.5,
+        ..source(1, true, 0)
+    };
+    let sources = [failing, source(2, false, 7)];
+    let chosen = choose_source(&sources, 10_512, &fast_links());
+    assert_eq!(chosen, Some(EndpointKey(2)));
+    assert_eq!(choose_source(&[failing], 10_512, &fast_links()), None);
+}
+
+/// Where links between engines are slow, callers would wait longer for a copy than for the
+/// reading; and for a short text the two engines' agreement takes as long as reading does.
+#[test]
+fn what_is_read_sooner_than_copied_is_read() {
+    let sources = [source(1, true, 0)];
+    let slow = EngineRule {
+        link_mbps: 10_000.0,
+        ..fast_links()
+    };
+    assert_eq!(choose_source(&sources, 10_512, &slow), None);
+    let unknown = EngineRule {
+        token_bytes: 0.0,
+        link_mbps: 0.0,
+        ..fast_links()
+    };
+    assert_eq!(choose_source(&sources, 10_512, &unknown), None);
+    assert_eq!(choose_source(&sources, 200, &fast_links()), None);
+}
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -199,9 +199,7 @@
         LinkMessage::TextsPlaced(placed) => {
             let mut state = shared.state.borrow_mut();
             for place in placed {
-                if let Some(key) = state.endpoints.find(place.engine) {
-                    state.texts.note(place.text, key, now);
-                }
+                state.take_place(place, now);
             }
         }
         LinkMessage::EndpointsWhole(records) => {
@@ -231,7 +229,7 @@
         RegistryChange::Goodbye(name) => {
             let change = state.endpoints.said_goodbye(&name, now);
             tracing::info!(endpoint = name, ?change, "endpoint left");
-            state.follow_change(change);
+            state.follow_change(change, now);
         }
     }
 }
@@ -243,7 +241,7 @@
     if change != EndpointChange::Same {
         tracing::info!(endpoint = name, ?stage, ?change, "endpoint news");
     }
-    state.follow_change(change);
+    state.follow_change(change, now);
 }
 
 fn take_version(shared: &EdgeShared, source: SourceKey, version: u64) {
--- a/crates/ragwortroad_edge/src/edge_port.rs
+++ b/crates/ragwortroad_edge/src/edge_port.rs
@@ -1,4 +1,7 @@
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use hyper::{
     HeaderMap,
@@ -44,6 +47,19 @@
     pub answer_tokens: u32,
 }
 
+impl RequestFacts {
+    /// Tokens of the prompt that the request shares with others.
+    pub fn shared_tokens(&self) -> u32 {
+        let shared = self
+            .parts
+            .split_last()
+            .map_or(&[][..], |(_, shared)| shared);
+        shared
+            .iter()
+            .fold(0, |total, part| total.saturating_add(part.tokens))
+    }
+}
+
 /// A part of a prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TextPart {
@@ -66,6 +82,8 @@
     pub rank: Option<u8>,
     /// The event behind which the stream goes on.
     pub after_event: Option<u64>,
+    /// Where the engine copies shared text from that it has not read.
+    pub text_source: Option<SocketAddr>,
 }
 
 /// What an endpoint's headers say.
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -53,6 +53,8 @@
     pub(crate) endpoints: EndpointTable,
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     pub(crate) texts: TextTable,
+    /// Places at engines that have not been heard of yet.
+    strays: StrayPlaces,
     /// Places of texts that the other edges are still to be told.
     pub(crate) placed: Vec<PlacedText>,
     budgets: BTreeMap<String, RetryBudget>,
@@ -108,12 +110,27 @@
             .or_insert_with(|| RetryBudget::new(BudgetSettings::default(), edges, now))
     }
 
+    /// Takes where another edge has placed a text, or an earlier process of the fleet.
+    pub(crate) fn take_place(&mut self, place: PlacedText, now: ClockTime) {
+        match self.endpoints.find(place.engine) {
+            Some(key) => {
+                self.texts.note(place.text, key, now);
+            }
+            None => self.strays.keep(place.engine, place.text),
+        }
+    }
+
     /// Takes what came of a piece of news about an endpoint.
-    pub(crate) fn follow_change(&mut self, change: EndpointChange) {
+    pub(crate) fn follow_change(&mut self, change: EndpointChange, now: ClockTime) {
         match change {
             EndpointChange::Started(key) => {
                 self.load_mut(key).reset();
                 self.texts.forget(key);
+                let name = self.endpoints.record(key).map(|record| &record.name);
+                let tag = name.map(|name| EndpointTag::of(name));
+                for text in tag.map_or_else(Vec::new, |tag| self.strays.take(tag)) {
+                    self.texts.note(text, key, now);
+                }
             }
             EndpointChange::Stopped(_) | EndpointChange::Changed(_) | EndpointChange::Same => {}
         }
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -153,6 +153,7 @@
         customer: customer.and_then(|key| plan.map.customer_name(key)),
         rank: Some(plan.map.rank(plan.route, customer)),
         after_event,
+        text_source: chosen.text_source.as_ref().map(|source| source.address),
     };
     let mut headers = plan.headers.clone();
     (shared.port.dress_request)(&mut headers, &sending);
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -4,9 +4,13 @@
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
+use ragwortroad_types::prelude::*;
 
 use crate::{
-    edge_state::EdgeShared,
+    edge_state::{
+        EdgeShared,
+        EdgeState, //
+    },
     request_plan::RequestPlan, //
 };
 
@@ -22,6 +26,15 @@
     pub(crate) among: usize,
     /// Whether it has read the request's shared text.
     pub(crate) holds_text: bool,
+    /// The engine that it copies that text from, where it has not read it.
+    pub(crate) text_source: Option<ChosenSource>,
+}
+
+/// An engine from which another one copies text.
+#[derive(Clone, Debug)]
+pub(crate) struct ChosenSource {
+    pub(crate) name: String,
+    pub(crate) address: SocketAddr,
 }
 
 /// Chooses an endpoint that was not tried, if there is one.
@@ -81,6 +94,10 @@
     }?;
     let chosen = candidates.iter().find(|candidate| candidate.key == key)?;
     let record = state.endpoints.record(key)?;
+    let engine = service.and_then(|service| service.engine.as_ref());
+    let text_source = engine
+        .filter(|_| !chosen.holds_text)
+        .and_then(|engine| find_source(&state, plan, engine, record, &holders, tried, now));
     let found = ChosenEndpoint {
         key,
         name: record.name.clone(),
@@ -88,6 +105,7 @@
         load: chosen.load,
         among: candidates.len(),
         holds_text: chosen.holds_text,
+        text_source,
     };
     drop(state);
     if let Some(text) = shared_text.filter(|_| is_engine) {
@@ -96,6 +114,41 @@
     Some(found)
 }
 
+/// The engine from which `target` copies the request's shared text.
+///
+/// One that leaves is asked too, as long as nobody has said that it is gone.
+fn find_source(
+    state: &EdgeState,
+    plan: &RequestPlan,
+    engine: &EngineRule,
+    target: &EndpointRecord,
+    holders: &[EndpointKey],
+    tried: &[EndpointKey],
+    now: ClockTime,
+) -> Option<ChosenSource> {
+    let untried = holders.iter().filter(|key| !tried.contains(key));
+    let sources: Vec<TextSource> = untried
+        .filter_map(|&key| {
+            let record = state.endpoints.record(key)?;
+            let is_there = record.stage != EndpointStage::Gone && record.name != target.name;
+            let load = state.loads.get(&key);
+            let is_open = load.is_none_or(|load| load.is_open(now));
+            (is_there && is_open).then(|| TextSource {
+                key,
+                is_near: record.zone == target.zone,
+                load: load.map_or(0, |load| load.estimate(0, now)),
+                failing: load.map_or(0.0, EndpointLoad::failing),
+            })
+        })
+        .collect();
+    let key = choose_source(&sources, plan.facts.shared_tokens(), engine)?;
+    let record = state.endpoints.record(key)?;
+    Some(ChosenSource {
+        name: record.name.clone(),
+        address: record.address,
+    })
+}
+
 /// Remembers that an engine reads a text, and has the other edges told if they do not know.
 fn note_place(shared: &EdgeShared, text: u64, chosen: &ChosenEndpoint) {
     let now = shared.now();
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -227,6 +227,10 @@
                     load = chosen.load,
                     among = chosen.among,
                     holds_text = chosen.holds_text,
+                    text_from = chosen
+                        .text_source
+                        .as_ref()
+                        .map(|source| source.name.as_str()),
                     attempts = way.attempts,
                     took_ms = plan.came_at.elapsed().as_millis() as u64,
                     "request answered"
--- a/crates/ragwortroad_log/src/lib.rs
+++ b/crates/ragwortroad_log/src/lib.rs
@@ -34,6 +34,7 @@
 mod folder_open;
 mod folder_replay;
 mod folder_settings;
+mod hint_file;
 mod log_change;
 mod log_error;
 mod log_folder;
@@ -57,6 +58,7 @@
             FakeDisk, //
         },
         folder_settings::FolderSettings,
+        hint_file::HintFile,
         log_change::LogChange,
         log_error::LogError,
         log_folder::LogFolder,
--- /dev/null
+++ b/crates/ragwortroad_log/tests/hints.rs
@@ -0,0 +1,31 @@
+//! A file of hints on a fake disk that loses power.
+
+use ragwortroad_log::prelude::*;
+
+fn file(disk: &FakeDisk) -> HintFile {
+    HintFile::new(DiskPort::Fake(disk.clone()))
+}
+
+/// Power is lost while hints are written anew. What is found afterwards must be whole: half of a
+/// list would send requests to engines at random.
+#[test]
+fn hints_are_whole_after_a_loss_of_power() {
+    for lost in 0..40 {
+        let disk = FakeDisk::default();
+        let mut hints = file(&disk);
+        assert_eq!(hints.read().expect("an empty folder"), None);
+        hints.write(b"the first ones").expect("writes");
+        disk.stop_after(lost);
+        let written = hints.write(b"others").is_ok();
+        drop(hints);
+        disk.crash(|_| 0);
+        let found = file(&disk).read().expect("a folder").expect("hints");
+        match written {
+            true => assert_eq!(found, b"others"),
+            false => assert!(
+                found == b"the first ones" || found == b"others",
+                "{found:?}"
+            ),
+        }
+    }
+}
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -65,9 +65,6 @@
 /// unless engines have come or gone.
 const PLACES_EVERY: Duration = Duration::from_millis(500);
 
-/// Places of texts remembered for edges that start; each takes some ten bytes on the link.
-const MAX_PLACES: usize = 2000;
-
 /// Most addresses in one answer of the directory; callers take no more.
 const MAX_ADDRESSES: usize = 64;
 
@@ -111,8 +108,8 @@
         if !loads.is_empty() {
             queue.send(&LinkMessage::Loads(loads));
         }
-        if !self.places.is_empty() {
-            let places = self.places.iter().copied().collect();
+        let places = self.places.known();
+        if !places.is_empty() {
             queue.send(&LinkMessage::TextsPlaced(places));
         }
     }
@@ -183,23 +180,12 @@
         Duration::from_secs_f64(bytes as f64 / bytes_a_second)
     }
 
-    /// Takes where an edge has placed texts.
-    pub(crate) fn take_places(&mut self, placed: &[PlacedText]) {
-        self.new_places.extend(placed);
-        self.places.extend(placed);
-        let surplus = self.places.len().saturating_sub(MAX_PLACES);
-        self.places.drain(..surplus);
-    }
-
     /// Tells all edges where texts were placed since the last time.
     pub(crate) fn tell_places(&mut self, now: ClockTime) {
         if now < self.places_at {
             return;
         }
-        let mut placed = std::mem::take(&mut self.new_places);
-        let surplus = placed.len().saturating_sub(MAX_PLACES);
-        // The oldest are what other edges found out by themselves most likely.
-        placed.drain(..surplus);
+        let placed = self.places.take_untold();
         let span = match placed.is_empty() {
             true => PLACES_EVERY,
             false => {
@@ -210,6 +196,16 @@
         self.places_at = now.after(span);
     }
 
+    /// Has the disk keep where texts were placed, from time to time.
+    pub(crate) fn keep_places(&mut self, now: ClockTime) {
+        let Some(due) = self.places.due(now) else {
+            return;
+        };
+        if self.keeper.keep(due) {
+            self.places.note_kept();
+        }
+    }
+
     pub(crate) fn tell_fleet(&mut self, now: ClockTime) {
         metrics::gauge!(metric_names::EDGES).set(self.edges.len() as f64);
         let version = self.seat.register().version().unwrap_or(0);
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -16,6 +16,8 @@
 mod group_seat;
 mod peer_dialer;
 mod peer_flow;
+mod place_board;
+mod place_keeper;
 mod registry_error;
 mod registry_event;
 mod registry_port;
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -128,7 +128,7 @@
             LinkMessage::EdgeStaged(stage) => self.stage_edge(link, stage),
             LinkMessage::WantConfig { above } => self.give_config(link, above),
             LinkMessage::Loads(counts) => self.totals.take(link.0, &counts),
-            LinkMessage::TextsPlaced(placed) => self.take_places(&placed),
+            LinkMessage::TextsPlaced(placed) => self.places.take(&placed),
             other => tracing::warn!(?other, "a message that no process sends here"),
         }
     }
--- a/crates/ragwortroad_registry/src/registry_event.rs
+++ b/crates/ragwortroad_registry/src/registry_event.rs
@@ -61,6 +61,8 @@
     },
     /// The disk has done something.
     Folder(FolderReport),
+    /// An earlier process has kept where texts were placed.
+    PlacesFound(Vec<PlacedText>),
     /// The settings name these registries now.
     Seeds(Vec<SocketAddr>),
     /// The process is to stop.
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -44,6 +44,7 @@
         SeatStart, //
     },
     peer_dialer::keep_dialled,
+    place_keeper::PlaceKeeper,
     registry_error::{
         ListenSnafu,
         MissingSettingSnafu,
@@ -86,6 +87,9 @@
 /// Bytes of one compressed configuration.
 const MAX_COMMAND_BYTES: usize = 900 << 10;
 
+/// Where places of texts are kept, within the data folder.
+const PLACES_FOLDER: &str = "places";
+
 /// What a registry is told from outside its loop.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RegistrySignal {
@@ -143,6 +147,8 @@
         quota_bytes: settings.data_quota,
         ..FolderSettings::default()
     };
+    let keeper = PlaceKeeper::start(folder.path.join(PLACES_FOLDER), events.clone());
+    let keeper = keeper.context(StartSnafu)?;
     let disk = FolderWorker::start(folder, events.clone()).context(StartSnafu)?;
     let seat = GroupSeat::new(SeatStart {
         node: node_at(settings.inner),
@@ -152,7 +158,7 @@
         start: clock.wall_ms(),
         seed: random(),
     });
-    let state = RegistryState::new(settings, seat, clock.now());
+    let state = RegistryState::new(settings, seat, keeper, clock.now());
     run_loop(state, &clock, &queue, &events).await;
     Ok(())
 }
@@ -185,6 +191,7 @@
         }
     }
     state.seat.join();
+    state.keeper.join();
 }
 
 /// Accepts connections of edges and other registries.
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -1,8 +1,7 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet,
-        VecDeque, //
+        BTreeSet, //
     },
     net::SocketAddr,
     time::Duration, //
@@ -26,6 +25,8 @@
         SeatEffect, //
     },
     peer_flow::PeerEntry,
+    place_board::PlaceBoard,
+    place_keeper::PlaceKeeper,
     registry_event::{
         LinkKey,
         RegistryEvent, //
@@ -68,10 +69,9 @@
     /// What the edges have under way, of those that tell this registry.
     pub(crate) totals: LoadTotals,
     pub(crate) totals_at: ClockTime,
-    /// Where edges have placed texts lately, the newest last.
-    pub(crate) places: VecDeque<PlacedText>,
-    /// Those that the edges are still to be told.
-    pub(crate) new_places: Vec<PlacedText>,
+    /// Where edges have placed texts lately.
+    pub(crate) places: PlaceBoard,
+    pub(crate) keeper: PlaceKeeper,
     pub(crate) places_at: ClockTime,
     /// What edges were told last of the fleet.
     pub(crate) told_fleet: Option<LinkMessage>,
@@ -81,7 +81,12 @@
 }
 
 impl RegistryState {
-    pub(crate) fn new(settings: ForwardSettings, seat: GroupSeat, now: ClockTime) -> Self {
+    pub(crate) fn new(
+        settings: ForwardSettings,
+        seat: GroupSeat,
+        keeper: PlaceKeeper,
+        now: ClockTime,
+    ) -> Self {
         let mut state = Self {
             table: RegistryTable::new(settings.announce_every),
             settings,
@@ -105,8 +110,8 @@
             news_at: now,
             totals: LoadTotals::default(),
             totals_at: now,
-            places: VecDeque::new(),
-            new_places: Vec::new(),
+            places: PlaceBoard::new(now),
+            keeper,
             places_at: now,
             told_fleet: None,
             fleet_at: now,
@@ -137,6 +142,7 @@
                 let effects = self.seat.take_report(report, now);
                 self.carry_out(effects, now);
             }
+            RegistryEvent::PlacesFound(places) => self.places.take_found(places),
             RegistryEvent::Seeds(seeds) => {
                 self.settings.seeds = seeds;
                 self.learn_seeds();
@@ -156,6 +162,7 @@
             self.retry_calls(now);
             self.expire_endpoints(now);
             self.tell_fleet(now);
+            self.keep_places(now);
         }
         self.say_hello(now);
         self.plan_voters(now);
