Soak with a proxy for connections, kept connections and faulty storage

The soak of real processes gets a loopback proxy before each registry's inner address and before each endpoint (delay, reset, one way cut, silence), faults of the network that overlap with those of the processes, callers that keep their connection until it is gone, torn log tails, disks that are full, and a second look at the end at all that was said not to have run. Registries get a setting for it, vm.inner_bind, as one needs behind a forwarded port.

--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -35,6 +35,8 @@
     pub zone: String,
     /// Where it talks to the fleet's other processes.
     pub inner: SocketAddr,
+    /// Where it listens for them, if that is elsewhere, as behind a forwarded port.
+    pub inner_bind: Option<SocketAddr>,
     /// Registries' public addresses that are known from the start; the IP numbers matter.
     pub seeds: Vec<SocketAddr>,
     /// Whether the whole fleet starts for the first time, with empty disks.
@@ -85,6 +87,7 @@
             name: String::new(),
             zone: String::new(),
             inner: nowhere,
+            inner_bind: None,
             seeds: Vec::new(),
             first_start: false,
             callers: None,
@@ -143,6 +146,7 @@
             name: reader.required("vm", "name"),
             zone: reader.required("vm", "zone"),
             inner: inner.unwrap_or(default.inner),
+            inner_bind: optional_address(reader, "vm", "inner_bind"),
             seeds: reader.list("vm", "seeds", address),
             first_start: first_start.unwrap_or(false),
             callers: optional_address(reader, "edge", "callers"),
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -9,7 +9,9 @@
 mod caller;
 #[path = "../../platform/tests/whole_path/document.rs"]
 mod document;
+mod kept_caller;
 mod processes;
+mod proxy;
 #[allow(dead_code, reason = "the whole path uses more of it")]
 #[path = "../../platform/tests/whole_path/replica.rs"]
 mod replica;
@@ -38,10 +40,18 @@
     open_document,
     version_of, //
 };
+use kept_caller::{
+    KeptCaller,
+    KeptEnd, //
+};
 use processes::{
     SoakProcess,
     make_processes, //
 };
+use proxy::{
+    ProxyMode,
+    SoakProxy, //
+};
 use rand::{
     RngExt,
     SeedableRng, //
@@ -62,6 +72,14 @@
     edges: Vec<SocketAddr>,
     registries: Vec<SocketAddr>,
     replicas: [Replica; 2],
+    /// What stands before each replica; its address is the one announced.
+    replica_proxies: Vec<SoakProxy>,
+    /// How often each edge was ended by force.
+    edge_kills: Vec<AtomicU64>,
+    /// Held while a fault of the network lasts, or while it may bring none.
+    calm: Mutex<()>,
+    /// Paths of what must run once at most and was said not to have run.
+    refused: Mutex<Vec<String>>,
     /// Highest version that an operator was told is accepted.
     acked: AtomicU64,
     next_call: AtomicU64,
@@ -106,7 +124,35 @@
         if is_once && runs > 1 {
             self.note(format!("{path} ran {runs} times"));
         }
-        if is_once && answer.status == 503 && answer.is_whole && runs > 0 {
+        if is_once && answer.status == 503 && answer.is_whole {
+            let mut refused = self.refused.lock().expect("no thread panicked");
+            refused.push(path);
+        }
+    }
+
+    /// A caller that keeps its connection: only force may cut what it has asked.
+    fn call_kept(&self, edge: usize, caller: &mut KeptCaller) {
+        let call = self.next_call.fetch_add(1, Ordering::SeqCst);
+        let path = format!("/safe/{call}/ok");
+        let kills = || self.edge_kills[edge].load(Ordering::SeqCst);
+        let before = kills();
+        let end = caller.ask(self.edges[edge], &path, &format!("call-{call}"));
+        // One that was closed before it was passed on can be sent again without harm.
+        let was_passed_on = || {
+            let arrivals = self.replicas.iter().map(|replica| replica.arrivals(&path));
+            arrivals.flatten().next().is_some()
+        };
+        if end == KeptEnd::Cut && before == kills() && was_passed_on() {
+            self.note(format!(
+                "{path} was cut on a kept connection to edge {edge}"
+            ));
+        }
+    }
+
+    /// What was said not to have run must not run later either.
+    fn check_refused(&self) {
+        let refused = self.refused.lock().expect("no thread panicked");
+        for path in refused.iter().filter(|path| self.runs(path) > 0) {
             self.note(format!("{path} was said not to have run, and ran"));
         }
     }
@@ -146,8 +192,8 @@
 
     /// The endpoints announce themselves, each at the next registry that takes it.
     fn announce(&self, sequence: u64) {
-        for replica in &self.replicas {
-            let (line, body) = announcement(&replica.name, &replica.address.to_string(), sequence);
+        for (replica, proxy) in self.replicas.iter().zip(&self.replica_proxies) {
+            let (line, body) = announcement(&replica.name, &proxy.address.to_string(), sequence);
             self.registries
                 .iter()
                 .any(|registry| send(*registry, &line, &[], body.as_bytes()).status == 200);
@@ -156,26 +202,38 @@
 }
 
 /// Does one thing to one process and leaves it running again, or brings all down at once.
-fn disturb(registries: &mut [SoakProcess], edges: &mut [SoakProcess], rng: &mut Pcg64Mcg) {
+fn disturb(
+    run: &SoakRun,
+    registries: &mut [SoakProcess],
+    edges: &mut [SoakProcess],
+    rng: &mut Pcg64Mcg,
+) {
     let pause = Duration::from_millis(rng.random_range(50..1500));
     let registry = rng.random_range(0..registries.len());
     let edge = rng.random_range(0..edges.len());
-    match rng.random_range(0..7) {
+    let noise: [u8; 40] = rng.random();
+    match rng.random_range(0..9) {
         0 => restart(&mut registries[registry], pause, SoakProcess::kill),
-        1 => restart(&mut registries[registry], pause, |process| {
-            process.kill();
-            process.wipe();
-        }),
-        2 => restart(&mut edges[edge], pause, SoakProcess::kill),
+        1 => {
+            // One disk may be lost at a time; while the network holds the copying up, that one counts.
+            let _calm = run.calm.lock().expect("no thread panicked");
+            restart(&mut registries[registry], pause, |process| {
+                process.kill();
+                process.wipe();
+            });
+        }
+        2 => {
+            run.edge_kills[edge].fetch_add(1, Ordering::SeqCst);
+            restart(&mut edges[edge], pause, SoakProcess::kill);
+        }
         3 => freeze(&registries[registry], pause * 2),
         4 => freeze(&edges[edge], pause),
-        5 => restart(&mut edges[edge], pause, |process| {
-            process.signal(Signal::TERM);
-            // It ends within its grace time.
-            while !process.has_ended() {
-                thread::sleep(Duration::from_millis(20));
-            }
+        5 => restart(&mut edges[edge], pause, stop),
+        6 => restart(&mut registries[registry], pause, |process| {
+            process.kill();
+            process.tear_log(&noise);
         }),
+        7 => fill_disk(&mut registries[registry], pause * 2),
         _ => {
             registries.iter_mut().for_each(SoakProcess::kill);
             thread::sleep(pause);
@@ -186,6 +244,58 @@
     }
 }
 
+/// Stops a process and waits until it has ended, which it does within its grace time.
+fn stop(process: &mut SoakProcess) {
+    process.signal(Signal::TERM);
+    while !process.has_ended() {
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Has a registry run for a while on a disk that takes nothing more.
+fn fill_disk(process: &mut SoakProcess, span: Duration) {
+    process.kill();
+    process.limit_disk(Some(1));
+    process.start();
+    thread::sleep(span);
+    process.limit_disk(None);
+    restart(process, Duration::from_millis(50), SoakProcess::kill);
+}
+
+/// Does one thing to the connections behind one proxy, and lets them go on afterwards.
+fn disturb_network(proxies: &[&SoakProxy], rng: &mut Pcg64Mcg) {
+    let proxy = proxies[rng.random_range(0..proxies.len())];
+    let span = Duration::from_millis(rng.random_range(200..3500));
+    let delay = Duration::from_millis(rng.random_range(5..300));
+    let silent = ProxyMode {
+        holds_forth: true,
+        holds_back: true,
+        ..ProxyMode::default()
+    };
+    let mode = match rng.random_range(0..5) {
+        0 => ProxyMode {
+            delay,
+            ..ProxyMode::default()
+        },
+        1 => ProxyMode {
+            holds_back: false,
+            ..silent
+        },
+        2 => ProxyMode {
+            holds_forth: false,
+            ..silent
+        },
+        3 => silent,
+        _ => {
+            proxy.reset();
+            return;
+        }
+    };
+    proxy.set(mode);
+    thread::sleep(span);
+    proxy.set(ProxyMode::default());
+}
+
 fn restart(process: &mut SoakProcess, pause: Duration, end: impl Fn(&mut SoakProcess)) {
     let is_counted = process.data.is_some();
     end(process);
@@ -207,16 +317,27 @@
 fn soak(seed: u64, span: Duration) -> Vec<String> {
     let folder = tempfile::tempdir().expect("a folder");
     let (mut registries, mut edges) = make_processes(folder.path());
+    let replicas = [Replica::start("i-one"), Replica::start("i-two")];
+    let anywhere = SocketAddr::from(([127, 0, 0, 1], 0));
+    let before = |replica: &Replica| SoakProxy::start(anywhere, replica.address);
     let run = SoakRun {
+        replica_proxies: replicas.iter().map(before).collect(),
+        edge_kills: edges.iter().map(|_| AtomicU64::new(0)).collect(),
+        refused: Mutex::default(),
+        calm: Mutex::default(),
         is_over: AtomicBool::new(false),
         edges: edges.iter().map(|edge| edge.address).collect(),
         registries: registries.iter().map(|registry| registry.address).collect(),
-        replicas: [Replica::start("i-one"), Replica::start("i-two")],
+        replicas,
         acked: AtomicU64::new(0),
         next_call: AtomicU64::new(0),
         served: AtomicU64::new(0),
         broken: Mutex::new(Vec::new()),
     };
+    let proxies: Vec<SoakProxy> = registries
+        .iter_mut()
+        .filter_map(|registry| registry.proxy.take())
+        .collect();
     registries.iter_mut().for_each(SoakProcess::start);
     edges.iter_mut().for_each(SoakProcess::start);
     thread::scope(|scope| {
@@ -230,8 +351,17 @@
                 }
             });
         }
-        let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 50);
         let run = &run;
+        for edge in 0..run.edges.len() {
+            scope.spawn(move || {
+                let mut caller = KeptCaller::default();
+                while !run.is_over.load(Ordering::SeqCst) {
+                    run.call_kept(edge, &mut caller);
+                    thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 50);
         scope.spawn(move || {
             let mut version = 0;
             while !run.is_over.load(Ordering::SeqCst) {
@@ -251,12 +381,25 @@
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let begun = Instant::now();
         thread::sleep(Duration::from_secs(2));
+        // Faults of the network overlap with those of the processes.
+        let mut network_rng = Pcg64Mcg::seed_from_u64(seed * 100 + 60);
+        let proxies: Vec<_> = proxies.iter().chain(&run.replica_proxies).collect();
+        let network = scope.spawn(move || {
+            while begun.elapsed() < span {
+                let calm = run.calm.lock().expect("no thread panicked");
+                disturb_network(&proxies, &mut network_rng);
+                drop(calm);
+                thread::sleep(Duration::from_millis(network_rng.random_range(0..800)));
+            }
+        });
         while begun.elapsed() < span {
-            disturb(&mut registries, &mut edges, &mut rng);
+            disturb(run, &mut registries, &mut edges, &mut rng);
         }
+        network.join().expect("no thread panicked");
         check_recovery(run);
         run.is_over.store(true, Ordering::SeqCst);
     });
+    run.check_refused();
     let served = run.served.load(Ordering::SeqCst);
     let acked = run.acked.load(Ordering::SeqCst);
     println!("seed {seed}: {served} served, version {acked} accepted");
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -5,6 +5,7 @@
         self,
         File, //
     },
+    io::Write,
     net::{
         IpAddr,
         Ipv4Addr,
@@ -22,6 +23,8 @@
     },
 };
 
+use crate::proxy::SoakProxy;
+
 use rustix::process::{
     Pid,
     Signal,
@@ -40,6 +43,8 @@
     child: Option<Child>,
     /// Where it is reached: callers at an edge, operators at a registry.
     pub(crate) address: SocketAddr,
+    /// What stands between it and the fleet's other processes, if it is a registry.
+    pub(crate) proxy: Option<SoakProxy>,
 }
 
 impl SoakProcess {
@@ -87,6 +92,30 @@
         ended
     }
 
+    /// Gives its disk this much room from the next start on, or as much as there is.
+    pub(crate) fn limit_disk(&self, bytes: Option<u64>) {
+        let text = fs::read_to_string(&self.settings).expect("its settings");
+        let kept = text.lines().filter(|line| !line.starts_with(QUOTA_KEY));
+        let quota = bytes.map(|bytes| format!("{QUOTA_KEY} = {bytes}"));
+        let lines: Vec<&str> = kept.chain(quota.as_deref()).collect();
+        fs::write(&self.settings, lines.join("\n") + "\n").expect("its settings");
+    }
+
+    /// Leaves half of a write behind the newest log file, as a loss of power does.
+    pub(crate) fn tear_log(&self, bytes: &[u8]) {
+        let Some(data) = &self.data else {
+            return;
+        };
+        let files = fs::read_dir(data).expect("a folder");
+        let names = files.filter_map(|file| file.ok()?.file_name().into_string().ok());
+        let Some(newest) = names.filter(|name| name.starts_with("log-")).max() else {
+            return;
+        };
+        let file = File::options().append(true).open(data.join(newest));
+        file.and_then(|mut file| file.write_all(bytes))
+            .expect("a log file");
+    }
+
     /// Takes its disk away.
     pub(crate) fn wipe(&mut self) {
         if let Some(data) = &self.data {
@@ -98,6 +127,9 @@
     }
 }
 
+/// The settings' key for a disk's room; the last one of its section's.
+const QUOTA_KEY: &str = "data_quota_bytes";
+
 impl Drop for SoakProcess {
     fn drop(&mut self) {
         self.kill();
@@ -108,12 +140,14 @@
 pub(crate) fn make_processes(folder: &Path) -> (Vec<SoakProcess>, Vec<SoakProcess>) {
     let net = (std::process::id() % 100) as u8 + 20;
     let ip = |host| IpAddr::V4(Ipv4Addr::new(127, net, 200, host));
+    let hidden = |host| IpAddr::V4(Ipv4Addr::new(127, net, 201, host));
     let ports: Vec<u16> = (0..4).map(|_| free_port(ip(1))).collect();
     let at = |host, port: usize| SocketAddr::new(ip(host), ports[port]);
     let seeds: Vec<String> = (1..=3).map(|host| at(host, 1).to_string()).collect();
-    let common = |host| {
+    let common = |host, bind: Option<SocketAddr>| {
+        let bind = bind.map_or_else(String::new, |bind| format!("inner_bind = {bind}\n"));
         format!(
-            "[vm]\nname = vm-{host}\nzone = a\ninner = {}\nseeds = {}\nfirst_start = true\n\
+            "[vm]\nname = vm-{host}\nzone = a\ninner = {}\nseeds = {}\nfirst_start = true\n{bind}\
              [bounds]\nannounce_every_ms = 500\ngrace_ms = 5000\nretry_slack = 400\n",
             at(host, 0),
             seeds.join(",")
@@ -122,8 +156,12 @@
     let program = folder.join("ragwortroad");
     fs::copy(env!("CARGO_BIN_EXE_ragwortroad"), &program).expect("a copy");
     let make = |host: u8, role, own: String, data: Option<PathBuf>, address| {
+        let bind = data
+            .is_some()
+            .then(|| SocketAddr::new(hidden(host), ports[0]));
+        let proxy = bind.map(|bind| SoakProxy::start(at(host, 0), bind));
         let settings = folder.join(format!("{role}-{host}.ini"));
-        fs::write(&settings, common(host) + &own).expect("a settings file");
+        fs::write(&settings, common(host, bind) + &own).expect("a settings file");
         SoakProcess {
             role,
             program: program.clone(),
@@ -132,12 +170,14 @@
             log: folder.join(format!("{role}-{host}.log")),
             child: None,
             address,
+            proxy,
         }
     };
     let registry = |host| {
         let data = folder.join(format!("data-{host}"));
         let own = format!(
-            "[registry]\ncontrol = {}\ndirectory = {}\ndata_folder = {}\ntrust_disk = true\n",
+            "[registry]\ncontrol = {}\ndirectory = {}\ndata_folder = {}\n\
+             trust_disk = true\n",
             at(host, 1),
             at(host, 2),
             data.display()
--- /dev/null
+++ b/tests/soak/proxy.rs
@@ -0,0 +1,176 @@
+//! A proxy on loopback that does to connections what networks do.
+
+use std::{
+    io::{
+        ErrorKind,
+        Read,
+        Write, //
+    },
+    net::{
+        SocketAddr,
+        TcpListener,
+        TcpStream, //
+    },
+    sync::{
+        Arc,
+        Mutex,
+        atomic::{
+            AtomicBool,
+            AtomicU64,
+            Ordering, //
+        }, //
+    },
+    thread::{
+        self,
+        JoinHandle, //
+    },
+    time::Duration, //
+};
+
+use socket2::SockRef;
+
+/// Time after which a waiting thread looks at what it is to do.
+const LOOK_EVERY: Duration = Duration::from_millis(10);
+
+/// What is done to the bytes of all connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct ProxyMode {
+    /// Time by which each piece is late.
+    pub(crate) delay: Duration,
+    /// Whether what the dialling side sends is held back.
+    pub(crate) holds_forth: bool,
+    /// Whether what comes back is held back.
+    pub(crate) holds_back: bool,
+}
+
+/// What the proxy's threads share.
+#[derive(Debug, Default)]
+struct ProxyState {
+    mode: Mutex<ProxyMode>,
+    /// Connections made before the last change of this number are reset.
+    resets: AtomicU64,
+    is_over: AtomicBool,
+}
+
+/// Stands between the processes that dial `address` and the one that listens at another.
+#[derive(Debug)]
+pub(crate) struct SoakProxy {
+    pub(crate) address: SocketAddr,
+    state: Arc<ProxyState>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl SoakProxy {
+    pub(crate) fn start(address: SocketAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).expect("binds");
+        let address = listener.local_addr().expect("an address");
+        let state = Arc::new(ProxyState::default());
+        let shared = Arc::clone(&state);
+        let thread = thread::spawn(move || accept(&listener, target, &shared));
+        Self {
+            address,
+            state,
+            thread: Some(thread),
+        }
+    }
+
+    pub(crate) fn set(&self, mode: ProxyMode) {
+        *self.state.mode.lock().expect("no thread panicked") = mode;
+    }
+
+    /// Resets all connections.
+    pub(crate) fn reset(&self) {
+        self.state.resets.fetch_add(1, Ordering::SeqCst);
+    }
+}
+
+impl Drop for SoakProxy {
+    fn drop(&mut self) {
+        self.state.is_over.store(true, Ordering::SeqCst);
+        // Wakes the accept.
+        drop(TcpStream::connect(self.address));
+        if let Some(thread) = self.thread.take() {
+            drop(thread.join());
+        }
+    }
+}
+
+fn accept(listener: &TcpListener, target: SocketAddr, state: &Arc<ProxyState>) {
+    let mut threads = Vec::new();
+    for dialled in listener.incoming() {
+        if state.is_over.load(Ordering::SeqCst) {
+            break;
+        }
+        let dialled = dialled.expect("accepts");
+        // The process may not run; its dialler sees a connection that ends at once.
+        let Ok(reached) = TcpStream::connect(target) else {
+            continue;
+        };
+        for stream in [&dialled, &reached] {
+            stream.set_nodelay(true).expect("a socket");
+            stream.set_read_timeout(Some(LOOK_EVERY)).expect("a socket");
+        }
+        let copies = || (dialled.try_clone(), reached.try_clone());
+        for is_forth in [true, false] {
+            let (Ok(dialled), Ok(reached)) = copies() else {
+                continue;
+            };
+            let state = Arc::clone(state);
+            threads.push(thread::spawn(move || match is_forth {
+                true => copy(dialled, reached, &state, true),
+                false => copy(reached, dialled, &state, false),
+            }));
+        }
+        threads.retain(|thread| !thread.is_finished());
+    }
+    for thread in threads {
+        drop(thread.join());
+    }
+}
+
+/// Copies one direction until it ends or is reset.
+fn copy(mut from: TcpStream, mut to: TcpStream, state: &ProxyState, is_forth: bool) {
+    let resets = state.resets.load(Ordering::SeqCst);
+    let mut buffer = vec![0; 16 << 10];
+    loop {
+        if state.is_over.load(Ordering::SeqCst) || state.resets.load(Ordering::SeqCst) != resets {
+            reset_both(&from, &to);
+            return;
+        }
+        let mode = *state.mode.lock().expect("no thread panicked");
+        if is_forth && mode.holds_forth || !is_forth && mode.holds_back {
+            thread::sleep(LOOK_EVERY);
+            continue;
+        }
+        let count = match from.read(&mut buffer) {
+            Ok(0) => {
+                // The other direction may go on; its end may have gone already.
+                drop(to.shutdown(std::net::Shutdown::Write));
+                return;
+            }
+            Ok(count) => count,
+            Err(error) if is_pause(error.kind()) => continue,
+            Err(_) => {
+                reset_both(&from, &to);
+                return;
+            }
+        };
+        thread::sleep(mode.delay);
+        if to.write_all(&buffer[..count]).is_err() {
+            reset_both(&from, &to);
+            return;
+        }
+    }
+}
+
+fn is_pause(kind: ErrorKind) -> bool {
+    matches!(kind, ErrorKind::WouldBlock | ErrorKind::TimedOut)
+}
+
+fn reset_both(from: &TcpStream, to: &TcpStream) {
+    for stream in [from, to] {
+        // Without a time to linger the close is a reset. Either end may be gone already.
+        drop(SockRef::from(stream).set_linger(Some(Duration::ZERO)));
+        drop(stream.shutdown(std::net::Shutdown::Both));
+    }
+}
