--- a/crates/ragwortroad_dispatch/src/text_source.rs
+++ b/crates/ragwortroad_dispatch/src/text_source.rs
@@ -43,11 +43,12 @@
     if tokens < LEAST_TOKENS || moving_pace(engine) <= READING_PACE {
         return None;
     }
-    let well = sources
-        .iter()
-        .filter(|source| source.failing < FAILING_SHARE);
+    // An engine that fails requests still has its memory; it is asked where no other one can be.
     // Domains are some milliseconds apart, which counts twice for a transfer.
-    let best = well.min_by_key(|source| (!source.is_near, source.load, source.key));
+    let best = sources.iter().min_by_key(|source| {
+        let is_failing = source.failing >= FAILING_SHARE;
+        (is_failing, !source.is_near, source.load, source.key)
+    });
     best.map(|source| source.key)
 }
 
