Have requests wait for a starting edge and for the engine with their text

Those served first, when only some engines had announced themselves, had these read all texts anew, and waited for two seconds. Ruled out: slow starts of ours (leader 0.15 s after the last registry, first edge ready 0.1 s after that).

A request waits at an edge that started less than 3 s ago, at most 0.8 s and a quarter of its time, its body read first; one whose text is at an engine that has not announced itself yet waits as long for that engine. A refusal names the time that a common start still takes. In an outage nothing waits.

--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -17,6 +17,7 @@
 mod retry_budget;
 mod route_map;
 mod site_config;
+mod start_wait;
 mod stray_places;
 mod text_source;
 mod text_table;
@@ -79,6 +80,10 @@
             ServiceRule,
             SiteConfig, //
         },
+        start_wait::{
+            start_left,
+            start_wait, //
+        },
         stray_places::StrayPlaces,
         text_source::{
             TextSource,
--- a/crates/ragwortroad_dispatch/src/stray_places.rs
+++ b/crates/ragwortroad_dispatch/src/stray_places.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::HashMap;
 
 use crate::EndpointTag;
 
@@ -11,8 +11,9 @@
 /// themselves again within a second or two. Dropped meanwhile, the places would be told in vain.
 #[derive(Debug, Default)]
 pub struct StrayPlaces {
-    engines: BTreeMap<EndpointTag, Vec<u64>>,
-    /// Invariant: texts of all engines together.
+    /// Invariant: no text is without an engine.
+    texts: HashMap<u64, Vec<EndpointTag>>,
+    /// Invariant: places of all texts together.
     count: usize,
 }
 
@@ -22,17 +23,30 @@
         if self.count >= MAX_STRAYS {
             return;
         }
-        let texts = self.engines.entry(engine).or_default();
-        if !texts.contains(&text) {
-            texts.push(text);
+        let engines = self.texts.entry(text).or_default();
+        if !engines.contains(&engine) {
+            engines.push(engine);
             self.count += 1;
         }
     }
 
+    /// Whether an engine that was not heard of holds a text.
+    pub fn knows(&self, text: u64) -> bool {
+        self.texts.contains_key(&text)
+    }
+
     /// Texts of an engine that has been heard of.
     pub fn take(&mut self, engine: EndpointTag) -> Vec<u64> {
-        let texts = self.engines.remove(&engine).unwrap_or_default();
-        self.count -= texts.len();
-        texts
+        let mut taken = Vec::new();
+        self.texts.retain(|&text, engines| {
+            let before = engines.len();
+            engines.retain(|known| *known != engine);
+            if engines.len() < before {
+                taken.push(text);
+            }
+            !engines.is_empty()
+        });
+        self.count -= taken.len();
+        taken
     }
 }
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -314,12 +314,12 @@
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
     ask_config(shared, &mut state, now);
-    if state.stage == EdgeStage::Starting && is_settled(&state, now) {
+    if state.stage == EdgeStage::Starting && is_settled(&state, shared.running()) {
         state.set_stage(EdgeStage::Ready);
     }
 }
 
-fn is_settled(state: &EdgeState, now: ClockTime) -> bool {
+fn is_settled(state: &EdgeState, running: Duration) -> bool {
     let Some(version) = state.version() else {
         return false;
     };
@@ -334,8 +334,6 @@
     let heard = state.links.values();
     let heard = heard.filter(|link| link.version.is_some() && link.has_told);
     let is_certain = heard.count() as u32 > voters / 2 && voters > 0;
-    // Readings of a process's clock start an hour after zero.
-    let running = now.since(ClockTime::ZERO.after(Duration::from_secs(3600)));
     is_newest && (is_certain || running > CERTAINTY_TIME)
 }
 
--- a/crates/ragwortroad_edge/src/edge_port.rs
+++ b/crates/ragwortroad_edge/src/edge_port.rs
@@ -48,6 +48,12 @@
 }
 
 impl RequestFacts {
+    /// Key of the text that the request shares with others.
+    pub fn shared_text(&self) -> Option<u64> {
+        let parts: Vec<u64> = self.parts.iter().map(|part| part.key).collect();
+        shared_key(&parts)
+    }
+
     /// Tokens of the prompt that the request shares with others.
     pub fn shared_tokens(&self) -> u32 {
         let shared = self
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -5,7 +5,8 @@
         BTreeSet, //
     },
     net::SocketAddr,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use ragwortroad_clock::prelude::*;
@@ -120,6 +121,11 @@
         }
     }
 
+    /// Whether a text is known to be at an engine that has not announced itself yet, and at no other.
+    pub(crate) fn awaits_holder(&self, text: u64, now: ClockTime) -> bool {
+        self.strays.knows(text) && self.texts.holders(text, now).next().is_none()
+    }
+
     /// Takes what came of a piece of news about an endpoint.
     pub(crate) fn follow_change(&mut self, change: EndpointChange, now: ClockTime) {
         match change {
@@ -214,4 +220,11 @@
     pub(crate) fn now(&self) -> ClockTime {
         self.clock.now()
     }
+
+    /// Time since the process started.
+    pub(crate) fn running(&self) -> Duration {
+        // Readings of a process's clock start an hour after zero.
+        self.now()
+            .since(ClockTime::ZERO.after(Duration::from_secs(3600)))
+    }
 }
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -58,8 +58,7 @@
     let usable = known.iter().filter(|(is_open, ..)| *is_open || !has_open);
     let service = plan.map.service(&plan.service);
     let is_engine = service.is_some_and(|service| service.engine.is_some());
-    let parts: Vec<u64> = plan.facts.parts.iter().map(|part| part.key).collect();
-    let shared_text = shared_key(&parts);
+    let shared_text = plan.facts.shared_text();
     let holders: Vec<EndpointKey> = match shared_text {
         Some(text) => state.texts.holders(text, now).collect(),
         None => Vec::new(),
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -28,6 +28,7 @@
 use rand::RngExt;
 use tokio::time::{
     Instant,
+    sleep,
     timeout_at, //
 };
 
@@ -76,6 +77,9 @@
 /// Spread, so that callers refused together do not return together.
 const COME_BACK_MS: (u64, u64) = (80, 240);
 
+/// Time between two looks of a request that waits for a starting edge; each costs a wake-up.
+const START_POLL: Duration = Duration::from_millis(25);
+
 /// Answers one request.
 pub(crate) async fn answer_caller(
     shared: Rc<EdgeShared>,
@@ -96,8 +100,11 @@
         Err((reason, id)) => {
             tracing::info!(request = id, outcome = "refused", ?reason, "request over");
             count_request("unread", "refused", reason.label());
-            let again = matches!(reason, RefusalReason::Starting | RefusalReason::Stopping);
-            let again = again.then(come_back);
+            let again = match reason {
+                RefusalReason::Starting => Some(start_left(shared.running()) + come_back()),
+                RefusalReason::Stopping => Some(come_back()),
+                _ => None,
+            };
             refusal_answer(reason, again)
         }
     };
@@ -131,8 +138,16 @@
     let came_at = Instant::now();
     let facts = (shared.port.read_request)(request.headers());
     let id = facts.id.clone();
-    let map = shared.state.borrow().map.clone();
-    let map = map.ok_or((RefusalReason::Starting, id.clone()))?;
+    let (head, body) = request.into_parts();
+    let known = shared.state.borrow().map.clone();
+    let (map, body) = match known {
+        Some(map) => (map, RequestBody::Coming(body)),
+        None => {
+            let found = await_map(shared, &facts, body, came_at).await;
+            found.map_err(|reason| (reason, id.clone()))?
+        }
+    };
+    let request = Request::from_parts(head, ());
     let target = find_target(&map, &request, &facts).map_err(|reason| (reason, id.clone()))?;
     let rule = map.route(target.route);
     let patience = facts.time_left.unwrap_or(DEFAULT_TIME).min(rule.timeout);
@@ -142,10 +157,13 @@
     }
     let service = map.draw_target(target.route, rand::random()).to_owned();
     let limit = map.config().limits.max_body_bytes;
-    let (mut parts, body) = request.into_parts();
-    let body = read_body(body, limit, deadline)
-        .await
-        .map_err(|reason| (reason, id))?;
+    let body = match body {
+        RequestBody::Coming(body) => read_body(body, limit, deadline).await,
+        RequestBody::Read(body) if body.len() > limit => Err(RefusalReason::TooLarge),
+        RequestBody::Read(body) => Ok(body),
+    };
+    let body = body.map_err(|reason| (reason, id))?;
+    let (mut parts, ()) = request.into_parts();
     strip_connection(&mut parts.headers);
     let path = parts.uri.path_and_query().cloned();
     Ok(RequestPlan {
@@ -164,6 +182,37 @@
     })
 }
 
+/// A request's body, still on its way or read before anything was known of its route.
+enum RequestBody {
+    Coming(Incoming),
+    Read(Bytes),
+}
+
+/// Waits for the first configuration, as long as this edge is starting.
+///
+/// The body is read first: callers take an edge that does not read for one that is gone.
+async fn await_map(
+    shared: &EdgeShared,
+    facts: &RequestFacts,
+    body: Incoming,
+    came_at: Instant,
+) -> Result<(Rc<RouteMap>, RequestBody), RefusalReason> {
+    let time_left = facts.time_left.unwrap_or(DEFAULT_TIME);
+    let wait_end = came_at + start_wait(shared.running(), time_left);
+    let limit = CallerLimits::default().max_body_bytes;
+    let body = read_body(body, limit, came_at + time_left).await?;
+    loop {
+        let known = shared.state.borrow().map.clone();
+        if let Some(map) = known {
+            return Ok((map, RequestBody::Read(body)));
+        }
+        if Instant::now() >= wait_end {
+            return Err(RefusalReason::Starting);
+        }
+        sleep(START_POLL).await;
+    }
+}
+
 /// Whether an answer can be whole before this edge ends, if it is stopping.
 ///
 /// Callers who keep an answer of the directory for long come some seconds after an edge was told to
@@ -199,8 +248,22 @@
 async fn pass_on(shared: &Rc<EdgeShared>, plan: Rc<RequestPlan>) -> Response<EdgeBody> {
     let mut way = RequestWay::default();
     earn_repeat(shared, &plan);
+    // Endpoints announce themselves anew once registries are there.
+    let time_left = plan.deadline.saturating_duration_since(plan.came_at);
+    let wait_end = plan.came_at + start_wait(shared.running(), time_left);
     loop {
+        let may_wait = way.tried.is_empty() && Instant::now() < wait_end;
+        // If callers of a whole second were all sent to the first engines that announced themselves,
+        // those would read all texts anew, and each caller would wait for two seconds.
+        if may_wait && awaits_holder(shared, &plan) {
+            sleep(START_POLL).await;
+            continue;
+        }
         let Some(chosen) = choose_endpoint(shared, &plan, &way.tried) else {
+            if may_wait {
+                sleep(START_POLL).await;
+                continue;
+            }
             return refuse(&plan, &way, RefusalReason::NoEndpoint);
         };
         way.tried.push(chosen.key);
@@ -252,6 +315,13 @@
     }
 }
 
+/// Whether the engine that holds the request's text has yet to announce itself.
+fn awaits_holder(shared: &EdgeShared, plan: &RequestPlan) -> bool {
+    let text = plan.facts.shared_text();
+    let state = shared.state.borrow();
+    text.is_some_and(|text| state.awaits_holder(text, shared.now()))
+}
+
 /// What has become of a request so far.
 #[derive(Default)]
 struct RequestWay {
