Limit lines about requests; tell the age and version behind each decision

Cause: the number of lines grew with the callers, without a limit, and they did not tell how old the knowledge was that decided a place, nor by which configuration a request was handled.

--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -187,6 +187,7 @@
         LinkMessage::ConfigSteps(steps) => take_steps(shared, &steps),
         LinkMessage::Loads(counts) => {
             let mut state = shared.state.borrow_mut();
+            state.loads_at = Some(now);
             if let Some(link) = state.links.get_mut(&source) {
                 for total in counts {
                     match total.count {
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -71,6 +71,8 @@
     pub(crate) asked_at: Option<ClockTime>,
     /// Highest version that a registry has announced, and when it was first.
     pub(crate) announced: Option<(u64, ClockTime)>,
+    /// When a registry told last what all edges have under way.
+    pub(crate) loads_at: Option<ClockTime>,
     /// Requests under way.
     pub(crate) in_flight: usize,
     /// When a connection or a request came last.
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -1,6 +1,9 @@
 //! Which endpoint a request goes to, from what the edge knows now.
 
-use std::net::SocketAddr;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
@@ -22,6 +25,8 @@
     pub(crate) address: SocketAddr,
     /// Requests there by the best knowledge here.
     pub(crate) load: u32,
+    /// Age of what other edges told of their requests there; nothing where they tell nothing.
+    pub(crate) load_age: Option<Duration>,
     /// Endpoints among which it was chosen.
     pub(crate) among: usize,
     /// Whether it has read the request's shared text.
@@ -30,6 +35,13 @@
     pub(crate) text_source: Option<ChosenSource>,
 }
 
+impl ChosenEndpoint {
+    /// The age of the load, for log lines.
+    pub(crate) fn load_age_ms(&self) -> Option<u64> {
+        self.load_age.map(|age| age.as_millis() as u64)
+    }
+}
+
 /// An engine from which another one copies text.
 #[derive(Clone, Debug)]
 pub(crate) struct ChosenSource {
@@ -102,6 +114,10 @@
         name: record.name.clone(),
         address: record.address,
         load: chosen.load,
+        load_age: state
+            .loads_at
+            .filter(|_| is_engine)
+            .map(|told_at| now.since(told_at)),
         among: candidates.len(),
         holds_text: chosen.holds_text,
         text_source,
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -288,6 +288,8 @@
                     route = plan.rule().name,
                     endpoint = chosen.name,
                     load = chosen.load,
+                    load_age_ms = chosen.load_age_ms(),
+                    version = plan.map.config().version,
                     among = chosen.among,
                     holds_text = chosen.holds_text,
                     text_from = chosen
@@ -426,6 +428,8 @@
             endpoint = chosen.name,
             address = %chosen.address,
             load = chosen.load,
+            load_age_ms = chosen.load_age_ms(),
+            version = plan.map.config().version,
             attempts = self.attempts,
             reason,
             "attempt failed"
@@ -460,6 +464,8 @@
         status = answer.status.as_u16(),
         endpoint = chosen.name,
         load = chosen.load,
+        load_age_ms = chosen.load_age_ms(),
+        version = plan.map.config().version,
         attempts = way.attempts,
         took_ms = plan.came_at.elapsed().as_millis() as u64,
         "request over"
@@ -485,6 +491,7 @@
         outcome = "refused",
         route = plan.rule().name,
         ?reason,
+        version = plan.map.config().version,
         attempts = way.attempts,
         dials = way.dials,
         come_back_ms = again.map(|span| span.as_millis() as u64),
--- a/crates/ragwortroad_telemetry/src/metric_names.rs
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -32,5 +32,5 @@
 pub const VOTERS: &str = "ragwortroad_voters";
 /// Edges that are connected to this registry.
 pub const EDGES: &str = "ragwortroad_edges_connected";
-/// Log lines that were dropped because nobody read them in time.
+/// Log lines that were dropped, by `reason`: nobody read them in time, or there were too many.
 pub const DROPPED_LINES: &str = "ragwortroad_log_lines_dropped_total";
--- a/src/commands/forward.rs
+++ b/src/commands/forward.rs
@@ -6,6 +6,7 @@
         Path,
         PathBuf, //
     },
+    sync::Arc,
     thread::{
         self,
         JoinHandle, //
@@ -33,6 +34,7 @@
 
 use crate::{
     exit_status::ExitStatus,
+    line_quota::LineQuota,
     log_output::start_process_log, //
 };
 
@@ -116,7 +118,7 @@
         }
     };
     // Dropped last, so that the last lines are written.
-    let (_log, dropped) = start_process_log(&settings.log);
+    let log = start_process_log(&settings.log);
     // Taken over before the first thread starts, so that no signal falls between.
     let signals = match Signals::new([SIGTERM, SIGINT, SIGHUP]) {
         Ok(signals) => signals,
@@ -142,7 +144,9 @@
         let watched = WatchedFile {
             path: watched.clone(),
             known: first.clone(),
-            dropped: dropped.clone(),
+            unread: log.unread.clone(),
+            quota: Arc::clone(&log.quota),
+            left_out: 0,
         };
         start_watch(signals, watched, tell)
     };
@@ -218,7 +222,11 @@
     path: PathBuf,
     known: ForwardSettings,
     /// Log lines that nobody read in time.
-    dropped: ErrorCounter,
+    unread: ErrorCounter,
+    /// Limits and counts lines about single requests.
+    quota: Arc<LineQuota>,
+    /// Lines that were left out by the last look.
+    left_out: u64,
 }
 
 impl WatchedFile {
@@ -244,9 +252,16 @@
         }
     }
 
-    /// Brings the metric of lost log lines up to date.
-    fn count_dropped(&self) {
-        let lines = self.dropped.dropped_lines() as u64;
-        metrics::counter!(metric_names::DROPPED_LINES).absolute(lines);
+    /// Brings the metrics of lost log lines up to date, and says in the log how many were left out.
+    fn count_dropped(&mut self) {
+        let unread = self.unread.dropped_lines() as u64;
+        let left_out = self.quota.left_out();
+        metrics::counter!(metric_names::DROPPED_LINES, "reason" => "unread").absolute(unread);
+        metrics::counter!(metric_names::DROPPED_LINES, "reason" => "limit").absolute(left_out);
+        if left_out > self.left_out {
+            let lines = left_out - self.left_out;
+            tracing::warn!(lines, "lines about requests were left out");
+        }
+        self.left_out = left_out;
     }
 }
--- a/src/log_output.rs
+++ b/src/log_output.rs
@@ -1,14 +1,27 @@
 //! Where log entries go.
 
-use std::io;
+use std::{
+    io,
+    sync::Arc,
+    time::Instant, //
+};
 
 use ragwortroad_settings::prelude::*;
+use tracing::Level;
 use tracing_appender::non_blocking::{
     ErrorCounter,
     NonBlockingBuilder,
     WorkerGuard, //
 };
-use tracing_subscriber::EnvFilter;
+use tracing_subscriber::{
+    EnvFilter,
+    Layer,
+    filter::dynamic_filter_fn,
+    layer::SubscriberExt,
+    util::SubscriberInitExt, //
+};
+
+use crate::line_quota::LineQuota;
 
 /// Lines that wait to be written at most; further ones are dropped.
 ///
@@ -16,29 +29,53 @@
 /// line this is two megabytes.
 const WAITING_LINES: usize = 8192;
 
+/// The log of an edge or a registry while its process runs.
+pub(crate) struct ProcessLog {
+    /// Writes the last lines when it is dropped.
+    _guard: WorkerGuard,
+    /// Lines that were dropped because nobody read them in time.
+    pub(crate) unread: ErrorCounter,
+    /// Lines about single requests that were left out.
+    pub(crate) quota: Arc<LineQuota>,
+}
+
 /// Sends the log of an edge or a registry to standard output, a JSON object a line.
 ///
-/// Lines are written by a thread of their own; the guard writes the last ones when it is dropped.
-/// The counter tells how many were dropped because nobody read them in time.
-pub(crate) fn start_process_log(settings: &LogSettings) -> (WorkerGuard, ErrorCounter) {
+/// Lines are written by a thread of their own, and those about single requests are limited.
+pub(crate) fn start_process_log(settings: &LogSettings) -> ProcessLog {
     let (writer, guard) = NonBlockingBuilder::default()
         .buffered_lines_limit(WAITING_LINES)
         .lossy(true)
         .finish(io::stdout());
-    let counter = writer.error_counter();
-    let filter = EnvFilter::try_new(&settings.level).unwrap_or_else(|_| EnvFilter::new("info"));
-    let started = tracing_subscriber::fmt()
-        .with_env_filter(filter)
+    let unread = writer.error_counter();
+    let quota = Arc::new(LineQuota::default());
+    let counted = Arc::clone(&quota);
+    let started_at = Instant::now();
+    let limit = dynamic_filter_fn(move |metadata, _| {
+        let is_limited =
+            *metadata.level() == Level::INFO && metadata.fields().field("request").is_some();
+        !is_limited || counted.admit(started_at.elapsed().as_secs())
+    });
+    let lines = tracing_subscriber::fmt::layer()
         .with_writer(writer)
         .json()
         .flatten_event(true)
         .with_current_span(false)
         .with_span_list(false)
+        .with_filter(limit);
+    let filter = EnvFilter::try_new(&settings.level).unwrap_or_else(|_| EnvFilter::new("info"));
+    let started = tracing_subscriber::registry()
+        .with(filter)
+        .with(lines)
         .try_init();
     if let Err(error) = started {
         eprintln!("the log could not be started: {error}");
     }
-    (guard, counter)
+    ProcessLog {
+        _guard: guard,
+        unread,
+        quota,
+    }
 }
 
 /// Sends the log of this process to standard error, as the settings say.
