--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -21,12 +21,6 @@
     EdgeState, //
 };
 
-/// Pause before a registry that was lost is dialled again; doubled by each failure.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
-
-/// Longest pause; a registry that comes back is found within it.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
-
 /// Time after which a configuration that was asked for is asked of another registry.
 ///
 /// A large one takes a second over a registry's link, and asking twice would send it twice.
@@ -120,11 +114,11 @@
 /// Keeps a connection to one registry for as long as the process runs.
 async fn keep_registry(shared: Rc<EdgeShared>, source: SourceKey, address: SocketAddr) {
     let settings = LinkSettings::default();
-    let mut pause = FIRST_PAUSE;
+    let mut pace = DialPace::default();
     loop {
         match dial_link(address, &settings).await {
             Ok(stream) => {
-                pause = FIRST_PAUSE;
+                pace.reset();
                 let (queue, receiver) = LinkQueue::new(&settings);
                 begin_link(&shared, source, &queue);
                 let inward = Rc::clone(&shared);
@@ -135,8 +129,7 @@
             }
             Err(error) => tracing::debug!(registry = %address, %error, "registry not reached"),
         }
-        sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        sleep(pace.next_pause(shared.running())).await;
     }
 }
 
--- a/crates/ragwortroad_link/src/lib.rs
+++ b/crates/ragwortroad_link/src/lib.rs
@@ -5,6 +5,7 @@
 //! wait: what does not fit into the queue ends the connection, and the user connects anew.
 
 mod config_step;
+mod dial_pace;
 mod link_connection;
 mod link_error;
 mod link_message;
@@ -15,6 +16,7 @@
 pub mod prelude {
     pub use crate::{
         config_step::ConfigStep,
+        dial_pace::DialPace,
         link_connection::{
             LinkQueue,
             decode_message,
--- a/crates/ragwortroad_link/tests/links.rs
+++ b/crates/ragwortroad_link/tests/links.rs
@@ -95,3 +95,21 @@
         assert!(each <= 30.0, "{count} records take {each} bytes each");
     }
 }
+
+/// All processes start together, and registries are up a second after the edges. An edge that looks
+/// for them ever more rarely finds them late, and its callers wait for it. Later, a VM that is gone
+/// must not cost everybody else attempts all the time.
+#[test]
+fn a_process_that_has_just_started_dials_often() {
+    let mut pace = DialPace::default();
+    let early: Vec<_> = (0..20)
+        .map(|_| pace.next_pause(Duration::from_secs(2)))
+        .collect();
+    assert!(early.iter().all(|pause| *pause == early[0]));
+    let late: Vec<_> = (0..20)
+        .map(|_| pace.next_pause(Duration::from_secs(60)))
+        .collect();
+    assert!(late.is_sorted() && late[19] >= early[0] * 8);
+    pace.reset();
+    assert_eq!(pace.next_pause(Duration::from_secs(60)), early[0]);
+}
--- a/crates/ragwortroad_registry/src/peer_dialer.rs
+++ b/crates/ragwortroad_registry/src/peer_dialer.rs
@@ -1,28 +1,24 @@
-use std::{
-    net::SocketAddr,
-    time::Duration, //
-};
+use std::net::SocketAddr;
 
 use flume::Sender;
 use ragwortroad_link::prelude::*;
-use tokio::time::sleep;
+use tokio::time::{
+    Instant,
+    sleep, //
+};
 
 use crate::registry_event::RegistryEvent;
 
-/// Pause before a registry that was lost is dialled again; doubled by each failure.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
-
-/// Longest pause; a machine that comes back is found within it.
-const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
-
 /// Keeps a connection to another registry for as long as the process runs.
 pub(crate) async fn keep_dialled(peer: SocketAddr, events: Sender<RegistryEvent>) {
     let settings = LinkSettings::default();
-    let mut pause = FIRST_PAUSE;
+    let mut pace = DialPace::default();
+    // Seeds are dialled from the start, others as they are heard of.
+    let begun = Instant::now();
     loop {
         match dial_link(peer, &settings).await {
             Ok(stream) => {
-                pause = FIRST_PAUSE;
+                pace.reset();
                 let (queue, receiver) = LinkQueue::new(&settings);
                 let own = queue.clone();
                 if events.send(RegistryEvent::Reached { peer, queue }).is_err() {
@@ -42,7 +38,6 @@
             }
             Err(error) => tracing::debug!(%peer, %error, "registry not reached"),
         }
-        sleep(pause).await;
-        pause = (pause * 2).min(LONGEST_PAUSE);
+        sleep(pace.next_pause(begun.elapsed())).await;
     }
 }
