Tell edges at once when the number of voters changes

An edge is ready once more than half of the voters have told it their version; registries that connected before the group had formed had told "no voters", and the next telling of the fleet was due a second later. Ruled out: the wait for certainty (1.5 s), a slow vote.

--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -233,10 +233,14 @@
         metrics::gauge!(metric_names::EDGES).set(self.edges.len() as f64);
         let version = self.seat.register().version().unwrap_or(0);
         metrics::gauge!(metric_names::CONFIG_VERSION).set(version as f64);
-        if now < self.fleet_at {
+        // An edge is ready once it has heard from more than half of the voters. Where their number
+        // waited for its turn, edges with a configuration took callers half a second late.
+        let voters = self.voter_count();
+        if now < self.fleet_at && voters == self.told_voters {
             return;
         }
         self.fleet_at = now.after(FLEET_EVERY);
+        self.told_voters = voters;
         let message = self.fleet_message(now);
         if self.told_fleet.as_ref() != Some(&message) {
             self.tell_edges(&message);
@@ -245,14 +249,19 @@
     }
 
     fn fleet_message(&self, now: ClockTime) -> LinkMessage {
-        let voters = self.seat.core().map(|core| core.members().voters().count());
         LinkMessage::Fleet {
             registries: self.known_registries(now),
-            voters: voters.unwrap_or(0) as u32,
+            voters: self.voter_count(),
             edges: self.edges.len() as u32,
         }
     }
 
+    /// Registries that vote, as far as this one knows; none before it has joined the group.
+    fn voter_count(&self) -> u32 {
+        let core = self.seat.core();
+        core.map_or(0, |core| core.members().voters().count() as u32)
+    }
+
     /// Tells all edges the same; returns how many bytes that takes.
     fn tell_edges(&self, message: &LinkMessage) -> usize {
         let bytes = match encode_message(message) {
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -78,6 +78,8 @@
     pub(crate) places_at: ClockTime,
     /// What edges were told last of the fleet.
     pub(crate) told_fleet: Option<LinkMessage>,
+    /// Voters that edges were told of last.
+    pub(crate) told_voters: u32,
     pub(crate) fleet_at: ClockTime,
     /// Whether the process is to stop.
     pub(crate) is_stopping: bool,
@@ -118,6 +120,7 @@
             keeper,
             places_at: now,
             told_fleet: None,
+            told_voters: 0,
             fleet_at: now,
             is_stopping: false,
         };
