Count a registry that vouches for an endpoint with an older word

One edge refused everything with NoEndpoint for good while the other served. Connected again, the first registry told what it knew, the edge took that for outdated and did not count the registry among the holders; the endpoints went back to the first registry and said the same as before, so it told nothing; the second missed them, and the edge dropped them. Ruled out: endpoints that were not heard (registries acknowledged each announcement), a silent link (keepalives went on).

A drained or departed endpoint is not brought back by an older word.

--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -93,6 +93,9 @@
         let same_start = record.started_ms == entry.record.started_ms;
         let is_farewell = same_start && record.stage == EndpointStage::Gone;
         if is_outdated(&entry.record, &record) && !is_farewell {
+            if same_start {
+                entry.vouch(source);
+            }
             return EndpointChange::Same;
         }
         let restarted = record.started_ms > entry.record.started_ms;
@@ -250,6 +253,20 @@
 }
 
 impl KnownEndpoint {
+    /// A registry hears from this incarnation, though what it says of it is known already.
+    ///
+    /// It tells nothing more while the endpoint says the same. Left out among the holders, it would
+    /// not count when the registry that had the later word misses the endpoint: one edge would give
+    /// up all endpoints for good, and refuse its callers while the other edges serve theirs.
+    fn vouch(&mut self, source: SourceKey) {
+        if self.record.stage == EndpointStage::Gone {
+            return;
+        }
+        self.holders.insert(source);
+        self.is_lost = false;
+        self.unheld_since = None;
+    }
+
     fn note_unheld(&mut self, now: ClockTime) {
         if self.holders.is_empty() && self.unheld_since.is_none() {
             self.unheld_since = Some(now);
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -283,3 +283,32 @@
     assert_eq!(load.estimate(0, at(10)), 6);
     assert_eq!(load.estimate(0, at(10_000)), 0);
 }
+
+/// The connection to a registry breaks while an endpoint announces itself at another one for a
+/// moment. Back again, the first registry tells what it had heard, which is older, and hears from
+/// the endpoint from then on, but nothing new that it would tell. When the other registry misses
+/// the announcements, the edge must not give the endpoint up: its callers would be refused for good.
+#[test]
+fn an_older_word_still_vouches_for_an_endpoint() {
+    let (first, second) = (SourceKey(0), SourceKey(1));
+    let told = |sequence| EndpointRecord {
+        sequence,
+        ..record("i-1")
+    };
+    let mut table = EndpointTable::default();
+    table.told(first, told(5), at(0));
+    table.drop_source(first, at(100));
+    table.told(second, told(6), at(120));
+    assert_eq!(table.told(first, told(5), at(300)), EndpointChange::Same);
+    table.lost(second, "i-1", at(4000));
+    assert!(table.expire(at(60_000)).is_empty());
+    assert_eq!(table.ready("llm").count(), 1);
+    // An older word does not bring back what has left.
+    let leaving = EndpointRecord {
+        stage: EndpointStage::Draining,
+        ..told(9)
+    };
+    table.told(second, leaving, at(61_000));
+    table.told(first, told(5), at(61_100));
+    assert_eq!(table.ready("llm").count(), 0);
+}
