--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -55,113 +55,138 @@
     plan: &RequestPlan,
     tried: &[EndpointKey],
 ) -> Option<ChosenEndpoint> {
-    let now = shared.now();
     let state = shared.state.borrow();
-    let candidate = |(key, record): (EndpointKey, &'_ EndpointRecord)| {
-        let load = state.loads.get(&key);
-        let is_open = load.is_none_or(|load| load.is_open(now));
-        (is_open, key, record.name.clone(), record.slots)
-    };
-    let ready = state.endpoints.ready(&plan.service);
-    let ready = ready.filter(|(key, _)| !tried.contains(key));
-    let known: Vec<_> = ready.map(candidate).collect();
-    // Where all of them failed lately, one of them is still a better guess than a refusal.
-    let has_open = known.iter().any(|(is_open, ..)| *is_open);
-    let usable = known.iter().filter(|(is_open, ..)| *is_open || !has_open);
-    let service = plan.map.service(&plan.service);
-    let is_engine = service.is_some_and(|service| service.engine.is_some());
-    let shared_text = plan.facts.shared_text();
-    let holders: Vec<EndpointKey> = match shared_text {
-        Some(text) => state.texts.holders(text, now).collect(),
-        None => Vec::new(),
-    };
-    let candidates: Vec<PlaceCandidate<'_>> = usable
-        .map(|(_, key, name, slots)| {
-            let load = state.loads.get(key);
-            let others = match is_engine {
-                true => state.others_at(name),
-                false => 0,
-            };
-            PlaceCandidate {
-                key: *key,
-                name,
-                load: load.map_or(others, |load| load.estimate(others, now)),
-                slots: *slots,
-                failing: load.map_or(0.0, EndpointLoad::failing),
-                holds_text: holders.contains(key),
-            }
-        })
-        .collect();
-    let request = PlaceRequest {
-        shared_text,
-        draw: rand::random(),
-    };
-    let key = match is_engine {
-        true => {
-            let settings = PlaceSettings::within(shared.settings.load_multiple);
-            choose_engine(&candidates, request, &settings)
-        }
-        false => choose_replica(&candidates, request),
-    }?;
-    let chosen = candidates.iter().find(|candidate| candidate.key == key)?;
-    let record = state.endpoints.record(key)?;
-    let engine = service.and_then(|service| service.engine.as_ref());
-    let text_source = engine
-        .filter(|_| !chosen.holds_text)
-        .and_then(|engine| find_source(&state, plan, engine, record, &holders, tried, now));
-    let found = ChosenEndpoint {
-        key,
-        name: record.name.clone(),
-        address: record.address,
-        load: chosen.load,
-        load_age: state
-            .loads_at
-            .filter(|_| is_engine)
-            .map(|told_at| now.since(told_at)),
-        among: candidates.len(),
-        holds_text: chosen.holds_text,
-        text_source,
-    };
+    let view = ChoiceView::new(&state, plan, tried, shared.now());
+    let found = view.choose(shared.settings.load_multiple)?;
+    let text = view.engine.and(plan.facts.shared_text());
     drop(state);
-    if let Some(text) = shared_text.filter(|_| is_engine) {
+    if let Some(text) = text {
         note_place(shared, text, &found);
     }
     Some(found)
 }
 
-/// The engine from which `target` copies the request's shared text.
-///
-/// One that leaves is asked too, as long as nobody has said that it is gone.
-fn find_source(
-    state: &EdgeState,
-    plan: &RequestPlan,
-    engine: &EngineRule,
-    target: &EndpointRecord,
-    holders: &[EndpointKey],
-    tried: &[EndpointKey],
+/// What an edge knows at the moment of one choice.
+struct ChoiceView<'a> {
+    state: &'a EdgeState,
+    plan: &'a RequestPlan,
+    /// Figures of the service's engines; nothing for a plain service.
+    engine: Option<&'a EngineRule>,
+    /// Engines that hold the request's shared text.
+    holders: Vec<EndpointKey>,
+    tried: &'a [EndpointKey],
     now: ClockTime,
-) -> Option<ChosenSource> {
-    let untried = holders.iter().filter(|key| !tried.contains(key));
-    let sources: Vec<TextSource> = untried
-        .filter_map(|&key| {
-            let record = state.endpoints.record(key)?;
-            let is_there = record.stage != EndpointStage::Gone && record.name != target.name;
-            let load = state.loads.get(&key);
-            let is_open = load.is_none_or(|load| load.is_open(now));
-            (is_there && is_open).then(|| TextSource {
-                key,
-                is_near: record.zone == target.zone,
-                load: load.map_or(0, |load| load.estimate(0, now)),
-                failing: load.map_or(0.0, EndpointLoad::failing),
-            })
+}
+
+impl<'a> ChoiceView<'a> {
+    fn new(
+        state: &'a EdgeState,
+        plan: &'a RequestPlan,
+        tried: &'a [EndpointKey],
+        now: ClockTime,
+    ) -> Self {
+        let service = plan.map.service(&plan.service);
+        let text = plan.facts.shared_text();
+        let holders = text.map(|text| state.texts.holders(text, now).collect());
+        Self {
+            state,
+            plan,
+            engine: service.and_then(|service| service.engine.as_ref()),
+            holders: holders.unwrap_or_default(),
+            tried,
+            now,
+        }
+    }
+
+    fn choose(&self, load_multiple: f64) -> Option<ChosenEndpoint> {
+        let candidates = self.candidates();
+        let request = PlaceRequest {
+            shared_text: self.plan.facts.shared_text(),
+            draw: rand::random(),
+        };
+        let key = match self.engine {
+            Some(_) => {
+                let settings = PlaceSettings::within(load_multiple);
+                choose_engine(&candidates, request, &settings)
+            }
+            None => choose_replica(&candidates, request),
+        }?;
+        let chosen = candidates.iter().find(|candidate| candidate.key == key)?;
+        let record = self.state.endpoints.record(key)?;
+        let lacking = self.engine.filter(|_| !chosen.holds_text);
+        let told_at = self.state.loads_at.filter(|_| self.engine.is_some());
+        Some(ChosenEndpoint {
+            key,
+            name: record.name.clone(),
+            address: record.address,
+            load: chosen.load,
+            load_age: told_at.map(|told_at| self.now.since(told_at)),
+            among: candidates.len(),
+            holds_text: chosen.holds_text,
+            text_source: lacking.and_then(|engine| self.find_source(engine, record)),
+        })
+    }
+
+    /// Endpoints that may take the request.
+    fn candidates(&self) -> Vec<PlaceCandidate<'a>> {
+        let ready = self.state.endpoints.ready(&self.plan.service);
+        let untried = ready.filter(|(key, _)| !self.tried.contains(key));
+        let (open, paused): (Vec<_>, Vec<_>) = untried.partition(|(key, _)| self.is_open(*key));
+        // Where all of them failed lately, one of them is still a better guess than a refusal.
+        let usable = if open.is_empty() { paused } else { open };
+        let usable = usable.into_iter();
+        usable
+            .map(|(key, record)| self.candidate(key, record))
+            .collect()
+    }
+
+    fn candidate(&self, key: EndpointKey, record: &'a EndpointRecord) -> PlaceCandidate<'a> {
+        let load = self.state.loads.get(&key);
+        let others = match self.engine {
+            Some(_) => self.state.others_at(&record.name),
+            None => 0,
+        };
+        PlaceCandidate {
+            key,
+            name: &record.name,
+            load: load.map_or(others, |load| load.estimate(others, self.now)),
+            slots: record.slots,
+            failing: load.map_or(0.0, EndpointLoad::failing),
+            holds_text: self.holders.contains(&key),
+        }
+    }
+
+    fn is_open(&self, key: EndpointKey) -> bool {
+        let load = self.state.loads.get(&key);
+        load.is_none_or(|load| load.is_open(self.now))
+    }
+
+    /// The engine from which `target` copies the request's shared text.
+    ///
+    /// One that leaves is asked too, as long as nobody has said that it is gone.
+    fn find_source(&self, engine: &EngineRule, target: &EndpointRecord) -> Option<ChosenSource> {
+        let untried = self.holders.iter().filter(|key| !self.tried.contains(key));
+        let sources = untried.filter_map(|&key| self.source(key, target));
+        let sources: Vec<TextSource> = sources.collect();
+        let key = choose_source(&sources, self.plan.facts.shared_tokens(), engine)?;
+        let record = self.state.endpoints.record(key)?;
+        Some(ChosenSource {
+            name: record.name.clone(),
+            address: record.address,
+        })
+    }
+
+    fn source(&self, key: EndpointKey, target: &EndpointRecord) -> Option<TextSource> {
+        let record = self.state.endpoints.record(key)?;
+        let is_there = record.stage != EndpointStage::Gone && record.name != target.name;
+        let load = self.state.loads.get(&key);
+        (is_there && self.is_open(key)).then(|| TextSource {
+            key,
+            is_near: record.zone == target.zone,
+            load: load.map_or(0, |load| load.estimate(0, self.now)),
+            failing: load.map_or(0.0, EndpointLoad::failing),
         })
-        .collect();
-    let key = choose_source(&sources, plan.facts.shared_tokens(), engine)?;
-    let record = state.endpoints.record(key)?;
-    Some(ChosenSource {
-        name: record.name.clone(),
-        address: record.address,
-    })
+    }
 }
 
 /// Remembers that an engine reads a text, and has the other edges told if they do not know.
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -21,6 +21,8 @@
 mod refusal_answer;
 mod request_flow;
 mod request_plan;
+mod request_reading;
+mod request_way;
 mod stream_body;
 
 /// Everything a dependent crate usually needs.
--- /dev/null
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -0,0 +1,162 @@
+//! Reads a caller's request and finds out where it leads.
+
+use std::{
+    rc::Rc,
+    time::Duration, //
+};
+
+use bytes::Bytes;
+use http_body_util::{
+    BodyExt,
+    LengthLimitError,
+    Limited, //
+};
+use hyper::{
+    Request,
+    Uri,
+    body::Incoming, //
+};
+use ragwortroad_dispatch::prelude::*;
+use tokio::time::{
+    Instant,
+    sleep,
+    timeout_at, //
+};
+
+use crate::{
+    RequestFacts,
+    edge_state::EdgeShared,
+    refusal_answer::RefusalReason,
+    request_plan::{
+        RequestPlan,
+        find_target,
+        strip_connection, //
+    }, //
+};
+
+/// Time between two looks of a request that waits for a starting edge; each costs a wake-up.
+pub(crate) const START_POLL: Duration = Duration::from_millis(25);
+
+/// Longest time for which a request without a deadline of its own is kept.
+const DEFAULT_TIME: Duration = Duration::from_secs(60);
+
+/// Time in which nearly all streams end: some hundred tokens at some ten milliseconds each.
+const STREAM_TIME: Duration = Duration::from_millis(4600);
+
+/// Time in which nearly all answers of plain services are there.
+const ANSWER_TIME: Duration = Duration::from_millis(1200);
+
+/// Reads a request in full and finds out what it is about.
+pub(crate) async fn read_plan(
+    shared: &EdgeShared,
+    request: Request<Incoming>,
+) -> Result<RequestPlan, (RefusalReason, Option<String>)> {
+    let came_at = Instant::now();
+    let facts = (shared.port.read_request)(request.headers());
+    let id = facts.id.clone();
+    let (head, body) = request.into_parts();
+    let known = shared.state.borrow().map.clone();
+    let (map, body) = match known {
+        Some(map) => (map, RequestBody::Coming(body)),
+        None => {
+            let found = await_map(shared, &facts, body, came_at).await;
+            found.map_err(|reason| (reason, id.clone()))?
+        }
+    };
+    // What is left of the request once its body is taken out.
+    let request = Request::from_parts(head, ());
+    let target = find_target(&map, &request, &facts).map_err(|reason| (reason, id.clone()))?;
+    let rule = map.route(target.route);
+    let patience = facts.time_left.unwrap_or(DEFAULT_TIME).min(rule.timeout);
+    let deadline = came_at + patience;
+    if !has_time_here(shared, rule, deadline) {
+        return Err((RefusalReason::Stopping, id));
+    }
+    let service = map.draw_target(target.route, rand::random()).to_owned();
+    let limit = map.config().limits.max_body_bytes;
+    let body = match body {
+        RequestBody::Coming(body) => read_body(body, limit, deadline).await,
+        RequestBody::Read(body) if body.len() > limit => Err(RefusalReason::TooLarge),
+        RequestBody::Read(body) => Ok(body),
+    };
+    let body = body.map_err(|reason| (reason, id))?;
+    let (mut parts, ()) = request.into_parts();
+    strip_connection(&mut parts.headers);
+    let path = parts.uri.path_and_query().cloned();
+    Ok(RequestPlan {
+        route: target.route,
+        customer: target.customer,
+        service,
+        facts: RequestFacts { key: None, ..facts },
+        id: target.id,
+        method: parts.method,
+        target: path.map_or(parts.uri, Uri::from),
+        headers: parts.headers,
+        body,
+        came_at,
+        deadline,
+        map,
+    })
+}
+
+/// A request's body, still on its way or read before anything was known of its route.
+enum RequestBody {
+    Coming(Incoming),
+    Read(Bytes),
+}
+
+/// Waits for the first configuration, as long as this edge is starting.
+///
+/// The body is read first: callers take an edge that does not read for one that is gone.
+async fn await_map(
+    shared: &EdgeShared,
+    facts: &RequestFacts,
+    body: Incoming,
+    came_at: Instant,
+) -> Result<(Rc<RouteMap>, RequestBody), RefusalReason> {
+    let time_left = facts.time_left.unwrap_or(DEFAULT_TIME);
+    let wait_end = came_at + start_wait(shared.running(), time_left);
+    let limit = CallerLimits::default().max_body_bytes;
+    let body = read_body(body, limit, came_at + time_left).await?;
+    loop {
+        let known = shared.state.borrow().map.clone();
+        if let Some(map) = known {
+            return Ok((map, RequestBody::Read(body)));
+        }
+        if Instant::now() >= wait_end {
+            return Err(RefusalReason::Starting);
+        }
+        sleep(START_POLL).await;
+    }
+}
+
+/// Whether an answer can be whole before this edge ends, if it is stopping.
+///
+/// Callers who keep an answer of the directory for long come some seconds after an edge was told to
+/// stop. What it takes on then and cannot finish is cut; refused at once, they go elsewhere.
+fn has_time_here(shared: &EdgeShared, rule: &RouteRule, deadline: Instant) -> bool {
+    let Some(ends_at) = shared.state.borrow().ends_at else {
+        return true;
+    };
+    let needed = match rule.kind {
+        RequestKind::Stream => STREAM_TIME,
+        RequestKind::Safe | RequestKind::Unsafe => ANSWER_TIME,
+    };
+    ends_at >= deadline.min(Instant::now() + needed)
+}
+
+async fn read_body(
+    body: Incoming,
+    limit: usize,
+    deadline: Instant,
+) -> Result<Bytes, RefusalReason> {
+    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::TooLarge),
+        Ok(Err(error)) => {
+            tracing::debug!(%error, "a body ended early");
+            Err(RefusalReason::CutBody)
+        }
+        Err(_) => Err(RefusalReason::SlowBody),
+    }
+}
