Tell edges at once of places found on a registry's disk

A registry's first telling of places was due, with nothing to tell, before its disk had been read; what was found waited half a second for the next, and since edges dial often after a start they are connected by then and send texts elsewhere.

Places found are told at once.

--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -149,7 +149,12 @@
                 let effects = self.seat.take_report(report, now);
                 self.carry_out(effects, now);
             }
-            RegistryEvent::PlacesFound(places) => self.places.take_found(places),
+            RegistryEvent::PlacesFound(places) => {
+                self.places.take_found(places);
+                // Edges connect while the disk is read. Told half a second later, they would have
+                // sent texts to other engines meanwhile.
+                self.places_at = now;
+            }
             RegistryEvent::Seeds(seeds) => {
                 self.settings.seeds = seeds;
                 self.learn_seeds();
