Give each edge a home registry for loads and places; spread callers over all edges

Cause: one registry told all edges all places of texts, another one all loads. On the large site (191 edges, 6 Mbit/s a registry) one telling of 2,000 places is 30 kB for one edge and 5.7 MB for all, written at once: the link was taken for 7.6 s, heartbeats, look-ups and acknowledgements waited behind it. In the directory every caller of a registry was told the first 64 edges that had connected.

Ruled out: loss of packets and processor time (0.02 of 0.05 cores at its most).

Change: edges rank registries by a hash and take the first for their home (choose_home). A registry adds up its own edges, tells the others the sums, and its own edges the totals (LoadTotals); places go the same way, each reader is told from where it has got to, known ones are told once (PlaceBoard), and no telling fills the link for over a tenth of a second (TellingPace). The directory ranks edges by a hash of the asker's address (choose_addresses).

--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! may be repeated, and who has a seat among the registries that vote. Nothing here reads a clock,
 //! draws unseeded randomness, or does input or output.
 
+mod address_choice;
 mod admission_gate;
 mod answer_patience;
 mod come_back;
@@ -14,10 +15,13 @@
 mod endpoint_record;
 mod endpoint_table;
 mod fleet_load;
+mod home_choice;
 mod latency_limit;
 mod load_totals;
 mod news_queue;
+mod place_board;
 mod place_choice;
+mod placed_text;
 mod rank_share;
 mod registry_table;
 mod retry_budget;
@@ -25,6 +29,7 @@
 mod site_config;
 mod start_wait;
 mod stray_places;
+mod telling_pace;
 mod text_source;
 mod text_table;
 mod usual_patience;
@@ -33,6 +38,7 @@
 /// Everything a dependent crate usually needs.
 pub mod prelude {
     pub use crate::{
+        address_choice::choose_addresses,
         admission_gate::{
             AdmissionGate,
             GateAnswer,
@@ -61,15 +67,23 @@
             EndpointShare,
             FleetLoad, //
         },
+        home_choice::choose_home,
         latency_limit::LatencyLimit,
         load_totals::{
-            CountReport, //
+            CountReport,
             EndpointTag,
             LoadCount,
+            LoadSource,
             LoadTotals,
-            load_pace,
+            load_pace, //
         },
         news_queue::NewsQueue,
+        place_board::{
+            PlaceBoard,
+            PlaceOrigin,
+            PlaceReader,
+            PlaceTelling, //
+        },
         place_choice::{
             PlaceCandidate,
             PlaceRequest,
@@ -78,6 +92,7 @@
             choose_replica,
             shared_key, //
         },
+        placed_text::PlacedText,
         registry_table::{
             RegistryChange,
             RegistryTable, //
@@ -107,6 +122,10 @@
             start_wait, //
         },
         stray_places::StrayPlaces,
+        telling_pace::{
+            SPREAD_EVERY,
+            TellingPace, //
+        },
         text_source::{
             TextSource,
             choose_source, //
--- a/crates/ragwortroad_dispatch/src/load_totals.rs
+++ b/crates/ragwortroad_dispatch/src/load_totals.rs
@@ -43,8 +43,8 @@
 
 /// Edges whose loads one registry takes and tells at the full pace.
 ///
-/// Each sends it five messages a second and is sent as many. Measured at 64 edges, that takes 1.1 %
-/// of a core; three hundred would take all of a twentieth of one.
+/// Each sends it five messages a second and is sent as many; far more would take all of a small
+/// VM's processor.
 const EDGES_AT_FULL_PACE: u32 = 100;
 
 /// How many times rarer loads are told than by a few edges.
@@ -86,46 +86,76 @@
     }
 }
 
-/// What the edges have under way, added up by one registry for all of them.
+/// Who tells a registry of requests under way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LoadSource {
+    /// An edge that takes this registry for its home, by the number of its connection.
+    Edge(u64),
+    /// Another registry, with the sums of the edges whose home it is, by the same.
+    Registry(u64),
+}
+
+/// What the edges have under way, added up by the registries together.
 ///
 /// Sixty edges that each send one request in a while to the engine that holds a busy text see
 /// nothing of each other; one notices engines far above the mean. Readings come with an answer's
-/// beginning, too late and too rarely at one edge. Here every edge's count is known a quarter of a
-/// second later.
+/// beginning, too late and too rarely at one edge. Here every edge's count is known a moment later.
+/// Each registry adds up the edges whose home it is, tells the sums to the other registries, and
+/// the totals to its own edges; so what one of them sends and takes grows with its part of the fleet.
 #[derive(Debug, Default)]
 pub struct LoadTotals {
-    /// Counts of each edge, by the registry's number for it.
-    edges: BTreeMap<u64, BTreeMap<EndpointTag, u32>>,
+    sources: BTreeMap<LoadSource, BTreeMap<EndpointTag, u32>>,
+    /// Sums over this registry's edges.
+    ///
+    /// Invariant: no count is zero.
+    own: BTreeMap<EndpointTag, u32>,
+    /// Sums over all edges.
     totals: BTreeMap<EndpointTag, u32>,
-    /// What the edges were told last.
+    /// What this registry's edges were told last.
     told: BTreeMap<EndpointTag, u32>,
+    /// What the other registries were told last.
+    report: CountReport,
 }
 
 impl LoadTotals {
-    /// Takes counts of an edge that have changed.
-    pub fn take(&mut self, edge: u64, counts: &[LoadCount]) {
-        let known = self.edges.entry(edge).or_default();
+    /// Takes counts of a source that have changed.
+    pub fn take(&mut self, source: LoadSource, counts: &[LoadCount]) {
+        let known = self.sources.entry(source).or_default();
         for change in counts {
-            let before = known.insert(change.endpoint, change.count).unwrap_or(0);
-            if change.count == 0 {
-                known.remove(&change.endpoint);
+            let before = match change.count {
+                0 => known.remove(&change.endpoint),
+                count => known.insert(change.endpoint, count),
+            };
+            let before = before.unwrap_or(0);
+            shift(&mut self.totals, change.endpoint, before, change.count);
+            if matches!(source, LoadSource::Edge(_)) {
+                shift(&mut self.own, change.endpoint, before, change.count);
             }
-            let total = self.totals.entry(change.endpoint).or_default();
-            *total = (*total + change.count).saturating_sub(before);
         }
     }
 
-    /// An edge is gone, and what it had under way with it.
-    pub fn drop_edge(&mut self, edge: u64) {
-        for (endpoint, count) in self.edges.remove(&edge).unwrap_or_default() {
-            let total = self.totals.entry(endpoint).or_default();
-            *total = total.saturating_sub(count);
+    /// A source is gone, and what it had under way with it.
+    pub fn drop_source(&mut self, source: LoadSource) {
+        for (endpoint, count) in self.sources.remove(&source).unwrap_or_default() {
+            shift(&mut self.totals, endpoint, count, 0);
+            if matches!(source, LoadSource::Edge(_)) {
+                shift(&mut self.own, endpoint, count, 0);
+            }
         }
     }
 
-    /// Totals that the edges have to be told since the last time.
+    /// Sums over this registry's edges that the other registries have to be told since the last time.
+    pub fn own_news(&mut self) -> Vec<LoadCount> {
+        self.report.changes(&self.own)
+    }
+
+    /// All that the other registries were told, for one that was just reached.
+    pub fn own_told(&self) -> Vec<LoadCount> {
+        load_counts(&self.report.told)
+    }
+
+    /// Totals that this registry's edges have to be told since the last time.
     pub fn news(&mut self) -> Vec<LoadCount> {
-        self.totals.retain(|_, total| *total > 0);
         let sum: u32 = self.totals.values().sum();
         let mean = f64::from(sum) / self.totals.len().max(1) as f64;
         let is_told = |total: u32| f64::from(total) >= mean * TOLD_PART;
@@ -159,10 +189,24 @@
         news
     }
 
-    /// All that the edges were told, for one that has just come.
+    /// All that this registry's edges were told, for one that has just come.
     pub fn told(&self) -> Vec<LoadCount> {
-        let told = self.told.iter();
-        told.map(|(&endpoint, &count)| LoadCount { endpoint, count })
-            .collect()
+        load_counts(&self.told)
     }
 }
+
+/// Takes into a sum that one of its parts has changed; sums of nothing are left out.
+fn shift(sums: &mut BTreeMap<EndpointTag, u32>, endpoint: EndpointTag, before: u32, after: u32) {
+    let sum = sums.entry(endpoint).or_default();
+    *sum = (*sum + after).saturating_sub(before);
+    if *sum == 0 {
+        sums.remove(&endpoint);
+    }
+}
+
+fn load_counts(counts: &BTreeMap<EndpointTag, u32>) -> Vec<LoadCount> {
+    let counts = counts.iter();
+    counts
+        .map(|(&endpoint, &count)| LoadCount { endpoint, count })
+        .collect()
+}
--- /dev/null
+++ b/crates/ragwortroad_dispatch/src/telling_pace.rs
@@ -0,0 +1,75 @@
+use std::time::Duration;
+
+/// How much a registry may tell of one kind at once, and when it may tell the next.
+///
+/// What every edge is told is small for one of them and large for all. Written at once, it queues in
+/// front of the link for seconds; heartbeats of the agreement, answers to callers who ask for
+/// addresses and acknowledgements to endpoints wait behind it, and the others give the registry up
+/// although it is well.
+#[derive(Clone, Copy, Debug)]
+pub struct TellingPace {
+    /// Bytes a second that the link carries.
+    pub link_rate: f64,
+    /// Part of the link that this kind may take in the long run.
+    pub part: f64,
+    /// Time for which one telling may fill the link.
+    pub longest_burst: Duration,
+}
+
+/// Time between two tellings of what edges have under way, and of where texts are read.
+///
+/// An edge that does not know of a place yet finds the same one by its hash unless engines have come
+/// or gone.
+pub const SPREAD_EVERY: Duration = Duration::from_millis(200);
+
+/// Part of a registry's link that loads may take, and that places of texts may take.
+///
+/// Beyond it they come later, so that neither drains nor configurations do.
+const SPREAD_PART: f64 = 0.3;
+
+/// Time for which one of those tellings may fill a registry's link.
+///
+/// Heartbeats and answers wait as long; of the leader's, a few may be late before an election.
+const SPREAD_BURST: Duration = Duration::from_millis(100);
+
+/// Part of a registry's link that news of endpoints may take where it can wait.
+///
+/// There is much of it only after a common restart, when loads and places of texts are few.
+const NEWS_PART: f64 = 0.6;
+
+/// Time for which a telling of that news may fill a registry's link.
+///
+/// A third of the time without a heartbeat after which members elect another leader.
+const NEWS_BURST: Duration = Duration::from_millis(250);
+
+impl TellingPace {
+    /// The pace of loads, and of places of texts.
+    pub fn of_spread(link_rate: f64) -> Self {
+        Self {
+            link_rate,
+            part: SPREAD_PART,
+            longest_burst: SPREAD_BURST,
+        }
+    }
+
+    /// The pace of endpoints' news that can wait.
+    pub fn of_news(link_rate: f64) -> Self {
+        Self {
+            link_rate,
+            part: NEWS_PART,
+            longest_burst: NEWS_BURST,
+        }
+    }
+
+    /// Items that each of `receivers` may be told at once, at `item_bytes` each; one at least.
+    pub fn items_at_once(&self, receivers: usize, item_bytes: f64) -> usize {
+        let bytes = self.link_rate * self.longest_burst.as_secs_f64();
+        let items = bytes / item_bytes / receivers.max(1) as f64;
+        (items as usize).max(1)
+    }
+
+    /// Time until the next telling after one of `bytes`, all receivers together.
+    pub fn span(&self, bytes: usize) -> Duration {
+        Duration::from_secs_f64(bytes as f64 / (self.link_rate * self.part))
+    }
+}
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -81,11 +81,4 @@
         let shares: Vec<EndpointShare> = shares.collect();
         FleetLoad::of(&shares, self.edges)
     }
-
-    /// Requests of this edge at an endpoint, as it told the registry that adds up.
-    fn told_at(&self, name: &str) -> u32 {
-        let endpoint = EndpointTag::of(name);
-        let told = self.links.values().map(|link| link.report.count(endpoint));
-        told.sum()
-    }
 }
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -56,7 +56,12 @@
     voters: u32,
     /// Whether it has told all that it knows on this connection.
     has_told: bool,
-    /// Requests of the edges that tell this registry, by endpoint.
+    /// Whether this edge takes it for its home: tells it its loads and places of texts, and hears
+    /// those of the other edges from it.
+    ///
+    /// Invariant: of one link at most, and only while that is connected.
+    pub(crate) is_home: bool,
+    /// Requests of all edges by its word, by endpoint.
     pub(crate) totals: HashMap<EndpointTag, u32>,
     /// This edge's own requests as it told this registry last.
     pub(crate) report: CountReport,
@@ -70,6 +75,7 @@
             version: None,
             voters: 0,
             has_told: false,
+            is_home: false,
             totals: HashMap::new(),
             report: CountReport::default(),
         }
@@ -350,13 +356,8 @@
         let has_it = link.version.is_some_and(|version| version >= announced);
         has_it && link.queue.is_some()
     });
-    // Each edge prefers another registry; which one does not matter.
-    let weight = |link: &&RegistryLink| {
-        let text = format!("{} {}", shared.settings.name, link.address);
-        NodeId::from_name(&text)
-    };
-    let all_best = state.links.values().filter(|link| link.queue.is_some());
-    let preferred = all_best.max_by_key(weight).map(|link| link.address);
+    let connected = state.links.values().filter(|link| link.queue.is_some());
+    let preferred = choose_home(&shared.settings.name, connected.map(|link| link.address));
     let mut able: Vec<&RegistryLink> = able.collect();
     able.sort_by_key(|link| link.address != preferred.unwrap_or(link.address));
     let Some(chosen) = able.first() else {
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -151,6 +151,7 @@
             state.loads.remove(&key);
             state.texts.forget(key);
         }
+        state.settle_home(&shared.settings.name);
         match shared.settings.mechanisms.told_places {
             true => state.tell_places(),
             false => state.placed.clear(),
@@ -158,7 +159,10 @@
         state.set_limits(now);
         state.set_gauges();
         round += 1;
-        let is_due = round.is_multiple_of(LOAD_ROUNDS * load_pace(state.edges));
+        // A registry is the home of its part of the edges.
+        let registries = state.registries.len().max(1) as u32;
+        let pace = load_pace(state.edges.div_ceil(registries));
+        let is_due = round.is_multiple_of(LOAD_ROUNDS * pace);
         if is_due && shared.settings.mechanisms.told_loads {
             state.tell_loads();
         }
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -30,8 +30,8 @@
     service_gate::ServiceGate, //
 };
 
-/// Places of texts that a registry is told at once: as many as it keeps, 20 kB on the link.
-const MAX_TOLD_PLACES: usize = 2000;
+/// Places of texts that a registry is told at once: as many as it keeps.
+const MAX_TOLD_PLACES: usize = 4000;
 
 /// What the tasks of an edge share; all of them run on one thread.
 pub(crate) struct EdgeShared {
@@ -170,9 +170,32 @@
         metrics::gauge!(metric_names::CONFIG_VERSION).set(self.version().unwrap_or(0) as f64);
     }
 
-    /// Tells one registry what this edge has under way where that has changed.
+    /// Takes the registry for its home that this edge prefers of those it is connected to.
     ///
-    /// All edges that reach the same registries take the same one.
+    /// What a former home told and was told counts no longer.
+    pub(crate) fn settle_home(&mut self, edge: &str) {
+        let connected = self.links.values().filter(|link| link.queue.is_some());
+        let chosen = choose_home(edge, connected.map(|link| link.address));
+        for link in self.links.values_mut() {
+            let is_home = Some(link.address) == chosen;
+            if is_home == link.is_home {
+                continue;
+            }
+            link.is_home = is_home;
+            link.totals.clear();
+            link.report = CountReport::default();
+            let message = match is_home {
+                true => LinkMessage::Subscribe,
+                false => LinkMessage::Unsubscribe,
+            };
+            if let Some(queue) = &link.queue {
+                tracing::info!(registry = %link.address, is_home, "the home of this edge");
+                queue.send(&message);
+            }
+        }
+    }
+
+    /// Tells this edge's home what it has under way where that has changed.
     pub(crate) fn tell_loads(&mut self) {
         let Self {
             links,
@@ -185,35 +208,38 @@
             Some((EndpointTag::of(&record.name), load.own()))
         });
         let current: BTreeMap<EndpointTag, u32> = own.filter(|(_, count)| *count > 0).collect();
-        let connected = links.values_mut().filter(|link| link.queue.is_some());
-        let mut connected: Vec<_> = connected.collect();
-        connected.sort_by_key(|link| link.address);
-        for (index, link) in connected.into_iter().enumerate() {
-            let changes = match index {
-                0 => link.report.changes(&current),
-                _ => link.report.changes(&BTreeMap::new()),
-            };
-            if let Some(queue) = link.queue.as_ref().filter(|_| !changes.is_empty()) {
-                queue.send(&LinkMessage::Loads(changes));
-            }
+        let Some(home) = links.values_mut().find(|link| link.is_home) else {
+            return;
+        };
+        let changes = home.report.changes(&current);
+        if let Some(queue) = home.queue.as_ref().filter(|_| !changes.is_empty()) {
+            queue.send(&LinkMessage::Loads(changes));
         }
     }
 
     /// Requests of other edges at an endpoint.
     pub(crate) fn others_at(&self, name: &str) -> u32 {
-        let endpoint = EndpointTag::of(name);
-        self.links.values().map(|link| link.others(endpoint)).sum()
+        let home = self.home();
+        home.map_or(0, |link| link.others(EndpointTag::of(name)))
+    }
+
+    /// Requests of this edge at an endpoint, as it told its home.
+    pub(crate) fn told_at(&self, name: &str) -> u32 {
+        let home = self.home();
+        home.map_or(0, |link| link.report.count(EndpointTag::of(name)))
+    }
+
+    fn home(&self) -> Option<&RegistryLink> {
+        self.links.values().find(|link| link.is_home)
     }
 
-    /// Tells the other edges, by way of one registry, where texts were placed here.
+    /// Tells the other edges, by way of this edge's home, where texts were placed here.
     pub(crate) fn tell_places(&mut self) {
         if self.placed.is_empty() {
             return;
         }
-        // Another one than adds up loads, where there are two: both fill a registry's small link.
-        let connected = self.links.values().filter(|link| link.queue.is_some());
-        let link = connected.max_by_key(|link| link.address);
-        if let Some(queue) = link.and_then(|link| link.queue.as_ref()) {
+        let home = self.links.values().find(|link| link.is_home);
+        if let Some(queue) = home.and_then(|link| link.queue.as_ref()) {
             let placed = std::mem::take(&mut self.placed);
             queue.send(&LinkMessage::TextsPlaced(placed));
         }
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -6,7 +6,6 @@
 };
 
 use ragwortroad_dispatch::prelude::*;
-use ragwortroad_link::prelude::*;
 use ragwortroad_settings::prelude::*;
 use ragwortroad_types::prelude::*;
 
--- a/crates/ragwortroad_link/src/lib.rs
+++ b/crates/ragwortroad_link/src/lib.rs
@@ -29,7 +29,6 @@
             EdgeStage,
             LinkMessage,
             MemberHello,
-            PlacedText,
             PutOutcome, //
         },
         link_settings::LinkSettings,
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -32,10 +32,19 @@
         /// That version, if it has any.
         above: Option<u64>,
     },
+    /// An edge takes a registry for its home: it tells it loads and places of texts, and is told those
+    /// of the whole fleet.
+    Subscribe,
+    /// It has another home now.
+    Unsubscribe,
     /// Requests that an edge has under way where that has changed, or that all have together.
     Loads(Vec<LoadCount>),
-    /// Texts that an edge has sent to engines which had not read them.
+    /// Requests that the edges of one registry have under way together, where that has changed.
+    PartLoads(Vec<LoadCount>),
+    /// Texts that were sent to engines which had not read them.
     TextsPlaced(Vec<PlacedText>),
+    /// The same of another registry's edges, which it tells all registries itself.
+    PartPlaced(Vec<PlacedText>),
     /// A registry tells an edge what it knows of the fleet.
     Fleet {
         /// Where registries listen for links.
@@ -89,16 +98,6 @@
     PlacesKnown(Vec<PlacedText>),
 }
 
-/// A shared text that an engine is reading.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub struct PlacedText {
-    /// Identity of the text.
-    pub text: u64,
-    /// The engine.
-    pub engine: EndpointTag,
-}
-
 /// Whether an edge takes callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/ragwortroad_registry/src/call_flow.rs
+++ b/crates/ragwortroad_registry/src/call_flow.rs
@@ -1,6 +1,9 @@
 //! What a registry does with calls of operators, endpoints and callers.
 
-use std::time::Duration;
+use std::{
+    net::IpAddr,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use ragwortroad_consensus::prelude::*;
@@ -85,6 +88,7 @@
     pub(crate) fn take_call(
         &mut self,
         call: ControlCall,
+        asker: IpAddr,
         reply: oneshot::Sender<ControlReply>,
         now: ClockTime,
     ) {
@@ -109,7 +113,7 @@
                 ControlReply::Invalid { reason }
             }
             ControlCall::Goodbye { name } => self.take_goodbye(&name, now),
-            ControlCall::FindEdges => self.find_edges(now),
+            ControlCall::FindEdges => self.find_edges(asker, now),
             ControlCall::Unknown => ControlReply::NotFound,
         };
         answer_call(reply, answer);
--- a/crates/ragwortroad_registry/src/call_server.rs
+++ b/crates/ragwortroad_registry/src/call_server.rs
@@ -1,5 +1,6 @@
 use std::{
     convert::Infallible,
+    net::IpAddr,
     time::Duration, //
 };
 
@@ -57,8 +58,8 @@
     events: Sender<RegistryEvent>,
 ) {
     loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
+        let (stream, peer) = match listener.accept().await {
+            Ok(accepted) => accepted,
             Err(error) => {
                 tracing::warn!(%error, "a connection could not be accepted");
                 sleep(ACCEPT_PAUSE).await;
@@ -67,7 +68,8 @@
         };
         let events = events.clone();
         spawn_local(async move {
-            let service = service_fn(|request| answer_request(port, events.clone(), request));
+            let service =
+                service_fn(|request| answer_request(port, events.clone(), peer.ip(), request));
             let served = http1::Builder::new()
                 .timer(TokioTimer::new())
                 .header_read_timeout(IDLE_TIMEOUT)
@@ -83,6 +85,7 @@
 async fn answer_request(
     port: RegistryPort,
     events: Sender<RegistryEvent>,
+    asker: IpAddr,
     request: Request<Incoming>,
 ) -> Result<Response<Full<Bytes>>, Infallible> {
     let (parts, body) = request.into_parts();
@@ -99,7 +102,7 @@
     let unavailable = ControlReply::Unavailable {
         reason: "this registry is stopping",
     };
-    let answer = match events.send(RegistryEvent::Call { call, reply }) {
+    let answer = match events.send(RegistryEvent::Call { call, asker, reply }) {
         Ok(()) => answer.await.unwrap_or(unavailable),
         Err(_) => unavailable,
     };
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -11,18 +11,19 @@
 mod call_server;
 mod config_register;
 mod control_call;
+mod directory_flow;
 mod edge_flow;
 mod folder_worker;
 mod group_seat;
 mod peer_dialer;
 mod peer_flow;
-mod place_board;
 mod place_keeper;
 mod registry_error;
 mod registry_event;
 mod registry_port;
 mod registry_process;
 mod registry_state;
+mod spread_flow;
 mod step_history;
 
 /// Everything a dependent crate usually needs.
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -62,6 +62,7 @@
     pub(crate) fn reach_peer(&mut self, peer: SocketAddr, queue: LinkQueue, now: ClockTime) {
         let hello = self.own_hello(now);
         queue.send(&LinkMessage::MemberHello(hello));
+        self.add_peer(peer, &queue);
         let entry = self.peers.entry(peer).or_default();
         entry.queue = Some(queue);
         let hello = entry.hello.as_ref();
@@ -127,9 +128,17 @@
             } => self.greet_edge(link, node, address, stage, now),
             LinkMessage::EdgeStaged(stage) => self.stage_edge(link, stage),
             LinkMessage::WantConfig { above } => self.give_config(link, above),
-            LinkMessage::Loads(counts) => self.totals.take(link.0, &counts),
+            LinkMessage::Subscribe => self.subscribe(link),
+            LinkMessage::Unsubscribe => self.unsubscribe(link),
+            LinkMessage::Loads(counts) => self.totals.take(LoadSource::Edge(link.0), &counts),
+            LinkMessage::PartLoads(counts) => {
+                self.totals.take(LoadSource::Registry(link.0), &counts);
+            }
             LinkMessage::TextsPlaced(placed) => self.take_places(link, &placed, now),
-            LinkMessage::PlacesKnown(places) => self.places.take_whole(places),
+            LinkMessage::PartPlaced(placed) => {
+                self.places.take(&placed, PlaceOrigin::Registry, now);
+            }
+            LinkMessage::PlacesKnown(places) => self.places.take_whole(places, now),
             other => tracing::warn!(?other, "a message that no process sends here"),
         }
     }
--- a/crates/ragwortroad_registry/src/place_keeper.rs
+++ b/crates/ragwortroad_registry/src/place_keeper.rs
@@ -12,7 +12,7 @@
     Sender,
     TrySendError, //
 };
-use ragwortroad_link::prelude::*;
+use ragwortroad_dispatch::prelude::*;
 use ragwortroad_log::prelude::*;
 use snafu::{
     ResultExt,
--- a/crates/ragwortroad_registry/src/registry_event.rs
+++ b/crates/ragwortroad_registry/src/registry_event.rs
@@ -1,5 +1,9 @@
-use std::net::SocketAddr;
+use std::net::{
+    IpAddr,
+    SocketAddr, //
+};
 
+use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
 use tokio::sync::oneshot;
 
@@ -20,6 +24,8 @@
     Call {
         /// What.
         call: ControlCall,
+        /// Where the call comes from.
+        asker: IpAddr,
         /// Takes the answer.
         reply: oneshot::Sender<ControlReply>,
     },
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -25,7 +25,6 @@
         SeatEffect, //
     },
     peer_flow::PeerEntry,
-    place_board::PlaceBoard,
     place_keeper::PlaceKeeper,
     registry_event::{
         LinkKey,
@@ -69,7 +68,9 @@
     pub(crate) news_at: ClockTime,
     /// When other news is told next.
     pub(crate) calm_news_at: ClockTime,
-    /// What the edges have under way, of those that tell this registry.
+    /// Edges whose home this registry is.
+    pub(crate) subscribers: BTreeSet<LinkKey>,
+    /// What the edges have under way.
     pub(crate) totals: LoadTotals,
     pub(crate) totals_at: ClockTime,
     /// Where edges have placed texts lately.
@@ -114,6 +115,7 @@
             news: NewsQueue::default(),
             news_at: now,
             calm_news_at: now,
+            subscribers: BTreeSet::new(),
             totals: LoadTotals::default(),
             totals_at: now,
             places: PlaceBoard::new(now),
@@ -131,7 +133,7 @@
     /// Takes one event.
     pub(crate) fn handle(&mut self, event: RegistryEvent, now: ClockTime) {
         match event {
-            RegistryEvent::Call { call, reply } => self.take_call(call, reply, now),
+            RegistryEvent::Call { call, asker, reply } => self.take_call(call, asker, reply, now),
             RegistryEvent::Accepted { link, queue } => {
                 self.links.insert(link, queue);
             }
@@ -143,6 +145,7 @@
                 if let Some(entry) = self.peers.get_mut(&peer) {
                     entry.queue = None;
                 }
+                self.places.drop_reader(PlaceReader::Registry(peer));
                 self.pass_on_again();
             }
             RegistryEvent::Folder(report) => {
@@ -150,7 +153,7 @@
                 self.carry_out(effects, now);
             }
             RegistryEvent::PlacesFound(places) => {
-                self.places.take_found(places);
+                self.places.take_found(places, now);
                 // Edges connect while the disk is read. Told half a second later, they would have
                 // sent texts to other engines meanwhile.
                 self.places_at = now;
--- /dev/null
+++ b/crates/ragwortroad_registry/src/spread_flow.rs
@@ -0,0 +1,158 @@
+//! How a registry passes on what edges know: their loads, and where texts are read.
+//!
+//! Each edge takes one registry for its home. A registry tells the other registries what its own
+//! edges say, and its own edges what all say, so no registry speaks to the whole fleet.
+
+use std::net::SocketAddr;
+
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::{
+    registry_event::LinkKey,
+    registry_state::RegistryState, //
+};
+
+/// Bytes of a text's place on a link.
+const PLACE_BYTES: f64 = 15.0;
+
+impl RegistryState {
+    /// Takes an edge for one of its own, and tells it what all edges have under way.
+    pub(crate) fn subscribe(&mut self, link: LinkKey) {
+        let Some(queue) = self.links.get(&link) else {
+            return;
+        };
+        let loads = self.totals.told();
+        if !loads.is_empty() {
+            queue.send(&LinkMessage::Loads(loads));
+        }
+        self.subscribers.insert(link);
+        self.places.add_reader(PlaceReader::Edge(link.0));
+        tracing::info!(
+            edge = self.edges.get(&link).map(|edge| edge.node.as_str()),
+            subscribers = self.subscribers.len(),
+            "edge subscribed"
+        );
+    }
+
+    /// An edge has another home now, or is gone.
+    pub(crate) fn unsubscribe(&mut self, link: LinkKey) {
+        if self.subscribers.remove(&link) {
+            self.totals.drop_source(LoadSource::Edge(link.0));
+            self.places.drop_reader(PlaceReader::Edge(link.0));
+        }
+    }
+
+    /// Tells a registry that was just reached what this one's edges say, and all that follows.
+    pub(crate) fn add_peer(&mut self, peer: SocketAddr, queue: &LinkQueue) {
+        let loads = self.totals.own_told();
+        if !loads.is_empty() {
+            queue.send(&LinkMessage::PartLoads(loads));
+        }
+        self.places.add_reader(PlaceReader::Registry(peer));
+    }
+
+    /// Tells the other registries what this one's edges have under way, and its edges what all have.
+    pub(crate) fn tell_loads(&mut self, now: ClockTime) {
+        if now < self.totals_at {
+            return;
+        }
+        let parts = self.totals.own_news();
+        let news = self.totals.news();
+        let mut bytes = 0;
+        if !parts.is_empty() {
+            bytes += self.tell_peers(&LinkMessage::PartLoads(parts));
+        }
+        if !news.is_empty() {
+            let message = LinkMessage::Loads(news);
+            bytes += self.tell_links(self.subscribers.iter(), &message);
+        }
+        let every = SPREAD_EVERY * load_pace(self.subscribers.len() as u32);
+        let pace = TellingPace::of_spread(self.link_rate());
+        self.totals_at = now.after(every.max(pace.span(bytes)));
+    }
+
+    /// Tells edges and registries where texts were placed, each from where it has got to.
+    pub(crate) fn tell_places(&mut self, now: ClockTime) {
+        if now < self.places_at {
+            return;
+        }
+        let pace = TellingPace::of_spread(self.link_rate());
+        let most = pace.items_at_once(self.places.readers(), PLACE_BYTES);
+        let mut bytes = 0;
+        for telling in self.places.tell(most) {
+            bytes += self.tell_readers(&telling);
+        }
+        self.places_at = now.after(SPREAD_EVERY.max(pace.span(bytes)));
+    }
+
+    fn tell_readers(&self, telling: &PlaceTelling) -> usize {
+        let places = telling.places.clone();
+        let edges = telling.readers.iter().filter_map(|reader| match reader {
+            PlaceReader::Edge(link) => self.links.get(&LinkKey(*link)),
+            PlaceReader::Registry(_) => None,
+        });
+        let peers = telling.readers.iter().filter_map(|reader| match reader {
+            PlaceReader::Edge(_) => None,
+            PlaceReader::Registry(peer) => self.peers.get(peer)?.queue.as_ref(),
+        });
+        // All readers of one telling are of the same kind.
+        let is_part = matches!(telling.readers.first(), Some(PlaceReader::Registry(_)));
+        let message = match is_part {
+            true => LinkMessage::PartPlaced(places),
+            false => LinkMessage::TextsPlaced(places),
+        };
+        tell_queues(edges.chain(peers), &message)
+    }
+
+    /// Takes where an edge has placed texts.
+    pub(crate) fn take_places(&mut self, link: LinkKey, placed: &[PlacedText], now: ClockTime) {
+        self.places.take(placed, PlaceOrigin::Edge, now);
+        let queue = self.links.get(&link);
+        if let Some(queue) = queue.filter(|_| self.places.wants_all(now)) {
+            queue.send(&LinkMessage::WantPlaces);
+        }
+    }
+
+    /// Has the disk keep where texts were placed, from time to time.
+    pub(crate) fn keep_places(&mut self, now: ClockTime) {
+        let Some(due) = self.places.due(now) else {
+            return;
+        };
+        if self.keeper.keep(due) {
+            self.places.note_kept();
+        }
+    }
+
+    /// Tells all registries the same; returns how many bytes that takes.
+    fn tell_peers(&self, message: &LinkMessage) -> usize {
+        let queues = self.peers.values().filter_map(|peer| peer.queue.as_ref());
+        tell_queues(queues, message)
+    }
+
+    /// Tells some processes that have connected the same; returns how many bytes that takes.
+    pub(crate) fn tell_links<'a>(
+        &self,
+        links: impl Iterator<Item = &'a LinkKey>,
+        message: &LinkMessage,
+    ) -> usize {
+        tell_queues(links.filter_map(|link| self.links.get(link)), message)
+    }
+}
+
+fn tell_queues<'a>(queues: impl Iterator<Item = &'a LinkQueue>, message: &LinkMessage) -> usize {
+    let bytes = match encode_message(message) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            tracing::error!(%error, "a message to several processes could not be encoded");
+            return 0;
+        }
+    };
+    let mut sent = 0;
+    for queue in queues {
+        queue.send_encoded(bytes.clone());
+        sent += bytes.len();
+    }
+    sent
+}
