Ask another registry for a configuration when one does not answer

Cause: an edge asked the registry that it prefers for a new configuration, and after 1.2 s the same one again, as long as the connection lived.

Change: ConfigQuest decides whom to ask and when; one that did not answer is not asked twice in a row, steps are asked again after 0.5 s, and edges whose own registry lacks the version divide themselves by the same rank instead of all asking the first.

--- /dev/null
+++ b/crates/ragwortroad_dispatch/src/config_quest.rs
@@ -0,0 +1,119 @@
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use ragwortroad_types::prelude::*;
+
+use crate::choose_home;
+
+/// Time after which a whole configuration that was asked for is asked of another registry.
+///
+/// A large one takes a second over a registry's link, and asking twice would send it twice.
+const ASK_AGAIN_WHOLE: Duration = Duration::from_millis(1200);
+
+/// The same for the steps from a configuration that the edge has, which are small.
+///
+/// A registry whose link is choked or whose VM hangs keeps its connections for seconds; sites bound
+/// the time until a change is in force to two or three.
+const ASK_AGAIN_STEPS: Duration = Duration::from_millis(500);
+
+/// Time that an edge's own registry has to announce a version before another is asked.
+///
+/// All edges hear of a change from the leader first; if all asked it, its link would carry every
+/// copy. A registry that follows knows of a change a heartbeat later.
+const OWN_REGISTRY_TIME: Duration = Duration::from_millis(250);
+
+/// The same for an edge that has no configuration and cannot serve anybody.
+///
+/// After a common restart all edges wait for the leader's first word, and copies of a large
+/// configuration for all of them take its link seconds; others have it within a tenth of a second.
+const FIRST_CONFIG_TIME: Duration = Duration::from_millis(120);
+
+/// A registry that an edge is connected to.
+#[derive(Clone, Copy, Debug)]
+pub struct ConfigSource {
+    /// Where it is.
+    pub address: SocketAddr,
+    /// The version that it has announced on this connection.
+    pub version: Option<u64>,
+}
+
+/// How an edge comes by the configuration in force.
+///
+/// Registries announce versions; the edge asks one of them for what it lacks. Each edge prefers
+/// another registry, so that all of them carry a part of the copies. One that does not answer is
+/// not asked twice in a row: it may be connected and choked, and the edge would refuse callers
+/// by an old configuration for as long as it keeps the connection.
+#[derive(Debug, Default)]
+pub struct ConfigQuest {
+    /// Highest version that a registry has announced, and when it was first.
+    announced: Option<(u64, ClockTime)>,
+    /// The registry that was asked last, and when, while its answer is awaited.
+    asked: Option<(SocketAddr, ClockTime)>,
+}
+
+impl ConfigQuest {
+    /// A registry has announced a version.
+    pub fn note_announced(&mut self, version: u64, now: ClockTime) {
+        if self.announced.is_none_or(|(known, _)| version > known) {
+            self.announced = Some((version, now));
+        }
+    }
+
+    /// A registry was asked.
+    pub fn note_asked(&mut self, registry: SocketAddr, now: ClockTime) {
+        self.asked = Some((registry, now));
+    }
+
+    /// A registry has answered.
+    pub fn note_answered(&mut self) {
+        self.asked = None;
+    }
+
+    /// The connection to a registry has ended, which may have been asked.
+    pub fn note_lost(&mut self, registry: SocketAddr) {
+        if self.asked.is_some_and(|(asked, _)| asked == registry) {
+            self.asked = None;
+        }
+    }
+
+    /// Whether no registry has announced a version above `own`.
+    pub fn is_newest(&self, own: u64) -> bool {
+        self.announced.is_none_or(|(known, _)| own >= known)
+    }
+
+    /// The registry that an edge with the version `own` is to ask now, if any.
+    pub fn next(
+        &self,
+        edge: &str,
+        own: Option<u64>,
+        sources: &[ConfigSource],
+        now: ClockTime,
+    ) -> Option<SocketAddr> {
+        let (announced, first_at) = self.announced?;
+        if own.is_some_and(|own| own >= announced) {
+            return None;
+        }
+        let (ask_again, patience) = match own {
+            Some(_) => (ASK_AGAIN_STEPS, OWN_REGISTRY_TIME),
+            None => (ASK_AGAIN_WHOLE, FIRST_CONFIG_TIME),
+        };
+        if let Some((_, asked_at)) = self.asked
+            && now.since(asked_at) < ask_again
+        {
+            return None;
+        }
+        let able = sources
+            .iter()
+            .filter(|source| source.version >= Some(announced));
+        let able: Vec<SocketAddr> = able.map(|source| source.address).collect();
+        let silent = self.asked.map(|(registry, _)| registry);
+        let others = able.iter().copied().filter(|one| Some(*one) != silent);
+        let chosen = choose_home(edge, others).or_else(|| choose_home(edge, able.into_iter()))?;
+        let preferred = choose_home(edge, sources.iter().map(|source| source.address));
+        let may_wait = self.asked.is_none() && Some(chosen) != preferred;
+        let is_early = may_wait && now.since(first_at) < patience;
+        (!is_early).then_some(chosen)
+    }
+}
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod answer_patience;
 mod come_back;
 mod config_fault;
+mod config_quest;
 mod endpoint_load;
 mod endpoint_record;
 mod endpoint_table;
@@ -49,6 +50,10 @@
         answer_patience::answer_patience,
         come_back::come_back_time,
         config_fault::ConfigFault,
+        config_quest::{
+            ConfigQuest,
+            ConfigSource, //
+        },
         endpoint_load::{
             EndpointLoad,
             LoadReading, //
--- a/crates/ragwortroad_dispatch/tests/spread.rs
+++ b/crates/ragwortroad_dispatch/tests/spread.rs
@@ -17,7 +17,6 @@
 
 use common::at;
 use ragwortroad_dispatch::prelude::*;
-use ragwortroad_types::prelude::*;
 use rand::{
     RngExt,
     SeedableRng, //
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -21,23 +21,6 @@
     EdgeState, //
 };
 
-/// Time after which a configuration that was asked for is asked of another registry.
-///
-/// A large one takes a second over a registry's link, and asking twice would send it twice.
-const ASK_AGAIN: Duration = Duration::from_millis(1200);
-
-/// Time that this edge's own registry has to announce a version before another is asked.
-///
-/// All edges hear of a change from the leader first; if all asked it, its link would carry every
-/// copy. A registry that follows knows of a change a heartbeat later.
-const OWN_REGISTRY_TIME: Duration = Duration::from_millis(250);
-
-/// The same for an edge that has no configuration and cannot serve anybody.
-///
-/// After a common restart all edges wait for the leader's first word, and 65 copies of a large
-/// configuration take its link two seconds and more; others have it within a tenth of a second.
-const FIRST_CONFIG_TIME: Duration = Duration::from_millis(120);
-
 /// Time after a start in which a configuration is awaited that is surely the newest.
 ///
 /// A registry that was cut off may have an older one; with the word of more than half of the
@@ -160,10 +143,10 @@
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
     state.endpoints.drop_source(source, now);
-    // The registry that was asked may have been this one.
-    state.asked_at = None;
     if let Some(link) = state.links.get_mut(&source) {
         link.reset(None);
+        let address = link.address;
+        state.quest.note_lost(address);
     }
 }
 
@@ -253,15 +236,13 @@
     if let Some(link) = state.links.get_mut(&source) {
         link.version = Some(version);
     }
-    if state.announced.is_none_or(|(known, _)| version > known) {
-        state.announced = Some((version, now));
-    }
+    state.quest.note_announced(version, now);
 }
 
 /// Takes the steps to a configuration.
 fn take_steps(shared: &EdgeShared, steps: &[ConfigStep]) {
     let mut state = shared.state.borrow_mut();
-    state.asked_at = None;
+    state.quest.note_answered();
     let Some(last) = steps.last() else {
         return;
     };
@@ -326,7 +307,7 @@
     let Some(version) = state.version() else {
         return false;
     };
-    let is_newest = state.announced.is_none_or(|(known, _)| version >= known);
+    let is_newest = state.quest.is_newest(version);
     // One that has just lost its disk knows of no voters, and must not make others count for less.
     let voters = state
         .links
@@ -341,42 +322,20 @@
 }
 
 fn ask_config(shared: &EdgeShared, state: &mut EdgeState, now: ClockTime) {
-    let Some((announced, first_at)) = state.announced else {
-        return;
-    };
-    let own = state.version();
-    let is_behind = own.is_none_or(|version| version < announced);
-    let is_awaited = state
-        .asked_at
-        .is_some_and(|asked_at| now.since(asked_at) < ASK_AGAIN);
-    if !is_behind || is_awaited {
-        return;
-    }
-    let able = state.links.values().filter(|link| {
-        let has_it = link.version.is_some_and(|version| version >= announced);
-        has_it && link.queue.is_some()
-    });
     let connected = state.links.values().filter(|link| link.queue.is_some());
-    let preferred = choose_home(&shared.settings.name, connected.map(|link| link.address));
-    let mut able: Vec<&RegistryLink> = able.collect();
-    able.sort_by_key(|link| link.address != preferred.unwrap_or(link.address));
-    let Some(chosen) = able.first() else {
+    let sources = connected.map(|link| ConfigSource {
+        address: link.address,
+        version: link.version,
+    });
+    let sources: Vec<ConfigSource> = sources.collect();
+    let above = state.version();
+    let edge = &shared.settings.name;
+    let Some(chosen) = state.quest.next(edge, above, &sources, now) else {
         return;
     };
-    let is_preferred = Some(chosen.address) == preferred;
-    let patience = match own {
-        Some(_) => OWN_REGISTRY_TIME,
-        None => FIRST_CONFIG_TIME,
-    };
-    if !is_preferred && now.since(first_at) < patience {
-        return;
-    }
-    let above = own;
-    let asked = chosen
-        .queue
-        .as_ref()
-        .is_some_and(|queue| queue.send(&LinkMessage::WantConfig { above }));
-    if asked {
-        state.asked_at = Some(now);
+    let link = state.links.values().find(|link| link.address == chosen);
+    let queue = link.and_then(|link| link.queue.as_ref());
+    if queue.is_some_and(|queue| queue.send(&LinkMessage::WantConfig { above })) {
+        state.quest.note_asked(chosen, now);
     }
 }
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -75,10 +75,8 @@
     pub(crate) stage: EdgeStage,
     /// When a stopping edge ends in any case.
     pub(crate) ends_at: Option<Instant>,
-    /// When the configuration was asked for last, if the answer is still awaited.
-    pub(crate) asked_at: Option<ClockTime>,
-    /// Highest version that a registry has announced, and when it was first.
-    pub(crate) announced: Option<(u64, ClockTime)>,
+    /// How this edge comes by the configuration in force.
+    pub(crate) quest: ConfigQuest,
     /// When a registry told last what all edges have under way.
     pub(crate) loads_at: Option<ClockTime>,
     /// Requests under way.
