Measure what fills links between processes, and how long calls of the control interface take

Cause: only lines "registry lost" told of a registry that fell silent; no metric did.

Change: bytes by kind of message, time that messages wait for a connection, connections and endpoints lost, time of calls, edges whose home a registry is. EncodedMessage takes the place of encode_message and carries its kind.

--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -10,6 +10,7 @@
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
 use tokio::{
     task::spawn_local,
@@ -115,6 +116,7 @@
                 let take = move |message| take_message(&inward, source, message);
                 let ended = run_link(stream, (queue, receiver), true, &settings, take).await;
                 tracing::info!(registry = %address, %ended, "registry lost");
+                metrics::counter!(metric_names::LINKS_LOST, "peer" => "registry").increment(1);
                 end_link(&shared, source);
             }
             Err(error) => tracing::debug!(registry = %address, %error, "registry not reached"),
--- /dev/null
+++ b/crates/ragwortroad_link/src/encoded_message.rs
@@ -0,0 +1,61 @@
+use bytes::Bytes;
+use snafu::ResultExt;
+
+use crate::{
+    LinkError,
+    LinkMessage,
+    link_error::{
+        BrokenSnafu,
+        MeaninglessSnafu, //
+    }, //
+    pack_document,
+    unpack_document,
+};
+
+/// Bytes from which a message is compressed.
+///
+/// Records of endpoints repeat themselves: those of a thousand take a quarter, and after a common
+/// restart each edge is told all of them. Of a handful little is gained.
+const PACK_FROM: usize = 600;
+
+/// A message as it goes into a frame, for one receiver or several.
+#[derive(Clone, Debug)]
+pub struct EncodedMessage {
+    /// The message's kind, for metrics.
+    pub kind: &'static str,
+    /// What goes into the frame.
+    pub bytes: Bytes,
+}
+
+impl TryFrom<&LinkMessage> for EncodedMessage {
+    type Error = LinkError;
+
+    fn try_from(message: &LinkMessage) -> Result<Self, LinkError> {
+        let kind = message.kind();
+        let bytes = postcard::to_stdvec(message).context(MeaninglessSnafu)?;
+        if bytes.len() < PACK_FROM {
+            let bytes = bytes.into();
+            return Ok(Self { kind, bytes });
+        }
+        let packed = pack_document(&bytes, None).context(BrokenSnafu)?;
+        let packed = LinkMessage::Packed(packed);
+        let packed = postcard::to_stdvec(&packed).context(MeaninglessSnafu)?;
+        // What is compressed already does not shrink.
+        let bytes = match packed.len() < bytes.len() {
+            true => packed.into(),
+            false => bytes.into(),
+        };
+        Ok(Self { kind, bytes })
+    }
+}
+
+/// The message in a frame.
+pub fn decode_message(frame: &[u8]) -> Result<LinkMessage, LinkError> {
+    match postcard::from_bytes(frame).context(MeaninglessSnafu)? {
+        LinkMessage::Packed(packed) => {
+            let bytes = unpack_document(&packed, None).context(BrokenSnafu)?;
+            postcard::from_bytes(&bytes).context(MeaninglessSnafu)
+        }
+        message => Ok(message),
+    }
+}
--- a/crates/ragwortroad_link/src/lib.rs
+++ b/crates/ragwortroad_link/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod config_step;
 mod dial_pace;
+mod encoded_message;
 mod link_connection;
 mod link_error;
 mod link_message;
@@ -17,11 +18,14 @@
     pub use crate::{
         config_step::ConfigStep,
         dial_pace::DialPace,
+        encoded_message::{
+            EncodedMessage,
+            decode_message, //
+        },
         link_connection::{
             LinkQueue,
-            decode_message,
+            QueuedMessage,
             dial_link,
-            encode_message,
             run_link, //
         },
         link_error::LinkError,
--- a/crates/ragwortroad_link/src/link_connection.rs
+++ b/crates/ragwortroad_link/src/link_connection.rs
@@ -13,6 +13,7 @@
     Sender, //
 };
 use futures_util::SinkExt;
+use ragwortroad_telemetry::prelude::*;
 use snafu::ResultExt;
 use socket2::SockRef;
 use tokio::{
@@ -37,29 +38,35 @@
 };
 
 use crate::{
+    EncodedMessage,
     LinkError,
     LinkMessage,
     LinkSettings,
+    decode_message,
     link_error::{
         BrokenSnafu,
-        DialSnafu,
-        MeaninglessSnafu, //
+        DialSnafu, //
     }, //
-    pack_document,
-    unpack_document,
 };
 
 /// The end of a connection that its user writes to.
 #[derive(Clone, Debug)]
 pub struct LinkQueue {
-    sender: Sender<Bytes>,
+    sender: Sender<QueuedMessage>,
     /// Told when the connection is to end.
     end: Arc<Notify>,
 }
 
+/// A message that waits to be written.
+#[derive(Debug)]
+pub struct QueuedMessage {
+    bytes: Bytes,
+    queued_at: Instant,
+}
+
 impl LinkQueue {
     /// A queue, and the end that [`run_link`] empties.
-    pub fn new(settings: &LinkSettings) -> (Self, Receiver<Bytes>) {
+    pub fn new(settings: &LinkSettings) -> (Self, Receiver<QueuedMessage>) {
         let (sender, receiver) = flume::bounded(settings.queue_length);
         let end = Arc::new(Notify::new());
         (Self { sender, end }, receiver)
@@ -75,8 +82,8 @@
     /// A peer that reads too slowly loses its connection rather than messages in the middle of it:
     /// what it has missed comes as a whole when it connects again.
     pub fn send(&self, message: &LinkMessage) -> bool {
-        match encode_message(message) {
-            Ok(bytes) => self.send_encoded(bytes),
+        match EncodedMessage::try_from(message) {
+            Ok(encoded) => self.send_encoded(&encoded),
             Err(error) => {
                 tracing::error!(%error, "a message to another process could not be encoded");
                 false
@@ -85,10 +92,18 @@
     }
 
     /// Queues a message that was encoded for several receivers.
-    pub fn send_encoded(&self, bytes: Bytes) -> bool {
-        let taken = self.sender.try_send(bytes).is_ok();
-        if !taken {
-            self.close();
+    pub fn send_encoded(&self, encoded: &EncodedMessage) -> bool {
+        let queued = QueuedMessage {
+            bytes: encoded.bytes.clone(),
+            queued_at: Instant::now(),
+        };
+        let bytes = queued.bytes.len() as u64;
+        let taken = self.sender.try_send(queued).is_ok();
+        match taken {
+            true => {
+                metrics::counter!(metric_names::LINK_BYTES, "kind" => encoded.kind).increment(bytes)
+            }
+            false => self.close(),
         }
         taken
     }
@@ -97,39 +112,6 @@
 /// Room for one reading from a connection: a dozen messages of the usual size.
 const READ_BYTES: usize = 2048;
 
-/// Bytes from which a message is compressed.
-///
-/// Records of endpoints repeat themselves: those of a thousand take a quarter, and after a common
-/// restart each edge is told all of them. Of a handful little is gained.
-const PACK_FROM: usize = 600;
-
-/// A message as it goes into a frame.
-pub fn encode_message(message: &LinkMessage) -> Result<Bytes, LinkError> {
-    let bytes = postcard::to_stdvec(message).context(MeaninglessSnafu)?;
-    if bytes.len() < PACK_FROM {
-        return Ok(bytes.into());
-    }
-    let packed = pack_document(&bytes, None).context(BrokenSnafu)?;
-    let packed = LinkMessage::Packed(packed);
-    let packed = postcard::to_stdvec(&packed).context(MeaninglessSnafu)?;
-    // What is compressed already does not shrink.
-    match packed.len() < bytes.len() {
-        true => Ok(packed.into()),
-        false => Ok(bytes.into()),
-    }
-}
-
-/// The message in a frame.
-pub fn decode_message(frame: &[u8]) -> Result<LinkMessage, LinkError> {
-    match postcard::from_bytes(frame).context(MeaninglessSnafu)? {
-        LinkMessage::Packed(packed) => {
-            let bytes = unpack_document(&packed, None).context(BrokenSnafu)?;
-            postcard::from_bytes(&bytes).context(MeaninglessSnafu)
-        }
-        message => Ok(message),
-    }
-}
-
 /// Connects to another process within `limit`.
 pub async fn dial_link(address: SocketAddr, limit: Duration) -> Result<TcpStream, LinkError> {
     match timeout(limit, TcpStream::connect(address)).await {
@@ -144,7 +126,7 @@
 /// say, the other one answers it.
 pub async fn run_link(
     stream: TcpStream,
-    queue: (LinkQueue, Receiver<Bytes>),
+    queue: (LinkQueue, Receiver<QueuedMessage>),
     dialled: bool,
     settings: &LinkSettings,
     on_message: impl FnMut(LinkMessage),
@@ -224,25 +206,28 @@
 
 async fn write_messages(
     mut writer: FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    receiver: Receiver<Bytes>,
+    receiver: Receiver<QueuedMessage>,
     keepalive: Option<Duration>,
 ) -> LinkError {
     let mut next_keepalive = keepalive.map(|every| Instant::now() + every);
     loop {
-        let bytes = match next_keepalive {
-            None => receiver.recv_async().await,
+        let queued = match next_keepalive {
+            None => receiver.recv_async().await.ok(),
             Some(at) => tokio::select! {
-                received = receiver.recv_async() => received,
+                received = receiver.recv_async() => received.ok(),
                 () = tokio::time::sleep_until(at) => {
                     next_keepalive = keepalive.map(|every| Instant::now() + every);
-                    match encode_message(&LinkMessage::Keepalive) {
-                        Ok(bytes) => Ok(bytes),
+                    match EncodedMessage::try_from(&LinkMessage::Keepalive) {
+                        Ok(encoded) => Some(QueuedMessage {
+                            bytes: encoded.bytes,
+                            queued_at: Instant::now(),
+                        }),
                         Err(error) => return error,
                     }
                 }
             },
         };
-        let Ok(first) = bytes else {
+        let Some(first) = queued else {
             return LinkError::GivenUp;
         };
         if let Err(error) = write_batch(&mut writer, first, &receiver).await {
@@ -254,12 +239,16 @@
 /// Writes what is queued with one call where it fits, since each call costs a wake-up there.
 async fn write_batch(
     writer: &mut FramedWrite<OwnedWriteHalf, LengthDelimitedCodec>,
-    first: Bytes,
-    receiver: &Receiver<Bytes>,
+    first: QueuedMessage,
+    receiver: &Receiver<QueuedMessage>,
 ) -> Result<(), LinkError> {
-    writer.feed(first).await.context(BrokenSnafu)?;
-    while let Ok(bytes) = receiver.try_recv() {
-        writer.feed(bytes).await.context(BrokenSnafu)?;
+    let queued_at = first.queued_at;
+    writer.feed(first.bytes).await.context(BrokenSnafu)?;
+    while let Ok(queued) = receiver.try_recv() {
+        writer.feed(queued.bytes).await.context(BrokenSnafu)?;
     }
-    SinkExt::<Bytes>::flush(writer).await.context(BrokenSnafu)
+    SinkExt::<Bytes>::flush(writer).await.context(BrokenSnafu)?;
+    let waited = queued_at.elapsed().as_secs_f64();
+    metrics::histogram!(metric_names::LINK_WAIT_SECONDS).record(waited);
+    Ok(())
 }
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -98,6 +98,38 @@
     PlacesKnown(Vec<PlacedText>),
 }
 
+impl LinkMessage {
+    /// Its kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Keepalive => "keepalive",
+            Self::Packed(_) => "packed",
+            Self::EdgeHello { .. } => "edge_hello",
+            Self::EdgeStaged(_) => "edge_staged",
+            Self::WantConfig { .. } => "want_config",
+            Self::Subscribe => "subscribe",
+            Self::Unsubscribe => "unsubscribe",
+            Self::Loads(_) => "loads",
+            Self::PartLoads(_) => "part_loads",
+            Self::TextsPlaced(_) => "texts_placed",
+            Self::PartPlaced(_) => "part_placed",
+            Self::Fleet { .. } => "fleet",
+            Self::ConfigVersion(_) => "config_version",
+            Self::ConfigSteps(_) => "config_steps",
+            Self::EndpointsWhole(_) => "endpoints_whole",
+            Self::EndpointNews(_) => "endpoint_news",
+            Self::MemberHello(_) => "member_hello",
+            Self::Consensus(_) => "consensus",
+            Self::ForwardPut { .. } => "forward_put",
+            Self::ForwardDone { .. } => "forward_done",
+            Self::ReadAsk { .. } => "read_ask",
+            Self::ReadDone { .. } => "read_done",
+            Self::WantPlaces => "want_places",
+            Self::PlacesKnown(_) => "places_known",
+        }
+    }
+}
+
 /// Whether an edge takes callers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
--- a/crates/ragwortroad_link/tests/documents.rs
+++ b/crates/ragwortroad_link/tests/documents.rs
@@ -32,10 +32,12 @@
     });
     let message = LinkMessage::EndpointNews(news.collect());
     let plain = postcard::to_stdvec(&message).expect("encodes").len();
-    let frame = encode_message(&message).expect("encodes");
+    let frame = EncodedMessage::try_from(&message).expect("encodes").bytes;
     assert!(frame.len() * 10 < plain * 8, "{} of {plain}", frame.len());
     assert_eq!(decode_message(&frame).expect("decodes"), message);
-    let small = encode_message(&LinkMessage::Keepalive).expect("encodes");
+    let small = EncodedMessage::try_from(&LinkMessage::Keepalive)
+        .expect("encodes")
+        .bytes;
     assert_eq!(
         decode_message(&small).expect("decodes"),
         LinkMessage::Keepalive
--- a/crates/ragwortroad_link/tests/links.rs
+++ b/crates/ragwortroad_link/tests/links.rs
@@ -53,7 +53,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("binds");
         let address = listener.local_addr().expect("an address");
         let message = LinkMessage::EndpointsWhole(records(400));
-        let bytes = encode_message(&message).expect("encodes");
+        let bytes = EncodedMessage::try_from(&message).expect("encodes").bytes;
         let sender = async move {
             let mut stream = TcpStream::connect(address).await.expect("connects");
             let length = (bytes.len() as u32).to_be_bytes();
@@ -89,7 +89,8 @@
     for count in [22, 100, 333] {
         let news = records(count).into_iter().map(RegistryChange::Told);
         let message = LinkMessage::EndpointNews(news.collect());
-        let bytes = encode_message(&message).expect("encodes").len();
+        let encoded = EncodedMessage::try_from(&message).expect("encodes");
+        let bytes = encoded.bytes.len();
         let each = bytes as f64 / count as f64;
         println!("{count} records: {each:.1} bytes each");
         assert!(each <= 30.0, "{count} records take {each} bytes each");
--- a/crates/ragwortroad_registry/src/call_flow.rs
+++ b/crates/ragwortroad_registry/src/call_flow.rs
@@ -480,15 +480,7 @@
 
 /// Answers a call, unless its caller has left.
 fn answer_call(reply: oneshot::Sender<ControlReply>, answer: ControlReply) {
-    let outcome = match &answer {
-        ControlReply::Done => "done",
-        ControlReply::Config(_) => "config",
-        ControlReply::Edges { .. } => "edges",
-        ControlReply::Invalid { .. } => "invalid",
-        ControlReply::Unavailable { .. } => "unavailable",
-        ControlReply::NotFound => "not_found",
-    };
-    metrics::counter!(metric_names::CALLS, "outcome" => outcome).increment(1);
+    metrics::counter!(metric_names::CALLS, "outcome" => answer.outcome()).increment(1);
     if reply.send(answer).is_err() {
         tracing::debug!("a caller of the control interface left before its answer");
     }
--- a/crates/ragwortroad_registry/src/call_server.rs
+++ b/crates/ragwortroad_registry/src/call_server.rs
@@ -22,11 +22,13 @@
     TokioIo,
     TokioTimer, //
 };
+use ragwortroad_telemetry::prelude::*;
 use tokio::{
     net::TcpListener,
     sync::oneshot,
     task::spawn_local,
     time::{
+        Instant,
         sleep,
         timeout, //
     }, //
@@ -98,6 +100,7 @@
         }
         Err(_) => ControlCall::Unknown,
     };
+    let read_at = Instant::now();
     let (reply, answer) = oneshot::channel();
     let unavailable = ControlReply::Unavailable {
         reason: "this registry is stopping",
@@ -106,5 +109,7 @@
         Ok(()) => answer.await.unwrap_or(unavailable),
         Err(_) => unavailable,
     };
+    let took = read_at.elapsed().as_secs_f64();
+    metrics::histogram!(metric_names::CALL_SECONDS, "outcome" => answer.outcome()).record(took);
     Ok((port.encode_reply)(&answer))
 }
--- a/crates/ragwortroad_registry/src/control_call.rs
+++ b/crates/ragwortroad_registry/src/control_call.rs
@@ -62,3 +62,17 @@
     /// There is no such thing.
     NotFound,
 }
+
+impl ControlReply {
+    /// What came of the call, for metrics.
+    pub fn outcome(&self) -> &'static str {
+        match self {
+            Self::Done => "done",
+            Self::Config(_) => "config",
+            Self::Edges { .. } => "edges",
+            Self::Invalid { .. } => "invalid",
+            Self::Unavailable { .. } => "unavailable",
+            Self::NotFound => "not_found",
+        }
+    }
+}
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -88,6 +88,7 @@
         self.totals.drop_source(LoadSource::Registry(link.0));
         if let Some(edge) = self.edges.remove(&link) {
             tracing::info!(edge = edge.node, "edge lost");
+            metrics::counter!(metric_names::LINKS_LOST, "peer" => "edge").increment(1);
         }
     }
 
@@ -122,6 +123,7 @@
 
     pub(crate) fn tell_fleet(&mut self, now: ClockTime) {
         metrics::gauge!(metric_names::EDGES).set(self.edges.len() as f64);
+        metrics::gauge!(metric_names::SUBSCRIBERS).set(self.subscribers.len() as f64);
         let version = self.seat.register().version().unwrap_or(0);
         metrics::gauge!(metric_names::CONFIG_VERSION).set(version as f64);
         // An edge is ready once it has heard from more than half of the voters. Where their number
@@ -168,7 +170,10 @@
                 sequence = record.sequence,
                 "endpoint news"
             ),
-            RegistryChange::Lost(name) => tracing::info!(endpoint = name, "endpoint lost"),
+            RegistryChange::Lost(name) => {
+                tracing::info!(endpoint = name, "endpoint lost");
+                metrics::counter!(metric_names::ENDPOINTS_LOST).increment(1);
+            }
             RegistryChange::Goodbye(name) => tracing::info!(endpoint = name, "endpoint left"),
         }
         self.news.push(change);
--- a/crates/ragwortroad_registry/src/peer_dialer.rs
+++ b/crates/ragwortroad_registry/src/peer_dialer.rs
@@ -2,6 +2,7 @@
 
 use flume::Sender;
 use ragwortroad_link::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use tokio::time::{
     Instant,
     sleep, //
@@ -33,6 +34,7 @@
                 };
                 let ended = run_link(stream, (own, receiver), true, &settings, say).await;
                 tracing::info!(%peer, %ended, "registry lost");
+                metrics::counter!(metric_names::LINKS_LOST, "peer" => "registry").increment(1);
                 if events.send(RegistryEvent::Unreached { peer }).is_err() {
                     return;
                 }
--- a/crates/ragwortroad_registry/src/spread_flow.rs
+++ b/crates/ragwortroad_registry/src/spread_flow.rs
@@ -142,8 +142,8 @@
 }
 
 fn tell_queues<'a>(queues: impl Iterator<Item = &'a LinkQueue>, message: &LinkMessage) -> usize {
-    let bytes = match encode_message(message) {
-        Ok(bytes) => bytes,
+    let encoded = match EncodedMessage::try_from(message) {
+        Ok(encoded) => encoded,
         Err(error) => {
             tracing::error!(%error, "a message to several processes could not be encoded");
             return 0;
@@ -151,8 +151,8 @@
     };
     let mut sent = 0;
     for queue in queues {
-        queue.send_encoded(bytes.clone());
-        sent += bytes.len();
+        queue.send_encoded(&encoded);
+        sent += encoded.bytes.len();
     }
     sent
 }
--- a/crates/ragwortroad_telemetry/src/metric_names.rs
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -32,6 +32,18 @@
 pub const ENDPOINTS: &str = "ragwortroad_endpoints_ready";
 /// Calls at a registry, by `outcome`.
 pub const CALLS: &str = "ragwortroad_control_calls_total";
+/// Seconds from a call read at a registry to its answer, by `outcome`.
+pub const CALL_SECONDS: &str = "ragwortroad_control_call_seconds";
+/// Bytes queued for other processes of the fleet, by `kind` of message.
+pub const LINK_BYTES: &str = "ragwortroad_link_bytes_total";
+/// Seconds for which messages to another process waited until the connection took them.
+pub const LINK_WAIT_SECONDS: &str = "ragwortroad_link_wait_seconds";
+/// Connections to other processes that ended, by who was at the other end (`peer`).
+pub const LINKS_LOST: &str = "ragwortroad_links_lost_total";
+/// Endpoints that missed their announcements at this registry.
+pub const ENDPOINTS_LOST: &str = "ragwortroad_endpoints_lost_total";
+/// Edges whose home this registry is.
+pub const SUBSCRIBERS: &str = "ragwortroad_edges_subscribed";
 /// Changes of the leader that this registry knows of.
 pub const LEADER_CHANGES: &str = "ragwortroad_leader_changes_total";
 /// Voters of the group.
