Tell edges of the fleet at once; pace whole configurations; wait for the preferred home

Ruled out: the election (leader 0.7 s after the start), the disk (0.15 s).

Change: edges are told at once when registries or voters change; whole configurations are sent one after the other at 0.8 of the link; an edge that has just started waits 0.6 s for its preferred home; places of texts may take half of the link.

--- a/crates/ragwortroad_dispatch/src/telling_pace.rs
+++ b/crates/ragwortroad_dispatch/src/telling_pace.rs
@@ -22,16 +22,26 @@
 /// or gone.
 pub const SPREAD_EVERY: Duration = Duration::from_millis(200);
 
-/// Part of a registry's link that loads may take, and that places of texts may take.
+/// Part of a registry's link that loads may take.
 ///
 /// Beyond it they come later, so that neither drains nor configurations do.
-const SPREAD_PART: f64 = 0.3;
+const LOADS_PART: f64 = 0.3;
 
-/// Time for which one of those tellings may fill a registry's link.
+/// Part of a registry's link that places of texts may take.
+///
+/// There are many only after a common restart, when edges that do not know them have texts read anew.
+const PLACES_PART: f64 = 0.5;
+
+/// Time for which one telling of these, or whole configurations, may fill a registry's link.
 ///
 /// Heartbeats and answers wait as long; of the leader's, a few may be late before an election.
 const SPREAD_BURST: Duration = Duration::from_millis(100);
 
+/// Part of a registry's link that whole configurations may take.
+///
+/// Edges ask for one after a start and serve nobody before they have it.
+const CONFIGS_PART: f64 = 0.8;
+
 /// Part of a registry's link that news of endpoints may take where it can wait.
 ///
 /// There is much of it only after a common restart, when loads and places of texts are few.
@@ -43,15 +53,31 @@
 const NEWS_BURST: Duration = Duration::from_millis(250);
 
 impl TellingPace {
-    /// The pace of loads, and of places of texts.
-    pub fn of_spread(link_rate: f64) -> Self {
+    /// The pace of loads.
+    pub fn of_loads(link_rate: f64) -> Self {
         Self {
             link_rate,
-            part: SPREAD_PART,
+            part: LOADS_PART,
             longest_burst: SPREAD_BURST,
         }
     }
 
+    /// The pace of places of texts.
+    pub fn of_places(link_rate: f64) -> Self {
+        Self {
+            part: PLACES_PART,
+            ..Self::of_loads(link_rate)
+        }
+    }
+
+    /// The pace of whole configurations.
+    pub fn of_configs(link_rate: f64) -> Self {
+        Self {
+            part: CONFIGS_PART,
+            ..Self::of_loads(link_rate)
+        }
+    }
+
     /// The pace of endpoints' news that can wait.
     pub fn of_news(link_rate: f64) -> Self {
         Self {
--- a/crates/ragwortroad_dispatch/tests/spread.rs
+++ b/crates/ragwortroad_dispatch/tests/spread.rs
@@ -115,7 +115,7 @@
         let own = homes.iter().enumerate().filter(|(_, home)| **home == index);
         own.for_each(|(edge, _)| board.add_reader(PlaceReader::Edge(edge as u64)));
     }
-    let pace = TellingPace::of_spread(plan.link_rate);
+    let pace = TellingPace::of_places(plan.link_rate);
     let mut links: Vec<OutwardLink> = Vec::new();
     links.resize_with(plan.registries, OutwardLink::default);
     let mut tell_at = vec![at(0); plan.registries];
@@ -170,7 +170,7 @@
 /// Plays the fleet with one registry that tells all edges all that it has heard, each half second.
 fn play_one_keeper(plan: &FleetPlan) -> FleetOutcome {
     let mut random = Pcg64Mcg::seed_from_u64(7);
-    let pace = TellingPace::of_spread(plan.link_rate);
+    let pace = TellingPace::of_places(plan.link_rate);
     let mut link = OutwardLink::default();
     let mut untold = Vec::new();
     let mut tell_at = at(0);
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -151,7 +151,7 @@
             state.loads.remove(&key);
             state.texts.forget(key);
         }
-        state.settle_home(&shared.settings.name);
+        state.settle_home(&shared.settings.name, shared.running());
         match shared.settings.mechanisms.told_places {
             true => state.tell_places(),
             false => state.placed.clear(),
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -33,6 +33,9 @@
 /// Places of texts that a registry is told at once: as many as it keeps.
 const MAX_TOLD_PLACES: usize = 4000;
 
+/// Time after a start for which an edge waits for the registry that it prefers as its home.
+const HOME_PATIENCE: Duration = Duration::from_millis(600);
+
 /// What the tasks of an edge share; all of them run on one thread.
 pub(crate) struct EdgeShared {
     pub(crate) settings: ForwardSettings,
@@ -171,11 +174,14 @@
     /// Takes the registry for its home that this edge prefers of those it is connected to.
     ///
     /// What a former home told and was told counts no longer.
-    pub(crate) fn settle_home(&mut self, edge: &str) {
-        let connected = self.links.values().filter(|link| link.queue.is_some());
-        let chosen = choose_home(edge, connected.map(|link| link.address));
+    pub(crate) fn settle_home(&mut self, edge: &str, running: Duration) {
+        // Just started, most edges reach the same registries first: as their homes these would tell
+        // all places of texts to far more edges than their part, a moment before these move on.
+        let may_take = |link: &RegistryLink| link.queue.is_some() || running < HOME_PATIENCE;
+        let links = self.links.values().filter(|link| may_take(link));
+        let chosen = choose_home(edge, links.map(|link| link.address));
         for link in self.links.values_mut() {
-            let is_home = Some(link.address) == chosen;
+            let is_home = link.queue.is_some() && Some(link.address) == chosen;
             if is_home == link.is_home {
                 continue;
             }
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -92,28 +92,6 @@
         }
     }
 
-    /// Sends an edge the configuration, if it lacks it: the steps since the one it has, or whole.
-    pub(crate) fn give_config(&mut self, link: LinkKey, above: Option<u64>) {
-        let Some(queue) = self.links.get(&link) else {
-            return;
-        };
-        if above >= self.seat.register().version() {
-            return;
-        }
-        let known = above.and_then(|version| self.seat.history().since(version));
-        if let Some(steps) = known {
-            queue.send(&LinkMessage::ConfigSteps(steps));
-            return;
-        }
-        match self.seat.whole_step() {
-            Ok(Some(step)) => {
-                queue.send(&LinkMessage::ConfigSteps(vec![step]));
-            }
-            Ok(None) => {}
-            Err(error) => tracing::error!(%error, "the configuration cannot be packed"),
-        }
-    }
-
     pub(crate) fn announce_version(&self) {
         if let Some(version) = self.seat.register().version() {
             tracing::info!(version, edges = self.edges.len(), "configuration in force");
@@ -126,19 +104,32 @@
         metrics::gauge!(metric_names::SUBSCRIBERS).set(self.subscribers.len() as f64);
         let version = self.seat.register().version().unwrap_or(0);
         metrics::gauge!(metric_names::CONFIG_VERSION).set(version as f64);
-        // An edge is ready once it has heard from more than half of the voters. Where their number
-        // waited for its turn, edges with a configuration took callers half a second late.
-        let voters = self.voter_count();
-        if now < self.fleet_at && voters == self.told_voters {
+        let message = self.fleet_message(now);
+        if self.told_fleet.as_ref() == Some(&message) {
             return;
         }
-        self.fleet_at = now.after(FLEET_EVERY);
-        self.told_voters = voters;
-        let message = self.fleet_message(now);
-        if self.told_fleet.as_ref() != Some(&message) {
-            self.tell_edges(&message);
-            self.told_fleet = Some(message);
+        if now < self.fleet_at && !self.is_fleet_urgent(&message) {
+            return;
         }
+        self.fleet_at = now.after(FLEET_EVERY);
+        self.tell_edges(&message);
+        self.told_fleet = Some(message);
+    }
+
+    /// Whether edges are to be told of the fleet at once.
+    ///
+    /// An edge is ready once it has heard from more than half of the voters. After a common restart it
+    /// knows the registries of its settings only; until it is told of the others, all edges are at
+    /// these, whose links carry the configuration for all of them, and callers are served a second
+    /// late.
+    fn is_fleet_urgent(&self, message: &LinkMessage) -> bool {
+        let facts = |message: &LinkMessage| match message {
+            LinkMessage::Fleet {
+                registries, voters, ..
+            } => Some((registries.clone(), *voters)),
+            _ => None,
+        };
+        self.told_fleet.as_ref().and_then(facts) != facts(message)
     }
 
     fn fleet_message(&self, now: ClockTime) -> LinkMessage {
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -9,6 +9,7 @@
 
 mod call_flow;
 mod call_server;
+mod config_flow;
 mod config_register;
 mod control_call;
 mod directory_flow;
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -1,7 +1,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        VecDeque, //
     },
     net::SocketAddr,
     time::Duration, //
@@ -68,6 +69,10 @@
     pub(crate) news_at: ClockTime,
     /// When other news is told next.
     pub(crate) calm_news_at: ClockTime,
+    /// Edges that need a whole configuration, in the order in which they asked.
+    pub(crate) wholes: VecDeque<LinkKey>,
+    /// When the next of them may be sent.
+    pub(crate) wholes_at: ClockTime,
     /// Edges whose home this registry is.
     pub(crate) subscribers: BTreeSet<LinkKey>,
     /// What the edges have under way.
@@ -79,8 +84,6 @@
     pub(crate) places_at: ClockTime,
     /// What edges were told last of the fleet.
     pub(crate) told_fleet: Option<LinkMessage>,
-    /// Voters that edges were told of last.
-    pub(crate) told_voters: u32,
     pub(crate) fleet_at: ClockTime,
     /// Whether the process is to stop.
     pub(crate) is_stopping: bool,
@@ -115,6 +118,8 @@
             news: NewsQueue::default(),
             news_at: now,
             calm_news_at: now,
+            wholes: VecDeque::new(),
+            wholes_at: now,
             subscribers: BTreeSet::new(),
             totals: LoadTotals::default(),
             totals_at: now,
@@ -122,7 +127,6 @@
             keeper,
             places_at: now,
             told_fleet: None,
-            told_voters: 0,
             fleet_at: now,
             is_stopping: false,
         };
@@ -181,6 +185,7 @@
         }
         self.say_hello(now);
         self.plan_voters(now);
+        self.give_wholes(now);
         self.tell_news(now);
         self.tell_loads(now);
         self.tell_places(now);
@@ -192,6 +197,10 @@
         let core_wake = self.seat.core().map(ConsensusCore::wake_at);
         let wake = core_wake.unwrap_or(self.round_at).min(self.hello_at);
         let wake = wake.min(news_wake);
+        let wake = match self.wholes.is_empty() {
+            true => wake,
+            false => wake.min(self.wholes_at),
+        };
         match self.puts.is_empty() && self.reads.is_empty() && self.settles.is_empty() {
             true => wake.min(self.totals_at),
             false => wake.min(self.round_at),
--- a/crates/ragwortroad_registry/src/spread_flow.rs
+++ b/crates/ragwortroad_registry/src/spread_flow.rs
@@ -69,7 +69,7 @@
             bytes += self.tell_links(self.subscribers.iter(), &message);
         }
         let every = SPREAD_EVERY * load_pace(self.subscribers.len() as u32);
-        let pace = TellingPace::of_spread(self.link_rate());
+        let pace = TellingPace::of_loads(self.link_rate());
         self.totals_at = now.after(every.max(pace.span(bytes)));
     }
 
@@ -78,7 +78,7 @@
         if now < self.places_at {
             return;
         }
-        let pace = TellingPace::of_spread(self.link_rate());
+        let pace = TellingPace::of_places(self.link_rate());
         let most = pace.items_at_once(self.places.readers(), PLACE_BYTES);
         let mut bytes = 0;
         for telling in self.places.tell(most) {
