Wait longer for the own registry's first configuration; say when copies are sent

Cause: registries learn of the configuration within 0.4 s of each other after a common restart; edges turned to others after 0.12 s, so that the first ones were asked for more than their part.

Change: an edge without a configuration waits 0.4 s for its own registry. A line tells of each batch.

--- a/crates/ragwortroad_dispatch/src/config_quest.rs
+++ b/crates/ragwortroad_dispatch/src/config_quest.rs
@@ -26,9 +26,10 @@
 
 /// The same for an edge that has no configuration and cannot serve anybody.
 ///
-/// After a common restart all edges wait for the leader's first word, and copies of a large
-/// configuration for all of them take its link seconds; others have it within a tenth of a second.
-const FIRST_CONFIG_TIME: Duration = Duration::from_millis(120);
+/// After a common restart registries learn of the configuration within some tenths of a second of
+/// each other, and copies for all edges take the links of all of them a second. If the first ones
+/// were asked for all copies, the last edges would serve seconds late.
+const FIRST_CONFIG_TIME: Duration = Duration::from_millis(400);
 
 /// A registry that an edge is connected to.
 #[derive(Clone, Copy, Debug)]
--- a/crates/ragwortroad_registry/src/config_flow.rs
+++ b/crates/ragwortroad_registry/src/config_flow.rs
@@ -52,5 +52,7 @@
         let message = LinkMessage::ConfigSteps(vec![step]);
         let bytes = self.tell_links(links.iter(), &message);
         self.wholes_at = now.after(pace.span(bytes));
+        let waiting = self.wholes.len();
+        tracing::info!(edges = taken, waiting, bytes, "whole configurations sent");
     }
 }
