--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -154,6 +154,8 @@
                     load_age_ms = chosen.load_age_ms(),
                     version = plan.map.config().version,
                     among = chosen.among,
+                    text = plan.facts.shared_text(),
+                    tokens = plan.facts.shared_tokens(),
                     holds_text = chosen.holds_text,
                     text_from = chosen
                         .text_source
