Let callers keep the directory's answers as long as a stopping edge allows

Cause: answers lived for one second.

Ruled out: longer than a quarter of the grace time: some callers keep an answer three times as long, and a stopping edge has to be forgotten within its grace time.

Change: answer_life, a quarter of the grace time (two seconds of eight), in place of a constant.

Test: answers_live_as_long_as_a_stopping_edge_allows.

--- a/crates/ragwortroad_dispatch/src/address_choice.rs
+++ b/crates/ragwortroad_dispatch/src/address_choice.rs
@@ -1,6 +1,9 @@
-use std::net::{
-    IpAddr,
-    SocketAddr, //
+use std::{
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
+    time::Duration, //
 };
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -19,3 +22,17 @@
     }
     ready
 }
+
+/// Times as long as they are told that some callers keep an answer.
+const LONGEST_KEEP: u32 = 3;
+
+/// How long callers are told to keep an answer, `most` at the longest.
+///
+/// An edge that stops has to be forgotten by all callers within its grace time. Up to that, longer is
+/// better: where a registry has lost its power, each caller that asks it waits a second, and those
+/// that ask on behalf of a request with less time than that fail.
+pub fn answer_life(grace: Duration, most: Duration) -> Duration {
+    // One part more is for the edge to finish what came last.
+    let longest = grace / (LONGEST_KEEP + 1);
+    longest.min(most).max(Duration::from_secs(1))
+}
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -39,7 +39,10 @@
 /// Everything a dependent crate usually needs.
 pub mod prelude {
     pub use crate::{
-        address_choice::choose_addresses,
+        address_choice::{
+            answer_life,
+            choose_addresses, //
+        },
         admission_gate::{
             AdmissionGate,
             GateAnswer,
--- a/crates/ragwortroad_dispatch/tests/spread.rs
+++ b/crates/ragwortroad_dispatch/tests/spread.rs
@@ -400,3 +400,27 @@
     assert_eq!(here.news(), [count(0)]);
     assert_eq!(here.own_news(), [count(0)]);
 }
+
+/// An edge stops. Callers who keep an answer three times as long as they were told must have asked
+/// again before its grace time is over, and as many as can be spared may not ask a registry that is
+/// gone.
+#[test]
+fn answers_live_as_long_as_a_stopping_edge_allows() {
+    let seconds = Duration::from_secs;
+    for grace in [4, 8, 10, 30] {
+        let life = answer_life(seconds(grace), seconds(5));
+        assert!(
+            life * 3 < seconds(grace),
+            "{life:?} with a grace time of {grace} s"
+        );
+        assert!(
+            life * 4 >= seconds(grace).min(seconds(20)),
+            "{life:?}, {grace} s"
+        );
+    }
+    assert_eq!(
+        answer_life(seconds(2), seconds(5)),
+        seconds(1),
+        "the least that can be told"
+    );
+}
--- a/crates/ragwortroad_registry/src/directory_flow.rs
+++ b/crates/ragwortroad_registry/src/directory_flow.rs
@@ -28,12 +28,6 @@
 /// After a common restart all edges come within a tenth of a second.
 const JOIN_TIME: Duration = Duration::from_millis(250);
 
-/// Seconds for which callers may keep an answer of the directory.
-///
-/// Some keep it three times as long, and an edge that stops has to be forgotten within its grace
-/// time; shorter answers cost the directory more questions.
-const DIRECTORY_LIFE_S: u64 = 1;
-
 /// Most addresses in one answer of the directory; callers take no more.
 const MAX_ADDRESSES: usize = 64;
 
@@ -55,9 +49,10 @@
                 reason: "no edge takes callers",
             };
         }
+        let life = answer_life(self.settings.grace, self.settings.directory_life);
         ControlReply::Edges {
             addresses: choose_addresses(asker, ready, MAX_ADDRESSES),
-            keep_s: DIRECTORY_LIFE_S.min(self.settings.directory_life.as_secs().max(1)),
+            keep_s: life.as_secs(),
         }
     }
 }
