Have edges give each other a whole configuration

Ruled out: higher compression (a fifth less), an even division (registries that lost their disks have none to give), the agreement (all registries but two have it in force 1 s after the start).

Change: a registry gives the first copies itself and refers the other edges to such as have it by then, three at a time each (CopyQueue, ConfigAt); edges listen for each other on their inner address. An edge that gets none there asks another registry at once.

--- a/crates/ragwortroad_dispatch/src/config_quest.rs
+++ b/crates/ragwortroad_dispatch/src/config_quest.rs
@@ -72,6 +72,11 @@
         self.asked = None;
     }
 
+    /// Who was asked, or whom that one named, cannot give it; another registry is asked at once.
+    pub fn note_failed(&mut self) {
+        self.asked = self.asked.map(|(registry, _)| (registry, ClockTime::ZERO));
+    }
+
     /// The connection to a registry has ended, which may have been asked.
     pub fn note_lost(&mut self, registry: SocketAddr) {
         if self.asked.is_some_and(|(asked, _)| asked == registry) {
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -12,6 +12,7 @@
 mod come_back;
 mod config_fault;
 mod config_quest;
+mod copy_queue;
 mod endpoint_load;
 mod endpoint_record;
 mod endpoint_table;
@@ -57,6 +58,11 @@
             ConfigQuest,
             ConfigSource, //
         },
+        copy_queue::{
+            CopyPlan,
+            CopyQueue,
+            CopyReferral, //
+        },
         endpoint_load::{
             EndpointLoad,
             LoadReading, //
--- /dev/null
+++ b/crates/ragwortroad_dispatch/tests/copies.rs
@@ -0,0 +1,140 @@
+//! How a whole configuration comes to all edges of a fleet after a common restart.
+
+use std::{
+    collections::VecDeque,
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
+    }, //
+};
+
+use ragwortroad_dispatch::prelude::*;
+
+/// A fleet whose edges all ask for the configuration in the same moment.
+struct RestartPlan {
+    registries: usize,
+    edges: usize,
+    /// Bytes of the configuration, packed.
+    bytes: f64,
+    /// Bytes a millisecond that a registry's link carries, and an edge's.
+    registry_rate: f64,
+    edge_rate: f64,
+    /// Whether edges give each other copies.
+    has_helpers: bool,
+}
+
+/// Time of a message on its way, and of the next round of a registry.
+const WAY_MS: f64 = 10.0;
+const ROUND_MS: f64 = 50.0;
+
+fn edge_address(edge: usize) -> SocketAddr {
+    let ip = Ipv4Addr::from(0x0a01_0000 + edge as u32);
+    SocketAddr::new(IpAddr::V4(ip), 7340)
+}
+
+/// When each edge has its copy, in milliseconds after all have asked, the last one last.
+fn play(plan: &RestartPlan) -> Vec<f64> {
+    let mut queues: Vec<CopyQueue> = Vec::new();
+    queues.resize_with(plan.registries, CopyQueue::default);
+    for edge in 0..plan.edges {
+        queues[edge % plan.registries].want(edge as u64);
+    }
+    let pace = TellingPace::of_configs(plan.registry_rate * 1e3);
+    let mut link_free = vec![0.0_f64; plan.registries];
+    let mut edge_free = vec![0.0_f64; plan.edges];
+    let mut has_at = vec![f64::INFINITY; plan.edges];
+    let mut rounds: VecDeque<(f64, usize)> = (0..plan.registries).map(|at| (0.0, at)).collect();
+    while let Some((now, at)) = rounds.pop_front() {
+        let ready = (0..plan.edges).filter(|edge| has_at[*edge] + WAY_MS <= now);
+        let helpers: Vec<SocketAddr> = match plan.has_helpers {
+            true => ready.map(edge_address).collect(),
+            false => Vec::new(),
+        };
+        let most = pace.items_at_once(1, plan.bytes);
+        let copies = queues[at].plan(most, &helpers);
+        for edge in &copies.direct {
+            link_free[at] = link_free[at].max(now) + plan.bytes / plan.registry_rate;
+            has_at[*edge as usize] = link_free[at] + WAY_MS;
+        }
+        for referral in &copies.referred {
+            let helper = (0..plan.edges).find(|edge| edge_address(*edge) == referral.helper);
+            let helper = helper.expect("an edge of the fleet");
+            let asked = now + WAY_MS * 3.0;
+            edge_free[helper] = edge_free[helper].max(asked) + plan.bytes / plan.edge_rate;
+            has_at[referral.edge as usize] = edge_free[helper] + WAY_MS;
+        }
+        if !queues[at].is_empty() {
+            let span = pace.span(copies.direct.len() * plan.bytes as usize);
+            let next = now + (span.as_secs_f64() * 1e3).max(ROUND_MS);
+            let place = rounds.partition_point(|(other, _)| *other <= next);
+            rounds.insert(place, (next, at));
+        }
+    }
+    has_at.sort_by(f64::total_cmp);
+    has_at
+}
+
+fn large_fleet(has_helpers: bool) -> RestartPlan {
+    RestartPlan {
+        registries: 9,
+        edges: 191,
+        bytes: 24e3,
+        registry_rate: 750.0,
+        edge_rate: 1250.0,
+        has_helpers,
+    }
+}
+
+/// All processes of a fleet of 191 edges were killed, and the configuration has 1,600 routes. Callers of
+/// the last edges are refused until its copy is there: a second and more if the registries' links
+/// carry all of them, a few tenths if edges give each other theirs.
+#[test]
+fn edges_give_each_other_the_configuration() {
+    let before = play(&large_fleet(false));
+    assert!(before[190] > 800.0, "the last after {} ms", before[190]);
+    let after = play(&large_fleet(true));
+    assert!(after[190] < 500.0, "the last after {} ms", after[190]);
+    assert!(
+        after[95] <= before[95],
+        "the middle one: {} and {}",
+        after[95],
+        before[95]
+    );
+}
+
+/// The same with a thousand edges: what a registry sends no longer grows with them.
+#[test]
+fn a_thousand_edges_take_little_longer() {
+    let plan = RestartPlan {
+        edges: 1000,
+        ..large_fleet(true)
+    };
+    let after = play(&plan);
+    assert!(after[999] < 1000.0, "the last after {} ms", after[999]);
+}
+
+/// On a site of today all edges get their copies from the registries, as nobody has to wait.
+#[test]
+fn a_small_fleet_needs_no_helpers() {
+    let mut queue = CopyQueue::default();
+    (0..3).for_each(|edge| queue.want(edge));
+    queue.want(2);
+    assert_eq!(queue.len(), 3, "each once");
+    queue.drop_edge(1);
+    let plan = queue.plan(3, &[edge_address(9)]);
+    assert_eq!(plan.direct, [0, 2]);
+    assert!(plan.referred.is_empty() && queue.is_empty());
+}
+
+/// A single edge is ready. If all others were referred to it at once, its link would hold them up
+/// for longer than the registry's.
+#[test]
+fn a_helper_is_named_to_a_few_only() {
+    let mut queue = CopyQueue::default();
+    (0..50).for_each(|edge| queue.want(edge));
+    let plan = queue.plan(3, &[edge_address(9)]);
+    assert_eq!(plan.direct.len(), 3);
+    assert_eq!(plan.referred.len(), 3);
+    assert_eq!(queue.len(), 44);
+}
--- /dev/null
+++ b/crates/ragwortroad_edge/src/config_share.rs
@@ -0,0 +1,132 @@
+//! How edges give each other a whole configuration.
+//!
+//! A registry that many edges ask at once refers some of them to edges that have it. An edge that
+//! fails at that asks another registry, so nothing depends on the edge that was named.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use ragwortroad_link::prelude::*;
+use tokio::{
+    net::{
+        TcpListener,
+        TcpStream, //
+    },
+    task::spawn_local,
+    time::{
+        sleep,
+        timeout, //
+    }, //
+};
+
+use crate::{
+    edge_links::{
+        settle_config,
+        take_steps, //
+    },
+    edge_state::{
+        EdgeShared,
+        EdgeState, //
+    }, //
+};
+
+/// Time for a connection to another edge; within a region it is there after some milliseconds.
+const DIAL_TIME: Duration = Duration::from_millis(300);
+
+/// Time for another edge to give its configuration.
+const FETCH_TIME: Duration = Duration::from_millis(1000);
+
+/// Pause after an accept that failed, so that a lack of descriptors does not make the loop spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Gives the configuration to edges that ask for it.
+pub(crate) async fn serve_configs(shared: Rc<EdgeShared>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                spawn_local(answer_edge(Rc::clone(&shared), stream));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "a connection of another edge could not be accepted");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn answer_edge(shared: Rc<EdgeShared>, stream: TcpStream) {
+    let settings = LinkSettings::default();
+    let (queue, receiver) = LinkQueue::new(&settings);
+    let answers = queue.clone();
+    let take = move |message| match message {
+        LinkMessage::WantConfig { above } => {
+            let step = whole_above(&mut shared.state.borrow_mut(), above);
+            let steps = step.into_iter().collect();
+            answers.send(&LinkMessage::ConfigSteps(steps));
+        }
+        other => tracing::warn!(?other, "a message that no edge sends an edge"),
+    };
+    let ended = run_link(stream, (queue, receiver), false, &settings, take).await;
+    tracing::debug!(%ended, "a connection of another edge ended");
+}
+
+/// The whole configuration, where it is above `above`.
+fn whole_above(state: &mut EdgeState, above: Option<u64>) -> Option<ConfigStep> {
+    let version = state.version().filter(|version| Some(*version) > above)?;
+    if state.whole.is_none() {
+        let document = state.document.as_ref()?;
+        match pack_document(document, None) {
+            Ok(packed) => {
+                state.whole = Some(ConfigStep {
+                    version,
+                    base: None,
+                    packed,
+                });
+            }
+            Err(error) => tracing::error!(%error, "the configuration cannot be packed"),
+        }
+    }
+    state.whole.clone()
+}
+
+/// Asks another edge for the configuration.
+pub(crate) async fn fetch_config(shared: Rc<EdgeShared>, helper: SocketAddr) {
+    let before = shared.state.borrow().version();
+    let fetched = timeout(FETCH_TIME, ask_edge(&shared, helper, before)).await;
+    let version = shared.state.borrow().version();
+    if version > before {
+        tracing::info!(%helper, version, "configuration given by another edge");
+    } else {
+        let reason = match fetched {
+            Ok(ended) => ended.to_string(),
+            Err(_) => "it did not answer in time".to_owned(),
+        };
+        tracing::info!(%helper, reason, "another edge gave no configuration");
+        shared.state.borrow_mut().quest.note_failed();
+    }
+    settle_config(&shared);
+}
+
+async fn ask_edge(shared: &Rc<EdgeShared>, helper: SocketAddr, above: Option<u64>) -> LinkError {
+    let settings = LinkSettings::default();
+    let stream = match dial_link(helper, DIAL_TIME).await {
+        Ok(stream) => stream,
+        Err(error) => return error,
+    };
+    let (queue, receiver) = LinkQueue::new(&settings);
+    queue.send(&LinkMessage::WantConfig { above });
+    let (inward, end) = (Rc::clone(shared), queue.clone());
+    let take = move |message| {
+        if let LinkMessage::ConfigSteps(steps) = message {
+            // Without a step the registry that named the edge counts as not having answered.
+            if !steps.is_empty() {
+                take_steps(&inward, &steps);
+            }
+            end.close();
+        }
+    };
+    run_link(stream, (queue, receiver), true, &settings, take).await
+}
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -17,9 +17,12 @@
     time::sleep, //
 };
 
-use crate::edge_state::{
-    EdgeShared,
-    EdgeState, //
+use crate::{
+    config_share::fetch_config,
+    edge_state::{
+        EdgeShared,
+        EdgeState, //
+    }, //
 };
 
 /// Time after a start in which a configuration is awaited that is surely the newest.
@@ -132,6 +135,7 @@
         queue.send(&LinkMessage::EdgeHello {
             node: shared.settings.name.clone(),
             address,
+            inner: shared.settings.inner,
             stage: state.stage,
         });
     }
@@ -170,6 +174,9 @@
         }
         LinkMessage::ConfigVersion(version) => take_version(shared, source, version),
         LinkMessage::ConfigSteps(steps) => take_steps(shared, &steps),
+        LinkMessage::ConfigAt(helper) => {
+            spawn_local(fetch_config(Rc::clone(shared), helper));
+        }
         LinkMessage::Loads(counts) => {
             let mut state = shared.state.borrow_mut();
             state.loads_at = Some(now);
@@ -242,7 +249,7 @@
 }
 
 /// Takes the steps to a configuration.
-fn take_steps(shared: &EdgeShared, steps: &[ConfigStep]) {
+pub(crate) fn take_steps(shared: &EdgeShared, steps: &[ConfigStep]) {
     let mut state = shared.state.borrow_mut();
     state.quest.note_answered();
     let Some(last) = steps.last() else {
@@ -270,6 +277,7 @@
                 "configuration in force"
             );
             state.map = Some(Rc::new(RouteMap::new(config)));
+            state.whole = Some(last).filter(|last| last.base.is_none()).cloned();
             state.document = Some(document.into());
         }
         Err(fault) => tracing::error!(version, %fault, "a configuration cannot be used"),
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -39,6 +39,7 @@
         serve_callers,
         serve_readiness, //
     },
+    config_share::serve_configs,
     connection_pool::ConnectionPool,
     edge_error::{
         ListenSnafu,
@@ -114,6 +115,7 @@
     let readiness = settings.readiness.context(MissingSettingSnafu { key })?;
     let callers = listen(callers).await?;
     let readiness = listen(readiness).await?;
+    let inner = listen(settings.inner_bind.unwrap_or(settings.inner)).await?;
     if let Some(page) = page {
         spawn_local(page.clone().keep_folded());
         if let Some(address) = settings.metrics {
@@ -133,6 +135,7 @@
     dial_seeds(&shared, &seeds);
     spawn_local(serve_callers(Rc::clone(&shared), callers));
     spawn_local(serve_readiness(Rc::clone(&shared), readiness));
+    spawn_local(serve_configs(Rc::clone(&shared), inner));
     spawn_local(keep_rounds(Rc::clone(&shared)));
     spawn_local(follow_signals(Rc::clone(&shared), signals));
     shared.stop.notified().await;
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -58,6 +58,8 @@
     pub(crate) map: Option<Rc<RouteMap>>,
     /// The document it was made of, against which the next one comes.
     pub(crate) document: Option<Rc<[u8]>>,
+    /// The same as it is given to another edge; made when it is asked for.
+    pub(crate) whole: Option<ConfigStep>,
     pub(crate) endpoints: EndpointTable,
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     pub(crate) texts: TextTable,
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! their headers and writes ours.
 
 mod caller_server;
+mod config_share;
 mod connection_pool;
 mod edge_body;
 mod edge_error;
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -22,6 +22,8 @@
         node: String,
         /// Where callers reach it.
         address: SocketAddr,
+        /// Where other edges ask it for the configuration.
+        inner: SocketAddr,
         /// Whether it takes callers.
         stage: EdgeStage,
     },
@@ -58,6 +60,8 @@
     ConfigVersion(u64),
     /// Steps that lead from the version an edge has, or from nothing, to the one in force.
     ConfigSteps(Vec<ConfigStep>),
+    /// An edge that has the configuration, to be asked for it instead.
+    ConfigAt(SocketAddr),
     /// What a registry heard from endpoints itself; with it an edge knows all of it.
     EndpointsWhole(Vec<EndpointRecord>),
     /// What a registry heard from endpoints since, in its order.
@@ -116,6 +120,7 @@
             Self::Fleet { .. } => "fleet",
             Self::ConfigVersion(_) => "config_version",
             Self::ConfigSteps(_) => "config_steps",
+            Self::ConfigAt(_) => "config_at",
             Self::EndpointsWhole(_) => "endpoints_whole",
             Self::EndpointNews(_) => "endpoint_news",
             Self::MemberHello(_) => "member_hello",
--- a/crates/ragwortroad_registry/src/config_flow.rs
+++ b/crates/ragwortroad_registry/src/config_flow.rs
@@ -1,5 +1,10 @@
 //! How a registry gives edges the configuration that they ask for.
 
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
+
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
 use ragwortroad_types::prelude::*;
@@ -9,6 +14,9 @@
     registry_state::RegistryState, //
 };
 
+/// Least time between two rounds of copies; in it an edge that was given one can serve another.
+const ROUND_TIME: Duration = Duration::from_millis(50);
+
 impl RegistryState {
     /// Sends an edge the steps from the configuration that it has, or notes that it needs a whole one.
     pub(crate) fn give_config(&mut self, link: LinkKey, above: Option<u64>) {
@@ -23,36 +31,57 @@
             Some(steps) => {
                 queue.send(&LinkMessage::ConfigSteps(steps));
             }
-            None if self.wholes.contains(&link) => {}
-            None => self.wholes.push_back(link),
+            None => self.copies.want(link.0),
         }
     }
 
-    /// Sends whole configurations to those that need one, as many as the link takes, in their order.
+    /// Sends whole configurations to those that need one, as many as the link takes, in their order;
+    /// refers the others to edges that have it.
     ///
-    /// After a common restart all edges need one. Sent at once, all copies would come together and
-    /// late, and heartbeats behind them; one after the other, most edges serve sooner.
-    pub(crate) fn give_wholes(&mut self, now: ClockTime) {
-        if now < self.wholes_at || self.wholes.is_empty() {
+    /// Sent at once, all copies would come together and late, and heartbeats behind them.
+    pub(crate) fn give_copies(&mut self, now: ClockTime) {
+        if now < self.copies_at || self.copies.is_empty() {
             return;
         }
         let step = match self.seat.whole_step() {
             Ok(Some(step)) => step,
-            Ok(None) => return self.wholes.clear(),
+            // Whoever asked does so again when there is one.
+            Ok(None) => {
+                self.copies = CopyQueue::default();
+                return;
+            }
             Err(error) => {
                 tracing::error!(%error, "the configuration cannot be packed");
-                return self.wholes.clear();
+                self.copies = CopyQueue::default();
+                return;
             }
         };
         let pace = TellingPace::of_configs(self.link_rate());
-        let size = step.packed.len();
-        let most = pace.items_at_once(1, size.max(1) as f64);
-        let taken = self.wholes.len().min(most);
-        let links: Vec<LinkKey> = self.wholes.drain(..taken).collect();
+        let most = pace.items_at_once(1, step.packed.len().max(1) as f64);
+        let helpers = self.config_helpers();
+        let plan = self.copies.plan(most, &helpers);
+        for referral in &plan.referred {
+            if let Some(queue) = self.links.get(&LinkKey(referral.edge)) {
+                queue.send(&LinkMessage::ConfigAt(referral.helper));
+            }
+        }
+        let direct: Vec<LinkKey> = plan.direct.iter().copied().map(LinkKey).collect();
         let message = LinkMessage::ConfigSteps(vec![step]);
-        let bytes = self.tell_links(links.iter(), &message);
-        self.wholes_at = now.after(pace.span(bytes));
-        let waiting = self.wholes.len();
-        tracing::info!(edges = taken, waiting, bytes, "whole configurations sent");
+        let bytes = self.tell_links(direct.iter(), &message);
+        self.copies_at = now.after(pace.span(bytes).max(ROUND_TIME));
+        tracing::info!(
+            edges = direct.len(),
+            referred = plan.referred.len(),
+            waiting = self.copies.len(),
+            bytes,
+            "whole configurations sent"
+        );
+    }
+
+    /// Edges that have the configuration and may give it to others.
+    fn config_helpers(&self) -> Vec<SocketAddr> {
+        let edges = self.edges.values();
+        let ready = edges.filter(|edge| edge.stage == EdgeStage::Ready);
+        ready.map(|edge| edge.inner).collect()
     }
 }
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -41,28 +41,25 @@
 #[derive(Debug)]
 pub(crate) struct EdgeEntry {
     pub(crate) node: String,
+    /// Where callers reach it.
     pub(crate) address: SocketAddr,
+    /// Where other edges ask it for the configuration.
+    pub(crate) inner: SocketAddr,
     pub(crate) stage: EdgeStage,
 }
 
 impl RegistryState {
-    pub(crate) fn greet_edge(
-        &mut self,
-        link: LinkKey,
-        node: String,
-        address: SocketAddr,
-        stage: EdgeStage,
-        now: ClockTime,
-    ) {
-        tracing::info!(edge = node, %address, ?stage, "edge connected");
-        // A restarted edge may be back before its old connection is found dead.
-        self.edges.retain(|_, edge| edge.address != address);
-        let entry = EdgeEntry {
+    pub(crate) fn greet_edge(&mut self, link: LinkKey, edge: EdgeEntry, now: ClockTime) {
+        let EdgeEntry {
             node,
             address,
             stage,
-        };
-        self.edges.insert(link, entry);
+            ..
+        } = &edge;
+        tracing::info!(edge = node, %address, ?stage, "edge connected");
+        // A restarted edge may be back before its old connection is found dead.
+        self.edges.retain(|_, known| known.address != edge.address);
+        self.edges.insert(link, edge);
         self.joined_at = now;
         let Some(queue) = self.links.get(&link) else {
             return;
@@ -85,6 +82,7 @@
     pub(crate) fn end_link(&mut self, link: LinkKey) {
         self.links.remove(&link);
         self.unsubscribe(link);
+        self.copies.drop_edge(link.0);
         self.totals.drop_source(LoadSource::Registry(link.0));
         if let Some(edge) = self.edges.remove(&link) {
             tracing::info!(edge = edge.node, "edge lost");
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -15,6 +15,7 @@
         PutOrigin,
         ReadOrigin, //
     },
+    edge_flow::EdgeEntry,
     registry_event::LinkKey,
     registry_state::RegistryState, //
 };
@@ -124,8 +125,17 @@
             LinkMessage::EdgeHello {
                 node,
                 address,
+                inner,
                 stage,
-            } => self.greet_edge(link, node, address, stage, now),
+            } => {
+                let edge = EdgeEntry {
+                    node,
+                    address,
+                    inner,
+                    stage,
+                };
+                self.greet_edge(link, edge, now);
+            }
             LinkMessage::EdgeStaged(stage) => self.stage_edge(link, stage),
             LinkMessage::WantConfig { above } => self.give_config(link, above),
             LinkMessage::Subscribe => self.subscribe(link),
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -1,8 +1,7 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet,
-        VecDeque, //
+        BTreeSet, //
     },
     net::SocketAddr,
     time::Duration, //
@@ -69,10 +68,10 @@
     pub(crate) news_at: ClockTime,
     /// When other news is told next.
     pub(crate) calm_news_at: ClockTime,
-    /// Edges that need a whole configuration, in the order in which they asked.
-    pub(crate) wholes: VecDeque<LinkKey>,
-    /// When the next of them may be sent.
-    pub(crate) wholes_at: ClockTime,
+    /// Edges that need a whole configuration.
+    pub(crate) copies: CopyQueue,
+    /// When the next of them get one.
+    pub(crate) copies_at: ClockTime,
     /// Edges whose home this registry is.
     pub(crate) subscribers: BTreeSet<LinkKey>,
     /// What the edges have under way.
@@ -118,8 +117,8 @@
             news: NewsQueue::default(),
             news_at: now,
             calm_news_at: now,
-            wholes: VecDeque::new(),
-            wholes_at: now,
+            copies: CopyQueue::default(),
+            copies_at: now,
             subscribers: BTreeSet::new(),
             totals: LoadTotals::default(),
             totals_at: now,
@@ -185,7 +184,7 @@
         }
         self.say_hello(now);
         self.plan_voters(now);
-        self.give_wholes(now);
+        self.give_copies(now);
         self.tell_news(now);
         self.tell_loads(now);
         self.tell_places(now);
@@ -197,9 +196,9 @@
         let core_wake = self.seat.core().map(ConsensusCore::wake_at);
         let wake = core_wake.unwrap_or(self.round_at).min(self.hello_at);
         let wake = wake.min(news_wake);
-        let wake = match self.wholes.is_empty() {
+        let wake = match self.copies.is_empty() {
             true => wake,
-            false => wake.min(self.wholes_at),
+            false => wake.min(self.copies_at),
         };
         match self.puts.is_empty() && self.reads.is_empty() && self.settles.is_empty() {
             true => wake.min(self.totals_at),
