--- a/crates/ragwortroad_dispatch/src/admission_gate.rs
+++ b/crates/ragwortroad_dispatch/src/admission_gate.rs
@@ -36,8 +36,8 @@
 
 /// Part of a route's aim for which a request waits at a gate.
 ///
-/// Engines with all places taken begin after a fifth of an aim of 0.8 s in the middle and after half of
-/// it for one request in ten, as lines of edges in a burst of seven times the usual load show.
+/// Engines with all places taken begin within half of an aim for most requests; what waits longer at
+/// the gate would be late.
 const WAIT_PART: u32 = 3;
 
 /// How long a request of a route with this aim may wait at a gate.
--- a/crates/ragwortroad_dispatch/src/fleet_load.rs
+++ b/crates/ragwortroad_dispatch/src/fleet_load.rs
@@ -30,24 +30,21 @@
 
 /// Part of the room up to which edges fill it together.
 ///
-/// The rest takes what edges admit in the 0.3 s in which they do not know of each other. In a burst of
-/// seven times the usual load on 8 edges 0.85 serves as well; with 1.05 no engine has room, texts move,
-/// and 1.9 million of their tokens are read again instead of 0.16.
+/// The rest takes what edges admit while they do not know of each other. Filled further, no engine has
+/// room, and texts move between engines and are read again.
 const FILLED_PART: f64 = 0.95;
 
 /// Part of an edge's limit that is an equal share, rather than in proportion to what it has.
 ///
 /// Without it an edge that had little when the fleet filled up would keep little for good, and
-/// its callers would be refused while those of other edges are served. With a fifth, edges that had one
-/// and eighty requests are within half of each other after ten messages (two seconds).
+/// its callers would be refused while those of other edges are served.
 const EQUAL_PART: f64 = 0.2;
 
 impl FleetLoad {
     /// The load of a service with these endpoints, for one of `edges`; nothing if none takes work.
     ///
     /// Only endpoints that are chosen count. If the places of engines that fail were filled too, the
-    /// requests for them would all queue at the others: with a third of the engines failing half of
-    /// their requests in a surge, these were given half as much again as they carry.
+    /// requests for them would all queue at the others.
     pub fn of(endpoints: &[EndpointShare], edges: u32) -> Option<Self> {
         let well = are_well(endpoints, |endpoint| endpoint.failing);
         let start = Self {
--- a/crates/ragwortroad_dispatch/src/load_totals.rs
+++ b/crates/ragwortroad_dispatch/src/load_totals.rs
@@ -34,7 +34,7 @@
 /// Part of the mean from which an endpoint's load is worth telling.
 ///
 /// Edges only have to know which endpoints are near the bound; telling the others too would double
-/// what a registry's link carries with 65 edges.
+/// what a registry's link carries.
 const TOLD_PART: f64 = 0.8;
 
 /// Endpoints told of at once, the fullest first: only those near the bound matter, and at thousands
--- a/crates/ragwortroad_dispatch/src/place_choice.rs
+++ b/crates/ragwortroad_dispatch/src/place_choice.rs
@@ -21,8 +21,8 @@
 
 /// Part of a site's bound on skew up to which an engine takes requests for text that it holds.
 ///
-/// Edges know of each other's requests 0.3 s late on average, in which a fourth of an engine's
-/// requests change, as a generated answer takes a second or two.
+/// Edges know of each other's requests some tenths of a second late, in which a part of an engine's
+/// requests change.
 const HOLD_PART: f64 = 0.8;
 
 impl PlaceSettings {
--- a/crates/ragwortroad_link/src/dial_pace.rs
+++ b/crates/ragwortroad_link/src/dial_pace.rs
@@ -18,8 +18,8 @@
 /// Pauses between attempts to reach another process of the fleet.
 ///
 /// They double, for a VM that is gone would otherwise cost all others a few attempts a second for as
-/// long. After a common restart processes are up within a second of each other, and with pauses that
-/// had grown meanwhile edges found registries up to 0.4 s after these were up, which nobody serves.
+/// long. After a common restart processes are up within a second of each other; with pauses that had
+/// grown meanwhile edges would find registries late, and nobody would be served until then.
 #[derive(Clone, Copy, Debug)]
 pub struct DialPace {
     pause: Duration,
@@ -45,8 +45,8 @@
     ///
     /// A VM that has no power yet does not refuse a connection: what is sent to it is lost, and the
     /// system sends it again only after a second. After a common loss of power the edges that
-    /// started first waited 0.8 s for registries that were up 0.2 s later, with nobody to serve their
-    /// callers; a short attempt that is repeated finds them 0.4 s after they are up at the latest.
+    /// start first would wait so long for registries that are up a moment later; short attempts
+    /// that are repeated find them then.
     pub fn patience(&self, running: Duration, whole: Duration) -> Duration {
         match running < EAGER_TIME {
             true => whole.min(EAGER_PATIENCE),
--- a/crates/ragwortroad_link/src/link_settings.rs
+++ b/crates/ragwortroad_link/src/link_settings.rs
@@ -5,7 +5,7 @@
 pub struct LinkSettings {
     /// Time without anything to send after which a side that dialled sends a keepalive.
     ///
-    /// Each keepalive costs two wake-ups; a registry with 65 edges has 130 a second at this pace.
+    /// Each costs two wake-ups, and a registry has a connection to every edge.
     pub keepalive_every: Duration,
     /// Time without a message after which the other side counts as lost.
     ///
--- a/crates/ragwortroad_link/src/packed_document.rs
+++ b/crates/ragwortroad_link/src/packed_document.rs
@@ -12,7 +12,7 @@
 /// Bytes of one document at most, unpacked; some ten thousand routes fit.
 pub const MAX_DOCUMENT_BYTES: u64 = 16 << 20;
 
-/// Effort of the compression: the fastest, since a registry has a twentieth of a core.
+/// Effort of the compression: the fastest, since registries have little processor time.
 const LEVEL: i32 = 1;
 
 /// Least and greatest logarithm of the bytes that a match may reach back.
@@ -21,10 +21,9 @@
 /// A document compressed for the way between processes and for the log.
 ///
 /// With `base`, a document that the receiver has, only what differs takes room. A configuration of
-/// two thousand routes has 280 kB and compresses to 29 kB; at 4 Mbit/s a registry
-/// would need a second to pass one on to eight others and as long for its edges, and its
-/// heartbeats would wait behind it until another leader is elected. Against the configuration
-/// before it, a change of one route takes 58 bytes (`tests/documents.rs` prints the sizes).
+/// thousands of routes takes a small link a second for a few receivers, and heartbeats would wait
+/// behind it until another leader is elected. Against the configuration before it, a change of one
+/// route takes some dozen bytes (`tests/documents.rs` prints the sizes).
 pub fn pack_document(document: &[u8], base: Option<&[u8]>) -> io::Result<Vec<u8>> {
     let base = base.unwrap_or_default();
     let reach = (document.len() + base.len()).max(1);
--- a/crates/ragwortroad_registry/src/call_flow.rs
+++ b/crates/ragwortroad_registry/src/call_flow.rs
@@ -28,8 +28,7 @@
 
 /// Bytes of a compressed configuration for which its sender waits a millisecond longer.
 ///
-/// About the pace of a link of 4 Mbit/s with five copies under way; operators wait longer for large
-/// bodies.
+/// The pace of a small link with a few copies under way; operators wait longer for large bodies.
 const BYTES_A_MILLISECOND: u64 = 100;
 
 /// Time after which a question that was passed on is asked again.
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -65,8 +65,7 @@
 
 /// Time without a leader's heartbeat after which another is elected.
 ///
-/// It is above the pauses of a twentieth of a core that is busy with a large configuration for
-/// some hundred milliseconds. Nothing is accepted while there is no leader, so longer is dearer.
+/// It is above the pauses of a small VM that is busy with a large configuration. Nothing is accepted while there is no leader, so longer is dearer.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Time between two heartbeats of the leader; four may be late before an election.
