Dial more often in the first second after a start

Cause: after a common loss of power an attempt to reach a process that is not up yet ended after 0.25 s, and the next one came 0.15 s later, so connections were there up to 0.4 s after the other side was.

Change: within the first second an attempt takes 0.1 s at most and the pause is 0.05 s. Processes of far regions are reached a second later then; nothing in a region waits for them.

Test: a_process_that_came_up_a_little_later_is_found_at_once asks for 0.15 s in the first 0.85 s (red before: 399 ms after 1 ms).

--- a/crates/ragwortroad_link/src/dial_pace.rs
+++ b/crates/ragwortroad_link/src/dial_pace.rs
@@ -15,6 +15,17 @@
 /// takes a quarter of a second.
 const EAGER_PATIENCE: Duration = Duration::from_millis(250);
 
+/// Time after the own start in which others are most likely coming up too.
+const PROMPT_TIME: Duration = Duration::from_secs(1);
+
+/// Pause between attempts in that time.
+const PROMPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time that an attempt may take in that time.
+///
+/// Processes of the own region answer within it; those of others are reached a second later.
+const PROMPT_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Pauses between attempts to reach another process of the fleet.
 ///
 /// They double, for a VM that is gone would otherwise cost all others a few attempts a second for as
@@ -34,6 +45,9 @@
 impl DialPace {
     /// The pause before the next attempt of a process that started `running` ago.
     pub fn next_pause(&mut self, running: Duration) -> Duration {
+        if running < PROMPT_TIME {
+            return PROMPT_PAUSE;
+        }
         let pause = self.pause;
         if running >= EAGER_TIME {
             self.pause = (pause * 2).min(LONGEST_PAUSE);
@@ -48,10 +62,12 @@
     /// start first would wait so long for registries that are up a moment later; short attempts
     /// that are repeated find them then.
     pub fn patience(&self, running: Duration, whole: Duration) -> Duration {
-        match running < EAGER_TIME {
-            true => whole.min(EAGER_PATIENCE),
-            false => whole,
-        }
+        let longest = match running {
+            running if running < PROMPT_TIME => PROMPT_PATIENCE,
+            running if running < EAGER_TIME => EAGER_PATIENCE,
+            _ => whole,
+        };
+        whole.min(longest)
     }
 
     /// The process was reached.
--- a/crates/ragwortroad_link/tests/links.rs
+++ b/crates/ragwortroad_link/tests/links.rs
@@ -131,6 +131,9 @@
         }
         let late = now - up;
         assert!(late <= Duration::from_millis(400), "{late:?} after {up:?}");
+        // Most come up within the first second, and all others wait for the last of them.
+        let is_prompt = up_ms > 850 || late <= Duration::from_millis(150);
+        assert!(is_prompt, "{late:?} after {up:?}");
     }
     let later = DialPace::default().patience(Duration::from_secs(60), whole);
     assert_eq!(later, whole, "regions may be far apart");
