Count each process once while it connects anew

Cause: sums of loads were kept by connection. An edge or a registry that connects anew is back up to 2.2 s before its former connection is found dead; until then what it has under way counted twice, so that engines seemed fuller than they are.

Change: sources are named by their addresses; a new connection of the same process takes the place of the former one, whose end changes nothing.

Test: a_registry_that_connects_anew_counts_once.

--- a/crates/ragwortroad_dispatch/src/load_totals.rs
+++ b/crates/ragwortroad_dispatch/src/load_totals.rs
@@ -1,6 +1,9 @@
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr, //
 };
 
 use serde::{
@@ -86,13 +89,17 @@
     }
 }
 
-/// Who tells a registry of requests under way.
+/// Who tells a registry of requests under way, by the address that a new connection has too.
+///
+/// A process that connects anew may be back seconds before its former connection is found dead. Named
+/// by connections it would count twice until then: engines would seem fuller than they are, and
+/// callers be refused while there is room.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum LoadSource {
-    /// An edge that takes this registry for its home, by the number of its connection.
-    Edge(u64),
-    /// Another registry, with the sums of the edges whose home it is, by the same.
-    Registry(u64),
+    /// An edge that takes this registry for its home.
+    Edge(SocketAddr),
+    /// Another registry, with the sums of the edges whose home it is.
+    Registry(SocketAddr),
 }
 
 /// What the edges have under way, added up by the registries together.
@@ -134,7 +141,7 @@
         }
     }
 
-    /// A source is gone, and what it had under way with it.
+    /// A source is gone or starts to tell anew, and what it had under way counts no longer.
     pub fn drop_source(&mut self, source: LoadSource) {
         for (endpoint, count) in self.sources.remove(&source).unwrap_or_default() {
             shift(&mut self.totals, endpoint, count, 0);
--- a/crates/ragwortroad_dispatch/tests/places.rs
+++ b/crates/ragwortroad_dispatch/tests/places.rs
@@ -2,9 +2,12 @@
 
 mod common;
 
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::SocketAddr, //
 };
 
 use common::at;
@@ -15,6 +18,10 @@
 };
 use rand_pcg::Pcg64Mcg;
 
+fn edge_at(host: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, host], 80))
+}
+
 fn candidate(key: u32, name: &str, load: u32) -> PlaceCandidate<'_> {
     PlaceCandidate {
         key: EndpointKey(key),
@@ -227,14 +234,17 @@
         count,
     };
     let mut totals = LoadTotals::default();
-    totals.take(LoadSource::Edge(1), &[count("busy", 4), count("idle", 1)]);
-    totals.take(LoadSource::Edge(2), &[count("busy", 3)]);
+    totals.take(
+        LoadSource::Edge(edge_at(1)),
+        &[count("busy", 4), count("idle", 1)],
+    );
+    totals.take(LoadSource::Edge(edge_at(2)), &[count("busy", 3)]);
     assert_eq!(totals.news(), [count("busy", 7)]);
     assert!(totals.news().is_empty(), "nothing has changed");
-    totals.take(LoadSource::Edge(1), &[count("busy", 0)]);
+    totals.take(LoadSource::Edge(edge_at(1)), &[count("busy", 0)]);
     assert_eq!(totals.news(), [count("busy", 3)]);
     assert_eq!(totals.told(), [count("busy", 3)]);
-    totals.drop_source(LoadSource::Edge(2));
+    totals.drop_source(LoadSource::Edge(edge_at(2)));
     let news = totals.news();
     assert!(news.contains(&count("busy", 0)), "{news:?}");
 }
@@ -249,11 +259,11 @@
     let nothing = BTreeMap::new();
     let mut totals = LoadTotals::default();
     let mut report = CountReport::default();
-    totals.take(LoadSource::Edge(1), &report.changes(&current));
+    totals.take(LoadSource::Edge(edge_at(1)), &report.changes(&current));
     assert_eq!(totals.news().len(), 1);
     assert!(report.changes(&current).is_empty(), "it knows that");
     assert_eq!(report.count(busy), 5);
-    totals.take(LoadSource::Edge(1), &report.changes(&nothing));
+    totals.take(LoadSource::Edge(edge_at(1)), &report.changes(&nothing));
     let count = 0;
     let endpoint = busy;
     assert_eq!(totals.news(), [LoadCount { endpoint, count }]);
--- a/crates/ragwortroad_dispatch/tests/spread.rs
+++ b/crates/ragwortroad_dispatch/tests/spread.rs
@@ -378,11 +378,11 @@
     let count = |count| LoadCount { endpoint, count };
     let mut here = LoadTotals::default();
     let mut there = LoadTotals::default();
-    here.take(LoadSource::Edge(1), &[count(4)]);
-    there.take(LoadSource::Edge(1), &[count(3)]);
+    here.take(LoadSource::Edge(registry(1)), &[count(4)]);
+    there.take(LoadSource::Edge(registry(1)), &[count(3)]);
     let (from_here, from_there) = (here.own_news(), there.own_news());
-    there.take(LoadSource::Registry(7), &from_here);
-    here.take(LoadSource::Registry(7), &from_there);
+    there.take(LoadSource::Registry(registry(7)), &from_here);
+    here.take(LoadSource::Registry(registry(7)), &from_there);
     assert_eq!(here.news(), [count(7)]);
     assert_eq!(there.news(), [count(7)]);
     assert!(
@@ -394,9 +394,9 @@
         [count(4)],
         "for a registry that comes later"
     );
-    here.drop_source(LoadSource::Registry(7));
+    here.drop_source(LoadSource::Registry(registry(7)));
     assert_eq!(here.news(), [count(4)]);
-    here.drop_source(LoadSource::Edge(1));
+    here.drop_source(LoadSource::Edge(registry(1)));
     assert_eq!(here.news(), [count(0)]);
     assert_eq!(here.own_news(), [count(0)]);
 }
@@ -424,3 +424,25 @@
         "the least that can be told"
     );
 }
+
+/// A registry's connection to another one breaks, and it connects anew before the other side has found
+/// the old one dead. What its edges have under way must not count twice meanwhile: all engines would
+/// seem fuller than they are, and callers be refused while there is room.
+#[test]
+fn a_registry_that_connects_anew_counts_once() {
+    let endpoint = EndpointTag::of("busy");
+    let count = |count| LoadCount { endpoint, count };
+    let source = LoadSource::Registry(registry(2));
+    let mut totals = LoadTotals::default();
+    totals.take(LoadSource::Edge(registry(1)), &[count(2)]);
+    totals.take(source, &[count(9)]);
+    assert_eq!(totals.news(), [count(11)]);
+    totals.drop_source(source);
+    totals.take(source, &[count(8)]);
+    assert_eq!(totals.news(), [count(10)]);
+    assert_eq!(
+        totals.own_news(),
+        [count(2)],
+        "and is not told on as this one's own"
+    );
+}
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -58,7 +58,13 @@
         } = &edge;
         tracing::info!(edge = node, %address, ?stage, "edge connected");
         // A restarted edge may be back before its old connection is found dead.
-        self.edges.retain(|_, known| known.address != edge.address);
+        let known = self.edges.iter();
+        let former = known.filter(|(_, known)| known.address == edge.address);
+        let former: Vec<LinkKey> = former.map(|(link, _)| *link).collect();
+        for former in former {
+            self.unsubscribe(former);
+            self.edges.remove(&former);
+        }
         self.edges.insert(link, edge);
         self.joined_at = now;
         let Some(queue) = self.links.get(&link) else {
@@ -82,8 +88,8 @@
     pub(crate) fn end_link(&mut self, link: LinkKey) {
         self.links.remove(&link);
         self.unsubscribe(link);
+        self.leave_peer(link);
         self.copies.drop_edge(link.0);
-        self.totals.drop_source(LoadSource::Registry(link.0));
         if let Some(edge) = self.edges.remove(&link) {
             tracing::info!(edge = edge.node, "edge lost");
             metrics::counter!(metric_names::LINKS_LOST, "peer" => "edge").increment(1);
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -113,7 +113,10 @@
     /// Takes a message of another registry; `link` is its connection to here.
     pub(crate) fn take_message(&mut self, link: LinkKey, message: LinkMessage, now: ClockTime) {
         match message {
-            LinkMessage::MemberHello(hello) => self.take_hello(hello, now),
+            LinkMessage::MemberHello(hello) => {
+                self.follow_peer(link, hello.address);
+                self.take_hello(hello, now);
+            }
             LinkMessage::Consensus(bytes) => self.take_frame(&bytes, now),
             LinkMessage::ForwardPut { token, step } => {
                 let origin = PutOrigin::Forwarded { link, token };
@@ -140,10 +143,8 @@
             LinkMessage::WantConfig { above } => self.give_config(link, above),
             LinkMessage::Subscribe => self.subscribe(link),
             LinkMessage::Unsubscribe => self.unsubscribe(link),
-            LinkMessage::Loads(counts) => self.totals.take(LoadSource::Edge(link.0), &counts),
-            LinkMessage::PartLoads(counts) => {
-                self.totals.take(LoadSource::Registry(link.0), &counts);
-            }
+            LinkMessage::Loads(counts) => self.take_loads(link, &counts),
+            LinkMessage::PartLoads(counts) => self.take_part(link, &counts),
             LinkMessage::TextsPlaced(placed) => self.take_places(link, &placed, now),
             LinkMessage::PartPlaced(placed) => {
                 self.places.take(&placed, PlaceOrigin::Registry, now);
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -72,6 +72,10 @@
     pub(crate) copies: CopyQueue,
     /// When the next of them get one.
     pub(crate) copies_at: ClockTime,
+    /// Registries at the other ends of connections that were accepted.
+    ///
+    /// Invariant: each registry once, at its newest connection.
+    pub(crate) peer_links: BTreeMap<LinkKey, SocketAddr>,
     /// Edges whose home this registry is.
     pub(crate) subscribers: BTreeSet<LinkKey>,
     /// What the edges have under way.
@@ -119,6 +123,7 @@
             calm_news_at: now,
             copies: CopyQueue::default(),
             copies_at: now,
+            peer_links: BTreeMap::new(),
             subscribers: BTreeSet::new(),
             totals: LoadTotals::default(),
             totals_at: now,
--- a/crates/ragwortroad_registry/src/spread_flow.rs
+++ b/crates/ragwortroad_registry/src/spread_flow.rs
@@ -20,9 +20,10 @@
 impl RegistryState {
     /// Takes an edge for one of its own, and tells it what all edges have under way.
     pub(crate) fn subscribe(&mut self, link: LinkKey) {
-        let Some(queue) = self.links.get(&link) else {
+        let (Some(queue), Some(edge)) = (self.links.get(&link), self.edges.get(&link)) else {
             return;
         };
+        self.totals.drop_source(LoadSource::Edge(edge.address));
         let loads = self.totals.told();
         if !loads.is_empty() {
             queue.send(&LinkMessage::Loads(loads));
@@ -30,7 +31,7 @@
         self.subscribers.insert(link);
         self.places.add_reader(PlaceReader::Edge(link.0));
         tracing::info!(
-            edge = self.edges.get(&link).map(|edge| edge.node.as_str()),
+            edge = edge.node,
             subscribers = self.subscribers.len(),
             "edge subscribed"
         );
@@ -38,9 +39,42 @@
 
     /// An edge has another home now, or is gone.
     pub(crate) fn unsubscribe(&mut self, link: LinkKey) {
-        if self.subscribers.remove(&link) {
-            self.totals.drop_source(LoadSource::Edge(link.0));
-            self.places.drop_reader(PlaceReader::Edge(link.0));
+        self.subscribers.remove(&link);
+        self.places.drop_reader(PlaceReader::Edge(link.0));
+        if let Some(edge) = self.edges.get(&link) {
+            self.totals.drop_source(LoadSource::Edge(edge.address));
+        }
+    }
+
+    /// Takes what one of this registry's own edges has under way.
+    pub(crate) fn take_loads(&mut self, link: LinkKey, counts: &[LoadCount]) {
+        let edge = self.edges.get(&link);
+        if let Some(edge) = edge.filter(|_| self.subscribers.contains(&link)) {
+            self.totals.take(LoadSource::Edge(edge.address), counts);
+        }
+    }
+
+    /// Takes what the edges of another registry have under way.
+    pub(crate) fn take_part(&mut self, link: LinkKey, counts: &[LoadCount]) {
+        if let Some(&peer) = self.peer_links.get(&link) {
+            self.totals.take(LoadSource::Registry(peer), counts);
+        }
+    }
+
+    /// Another registry is at the other end of a connection, and tells on it from now on.
+    pub(crate) fn follow_peer(&mut self, link: LinkKey, peer: SocketAddr) {
+        if self.peer_links.get(&link) == Some(&peer) {
+            return;
+        }
+        self.peer_links.retain(|_, known| *known != peer);
+        self.peer_links.insert(link, peer);
+        self.totals.drop_source(LoadSource::Registry(peer));
+    }
+
+    /// A connection has ended; a registry at its other end tells nothing any more.
+    pub(crate) fn leave_peer(&mut self, link: LinkKey) {
+        if let Some(peer) = self.peer_links.remove(&link) {
+            self.totals.drop_source(LoadSource::Registry(peer));
         }
     }
 
