Have edges take homes that hear most of the other registries

Cause: a registry adds up its own edges and what the other registries tell. One that is cut off from them, but not from edges, knows the loads of its own edges only: these take the engines for empty and admit a multiple of their part beside all other edges. Found in reading the change. While one registry added up for all, nothing of the kind was possible.

Change: registries say how many they hear (by connections that are alive); edges prefer their home among those that hear more than half of the voters, and change it as soon as that changes.

Test: edges_meet_where_most_registries_hear_each_other (four and five of nine, 191 edges).

--- a/crates/ragwortroad_dispatch/src/config_quest.rs
+++ b/crates/ragwortroad_dispatch/src/config_quest.rs
@@ -5,7 +5,7 @@
 
 use ragwortroad_types::prelude::*;
 
-use crate::choose_home;
+use crate::prefer_registry;
 
 /// Time after which a whole configuration that was asked for is asked of another registry.
 ///
@@ -116,8 +116,9 @@
         let able: Vec<SocketAddr> = able.map(|source| source.address).collect();
         let silent = self.asked.map(|(registry, _)| registry);
         let others = able.iter().copied().filter(|one| Some(*one) != silent);
-        let chosen = choose_home(edge, others).or_else(|| choose_home(edge, able.into_iter()))?;
-        let preferred = choose_home(edge, sources.iter().map(|source| source.address));
+        let chosen =
+            prefer_registry(edge, others).or_else(|| prefer_registry(edge, able.into_iter()))?;
+        let preferred = prefer_registry(edge, sources.iter().map(|source| source.address));
         let may_wait = self.asked.is_none() && Some(chosen) != preferred;
         let is_early = may_wait && now.since(first_at) < patience;
         (!is_early).then_some(chosen)
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -81,7 +81,11 @@
             EndpointShare,
             FleetLoad, //
         },
-        home_choice::choose_home,
+        home_choice::{
+            HomeCandidate,
+            choose_home,
+            prefer_registry, //
+        },
         latency_limit::LatencyLimit,
         load_totals::{
             CountReport,
--- a/crates/ragwortroad_dispatch/tests/spread.rs
+++ b/crates/ragwortroad_dispatch/tests/spread.rs
@@ -101,7 +101,7 @@
     let mut random = Pcg64Mcg::seed_from_u64(7);
     let all: Vec<SocketAddr> = (0..plan.registries).map(registry).collect();
     let home_of = |edge: usize| {
-        let home = choose_home(&format!("edge-{edge}"), all.iter().copied());
+        let home = prefer_registry(&format!("edge-{edge}"), all.iter().copied());
         all.iter().position(|registry| Some(*registry) == home)
     };
     let homes: Vec<usize> = (0..plan.edges).filter_map(home_of).collect();
@@ -308,7 +308,7 @@
         let left: Vec<SocketAddr> = left.collect();
         let mut counts: BTreeMap<SocketAddr, u32> = BTreeMap::new();
         for edge in 0..191 {
-            let home = choose_home(&format!("edge-{edge}"), left.iter().copied());
+            let home = prefer_registry(&format!("edge-{edge}"), left.iter().copied());
             *counts.entry(home.expect("a home")).or_default() += 1;
         }
         let most = counts.values().max().copied().unwrap_or(0);
@@ -486,3 +486,35 @@
         "and is not told on as this one's own"
     );
 }
+
+/// The registries are cut in two, four and five of them, while edges reach all nine. An edge whose home is
+/// on the smaller side would hear of half of the loads, take engines for emptier than they are, and
+/// admit twice what they carry. All edges must meet on the larger side; a registry that starts and
+/// has said nothing yet is as good as any, and where none hears most, one is better than none.
+#[test]
+fn edges_meet_where_most_registries_hear_each_other() {
+    let candidate = |index: usize, hears| HomeCandidate {
+        address: registry(index),
+        hears,
+        voters: 9,
+    };
+    let cut: Vec<HomeCandidate> = (0..9)
+        .map(|index| candidate(index, if index < 4 { 4 } else { 5 }))
+        .collect();
+    let alone: Vec<HomeCandidate> = (0..9).map(|index| candidate(index, 1)).collect();
+    let mut homes = BTreeSet::new();
+    for edge in 0..191 {
+        let edge = format!("edge-{edge}");
+        let home = choose_home(&edge, &cut).expect("a home");
+        assert!((4..9).any(|index| registry(index) == home), "{home}");
+        homes.insert(home);
+        assert!(choose_home(&edge, &alone).is_some());
+    }
+    assert_eq!(homes.len(), 5);
+    let silent = HomeCandidate {
+        address: registry(1),
+        hears: 0,
+        voters: 0,
+    };
+    assert_eq!(choose_home("edge-1", &[silent]), Some(registry(1)));
+}
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -41,6 +41,8 @@
     pub(crate) version: Option<u64>,
     /// Voters among the registries by its word; none where it has not joined the group.
     voters: u32,
+    /// Registries that it hears by its word.
+    hears: u32,
     /// Whether it has told all that it knows on this connection.
     has_told: bool,
     /// Whether this edge takes it for its home: tells it its loads and places of texts, and hears
@@ -61,6 +63,7 @@
             queue: None,
             version: None,
             voters: 0,
+            hears: 0,
             has_told: false,
             is_home: false,
             totals: HashMap::new(),
@@ -68,6 +71,15 @@
         }
     }
 
+    /// The registry as it may be this edge's home.
+    pub(crate) fn as_home(&self) -> HomeCandidate {
+        HomeCandidate {
+            address: self.address,
+            hears: self.hears,
+            voters: self.voters,
+        }
+    }
+
     /// Starts anew, with a connection or without.
     fn reset(&mut self, queue: Option<LinkQueue>) {
         *self = Self {
@@ -162,12 +174,14 @@
         LinkMessage::Fleet {
             registries,
             voters,
+            hears,
             edges,
         } => {
             let mut state = shared.state.borrow_mut();
             state.edges = edges;
             if let Some(link) = state.links.get_mut(&source) {
                 link.voters = voters;
+                link.hears = hears;
             }
             drop(state);
             dial_registries(shared, registries);
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -181,7 +181,8 @@
         // all places of texts to far more edges than their part, a moment before these move on.
         let may_take = |link: &RegistryLink| link.queue.is_some() || running < HOME_PATIENCE;
         let links = self.links.values().filter(|link| may_take(link));
-        let chosen = choose_home(edge, links.map(|link| link.address));
+        let candidates: Vec<HomeCandidate> = links.map(RegistryLink::as_home).collect();
+        let chosen = choose_home(edge, &candidates);
         for link in self.links.values_mut() {
             let is_home = link.queue.is_some() && Some(link.address) == chosen;
             if is_home == link.is_home {
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -53,6 +53,8 @@
         registries: Vec<SocketAddr>,
         /// Registries that vote.
         voters: u32,
+        /// Registries that this one hears, itself among them.
+        hears: u32,
         /// Edges that are connected here.
         edges: u32,
     },
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -125,12 +125,15 @@
     /// An edge is ready once it has heard from more than half of the voters. After a common restart it
     /// knows the registries of its settings only; until it is told of the others, all edges are at
     /// these, whose links carry the configuration for all of them, and callers are served a second
-    /// late.
+    /// late. A registry that is cut off from the others is no home for edges any more.
     fn is_fleet_urgent(&self, message: &LinkMessage) -> bool {
         let facts = |message: &LinkMessage| match message {
             LinkMessage::Fleet {
-                registries, voters, ..
-            } => Some((registries.clone(), *voters)),
+                registries,
+                voters,
+                hears,
+                ..
+            } => Some((registries.clone(), *voters, *hears)),
             _ => None,
         };
         self.told_fleet.as_ref().and_then(facts) != facts(message)
@@ -140,6 +143,7 @@
         LinkMessage::Fleet {
             registries: self.known_registries(now),
             voters: self.voter_count(),
+            hears: self.peer_links.len() as u32 + 1,
             edges: self.edges.len() as u32,
         }
     }
