--- a/crates/ragwortroad_dispatch/src/config_quest.rs
+++ b/crates/ragwortroad_dispatch/src/config_fetch.rs
@@ -47,14 +47,14 @@
 /// not asked twice in a row: it may be connected and choked, and the edge would refuse callers
 /// by an old configuration for as long as it keeps the connection.
 #[derive(Debug, Default)]
-pub struct ConfigQuest {
+pub struct ConfigFetch {
     /// Highest version that a registry has announced, and when it was first.
     announced: Option<(u64, ClockTime)>,
     /// The registry that was asked last, and when, while its answer is awaited.
     asked: Option<(SocketAddr, ClockTime)>,
 }
 
-impl ConfigQuest {
+impl ConfigFetch {
     /// A registry has announced a version.
     pub fn note_announced(&mut self, version: u64, now: ClockTime) {
         if self.announced.is_none_or(|(known, _)| version > known) {
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -11,7 +11,7 @@
 mod answer_patience;
 mod come_back;
 mod config_fault;
-mod config_quest;
+mod config_fetch;
 mod copy_queue;
 mod endpoint_load;
 mod endpoint_record;
@@ -54,8 +54,8 @@
         answer_patience::answer_patience,
         come_back::come_back_time,
         config_fault::ConfigFault,
-        config_quest::{
-            ConfigQuest,
+        config_fetch::{
+            ConfigFetch,
             ConfigSource, //
         },
         copy_queue::{
--- a/crates/ragwortroad_dispatch/tests/quests.rs
+++ b/crates/ragwortroad_dispatch/tests/config_fetches.rs
@@ -32,26 +32,26 @@
 /// refusing callers by a configuration that was replaced seconds ago.
 #[test]
 fn a_registry_that_does_not_answer_is_not_asked_twice() {
-    let mut quest = ConfigQuest::default();
-    quest.note_announced(9, at(0));
-    let first = quest.next("edge-1", Some(8), &sources(0), at(0));
+    let mut fetch = ConfigFetch::default();
+    fetch.note_announced(9, at(0));
+    let first = fetch.next("edge-1", Some(8), &sources(0), at(0));
     let first = first.expect("its own registry has announced it");
-    quest.note_asked(first, at(0));
-    assert_eq!(quest.next("edge-1", Some(8), &sources(0), at(100)), None);
-    let second = quest.next("edge-1", Some(8), &sources(0), at(600));
+    fetch.note_asked(first, at(0));
+    assert_eq!(fetch.next("edge-1", Some(8), &sources(0), at(100)), None);
+    let second = fetch.next("edge-1", Some(8), &sources(0), at(600));
     assert!(second.is_some_and(|second| second != first), "{second:?}");
-    quest.note_asked(second.expect("another one"), at(600));
-    quest.note_answered();
-    assert_eq!(quest.next("edge-1", Some(9), &sources(0), at(700)), None);
+    fetch.note_asked(second.expect("another one"), at(600));
+    fetch.note_answered();
+    assert_eq!(fetch.next("edge-1", Some(9), &sources(0), at(700)), None);
 }
 
 /// The only registry that has the version was slow to answer. It is asked again, as nobody else can.
 #[test]
 fn the_only_registry_that_has_it_is_asked_again() {
-    let mut quest = ConfigQuest::default();
-    quest.note_announced(9, at(0));
-    quest.note_asked(registry(8), at(300));
-    let next = quest.next("edge-1", Some(8), &sources(8), at(1000));
+    let mut fetch = ConfigFetch::default();
+    fetch.note_announced(9, at(0));
+    fetch.note_asked(registry(8), at(300));
+    let next = fetch.next("edge-1", Some(8), &sources(8), at(1000));
     assert_eq!(next, Some(registry(8)));
 }
 
@@ -59,12 +59,12 @@
 /// copies for all of them, and the last edges would have the change seconds later.
 #[test]
 fn edges_wait_for_their_own_registry_and_divide_themselves() {
-    let mut quest = ConfigQuest::default();
-    quest.note_announced(9, at(0));
+    let mut fetch = ConfigFetch::default();
+    fetch.note_announced(9, at(0));
     let mut counts: BTreeMap<SocketAddr, u32> = BTreeMap::new();
     for edge in 0..191 {
         let edge = format!("edge-{edge}");
-        let early = quest.next(&edge, Some(8), &sources(8), at(10));
+        let early = fetch.next(&edge, Some(8), &sources(8), at(10));
         *counts.entry(early.unwrap_or(registry(0))).or_default() += 1;
     }
     assert!(
@@ -74,7 +74,7 @@
     counts.clear();
     for edge in 0..191 {
         let edge = format!("edge-{edge}");
-        let late = quest.next(&edge, Some(8), &sources(5), at(400));
+        let late = fetch.next(&edge, Some(8), &sources(5), at(400));
         *counts.entry(late.expect("someone has it")).or_default() += 1;
     }
     assert_eq!(counts.len(), 4, "{counts:?}");
--- a/crates/ragwortroad_edge/src/config_share.rs
+++ b/crates/ragwortroad_edge/src/config_share.rs
@@ -105,7 +105,7 @@
             Err(_) => "it did not answer in time".to_owned(),
         };
         tracing::info!(%helper, reason, "another edge gave no configuration");
-        shared.state.borrow_mut().quest.note_failed();
+        shared.state.borrow_mut().fetch.note_failed();
     }
     settle_config(&shared);
 }
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -164,7 +164,7 @@
     if let Some(link) = state.links.get_mut(&source) {
         link.reset(None);
         let address = link.address;
-        state.quest.note_lost(address);
+        state.fetch.note_lost(address);
     }
 }
 
@@ -259,13 +259,13 @@
     if let Some(link) = state.links.get_mut(&source) {
         link.version = Some(version);
     }
-    state.quest.note_announced(version, now);
+    state.fetch.note_announced(version, now);
 }
 
 /// Takes the steps to a configuration.
 pub(crate) fn take_steps(shared: &EdgeShared, steps: &[ConfigStep]) {
     let mut state = shared.state.borrow_mut();
-    state.quest.note_answered();
+    state.fetch.note_answered();
     let Some(last) = steps.last() else {
         return;
     };
@@ -331,7 +331,7 @@
     let Some(version) = state.version() else {
         return false;
     };
-    let is_newest = state.quest.is_newest(version);
+    let is_newest = state.fetch.is_newest(version);
     // One that has just lost its disk knows of no voters, and must not make others count for less.
     let voters = state
         .links
@@ -354,12 +354,12 @@
     let sources: Vec<ConfigSource> = sources.collect();
     let above = state.version();
     let edge = &shared.settings.name;
-    let Some(chosen) = state.quest.next(edge, above, &sources, now) else {
+    let Some(chosen) = state.fetch.next(edge, above, &sources, now) else {
         return;
     };
     let link = state.links.values().find(|link| link.address == chosen);
     let queue = link.and_then(|link| link.queue.as_ref());
     if queue.is_some_and(|queue| queue.send(&LinkMessage::WantConfig { above })) {
-        state.quest.note_asked(chosen, now);
+        state.fetch.note_asked(chosen, now);
     }
 }
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -81,7 +81,7 @@
     /// When a stopping edge ends in any case.
     pub(crate) ends_at: Option<Instant>,
     /// How this edge comes by the configuration in force.
-    pub(crate) quest: ConfigQuest,
+    pub(crate) fetch: ConfigFetch,
     /// When a registry told last what all edges have under way.
     pub(crate) loads_at: Option<ClockTime>,
     /// Requests under way.
