--- a/crates/ragwortroad_dispatch/tests/common/mod.rs
+++ b/crates/ragwortroad_dispatch/tests/common/mod.rs
@@ -1,7 +1,14 @@
 //! Things that several tests make.
 #![allow(dead_code)]
 
-use std::time::Duration;
+use std::{
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    time::Duration, //
+};
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_types::prelude::*;
@@ -11,6 +18,12 @@
     ClockTime(3_600_000 + ms)
 }
 
+/// Where a registry listens for links.
+pub(crate) fn registry(index: usize) -> SocketAddr {
+    let ip = Ipv4Addr::new(10, 0, 0, index as u8);
+    SocketAddr::new(IpAddr::V4(ip), 7340)
+}
+
 /// An endpoint's first announcement.
 pub(crate) fn record(name: &str) -> EndpointRecord {
     EndpointRecord {
--- a/crates/ragwortroad_dispatch/tests/config_fetches.rs
+++ b/crates/ragwortroad_dispatch/tests/config_fetches.rs
@@ -4,22 +4,17 @@
 
 use std::{
     collections::BTreeMap,
-    net::{
-        IpAddr,
-        Ipv4Addr,
-        SocketAddr, //
-    }, //
+    net::SocketAddr, //
 };
 
-use common::at;
+use common::{
+    at,
+    registry, //
+};
 use ragwortroad_dispatch::prelude::*;
 
-fn registry(index: u8) -> SocketAddr {
-    SocketAddr::new(IpAddr::V4(Ipv4Addr::new(10, 0, 0, index)), 7340)
-}
-
 /// Nine registries of which those from `first` on have announced version 9.
-fn sources(first: u8) -> Vec<ConfigSource> {
+fn sources(first: usize) -> Vec<ConfigSource> {
     let sources = (0..9).map(|index| ConfigSource {
         address: registry(index),
         version: Some(if index >= first { 9 } else { 8 }),
--- /dev/null
+++ b/crates/ragwortroad_dispatch/tests/homes.rs
@@ -0,0 +1,191 @@
+//! Which registry an edge tells and is told by, what registries add up, and which edges callers use.
+
+mod common;
+
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    net::{
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    time::Duration, //
+};
+
+use common::registry;
+use ragwortroad_dispatch::prelude::*;
+
+/// Edges choose their homes without a message. If many chose the same one, its link would carry
+/// their share too; if one is lost, its edges must not all turn to the same other one.
+#[test]
+fn homes_are_divided_evenly_also_after_a_loss() {
+    let all: Vec<SocketAddr> = (0..9).map(registry).collect();
+    for lost in [None, Some(all[4])] {
+        let left = all
+            .iter()
+            .copied()
+            .filter(|registry| Some(*registry) != lost);
+        let left: Vec<SocketAddr> = left.collect();
+        let mut counts: BTreeMap<SocketAddr, u32> = BTreeMap::new();
+        for edge in 0..191 {
+            let home = prefer_registry(&format!("edge-{edge}"), left.iter().copied());
+            *counts.entry(home.expect("a home")).or_default() += 1;
+        }
+        let most = counts.values().max().copied().unwrap_or(0);
+        assert_eq!(counts.len(), left.len(), "{counts:?}");
+        assert!(
+            f64::from(most) <= 191.0 / left.len() as f64 * 1.7,
+            "{counts:?}"
+        );
+    }
+}
+
+/// Callers ask from many addresses. If all were told the same 64 of 191 edges, these would carry
+/// three times the mean and the others nothing; if answers to one caller changed from one second to
+/// the next, it would drop its connections each time.
+#[test]
+fn callers_are_spread_over_all_edges_and_stay_at_theirs() {
+    let ready: Vec<SocketAddr> = (0..191).map(registry).collect();
+    let mut counts: BTreeMap<SocketAddr, u32> = BTreeMap::new();
+    for asker in 0..400_u32 {
+        let asker = IpAddr::V4(Ipv4Addr::from(0x0a64_0000 + asker));
+        let told = choose_addresses(asker, ready.clone(), 64);
+        assert_eq!(told.len(), 64);
+        let mut backward = ready.clone();
+        backward.reverse();
+        assert_eq!(
+            told,
+            choose_addresses(asker, backward, 64),
+            "order is no matter"
+        );
+        let fewer = ready.iter().copied().filter(|edge| *edge != told[0]);
+        let told_fewer = choose_addresses(asker, fewer.collect(), 64);
+        let kept = told_fewer.iter().filter(|edge| told.contains(edge));
+        assert_eq!(
+            kept.count(),
+            63,
+            "one edge more or less changes one address"
+        );
+        for edge in told {
+            *counts.entry(edge).or_default() += 1;
+        }
+    }
+    let mean = 400.0 * 64.0 / 191.0;
+    let most = counts.values().max().copied().unwrap_or(0);
+    let least = counts.values().min().copied().unwrap_or(0);
+    assert_eq!(counts.len(), 191);
+    assert!(f64::from(most) <= mean * 1.3, "{most} of {mean}");
+    assert!(f64::from(least) >= mean * 0.7, "{least} of {mean}");
+}
+
+/// Edges at different registries fill the same engine. Each registry must count what the edges of
+/// the others have there, once, and take it out when that registry is lost.
+#[test]
+fn loads_of_other_registries_edges_count_once() {
+    let endpoint = EndpointTag::of("busy");
+    let count = |count| LoadCount { endpoint, count };
+    let mut here = LoadTotals::default();
+    let mut there = LoadTotals::default();
+    here.take(LoadSource::Edge(registry(1)), &[count(4)]);
+    there.take(LoadSource::Edge(registry(1)), &[count(3)]);
+    let (from_here, from_there) = (here.own_news(), there.own_news());
+    there.take(LoadSource::Registry(registry(7)), &from_here);
+    here.take(LoadSource::Registry(registry(7)), &from_there);
+    assert_eq!(here.news(), [count(7)]);
+    assert_eq!(there.news(), [count(7)]);
+    assert!(
+        here.own_news().is_empty(),
+        "what came from there is not told back"
+    );
+    assert_eq!(
+        here.own_told(),
+        [count(4)],
+        "for a registry that comes later"
+    );
+    here.drop_source(LoadSource::Registry(registry(7)));
+    assert_eq!(here.news(), [count(4)]);
+    here.drop_source(LoadSource::Edge(registry(1)));
+    assert_eq!(here.news(), [count(0)]);
+    assert_eq!(here.own_news(), [count(0)]);
+}
+
+/// An edge stops. Callers who keep an answer three times as long as they were told must have asked
+/// again before its grace time is over, and as many as can be spared may not ask a registry that is
+/// gone.
+#[test]
+fn answers_live_as_long_as_a_stopping_edge_allows() {
+    let seconds = Duration::from_secs;
+    for grace in [4, 8, 10, 30] {
+        let life = answer_life(seconds(grace), seconds(5));
+        assert!(
+            life * 3 < seconds(grace),
+            "{life:?} with a grace time of {grace} s"
+        );
+        assert!(
+            life * 4 >= seconds(grace).min(seconds(20)),
+            "{life:?}, {grace} s"
+        );
+    }
+    assert_eq!(
+        answer_life(seconds(2), seconds(5)),
+        seconds(1),
+        "the least that can be told"
+    );
+}
+
+/// A registry's connection to another one breaks, and it connects anew before the other side has found
+/// the old one dead. What its edges have under way must not count twice meanwhile: all engines would
+/// seem fuller than they are, and callers be refused while there is room.
+#[test]
+fn a_registry_that_connects_anew_counts_once() {
+    let endpoint = EndpointTag::of("busy");
+    let count = |count| LoadCount { endpoint, count };
+    let source = LoadSource::Registry(registry(2));
+    let mut totals = LoadTotals::default();
+    totals.take(LoadSource::Edge(registry(1)), &[count(2)]);
+    totals.take(source, &[count(9)]);
+    assert_eq!(totals.news(), [count(11)]);
+    totals.drop_source(source);
+    totals.take(source, &[count(8)]);
+    assert_eq!(totals.news(), [count(10)]);
+    assert_eq!(
+        totals.own_news(),
+        [count(2)],
+        "and is not told on as this one's own"
+    );
+}
+
+/// The registries are cut in two, four and five of them, while edges reach all nine. An edge whose home is
+/// on the smaller side would hear of half of the loads, take engines for emptier than they are, and
+/// admit twice what they carry. All edges must meet on the larger side; a registry that starts and
+/// has said nothing yet is as good as any, and where none hears most, one is better than none.
+#[test]
+fn edges_meet_where_most_registries_hear_each_other() {
+    let candidate = |index: usize, hears| HomeCandidate {
+        address: registry(index),
+        hears,
+        voters: 9,
+    };
+    let cut: Vec<HomeCandidate> = (0..9)
+        .map(|index| candidate(index, if index < 4 { 4 } else { 5 }))
+        .collect();
+    let alone: Vec<HomeCandidate> = (0..9).map(|index| candidate(index, 1)).collect();
+    let mut homes = BTreeSet::new();
+    for edge in 0..191 {
+        let edge = format!("edge-{edge}");
+        let home = choose_home(&edge, &cut).expect("a home");
+        assert!((4..9).any(|index| registry(index) == home), "{home}");
+        homes.insert(home);
+        assert!(choose_home(&edge, &alone).is_some());
+    }
+    assert_eq!(homes.len(), 5);
+    let silent = HomeCandidate {
+        address: registry(1),
+        hears: 0,
+        voters: 0,
+    };
+    assert_eq!(choose_home("edge-1", &[silent]), Some(registry(1)));
+}
