Divide the requests for endpoints that warm up among a few edges

Cause: an endpoint that has just started looks empty to every edge at once. 63 edges each send it a request or two in the same moment, and again until its load is told. The time to warm up was carried to the edges and read by no decision.

Ruled out: an equal part of the rate for every edge (a sixty-third of eleven requests a second is one in six seconds: too little for the edge that has requests, and 63 at once at the start); a draw by hash at each edge (the number of edges that draw themselves is bounded only on average).

Change: the registry that hears such an endpoint gives four edges, chosen by hash, a part of the rate that the configuration names; they space their requests evenly, the others choose other endpoints. That a known endpoint has gone cold again is told at once. Half of its places count for admission while it warms up.

--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -12,7 +12,10 @@
     EndpointRecord,
     EndpointStage,
     EndpointTag,
-    registry_table::is_outdated, //
+    registry_table::{
+        is_outdated,
+        warm_at, //
+    }, //
 };
 
 /// A registry that an edge hears of endpoints from.
@@ -58,6 +61,10 @@
     unheld_since: Option<ClockTime>,
     /// Whether the last one that vouched for it has missed its announcements since.
     is_lost: bool,
+    /// When it is warm, by its own word.
+    warm_at: ClockTime,
+    /// Until when it counts as warming up whatever it said, since its domain was drained.
+    returning_until: ClockTime,
 }
 
 /// What came of a piece of news.
@@ -103,6 +110,7 @@
         entry.holders.insert(source);
         entry.is_lost = false;
         entry.unheld_since = (record.stage == EndpointStage::Gone).then_some(now);
+        entry.warm_at = warm_at(&record, now);
         entry.record = record;
         let ready = entry.record.stage == EndpointStage::Ready;
         match (before == EndpointStage::Ready, ready) {
@@ -127,10 +135,12 @@
         let ready = record.stage == EndpointStage::Ready;
         let gone = record.stage == EndpointStage::Gone;
         let entry = KnownEndpoint {
+            warm_at: warm_at(&record, now),
             record,
             holders: BTreeSet::from([source]),
             unheld_since: gone.then_some(now),
             is_lost: false,
+            returning_until: ClockTime::ZERO,
         };
         self.entries.insert(key, entry);
         match ready {
@@ -176,6 +186,21 @@
         }
     }
 
+    /// Takes it that the endpoints of a domain warm up until `until`: it is no longer drained, and
+    /// they may have gone cold without work and have yet to say so.
+    pub fn return_domain(&mut self, domain: &str, until: ClockTime) {
+        let entries = self.entries.values_mut();
+        for entry in entries.filter(|entry| entry.record.zone == domain) {
+            entry.returning_until = until;
+        }
+    }
+
+    /// Whether an endpoint warms up.
+    pub fn is_warming(&self, key: EndpointKey, now: ClockTime) -> bool {
+        let entry = self.entries.get(&key);
+        entry.is_some_and(|entry| now < entry.warm_at.max(entry.returning_until))
+    }
+
     /// An endpoint said goodbye at some registry.
     pub fn said_goodbye(&mut self, name: &str, now: ClockTime) -> EndpointChange {
         let Some(&key) = self.names.get(name) else {
--- a/crates/ragwortroad_dispatch/src/fleet_load.rs
+++ b/crates/ragwortroad_dispatch/src/fleet_load.rs
@@ -34,6 +34,20 @@
 /// room, and texts move between engines and are read again.
 const FILLED_PART: f64 = 0.95;
 
+/// Part of its places that an endpoint can use while it warms up.
+///
+/// It is sent requests at a bounded rate then, and the requests that edges admitted for its other
+/// places would queue at the others.
+const WARMING_PART: f64 = 0.5;
+
+/// Requests that an endpoint can work on at once now.
+pub fn usable_slots(slots: u32, is_warming: bool) -> u32 {
+    match is_warming {
+        true => (f64::from(slots) * WARMING_PART) as u32,
+        false => slots,
+    }
+}
+
 /// Part of an edge's limit that is an equal share, rather than in proportion to what it has.
 ///
 /// Without it an edge that had little when the fleet filled up would keep little for good, and
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -13,6 +13,7 @@
 mod config_fault;
 mod config_fetch;
 mod copy_queue;
+mod domain_drains;
 mod endpoint_load;
 mod endpoint_record;
 mod endpoint_table;
@@ -36,6 +37,8 @@
 mod text_table;
 mod usual_patience;
 mod voter_plan;
+mod warmup_pace;
+mod warmup_share;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
@@ -63,6 +66,11 @@
             CopyQueue,
             CopyReferral, //
         },
+        domain_drains::{
+            DomainDrains,
+            DrainOrder,
+            DrainOutcome, //
+        },
         endpoint_load::{
             EndpointLoad,
             LoadReading, //
@@ -79,7 +87,8 @@
         },
         fleet_load::{
             EndpointShare,
-            FleetLoad, //
+            FleetLoad,
+            usable_slots, //
         },
         home_choice::{
             HomeCandidate,
@@ -113,7 +122,8 @@
         placed_text::PlacedText,
         registry_table::{
             RegistryChange,
-            RegistryTable, //
+            RegistryTable,
+            return_warmup, //
         },
         retry_budget::{
             BudgetSettings,
@@ -154,6 +164,11 @@
             MemberSighting,
             VoterPlan,
             VoterSettings, //
+        },
+        warmup_pace::WarmupPace,
+        warmup_share::{
+            WarmupShare,
+            choose_warmup_edges, //
         }, //
     };
 }
--- a/crates/ragwortroad_dispatch/src/news_queue.rs
+++ b/crates/ragwortroad_dispatch/src/news_queue.rs
@@ -65,7 +65,7 @@
 fn is_urgent(change: &RegistryChange) -> bool {
     match change {
         RegistryChange::Told(record) => record.stage != EndpointStage::Ready,
-        RegistryChange::Goodbye(_) => true,
+        RegistryChange::Cooled(_) | RegistryChange::Goodbye(_) => true,
         // Its requests have failed for seconds by then, and edges have noticed.
         RegistryChange::Lost(_) => false,
     }
--- a/crates/ragwortroad_dispatch/src/registry_table.rs
+++ b/crates/ragwortroad_dispatch/src/registry_table.rs
@@ -29,6 +29,21 @@
 /// is gone, and requests would run into its closed port. A minute is far beyond such delays.
 const FAREWELL_MEMORY: Duration = Duration::from_secs(60);
 
+/// Difference from the time to warm up that edges expect from which they are told of it.
+///
+/// Below it lie the delays of announcements.
+const WARMUP_TOLERANCE: Duration = Duration::from_millis(500);
+
+/// Announcements for which an endpoint of a domain that was drained counts as warming up.
+///
+/// It may have gone cold without work, and says so with one of its next announcements.
+const RETURN_ANNOUNCEMENTS: u32 = 2;
+
+/// Time for which an endpoint counts as warming up once its domain is no longer drained.
+pub fn return_warmup(announce_every: Duration) -> Duration {
+    announce_every * RETURN_ANNOUNCEMENTS
+}
+
 /// What one registry heard from endpoints itself.
 ///
 /// Each registry passes on only what it has heard first-hand, to every edge directly; edges merge
@@ -44,6 +59,32 @@
 struct TableEntry {
     record: EndpointRecord,
     heard_at: ClockTime,
+    /// When it is warm, as edges were told.
+    warm_at: ClockTime,
+}
+
+impl TableEntry {
+    fn new(record: EndpointRecord, now: ClockTime) -> Self {
+        Self {
+            warm_at: warm_at(&record, now),
+            record,
+            heard_at: now,
+        }
+    }
+
+    /// What edges are told now.
+    fn present(&self, now: ClockTime) -> EndpointRecord {
+        let warming = self.warm_at.since(now);
+        EndpointRecord {
+            warming_ms: warming.as_millis() as u32,
+            ..self.record.clone()
+        }
+    }
+}
+
+/// When an endpoint is warm by what it says now.
+pub(crate) fn warm_at(record: &EndpointRecord, now: ClockTime) -> ClockTime {
+    now.after(Duration::from_millis(record.warming_ms.into()))
 }
 
 /// What edges have to be told.
@@ -52,6 +93,8 @@
 pub enum RegistryChange {
     /// What an endpoint says now.
     Told(EndpointRecord),
+    /// A known endpoint has to warm up anew; requests go on at the full rate until edges know.
+    Cooled(EndpointRecord),
     /// An endpoint has not been heard of here for too long.
     Lost(String),
     /// An endpoint said that it leaves for good.
@@ -62,7 +105,7 @@
     /// Name of the endpoint that it is about.
     pub fn name(&self) -> &str {
         match self {
-            Self::Told(record) => &record.name,
+            Self::Told(record) | Self::Cooled(record) => &record.name,
             Self::Lost(name) | Self::Goodbye(name) => name,
         }
     }
@@ -79,21 +122,45 @@
 
     /// Takes an announcement; tells what edges must know of it.
     pub fn announce(&mut self, record: EndpointRecord, now: ClockTime) -> Option<RegistryChange> {
-        if let Some(entry) = self.entries.get_mut(&record.name) {
-            if is_outdated(&entry.record, &record) {
-                return None;
-            }
-            let is_news = !says_the_same(&entry.record, &record);
-            entry.heard_at = now;
-            entry.record = record.clone();
-            return is_news.then_some(RegistryChange::Told(record));
-        }
-        let entry = TableEntry {
-            record: record.clone(),
-            heard_at: now,
+        let Some(entry) = self.entries.get_mut(&record.name) else {
+            let entry = TableEntry::new(record.clone(), now);
+            self.entries.insert(record.name.clone(), entry);
+            return Some(RegistryChange::Told(record));
         };
-        self.entries.insert(record.name.clone(), entry);
-        Some(RegistryChange::Told(record))
+        if is_outdated(&entry.record, &record) {
+            return None;
+        }
+        let expected = entry.warm_at.max(now);
+        let is_news = !says_the_same(&entry.record, &record);
+        let latest = TableEntry::new(record.clone(), now);
+        let is_cooler = latest.warm_at.since(expected) > WARMUP_TOLERANCE;
+        let is_warmer = expected.since(latest.warm_at) > WARMUP_TOLERANCE;
+        if !is_cooler && !is_warmer {
+            let warm_at = entry.warm_at;
+            *entry = TableEntry { warm_at, ..latest };
+            return is_news.then(|| RegistryChange::Told(entry.present(now)));
+        }
+        *entry = latest;
+        Some(match is_cooler {
+            true => RegistryChange::Cooled(record),
+            false => RegistryChange::Told(record),
+        })
+    }
+
+    /// Takes it that the endpoints of a domain warm up, since it is no longer drained; tells what
+    /// edges must know of it.
+    pub fn return_domain(&mut self, domain: &str, now: ClockTime) -> Vec<RegistryChange> {
+        let warm_at = now.after(return_warmup(self.interval));
+        let entries = self.entries.values_mut();
+        let returned = entries.filter(|entry| {
+            let is_ready = entry.record.stage == EndpointStage::Ready;
+            is_ready && entry.record.zone == domain && entry.warm_at < warm_at
+        });
+        let cooled = returned.map(|entry| {
+            entry.warm_at = warm_at;
+            RegistryChange::Cooled(entry.present(now))
+        });
+        cooled.collect()
     }
 
     /// Takes a goodbye, which names nothing but the endpoint; tells what edges must know of it.
@@ -127,8 +194,8 @@
     }
 
     /// All that an edge must know when it connects.
-    pub fn records(&self) -> impl Iterator<Item = &EndpointRecord> {
-        self.entries.values().map(|entry| &entry.record)
+    pub fn records(&self, now: ClockTime) -> impl Iterator<Item = EndpointRecord> {
+        self.entries.values().map(move |entry| entry.present(now))
     }
 }
 
--- a/crates/ragwortroad_dispatch/src/site_config.rs
+++ b/crates/ragwortroad_dispatch/src/site_config.rs
@@ -76,6 +76,8 @@
     pub name: String,
     /// Connections that one endpoint takes from all callers together.
     pub max_connections: u32,
+    /// Requests a second that an endpoint tolerates while it warms up; nothing where any number.
+    pub warmup_per_second: Option<f64>,
     /// Figures of a model engine; nothing for a plain service.
     pub engine: Option<EngineRule>,
 }
--- a/crates/ragwortroad_dispatch/tests/common/mod.rs
+++ b/crates/ragwortroad_dispatch/tests/common/mod.rs
@@ -68,6 +68,7 @@
         services: vec![ServiceRule {
             name: "llm".to_owned(),
             max_connections: 100,
+            warmup_per_second: None,
             engine: None,
         }],
         ..SiteConfig::default()
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -206,7 +206,7 @@
     assert!(table.expire(at(3500)).is_empty());
     let lost = table.expire(at(6000));
     assert_eq!(lost, [RegistryChange::Lost("e".to_owned())]);
-    assert_eq!(table.records().count(), 0);
+    assert_eq!(table.records(at(0)).count(), 0);
 }
 
 /// Most announcements say what is known. Passed on, each would be a message to every edge.
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -64,15 +64,17 @@
     fn fleet_load(&self, service: &str, now: ClockTime) -> Option<FleetLoad> {
         let rule = self.map.as_ref()?.service(service)?;
         rule.engine.as_ref()?;
-        let open = self.endpoints.ready(service).filter(|(key, _)| {
+        let open = self.open_endpoints(service).filter(|(key, _)| {
             let load = self.loads.get(key);
             load.is_none_or(|load| load.is_open(now))
         });
         let shares = open.map(|(key, record)| {
             let own = self.told_at(&record.name);
             let load = self.loads.get(&key);
+            let is_warming =
+                rule.warmup_per_second.is_some() && self.endpoints.is_warming(key, now);
             EndpointShare {
-                slots: record.slots,
+                slots: usable_slots(record.slots, is_warming),
                 total: self.others_at(&record.name) + own,
                 own,
                 failing: load.map_or(0.0, EndpointLoad::failing),
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -210,6 +210,16 @@
                 state.take_place(place, now);
             }
         }
+        LinkMessage::DomainDrains(drains) => {
+            let warm_at = now.after(return_warmup(shared.settings.announce_every));
+            shared.state.borrow_mut().take_drains(drains, warm_at);
+        }
+        LinkMessage::WarmupShares(shares) => {
+            let mut state = shared.state.borrow_mut();
+            for share in shares {
+                state.warmups.take(share, now);
+            }
+        }
         LinkMessage::WantPlaces => shared.state.borrow().tell_all_places(source),
         LinkMessage::EndpointsWhole(records) => {
             let mut state = shared.state.borrow_mut();
@@ -233,7 +243,9 @@
 
 fn take_change(state: &mut EdgeState, source: SourceKey, change: RegistryChange, now: ClockTime) {
     match change {
-        RegistryChange::Told(record) => take_record(state, source, record, now),
+        RegistryChange::Told(record) | RegistryChange::Cooled(record) => {
+            take_record(state, source, record, now);
+        }
         RegistryChange::Lost(name) => state.endpoints.lost(source, &name, now),
         RegistryChange::Goodbye(name) => {
             let change = state.endpoints.said_goodbye(&name, now);
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -154,6 +154,7 @@
             state.loads.remove(&key);
             state.texts.forget(key);
         }
+        state.warmups.expire(now);
         state.settle_home(&shared.settings.name, shared.running());
         match shared.settings.mechanisms.told_places {
             true => state.tell_places(),
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -62,6 +62,10 @@
     pub(crate) whole: Option<ConfigStep>,
     pub(crate) endpoints: EndpointTable,
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
+    /// Failure domains that are drained.
+    pub(crate) drains: DomainDrains,
+    /// When this edge may send requests to endpoints that warm up.
+    pub(crate) warmups: WarmupPace,
     pub(crate) texts: TextTable,
     /// Places at engines that have not been heard of yet.
     strays: StrayPlaces,
@@ -124,6 +128,30 @@
             .or_insert_with(|| RetryBudget::new(BudgetSettings::default(), edges, now))
     }
 
+    /// Endpoints of a service that get new work.
+    pub(crate) fn open_endpoints(
+        &self,
+        service: &str,
+    ) -> impl Iterator<Item = (EndpointKey, &EndpointRecord)> {
+        let ready = self.endpoints.ready(service);
+        ready.filter(|(_, record)| !self.drains.is_drained(&record.zone))
+    }
+
+    /// Takes which failure domains are drained, unless a later word is known.
+    ///
+    /// Endpoints of a domain that is no longer drained count as warming up until `warm_at`.
+    pub(crate) fn take_drains(&mut self, drains: DomainDrains, warm_at: ClockTime) {
+        if drains.revision() <= self.drains.revision() {
+            return;
+        }
+        for domain in drains.returned_since(&self.drains) {
+            self.endpoints.return_domain(domain, warm_at);
+        }
+        let drained: Vec<&str> = drains.drained().collect();
+        tracing::info!(?drained, revision = drains.revision(), "drained domains");
+        self.drains = drains;
+    }
+
     /// Takes where another edge has placed a text, or an earlier process of the fleet.
     pub(crate) fn take_place(&mut self, place: PlacedText, now: ClockTime) {
         match self.endpoints.find(place.engine) {
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -59,7 +59,13 @@
     let view = ChoiceView::new(shared, &state, plan, tried);
     let found = view.choose(shared.settings.load_multiple)?;
     let text = view.engine.and(plan.facts.shared_text());
+    let warmup_rate = view.warmup_rate.filter(|_| view.is_warming(found.key));
     drop(state);
+    if let Some(rate) = warmup_rate {
+        let tag = EndpointTag::of(&found.name);
+        let mut state = shared.state.borrow_mut();
+        state.warmups.note_sent(tag, rate, shared.now());
+    }
     if let Some(text) = text {
         note_place(shared, text, &found);
     }
@@ -72,6 +78,8 @@
     plan: &'a RequestPlan,
     /// Figures of the service's engines; nothing for a plain service.
     engine: Option<&'a EngineRule>,
+    /// Requests a second that the service's endpoints tolerate while they warm up.
+    warmup_rate: Option<f64>,
     /// Engines that hold the request's shared text.
     holders: Vec<EndpointKey>,
     /// The request's shared text, where places of texts count.
@@ -97,6 +105,7 @@
             state,
             plan,
             engine: service.and_then(|service| service.engine.as_ref()),
+            warmup_rate: service.and_then(|service| service.warmup_per_second),
             holders: holders.unwrap_or_default(),
             text,
             mechanisms,
@@ -137,8 +146,9 @@
 
     /// Endpoints that may take the request.
     fn candidates(&self) -> Vec<PlaceCandidate<'a>> {
-        let ready = self.state.endpoints.ready(&self.plan.service);
+        let ready = self.state.open_endpoints(&self.plan.service);
         let untried = ready.filter(|(key, _)| !self.tried.contains(key));
+        let untried = untried.filter(|(key, record)| self.may_send(*key, record));
         let (open, paused): (Vec<_>, Vec<_>) = untried.partition(|(key, _)| self.is_open(*key));
         // Where all of them failed lately, one of them is still a better guess than a refusal.
         let usable = if open.is_empty() { paused } else { open };
@@ -164,6 +174,17 @@
         }
     }
 
+    /// Whether the endpoint is warm, or this edge may send it a request while it warms up.
+    fn may_send(&self, key: EndpointKey, record: &EndpointRecord) -> bool {
+        let is_bounded = self.warmup_rate.is_some() && self.is_warming(key);
+        let tag = || EndpointTag::of(&record.name);
+        !is_bounded || self.state.warmups.may_send(tag(), self.now)
+    }
+
+    fn is_warming(&self, key: EndpointKey) -> bool {
+        self.state.endpoints.is_warming(key, self.now)
+    }
+
     fn is_open(&self, key: EndpointKey) -> bool {
         let load = self.state.loads.get(&key);
         !self.mechanisms.failure_pauses || load.is_none_or(|load| load.is_open(self.now))
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -64,6 +64,10 @@
     ConfigSteps(Vec<ConfigStep>),
     /// An edge that has the configuration, to be asked for it instead.
     ConfigAt(SocketAddr),
+    /// Failure domains that are drained, by a registry's state.
+    DomainDrains(DomainDrains),
+    /// This edge's parts of the requests for endpoints that warm up.
+    WarmupShares(Vec<WarmupShare>),
     /// What a registry heard from endpoints itself; with it an edge knows all of it.
     EndpointsWhole(Vec<EndpointRecord>),
     /// What a registry heard from endpoints since, in its order.
@@ -86,6 +90,8 @@
         /// What became of it.
         outcome: PutOutcome,
     },
+    /// A registry that does not lead passes on a drain order; it finds it among the applied commands.
+    ForwardDrain(DrainOrder),
     /// A registry that does not lead asks for a proof that its state is current.
     ReadAsk {
         /// Returned with the answer.
@@ -123,11 +129,14 @@
             Self::ConfigVersion(_) => "config_version",
             Self::ConfigSteps(_) => "config_steps",
             Self::ConfigAt(_) => "config_at",
+            Self::DomainDrains(_) => "domain_drains",
+            Self::WarmupShares(_) => "warmup_shares",
             Self::EndpointsWhole(_) => "endpoints_whole",
             Self::EndpointNews(_) => "endpoint_news",
             Self::MemberHello(_) => "member_hello",
             Self::Consensus(_) => "consensus",
             Self::ForwardPut { .. } => "forward_put",
+            Self::ForwardDrain(_) => "forward_drain",
             Self::ForwardDone { .. } => "forward_done",
             Self::ReadAsk { .. } => "read_ask",
             Self::ReadDone { .. } => "read_done",
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -71,7 +71,7 @@
             return;
         };
         queue.send(&self.fleet_message(now));
-        let records = self.table.records().cloned().collect();
+        let records = self.table.records(now).collect();
         queue.send(&LinkMessage::EndpointsWhole(records));
         if let Some(version) = self.seat.register().version() {
             queue.send(&LinkMessage::ConfigVersion(version));
@@ -155,20 +155,24 @@
     }
 
     /// Tells all edges the same; returns how many bytes that takes.
-    fn tell_edges(&self, message: &LinkMessage) -> usize {
+    pub(crate) fn tell_edges(&self, message: &LinkMessage) -> usize {
         self.tell_links(self.edges.keys(), message)
     }
 
-    fn tell_change(&mut self, change: RegistryChange) {
+    pub(crate) fn tell_change(&mut self, change: RegistryChange) {
         match &change {
-            RegistryChange::Told(record) => tracing::info!(
-                endpoint = record.name,
-                stage = ?record.stage,
-                service = record.service,
-                address = %record.address,
-                sequence = record.sequence,
-                "endpoint news"
-            ),
+            RegistryChange::Told(record) | RegistryChange::Cooled(record) => {
+                tracing::info!(
+                    endpoint = record.name,
+                    stage = ?record.stage,
+                    service = record.service,
+                    address = %record.address,
+                    sequence = record.sequence,
+                    warming_ms = record.warming_ms,
+                    "endpoint news"
+                );
+                self.share_warmup(record);
+            }
             RegistryChange::Lost(name) => {
                 tracing::info!(endpoint = name, "endpoint lost");
                 metrics::counter!(metric_names::ENDPOINTS_LOST).increment(1);
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -26,6 +26,7 @@
 mod registry_state;
 mod spread_flow;
 mod step_history;
+mod warmup_flow;
 
 /// Everything a dependent crate usually needs.
 pub mod prelude {
