Drain failure domains on order

Cause: POST and DELETE below /evacuations were answered 404, and nothing knew of such an order.

It names the revision known where it came in: one that was held up between registries undoes no later order, and one whose operator still waits is tried anew. Registries tell all edges at once, and each edge before it counts their word as whole. Unknown domains are refused with 400 and the names of the known ones, which come with the settings.

What can't be known: an order that its operator gave up on and that no later order has followed may still come into force; an edge cut off from all registries goes on as before.

Tests first failed with 404.

--- a/crates/ragwortroad_registry/src/call_flow.rs
+++ b/crates/ragwortroad_registry/src/call_flow.rs
@@ -24,7 +24,7 @@
 ///
 /// Operators turn to another registry after a second without an answer; an answer before that lets
 /// them do so with a reason.
-const CALL_PATIENCE: Duration = Duration::from_millis(900);
+pub(crate) const CALL_PATIENCE: Duration = Duration::from_millis(900);
 
 /// Bytes of a compressed configuration for which its sender waits a millisecond longer.
 ///
@@ -35,7 +35,7 @@
 const ASK_AGAIN: Duration = Duration::from_millis(300);
 
 /// Calls that wait at once; beyond it a call is refused, so that memory stays bounded.
-const MAX_WAITING: usize = 256;
+pub(crate) const MAX_WAITING: usize = 256;
 
 /// Who wants a configuration put.
 #[derive(Debug)]
@@ -96,6 +96,10 @@
                 self.take_document(version, &document, reply, now);
                 return;
             }
+            ControlCall::DrainDomain { domain, is_drained } => {
+                self.take_drain(domain, is_drained, reply, now);
+                return;
+            }
             ControlCall::ReadConfig => {
                 self.take_read(ReadOrigin::Operator(reply), now);
                 return;
@@ -446,6 +450,7 @@
                 self.try_put(token, now);
             }
         }
+        self.retry_drains(now);
         self.retry_reads(now);
         self.settle_reads(now);
     }
@@ -478,7 +483,7 @@
 }
 
 /// Answers a call, unless its caller has left.
-fn answer_call(reply: oneshot::Sender<ControlReply>, answer: ControlReply) {
+pub(crate) fn answer_call(reply: oneshot::Sender<ControlReply>, answer: ControlReply) {
     metrics::counter!(metric_names::CALLS, "outcome" => answer.outcome()).increment(1);
     if reply.send(answer).is_err() {
         tracing::debug!("a caller of the control interface left before its answer");
--- a/crates/ragwortroad_registry/src/config_register.rs
+++ b/crates/ragwortroad_registry/src/config_register.rs
@@ -4,12 +4,8 @@
 };
 
 use ragwortroad_link::prelude::*;
-use serde::{
-    Deserialize,
-    Serialize, //
-};
 
-/// The replicated state: the configuration with the highest version.
+/// The replicated configuration: the one with the highest version.
 ///
 /// Invariant: the version never goes down, and the first document of a version stays its only one,
 /// since commands are applied in the same order everywhere.
@@ -27,15 +23,7 @@
     document: Arc<Vec<u8>>,
 }
 
-/// A command of the replicated log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-#[derive(Serialize, Deserialize)]
-pub enum RegisterCommand {
-    /// Takes a configuration, unless its version is not above the one held.
-    Put(ConfigStep),
-}
-
-/// What a command has led to.
+/// What a step has led to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum RegisterChange {
     /// Another configuration is in force.
@@ -52,9 +40,8 @@
 }
 
 impl ConfigRegister {
-    /// Applies a command.
-    pub fn apply(&mut self, command: &RegisterCommand) -> RegisterChange {
-        let RegisterCommand::Put(step) = command;
+    /// Applies a step.
+    pub fn apply(&mut self, step: &ConfigStep) -> RegisterChange {
         if self.covers(step.version) {
             return RegisterChange::Covered;
         }
--- a/crates/ragwortroad_registry/src/control_call.rs
+++ b/crates/ragwortroad_registry/src/control_call.rs
@@ -15,6 +15,13 @@
     },
     /// A configuration that cannot come into force.
     BadConfig(ConfigFault),
+    /// An operator drains a failure domain, or takes that back.
+    DrainDomain {
+        /// The domain.
+        domain: String,
+        /// Whether its endpoints get no new work from now on.
+        is_drained: bool,
+    },
     /// An operator reads the configuration in force.
     ReadConfig,
     /// An endpoint announces itself.
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -71,6 +71,9 @@
             return;
         };
         queue.send(&self.fleet_message(now));
+        // Told before the version: by that the edge counts the registries that have told all.
+        let drains = self.seat.drains().clone();
+        queue.send(&LinkMessage::DomainDrains(drains));
         let records = self.table.records(now).collect();
         queue.send(&LinkMessage::EndpointsWhole(records));
         if let Some(version) = self.seat.register().version() {
--- a/crates/ragwortroad_registry/src/group_seat.rs
+++ b/crates/ragwortroad_registry/src/group_seat.rs
@@ -4,6 +4,7 @@
 };
 
 use ragwortroad_consensus::prelude::*;
+use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
 use ragwortroad_log::prelude::*;
 use ragwortroad_telemetry::prelude::*;
@@ -13,6 +14,7 @@
     ConfigRegister,
     RegisterChange,
     RegisterCommand,
+    RegisterSnapshot,
     folder_worker::{
         FolderOrder,
         FolderReport,
@@ -34,6 +36,13 @@
     Unreadable { token: u64 },
     /// Another configuration is in force.
     ConfigChanged,
+    /// A drain order was applied.
+    DrainApplied {
+        order: DrainOrder,
+        outcome: DrainOutcome,
+    },
+    /// The drains of a snapshot have replaced those held.
+    DrainsRestored,
 }
 
 /// A registry's part in the group: core, state and disk.
@@ -54,6 +63,7 @@
     founders: Vec<NodeId>,
     core: Option<ConsensusCore>,
     register: ConfigRegister,
+    drains: DomainDrains,
     history: StepHistory,
     start: u64,
     seed: u64,
@@ -88,17 +98,23 @@
             founders: start.founders,
             core: None,
             register: ConfigRegister::default(),
+            drains: DomainDrains::default(),
             history: StepHistory::default(),
             start: start.start,
             seed: start.seed,
         }
     }
 
-    /// The state as applied so far.
+    /// The configuration as applied so far.
     pub(crate) fn register(&self) -> &ConfigRegister {
         &self.register
     }
 
+    /// Failure domains that are drained, as applied so far.
+    pub(crate) fn drains(&self) -> &DomainDrains {
+        &self.drains
+    }
+
     /// The step that leads from nothing to the configuration in force.
     pub(crate) fn whole_step(&mut self) -> io::Result<Option<ConfigStep>> {
         self.register.whole_step()
@@ -282,9 +298,18 @@
                 return None;
             }
         };
-        match self.register.apply(&command) {
+        match command {
+            RegisterCommand::Put(step) => self.apply_step(step),
+            RegisterCommand::Drain(order) => {
+                let outcome = self.drains.apply(&order);
+                Some(SeatEffect::DrainApplied { order, outcome })
+            }
+        }
+    }
+
+    fn apply_step(&mut self, step: ConfigStep) -> Option<SeatEffect> {
+        match self.register.apply(&step) {
             RegisterChange::Changed => {
-                let RegisterCommand::Put(step) = command;
                 self.history.push(step);
                 Some(SeatEffect::ConfigChanged)
             }
@@ -298,15 +323,25 @@
 
     /// Takes the state of a snapshot: the log continues from it, so it is never older than what
     /// was applied here, except after a failed disk was opened anew.
-    fn restore(&mut self, bytes: &[u8]) -> Option<SeatEffect> {
-        let step = match postcard::from_bytes::<Option<ConfigStep>>(bytes) {
-            Ok(step) => step?,
+    fn restore(&mut self, bytes: &[u8]) -> Vec<SeatEffect> {
+        let snapshot = match RegisterSnapshot::decode(bytes) {
+            Ok(snapshot) => snapshot,
             Err(error) => {
                 tracing::error!(%error, "the snapshot means nothing; run one version on all VMs");
-                return None;
+                return Vec::new();
             }
         };
-        match self.register.apply(&RegisterCommand::Put(step)) {
+        let mut effects = Vec::new();
+        if snapshot.drains.revision() > self.drains.revision() {
+            self.drains = snapshot.drains;
+            effects.push(SeatEffect::DrainsRestored);
+        }
+        effects.extend(snapshot.config.and_then(|step| self.restore_step(&step)));
+        effects
+    }
+
+    fn restore_step(&mut self, step: &ConfigStep) -> Option<SeatEffect> {
+        match self.register.apply(step) {
             RegisterChange::Changed => {
                 self.history.clear();
                 Some(SeatEffect::ConfigChanged)
@@ -324,8 +359,11 @@
             .register
             .whole_step()
             .map_err(|error| error.to_string());
-        let encoded =
-            whole.and_then(|step| postcard::to_stdvec(&step).map_err(|error| error.to_string()));
+        let encoded = whole.and_then(|config| {
+            let drains = self.drains.clone();
+            let snapshot = RegisterSnapshot { config, drains };
+            snapshot.encode().map_err(|error| error.to_string())
+        });
         match encoded {
             Ok(bytes) => self.handle(CoreInput::SnapshotTaken { index, bytes }, now),
             Err(reason) => {
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -13,12 +13,15 @@
 mod config_register;
 mod control_call;
 mod directory_flow;
+mod drain_flow;
 mod edge_flow;
 mod folder_worker;
 mod group_seat;
 mod peer_dialer;
 mod peer_flow;
 mod place_keeper;
+mod register_command;
+mod register_snapshot;
 mod registry_error;
 mod registry_event;
 mod registry_port;
@@ -33,13 +36,14 @@
     pub use crate::{
         config_register::{
             ConfigRegister,
-            RegisterChange,
-            RegisterCommand, //
+            RegisterChange, //
         },
         control_call::{
             ControlCall,
             ControlReply, //
         },
+        register_command::RegisterCommand,
+        register_snapshot::RegisterSnapshot,
         registry_error::RegistryError,
         registry_port::RegistryPort,
         registry_process::{
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -122,6 +122,7 @@
                 let origin = PutOrigin::Forwarded { link, token };
                 self.take_put(step, origin, now);
             }
+            LinkMessage::ForwardDrain(order) => self.propose_drain(order, now),
             LinkMessage::ReadAsk { token } => {
                 self.take_read(ReadOrigin::Asked { link, token }, now);
             }
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -19,6 +19,7 @@
         ReadSettle,
         ReadWait, //
     },
+    drain_flow::DrainWait,
     edge_flow::EdgeEntry,
     group_seat::{
         GroupSeat,
@@ -56,6 +57,8 @@
     pub(crate) puts: BTreeMap<u64, PutWait>,
     /// The configuration whose entry is under way, on the leader.
     pub(crate) proposed: Option<u64>,
+    /// Drain orders that are not applied yet, by their ids.
+    pub(crate) drain_waits: BTreeMap<u64, DrainWait>,
     pub(crate) reads: BTreeMap<u64, ReadWait>,
     pub(crate) settles: Vec<ReadSettle>,
     pub(crate) next_token: u64,
@@ -112,6 +115,7 @@
             undialled: BTreeSet::new(),
             puts: BTreeMap::new(),
             proposed: None,
+            drain_waits: BTreeMap::new(),
             reads: BTreeMap::new(),
             settles: Vec::new(),
             next_token: 0,
@@ -205,12 +209,18 @@
             true => wake,
             false => wake.min(self.copies_at),
         };
-        match self.puts.is_empty() && self.reads.is_empty() && self.settles.is_empty() {
+        match self.has_no_waits() {
             true => wake.min(self.totals_at),
             false => wake.min(self.round_at),
         }
     }
 
+    /// Whether no call waits for the group.
+    fn has_no_waits(&self) -> bool {
+        let has_no_orders = self.puts.is_empty() && self.drain_waits.is_empty();
+        has_no_orders && self.reads.is_empty() && self.settles.is_empty()
+    }
+
     /// Does what the group wants done.
     pub(crate) fn carry_out(&mut self, effects: Vec<SeatEffect>, now: ClockTime) {
         let mut has_changed = false;
@@ -221,6 +231,10 @@
                 SeatEffect::Readable { token, index } => self.prove_read(token, Some(index), now),
                 SeatEffect::Unreadable { token } => self.prove_read(token, None, now),
                 SeatEffect::ConfigChanged => has_changed = true,
+                SeatEffect::DrainApplied { order, outcome } => {
+                    self.follow_drain(&order, outcome, now);
+                }
+                SeatEffect::DrainsRestored => self.tell_drains(),
             }
         }
         if has_changed {
--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -34,6 +34,8 @@
     pub name: String,
     /// Its failure domain.
     pub zone: String,
+    /// All failure domains of the site; empty where any may be named.
+    pub domains: Vec<String>,
     /// Where it talks to the fleet's other processes.
     pub inner: SocketAddr,
     /// Where it listens for them, if that is elsewhere, as behind a forwarded port.
@@ -89,6 +91,7 @@
         Self {
             name: String::new(),
             zone: String::new(),
+            domains: Vec::new(),
             inner: nowhere,
             inner_bind: None,
             seeds: Vec::new(),
@@ -149,6 +152,7 @@
         Self {
             name: reader.required("vm", "name"),
             zone: reader.required("vm", "zone"),
+            domains: reader.list("vm", "domains", "a"),
             inner: inner.unwrap_or(default.inner),
             inner_bind: optional_address(reader, "vm", "inner_bind"),
             seeds: reader.list("vm", "seeds", address),
