Take a few silent endpoints for their failure domain

Cause: when a domain loses power or is cut off, each edge found its 47 engines silent one by one: a caller waited 0.4 s for a connection, or 1.5 s on a kept one, for each of them, and the registries noticed after 6 s.

Ruled out: telling callers of streams that cannot be resumed as soon as their engine is silent.

Change: three endpoints in a row that leave connections unanswered stand for their domain, until any answer comes from there. Its endpoints are chosen only where there are no others, are no source of texts, and count for no room; connections kept to them are closed. A connection is tried twice a second, without a caller who waits for it.

--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -3,6 +3,7 @@
         BTreeMap,
         BTreeSet, //
     },
+    net::SocketAddr,
     time::Duration, //
 };
 
@@ -260,6 +261,14 @@
         self.entries.get(&key).map(|entry| &entry.record)
     }
 
+    /// Addresses of the endpoints of a failure domain that are not known to be gone.
+    pub fn addresses(&self, domain: &str) -> impl Iterator<Item = SocketAddr> {
+        let records = self.entries.values().map(|entry| &entry.record);
+        let there = records.filter(|record| record.stage != EndpointStage::Gone);
+        let there = there.filter(move |record| record.zone == domain);
+        there.map(|record| record.address)
+    }
+
     /// Number of endpoints that take new work.
     pub fn ready_count(&self) -> usize {
         let entries = self.entries.values();
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 mod config_fetch;
 mod copy_queue;
 mod domain_drains;
+mod domain_reach;
 mod endpoint_load;
 mod endpoint_record;
 mod endpoint_table;
@@ -71,6 +72,7 @@
             DrainOrder,
             DrainOutcome, //
         },
+        domain_reach::DomainReach,
         endpoint_load::{
             EndpointLoad,
             LoadReading, //
--- /dev/null
+++ b/crates/ragwortroad_dispatch/tests/reach.rs
@@ -0,0 +1,48 @@
+//! Failure domains that an edge takes for unreachable.
+
+use ragwortroad_dispatch::prelude::*;
+
+fn unreachable(reach: &DomainReach) -> Vec<&str> {
+    reach.unreachable().collect()
+}
+
+/// Guards against callers who wait for each endpoint of a domain without power in turn.
+#[test]
+fn a_few_silent_endpoints_stand_for_their_domain() {
+    let mut reach = DomainReach::default();
+    assert!(!reach.note_silent("a", EndpointKey(1)));
+    assert!(!reach.note_silent("a", EndpointKey(2)));
+    assert!(reach.is_reachable("a"));
+    assert!(reach.note_silent("a", EndpointKey(3)));
+    assert!(!reach.note_silent("a", EndpointKey(4)), "no news");
+    assert_eq!(unreachable(&reach), ["a"]);
+    assert!(reach.is_reachable("b"));
+}
+
+/// Guards against a domain that is given up for one endpoint which fails again and again.
+#[test]
+fn one_silent_endpoint_says_nothing_of_its_domain() {
+    let mut reach = DomainReach::default();
+    for _ in 0..20 {
+        assert!(!reach.note_silent("a", EndpointKey(1)));
+    }
+    assert!(reach.is_reachable("a"));
+}
+
+/// Guards against a domain that is given up for single failures with answers in between, and against
+/// one that is never used again.
+#[test]
+fn any_answer_shows_a_domain_reachable() {
+    let mut reach = DomainReach::default();
+    for endpoint in 0..9 {
+        assert!(!reach.note_silent("a", EndpointKey(endpoint)));
+        assert!(!reach.note_answer("a"));
+    }
+    for endpoint in 0..3 {
+        reach.note_silent("a", EndpointKey(endpoint));
+    }
+    assert!(!reach.is_reachable("a"));
+    assert!(reach.note_answer("a"));
+    assert!(reach.is_reachable("a"));
+    assert_eq!(unreachable(&reach), Vec::<&str>::new());
+}
--- a/crates/ragwortroad_edge/src/connection_pool.rs
+++ b/crates/ragwortroad_edge/src/connection_pool.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Closes the connections to an address.
+    pub(crate) fn drop_address(&self, address: SocketAddr) {
+        self.idle.borrow_mut().remove(&address);
+    }
+
     /// Closes connections that are too old to be used, and forgets addresses without any.
     pub(crate) fn expire(&self, now: ClockTime) {
         let mut idle = self.idle.borrow_mut();
--- /dev/null
+++ b/crates/ragwortroad_edge/src/domain_probe.rs
@@ -0,0 +1,85 @@
+//! Failure domains that an edge takes for unreachable, and how it finds out that they are back.
+
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration, //
+};
+
+use ragwortroad_dispatch::prelude::*;
+use tokio::{
+    task::spawn_local,
+    time::sleep, //
+};
+
+use crate::{
+    edge_state::EdgeShared,
+    endpoint_connection::{
+        EndpointConnection,
+        is_silence, //
+    }, //
+};
+
+/// Time between two attempts to connect to an unreachable domain.
+///
+/// No caller waits for them.
+const PROBE_EVERY: Duration = Duration::from_millis(500);
+
+impl EdgeShared {
+    /// An endpoint did not answer at all.
+    ///
+    /// Connections kept to a domain that falls silent are closed: a request sent on one would hang.
+    pub(crate) fn note_silent(&self, domain: &str, endpoint: EndpointKey) {
+        let mut state = self.state.borrow_mut();
+        if !state.reach.note_silent(domain, endpoint) {
+            return;
+        }
+        tracing::warn!(domain, "failure domain unreachable");
+        for address in state.endpoints.addresses(domain) {
+            self.pool.drop_address(address);
+        }
+    }
+
+    /// Something came back from a domain.
+    pub(crate) fn note_reached(&self, domain: &str) {
+        if self.state.borrow_mut().reach.note_answer(domain) {
+            tracing::info!(domain, "failure domain reachable again");
+        }
+    }
+}
+
+/// Tries to connect to unreachable domains for as long as the process runs.
+pub(crate) async fn probe_domains(shared: Rc<EdgeShared>) {
+    loop {
+        sleep(PROBE_EVERY).await;
+        for (domain, address) in probe_targets(&shared) {
+            spawn_local(probe(Rc::clone(&shared), domain, address));
+        }
+    }
+}
+
+/// One endpoint of each unreachable domain, drawn by lot.
+fn probe_targets(shared: &EdgeShared) -> Vec<(String, SocketAddr)> {
+    let state = shared.state.borrow();
+    let domains = state.reach.unreachable();
+    let target = |domain: &str| {
+        let addresses: Vec<SocketAddr> = state.endpoints.addresses(domain).collect();
+        let drawn = rand::random_range(0..addresses.len().max(1));
+        let address = addresses.get(drawn)?;
+        Some((domain.to_owned(), *address))
+    };
+    domains.filter_map(target).collect()
+}
+
+/// A refused connection shows the domain reachable as well as one that is accepted.
+async fn probe(shared: Rc<EdgeShared>, domain: String, address: SocketAddr) {
+    match EndpointConnection::open(address).await {
+        Ok(connection) => {
+            let now = shared.now();
+            shared.pool.keep(address, connection, None, now);
+            shared.note_reached(&domain);
+        }
+        Err(error) if is_silence(&error) => {}
+        Err(_) => shared.note_reached(&domain),
+    }
+}
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -64,9 +64,10 @@
     fn fleet_load(&self, service: &str, now: ClockTime) -> Option<FleetLoad> {
         let rule = self.map.as_ref()?.service(service)?;
         rule.engine.as_ref()?;
-        let open = self.open_endpoints(service).filter(|(key, _)| {
+        let open = self.open_endpoints(service).filter(|(key, record)| {
             let load = self.loads.get(key);
-            load.is_none_or(|load| load.is_open(now))
+            let is_open = load.is_none_or(|load| load.is_open(now));
+            is_open && self.reach.is_reachable(&record.zone)
         });
         let shares = open.map(|(key, record)| {
             let own = self.told_at(&record.name);
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -41,6 +41,7 @@
     },
     config_share::serve_configs,
     connection_pool::ConnectionPool,
+    domain_probe::probe_domains,
     edge_error::{
         ListenSnafu,
         MissingSettingSnafu,
@@ -137,6 +138,7 @@
     spawn_local(serve_readiness(Rc::clone(&shared), readiness));
     spawn_local(serve_configs(Rc::clone(&shared), inner));
     spawn_local(keep_rounds(Rc::clone(&shared)));
+    spawn_local(probe_domains(Rc::clone(&shared)));
     spawn_local(follow_signals(Rc::clone(&shared), signals));
     shared.stop.notified().await;
     drain(&shared).await;
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -64,6 +64,8 @@
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     /// Failure domains that are drained.
     pub(crate) drains: DomainDrains,
+    /// Failure domains that this edge can reach.
+    pub(crate) reach: DomainReach,
     /// When this edge may send requests to endpoints that warm up.
     pub(crate) warmups: WarmupPace,
     pub(crate) texts: TextTable,
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -30,7 +30,8 @@
     endpoint_choice::ChosenEndpoint,
     endpoint_connection::{
         EndpointConnection,
-        SendFailure, //
+        SendFailure,
+        is_silence, //
     },
     flight_guard::FlightGuard,
     request_plan::{
@@ -42,13 +43,13 @@
 /// What became of a request at an endpoint.
 pub(crate) enum CallEnd {
     /// Nothing reached it.
-    NotSent { reason: String },
+    NotSent { reason: String, is_silent: bool },
     /// It says that it did not run the request.
     NotRun,
     /// Another endpoint has its address, and did not run the request.
     Misdirected,
     /// It may have run the request, and no usable answer came.
-    Lost { reason: String },
+    Lost { reason: String, is_silent: bool },
     /// The time is over.
     TimedOut,
     /// It has not begun to answer in time, and another endpoint is asked.
@@ -111,16 +112,20 @@
             None => match EndpointConnection::open(chosen.address).await {
                 Ok(connection) => connection,
                 Err(error) => {
-                    let reason = error.to_string();
-                    return CallEnd::NotSent { reason };
+                    return CallEnd::NotSent {
+                        reason: error.to_string(),
+                        is_silent: is_silence(&error),
+                    };
                 }
             },
         };
         let request = match make_request(shared, plan, chosen, after_event) {
             Ok(request) => request,
             Err(error) => {
-                let reason = error.to_string();
-                return CallEnd::NotSent { reason };
+                return CallEnd::NotSent {
+                    reason: error.to_string(),
+                    is_silent: false,
+                };
             }
         };
         match connection.send(request).await {
@@ -130,12 +135,16 @@
             // The endpoint closed a kept connection before anything was sent on it.
             Err(SendFailure::NotSent) if was_pooled => {}
             Err(SendFailure::NotSent) => {
-                let reason = "closed before the request".to_owned();
-                return CallEnd::NotSent { reason };
+                return CallEnd::NotSent {
+                    reason: "closed before the request".to_owned(),
+                    is_silent: false,
+                };
             }
             Err(SendFailure::Lost(error)) => {
-                let reason = format!("{error} (kept connection: {was_pooled})");
-                return CallEnd::Lost { reason };
+                return CallEnd::Lost {
+                    reason: format!("{error} (kept connection: {was_pooled})"),
+                    is_silent: is_silence(&error),
+                };
             }
         }
     }
@@ -182,8 +191,7 @@
     if facts.id.as_deref().is_some_and(|id| id != plan.id) {
         // An answer that belongs to another request, late on a kept connection. Handed over, a
         // caller would get what is another customer's.
-        let reason = "the answer names another request".to_owned();
-        return CallEnd::Lost { reason };
+        return spoiled("the answer names another request");
     }
     if let Some(load) = facts.load {
         let now = shared.now();
@@ -196,8 +204,7 @@
     }
     let is_success = head.status.is_success();
     if is_success && (!facts.is_signed || facts.is_encoded || facts.id.is_none()) {
-        let reason = "a success without the endpoint's signature".to_owned();
-        return CallEnd::Lost { reason };
+        return spoiled("a success without the endpoint's signature");
     }
     let mut headers = head.headers;
     strip_connection(&mut headers);
@@ -215,8 +222,10 @@
     let body = match body.collect().await {
         Ok(body) => body.to_bytes(),
         Err(error) => {
-            let reason = format!("the answer broke off: {error}");
-            return CallEnd::Lost { reason };
+            return CallEnd::Lost {
+                reason: format!("the answer broke off: {error}"),
+                is_silent: is_silence(&error),
+            };
         }
     };
     keep_connection(shared, chosen.address, connection, &facts);
@@ -230,6 +239,14 @@
     })
 }
 
+/// An answer that cannot be used.
+fn spoiled(reason: &str) -> CallEnd {
+    CallEnd::Lost {
+        reason: reason.to_owned(),
+        is_silent: false,
+    }
+}
+
 /// Gives a connection back whose answer was read in full.
 pub(crate) fn keep_connection(
     shared: &EdgeShared,
@@ -259,6 +276,24 @@
         CallEnd::Whole(_) | CallEnd::Events(_) => load.succeed(),
         CallEnd::NotRun => {}
     }
+    drop(state);
+    note_reach(shared, chosen, end);
+}
+
+/// Remembers whether the endpoint's failure domain can be reached.
+fn note_reach(shared: &EdgeShared, chosen: &ChosenEndpoint, end: &CallEnd) {
+    match end {
+        CallEnd::NotSent { is_silent, .. } | CallEnd::Lost { is_silent, .. } => {
+            match is_silent {
+                true => shared.note_silent(&chosen.zone, chosen.key),
+                false => shared.note_reached(&chosen.zone),
+            };
+        }
+        CallEnd::NotRun | CallEnd::Misdirected | CallEnd::Whole(_) | CallEnd::Events(_) => {
+            shared.note_reached(&chosen.zone);
+        }
+        CallEnd::TimedOut | CallEnd::Silent => {}
+    }
 }
 
 /// Tells the service's gate how long an endpoint took.
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -23,6 +23,8 @@
     pub(crate) key: EndpointKey,
     pub(crate) name: String,
     pub(crate) address: SocketAddr,
+    /// Its failure domain.
+    pub(crate) zone: String,
     /// Requests there by the best knowledge here.
     pub(crate) load: u32,
     /// Age of what other edges told of their requests there; nothing where they tell nothing.
@@ -136,6 +138,7 @@
             key,
             name: record.name.clone(),
             address: record.address,
+            zone: record.zone.clone(),
             load: chosen.load,
             load_age: told_at.map(|told_at| self.now.since(told_at)),
             among: candidates.len(),
@@ -149,7 +152,11 @@
         let ready = self.state.open_endpoints(&self.plan.service);
         let untried = ready.filter(|(key, _)| !self.tried.contains(key));
         let untried = untried.filter(|(key, record)| self.may_send(*key, record));
-        let (open, paused): (Vec<_>, Vec<_>) = untried.partition(|(key, _)| self.is_open(*key));
+        let is_open = |key, record: &EndpointRecord| {
+            self.is_open(key) && self.state.reach.is_reachable(&record.zone)
+        };
+        let (open, paused): (Vec<_>, Vec<_>) =
+            untried.partition(|(key, record)| is_open(*key, record));
         // Where all of them failed lately, one of them is still a better guess than a refusal.
         let usable = if open.is_empty() { paused } else { open };
         let usable = usable.into_iter();
@@ -214,7 +221,9 @@
 
     fn source(&self, key: EndpointKey, target: &EndpointRecord) -> Option<TextSource> {
         let record = self.state.endpoints.record(key)?;
+        let is_reachable = self.state.reach.is_reachable(&record.zone);
         let is_there = record.stage != EndpointStage::Gone && record.name != target.name;
+        let is_there = is_there && is_reachable;
         let load = self.state.loads.get(&key);
         (is_there && self.is_open(key)).then(|| TextSource {
             key,
--- a/crates/ragwortroad_edge/src/endpoint_connection.rs
+++ b/crates/ragwortroad_edge/src/endpoint_connection.rs
@@ -1,4 +1,5 @@
 use std::{
+    error::Error,
     io,
     net::SocketAddr,
     time::Duration, //
@@ -61,6 +62,19 @@
     Lost(hyper::Error),
 }
 
+/// Whether an error means that nothing at all has come back from an endpoint's VM.
+pub(crate) fn is_silence(error: &(dyn Error + 'static)) -> bool {
+    let mut cause = Some(error);
+    while let Some(error) = cause {
+        let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
+        if kind == Some(io::ErrorKind::TimedOut) {
+            return true;
+        }
+        cause = error.source();
+    }
+    false
+}
+
 impl EndpointConnection {
     /// Connects to an endpoint.
     pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod caller_server;
 mod config_share;
 mod connection_pool;
+mod domain_probe;
 mod edge_body;
 mod edge_error;
 mod edge_gates;
--- a/crates/ragwortroad_edge/src/request_way.rs
+++ b/crates/ragwortroad_edge/src/request_way.rs
@@ -55,7 +55,7 @@
                 self.attempts += 1;
                 return WayStep::Stream(run);
             }
-            CallEnd::NotSent { reason } => {
+            CallEnd::NotSent { reason, .. } => {
                 self.dials += 1;
                 self.note(plan, chosen, &reason);
                 return match self.dials < MAX_DIALS {
@@ -78,7 +78,7 @@
                 "another endpoint is there".to_owned(),
                 RefusalReason::NotRun,
             ),
-            CallEnd::Lost { reason } => {
+            CallEnd::Lost { reason, .. } => {
                 self.may_have_run = true;
                 (reason, RefusalReason::Unknown)
             }
