--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -29,8 +29,7 @@
     }
 }
 
-/// An announcement is held up by the network and arrives after the endpoint has said that it
-/// leaves. Taken for news, it would bring work to an endpoint that is about to stop.
+/// Guards against work for an endpoint that is about to stop, after a late announcement.
 #[test]
 fn a_late_announcement_does_not_undo_a_drain() {
     let mut table = EndpointTable::default();
@@ -45,8 +44,7 @@
     assert!(ready(&table).is_empty());
 }
 
-/// An endpoint says goodbye at one registry; another one still passes on an announcement from
-/// before, with a number that the edge has not seen. The endpoint is gone all the same.
+/// Guards against an endpoint that is brought back by an announcement older than its goodbye.
 #[test]
 fn a_goodbye_is_final_for_an_incarnation() {
     let mut table = EndpointTable::default();
@@ -73,9 +71,7 @@
     assert_eq!(ready(&table), ["e"]);
 }
 
-/// An endpoint crashes and is back at its address within two seconds under a new name. Requests
-/// sent to the former name would be turned down until its announcements are missed, and a caller
-/// with one attempt be refused though the endpoint is well.
+/// Guards against requests to the former name of an endpoint that is back at its address.
 #[test]
 fn a_later_start_at_an_address_ends_the_former_one() {
     let mut table = EndpointTable::default();
@@ -97,8 +93,7 @@
     assert_eq!(ready(&table), ["after"]);
 }
 
-/// Another endpoint answers at an address. What was there before is gone, whatever is announced
-/// late; a later start of the same name is not.
+/// Guards against late announcements of an endpoint whose address another one has.
 #[test]
 fn a_refuted_endpoint_stays_out_until_it_starts_anew() {
     let mut table = EndpointTable::default();
@@ -121,8 +116,7 @@
     assert_eq!(ready(&table), ["e"]);
 }
 
-/// The registry that an endpoint announced itself to has missed several announcements: it is
-/// dropped soon, and not kept as long as one whose registry was lost.
+/// Guards against a crashed endpoint that is kept for as long as one whose registry was lost.
 #[test]
 fn a_missed_endpoint_is_dropped_soon() {
     let mut table = EndpointTable::default();
@@ -132,8 +126,7 @@
     assert_eq!(table.expire(at(2600)).len(), 1);
 }
 
-/// A registry that knows of a goodbye has heard fewer announcements than the edge has been told
-/// of. An edge that connects to it anew must believe the goodbye.
+/// Guards against an edge that disbelieves a goodbye because of its number.
 #[test]
 fn a_goodbye_counts_whatever_its_number() {
     let mut table = EndpointTable::default();
@@ -154,8 +147,7 @@
     assert!(ready(&table).is_empty());
 }
 
-/// All registries restart at once and know nothing for some seconds. Edges go on with the
-/// endpoints that they know; otherwise nobody would be served although every endpoint is well.
+/// Guards against a fleet that serves nobody while its registries restart.
 #[test]
 fn endpoints_outlive_the_registries_for_a_while() {
     let mut table = EndpointTable::default();
@@ -177,8 +169,7 @@
     assert_eq!(ready(&table), ["e"]);
 }
 
-/// An endpoint turns to another registry. The first one stops hearing of it and says so; it is
-/// well all the same.
+/// Guards against the loss of an endpoint that has turned to another registry.
 #[test]
 fn the_word_of_one_registry_is_enough() {
     let mut table = EndpointTable::default();
@@ -196,8 +187,7 @@
     assert_eq!(ready(&table), ["e"]);
 }
 
-/// An endpoint crashes and says nothing more. Its registry notices by the missing announcements,
-/// and the edges drop it.
+/// Guards against a crashed endpoint that stays known for good.
 #[test]
 fn a_silent_endpoint_is_lost() {
     let interval = Duration::from_millis(1000);
@@ -209,7 +199,7 @@
     assert_eq!(table.records(at(0)).count(), 0);
 }
 
-/// Most announcements say what is known. Passed on, each would be a message to every edge.
+/// Guards against a message to every edge for each announcement that says nothing new.
 #[test]
 fn only_news_is_passed_on() {
     let mut table = RegistryTable::new(Duration::from_millis(1000));
@@ -232,7 +222,7 @@
     assert_eq!(table.announce(next(7), at(1400)), None, "it has left");
 }
 
-/// An endpoint that announced itself elsewhere says goodbye here. The edges have to hear of it.
+/// Guards against a goodbye that is not passed on where the endpoint was never heard of.
 #[test]
 fn a_goodbye_of_an_unknown_endpoint_is_passed_on() {
     let mut table = RegistryTable::new(Duration::from_millis(1000));
@@ -240,8 +230,7 @@
     assert_eq!(change, RegistryChange::Goodbye("stranger".to_owned()));
 }
 
-/// An endpoint dies. Every request offered to it costs its caller the time of a failed connection,
-/// so after the first ones it is left alone, and then tried by few.
+/// Guards against callers who each wait for a connection to the same dead endpoint.
 #[test]
 fn failures_pause_an_endpoint_for_longer_each_time() {
     let mut load = EndpointLoad::default();
@@ -262,8 +251,7 @@
     );
 }
 
-/// An endpoint tells its load with an answer; this edge has sent and got back requests since, and
-/// later the reading is too old to mean anything.
+/// Guards against a load that is taken for current long after the endpoint told it.
 #[test]
 fn a_reading_moves_with_what_this_edge_did_since() {
     let mut load = EndpointLoad::default();
@@ -284,10 +272,7 @@
     assert_eq!(load.estimate(0, at(10_000)), 0);
 }
 
-/// The connection to a registry breaks while an endpoint announces itself at another one for a
-/// moment. Back again, the first registry tells what it had heard, which is older, and hears from
-/// the endpoint from then on, but nothing new that it would tell. When the other registry misses
-/// the announcements, the edge must not give the endpoint up: its callers would be refused for good.
+/// Guards against an edge that gives up a well endpoint which only older word vouches for.
 #[test]
 fn an_older_word_still_vouches_for_an_endpoint() {
     let (first, second) = (SourceKey(0), SourceKey(1));
--- a/crates/ragwortroad_dispatch/tests/reach.rs
+++ b/crates/ragwortroad_dispatch/tests/reach.rs
@@ -29,8 +29,7 @@
     assert!(reach.is_reachable("a"));
 }
 
-/// Guards against a domain that is given up for single failures with answers in between, and against
-/// one that is never used again.
+/// Guards against a domain that is given up for single failures, or never used again.
 #[test]
 fn any_answer_shows_a_domain_reachable() {
     let mut reach = DomainReach::default();
--- a/crates/ragwortroad_dispatch/tests/warmups.rs
+++ b/crates/ragwortroad_dispatch/tests/warmups.rs
@@ -206,8 +206,7 @@
     assert_eq!(left(&table, 9000), 0);
 }
 
-/// Guards against a rush to endpoints that went cold while their domain was drained and have not
-/// said so yet.
+/// Guards against a rush to endpoints that went cold while their domain was drained.
 #[test]
 fn endpoints_of_a_returned_domain_count_as_warming_up() {
     let mut table = RegistryTable::new(EVERY);
