Name what leads from one configuration to the next a delta

Cause: "step" is a word of this project's own; the field says delta. Whole words only, and the two files that hold the types.

--- a/crates/ragwortroad_edge/src/config_share.rs
+++ b/crates/ragwortroad_edge/src/config_share.rs
@@ -65,7 +65,7 @@
         LinkMessage::WantConfig { above } => {
             let step = whole_above(&mut shared.state.borrow_mut(), above);
             let steps = step.into_iter().collect();
-            answers.send(&LinkMessage::ConfigSteps(steps));
+            answers.send(&LinkMessage::ConfigDeltas(steps));
         }
         other => tracing::warn!(?other, "a message that no edge sends an edge"),
     };
@@ -74,13 +74,13 @@
 }
 
 /// The whole configuration, where it is above `above`.
-fn whole_above(state: &mut EdgeState, above: Option<u64>) -> Option<ConfigStep> {
+fn whole_above(state: &mut EdgeState, above: Option<u64>) -> Option<ConfigDelta> {
     let version = state.version().filter(|version| Some(*version) > above)?;
     if state.whole.is_none() {
         let document = state.document.as_ref()?;
         match pack_document(document, None) {
             Ok(packed) => {
-                state.whole = Some(ConfigStep {
+                state.whole = Some(ConfigDelta {
                     version,
                     base: None,
                     packed,
@@ -120,7 +120,7 @@
     queue.send(&LinkMessage::WantConfig { above });
     let (inward, end) = (Rc::clone(shared), queue.clone());
     let take = move |message| {
-        if let LinkMessage::ConfigSteps(steps) = message {
+        if let LinkMessage::ConfigDeltas(steps) = message {
             // Without a step the registry that named the edge counts as not having answered.
             if !steps.is_empty() {
                 take_steps(&inward, &steps);
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -187,7 +187,7 @@
             dial_registries(shared, registries);
         }
         LinkMessage::ConfigVersion(version) => take_version(shared, source, version),
-        LinkMessage::ConfigSteps(steps) => take_steps(shared, &steps),
+        LinkMessage::ConfigDeltas(steps) => take_steps(shared, &steps),
         LinkMessage::ConfigAt(helper) => {
             spawn_local(fetch_config(Rc::clone(shared), helper));
         }
@@ -275,7 +275,7 @@
 }
 
 /// Takes the steps to a configuration.
-pub(crate) fn take_steps(shared: &EdgeShared, steps: &[ConfigStep]) {
+pub(crate) fn take_steps(shared: &EdgeShared, steps: &[ConfigDelta]) {
     let mut state = shared.state.borrow_mut();
     state.fetch.note_answered();
     let Some(last) = steps.last() else {
@@ -314,7 +314,7 @@
 fn open_steps(
     own: Option<Rc<[u8]>>,
     own_version: Option<u64>,
-    steps: &[ConfigStep],
+    steps: &[ConfigDelta],
 ) -> io::Result<Vec<u8>> {
     let mut document = own.map(|own| own.to_vec());
     let mut version = own_version;
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -59,7 +59,7 @@
     /// The document it was made of, against which the next one comes.
     pub(crate) document: Option<Rc<[u8]>>,
     /// The same as it is given to another edge; made when it is asked for.
-    pub(crate) whole: Option<ConfigStep>,
+    pub(crate) whole: Option<ConfigDelta>,
     pub(crate) endpoints: EndpointTable,
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     /// Failure domains that are drained.
--- a/crates/ragwortroad_link/src/config_step.rs
+++ b/crates/ragwortroad_link/src/config_delta.rs
@@ -10,7 +10,7 @@
 /// A configuration as it goes between processes: against the one before it, or whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct ConfigStep {
+pub struct ConfigDelta {
     /// Its version.
     pub version: u64,
     /// Version of the document it was compressed against; nothing where it is whole.
@@ -19,7 +19,7 @@
     pub packed: Vec<u8>,
 }
 
-impl ConfigStep {
+impl ConfigDelta {
     /// The document, given the one of the base's version.
     pub fn open(&self, base: Option<&[u8]>) -> io::Result<Vec<u8>> {
         unpack_document(&self.packed, base)
--- a/crates/ragwortroad_link/src/lib.rs
+++ b/crates/ragwortroad_link/src/lib.rs
@@ -4,7 +4,7 @@
 //! messages both ways, says when its other end is silent for too long, and never makes its user
 //! wait: what does not fit into the queue ends the connection, and the user connects anew.
 
-mod config_step;
+mod config_delta;
 mod dial_pace;
 mod encoded_message;
 mod link_connection;
@@ -16,7 +16,7 @@
 /// Everything a dependent crate usually needs.
 pub mod prelude {
     pub use crate::{
-        config_step::ConfigStep,
+        config_delta::ConfigDelta,
         dial_pace::DialPace,
         encoded_message::{
             EncodedMessage,
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -6,7 +6,7 @@
     Serialize, //
 };
 
-use crate::ConfigStep;
+use crate::ConfigDelta;
 
 /// What edges and registries say to each other.
 #[derive(Clone, Debug, PartialEq)]
@@ -61,7 +61,7 @@
     /// The version that a registry has in force.
     ConfigVersion(u64),
     /// Steps that lead from the version an edge has, or from nothing, to the one in force.
-    ConfigSteps(Vec<ConfigStep>),
+    ConfigDeltas(Vec<ConfigDelta>),
     /// An edge that has the configuration, to be asked for it instead.
     ConfigAt(SocketAddr),
     /// Failure domains that are drained, by a registry's state.
@@ -81,7 +81,7 @@
         /// Returned with the outcome.
         token: u64,
         /// The configuration, whole.
-        step: ConfigStep,
+        step: ConfigDelta,
     },
     /// What became of a command that was passed on.
     ForwardDone {
@@ -127,7 +127,7 @@
             Self::PartPlaced(_) => "part_placed",
             Self::Fleet { .. } => "fleet",
             Self::ConfigVersion(_) => "config_version",
-            Self::ConfigSteps(_) => "config_steps",
+            Self::ConfigDeltas(_) => "config_deltas",
             Self::ConfigAt(_) => "config_at",
             Self::DomainDrains(_) => "domain_drains",
             Self::WarmupShares(_) => "warmup_shares",
--- a/crates/ragwortroad_registry/src/call_flow.rs
+++ b/crates/ragwortroad_registry/src/call_flow.rs
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 pub(crate) struct PutWait {
     /// The configuration, whole.
-    step: ConfigStep,
+    step: ConfigDelta,
     origin: PutOrigin,
     /// When its sender is told that it was not done.
     ends_at: ClockTime,
@@ -137,7 +137,7 @@
         match pack_document(document, None) {
             Ok(packed) => {
                 let base = None;
-                let step = ConfigStep {
+                let step = ConfigDelta {
                     version,
                     base,
                     packed,
@@ -159,7 +159,7 @@
         }
     }
 
-    pub(crate) fn take_put(&mut self, step: ConfigStep, origin: PutOrigin, now: ClockTime) {
+    pub(crate) fn take_put(&mut self, step: ConfigDelta, origin: PutOrigin, now: ClockTime) {
         let token = self.draw_token();
         let size = Duration::from_millis(step.packed.len() as u64 / BYTES_A_MILLISECOND);
         let wait = PutWait {
--- a/crates/ragwortroad_registry/src/config_flow.rs
+++ b/crates/ragwortroad_registry/src/config_flow.rs
@@ -29,7 +29,7 @@
         let known = above.and_then(|version| self.seat.history().since(version));
         match known {
             Some(steps) => {
-                queue.send(&LinkMessage::ConfigSteps(steps));
+                queue.send(&LinkMessage::ConfigDeltas(steps));
             }
             None => self.copies.want(link.0),
         }
@@ -66,7 +66,7 @@
             }
         }
         let direct: Vec<LinkKey> = plan.direct.iter().copied().map(LinkKey).collect();
-        let message = LinkMessage::ConfigSteps(vec![step]);
+        let message = LinkMessage::ConfigDeltas(vec![step]);
         let bytes = self.tell_links(direct.iter(), &message);
         self.copies_at = now.after(pace.span(bytes).max(ROUND_TIME));
         tracing::info!(
--- a/crates/ragwortroad_registry/src/config_register.rs
+++ b/crates/ragwortroad_registry/src/config_register.rs
@@ -13,7 +13,7 @@
 pub struct ConfigRegister {
     held: Option<HeldConfig>,
     /// The document in force, packed whole, once it was asked for.
-    whole: Option<ConfigStep>,
+    whole: Option<ConfigDelta>,
 }
 
 /// The configuration in force.
@@ -41,7 +41,7 @@
 
 impl ConfigRegister {
     /// Applies a step.
-    pub fn apply(&mut self, step: &ConfigStep) -> RegisterChange {
+    pub fn apply(&mut self, step: &ConfigDelta) -> RegisterChange {
         if self.covers(step.version) {
             return RegisterChange::Covered;
         }
@@ -80,10 +80,10 @@
     }
 
     /// The step that leads from the configuration in force to `document`.
-    pub fn step_to(&self, version: u64, document: &[u8]) -> io::Result<ConfigStep> {
+    pub fn step_to(&self, version: u64, document: &[u8]) -> io::Result<ConfigDelta> {
         let base = self.document();
         let packed = pack_document(document, base.as_deref().map(Vec::as_slice))?;
-        Ok(ConfigStep {
+        Ok(ConfigDelta {
             version,
             base: self.version(),
             packed,
@@ -94,12 +94,12 @@
     ///
     /// It is packed once for all that ask: after a restart all edges do, and each time takes a
     /// registry some twenty milliseconds.
-    pub fn whole_step(&mut self) -> io::Result<Option<ConfigStep>> {
+    pub fn whole_step(&mut self) -> io::Result<Option<ConfigDelta>> {
         let Some(held) = &self.held else {
             return Ok(None);
         };
         if self.whole.is_none() {
-            self.whole = Some(ConfigStep {
+            self.whole = Some(ConfigDelta {
                 version: held.version,
                 base: None,
                 packed: pack_document(&held.document, None)?,
--- a/crates/ragwortroad_registry/src/step_history.rs
+++ b/crates/ragwortroad_registry/src/delta_history.rs
@@ -10,15 +10,15 @@
 
 /// The last steps of the configuration, each against the one before it.
 #[derive(Debug, Default)]
-pub(crate) struct StepHistory {
+pub(crate) struct DeltaHistory {
     /// Invariant: each step's base is the version of the step before it.
-    steps: VecDeque<ConfigStep>,
+    steps: VecDeque<ConfigDelta>,
     bytes: usize,
 }
 
-impl StepHistory {
+impl DeltaHistory {
     /// Adds the step to the version now in force.
-    pub(crate) fn push(&mut self, step: ConfigStep) {
+    pub(crate) fn push(&mut self, step: ConfigDelta) {
         let last = self.steps.back().map(|last| last.version);
         if step.base.is_none() || (last.is_some() && step.base != last) {
             self.clear();
@@ -43,7 +43,7 @@
     }
 
     /// The steps from `version` to the one in force; nothing if they are not all known.
-    pub(crate) fn since(&self, version: u64) -> Option<Vec<ConfigStep>> {
+    pub(crate) fn since(&self, version: u64) -> Option<Vec<ConfigDelta>> {
         let first = self
             .steps
             .iter()
--- a/crates/ragwortroad_registry/src/group_seat.rs
+++ b/crates/ragwortroad_registry/src/group_seat.rs
@@ -15,12 +15,12 @@
     RegisterChange,
     RegisterCommand,
     RegisterSnapshot,
+    delta_history::DeltaHistory, //
     folder_worker::{
         FolderOrder,
         FolderReport,
         FolderWorker, //
     },
-    step_history::StepHistory, //
 };
 
 /// What a seat wants done beside its disk's work.
@@ -64,7 +64,7 @@
     core: Option<ConsensusCore>,
     register: ConfigRegister,
     drains: DomainDrains,
-    history: StepHistory,
+    history: DeltaHistory,
     start: u64,
     seed: u64,
 }
@@ -99,7 +99,7 @@
             core: None,
             register: ConfigRegister::default(),
             drains: DomainDrains::default(),
-            history: StepHistory::default(),
+            history: DeltaHistory::default(),
             start: start.start,
             seed: start.seed,
         }
@@ -116,12 +116,12 @@
     }
 
     /// The step that leads from nothing to the configuration in force.
-    pub(crate) fn whole_step(&mut self) -> io::Result<Option<ConfigStep>> {
+    pub(crate) fn whole_step(&mut self) -> io::Result<Option<ConfigDelta>> {
         self.register.whole_step()
     }
 
     /// The last steps of the configuration.
-    pub(crate) fn history(&self) -> &StepHistory {
+    pub(crate) fn history(&self) -> &DeltaHistory {
         &self.history
     }
 
@@ -307,7 +307,7 @@
         }
     }
 
-    fn apply_step(&mut self, step: ConfigStep) -> Option<SeatEffect> {
+    fn apply_step(&mut self, step: ConfigDelta) -> Option<SeatEffect> {
         match self.register.apply(&step) {
             RegisterChange::Changed => {
                 self.history.push(step);
@@ -340,7 +340,7 @@
         effects
     }
 
-    fn restore_step(&mut self, step: &ConfigStep) -> Option<SeatEffect> {
+    fn restore_step(&mut self, step: &ConfigDelta) -> Option<SeatEffect> {
         match self.register.apply(step) {
             RegisterChange::Changed => {
                 self.history.clear();
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -12,6 +12,7 @@
 mod config_flow;
 mod config_register;
 mod control_call;
+mod delta_history;
 mod directory_flow;
 mod drain_flow;
 mod edge_flow;
@@ -28,7 +29,6 @@
 mod registry_process;
 mod registry_state;
 mod spread_flow;
-mod step_history;
 mod warmup_flow;
 
 /// Everything a dependent crate usually needs.
--- a/crates/ragwortroad_registry/src/register_command.rs
+++ b/crates/ragwortroad_registry/src/register_command.rs
@@ -10,7 +10,7 @@
 #[derive(Serialize, Deserialize)]
 pub enum RegisterCommand {
     /// Takes a configuration, unless its version is not above the one held.
-    Put(ConfigStep),
+    Put(ConfigDelta),
     /// Drains a failure domain, or takes that back.
     Drain(DrainOrder),
 }
--- a/crates/ragwortroad_registry/src/register_snapshot.rs
+++ b/crates/ragwortroad_registry/src/register_snapshot.rs
@@ -10,7 +10,7 @@
 #[derive(Serialize, Deserialize)]
 pub struct RegisterSnapshot {
     /// The configuration in force, packed whole.
-    pub config: Option<ConfigStep>,
+    pub config: Option<ConfigDelta>,
     /// Failure domains that are drained.
     pub drains: DomainDrains,
 }
