Name messages between registries and edges by what the field calls them

Cause: "tell", "news" and "part" are words of this project's own; the field says send, update and partial sums. TellingPace is SendPace, NewsQueue UpdateQueue, tell_* send_*; log lines say "endpoint update" in place of "endpoint news". Whole words only; no change of behaviour.

--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -68,7 +68,7 @@
     returning_until: ClockTime,
 }
 
-/// What came of a piece of news.
+/// What an update has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointChange {
     /// Nothing that matters to requests.
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -22,7 +22,6 @@
 mod home_choice;
 mod latency_limit;
 mod load_totals;
-mod news_queue;
 mod place_board;
 mod place_choice;
 mod placed_text;
@@ -30,12 +29,13 @@
 mod registry_table;
 mod retry_budget;
 mod route_map;
+mod send_pace;
 mod site_config;
 mod start_wait;
 mod stray_places;
-mod telling_pace;
 mod text_source;
 mod text_table;
+mod update_queue;
 mod usual_patience;
 mod voter_plan;
 mod warmup_pace;
@@ -106,12 +106,11 @@
             LoadTotals,
             load_pace, //
         },
-        news_queue::NewsQueue,
         place_board::{
+            PlaceBatch, //
             PlaceBoard,
             PlaceOrigin,
             PlaceReader,
-            PlaceTelling, //
         },
         place_choice::{
             PlaceCandidate,
@@ -137,6 +136,10 @@
             RouteKey,
             RouteMap, //
         },
+        send_pace::{
+            SPREAD_EVERY,
+            SendPace, //
+        },
         site_config::{
             CallerLimits,
             CustomerRule,
@@ -152,15 +155,12 @@
             start_wait, //
         },
         stray_places::StrayPlaces,
-        telling_pace::{
-            SPREAD_EVERY,
-            TellingPace, //
-        },
         text_source::{
             TextSource,
             choose_source, //
         },
         text_table::TextTable,
+        update_queue::UpdateQueue,
         usual_patience::UsualPatience,
         voter_plan::{
             MemberSighting,
--- a/crates/ragwortroad_dispatch/src/load_totals.rs
+++ b/crates/ragwortroad_dispatch/src/load_totals.rs
@@ -42,7 +42,7 @@
 
 /// Endpoints told of at once, the fullest first: only those near the bound matter, and at thousands
 /// of endpoints and hundreds of edges the rest would fill a registry's link.
-const MAX_NEWS: usize = 300;
+const MAX_CHANGES: usize = 300;
 
 /// Edges whose loads one registry takes and tells at the full pace.
 ///
@@ -152,7 +152,7 @@
     }
 
     /// Sums over this registry's edges that the other registries have to be told since the last time.
-    pub fn own_news(&mut self) -> Vec<LoadCount> {
+    pub fn own_changes(&mut self) -> Vec<LoadCount> {
         self.report.changes(&self.own)
     }
 
@@ -162,38 +162,38 @@
     }
 
     /// Totals that this registry's edges have to be told since the last time.
-    pub fn news(&mut self) -> Vec<LoadCount> {
+    pub fn changes(&mut self) -> Vec<LoadCount> {
         let sum: u32 = self.totals.values().sum();
         let mean = f64::from(sum) / self.totals.len().max(1) as f64;
         let is_told = |total: u32| f64::from(total) >= mean * TOLD_PART;
-        let mut news = Vec::new();
+        let mut changes = Vec::new();
         for (&endpoint, &count) in &self.totals {
             let before = self.told.get(&endpoint).copied();
-            let is_news = match before {
+            let is_changed = match before {
                 Some(before) => before != count,
                 None => is_told(count),
             };
-            if is_news {
-                news.push(LoadCount { endpoint, count });
+            if is_changed {
+                changes.push(LoadCount { endpoint, count });
             }
         }
         for &endpoint in self.told.keys() {
             if !self.totals.contains_key(&endpoint) {
                 let count = 0;
-                news.push(LoadCount { endpoint, count });
+                changes.push(LoadCount { endpoint, count });
             }
         }
-        if news.len() > MAX_NEWS {
-            news.sort_by_key(|change| std::cmp::Reverse(change.count));
-            news.truncate(MAX_NEWS);
+        if changes.len() > MAX_CHANGES {
+            changes.sort_by_key(|change| std::cmp::Reverse(change.count));
+            changes.truncate(MAX_CHANGES);
         }
-        for change in &news {
+        for change in &changes {
             match change.count {
                 0 => self.told.remove(&change.endpoint),
                 count => self.told.insert(change.endpoint, count),
             };
         }
-        news
+        changes
     }
 
     /// All that this registry's edges were told, for one that has just come.
--- a/crates/ragwortroad_dispatch/src/place_board.rs
+++ b/crates/ragwortroad_dispatch/src/place_board.rs
@@ -53,7 +53,7 @@
 
 /// Places that several readers are to be told.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct PlaceTelling {
+pub struct PlaceBatch {
     /// Who.
     pub readers: Vec<PlaceReader>,
     /// What.
@@ -186,7 +186,7 @@
     }
 
     /// What is to be told now, up to `most` places to each reader, and notes that it was.
-    pub fn tell(&mut self, most: usize) -> Vec<PlaceTelling> {
+    pub fn tell(&mut self, most: usize) -> Vec<PlaceBatch> {
         let end = self.first + self.log.len() as u64;
         let mut groups: BTreeMap<(u64, bool), Vec<PlaceReader>> = BTreeMap::new();
         for (&reader, next) in &mut self.readers {
@@ -202,7 +202,7 @@
             let is_due = |entry: &&BoardEntry| !is_registry || entry.origin == PlaceOrigin::Edge;
             let due = entries.take(most).filter(is_due);
             let places = due.map(|entry| entry.place).collect();
-            PlaceTelling { readers, places }
+            PlaceBatch { readers, places }
         });
         tellings
             .filter(|telling| !telling.places.is_empty())
--- a/crates/ragwortroad_dispatch/src/telling_pace.rs
+++ b/crates/ragwortroad_dispatch/src/send_pace.rs
@@ -1,22 +1,22 @@
 use std::time::Duration;
 
-/// How much a registry may tell of one kind at once, and when it may tell the next.
+/// How much of one kind of message a registry may send at once, and when it may send the next.
 ///
-/// What every edge is told is small for one of them and large for all. Written at once, it queues in
+/// A message is small for one edge and large for all of them. Written at once, it queues in
 /// front of the link for seconds; heartbeats of the agreement, answers to callers who ask for
 /// addresses and acknowledgements to endpoints wait behind it, and the others give the registry up
 /// although it is well.
 #[derive(Clone, Copy, Debug)]
-pub struct TellingPace {
+pub struct SendPace {
     /// Bytes a second that the link carries.
     pub link_rate: f64,
     /// Part of the link that this kind may take in the long run.
     pub part: f64,
-    /// Time for which one telling may fill the link.
+    /// Time for which one message to all may fill the link.
     pub longest_burst: Duration,
 }
 
-/// Time between two tellings of what edges have under way, and of where texts are read.
+/// Time between two messages with loads, and with places of texts.
 ///
 /// An edge that does not know of a place yet finds the same one by its hash unless engines have come
 /// or gone.
@@ -32,7 +32,7 @@
 /// There are many only after a common restart, when edges that do not know them have texts read anew.
 const PLACES_PART: f64 = 0.5;
 
-/// Time for which one telling of these, or whole configurations, may fill a registry's link.
+/// Time for which one message with these, or whole configurations, may fill a registry's link.
 ///
 /// Heartbeats and answers wait as long; of the leader's, a few may be late before an election.
 const SPREAD_BURST: Duration = Duration::from_millis(100);
@@ -42,17 +42,17 @@
 /// Edges ask for one after a start and serve nobody before they have it.
 const CONFIGS_PART: f64 = 0.8;
 
-/// Part of a registry's link that news of endpoints may take where it can wait.
+/// Part of a registry's link that updates of endpoints may take where they can wait.
 ///
 /// There is much of it only after a common restart, when loads and places of texts are few.
-const NEWS_PART: f64 = 0.6;
+const UPDATES_PART: f64 = 0.6;
 
-/// Time for which a telling of that news may fill a registry's link.
+/// Time for which such updates may fill a registry's link.
 ///
 /// A third of the time without a heartbeat after which members elect another leader.
-const NEWS_BURST: Duration = Duration::from_millis(250);
+const UPDATES_BURST: Duration = Duration::from_millis(250);
 
-impl TellingPace {
+impl SendPace {
     /// The pace of loads.
     pub fn of_loads(link_rate: f64) -> Self {
         Self {
@@ -78,23 +78,23 @@
         }
     }
 
-    /// The pace of endpoints' news that can wait.
-    pub fn of_news(link_rate: f64) -> Self {
+    /// The pace of endpoints' updates that can wait.
+    pub fn of_updates(link_rate: f64) -> Self {
         Self {
             link_rate,
-            part: NEWS_PART,
-            longest_burst: NEWS_BURST,
+            part: UPDATES_PART,
+            longest_burst: UPDATES_BURST,
         }
     }
 
-    /// Items that each of `receivers` may be told at once, at `item_bytes` each; one at least.
+    /// Items that each of `receivers` may be sent at once, at `item_bytes` each; one at least.
     pub fn items_at_once(&self, receivers: usize, item_bytes: f64) -> usize {
         let bytes = self.link_rate * self.longest_burst.as_secs_f64();
         let items = bytes / item_bytes / receivers.max(1) as f64;
         (items as usize).max(1)
     }
 
-    /// Time until the next telling after one of `bytes`, all receivers together.
+    /// Time until the next message after one of `bytes`, all receivers together.
     pub fn span(&self, bytes: usize) -> Duration {
         Duration::from_secs_f64(bytes as f64 / (self.link_rate * self.part))
     }
--- a/crates/ragwortroad_dispatch/src/news_queue.rs
+++ b/crates/ragwortroad_dispatch/src/update_queue.rs
@@ -10,17 +10,17 @@
 /// After a common restart thousands of endpoints announce themselves to a registry within seconds,
 /// and each edge has to be told of all of them. Sent at once, that fills the registry's link for
 /// half a minute: heartbeats of the agreement and answers to endpoints wait behind it, endpoints
-/// turn to other registries and are announced again, and nothing is served. So news that can wait is
-/// told at the pace of the link, and only the last word about each endpoint. That an endpoint leaves
+/// turn to other registries and are announced again, and nothing is served. So updates that can wait are
+/// sent at the pace of the link, and only the last word about each endpoint. That an endpoint leaves
 /// cannot wait, since requests would go on to it.
 #[derive(Debug, Default)]
-pub struct NewsQueue {
+pub struct UpdateQueue {
     urgent: Vec<RegistryChange>,
     /// Invariant: nothing here is older than what `urgent` says of the same endpoint.
     calm: BTreeMap<String, RegistryChange>,
 }
 
-impl NewsQueue {
+impl UpdateQueue {
     /// Adds a change, which replaces what it overtakes.
     pub fn push(&mut self, change: RegistryChange) {
         let name = change.name().to_owned();
--- a/crates/ragwortroad_dispatch/tests/copies.rs
+++ b/crates/ragwortroad_dispatch/tests/copies.rs
@@ -40,7 +40,7 @@
     for edge in 0..plan.edges {
         queues[edge % plan.registries].want(edge as u64);
     }
-    let pace = TellingPace::of_configs(plan.registry_rate * 1e3);
+    let pace = SendPace::of_configs(plan.registry_rate * 1e3);
     let mut link_free = vec![0.0_f64; plan.registries];
     let mut edge_free = vec![0.0_f64; plan.edges];
     let mut has_at = vec![f64::INFINITY; plan.edges];
--- a/crates/ragwortroad_dispatch/tests/homes.rs
+++ b/crates/ragwortroad_dispatch/tests/homes.rs
@@ -91,13 +91,13 @@
     let mut there = LoadTotals::default();
     here.take(LoadSource::Edge(registry(1)), &[count(4)]);
     there.take(LoadSource::Edge(registry(1)), &[count(3)]);
-    let (from_here, from_there) = (here.own_news(), there.own_news());
+    let (from_here, from_there) = (here.own_changes(), there.own_changes());
     there.take(LoadSource::Registry(registry(7)), &from_here);
     here.take(LoadSource::Registry(registry(7)), &from_there);
-    assert_eq!(here.news(), [count(7)]);
-    assert_eq!(there.news(), [count(7)]);
+    assert_eq!(here.changes(), [count(7)]);
+    assert_eq!(there.changes(), [count(7)]);
     assert!(
-        here.own_news().is_empty(),
+        here.own_changes().is_empty(),
         "what came from there is not told back"
     );
     assert_eq!(
@@ -106,10 +106,10 @@
         "for a registry that comes later"
     );
     here.drop_source(LoadSource::Registry(registry(7)));
-    assert_eq!(here.news(), [count(4)]);
+    assert_eq!(here.changes(), [count(4)]);
     here.drop_source(LoadSource::Edge(registry(1)));
-    assert_eq!(here.news(), [count(0)]);
-    assert_eq!(here.own_news(), [count(0)]);
+    assert_eq!(here.changes(), [count(0)]);
+    assert_eq!(here.own_changes(), [count(0)]);
 }
 
 /// An edge stops. Callers who keep an answer three times as long as they were told must have asked
@@ -147,12 +147,12 @@
     let mut totals = LoadTotals::default();
     totals.take(LoadSource::Edge(registry(1)), &[count(2)]);
     totals.take(source, &[count(9)]);
-    assert_eq!(totals.news(), [count(11)]);
+    assert_eq!(totals.changes(), [count(11)]);
     totals.drop_source(source);
     totals.take(source, &[count(8)]);
-    assert_eq!(totals.news(), [count(10)]);
+    assert_eq!(totals.changes(), [count(10)]);
     assert_eq!(
-        totals.own_news(),
+        totals.own_changes(),
         [count(2)],
         "and is not told on as this one's own"
     );
--- a/crates/ragwortroad_dispatch/tests/places.rs
+++ b/crates/ragwortroad_dispatch/tests/places.rs
@@ -239,13 +239,13 @@
         &[count("busy", 4), count("idle", 1)],
     );
     totals.take(LoadSource::Edge(edge_at(2)), &[count("busy", 3)]);
-    assert_eq!(totals.news(), [count("busy", 7)]);
-    assert!(totals.news().is_empty(), "nothing has changed");
+    assert_eq!(totals.changes(), [count("busy", 7)]);
+    assert!(totals.changes().is_empty(), "nothing has changed");
     totals.take(LoadSource::Edge(edge_at(1)), &[count("busy", 0)]);
-    assert_eq!(totals.news(), [count("busy", 3)]);
+    assert_eq!(totals.changes(), [count("busy", 3)]);
     assert_eq!(totals.told(), [count("busy", 3)]);
     totals.drop_source(LoadSource::Edge(edge_at(2)));
-    let news = totals.news();
+    let news = totals.changes();
     assert!(news.contains(&count("busy", 0)), "{news:?}");
 }
 
@@ -260,13 +260,13 @@
     let mut totals = LoadTotals::default();
     let mut report = CountReport::default();
     totals.take(LoadSource::Edge(edge_at(1)), &report.changes(&current));
-    assert_eq!(totals.news().len(), 1);
+    assert_eq!(totals.changes().len(), 1);
     assert!(report.changes(&current).is_empty(), "it knows that");
     assert_eq!(report.count(busy), 5);
     totals.take(LoadSource::Edge(edge_at(1)), &report.changes(&nothing));
     let count = 0;
     let endpoint = busy;
-    assert_eq!(totals.news(), [LoadCount { endpoint, count }]);
+    assert_eq!(totals.changes(), [LoadCount { endpoint, count }]);
     assert_eq!(report.count(busy), 0);
 }
 
--- a/crates/ragwortroad_dispatch/tests/spread.rs
+++ b/crates/ragwortroad_dispatch/tests/spread.rs
@@ -109,7 +109,7 @@
         let own = homes.iter().enumerate().filter(|(_, home)| **home == index);
         own.for_each(|(edge, _)| board.add_reader(PlaceReader::Edge(edge as u64)));
     }
-    let pace = TellingPace::of_places(plan.link_rate);
+    let pace = SendPace::of_places(plan.link_rate);
     let mut links: Vec<OutwardLink> = Vec::new();
     links.resize_with(plan.registries, OutwardLink::default);
     let mut tell_at = vec![at(0); plan.registries];
@@ -164,7 +164,7 @@
 /// Plays the fleet with one registry that tells all edges all that it has heard, each half second.
 fn play_one_keeper(plan: &FleetPlan) -> FleetOutcome {
     let mut random = Pcg64Mcg::seed_from_u64(7);
-    let pace = TellingPace::of_places(plan.link_rate);
+    let pace = SendPace::of_places(plan.link_rate);
     let mut link = OutwardLink::default();
     let mut untold = Vec::new();
     let mut tell_at = at(0);
@@ -254,7 +254,7 @@
 #[test]
 fn places_found_after_a_restart_are_told_within_two_seconds() {
     let link_rate = 6e6 / 8.0;
-    let pace = TellingPace::of_places(link_rate);
+    let pace = SendPace::of_places(link_rate);
     let mut board = PlaceBoard::new(at(0));
     let place = |text| PlacedText {
         text,
--- a/crates/ragwortroad_dispatch/tests/news.rs
+++ b/crates/ragwortroad_dispatch/tests/updates.rs
@@ -17,7 +17,7 @@
 /// leaving waited behind the others, requests would go on to it for seconds.
 #[test]
 fn a_leaving_endpoint_overtakes_announcements() {
-    let mut queue = NewsQueue::default();
+    let mut queue = UpdateQueue::default();
     for index in 0..3000 {
         queue.push(told(&format!("i-{index}"), EndpointStage::Ready, 1));
     }
@@ -35,7 +35,7 @@
 /// order, they would take it for one that has just come.
 #[test]
 fn a_goodbye_takes_the_announcement_along() {
-    let mut queue = NewsQueue::default();
+    let mut queue = UpdateQueue::default();
     queue.push(told("i-1", EndpointStage::Ready, 1));
     queue.push(RegistryChange::Goodbye("i-1".to_owned()));
     assert_eq!(queue.take_urgent().len(), 1);
@@ -49,7 +49,7 @@
 /// counts; the others would take the link's time.
 #[test]
 fn only_the_last_word_waits() {
-    let mut queue = NewsQueue::default();
+    let mut queue = UpdateQueue::default();
     queue.push(told("i-1", EndpointStage::Ready, 1));
     queue.push(RegistryChange::Lost("i-1".to_owned()));
     queue.push(told("i-1", EndpointStage::Ready, 9));
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -220,7 +220,7 @@
                 state.warmups.take(share, now);
             }
         }
-        LinkMessage::WantPlaces => shared.state.borrow().tell_all_places(source),
+        LinkMessage::WantPlaces => shared.state.borrow().send_all_places(source),
         LinkMessage::EndpointsWhole(records) => {
             let mut state = shared.state.borrow_mut();
             for record in records {
@@ -230,9 +230,9 @@
                 link.has_told = true;
             }
         }
-        LinkMessage::EndpointNews(news) => {
+        LinkMessage::EndpointUpdates(updates) => {
             let mut state = shared.state.borrow_mut();
-            for change in news {
+            for change in updates {
                 take_change(&mut state, source, change, now);
             }
         }
@@ -260,7 +260,7 @@
     let stage = record.stage;
     let change = state.endpoints.told(source, record, now);
     if change != EndpointChange::Same {
-        tracing::info!(endpoint = name, ?stage, ?change, "endpoint news");
+        tracing::info!(endpoint = name, ?stage, ?change, "endpoint update");
     }
     state.follow_change(change, now);
 }
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -159,7 +159,7 @@
         state.warmups.expire(now);
         state.settle_home(&shared.settings.name, shared.running());
         match shared.settings.mechanisms.told_places {
-            true => state.tell_places(),
+            true => state.send_places(),
             false => state.placed.clear(),
         }
         state.set_limits(now);
@@ -170,7 +170,7 @@
         let pace = load_pace(state.edges.div_ceil(registries));
         let is_due = round.is_multiple_of(LOAD_ROUNDS * pace);
         if is_due && shared.settings.mechanisms.told_loads {
-            state.tell_loads();
+            state.send_loads();
         }
         drop(state);
         shared.pool.expire(now);
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -169,7 +169,7 @@
         self.strays.knows(text) && self.texts.holders(text, now).next().is_none()
     }
 
-    /// Takes what came of a piece of news about an endpoint.
+    /// Follows a change of an endpoint.
     pub(crate) fn follow_change(&mut self, change: EndpointChange, now: ClockTime) {
         match change {
             EndpointChange::Started(key) => {
@@ -233,7 +233,7 @@
     }
 
     /// Tells this edge's home what it has under way where that has changed.
-    pub(crate) fn tell_loads(&mut self) {
+    pub(crate) fn send_loads(&mut self) {
         let Self {
             links,
             loads,
@@ -271,7 +271,7 @@
     }
 
     /// Tells the other edges, by way of this edge's home, where texts were placed here.
-    pub(crate) fn tell_places(&mut self) {
+    pub(crate) fn send_places(&mut self) {
         if self.placed.is_empty() {
             return;
         }
@@ -283,7 +283,7 @@
     }
 
     /// Tells a registry that asks for it where texts are, as far as this edge knows.
-    pub(crate) fn tell_all_places(&self, source: SourceKey) {
+    pub(crate) fn send_all_places(&self, source: SourceKey) {
         let link = self.links.get(&source);
         let Some(queue) = link.and_then(|link| link.queue.as_ref()) else {
             return;
--- a/crates/ragwortroad_link/src/encoded_message.rs
+++ b/crates/ragwortroad_link/src/encoded_message.rs
@@ -57,10 +57,10 @@
     !matches!(
         message,
         LinkMessage::TextsPlaced(_)
-            | LinkMessage::PartPlaced(_)
+            | LinkMessage::PartialPlaces(_)
             | LinkMessage::PlacesKnown(_)
             | LinkMessage::Loads(_)
-            | LinkMessage::PartLoads(_)
+            | LinkMessage::PartialLoads(_)
     )
 }
 
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -42,11 +42,11 @@
     /// Requests that an edge has under way where that has changed, or that all have together.
     Loads(Vec<LoadCount>),
     /// Requests that the edges of one registry have under way together, where that has changed.
-    PartLoads(Vec<LoadCount>),
+    PartialLoads(Vec<LoadCount>),
     /// Texts that were sent to engines which had not read them.
     TextsPlaced(Vec<PlacedText>),
     /// The same of another registry's edges, which it tells all registries itself.
-    PartPlaced(Vec<PlacedText>),
+    PartialPlaces(Vec<PlacedText>),
     /// A registry tells an edge what it knows of the fleet.
     Fleet {
         /// Where registries listen for links.
@@ -71,7 +71,7 @@
     /// What a registry heard from endpoints itself; with it an edge knows all of it.
     EndpointsWhole(Vec<EndpointRecord>),
     /// What a registry heard from endpoints since, in its order.
-    EndpointNews(Vec<RegistryChange>),
+    EndpointUpdates(Vec<RegistryChange>),
     /// A registry presents itself to another; its first message, and again from time to time.
     MemberHello(MemberHello),
     /// A frame of the agreement.
@@ -122,9 +122,9 @@
             Self::Subscribe => "subscribe",
             Self::Unsubscribe => "unsubscribe",
             Self::Loads(_) => "loads",
-            Self::PartLoads(_) => "part_loads",
+            Self::PartialLoads(_) => "partial_loads",
             Self::TextsPlaced(_) => "texts_placed",
-            Self::PartPlaced(_) => "part_placed",
+            Self::PartialPlaces(_) => "partial_places",
             Self::Fleet { .. } => "fleet",
             Self::ConfigVersion(_) => "config_version",
             Self::ConfigDeltas(_) => "config_deltas",
@@ -132,7 +132,7 @@
             Self::DomainDrains(_) => "domain_drains",
             Self::WarmupShares(_) => "warmup_shares",
             Self::EndpointsWhole(_) => "endpoints_whole",
-            Self::EndpointNews(_) => "endpoint_news",
+            Self::EndpointUpdates(_) => "endpoint_updates",
             Self::MemberHello(_) => "member_hello",
             Self::Consensus(_) => "consensus",
             Self::ForwardPut { .. } => "forward_put",
--- a/crates/ragwortroad_link/tests/documents.rs
+++ b/crates/ragwortroad_link/tests/documents.rs
@@ -30,7 +30,7 @@
         let name = format!("i-{:x}", index.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 24);
         RegistryChange::Lost(name)
     });
-    let message = LinkMessage::EndpointNews(news.collect());
+    let message = LinkMessage::EndpointUpdates(news.collect());
     let plain = postcard::to_stdvec(&message).expect("encodes").len();
     let frame = EncodedMessage::try_from(&message).expect("encodes").bytes;
     assert!(frame.len() * 10 < plain * 8, "{} of {plain}", frame.len());
--- a/crates/ragwortroad_link/tests/links.rs
+++ b/crates/ragwortroad_link/tests/links.rs
@@ -88,7 +88,7 @@
 fn a_record_takes_as_many_bytes_as_reckoned() {
     for count in [22, 100, 333] {
         let news = records(count).into_iter().map(RegistryChange::Told);
-        let message = LinkMessage::EndpointNews(news.collect());
+        let message = LinkMessage::EndpointUpdates(news.collect());
         let encoded = EncodedMessage::try_from(&message).expect("encodes");
         let bytes = encoded.bytes.len();
         let each = bytes as f64 / count as f64;
--- a/crates/ragwortroad_registry/src/config_flow.rs
+++ b/crates/ragwortroad_registry/src/config_flow.rs
@@ -56,7 +56,7 @@
                 return;
             }
         };
-        let pace = TellingPace::of_configs(self.link_rate());
+        let pace = SendPace::of_configs(self.link_rate());
         let most = pace.items_at_once(1, step.packed.len().max(1) as f64);
         let helpers = self.config_helpers();
         let plan = self.copies.plan(most, &helpers);
@@ -67,7 +67,7 @@
         }
         let direct: Vec<LinkKey> = plan.direct.iter().copied().map(LinkKey).collect();
         let message = LinkMessage::ConfigDeltas(vec![step]);
-        let bytes = self.tell_links(direct.iter(), &message);
+        let bytes = self.send_to_links(direct.iter(), &message);
         self.copies_at = now.after(pace.span(bytes).max(ROUND_TIME));
         tracing::info!(
             edges = direct.len(),
--- a/crates/ragwortroad_registry/src/drain_flow.rs
+++ b/crates/ragwortroad_registry/src/drain_flow.rs
@@ -117,7 +117,7 @@
         } = order;
         tracing::info!(domain, is_drained, ?outcome, "a drain order was applied");
         if outcome == DrainOutcome::Changed {
-            self.tell_drains();
+            self.send_drains();
             if !is_drained {
                 self.return_domain(domain, now);
             }
@@ -141,15 +141,15 @@
     }
 
     /// Tells edges which domains are drained.
-    pub(crate) fn tell_drains(&self) {
+    pub(crate) fn send_drains(&self) {
         let drains = self.seat.drains().clone();
-        self.tell_edges(&LinkMessage::DomainDrains(drains));
+        self.send_to_edges(&LinkMessage::DomainDrains(drains));
     }
 
     /// The endpoints of a domain get work again, and may have gone cold without it.
     fn return_domain(&mut self, domain: &str, now: ClockTime) {
         for change in self.table.return_domain(domain, now) {
-            self.tell_change(change);
+            self.queue_update(change);
         }
     }
 
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -16,11 +16,11 @@
     registry_state::RegistryState, //
 };
 
-/// Time between two tellings of endpoints' news to the edges.
+/// Time between two messages to the edges with updates of endpoints.
 ///
 /// After a common restart all endpoints announce themselves within a second; told one by one they
 /// would take a small VM's processor while the group has to elect a leader.
-const NEWS_EVERY: Duration = Duration::from_millis(40);
+const UPDATES_EVERY: Duration = Duration::from_millis(40);
 
 /// Time for a group to form or to find its leader after a start.
 ///
@@ -102,11 +102,11 @@
     pub(crate) fn announce_version(&self) {
         if let Some(version) = self.seat.register().version() {
             tracing::info!(version, edges = self.edges.len(), "configuration in force");
-            self.tell_edges(&LinkMessage::ConfigVersion(version));
+            self.send_to_edges(&LinkMessage::ConfigVersion(version));
         }
     }
 
-    pub(crate) fn tell_fleet(&mut self, now: ClockTime) {
+    pub(crate) fn send_fleet(&mut self, now: ClockTime) {
         metrics::gauge!(metric_names::EDGES).set(self.edges.len() as f64);
         metrics::gauge!(metric_names::SUBSCRIBERS).set(self.subscribers.len() as f64);
         let version = self.seat.register().version().unwrap_or(0);
@@ -119,7 +119,7 @@
             return;
         }
         self.fleet_at = now.after(FLEET_EVERY);
-        self.tell_edges(&message);
+        self.send_to_edges(&message);
         self.told_fleet = Some(message);
     }
 
@@ -158,11 +158,11 @@
     }
 
     /// Tells all edges the same; returns how many bytes that takes.
-    pub(crate) fn tell_edges(&self, message: &LinkMessage) -> usize {
-        self.tell_links(self.edges.keys(), message)
+    pub(crate) fn send_to_edges(&self, message: &LinkMessage) -> usize {
+        self.send_to_links(self.edges.keys(), message)
     }
 
-    pub(crate) fn tell_change(&mut self, change: RegistryChange) {
+    pub(crate) fn queue_update(&mut self, change: RegistryChange) {
         match &change {
             RegistryChange::Told(record) | RegistryChange::Cooled(record) => {
                 tracing::info!(
@@ -172,7 +172,7 @@
                     address = %record.address,
                     sequence = record.sequence,
                     warming_ms = record.warming_ms,
-                    "endpoint news"
+                    "endpoint update"
                 );
                 self.share_warmup(record);
             }
@@ -182,25 +182,25 @@
             }
             RegistryChange::Goodbye(name) => tracing::info!(endpoint = name, "endpoint left"),
         }
-        self.news.push(change);
+        self.updates.push(change);
     }
 
-    /// Tells the edges what was heard from endpoints since the last time.
-    pub(crate) fn tell_news(&mut self, now: ClockTime) {
-        if self.news.has_urgent() && now >= self.news_at {
-            self.news_at = now.after(NEWS_EVERY);
-            self.tell_urgent();
+    /// Sends the edges what was heard from endpoints since the last time.
+    pub(crate) fn send_updates(&mut self, now: ClockTime) {
+        if self.updates.has_urgent() && now >= self.updates_at {
+            self.updates_at = now.after(UPDATES_EVERY);
+            self.send_urgent();
         }
-        if !self.news.has_calm() || now < self.calm_news_at || self.is_forming(now) {
+        if !self.updates.has_calm() || now < self.calm_updates_at || self.is_forming(now) {
             return;
         }
-        self.tell_urgent();
-        let pace = TellingPace::of_news(self.link_rate());
+        self.send_urgent();
+        let pace = SendPace::of_updates(self.link_rate());
         let count = pace.items_at_once(self.edges.len(), RECORD_BYTES);
-        let news = self.news.take_calm(count);
-        let bytes = self.tell_edges(&LinkMessage::EndpointNews(news));
+        let updates = self.updates.take_calm(count);
+        let bytes = self.send_to_edges(&LinkMessage::EndpointUpdates(updates));
         let span = pace.span(bytes);
-        self.calm_news_at = now.after(NEWS_EVERY.max(span));
+        self.calm_updates_at = now.after(UPDATES_EVERY.max(span));
     }
 
     /// Whether this registry has just started and has not heard of a leader yet.
@@ -214,10 +214,10 @@
         !has_leader && now.since(self.started_at) < FORMING_TIME
     }
 
-    fn tell_urgent(&mut self) {
-        let news = self.news.take_urgent();
-        if !news.is_empty() {
-            self.tell_edges(&LinkMessage::EndpointNews(news));
+    fn send_urgent(&mut self) {
+        let updates = self.updates.take_urgent();
+        if !updates.is_empty() {
+            self.send_to_edges(&LinkMessage::EndpointUpdates(updates));
         }
     }
 
@@ -228,7 +228,7 @@
 
     pub(crate) fn expire_endpoints(&mut self, now: ClockTime) {
         for change in self.table.expire(now) {
-            self.tell_change(change);
+            self.queue_update(change);
         }
     }
 
@@ -247,7 +247,7 @@
             };
         }
         if let Some(change) = self.table.announce(record, now) {
-            self.tell_change(change);
+            self.queue_update(change);
         }
         ControlReply::Done
     }
@@ -259,7 +259,7 @@
             };
         }
         let change = self.table.leave(name, now);
-        self.tell_change(change);
+        self.queue_update(change);
         ControlReply::Done
     }
 }
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -145,9 +145,9 @@
             LinkMessage::Subscribe => self.subscribe(link),
             LinkMessage::Unsubscribe => self.unsubscribe(link),
             LinkMessage::Loads(counts) => self.take_loads(link, &counts),
-            LinkMessage::PartLoads(counts) => self.take_part(link, &counts),
+            LinkMessage::PartialLoads(counts) => self.take_part(link, &counts),
             LinkMessage::TextsPlaced(placed) => self.take_places(link, &placed, now),
-            LinkMessage::PartPlaced(placed) => {
+            LinkMessage::PartialPlaces(placed) => {
                 self.places.take(&placed, PlaceOrigin::Registry, now);
             }
             LinkMessage::PlacesKnown(places) => self.places.take_whole(places, now),
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -66,11 +66,11 @@
     pub(crate) plan_at: ClockTime,
     pub(crate) round_at: ClockTime,
     /// What was heard from endpoints and the edges are still to be told.
-    pub(crate) news: NewsQueue,
-    /// When news that cannot wait is told next.
-    pub(crate) news_at: ClockTime,
-    /// When other news is told next.
-    pub(crate) calm_news_at: ClockTime,
+    pub(crate) updates: UpdateQueue,
+    /// When updates that cannot wait are sent next.
+    pub(crate) updates_at: ClockTime,
+    /// When other updates are sent next.
+    pub(crate) calm_updates_at: ClockTime,
     /// Edges that need a whole configuration.
     pub(crate) copies: CopyQueue,
     /// When the next of them get one.
@@ -122,9 +122,9 @@
             hello_at: now,
             plan_at: now,
             round_at: now,
-            news: NewsQueue::default(),
-            news_at: now,
-            calm_news_at: now,
+            updates: UpdateQueue::default(),
+            updates_at: now,
+            calm_updates_at: now,
             copies: CopyQueue::default(),
             copies_at: now,
             peer_links: BTreeMap::new(),
@@ -188,23 +188,23 @@
             self.round_at = now.after(ROUND_TIME);
             self.retry_calls(now);
             self.expire_endpoints(now);
-            self.tell_fleet(now);
+            self.send_fleet(now);
             self.keep_places(now);
         }
         self.say_hello(now);
         self.plan_voters(now);
         self.give_copies(now);
-        self.tell_news(now);
-        self.tell_loads(now);
-        self.tell_places(now);
-        let news_wake = match (self.news.has_urgent(), self.news.has_calm()) {
-            (true, _) => self.news_at,
-            (false, true) => self.calm_news_at,
+        self.send_updates(now);
+        self.send_loads(now);
+        self.send_places(now);
+        let updates_wake = match (self.updates.has_urgent(), self.updates.has_calm()) {
+            (true, _) => self.updates_at,
+            (false, true) => self.calm_updates_at,
             (false, false) => self.totals_at,
         };
         let core_wake = self.seat.core().map(ConsensusCore::wake_at);
         let wake = core_wake.unwrap_or(self.round_at).min(self.hello_at);
-        let wake = wake.min(news_wake);
+        let wake = wake.min(updates_wake);
         let wake = match self.copies.is_empty() {
             true => wake,
             false => wake.min(self.copies_at),
@@ -234,7 +234,7 @@
                 SeatEffect::DrainApplied { order, outcome } => {
                     self.follow_drain(&order, outcome, now);
                 }
-                SeatEffect::DrainsRestored => self.tell_drains(),
+                SeatEffect::DrainsRestored => self.send_drains(),
             }
         }
         if has_changed {
--- a/crates/ragwortroad_registry/src/spread_flow.rs
+++ b/crates/ragwortroad_registry/src/spread_flow.rs
@@ -82,46 +82,46 @@
     pub(crate) fn add_peer(&mut self, peer: SocketAddr, queue: &LinkQueue) {
         let loads = self.totals.own_told();
         if !loads.is_empty() {
-            queue.send(&LinkMessage::PartLoads(loads));
+            queue.send(&LinkMessage::PartialLoads(loads));
         }
         self.places.add_reader(PlaceReader::Registry(peer));
     }
 
     /// Tells the other registries what this one's edges have under way, and its edges what all have.
-    pub(crate) fn tell_loads(&mut self, now: ClockTime) {
+    pub(crate) fn send_loads(&mut self, now: ClockTime) {
         if now < self.totals_at {
             return;
         }
-        let parts = self.totals.own_news();
-        let news = self.totals.news();
+        let parts = self.totals.own_changes();
+        let changes = self.totals.changes();
         let mut bytes = 0;
         if !parts.is_empty() {
-            bytes += self.tell_peers(&LinkMessage::PartLoads(parts));
+            bytes += self.send_to_peers(&LinkMessage::PartialLoads(parts));
         }
-        if !news.is_empty() {
-            let message = LinkMessage::Loads(news);
-            bytes += self.tell_links(self.subscribers.iter(), &message);
+        if !changes.is_empty() {
+            let message = LinkMessage::Loads(changes);
+            bytes += self.send_to_links(self.subscribers.iter(), &message);
         }
         let every = SPREAD_EVERY * load_pace(self.subscribers.len() as u32);
-        let pace = TellingPace::of_loads(self.link_rate());
+        let pace = SendPace::of_loads(self.link_rate());
         self.totals_at = now.after(every.max(pace.span(bytes)));
     }
 
     /// Tells edges and registries where texts were placed, each from where it has got to.
-    pub(crate) fn tell_places(&mut self, now: ClockTime) {
+    pub(crate) fn send_places(&mut self, now: ClockTime) {
         if now < self.places_at {
             return;
         }
-        let pace = TellingPace::of_places(self.link_rate());
+        let pace = SendPace::of_places(self.link_rate());
         let most = pace.items_at_once(self.places.readers(), PLACE_BYTES);
         let mut bytes = 0;
         for telling in self.places.tell(most) {
-            bytes += self.tell_readers(&telling);
+            bytes += self.send_to_readers(&telling);
         }
         self.places_at = now.after(SPREAD_EVERY.max(pace.span(bytes)));
     }
 
-    fn tell_readers(&self, telling: &PlaceTelling) -> usize {
+    fn send_to_readers(&self, telling: &PlaceBatch) -> usize {
         let places = telling.places.clone();
         let edges = telling.readers.iter().filter_map(|reader| match reader {
             PlaceReader::Edge(link) => self.links.get(&LinkKey(*link)),
@@ -134,10 +134,10 @@
         // All readers of one telling are of the same kind.
         let is_part = matches!(telling.readers.first(), Some(PlaceReader::Registry(_)));
         let message = match is_part {
-            true => LinkMessage::PartPlaced(places),
+            true => LinkMessage::PartialPlaces(places),
             false => LinkMessage::TextsPlaced(places),
         };
-        tell_queues(edges.chain(peers), &message)
+        send_to_queues(edges.chain(peers), &message)
     }
 
     /// Takes where an edge has placed texts.
@@ -160,22 +160,22 @@
     }
 
     /// Tells all registries the same; returns how many bytes that takes.
-    fn tell_peers(&self, message: &LinkMessage) -> usize {
+    fn send_to_peers(&self, message: &LinkMessage) -> usize {
         let queues = self.peers.values().filter_map(|peer| peer.queue.as_ref());
-        tell_queues(queues, message)
+        send_to_queues(queues, message)
     }
 
     /// Tells some processes that have connected the same; returns how many bytes that takes.
-    pub(crate) fn tell_links<'a>(
+    pub(crate) fn send_to_links<'a>(
         &self,
         links: impl Iterator<Item = &'a LinkKey>,
         message: &LinkMessage,
     ) -> usize {
-        tell_queues(links.filter_map(|link| self.links.get(link)), message)
+        send_to_queues(links.filter_map(|link| self.links.get(link)), message)
     }
 }
 
-fn tell_queues<'a>(queues: impl Iterator<Item = &'a LinkQueue>, message: &LinkMessage) -> usize {
+fn send_to_queues<'a>(queues: impl Iterator<Item = &'a LinkQueue>, message: &LinkMessage) -> usize {
     let encoded = match EncodedMessage::try_from(message) {
         Ok(encoded) => encoded,
         Err(error) => {
