--- a/crates/ragwortroad_dispatch/tests/copies.rs
+++ b/crates/ragwortroad_dispatch/tests/copies.rs
@@ -86,9 +86,7 @@
     }
 }
 
-/// All processes of a fleet of 191 edges were killed, and the configuration has 1,600 routes. Callers of
-/// the last edges are refused until its copy is there: a second and more if the registries' links
-/// carry all of them, a few tenths if edges give each other theirs.
+/// Guards against edges that serve late because the registries' links carry all copies.
 #[test]
 fn edges_give_each_other_the_configuration() {
     let before = play(&large_fleet(false));
@@ -127,8 +125,7 @@
     assert!(plan.referred.is_empty() && queue.is_empty());
 }
 
-/// A single edge is ready. If all others were referred to it at once, its link would hold them up
-/// for longer than the registry's.
+/// Guards against a single ready edge whose link has to carry the copies for all.
 #[test]
 fn a_helper_is_named_to_a_few_only() {
     let mut queue = CopyQueue::default();
--- a/crates/ragwortroad_dispatch/tests/homes.rs
+++ b/crates/ragwortroad_dispatch/tests/homes.rs
@@ -18,8 +18,7 @@
 use common::registry;
 use ragwortroad_dispatch::prelude::*;
 
-/// Edges choose their homes without a message. If many chose the same one, its link would carry
-/// their share too; if one is lost, its edges must not all turn to the same other one.
+/// Guards against a registry whose link carries the share of others, also after a loss.
 #[test]
 fn homes_are_divided_evenly_also_after_a_loss() {
     let all: Vec<SocketAddr> = (0..9).map(registry).collect();
@@ -43,9 +42,7 @@
     }
 }
 
-/// Callers ask from many addresses. If all were told the same 64 of 191 edges, these would carry
-/// three times the mean and the others nothing; if answers to one caller changed from one second to
-/// the next, it would drop its connections each time.
+/// Guards against callers who are all told the same edges, or others each second.
 #[test]
 fn callers_are_spread_over_all_edges_and_stay_at_theirs() {
     let ready: Vec<SocketAddr> = (0..191).map(registry).collect();
@@ -81,8 +78,7 @@
     assert!(f64::from(least) >= mean * 0.7, "{least} of {mean}");
 }
 
-/// Edges at different registries fill the same engine. Each registry must count what the edges of
-/// the others have there, once, and take it out when that registry is lost.
+/// Guards against loads of other registries' edges that count twice, or stay after a loss.
 #[test]
 fn loads_of_other_registries_edges_count_once() {
     let endpoint = EndpointTag::of("busy");
@@ -112,9 +108,7 @@
     assert_eq!(here.own_changes(), [count(0)]);
 }
 
-/// An edge stops. Callers who keep an answer three times as long as they were told must have asked
-/// again before its grace time is over, and as many as can be spared may not ask a registry that is
-/// gone.
+/// Guards against callers who come to an edge after its grace time.
 #[test]
 fn answers_live_as_long_as_a_stopping_edge_allows() {
     let seconds = Duration::from_secs;
@@ -136,9 +130,7 @@
     );
 }
 
-/// A registry's connection to another one breaks, and it connects anew before the other side has found
-/// the old one dead. What its edges have under way must not count twice meanwhile: all engines would
-/// seem fuller than they are, and callers be refused while there is room.
+/// Guards against loads that count twice while a former connection is not found dead.
 #[test]
 fn a_registry_that_connects_anew_counts_once() {
     let endpoint = EndpointTag::of("busy");
@@ -158,10 +150,7 @@
     );
 }
 
-/// The registries are cut in two, four and five of them, while edges reach all nine. An edge whose home is
-/// on the smaller side would hear of half of the loads, take engines for emptier than they are, and
-/// admit twice what they carry. All edges must meet on the larger side; a registry that starts and
-/// has said nothing yet is as good as any, and where none hears most, one is better than none.
+/// Guards against edges that admit too much because their home is cut off from most others.
 #[test]
 fn edges_meet_where_most_registries_hear_each_other() {
     let candidate = |index: usize, hears| HomeCandidate {
--- a/crates/ragwortroad_dispatch/tests/places.rs
+++ b/crates/ragwortroad_dispatch/tests/places.rs
@@ -44,8 +44,7 @@
     (0..count).map(|index| format!("engine-{index}")).collect()
 }
 
-/// Many edges choose without asking each other. If they disagreed, each text would be read by
-/// as many engines as there are edges.
+/// Guards against texts that are read by as many engines as there are edges.
 #[test]
 fn edges_that_know_the_same_choose_the_same() {
     let names = names(12);
@@ -60,8 +59,7 @@
     }
 }
 
-/// An engine joins. Texts that others hold must stay there: moved by the hash alone, one in
-/// thirteen would be read again.
+/// Guards against texts that are read again because an engine joins.
 #[test]
 fn a_joining_engine_moves_no_text() {
     let names = names(13);
@@ -188,8 +186,7 @@
     f64::from(over) * 100.0 / f64::from(sent)
 }
 
-/// Nine edges place the requests of a busy site; each sees the others' work late. No engine may
-/// carry more than twice the mean and three.
+/// Guards against engines above twice the mean and three where edges know of each other late.
 #[test]
 fn nine_edges_with_late_knowledge_keep_the_bound() {
     for seed in 0..5 {
@@ -206,8 +203,7 @@
     }
 }
 
-/// Sixty-four edges, of which each sends the busiest text a request in two seconds. Blind to each
-/// other, they would all send it to one engine, whose other callers would wait.
+/// Guards against edges that all send one busy text to the same engine.
 #[test]
 fn sixty_edges_spread_one_busy_text() {
     for seed in 0..3 {
@@ -224,8 +220,7 @@
     }
 }
 
-/// What edges tell of their requests is added up, corrected as it changes, and taken out when an
-/// edge is lost; only endpoints near the bound are told.
+/// Guards against sums that keep what a lost edge had, and updates for idle endpoints.
 #[test]
 fn the_board_adds_up_what_edges_have_under_way() {
     let tag = |name| EndpointTag::of(name);
@@ -249,9 +244,7 @@
     assert!(news.contains(&count("busy", 0)), "{news:?}");
 }
 
-/// The registry that adds up is cut off for a while, and the edges tell another one. When it is
-/// back, the other one must forget what it was told: else engines seem fuller than they are for
-/// good, and the bound rises with that.
+/// Guards against loads that count twice after the edges have told another registry.
 #[test]
 fn a_registry_that_no_longer_adds_up_forgets() {
     let busy = EndpointTag::of("busy");
@@ -270,8 +263,7 @@
     assert_eq!(report.count(busy), 0);
 }
 
-/// An engine answers and fails four times in ten. Requests go elsewhere; but where most engines
-/// fail, the few others must not get everything.
+/// Guards against requests to a failing engine, and against all load on the few that are well.
 #[test]
 fn a_failing_endpoint_is_avoided_unless_most_fail() {
     let names = names(4);
@@ -293,8 +285,7 @@
     assert_eq!(chosen(3), BTreeSet::from([0, 1, 2, 3]));
 }
 
-/// A plain service has a few places at each of a few replicas: the emptiest gets the request, and
-/// all of the emptiest get their share.
+/// Guards against one of several empty replicas that gets all requests.
 #[test]
 fn the_emptiest_replicas_share_the_requests() {
     let candidates = [
@@ -328,8 +319,7 @@
     assert_eq!(shared_key(&[1, 2, 3]), Some(2));
 }
 
-/// Places are told to the other edges only when they are new, or a site with many returning chats
-/// would send a message with each request.
+/// Guards against a message with each request for a text whose place is known.
 #[test]
 fn a_known_place_is_no_news() {
     let mut table = TextTable::default();
--- a/crates/ragwortroad_dispatch/tests/spread.rs
+++ b/crates/ragwortroad_dispatch/tests/spread.rs
@@ -195,10 +195,7 @@
     }
 }
 
-/// A thousand texts come up in five seconds on a fleet of 191 edges, as on each morning. If a
-/// registry writes what all edges are to be told at once, its heartbeats wait for seconds: the other
-/// registries and all edges lose it, and callers who ask it for addresses first wait a second each.
-/// Told at the pace of the link by way of each edge's home, nothing waits.
+/// Guards against heartbeats that wait behind places of texts for all edges.
 #[test]
 fn places_of_texts_never_hold_up_a_heartbeat() {
     let plan = large_fleet();
@@ -224,8 +221,7 @@
     );
 }
 
-/// The same on links of 4 Mbit/s with 300 edges, where the places take longer than they come, and
-/// on a site of today with five registries and nine edges.
+/// Guards against the same on small links and with few edges.
 #[test]
 fn small_links_and_small_fleets_hold_up_none_either() {
     let plan = FleetPlan {
@@ -249,8 +245,7 @@
     assert!(outcome.all_known_ms > 0 && spread_ms <= 600, "{outcome:?}");
 }
 
-/// All processes lose power; each registry finds thousands of places on its disk, and its edges connect.
-/// Until they are told, texts are read anew that engines still hold, and streams beside them stall.
+/// Guards against texts that are read again after a restart although engines hold them.
 #[test]
 fn places_found_after_a_restart_are_told_within_two_seconds() {
     let link_rate = 6e6 / 8.0;
@@ -289,8 +284,7 @@
     );
 }
 
-/// An edge that forgot a place, as its engine had started anew, tells it again. The others have
-/// forgotten it too, so they must be told, although the place was known before.
+/// Guards against a place that others have forgotten and are not told again.
 #[test]
 fn a_place_that_is_told_again_later_is_spread_again() {
     let place = PlacedText {
@@ -313,8 +307,7 @@
     assert!(board.tell(10).is_empty(), "nothing is left to tell");
 }
 
-/// A registry is cut off from another one for a while, or an edge starts. Both are told all that
-/// they missed, the registry only what it cannot hear elsewhere.
+/// Guards against an edge or registry that lacks what was told before it came.
 #[test]
 fn a_reader_that_comes_later_is_told_all() {
     let place = |text| PlacedText {
--- a/crates/ragwortroad_dispatch/tests/updates.rs
+++ b/crates/ragwortroad_dispatch/tests/updates.rs
@@ -13,8 +13,7 @@
     })
 }
 
-/// Thousands of endpoints announce themselves at once, and one of them leaves meanwhile. If its
-/// leaving waited behind the others, requests would go on to it for seconds.
+/// Guards against requests to a leaving endpoint while thousands announce themselves.
 #[test]
 fn a_leaving_endpoint_overtakes_announcements() {
     let mut queue = UpdateQueue::default();
@@ -31,8 +30,7 @@
     assert!(rest.iter().all(|change| change.name() != "i-2999"));
 }
 
-/// An endpoint announces itself and says goodbye before the edges were told of it. Told in the wrong
-/// order, they would take it for one that has just come.
+/// Guards against an endpoint that comes back by an announcement sent after its goodbye.
 #[test]
 fn a_goodbye_takes_the_announcement_along() {
     let mut queue = UpdateQueue::default();
@@ -45,8 +43,7 @@
     assert_eq!(queue.take_calm(9).len(), 1);
 }
 
-/// An endpoint is announced, lost and announced again while the link is busy. Only the last word
-/// counts; the others would take the link's time.
+/// Guards against outdated updates that take the link's time.
 #[test]
 fn only_the_last_word_waits() {
     let mut queue = UpdateQueue::default();
--- a/crates/ragwortroad_link/tests/documents.rs
+++ b/crates/ragwortroad_link/tests/documents.rs
@@ -54,8 +54,7 @@
     }
 }
 
-/// A large configuration is changed often. Sent in full to every process each time, it would fill
-/// the small links of the registries, and operators would wait for seconds for each change.
+/// Guards against small links filled by each change of a large configuration.
 #[test]
 fn a_change_of_a_large_document_takes_little() {
     let before = document(2000, 5, 1000);
--- a/crates/ragwortroad_link/tests/links.rs
+++ b/crates/ragwortroad_link/tests/links.rs
@@ -40,9 +40,7 @@
     (0..count).map(record).collect()
 }
 
-/// A registry tells an edge of all endpoints over a link that carries it in more time than a silent
-/// connection is given. Given up in the middle, the edge asks again, again gets half, and never
-/// serves anybody.
+/// Guards against a connection that is given up while a large message is on its way.
 #[test]
 fn a_message_that_takes_long_is_no_silence() {
     let runtime = Builder::new_current_thread()
@@ -82,8 +80,7 @@
     });
 }
 
-/// What registries send after a common restart grows with endpoints times edges. A record that
-/// took more bytes than reckoned would fill a link for longer than heartbeats can wait.
+/// Guards against records that fill a link for longer than heartbeats can wait.
 #[test]
 fn a_record_takes_as_many_bytes_as_reckoned() {
     for count in [22, 100, 333] {
@@ -97,9 +94,7 @@
     }
 }
 
-/// All processes start together, and registries are up a second after the edges. An edge that looks
-/// for them ever more rarely finds them late, and its callers wait for it. Later, a VM that is gone
-/// must not cost everybody else attempts all the time.
+/// Guards against edges that find registries late, and endless attempts to reach lost VMs.
 #[test]
 fn a_process_that_has_just_started_dials_often() {
     let mut pace = DialPace::default();
@@ -115,9 +110,7 @@
     assert_eq!(pace.next_pause(Duration::from_secs(60)), early[0]);
 }
 
-/// All VMs lose power and come back within a second of each other. What is sent to one that is not
-/// up yet is lost, so an attempt to reach it ends only by its own limit. However the starts fall, a
-/// process must be looked for again within 0.4 s of being up; until then its callers find nobody.
+/// Guards against a process that is looked for too late after it has come up.
 #[test]
 fn a_process_that_came_up_a_little_later_is_found_at_once() {
     let whole = LinkSettings::default().dial_timeout;
