--- a/crates/ragwortroad_registry/src/drain_flow.rs
+++ b/crates/ragwortroad_registry/src/drain_flow.rs
@@ -3,7 +3,10 @@
 //! An order is a command of the replicated log. Whichever registry it comes to proposes it or passes
 //! it on to the leader, and answers once the command is applied here: then it is durable at a quorum.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeMap,
+    time::Duration, //
+};
 
 use ragwortroad_consensus::prelude::*;
 use ragwortroad_dispatch::prelude::*;
@@ -155,10 +158,11 @@
 
     /// Tries waiting orders again and ends those whose operators have turned elsewhere.
     pub(crate) fn retry_drains(&mut self, now: ClockTime) {
+        let waits = std::mem::take(&mut self.drain_waits);
         let is_due = |wait: &DrainWait| now.since(wait.tried_at) >= TRY_AGAIN;
-        let due = self.drain_waits.extract_if(.., |_, wait| is_due(wait));
-        let due: Vec<DrainWait> = due.map(|(_, wait)| wait).collect();
-        for wait in due {
+        let (due, waiting) = waits.into_iter().partition(|(_, wait)| is_due(wait));
+        self.drain_waits = waiting;
+        for wait in BTreeMap::into_values(due) {
             if now.since(wait.came_at) < CALL_PATIENCE {
                 self.try_drain(wait, now);
             } else {
