--- a/crates/ragwortroad_dispatch/tests/warmups.rs
+++ b/crates/ragwortroad_dispatch/tests/warmups.rs
@@ -49,10 +49,7 @@
     Shared,
 }
 
-/// Requests to each warming engine, in milliseconds from the start, by a fleet past saturation.
-///
-/// Every edge has a request every `gap_ms`, and all warm engines are full, so each request wants to
-/// go to an engine that warms up.
+/// Times of requests to each warming engine, in a fleet that has no place left at warm ones.
 fn play(rule: WarmupRule, gap_ms: u64) -> BTreeMap<usize, Vec<u64>> {
     let names: Vec<String> = (0..ENGINES)
         .map(|index| format!("engine-{index}"))
