Count an engine's runs before the request that is to add one

The test read the number of runs after it had sent the request; where the engine began before that, it waited in vain for one more.

Ruled out: the gateway (with a pause of 0.3 s before that reading the test fails each time; with the reading before the request and the same pause it passes).

Change: the number is read before the request is sent. As strict as before: the request must still add a run.

--- a/crates/ragwortroad_gateway/tests/caller_faults.rs
+++ b/crates/ragwortroad_gateway/tests/caller_faults.rs
@@ -246,12 +246,12 @@
             ..chat_body(streamed)
         };
         let body = serde_json::to_string(&chat).unwrap();
+        let begun = fleet.engines[0].records().len();
         let mut caller = connect(fleet.address());
         caller
             .write_all(&post("/v1/chat/completions", "", &body))
             .unwrap();
         let runs = |fleet: &TestFleet| fleet.engines[0].records();
-        let begun = fleet.engines[0].records().len();
         match streamed {
             true => drop(read_until(&mut caller, "token_index\":3")),
             false => fleet.wait_for("the engine works", |fleet| runs(fleet).len() > begun),
