--- a/crates/ragwortroad_edge/src/request_way.rs
+++ b/crates/ragwortroad_edge/src/request_way.rs
@@ -16,8 +16,8 @@
 
 /// Endpoints that are dialled in vain before a request is refused.
 ///
-/// A failure to connect costs up to the connect timeout; a caller is better served by a refusal
-/// that names a time than by a third wait.
+/// A failure to connect costs up to the connect timeout; after several, a refusal that names a time
+/// serves the caller better than further attempts.
 const MAX_DIALS: u32 = 3;
 
 /// What has become of a request so far.
