Ask the only known registry for a direct copy after a failed referral

An edge that has lost its referral asks another registry at once; where it is connected to one only, that is the same one, which refers it to the same lost edge, as often as the round trip allows. In the test the second registry was reached a moment later; with one registry the edge never becomes ready.

Ruled out: the process clock at its start (it begins an hour above zero).

Change: a registry that is asked twice in a row is asked for a copy of its own (WantConfig.direct), which it sends before the copies that it may refer.

--- a/crates/ragwortroad_dispatch/src/config_fetch.rs
+++ b/crates/ragwortroad_dispatch/src/config_fetch.rs
@@ -5,7 +5,10 @@
 
 use ragwortroad_types::prelude::*;
 
-use crate::prefer_registry;
+use crate::{
+    config_demand::ConfigDemand,
+    prefer_registry, //
+};
 
 /// Time after which a whole configuration that was asked for is asked of another registry.
 ///
@@ -45,7 +48,8 @@
 /// Registries announce versions; the edge asks one of them for what it lacks. Each edge prefers
 /// another registry, so that all of them carry a part of the copies. One that does not answer is
 /// not asked twice in a row: it may be connected and choked, and the edge would refuse callers
-/// by an old configuration for as long as it keeps the connection.
+/// by an old configuration for as long as it keeps the connection. Where it is the only one that
+/// can be asked, it is asked for a copy of its own: the edge that it named last time may be gone.
 #[derive(Debug, Default)]
 pub struct ConfigFetch {
     /// Highest version that a registry has announced, and when it was first.
@@ -89,14 +93,14 @@
         self.announced.is_none_or(|(known, _)| own >= known)
     }
 
-    /// The registry that an edge with the version `own` is to ask now, if any.
+    /// What an edge with the version `own` is to ask now, if anything.
     pub fn next(
         &self,
         edge: &str,
         own: Option<u64>,
         sources: &[ConfigSource],
         now: ClockTime,
-    ) -> Option<SocketAddr> {
+    ) -> Option<ConfigDemand> {
         let (announced, first_at) = self.announced?;
         if own.is_some_and(|own| own >= announced) {
             return None;
@@ -121,6 +125,9 @@
         let preferred = prefer_registry(edge, sources.iter().map(|source| source.address));
         let may_wait = self.asked.is_none() && Some(chosen) != preferred;
         let is_early = may_wait && now.since(first_at) < patience;
-        (!is_early).then_some(chosen)
+        (!is_early).then_some(ConfigDemand {
+            registry: chosen,
+            direct: Some(chosen) == silent,
+        })
     }
 }
--- a/crates/ragwortroad_dispatch/src/copy_queue.rs
+++ b/crates/ragwortroad_dispatch/src/copy_queue.rs
@@ -15,7 +15,12 @@
 /// refers the others to edges that have one by then.
 #[derive(Debug, Default)]
 pub struct CopyQueue {
+    /// Edges that this registry serves or refers.
     waiting: VecDeque<u64>,
+    /// Edges that this registry has to serve itself, before the others.
+    ///
+    /// Invariant: none of them is among those of `waiting`.
+    direct: VecDeque<u64>,
     /// Place among the helpers from which the next referral is made.
     turn: usize,
 }
@@ -41,31 +46,42 @@
 impl CopyQueue {
     /// An edge needs a copy.
     pub fn want(&mut self, edge: u64) {
-        if !self.waiting.contains(&edge) {
+        if !self.waiting.contains(&edge) && !self.direct.contains(&edge) {
             self.waiting.push_back(edge);
         }
     }
 
+    /// An edge needs a copy from this registry: another edge gave it none.
+    pub fn want_direct(&mut self, edge: u64) {
+        self.waiting.retain(|waiting| *waiting != edge);
+        if !self.direct.contains(&edge) {
+            self.direct.push_back(edge);
+        }
+    }
+
     /// An edge is gone.
     pub fn drop_edge(&mut self, edge: u64) {
         self.waiting.retain(|waiting| *waiting != edge);
+        self.direct.retain(|waiting| *waiting != edge);
     }
 
     /// Whether nobody waits.
     pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
+        self.waiting.is_empty() && self.direct.is_empty()
     }
 
     /// Edges that wait.
     pub fn len(&self) -> usize {
-        self.waiting.len()
+        self.waiting.len() + self.direct.len()
     }
 
     /// Takes those that get a copy now: up to `most` from this registry, and as many from the
     /// `helpers`, edges that have the configuration, as these can give at once.
     pub fn plan(&mut self, most: usize, helpers: &[SocketAddr]) -> CopyPlan {
-        let count = self.waiting.len().min(most);
-        let direct = self.waiting.drain(..count).collect();
+        let count = self.direct.len().min(most);
+        let mut direct: Vec<u64> = self.direct.drain(..count).collect();
+        let count = self.waiting.len().min(most - count);
+        direct.extend(self.waiting.drain(..count));
         let count = self.waiting.len().min(helpers.len() * COPIES_A_HELPER);
         let mut referred = Vec::new();
         for edge in self.waiting.drain(..count) {
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -10,6 +10,7 @@
 mod admission_gate;
 mod answer_patience;
 mod come_back;
+mod config_demand;
 mod config_fault;
 mod config_fetch;
 mod copy_queue;
@@ -57,6 +58,7 @@
         },
         answer_patience::answer_patience,
         come_back::come_back_time,
+        config_demand::ConfigDemand,
         config_fault::ConfigFault,
         config_fetch::{
             ConfigFetch,
--- a/crates/ragwortroad_dispatch/tests/config_fetches.rs
+++ b/crates/ragwortroad_dispatch/tests/config_fetches.rs
@@ -22,36 +22,54 @@
     sources.collect()
 }
 
-/// A registry's link is choked, or its VM hangs: it is connected, has announced the version and does
-/// not answer. If it were asked again and again until it counts as lost, the edge would go on
-/// refusing callers by a configuration that was replaced seconds ago.
+/// Guards against an edge that asks a connected registry which does not answer again and again.
 #[test]
 fn a_registry_that_does_not_answer_is_not_asked_twice() {
     let mut fetch = ConfigFetch::default();
     fetch.note_announced(9, at(0));
     let first = fetch.next("edge-1", Some(8), &sources(0), at(0));
-    let first = first.expect("its own registry has announced it");
+    let first = first.expect("its own registry has announced it").registry;
     fetch.note_asked(first, at(0));
     assert_eq!(fetch.next("edge-1", Some(8), &sources(0), at(100)), None);
     let second = fetch.next("edge-1", Some(8), &sources(0), at(600));
-    assert!(second.is_some_and(|second| second != first), "{second:?}");
-    fetch.note_asked(second.expect("another one"), at(600));
+    let second = second.expect("another one");
+    assert_ne!(second.registry, first);
+    assert!(!second.direct, "another one may refer");
+    fetch.note_asked(second.registry, at(600));
     fetch.note_answered();
     assert_eq!(fetch.next("edge-1", Some(9), &sources(0), at(700)), None);
 }
 
-/// The only registry that has the version was slow to answer. It is asked again, as nobody else can.
+/// Guards against an edge that gives up on a slow registry which alone has the version.
 #[test]
 fn the_only_registry_that_has_it_is_asked_again() {
     let mut fetch = ConfigFetch::default();
     fetch.note_announced(9, at(0));
     fetch.note_asked(registry(8), at(300));
     let next = fetch.next("edge-1", Some(8), &sources(8), at(1000));
-    assert_eq!(next, Some(registry(8)));
+    let again = ConfigDemand {
+        registry: registry(8),
+        direct: true,
+    };
+    assert_eq!(next, Some(again));
 }
 
-/// The leader announces a change first. If all edges asked it at once, its link would carry the
-/// copies for all of them, and the last edges would have the change seconds later.
+/// Guards against edges that a registry refers to a lost edge over and over.
+#[test]
+fn a_failed_referral_is_not_repeated() {
+    let mut fetch = ConfigFetch::default();
+    fetch.note_announced(9, at(0));
+    fetch.note_asked(registry(8), at(300));
+    fetch.note_failed();
+    let only = fetch.next("edge-1", None, &sources(8), at(301));
+    let only = only.expect("the only registry that has it");
+    assert!(only.registry == registry(8) && only.direct, "{only:?}");
+    let other = fetch.next("edge-1", None, &sources(7), at(301));
+    let other = other.expect("the other registry that has it");
+    assert!(other.registry == registry(7) && !other.direct, "{other:?}");
+}
+
+/// Guards against a leader whose link has to carry the copies for all edges.
 #[test]
 fn edges_wait_for_their_own_registry_and_divide_themselves() {
     let mut fetch = ConfigFetch::default();
@@ -60,7 +78,8 @@
     for edge in 0..191 {
         let edge = format!("edge-{edge}");
         let early = fetch.next(&edge, Some(8), &sources(8), at(10));
-        *counts.entry(early.unwrap_or(registry(0))).or_default() += 1;
+        let early = early.map_or(registry(0), |demand| demand.registry);
+        *counts.entry(early).or_default() += 1;
     }
     assert!(
         counts[&registry(8)] < 50,
@@ -70,7 +89,8 @@
     for edge in 0..191 {
         let edge = format!("edge-{edge}");
         let late = fetch.next(&edge, Some(8), &sources(5), at(400));
-        *counts.entry(late.expect("someone has it")).or_default() += 1;
+        let late = late.expect("someone has it").registry;
+        *counts.entry(late).or_default() += 1;
     }
     assert_eq!(counts.len(), 4, "{counts:?}");
     let most = counts.values().max().copied().unwrap_or(0);
--- a/crates/ragwortroad_dispatch/tests/copies.rs
+++ b/crates/ragwortroad_dispatch/tests/copies.rs
@@ -135,3 +135,22 @@
     assert_eq!(plan.referred.len(), 3);
     assert_eq!(queue.len(), 44);
 }
+
+/// Guards against an edge that is referred a second time after another edge gave it no copy.
+#[test]
+fn an_edge_that_asks_for_a_direct_copy_is_not_referred() {
+    let mut queue = CopyQueue::default();
+    (0..5).for_each(|edge| queue.want(edge));
+    queue.want_direct(4);
+    queue.want(4);
+    let plan = queue.plan(1, &[edge_address(9)]);
+    assert_eq!(plan.direct, [4]);
+    let referred: Vec<u64> = plan.referred.iter().map(|referral| referral.edge).collect();
+    assert_eq!(referred, [0, 1, 2]);
+    queue.want_direct(7);
+    let plan = queue.plan(0, &[edge_address(9)]);
+    assert!(plan.direct.is_empty(), "its turn comes with the next round");
+    assert_eq!(queue.len(), 1);
+    queue.drop_edge(7);
+    assert!(queue.is_empty());
+}
--- a/crates/ragwortroad_edge/src/config_share.rs
+++ b/crates/ragwortroad_edge/src/config_share.rs
@@ -62,7 +62,7 @@
     let (queue, receiver) = LinkQueue::new(&settings);
     let answers = queue.clone();
     let take = move |message| match message {
-        LinkMessage::WantConfig { above } => {
+        LinkMessage::WantConfig { above, .. } => {
             let step = whole_above(&mut shared.state.borrow_mut(), above);
             let steps = step.into_iter().collect();
             answers.send(&LinkMessage::ConfigDeltas(steps));
@@ -117,7 +117,8 @@
         Err(error) => return error,
     };
     let (queue, receiver) = LinkQueue::new(&settings);
-    queue.send(&LinkMessage::WantConfig { above });
+    let direct = true;
+    queue.send(&LinkMessage::WantConfig { above, direct });
     let (inward, end) = (Rc::clone(shared), queue.clone());
     let take = move |message| {
         if let LinkMessage::ConfigDeltas(steps) = message {
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -366,12 +366,13 @@
     let sources: Vec<ConfigSource> = sources.collect();
     let above = state.version();
     let edge = &shared.settings.name;
-    let Some(chosen) = state.fetch.next(edge, above, &sources, now) else {
+    let Some(ConfigDemand { registry, direct }) = state.fetch.next(edge, above, &sources, now)
+    else {
         return;
     };
-    let link = state.links.values().find(|link| link.address == chosen);
+    let link = state.links.values().find(|link| link.address == registry);
     let queue = link.and_then(|link| link.queue.as_ref());
-    if queue.is_some_and(|queue| queue.send(&LinkMessage::WantConfig { above })) {
-        state.fetch.note_asked(chosen, now);
+    if queue.is_some_and(|queue| queue.send(&LinkMessage::WantConfig { above, direct })) {
+        state.fetch.note_asked(registry, now);
     }
 }
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -33,6 +33,8 @@
     WantConfig {
         /// That version, if it has any.
         above: Option<u64>,
+        /// Whether it is not to be referred to another edge.
+        direct: bool,
     },
     /// An edge takes a registry for its home: it tells it loads and places of texts, and is told those
     /// of the whole fleet.
--- a/crates/ragwortroad_registry/src/config_flow.rs
+++ b/crates/ragwortroad_registry/src/config_flow.rs
@@ -19,7 +19,7 @@
 
 impl RegistryState {
     /// Sends an edge the steps from the configuration that it has, or notes that it needs a whole one.
-    pub(crate) fn give_config(&mut self, link: LinkKey, above: Option<u64>) {
+    pub(crate) fn give_config(&mut self, link: LinkKey, above: Option<u64>, direct: bool) {
         let Some(queue) = self.links.get(&link) else {
             return;
         };
@@ -31,6 +31,7 @@
             Some(steps) => {
                 queue.send(&LinkMessage::ConfigDeltas(steps));
             }
+            None if direct => self.copies.want_direct(link.0),
             None => self.copies.want(link.0),
         }
     }
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -141,7 +141,7 @@
                 self.greet_edge(link, edge, now);
             }
             LinkMessage::EdgeStaged(stage) => self.stage_edge(link, stage),
-            LinkMessage::WantConfig { above } => self.give_config(link, above),
+            LinkMessage::WantConfig { above, direct } => self.give_config(link, above, direct),
             LinkMessage::Subscribe => self.subscribe(link),
             LinkMessage::Unsubscribe => self.unsubscribe(link),
             LinkMessage::Loads(counts) => self.take_loads(link, &counts),
