Leave what rests on a silent node out of the mean that bounds engines

The others go on by the loads that it told last, and count the slots that it holds, until membership declares it lost five seconds later. The mean by which a home admits is too high for that time. A node that does not answer a question about a slot shows it 0.4 s after the loss.

Ruled out: an age for the loads that nodes tell (gossip tells changes only, so an old load is no stale one).

Change: from an unanswered question until the node is heard again, its endpoints' loads and the slots that it holds do not raise the mean. The slots still count at their endpoints.

--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -250,6 +250,7 @@
                 home,
                 ..
             } = wait;
+            self.route.note_silent(home);
             // The slot may have been granted in an answer that was lost.
             self.send_release(home, question, endpoint, SlotOutcome::Neutral, now);
             plan.excluded.push(endpoint);
--- a/crates/ragwortroad_node/src/control/slot_flow.rs
+++ b/crates/ragwortroad_node/src/control/slot_flow.rs
@@ -41,6 +41,7 @@
         let Some(message) = decode::<SlotMessage>(bytes) else {
             return;
         };
+        self.route.note_heard(from);
         match message {
             SlotMessage::Ask {
                 question,
--- a/crates/ragwortroad_routing/src/table/endpoint_state.rs
+++ b/crates/ragwortroad_routing/src/table/endpoint_state.rs
@@ -27,7 +27,8 @@
     pub(crate) settled: bool,
     /// What this node believes while it is not the home.
     pub(crate) view: RemoteView,
-    /// The load that stands in the fleet's sum now.
+    /// The load that stands in the fleet's sum now: of what is believed, the part that does not rest
+    /// on a silent node.
     pub(crate) counted: u32,
     /// By its home's digest, the endpoint is set aside.
     pub(crate) set_aside: bool,
--- a/crates/ragwortroad_routing/src/table/route_table.rs
+++ b/crates/ragwortroad_routing/src/table/route_table.rs
@@ -1,4 +1,7 @@
-use std::collections::BTreeMap;
+use std::collections::{
+    BTreeMap,
+    BTreeSet, //
+};
 
 use ragwortroad_types::{
     ClockTime,
@@ -43,6 +46,8 @@
     pub(crate) pools: BTreeMap<OfferKey, Vec<PoolEntry>>,
     /// Invariant: the sum of `counted` over members that take work.
     pub(crate) fleets: BTreeMap<FleetKey, FleetLoad>,
+    /// Nodes that owe this one an answer and were not heard since.
+    pub(crate) silent: BTreeSet<NodeId>,
     /// Nodes that callers may be sent to.
     pub(crate) nodes: Vec<NodeId>,
     pub(crate) memory: ChatMemory,
@@ -76,6 +81,7 @@
             ids: BTreeMap::new(),
             pools: BTreeMap::new(),
             fleets: BTreeMap::new(),
+            silent: BTreeSet::new(),
             nodes: Vec::new(),
             memory,
             prefixes,
@@ -92,7 +98,11 @@
 
     /// The load an endpoint is known or believed to carry.
     pub fn load_of(&self, endpoint: EndpointId) -> Option<u32> {
-        self.state_of(endpoint).map(|state| state.counted)
+        let state = self.state_of(endpoint)?;
+        Some(match self.is_home(state) {
+            true => state.ledger.load(),
+            false => state.view.load,
+        })
     }
 
     /// The mean load of a fleet, by this node's knowledge.
@@ -127,7 +137,9 @@
         let (before, took_work) = (state.counted, state.facts.takes_work());
         let result = change(state);
         state.counted = if state.facts.home == node {
-            state.ledger.load()
+            state.ledger.load_beside(&self.silent)
+        } else if self.silent.contains(&state.facts.home) {
+            0
         } else {
             state.view.load
         };
--- a/crates/ragwortroad_routing/src/table/slot_ledger.rs
+++ b/crates/ragwortroad_routing/src/table/slot_ledger.rs
@@ -1,6 +1,7 @@
 use std::{
     collections::{
         BTreeMap,
+        BTreeSet,
         VecDeque, //
     },
     time::Duration, //
@@ -64,6 +65,21 @@
         (self.slots.len() as u32).saturating_sub(ghosts) + self.inherited
     }
 
+    /// The same without the slots of `silent` nodes, whose requests may have ended with them.
+    pub(crate) fn load_beside(&self, silent: &BTreeSet<NodeId>) -> u32 {
+        if silent.is_empty() {
+            return self.load();
+        }
+        let records = self.slots.values();
+        let heard = records.filter(|record| !silent.contains(&record.asker));
+        self.load().min(heard.count() as u32 + self.inherited)
+    }
+
+    /// Whether `asker` holds a slot.
+    pub(crate) fn has_asker(&self, asker: NodeId) -> bool {
+        self.slots.values().any(|record| record.asker == asker)
+    }
+
     /// Slots of `customer`, and the number of customers that would hold one with it.
     ///
     /// Who was refused everywhere lately counts: else a customer that holds every slot would share with
--- a/crates/ragwortroad_routing/src/table/table_inputs.rs
+++ b/crates/ragwortroad_routing/src/table/table_inputs.rs
@@ -110,6 +110,40 @@
         }
     }
 
+    /// A node owes an answer: what it told of its endpoints, and what it holds, no longer raises the
+    /// mean.
+    ///
+    /// The node may be lost and its requests with it, and membership takes seconds to tell. Homes
+    /// that went on by the higher mean would put their endpoints above the bound.
+    pub fn note_silent(&mut self, node: NodeId) {
+        if self.silent.insert(node) {
+            self.count_anew();
+        }
+    }
+
+    /// A node was heard.
+    pub fn note_heard(&mut self, node: NodeId) {
+        if self.silent.remove(&node) {
+            self.count_anew();
+        }
+    }
+
+    fn count_anew(&mut self) {
+        for key in self.keys() {
+            self.change(key, |_| ());
+        }
+    }
+
+    /// Forgets silent nodes on which nothing rests any more.
+    fn forget_silent(&mut self) {
+        let states = || self.arena.iter().flatten();
+        let matters = |node: &NodeId| {
+            states().any(|state| state.facts.home == *node || state.ledger.has_asker(*node))
+        };
+        let silent = self.silent.iter().copied();
+        self.silent = silent.filter(matters).collect();
+    }
+
     /// Changes the multiple of the fleet mean that no endpoint may pass.
     pub fn set_multiple(&mut self, multiple: f64) {
         self.settings.bound.multiple = multiple;
@@ -127,6 +161,7 @@
         for key in self.keys() {
             self.change(key, |state| state.ledger.sweep(now));
         }
+        self.forget_silent();
         self.refused
             .retain(|_, (_, at)| now.since(*at) < STARVED_SPAN);
     }
--- a/crates/ragwortroad_routing/tests/bound.rs
+++ b/crates/ragwortroad_routing/tests/bound.rs
@@ -377,3 +377,53 @@
         }
     }
 }
+
+/// Guards against homes that go on by the loads of a lost node, and admit beyond the bound.
+#[test]
+fn what_rests_on_a_silent_node_does_not_raise_the_mean() {
+    let mut table = new_table(0);
+    for engine in [1, 2, 3, 5] {
+        let digest = LoadDigest {
+            load: 5,
+            set_aside: false,
+        };
+        table.observe_digest(engine_id(engine), digest);
+    }
+    let ask = |table: &mut RouteTable, engine, asker| {
+        let claim = SlotClaim::Returning;
+        let answer = table.grant_slot(
+            engine_id(engine),
+            node_id(asker),
+            CustomerKey(1),
+            claim,
+            ClockTime(1_000),
+        );
+        matches!(answer, SlotAnswer::Granted { .. })
+    };
+    for asker in [0, 0, 1, 2] {
+        assert!(ask(&mut table, 0, asker) && ask(&mut table, 4, asker));
+    }
+    assert!(table.fleet_mean(FLEET) > 4.0);
+    let mut lost = table.clone();
+    assert!(ask(&mut table, 0, 0), "within the bound of all loads");
+
+    // Node 1 told of ten requests at its two engines, and holds a slot at each of this node's.
+    lost.note_silent(node_id(1));
+    assert!((lost.fleet_mean(FLEET) - 16.0 / 6.0).abs() < 1e-9);
+    assert_eq!(
+        lost.load_of(engine_id(0)),
+        Some(4),
+        "its slots still count here"
+    );
+    assert!(
+        !ask(&mut lost, 0, 0),
+        "above the bound of the loads that are left"
+    );
+    lost.tick(ClockTime(1_100));
+    assert!(
+        !ask(&mut lost, 0, 0),
+        "not forgotten while its engines are there"
+    );
+    lost.note_heard(node_id(1));
+    assert!(ask(&mut lost, 0, 0));
+}
