Drain failure domains by the operators' language

Cause: `serve` knew drains of endpoints and nodes only; to empty a failure domain an operator had to name each endpoint, and those that came later got work.

Change: `drain domain NAME`, `undrain domain NAME`, `show drains`; a third kind of target in the replicated configuration, in force as any other change. An endpoint gets work when neither its own drain nor its domain's stands.

Test: a_drained_domain_gets_no_new_work (three nodes, four engines, chats under way); the language's lines and its list of choices.

--- a/crates/ragwortroad_demo/tests/failures/endpoints.rs
+++ b/crates/ragwortroad_demo/tests/failures/endpoints.rs
@@ -138,6 +138,44 @@
     assert!(began_after(engines[2], left + FEW_SECONDS) > 10);
 }
 
+/// Guards against new work for the endpoints of a drained failure domain, and against drains without end.
+#[test]
+fn a_drained_domain_gets_no_new_work() {
+    let fleet = TestFleet::start(stream_plan());
+    let load = start_load(&fleet, 12);
+    let change = |line: &str| {
+        let answer = fleet.operator().change(line, line).unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}");
+    };
+    let engines: Vec<&StandinEngine> = fleet.engines.iter().flatten().collect();
+    let drained: Vec<&StandinEngine> = engines.iter().copied().skip(1).step_by(3).collect();
+    let begun = || -> Vec<usize> {
+        drained
+            .iter()
+            .map(|engine| engine.records().len())
+            .collect()
+    };
+    wait_until("work at the domain", || {
+        begun().iter().all(|count| *count > 0)
+    })
+    .unwrap();
+    change("drain domain zone-b");
+    // A change in force binds every node, so requests on their way are all that may still come.
+    thread::sleep(Duration::from_secs(1));
+    let before = begun();
+    let others = engines[0].records().len();
+    wait_until("work elsewhere", || {
+        engines[0].records().len() > others + 20
+    })
+    .unwrap();
+    assert_eq!(begun(), before);
+    change("undrain domain zone-b");
+    wait_until("work at the domain again", || begun() > before).unwrap();
+    assert_sound(load.join().unwrap(), &fleet);
+    let records: Vec<RunRecord> = drained.iter().flat_map(|engine| engine.records()).collect();
+    assert!(records.iter().all(|record| record.end == RunEnd::Completed));
+}
+
 /// While chats run, one engine's VM is lost in the middle of its streams, another flaps, and a
 /// third answers late, breaks off, sends tokens twice, leaves some out, or goes over to another
 /// chat's answer. A caller who was handed any of this would read another studio's caption or half
--- a/crates/ragwortroad_language/src/edit/edit_text.rs
+++ b/crates/ragwortroad_language/src/edit/edit_text.rs
@@ -175,6 +175,7 @@
     match target {
         DrainTarget::Endpoint(name) => format!("endpoint {}", word(name)),
         DrainTarget::Node(name) => format!("node {}", word(name)),
+        DrainTarget::Domain(name) => format!("domain {}", word(name)),
     }
 }
 
--- a/crates/ragwortroad_language/src/edit/fleet_edit.rs
+++ b/crates/ragwortroad_language/src/edit/fleet_edit.rs
@@ -73,14 +73,14 @@
     })
 }
 
-/// `endpoint|node NAME`
+/// `endpoint|node|domain NAME`
 pub(super) fn drain(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
     let target = drain_target(cursor)?;
     edits.push(ConfigEdit::Drain { target });
     Ok(())
 }
 
-/// `endpoint|node NAME`
+/// `endpoint|node|domain NAME`
 pub(super) fn undrain(cursor: &mut WordCursor<'_>, edits: &mut Vec<ConfigEdit>) -> Parsed {
     let target = drain_target(cursor)?;
     edits.push(ConfigEdit::Undrain { target });
@@ -88,8 +88,11 @@
 }
 
 fn drain_target(cursor: &mut WordCursor<'_>) -> Result<DrainTarget, LanguageError> {
-    match cursor.choice(&["endpoint", "node"])? {
+    match cursor.choice(&["endpoint", "node", "domain"])? {
         "endpoint" => cursor.text("an endpoint's NAME").map(DrainTarget::Endpoint),
+        "domain" => cursor
+            .text("a failure domain's NAME")
+            .map(DrainTarget::Domain),
         _ => cursor.text("a node's NAME").map(DrainTarget::Node),
     }
 }
--- a/crates/ragwortroad_language/src/help_text.rs
+++ b/crates/ragwortroad_language/src/help_text.rs
@@ -17,7 +17,8 @@
   roll model M to V 25%               rollback model M
   add service S [idempotent|once METHOD PATH]...      remove service S
   set service S idempotent|once|by-method METHOD PATH
-  drain|undrain endpoint|node NAME    set multiple 1.25
+  drain|undrain endpoint|node|domain NAME
+                                      set multiple 1.25
   add member NAME IP:PORT             remove member NAME
   add|remove operator NAME HASH
   set quorum-loss refuse              set quorum-loss go-on 30s
--- a/crates/ragwortroad_language/src/table/state_table.rs
+++ b/crates/ragwortroad_language/src/table/state_table.rs
@@ -174,6 +174,7 @@
         let kind = match target {
             DrainTarget::Endpoint(_) => "endpoint",
             DrainTarget::Node(_) => "node",
+            DrainTarget::Domain(_) => "domain",
         };
         table.push([kind.into(), target.name().into()]);
     }
--- a/crates/ragwortroad_language/tests/lines.rs
+++ b/crates/ragwortroad_language/tests/lines.rs
@@ -15,7 +15,7 @@
 }
 
 /// One line of each kind, as the help text shows them.
-const LINES: [&str; 36] = [
+const LINES: [&str; 38] = [
     "add customer north rate 20/s tokens 40000/s",
     "remove customer north",
     "set customer north concurrent 30 weight 200 priority 7",
@@ -42,6 +42,8 @@
     "undrain endpoint \"odd name\"",
     "drain node rvk-a-1",
     "undrain node rvk-a-1",
+    "drain domain rvk-a",
+    "undrain domain rvk-a",
     "set multiple 1.25",
     "add member rvk-a-1 10.0.0.1:7000",
     "remove member rvk-a-1",
--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -199,7 +199,10 @@
             offers: offers(record),
             home,
             leaving: !has_home || !self.membership.is_available(endpoint),
-            drained: self.follow.config.drains_endpoint(&record.name),
+            drained: self
+                .follow
+                .config
+                .drains_endpoint(&record.name, &record.zone),
         };
         self.route.upsert_endpoint(facts, exclusive_from);
     }
--- a/crates/ragwortroad_node/src/control/order_flow.rs
+++ b/crates/ragwortroad_node/src/control/order_flow.rs
@@ -130,7 +130,7 @@
                 models: record.models.iter().cloned().collect(),
             };
             table.observe(name, sight);
-            if !ordered.contains(name) && history.undrained.contains(name) {
+            if !ordered.contains(name) && history.undrains(name, &record.zone) {
                 table.doubt_drain(name);
             }
             there.insert(name.to_owned());
--- a/crates/ragwortroad_node/src/order/engine_view.rs
+++ b/crates/ragwortroad_node/src/order/engine_view.rs
@@ -29,7 +29,7 @@
         if record.kind != EndpointKind::Engine || record.presence == EndpointPresence::Gone {
             return None;
         }
-        let drained = config.drains_endpoint(&record.name);
+        let drained = config.drains_endpoint(&record.name, &record.zone);
         Some(Self {
             name: record.name.clone(),
             zone: record.zone.clone(),
--- a/crates/ragwortroad_node/src/order/offer_history.rs
+++ b/crates/ragwortroad_node/src/order/offer_history.rs
@@ -14,6 +14,8 @@
     pub(crate) adapters: BTreeSet<(String, String)>,
     /// Endpoints whose drain was ended.
     pub(crate) undrained: BTreeSet<String>,
+    /// Failure domains whose drain was ended.
+    pub(crate) undrained_domains: BTreeSet<String>,
 }
 
 impl OfferHistory {
@@ -33,9 +35,19 @@
                 } => {
                     history.undrained.insert(name.clone());
                 }
+                ConfigEdit::Undrain {
+                    target: DrainTarget::Domain(name),
+                } => {
+                    history.undrained_domains.insert(name.clone());
+                }
                 _ => {}
             }
         }
         history
     }
+
+    /// Whether a drain was ended that held the endpoint of this name in this failure domain.
+    pub(crate) fn undrains(&self, name: &str, domain: &str) -> bool {
+        self.undrained.contains(name) || self.undrained_domains.contains(domain)
+    }
 }
--- a/crates/ragwortroad_state/src/config/drain_target.rs
+++ b/crates/ragwortroad_state/src/config/drain_target.rs
@@ -14,13 +14,15 @@
     Endpoint(String),
     /// A node of the fleet, by the name in its settings.
     Node(String),
+    /// All endpoints of a failure domain, those that come later among them.
+    Domain(String),
 }
 
 impl DrainTarget {
-    /// The name of the endpoint or node.
+    /// The name of the endpoint, node or failure domain.
     pub fn name(&self) -> &str {
         match self {
-            Self::Endpoint(name) | Self::Node(name) => name,
+            Self::Endpoint(name) | Self::Node(name) | Self::Domain(name) => name,
         }
     }
 }
@@ -30,6 +32,7 @@
         match self {
             Self::Endpoint(name) => write!(formatter, "endpoint {name}"),
             Self::Node(name) => write!(formatter, "node {name}"),
+            Self::Domain(name) => write!(formatter, "domain {name}"),
         }
     }
 }
--- a/crates/ragwortroad_state/src/config/fleet_config.rs
+++ b/crates/ragwortroad_state/src/config/fleet_config.rs
@@ -152,10 +152,11 @@
             .map(|(name, _)| name.as_str())
     }
 
-    /// Whether an endpoint of this name gets no new work.
-    pub fn drains_endpoint(&self, name: &str) -> bool {
-        self.drains
-            .contains(&DrainTarget::Endpoint(name.to_owned()))
+    /// Whether an endpoint of this name in this failure domain gets no new work.
+    pub fn drains_endpoint(&self, name: &str, domain: &str) -> bool {
+        let drains = |target| self.drains.contains(&target);
+        drains(DrainTarget::Endpoint(name.to_owned()))
+            || drains(DrainTarget::Domain(domain.to_owned()))
     }
 
     /// Whether a node of this name takes no new work in.
