--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -214,11 +214,8 @@
             let warm_at = now.after(return_warmup(shared.settings.announce_every));
             shared.state.borrow_mut().take_drains(drains, warm_at);
         }
-        LinkMessage::WarmupShares(shares) => {
-            let mut state = shared.state.borrow_mut();
-            for share in shares {
-                state.warmups.take(share, now);
-            }
+        LinkMessage::WarmupShare(share) => {
+            shared.state.borrow_mut().warmups.take(share, now);
         }
         LinkMessage::WantPlaces => shared.state.borrow().send_all_places(source),
         LinkMessage::EndpointsWhole(records) => {
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -68,8 +68,8 @@
     ConfigAt(SocketAddr),
     /// Failure domains that are drained, by a registry's state.
     DomainDrains(DomainDrains),
-    /// This edge's parts of the requests for endpoints that warm up.
-    WarmupShares(Vec<WarmupShare>),
+    /// This edge's part of the requests for an endpoint that warms up.
+    WarmupShare(WarmupShare),
     /// What a registry heard from endpoints itself; with it an edge knows all of it.
     EndpointsWhole(Vec<EndpointRecord>),
     /// What a registry heard from endpoints since, in its order.
@@ -132,7 +132,7 @@
             Self::ConfigDeltas(_) => "config_deltas",
             Self::ConfigAt(_) => "config_at",
             Self::DomainDrains(_) => "domain_drains",
-            Self::WarmupShares(_) => "warmup_shares",
+            Self::WarmupShare(_) => "warmup_share",
             Self::EndpointsWhole(_) => "endpoints_whole",
             Self::EndpointUpdates(_) => "endpoint_updates",
             Self::MemberHello(_) => "member_hello",
--- a/crates/ragwortroad_registry/src/warmup_flow.rs
+++ b/crates/ragwortroad_registry/src/warmup_flow.rs
@@ -31,7 +31,7 @@
         let edges = self.edges.iter();
         let edges = edges.filter(|(_, edge)| chosen.contains(&edge.address));
         let links = edges.map(|(link, _): (&LinkKey, _)| link);
-        let bytes = self.send_to_links(links, &LinkMessage::WarmupShares(vec![share]));
+        let bytes = self.send_to_links(links, &LinkMessage::WarmupShare(share));
         tracing::info!(
             endpoint = record.name,
             warming_ms = record.warming_ms,
