Take import circles out of the edge and the registry

Cause: two circles in the edge (ten files) and two in the registry (seven) made each file understandable only with the others.

Change: types move to files of their own (RegistryLink, RefusalReason, EdgeEntry, PeerEntry, DrainWait, the waits of calls, FolderReport); the edge's taking of configurations to config_intake; puts and reads of the registry from call_flow (490 lines) to put_flow and read_flow. No behaviour changes.

Tests: those of edge, registry, dispatch and platform pass.

--- /dev/null
+++ b/crates/ragwortroad_edge/src/config_intake.rs
@@ -0,0 +1,134 @@
+//! How an edge takes the configuration that registries and other edges give it.
+
+use std::{
+    io,
+    rc::Rc,
+    time::Duration, //
+};
+
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use ragwortroad_types::prelude::*;
+
+use crate::edge_state::{
+    EdgeShared,
+    EdgeState, //
+};
+
+/// Time after a start in which a configuration is awaited that is surely the newest.
+///
+/// A registry that was cut off may have an older one; with the word of more than half of the
+/// voters there is none newer. Without them the edge still serves with what it has.
+const CERTAINTY_TIME: Duration = Duration::from_millis(1500);
+
+pub(crate) fn take_version(shared: &EdgeShared, source: SourceKey, version: u64) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    if let Some(link) = state.links.get_mut(&source) {
+        link.version = Some(version);
+    }
+    state.fetch.note_announced(version, now);
+}
+
+/// Takes the steps to a configuration.
+pub(crate) fn take_deltas(shared: &EdgeShared, steps: &[ConfigDelta]) {
+    let mut state = shared.state.borrow_mut();
+    state.fetch.note_answered();
+    let Some(last) = steps.last() else {
+        return;
+    };
+    // An older one would take back what is in force here.
+    if state.version().is_some_and(|known| last.version <= known) {
+        return;
+    }
+    let version = last.version;
+    let document = match open_deltas(state.document.clone(), state.version(), steps) {
+        Ok(document) => document,
+        Err(error) => {
+            tracing::error!(version, %error, "a configuration cannot be unpacked");
+            return;
+        }
+    };
+    match (shared.port.decode_config)(&document) {
+        Ok(config) => {
+            tracing::info!(
+                version,
+                routes = config.routes.len(),
+                services = config.services.len(),
+                steps = steps.len(),
+                "configuration in force"
+            );
+            state.map = Some(Rc::new(RouteMap::new(config)));
+            state.whole = Some(last).filter(|last| last.base.is_none()).cloned();
+            state.document = Some(document.into());
+        }
+        Err(fault) => tracing::error!(version, %fault, "a configuration cannot be used"),
+    }
+}
+
+/// The document that steps lead to from the one in force here.
+fn open_deltas(
+    own: Option<Rc<[u8]>>,
+    own_version: Option<u64>,
+    steps: &[ConfigDelta],
+) -> io::Result<Vec<u8>> {
+    let mut document = own.map(|own| own.to_vec());
+    let mut version = own_version;
+    for step in steps {
+        if step.base.is_some() && step.base != version {
+            return Err(io::Error::other("it was made against another one"));
+        }
+        let base = step.base.and(document.as_deref());
+        document = Some(step.open(base)?);
+        version = Some(step.version);
+    }
+    document.ok_or_else(|| io::Error::other("there is no step"))
+}
+
+/// Asks for the configuration where one is known to be newer, and says so once this edge is ready.
+pub(crate) fn settle_config(shared: &EdgeShared) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    ask_config(shared, &mut state, now);
+    if state.stage == EdgeStage::Starting && is_settled(&state, shared.running()) {
+        state.set_stage(EdgeStage::Ready);
+    }
+}
+
+fn is_settled(state: &EdgeState, running: Duration) -> bool {
+    let Some(version) = state.version() else {
+        return false;
+    };
+    let is_newest = state.fetch.is_newest(version);
+    // One that has just lost its disk knows of no voters, and must not make others count for less.
+    let voters = state
+        .links
+        .values()
+        .map(|link| link.voters)
+        .max()
+        .unwrap_or(0);
+    let heard = state.links.values();
+    let heard = heard.filter(|link| link.version.is_some() && link.has_told);
+    let is_certain = heard.count() as u32 > voters / 2 && voters > 0;
+    is_newest && (is_certain || running > CERTAINTY_TIME)
+}
+
+fn ask_config(shared: &EdgeShared, state: &mut EdgeState, now: ClockTime) {
+    let connected = state.links.values().filter(|link| link.queue.is_some());
+    let sources = connected.map(|link| ConfigSource {
+        address: link.address,
+        version: link.version,
+    });
+    let sources: Vec<ConfigSource> = sources.collect();
+    let above = state.version();
+    let edge = &shared.settings.name;
+    let Some(ConfigDemand { registry, direct }) = state.fetch.next(edge, above, &sources, now)
+    else {
+        return;
+    };
+    let link = state.links.values().find(|link| link.address == registry);
+    let queue = link.and_then(|link| link.queue.as_ref());
+    if queue.is_some_and(|queue| queue.send(&LinkMessage::WantConfig { above, direct })) {
+        state.fetch.note_asked(registry, now);
+    }
+}
--- a/crates/ragwortroad_edge/src/config_share.rs
+++ b/crates/ragwortroad_edge/src/config_share.rs
@@ -23,9 +23,9 @@
 };
 
 use crate::{
-    edge_links::{
+    config_intake::{
         settle_config,
-        take_steps, //
+        take_deltas, //
     },
     edge_state::{
         EdgeShared,
@@ -124,7 +124,7 @@
         if let LinkMessage::ConfigDeltas(steps) = message {
             // Without a step the registry that named the edge counts as not having answered.
             if !steps.is_empty() {
-                take_steps(&inward, &steps);
+                take_deltas(&inward, &steps);
             }
             end.close();
         }
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -1,11 +1,8 @@
 //! Connections of an edge to the registries, and what comes over them.
 
 use std::{
-    collections::HashMap,
-    io,
     net::SocketAddr,
-    rc::Rc,
-    time::Duration, //
+    rc::Rc, //
 };
 
 use ragwortroad_dispatch::prelude::*;
@@ -18,83 +15,19 @@
 };
 
 use crate::{
+    config_intake::{
+        settle_config,
+        take_deltas,
+        take_version, //
+    },
     config_share::fetch_config,
     edge_state::{
         EdgeShared,
         EdgeState, //
-    }, //
+    },
+    registry_link::RegistryLink, //
 };
 
-/// Time after a start in which a configuration is awaited that is surely the newest.
-///
-/// A registry that was cut off may have an older one; with the word of more than half of the
-/// voters there is none newer. Without them the edge still serves with what it has.
-const CERTAINTY_TIME: Duration = Duration::from_millis(1500);
-
-/// A registry as an edge knows it.
-#[derive(Debug)]
-pub(crate) struct RegistryLink {
-    pub(crate) address: SocketAddr,
-    /// Takes what it is told, while it is connected.
-    pub(crate) queue: Option<LinkQueue>,
-    /// Version that it has announced on this connection.
-    pub(crate) version: Option<u64>,
-    /// Voters among the registries by its word; none where it has not joined the group.
-    voters: u32,
-    /// Registries that it hears by its word.
-    hears: u32,
-    /// Whether it has told all that it knows on this connection.
-    has_told: bool,
-    /// Whether this edge takes it for its home: tells it its loads and places of texts, and hears
-    /// those of the other edges from it.
-    ///
-    /// Invariant: of one link at most, and only while that is connected.
-    pub(crate) is_home: bool,
-    /// Requests of all edges by its word, by endpoint.
-    pub(crate) totals: HashMap<EndpointTag, u32>,
-    /// This edge's own requests as it told this registry last.
-    pub(crate) report: CountReport,
-}
-
-impl RegistryLink {
-    fn new(address: SocketAddr) -> Self {
-        Self {
-            address,
-            queue: None,
-            version: None,
-            voters: 0,
-            hears: 0,
-            has_told: false,
-            is_home: false,
-            totals: HashMap::new(),
-            report: CountReport::default(),
-        }
-    }
-
-    /// The registry as it may be this edge's home.
-    pub(crate) fn as_home(&self) -> HomeCandidate {
-        HomeCandidate {
-            address: self.address,
-            hears: self.hears,
-            voters: self.voters,
-        }
-    }
-
-    /// Starts anew, with a connection or without.
-    fn reset(&mut self, queue: Option<LinkQueue>) {
-        *self = Self {
-            queue,
-            ..Self::new(self.address)
-        };
-    }
-
-    /// Requests of other edges at an endpoint, as far as this registry tells.
-    pub(crate) fn others(&self, endpoint: EndpointTag) -> u32 {
-        let total = self.totals.get(&endpoint).copied().unwrap_or(0);
-        total.saturating_sub(self.report.count(endpoint))
-    }
-}
-
 /// Dials the registries that the settings name.
 pub(crate) fn dial_seeds(shared: &Rc<EdgeShared>, seeds: &[SocketAddr]) {
     let port = shared.settings.inner.port();
@@ -187,7 +120,7 @@
             dial_registries(shared, registries);
         }
         LinkMessage::ConfigVersion(version) => take_version(shared, source, version),
-        LinkMessage::ConfigDeltas(steps) => take_steps(shared, &steps),
+        LinkMessage::ConfigDeltas(steps) => take_deltas(shared, &steps),
         LinkMessage::ConfigAt(helper) => {
             spawn_local(fetch_config(Rc::clone(shared), helper));
         }
@@ -261,115 +194,3 @@
     }
     state.follow_change(change, now);
 }
-
-fn take_version(shared: &EdgeShared, source: SourceKey, version: u64) {
-    let now = shared.now();
-    let mut state = shared.state.borrow_mut();
-    if let Some(link) = state.links.get_mut(&source) {
-        link.version = Some(version);
-    }
-    state.fetch.note_announced(version, now);
-}
-
-/// Takes the steps to a configuration.
-pub(crate) fn take_steps(shared: &EdgeShared, steps: &[ConfigDelta]) {
-    let mut state = shared.state.borrow_mut();
-    state.fetch.note_answered();
-    let Some(last) = steps.last() else {
-        return;
-    };
-    // An older one would take back what is in force here.
-    if state.version().is_some_and(|known| last.version <= known) {
-        return;
-    }
-    let version = last.version;
-    let document = match open_steps(state.document.clone(), state.version(), steps) {
-        Ok(document) => document,
-        Err(error) => {
-            tracing::error!(version, %error, "a configuration cannot be unpacked");
-            return;
-        }
-    };
-    match (shared.port.decode_config)(&document) {
-        Ok(config) => {
-            tracing::info!(
-                version,
-                routes = config.routes.len(),
-                services = config.services.len(),
-                steps = steps.len(),
-                "configuration in force"
-            );
-            state.map = Some(Rc::new(RouteMap::new(config)));
-            state.whole = Some(last).filter(|last| last.base.is_none()).cloned();
-            state.document = Some(document.into());
-        }
-        Err(fault) => tracing::error!(version, %fault, "a configuration cannot be used"),
-    }
-}
-
-/// The document that steps lead to from the one in force here.
-fn open_steps(
-    own: Option<Rc<[u8]>>,
-    own_version: Option<u64>,
-    steps: &[ConfigDelta],
-) -> io::Result<Vec<u8>> {
-    let mut document = own.map(|own| own.to_vec());
-    let mut version = own_version;
-    for step in steps {
-        if step.base.is_some() && step.base != version {
-            return Err(io::Error::other("it was made against another one"));
-        }
-        let base = step.base.and(document.as_deref());
-        document = Some(step.open(base)?);
-        version = Some(step.version);
-    }
-    document.ok_or_else(|| io::Error::other("there is no step"))
-}
-
-/// Asks for the configuration where one is known to be newer, and says so once this edge is ready.
-pub(crate) fn settle_config(shared: &EdgeShared) {
-    let now = shared.now();
-    let mut state = shared.state.borrow_mut();
-    ask_config(shared, &mut state, now);
-    if state.stage == EdgeStage::Starting && is_settled(&state, shared.running()) {
-        state.set_stage(EdgeStage::Ready);
-    }
-}
-
-fn is_settled(state: &EdgeState, running: Duration) -> bool {
-    let Some(version) = state.version() else {
-        return false;
-    };
-    let is_newest = state.fetch.is_newest(version);
-    // One that has just lost its disk knows of no voters, and must not make others count for less.
-    let voters = state
-        .links
-        .values()
-        .map(|link| link.voters)
-        .max()
-        .unwrap_or(0);
-    let heard = state.links.values();
-    let heard = heard.filter(|link| link.version.is_some() && link.has_told);
-    let is_certain = heard.count() as u32 > voters / 2 && voters > 0;
-    is_newest && (is_certain || running > CERTAINTY_TIME)
-}
-
-fn ask_config(shared: &EdgeShared, state: &mut EdgeState, now: ClockTime) {
-    let connected = state.links.values().filter(|link| link.queue.is_some());
-    let sources = connected.map(|link| ConfigSource {
-        address: link.address,
-        version: link.version,
-    });
-    let sources: Vec<ConfigSource> = sources.collect();
-    let above = state.version();
-    let edge = &shared.settings.name;
-    let Some(ConfigDemand { registry, direct }) = state.fetch.next(edge, above, &sources, now)
-    else {
-        return;
-    };
-    let link = state.links.values().find(|link| link.address == registry);
-    let queue = link.and_then(|link| link.queue.as_ref());
-    if queue.is_some_and(|queue| queue.send(&LinkMessage::WantConfig { above, direct })) {
-        state.fetch.note_asked(registry, now);
-    }
-}
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -39,6 +39,7 @@
         serve_callers,
         serve_readiness, //
     },
+    config_intake::settle_config,
     config_share::serve_configs,
     connection_pool::ConnectionPool,
     domain_probe::probe_domains,
@@ -47,10 +48,7 @@
         MissingSettingSnafu,
         StartSnafu, //
     },
-    edge_links::{
-        dial_seeds,
-        settle_config, //
-    },
+    edge_links::dial_seeds,
     edge_state::{
         EdgeShared,
         EdgeState, //
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -26,7 +26,7 @@
 use crate::{
     EdgePort,
     connection_pool::ConnectionPool,
-    edge_links::RegistryLink,
+    registry_link::RegistryLink,
     service_gate::ServiceGate, //
 };
 
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -6,6 +6,7 @@
 //! their headers and writes ours.
 
 mod caller_server;
+mod config_intake;
 mod config_share;
 mod connection_pool;
 mod domain_probe;
@@ -23,6 +24,8 @@
 mod flight_guard;
 mod gate_pass;
 mod refusal_answer;
+mod refusal_reason;
+mod registry_link;
 mod request_end;
 mod request_flow;
 mod request_plan;
--- a/crates/ragwortroad_edge/src/request_end.rs
+++ b/crates/ragwortroad_edge/src/request_end.rs
@@ -13,10 +13,8 @@
     endpoint_call::WholeAnswer,
     endpoint_choice::ChosenEndpoint,
     gate_pass::GatePass,
-    refusal_answer::{
-        RefusalReason,
-        refusal_answer, //
-    },
+    refusal_answer::refusal_answer,
+    refusal_reason::RefusalReason,
     request_plan::RequestPlan,
     request_way::RequestWay, //
 };
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -35,10 +35,8 @@
         choose_endpoint, //
     },
     gate_pass::pass_gate,
-    refusal_answer::{
-        RefusalReason,
-        refusal_answer, //
-    },
+    refusal_answer::refusal_answer,
+    refusal_reason::RefusalReason,
     request_end::{
         come_back,
         count_request,
--- a/crates/ragwortroad_edge/src/request_plan.rs
+++ b/crates/ragwortroad_edge/src/request_plan.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     RequestFacts,
-    refusal_answer::RefusalReason, //
+    refusal_reason::RefusalReason, //
 };
 
 /// A caller's request, as it goes to endpoints.
--- a/crates/ragwortroad_edge/src/request_reading.rs
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -26,7 +26,7 @@
 use crate::{
     RequestFacts,
     edge_state::EdgeShared,
-    refusal_answer::RefusalReason,
+    refusal_reason::RefusalReason,
     request_plan::{
         RequestPlan,
         find_target,
--- a/crates/ragwortroad_edge/src/request_way.rs
+++ b/crates/ragwortroad_edge/src/request_way.rs
@@ -10,7 +10,7 @@
         WholeAnswer, //
     },
     endpoint_choice::ChosenEndpoint,
-    refusal_answer::RefusalReason,
+    refusal_reason::RefusalReason,
     request_plan::RequestPlan, //
 };
 
--- a/crates/ragwortroad_registry/src/drain_flow.rs
+++ b/crates/ragwortroad_registry/src/drain_flow.rs
@@ -22,6 +22,7 @@
         MAX_WAITING,
         answer_call, //
     },
+    drain_wait::DrainWait,
     registry_state::RegistryState, //
 };
 
@@ -30,15 +31,6 @@
 /// Applied twice it changes nothing the second time.
 const TRY_AGAIN: Duration = Duration::from_millis(250);
 
-/// An order whose operator waits.
-#[derive(Debug)]
-pub(crate) struct DrainWait {
-    order: DrainOrder,
-    reply: oneshot::Sender<ControlReply>,
-    came_at: ClockTime,
-    tried_at: ClockTime,
-}
-
 impl RegistryState {
     /// Takes an operator's order.
     pub(crate) fn take_drain(
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -1,9 +1,6 @@
 //! What a registry does with edges and endpoints.
 
-use std::{
-    net::SocketAddr,
-    time::Duration, //
-};
+use std::time::Duration;
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
@@ -12,6 +9,7 @@
 
 use crate::{
     ControlReply,
+    edge_entry::EdgeEntry,
     registry_event::LinkKey,
     registry_state::RegistryState, //
 };
@@ -37,17 +35,6 @@
 /// would be told as often as there are edges, when a registry has most to do.
 const FLEET_EVERY: Duration = Duration::from_secs(1);
 
-/// An edge that is connected.
-#[derive(Debug)]
-pub(crate) struct EdgeEntry {
-    pub(crate) node: String,
-    /// Where callers reach it.
-    pub(crate) address: SocketAddr,
-    /// Where other edges ask it for the configuration.
-    pub(crate) inner: SocketAddr,
-    pub(crate) stage: EdgeStage,
-}
-
 impl RegistryState {
     pub(crate) fn greet_edge(&mut self, link: LinkKey, edge: EdgeEntry, now: ClockTime) {
         let EdgeEntry {
--- a/crates/ragwortroad_registry/src/folder_worker.rs
+++ b/crates/ragwortroad_registry/src/folder_worker.rs
@@ -14,7 +14,10 @@
 };
 use ragwortroad_log::prelude::*;
 
-use crate::registry_event::RegistryEvent;
+use crate::{
+    folder_report::FolderReport,
+    registry_event::RegistryEvent, //
+};
 
 /// Pause before a folder that failed is opened again.
 ///
@@ -36,32 +39,6 @@
     pub(crate) change: LogChange,
 }
 
-/// What the folder's thread tells.
-#[derive(Debug)]
-pub(crate) enum FolderReport {
-    /// The folder is open and holds this.
-    Opened {
-        /// Number of the opening.
-        opening: u64,
-        /// What it holds.
-        stored: Box<StoredState>,
-    },
-    /// Every batch up to this one is durable.
-    Durable {
-        /// Number of the opening.
-        opening: u64,
-        /// The last of them.
-        batch: u64,
-    },
-    /// The folder refuses writes until it has been opened anew.
-    Failed {
-        /// Number of the opening.
-        opening: u64,
-        /// Why, with the remedy.
-        reason: String,
-    },
-}
-
 /// The thread that owns the data folder, and opens it anew after a failure.
 ///
 /// Opening, writing and syncing wait for the disk, which may hang for seconds; on the control
--- a/crates/ragwortroad_registry/src/group_seat.rs
+++ b/crates/ragwortroad_registry/src/group_seat.rs
@@ -15,12 +15,12 @@
     RegisterChange,
     RegisterCommand,
     RegisterSnapshot,
-    delta_history::DeltaHistory, //
+    delta_history::DeltaHistory,
+    folder_report::FolderReport,
     folder_worker::{
         FolderOrder,
-        FolderReport,
         FolderWorker, //
-    },
+    }, //
 };
 
 /// What a seat wants done beside its disk's work.
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -11,11 +11,10 @@
 use ragwortroad_types::prelude::*;
 
 use crate::{
-    call_flow::{
-        PutOrigin,
-        ReadOrigin, //
-    },
-    edge_flow::EdgeEntry,
+    edge_entry::EdgeEntry,
+    peer_entry::PeerEntry,
+    put_origin::PutOrigin,
+    read_origin::ReadOrigin,
     registry_event::LinkKey,
     registry_state::RegistryState, //
 };
@@ -34,15 +33,6 @@
 /// Time after which a registry that is not heard of is no longer told to others.
 const FORGET_AFTER: Duration = Duration::from_secs(30);
 
-/// Another registry.
-#[derive(Debug, Default)]
-pub(crate) struct PeerEntry {
-    /// Takes what it is told, while it is connected.
-    pub(crate) queue: Option<LinkQueue>,
-    /// What it said of itself last, and when.
-    pub(crate) hello: Option<(MemberHello, ClockTime)>,
-}
-
 impl RegistryState {
     /// Sees to it that the registries of the settings are dialled.
     pub(crate) fn learn_seeds(&mut self) {
--- /dev/null
+++ b/crates/ragwortroad_registry/src/read_settle.rs
@@ -0,0 +1,12 @@
+use ragwortroad_types::prelude::*;
+use tokio::sync::oneshot;
+
+use crate::ControlReply;
+
+/// A read that waits for the state to be applied up to an index.
+#[derive(Debug)]
+pub(crate) struct ReadSettle {
+    pub(crate) index: u64,
+    pub(crate) reply: oneshot::Sender<ControlReply>,
+    pub(crate) came_at: ClockTime,
+}
--- a/crates/ragwortroad_registry/src/registry_event.rs
+++ b/crates/ragwortroad_registry/src/registry_event.rs
@@ -10,7 +10,7 @@
 use crate::{
     ControlCall,
     ControlReply,
-    folder_worker::FolderReport, //
+    folder_report::FolderReport, //
 };
 
 /// A connection that was accepted or dialled.
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -14,19 +14,17 @@
 use ragwortroad_types::prelude::*;
 
 use crate::{
-    call_flow::{
-        PutWait,
-        ReadSettle,
-        ReadWait, //
-    },
-    drain_flow::DrainWait,
-    edge_flow::EdgeEntry,
+    drain_wait::DrainWait,
+    edge_entry::EdgeEntry,
     group_seat::{
         GroupSeat,
         SeatEffect, //
     },
-    peer_flow::PeerEntry,
+    peer_entry::PeerEntry,
     place_keeper::PlaceKeeper,
+    put_wait::PutWait,
+    read_settle::ReadSettle,
+    read_wait::ReadWait,
     registry_event::{
         LinkKey,
         RegistryEvent, //
