Tell callers of edges from a process of its own, one in each failure domain

Cause: registries answered callers that ask for edges, three in each domain. Callers try the nearest three. With a domain lost, a third of all callers asked three dead registries, a second each, and had no edge at the end.

Change: `ragwortroad directory` hears the edges from every registry and tells callers those that any registry calls ready (EdgeDirectory, in dispatch); it goes on by the last word while it hears none. Registries can still answer callers where an operator sets `[registry] directory`. Registries send each directory the edges where these have changed, and a keepalive.

--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -16,6 +16,9 @@
 mod copy_queue;
 mod domain_drains;
 mod domain_reach;
+mod edge_directory;
+mod edge_gathering;
+mod edge_view;
 mod endpoint_load;
 mod endpoint_record;
 mod endpoint_table;
@@ -75,6 +78,12 @@
             DrainOutcome, //
         },
         domain_reach::DomainReach,
+        edge_directory::EdgeDirectory,
+        edge_gathering::{
+            DirectoryGap,
+            EdgeGathering, //
+        },
+        edge_view::EdgeView,
         endpoint_load::{
             EndpointLoad,
             LoadReading, //
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -27,6 +27,13 @@
         /// Whether it takes callers.
         stage: EdgeStage,
     },
+    /// A directory presents itself; its first message.
+    DirectoryHello {
+        /// Its name.
+        node: String,
+    },
+    /// Edges, as a registry tells directories where that has changed.
+    EdgesKnown(EdgeView),
     /// An edge's stage has changed.
     EdgeStaged(EdgeStage),
     /// An edge wants the configuration, if it is above the version it has.
@@ -119,6 +126,8 @@
             Self::Keepalive => "keepalive",
             Self::Packed(_) => "packed",
             Self::EdgeHello { .. } => "edge_hello",
+            Self::DirectoryHello { .. } => "directory_hello",
+            Self::EdgesKnown(_) => "edges_known",
             Self::EdgeStaged(_) => "edge_staged",
             Self::WantConfig { .. } => "want_config",
             Self::Subscribe => "subscribe",
--- a/crates/ragwortroad_registry/src/directory_flow.rs
+++ b/crates/ragwortroad_registry/src/directory_flow.rs
@@ -1,4 +1,4 @@
-//! What a registry tells callers who ask which edges to use.
+//! What a registry tells callers who ask which edges to use, and the directories that answer them.
 
 use std::{
     net::{
@@ -10,49 +10,82 @@
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
+use ragwortroad_settings::prelude::*;
 use ragwortroad_types::prelude::*;
 
 use crate::{
     ControlReply,
+    registry_event::LinkKey,
     registry_state::RegistryState, //
 };
 
-/// Longest time after a start in which edges find this registry.
-///
-/// Callers give up connections to addresses that an answer lacks. An answer before the edges are
-/// connected would send all of them to the first one.
-const GATHER_TIME: Duration = Duration::from_millis(1200);
-
-/// Time without another edge after which a registry that has just started counts itself found.
-///
-/// After a common restart all edges come within a tenth of a second.
-const JOIN_TIME: Duration = Duration::from_millis(250);
-
 /// Most addresses in one answer of the directory; callers take no more.
-const MAX_ADDRESSES: usize = 64;
+pub(crate) const MAX_ADDRESSES: usize = 64;
 
 impl RegistryState {
     /// Edges that take callers, for one that asks from an address.
     pub(crate) fn find_edges(&self, asker: IpAddr, now: ClockTime) -> ControlReply {
-        let edges = self.edges.values();
-        let ready = edges.filter(|edge| edge.stage == EdgeStage::Ready);
-        let ready: Vec<SocketAddr> = ready.map(|edge| edge.address).collect();
-        let is_new = now.since(self.started_at) < GATHER_TIME;
-        let is_joined = now.since(self.joined_at) < JOIN_TIME;
-        if is_new && (is_joined || ready.len() * 2 < self.edges.len()) {
-            return ControlReply::Unavailable {
-                reason: "edges are still being gathered",
-            };
+        let ready = self.ready_edges();
+        let gap = self.gathering.gap(ready.len(), self.edges.len(), now);
+        let found = match gap {
+            Some(gap) => Err(gap),
+            None => Ok(choose_addresses(asker, ready, MAX_ADDRESSES)),
+        };
+        directory_reply(found, &self.settings)
+    }
+
+    /// A directory has connected.
+    pub(crate) fn greet_directory(&mut self, link: LinkKey, node: &str, now: ClockTime) {
+        tracing::info!(directory = node, "directory connected");
+        // So that it is told of each change from what it is told here.
+        self.send_edges();
+        self.directories.insert(link);
+        if let Some(queue) = self.links.get(&link) {
+            queue.send(&self.fleet_message(now));
+            queue.send(&LinkMessage::EdgesKnown(self.told_edges.clone()));
         }
-        if ready.is_empty() {
-            return ControlReply::Unavailable {
-                reason: "no edge takes callers",
-            };
+    }
+
+    /// Tells directories which edges take callers, where that has changed.
+    pub(crate) fn send_edges(&mut self) {
+        let view = self.edge_view();
+        if self.told_edges != view {
+            let message = LinkMessage::EdgesKnown(view.clone());
+            self.send_to_links(self.directories.iter(), &message);
+            self.told_edges = view;
         }
-        let life = answer_life(self.settings.grace, self.settings.directory_life);
-        ControlReply::Edges {
-            addresses: choose_addresses(asker, ready, MAX_ADDRESSES),
-            keep_s: life.as_secs(),
+    }
+
+    fn edge_view(&self) -> EdgeView {
+        EdgeView {
+            ready: self.ready_edges(),
+            edges: self.edges.len() as u32,
         }
     }
+
+    fn ready_edges(&self) -> Vec<SocketAddr> {
+        let edges = self.edges.values();
+        let ready = edges.filter(|edge| edge.stage == EdgeStage::Ready);
+        ready.map(|edge| edge.address).collect()
+    }
+}
+
+/// What a caller is told that asks for edges.
+pub(crate) fn directory_reply(
+    found: Result<Vec<SocketAddr>, DirectoryGap>,
+    settings: &ForwardSettings,
+) -> ControlReply {
+    let life: Duration = answer_life(settings.grace, settings.directory_life);
+    match found {
+        Ok(addresses) => ControlReply::Edges {
+            addresses,
+            keep_s: life.as_secs(),
+        },
+        Err(DirectoryGap::Gathering) => ControlReply::Unavailable {
+            reason: "edges are still being gathered",
+        },
+        Err(DirectoryGap::NoEdge) => ControlReply::Unavailable {
+            reason: "no edge takes callers",
+        },
+    }
 }
--- /dev/null
+++ b/crates/ragwortroad_registry/src/directory_process.rs
@@ -0,0 +1,183 @@
+//! A process that only tells callers which edges to use.
+//!
+//! It keeps nothing on disk and connects to every registry, so it may run on any VM; operators
+//! place directories so that no failure domain has all that a caller asks.
+
+use std::{
+    collections::{
+        BTreeMap,
+        btree_map::Entry, //
+    },
+    net::SocketAddr,
+    time::Duration, //
+};
+
+use flume::{
+    Receiver,
+    Sender, //
+};
+use ragwortroad_clock::prelude::*;
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
+use ragwortroad_settings::prelude::*;
+use ragwortroad_telemetry::prelude::*;
+use ragwortroad_types::prelude::*;
+use snafu::{
+    OptionExt,
+    ResultExt, //
+};
+use tokio::{
+    runtime::Builder,
+    task::{
+        LocalSet,
+        spawn_local, //
+    },
+    time::sleep, //
+};
+
+use crate::{
+    ControlCall,
+    ControlReply,
+    RegistryError,
+    RegistryPort,
+    RegistrySignal,
+    call_flow::answer_call,
+    call_server::serve_calls,
+    directory_flow::{
+        MAX_ADDRESSES,
+        directory_reply, //
+    },
+    peer_dialer::keep_dialled,
+    registry_error::{
+        MissingSettingSnafu,
+        StartSnafu, //
+    },
+    registry_event::RegistryEvent,
+    registry_process::{
+        listen,
+        pass_signals, //
+    }, //
+};
+
+/// Time for which a stopping directory goes on answering.
+///
+/// A caller whose connection breaks before its answer waits for the next directory.
+const STOP_TIME: Duration = Duration::from_millis(100);
+
+/// All that a directory knows.
+struct DirectoryState {
+    settings: ForwardSettings,
+    edges: EdgeDirectory,
+    /// Registries that are dialled, by where they listen for links, with the connection to each.
+    ///
+    /// A connection ends when its queue is dropped.
+    registries: BTreeMap<SocketAddr, Option<LinkQueue>>,
+    events: Sender<RegistryEvent>,
+}
+
+/// Runs a directory until it is told to stop; `page` is where its metrics are read, if any are kept.
+pub fn run_directory(
+    settings: ForwardSettings,
+    port: RegistryPort,
+    signals: Receiver<RegistrySignal>,
+    page: Option<MetricsPage>,
+) -> Result<(), RegistryError> {
+    let runtime = Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .context(StartSnafu)?;
+    let local = LocalSet::new();
+    runtime.block_on(local.run_until(serve_directory(settings, port, signals, page)))
+}
+
+async fn serve_directory(
+    settings: ForwardSettings,
+    port: RegistryPort,
+    signals: Receiver<RegistrySignal>,
+    page: Option<MetricsPage>,
+) -> Result<(), RegistryError> {
+    let key = "directory";
+    let directory = settings.directory.context(MissingSettingSnafu { key })?;
+    let (events, queue) = flume::unbounded();
+    spawn_local(serve_calls(listen(directory).await?, port, events.clone()));
+    if let Some(page) = page {
+        spawn_local(page.clone().keep_folded());
+        if let Some(address) = settings.metrics {
+            spawn_local(page.serve(listen(address).await?));
+        }
+    }
+    spawn_local(pass_signals(signals, events.clone()));
+    let clock = RealClock::start();
+    let mut state = DirectoryState {
+        edges: EdgeDirectory::new(clock.now()),
+        settings,
+        registries: BTreeMap::new(),
+        events,
+    };
+    state.dial_seeds();
+    while let Ok(event) = queue.recv_async().await {
+        if matches!(event, RegistryEvent::Stop) {
+            tracing::info!("stopping");
+            break;
+        }
+        state.handle(event, clock.now());
+    }
+    sleep(STOP_TIME).await;
+    Ok(())
+}
+
+impl DirectoryState {
+    fn dial_seeds(&mut self) {
+        let port = self.settings.inner.port();
+        let seeds = self.settings.seeds.iter();
+        let seeds = seeds.map(|seed| SocketAddr::new(seed.ip(), port));
+        self.dial(seeds.collect());
+    }
+
+    fn dial(&mut self, registries: Vec<SocketAddr>) {
+        for registry in registries {
+            if let Entry::Vacant(entry) = self.registries.entry(registry) {
+                entry.insert(None);
+                spawn_local(keep_dialled(registry, self.events.clone()));
+            }
+        }
+    }
+
+    fn handle(&mut self, event: RegistryEvent, now: ClockTime) {
+        match event {
+            RegistryEvent::Call { call, asker, reply } => {
+                let answer = match call {
+                    ControlCall::FindEdges => {
+                        let found = self.edges.find(asker, MAX_ADDRESSES, now);
+                        directory_reply(found, &self.settings)
+                    }
+                    _ => ControlReply::NotFound,
+                };
+                answer_call(reply, answer);
+            }
+            RegistryEvent::Reached { peer, queue } => {
+                let node = self.settings.name.clone();
+                queue.send(&LinkMessage::DirectoryHello { node });
+                self.registries.insert(peer, Some(queue));
+            }
+            RegistryEvent::PeerSaid { peer, message } => self.take_message(peer, message, now),
+            RegistryEvent::Unreached { peer } => {
+                self.registries.insert(peer, None);
+                self.edges.note_lost(peer);
+            }
+            RegistryEvent::Seeds(seeds) => {
+                self.settings.seeds = seeds;
+                self.dial_seeds();
+            }
+            other => tracing::warn!(?other, "an event that concerns no directory"),
+        }
+    }
+
+    fn take_message(&mut self, peer: SocketAddr, message: LinkMessage, now: ClockTime) {
+        match message {
+            LinkMessage::Fleet { registries, .. } => self.dial(registries),
+            LinkMessage::EdgesKnown(view) => self.edges.note_view(peer, view, now),
+            other => tracing::warn!(?other, "a message that no registry sends a directory"),
+        }
+    }
+}
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -53,7 +53,7 @@
             self.edges.remove(&former);
         }
         self.edges.insert(link, edge);
-        self.joined_at = now;
+        self.gathering.note_joined(now);
         let Some(queue) = self.links.get(&link) else {
             return;
         };
@@ -79,6 +79,7 @@
         self.links.remove(&link);
         self.unsubscribe(link);
         self.leave_peer(link);
+        self.directories.remove(&link);
         self.copies.drop_edge(link.0);
         if let Some(edge) = self.edges.remove(&link) {
             tracing::info!(edge = edge.node, "edge lost");
@@ -129,7 +130,7 @@
         self.told_fleet.as_ref().and_then(facts) != facts(message)
     }
 
-    fn fleet_message(&self, now: ClockTime) -> LinkMessage {
+    pub(crate) fn fleet_message(&self, now: ClockTime) -> LinkMessage {
         LinkMessage::Fleet {
             registries: self.known_registries(now),
             voters: self.voter_count(),
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -14,6 +14,7 @@
 mod control_call;
 mod delta_history;
 mod directory_flow;
+mod directory_process;
 mod drain_flow;
 mod drain_wait;
 mod edge_entry;
@@ -53,6 +54,7 @@
             ControlCall,
             ControlReply, //
         },
+        directory_process::run_directory,
         register_command::RegisterCommand,
         register_snapshot::RegisterSnapshot,
         registry_error::RegistryError,
--- a/crates/ragwortroad_registry/src/peer_dialer.rs
+++ b/crates/ragwortroad_registry/src/peer_dialer.rs
@@ -28,7 +28,10 @@
                 }
                 let inward = events.clone();
                 let say = move |message| {
-                    if inward.send(RegistryEvent::PeerSaid { message }).is_err() {
+                    if inward
+                        .send(RegistryEvent::PeerSaid { peer, message })
+                        .is_err()
+                    {
                         tracing::debug!("a message came after the control loop ended");
                     }
                 };
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -130,6 +130,7 @@
                 };
                 self.greet_edge(link, edge, now);
             }
+            LinkMessage::DirectoryHello { node } => self.greet_directory(link, &node, now),
             LinkMessage::EdgeStaged(stage) => self.stage_edge(link, stage),
             LinkMessage::WantConfig { above, direct } => self.give_config(link, above, direct),
             LinkMessage::Subscribe => self.subscribe(link),
--- a/crates/ragwortroad_registry/src/registry_error.rs
+++ b/crates/ragwortroad_registry/src/registry_error.rs
@@ -5,13 +5,13 @@
 
 use snafu::Snafu;
 
-/// Why a registry cannot run.
+/// Why a registry or a directory cannot run.
 #[derive(Debug)]
 #[derive(Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum RegistryError {
-    /// A setting that a registry needs is missing.
-    #[snafu(display("[registry] {key} is missing; a registry cannot run without it"))]
+    /// A setting that the process needs is missing.
+    #[snafu(display("[registry] {key} is missing; this process cannot run without it"))]
     MissingSetting {
         /// The setting.
         key: &'static str,
--- a/crates/ragwortroad_registry/src/registry_event.rs
+++ b/crates/ragwortroad_registry/src/registry_event.rs
@@ -52,6 +52,8 @@
     },
     /// A registry that was reached answers on that connection.
     PeerSaid {
+        /// Where it listens.
+        peer: SocketAddr,
         /// What.
         message: LinkMessage,
     },
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -238,7 +238,7 @@
     }
 }
 
-async fn pass_signals(signals: Receiver<RegistrySignal>, events: Sender<RegistryEvent>) {
+pub(crate) async fn pass_signals(signals: Receiver<RegistrySignal>, events: Sender<RegistryEvent>) {
     while let Ok(signal) = signals.recv_async().await {
         let event = match signal {
             RegistrySignal::Reload(settings) => RegistryEvent::Seeds(settings.seeds),
@@ -250,7 +250,7 @@
     }
 }
 
-async fn listen(address: SocketAddr) -> Result<TcpListener, RegistryError> {
+pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, RegistryError> {
     let bound = TcpListener::bind(address).await;
     bound.context(ListenSnafu { address })
 }
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -43,11 +43,14 @@
     pub(crate) table: RegistryTable,
     pub(crate) plan: VoterPlan,
     pub(crate) started_at: ClockTime,
-    /// When an edge connected last.
-    pub(crate) joined_at: ClockTime,
+    pub(crate) gathering: EdgeGathering,
     /// Connections that were accepted, by edges and registries.
     pub(crate) links: BTreeMap<LinkKey, LinkQueue>,
     pub(crate) edges: BTreeMap<LinkKey, EdgeEntry>,
+    /// Directories that are connected.
+    pub(crate) directories: BTreeSet<LinkKey>,
+    /// What they know of the edges.
+    pub(crate) told_edges: EdgeView,
     /// Registries, by where they listen.
     pub(crate) peers: BTreeMap<SocketAddr, PeerEntry>,
     /// Registries that are still to be dialled.
@@ -106,9 +109,11 @@
             seat,
             plan: VoterPlan::default(),
             started_at: now,
-            joined_at: now,
+            gathering: EdgeGathering::new(now),
             links: BTreeMap::new(),
             edges: BTreeMap::new(),
+            directories: BTreeSet::new(),
+            told_edges: EdgeView::default(),
             peers: BTreeMap::new(),
             undialled: BTreeSet::new(),
             puts: BTreeMap::new(),
@@ -149,7 +154,7 @@
             }
             RegistryEvent::Reached { peer, queue } => self.reach_peer(peer, queue, now),
             RegistryEvent::Said { link, message } => self.take_message(link, message, now),
-            RegistryEvent::PeerSaid { message } => self.take_peer_message(message, now),
+            RegistryEvent::PeerSaid { message, .. } => self.take_peer_message(message, now),
             RegistryEvent::Ended { link } => self.end_link(link),
             RegistryEvent::Unreached { peer } => {
                 if let Some(entry) = self.peers.get_mut(&peer) {
@@ -187,6 +192,7 @@
             self.retry_calls(now);
             self.expire_endpoints(now);
             self.send_fleet(now);
+            self.send_edges();
             self.keep_places(now);
         }
         self.say_hello(now);
--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -42,6 +42,8 @@
     Edge(SettingsFile),
     /// Run a registry of a fleet that forwards by host and path; it holds the configuration.
     Registry(SettingsFile),
+    /// Run a directory, which tells callers the edges of a fleet that forwards by host and path.
+    Directory(SettingsFile),
     /// Report every fault of a settings file; start nothing.
     Check(SettingsFile),
     /// Run three nodes with stand-in endpoints on loopback, and check what callers saw.
--- a/src/commands/check.rs
+++ b/src/commands/check.rs
@@ -24,9 +24,10 @@
 fn check_forwarding(path: &Path) -> ExitStatus {
     match ForwardSettings::from_file(path) {
         Ok(settings) => {
-            let role = match settings.control {
-                Some(_) => "is a registry",
-                None => "is an edge",
+            let role = match (settings.control, settings.directory) {
+                (Some(_), _) => "is a registry",
+                (None, Some(_)) => "is a directory",
+                (None, None) => "is an edge",
             };
             println!("{}: no faults; {} {role}", path.display(), settings.name);
             ExitStatus::Done
--- a/src/commands/forward.rs
+++ b/src/commands/forward.rs
@@ -1,4 +1,4 @@
-//! `edge` and `registry`: the processes of a fleet that forwards by host and path.
+//! `edge`, `registry` and `directory`: the processes of a fleet that forwards by host and path.
 
 use std::{
     fs,
@@ -14,7 +14,10 @@
     time::Duration, //
 };
 
-use flume::Sender;
+use flume::{
+    Receiver,
+    Sender, //
+};
 use ragwortroad_edge::prelude::*;
 use ragwortroad_registry::prelude::*;
 use ragwortroad_settings::prelude::*;
@@ -59,7 +62,24 @@
 
 /// Runs a registry until SIGTERM or SIGINT.
 pub(crate) fn run_registry_process(path: &Path) -> ExitStatus {
-    run_process(path, "registry", |settings, page, watch| {
+    run_registry_role(path, "registry", run_registry)
+}
+
+/// Runs a directory until SIGTERM or SIGINT.
+pub(crate) fn run_directory_process(path: &Path) -> ExitStatus {
+    run_registry_role(path, "directory", run_directory)
+}
+
+/// What runs a registry or a directory to its end.
+type RunRole = fn(
+    ForwardSettings,
+    RegistryPort,
+    Receiver<RegistrySignal>,
+    Option<MetricsPage>,
+) -> Result<(), RegistryError>;
+
+fn run_registry_role(path: &Path, role: &'static str, run: RunRole) -> ExitStatus {
+    run_process(path, role, |settings, page, watch| {
         let (signals, queue) = flume::unbounded();
         let watching = watch(Box::new(move |news| {
             let signal = match news {
@@ -68,7 +88,7 @@
             };
             signals.send(signal).is_ok()
         }));
-        let ended = run_registry(settings, ragwortroad_platform::registry_port(), queue, page);
+        let ended = run(settings, ragwortroad_platform::registry_port(), queue, page);
         (ended.map_err(|error| error.to_string()), watching)
     })
 }
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -26,6 +26,7 @@
         CommandKind::Serve(file) => serve::run(&file.settings),
         CommandKind::Edge(file) => forward::run_edge_process(&file.settings),
         CommandKind::Registry(file) => forward::run_registry_process(&file.settings),
+        CommandKind::Directory(file) => forward::run_directory_process(&file.settings),
         CommandKind::Explain(options) => explain::run(&options),
         CommandKind::Check(file) => check::run(&file.settings),
         CommandKind::Demo(options) => demo::run(&options),
