Take the import circles out of the other crates

Cause: eight circles of imports in the gateway, the log, the state, the time line, the transport and the bench; each of their files needed the others.

Change: functions and constants move to files of their own (header_names, engine_opening, edit_items, change_config, timeline_forms); wire conversions stand beside the type that they are made from; a finished run of the bench is reported by its caller. No behaviour changes.

Tests: those of the six crates pass.

--- a/crates/ragwortroad_bench/src/run/bench_run.rs
+++ b/crates/ragwortroad_bench/src/run/bench_run.rs
@@ -21,7 +21,6 @@
 use crate::{
     BenchSettings,
     PolicyKind,
-    PolicyReport,
     WorkloadSpec,
     fake::fake_engine::FakeEngine,
     policy::baseline_view::hash_pair,
@@ -146,7 +145,7 @@
     }
 
     /// Runs to the end of the plan.
-    pub(crate) fn run(mut self) -> PolicyReport {
+    pub(crate) fn run(mut self) -> Self {
         self.begin();
         let warm_ms = self.settings.warm_seconds * 1000;
         let end_ms = warm_ms + self.settings.seconds * 1000;
@@ -165,7 +164,7 @@
         for tracker in &mut self.trackers {
             tracker.advance(end_ms);
         }
-        PolicyReport::of_run(&self)
+        self
     }
 
     fn begin(&mut self) {
--- a/crates/ragwortroad_bench/src/run/mod.rs
+++ b/crates/ragwortroad_bench/src/run/mod.rs
@@ -37,6 +37,7 @@
         .policies
         .iter()
         .map(|policy| BenchRun::new(settings, spec, *policy, &arrivals, &changes).run())
+        .map(|run| PolicyReport::of_run(&run))
         .collect();
     BenchReport::new(settings, policies)
 }
--- a/crates/ragwortroad_gateway/src/answer_check.rs
+++ b/crates/ragwortroad_gateway/src/answer_check.rs
@@ -17,7 +17,7 @@
 };
 use ragwortroad_types::prelude::*;
 
-use crate::reply_maker::REQUEST_ID;
+use crate::header_names::REQUEST_ID;
 
 /// Checks that the answer names this request, or, where `must_echo` allows it, none.
 pub(crate) fn check_owner(
--- a/crates/ragwortroad_gateway/src/cancel_worker.rs
+++ b/crates/ragwortroad_gateway/src/cancel_worker.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     endpoint_link::EndpointLink,
-    reply_maker::REQUEST_ID,
+    header_names::REQUEST_ID,
     stop_signal::until_stopped, //
 };
 
--- a/crates/ragwortroad_gateway/src/engine_request.rs
+++ b/crates/ragwortroad_gateway/src/engine_request.rs
@@ -9,7 +9,7 @@
 
 use crate::{
     AdmitGrant,
-    reply_maker::REQUEST_ID,
+    header_names::REQUEST_ID,
     request_context::{
         DEADLINE,
         RequestContext, //
--- a/crates/ragwortroad_gateway/src/reply_maker.rs
+++ b/crates/ragwortroad_gateway/src/reply_maker.rs
@@ -15,18 +15,14 @@
 use crate::{
     AdmitGrant,
     RecordedAnswer,
+    header_names::{
+        NEXT_NODE,
+        PLACEMENT_HINT,
+        REPLAYED, //
+    },
     reply_body::ReplyBody, //
 };
 
-/// The header with the request's identity, in requests to endpoints and in every answer.
-pub(crate) const REQUEST_ID: &str = "x-request-id";
-
-/// The header with the chat's placement hint.
-pub(crate) const PLACEMENT_HINT: &str = "x-placement-hint";
-
-/// Names the node that a chat's next request is best sent to.
-pub(crate) const NEXT_NODE: &str = "x-next-node";
-
 /// Hands the caller where its chat was placed, and which node admits to that place.
 pub(crate) fn set_placement(reply: &mut Response<ReplyBody>, grant: &AdmitGrant) {
     set_header(reply, PLACEMENT_HINT, &grant.hint);
@@ -35,9 +31,6 @@
     }
 }
 
-/// Set on an answer that is given again from the record of its idempotency key.
-pub(crate) const REPLAYED: &str = "x-replayed";
-
 const JSON: &str = "application/json";
 
 pub(crate) fn text_reply(status: u16, content_type: &str, body: String) -> Response<ReplyBody> {
--- a/crates/ragwortroad_gateway/src/request_context.rs
+++ b/crates/ragwortroad_gateway/src/request_context.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     GatewaySettings,
-    reply_maker::PLACEMENT_HINT, //
+    header_names::PLACEMENT_HINT, //
 };
 
 /// Header with the milliseconds that the caller gives the request.
--- a/crates/ragwortroad_gateway/src/request_router.rs
+++ b/crates/ragwortroad_gateway/src/request_router.rs
@@ -19,6 +19,7 @@
         PhaseGuard, //
     },
     gateway_state::GatewayState,
+    header_names::REQUEST_ID,
     model_relay::relay_model,
     page_handlers::{
         answer_addresses,
@@ -28,7 +29,6 @@
     },
     reply_body::ReplyBody,
     reply_maker::{
-        REQUEST_ID,
         refusal_reply,
         set_header,
         text_reply, //
--- a/crates/ragwortroad_gateway/src/service_relay.rs
+++ b/crates/ragwortroad_gateway/src/service_relay.rs
@@ -28,12 +28,12 @@
         read_whole, //
     },
     gateway_state::GatewayState,
-    reply_body::ReplyBody,
-    reply_maker::{
+    header_names::{
         PLACEMENT_HINT,
-        REQUEST_ID,
-        recorded_reply, //
+        REQUEST_ID, //
     },
+    reply_body::ReplyBody,
+    reply_maker::recorded_reply,
     request_context::{
         CHAT_ID,
         DEADLINE,
--- a/crates/ragwortroad_gateway/src/stream_relay.rs
+++ b/crates/ragwortroad_gateway/src/stream_relay.rs
@@ -19,12 +19,12 @@
 use crate::{
     AttemptOutcome,
     answer_check::answer_id,
-    engine_request::resume_body,
-    model_relay::{
+    engine_opening::{
         EngineAnswer,
         GoodAnswer,
         open_engine, //
     },
+    engine_request::resume_body,
     reply_body::ReplyBody,
     reply_maker::{
         set_header, //
--- a/crates/ragwortroad_log/src/folder_files.rs
+++ b/crates/ragwortroad_log/src/folder_files.rs
@@ -14,6 +14,9 @@
     record_frame::RecordFrame, //
 };
 
+/// Layout of the files this program writes and reads.
+pub(crate) const VERSION: u32 = 1;
+
 /// Name of the file that holds the folder's identity.
 pub(crate) const IDENTITY_NAME: &str = "identity";
 
--- a/crates/ragwortroad_log/src/folder_generation.rs
+++ b/crates/ragwortroad_log/src/folder_generation.rs
@@ -11,12 +11,12 @@
     StoredEntry,
     StoredSnapshot,
     folder_files::{
+        VERSION,
         log_name,
         snapshot_name,
         write_frame,
         write_whole, //
     },
-    folder_open,
     folder_replay,
     log_error::{
         DiskSnafu,
@@ -77,7 +77,7 @@
     /// Writes the log file of the current generation with a header and `entries`.
     pub(crate) fn write_log(&mut self, entries: &[StoredEntry]) -> Result<(), LogError> {
         let header = LogHeader {
-            version: folder_open::VERSION,
+            version: VERSION,
             identity: self.identity,
             generation: self.generation,
             vote: self.vote,
--- a/crates/ragwortroad_log/src/folder_open.rs
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -11,6 +11,7 @@
     FolderSettings,
     LogError,
     LogFolder,
+    RealDisk,
     StoredState,
     folder_files::{
         BOOT_NAME,
@@ -18,6 +19,7 @@
         LOG_START,
         SNAPSHOT_START,
         TEMP_ENDING,
+        VERSION,
         VOTE_NAME,
         generation_of,
         log_name,
@@ -39,6 +41,7 @@
     },
     log_error::{
         DiskSnafu,
+        InUseSnafu,
         RolledBackSnafu, //
     },
     log_record::{
@@ -50,10 +53,29 @@
     record_scan::RecordScan, //
 };
 
-/// Layout of the files this program writes and reads.
-pub(crate) const VERSION: u32 = 1;
+impl LogFolder {
+    /// Opens the folder named in `settings`, or creates it.
+    pub fn open(settings: &FolderSettings) -> Result<(Self, StoredState), LogError> {
+        let name = settings.path.display().to_string();
+        let action = "open";
+        let opened = RealDisk::open(settings.path.clone(), settings.quota_bytes);
+        let disk = opened.context(DiskSnafu { action, name })?;
+        match disk {
+            Some(disk) => Self::open_on(DiskPort::Real(disk), settings),
+            None => InUseSnafu.fail(),
+        }
+    }
+
+    /// Opens the folder behind `port`, or creates its content.
+    pub fn open_on(
+        port: DiskPort,
+        settings: &FolderSettings,
+    ) -> Result<(Self, StoredState), LogError> {
+        open_content(port, settings)
+    }
+}
 
-pub(crate) fn open(
+fn open_content(
     mut port: DiskPort,
     settings: &FolderSettings,
 ) -> Result<(LogFolder, StoredState), LogError> {
--- a/crates/ragwortroad_log/src/folder_replay.rs
+++ b/crates/ragwortroad_log/src/folder_replay.rs
@@ -13,8 +13,10 @@
     MemberStart,
     StoredEntry,
     StoredSnapshot,
-    folder_files::snapshot_name,
-    folder_open::VERSION,
+    folder_files::{
+        VERSION,
+        snapshot_name, //
+    },
     log_error::{
         CorruptSnafu,
         DiskSnafu,
--- a/crates/ragwortroad_log/src/log_folder.rs
+++ b/crates/ragwortroad_log/src/log_folder.rs
@@ -5,13 +5,10 @@
 
 use crate::{
     DiskPort,
-    FolderSettings,
     LogChange,
     LogError,
     MemberStart,
-    RealDisk,
     StoredEntry,
-    StoredState,
     VoteRecord,
     folder_files::{
         BOOT_NAME,
@@ -20,11 +17,9 @@
         write_vote,
         write_whole, //
     },
-    folder_open,
     folder_replay,
     log_error::{
         DiskSnafu,
-        InUseSnafu,
         MisfitSnafu,
         TooLargeSnafu,
         WritesRefusedSnafu, //
@@ -71,26 +66,6 @@
 }
 
 impl LogFolder {
-    /// Opens the folder named in `settings`, or creates it.
-    pub fn open(settings: &FolderSettings) -> Result<(Self, StoredState), LogError> {
-        let name = settings.path.display().to_string();
-        let action = "open";
-        let opened = RealDisk::open(settings.path.clone(), settings.quota_bytes);
-        let disk = opened.context(DiskSnafu { action, name })?;
-        match disk {
-            Some(disk) => Self::open_on(DiskPort::Real(disk), settings),
-            None => InUseSnafu.fail(),
-        }
-    }
-
-    /// Opens the folder behind `port`, or creates its content.
-    pub fn open_on(
-        port: DiskPort,
-        settings: &FolderSettings,
-    ) -> Result<(Self, StoredState), LogError> {
-        folder_open::open(port, settings)
-    }
-
     /// The folder's identity.
     pub fn identity(&self) -> u64 {
         self.identity
--- a/crates/ragwortroad_state/src/config/model_edit.rs
+++ b/crates/ragwortroad_state/src/config/model_edit.rs
@@ -6,7 +6,7 @@
     ConfigEdit,
     ConfigFault,
     ModelEntry,
-    config::apply_edit::{
+    config::edit_items::{
         add_entry,
         add_item,
         missing,
--- a/crates/ragwortroad_state/src/config/validate.rs
+++ b/crates/ragwortroad_state/src/config/validate.rs
@@ -15,7 +15,7 @@
     ModelEntry,
     QuorumLoss,
     config::{
-        apply_edit::missing,
+        edit_items::missing,
         model_entry::FULL_SHARE, //
     }, //
 };
--- a/crates/ragwortroad_state/src/fleet_state.rs
+++ b/crates/ragwortroad_state/src/fleet_state.rs
@@ -190,3 +190,31 @@
         SnapshotWire::from_bytes(bytes).map(Self::from)
     }
 }
+
+impl<'a> From<&'a FleetState> for SnapshotView<'a> {
+    fn from(state: &'a FleetState) -> Self {
+        Self {
+            applied: state.applied,
+            now: state.now,
+            changes: state.changes.to_wire(),
+            claims: &state.claims,
+            lease: &state.lease,
+            plan: &state.plan,
+            grace: state.grace,
+        }
+    }
+}
+
+impl From<SnapshotWire> for FleetState {
+    fn from(wire: SnapshotWire) -> Self {
+        Self {
+            applied: wire.applied,
+            now: wire.now,
+            changes: wire.changes.into(),
+            claims: wire.claims,
+            lease: wire.lease,
+            plan: wire.plan,
+            grace: wire.grace,
+        }
+    }
+}
--- a/crates/ragwortroad_state/src/snapshot_wire.rs
+++ b/crates/ragwortroad_state/src/snapshot_wire.rs
@@ -10,7 +10,6 @@
 
 use crate::{
     ClaimTable,
-    FleetState,
     LeaseTable,
     OrderPlan,
     StateTime,
@@ -27,25 +26,25 @@
 /// a snapshot does not copy all claims first.
 #[derive(Serialize)]
 pub(crate) struct SnapshotView<'a> {
-    applied: u64,
-    now: StateTime,
-    changes: ChangeLogWire,
-    claims: &'a ClaimTable,
-    lease: &'a LeaseTable,
-    plan: &'a OrderPlan,
-    grace: GraceRecord,
+    pub(crate) applied: u64,
+    pub(crate) now: StateTime,
+    pub(crate) changes: ChangeLogWire,
+    pub(crate) claims: &'a ClaimTable,
+    pub(crate) lease: &'a LeaseTable,
+    pub(crate) plan: &'a OrderPlan,
+    pub(crate) grace: GraceRecord,
 }
 
 /// The state as it is read from a snapshot.
 #[derive(Deserialize)]
 pub(crate) struct SnapshotWire {
-    applied: u64,
-    now: StateTime,
-    changes: ChangeLogWire,
-    claims: ClaimTable,
-    lease: LeaseTable,
-    plan: OrderPlan,
-    grace: GraceRecord,
+    pub(crate) applied: u64,
+    pub(crate) now: StateTime,
+    pub(crate) changes: ChangeLogWire,
+    pub(crate) claims: ClaimTable,
+    pub(crate) lease: LeaseTable,
+    pub(crate) plan: OrderPlan,
+    pub(crate) grace: GraceRecord,
 }
 
 /// Why bytes are no snapshot.
@@ -89,31 +88,3 @@
         postcard::from_bytes(rest).context(UnreadableSnapshotSnafu)
     }
 }
-
-impl<'a> From<&'a FleetState> for SnapshotView<'a> {
-    fn from(state: &'a FleetState) -> Self {
-        Self {
-            applied: state.applied,
-            now: state.now,
-            changes: state.changes.to_wire(),
-            claims: &state.claims,
-            lease: &state.lease,
-            plan: &state.plan,
-            grace: state.grace,
-        }
-    }
-}
-
-impl From<SnapshotWire> for FleetState {
-    fn from(wire: SnapshotWire) -> Self {
-        Self {
-            applied: wire.applied,
-            now: wire.now,
-            changes: wire.changes.into(),
-            claims: wire.claims,
-            lease: wire.lease,
-            plan: wire.plan,
-            grace: wire.grace,
-        }
-    }
-}
--- a/crates/ragwortroad_timeline/src/lib.rs
+++ b/crates/ragwortroad_timeline/src/lib.rs
@@ -31,6 +31,7 @@
 mod page;
 mod text_form;
 mod timeline_error;
+mod timeline_forms;
 mod trace_form;
 mod utc_time;
 
--- a/crates/ragwortroad_transport/src/key_files.rs
+++ b/crates/ragwortroad_transport/src/key_files.rs
@@ -28,6 +28,7 @@
 use crate::{
     PeerKeys, TransportError,
     peer_identity::subject_name,
+    peer_keys::AUTHORITY_FILE,
     transport_error::{
         BadNameSnafu,
         KeyFileSnafu,
@@ -38,8 +39,6 @@
     },
 };
 
-/// File name of the authority's certificate.
-pub(crate) const AUTHORITY_FILE: &str = "authority.pem";
 /// File name of the authority's private key.
 const AUTHORITY_KEY_FILE: &str = "authority.key";
 
--- a/crates/ragwortroad_transport/src/peer_keys.rs
+++ b/crates/ragwortroad_transport/src/peer_keys.rs
@@ -8,10 +8,12 @@
 
 use crate::{
     TransportError,
-    key_files::AUTHORITY_FILE,
     transport_error::KeyFileSnafu, //
 };
 
+/// File name of the authority's certificate.
+pub(crate) const AUTHORITY_FILE: &str = "authority.pem";
+
 /// What one node needs to prove itself and to check its peers, as PEM text.
 #[derive(Clone, Default)]
 pub struct PeerKeys {
