--- a/tools/ci/src/main.rs
+++ b/tools/ci/src/main.rs
@@ -3,6 +3,7 @@
 //! `cargo run -p ci` does on a developer's machine what `.ci/run` does on a fresh one. Tests named
 //! in `KNOWN-RED.txt` run apart and are printed; they decide nothing until their fault is mended.
 
+mod import_circles;
 mod known_red;
 mod platform_words;
 #[cfg(test)]
@@ -10,13 +11,21 @@
 
 use std::{
     fs,
-    path::Path,
+    io,
+    path::{
+        Path,
+        PathBuf, //
+    },
     process::{
         Command,
         ExitCode, //
     }, //
 };
 
+use import_circles::{
+    find_circles,
+    read_sources, //
+};
 use known_red::KnownRed;
 
 /// The checks before the tests, in the order in which a failure is cheapest to find.
@@ -44,7 +53,7 @@
             return ExitCode::FAILURE;
         }
     };
-    if !platform_words_are_kept() {
+    if !platform_words_are_kept() || !imports_have_no_circles() {
         return ExitCode::FAILURE;
     }
     for check in CHECKS {
@@ -97,6 +106,56 @@
     }
 }
 
+/// Tells whether no crate's files import each other in a circle, and prints those that do.
+fn imports_have_no_circles() -> bool {
+    println!("circles of imports");
+    match crate_circles() {
+        Ok(circles) => {
+            for (folder, module, imports) in &circles {
+                let imports = imports.join(", ");
+                eprintln!(
+                    "{}: {module} imports {imports} in a circle",
+                    folder.display()
+                );
+            }
+            circles.is_empty()
+        }
+        Err(reason) => {
+            eprintln!("imports cannot be checked: {reason}");
+            false
+        }
+    }
+}
+
+/// Folder, module and imports of each module in a circle, over all crates of the repository.
+fn crate_circles() -> Result<Vec<(PathBuf, String, Vec<String>)>, String> {
+    let mut circles = Vec::new();
+    for folder in source_folders().map_err(|error| error.to_string())? {
+        let sources = read_sources(&folder).map_err(|error| error.to_string())?;
+        let graph = find_circles(&sources);
+        let graph = graph.map_err(|error| format!("{}: {error}", folder.display()))?;
+        let found = graph.into_iter();
+        let found = found.map(|(module, imports)| {
+            let imports = imports.into_iter().collect();
+            (folder.clone(), module, imports)
+        });
+        circles.extend(found);
+    }
+    Ok(circles)
+}
+
+/// Where the sources of each crate stand.
+fn source_folders() -> io::Result<Vec<PathBuf>> {
+    let mut folders = vec![PathBuf::from("src"), PathBuf::from("platform/src")];
+    for parent in ["crates", "tools"] {
+        for entry in fs::read_dir(parent)? {
+            folders.push(entry?.path().join("src"));
+        }
+    }
+    folders.retain(|folder| folder.is_dir());
+    Ok(folders)
+}
+
 /// Runs one cargo command and tells whether it succeeded.
 fn run_cargo(arguments: &[&str]) -> bool {
     println!("cargo {}", arguments.join(" "));
--- a/tools/ci/src/tests.rs
+++ b/tools/ci/src/tests.rs
@@ -1,12 +1,16 @@
 use std::{
+    collections::BTreeMap,
     fs,
     path::Path, //
 };
 
-use crate::platform_words::{
-    find_below,
-    find_in,
-    read_words, //
+use crate::{
+    import_circles::find_circles,
+    platform_words::{
+        find_below,
+        find_in,
+        read_words, //
+    }, //
 };
 
 /// Someone reads a header of the platform in the edge. The check must see it, or it checks nothing.
@@ -32,3 +36,57 @@
     let paths: Vec<_> = found.iter().map(|stray| stray.path.clone()).collect();
     assert_eq!(paths, [root.join("crates/edge/src/lib.rs")]);
 }
+
+fn sources(texts: &[(&str, &str)]) -> BTreeMap<String, String> {
+    let owned = |(module, text): &(&str, &str)| ((*module).to_owned(), (*text).to_owned());
+    texts.iter().map(owned).collect()
+}
+
+/// Guards against a check that misses circles through re-exports, `super` and inner modules.
+#[test]
+fn a_circle_of_imports_is_found() {
+    let root = "mod one; mod two; mod deep;\npub mod prelude { pub use crate::one::First; }\n\
+        pub use prelude::*;\n";
+    let found = find_circles(&sources(&[
+        ("", root),
+        (
+            "one",
+            "use crate::{deep::inner::Third, two::Second};\npub struct First;\n",
+        ),
+        ("two", "use crate::First;\npub struct Second;\n"),
+        ("deep", "pub mod inner;\npub mod outer;\n"),
+        (
+            "deep::inner",
+            "use super::outer::Fourth;\npub struct Third;\n",
+        ),
+        (
+            "deep::outer",
+            "use super::inner::Third;\npub struct Fourth;\n",
+        ),
+    ]));
+    let found = found.expect("reads");
+    let modules: Vec<&str> = found.keys().map(String::as_str).collect();
+    assert_eq!(modules, ["deep::inner", "deep::outer", "one", "two"]);
+    assert!(
+        found["two"].contains("one"),
+        "through the re-export: {found:?}"
+    );
+}
+
+#[test]
+fn a_line_of_imports_is_no_circle() {
+    let found = find_circles(&sources(&[
+        (
+            "",
+            "mod one; mod two; mod three;\npub use crate::one::First;\n",
+        ),
+        ("one", "use crate::two::{self, Second};\nuse std::fmt;\n"),
+        (
+            "two",
+            "use crate::three::Third;\n#[cfg(test)]\nmod tests;\n",
+        ),
+        ("three", "pub struct Third;\n"),
+        ("two::tests", "use super::Second;\n"),
+    ]));
+    assert!(found.expect("reads").is_empty());
+}
