--- /dev/null
+++ b/tools/compare/src/paired_difference.rs
@@ -0,0 +1,68 @@
+use std::fmt;
+
+use crate::play_figures::PlayFigures;
+
+/// Standard errors that a difference has to be away from zero to count.
+const CLEAR_ERRORS: f64 = 2.0;
+
+/// A difference that charged processor time alone can make.
+const LEAST_DIFFERENCE: f64 = 0.005;
+
+/// How one way differs from another on the same seeds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct PairedDifference {
+    /// Means of both ways.
+    pub(crate) base: f64,
+    pub(crate) other: f64,
+    /// Standard error of the mean difference; infinite for a single pair.
+    pub(crate) error: f64,
+}
+
+impl PairedDifference {
+    /// The difference in one figure between plays of the same seeds, in the same order.
+    pub(crate) fn of(
+        base: &[PlayFigures],
+        other: &[PlayFigures],
+        read: impl Fn(&PlayFigures) -> f64,
+    ) -> Self {
+        let count = base.len().min(other.len()).max(1) as f64;
+        let mean = |plays: &[PlayFigures]| plays.iter().map(&read).sum::<f64>() / count;
+        let (base_mean, other_mean) = (mean(base), mean(other));
+        let pairs = base.iter().zip(other);
+        let away = pairs.map(|(base, other)| {
+            let difference = read(other) - read(base);
+            (difference - (other_mean - base_mean)).powi(2)
+        });
+        let error = match count > 1.0 {
+            true => (away.sum::<f64>() / (count - 1.0) / count).sqrt(),
+            false => f64::INFINITY,
+        };
+        Self {
+            base: base_mean,
+            other: other_mean,
+            error,
+        }
+    }
+
+    /// Whether the difference is beyond what chance makes.
+    pub(crate) fn is_clear(&self) -> bool {
+        let difference = (self.other - self.base).abs();
+        difference > LEAST_DIFFERENCE && difference > self.error * CLEAR_ERRORS
+    }
+}
+
+impl fmt::Display for PairedDifference {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { base, other, error } = self;
+        let difference = other - base;
+        write!(formatter, "{base:.3} to {other:.3}, {difference:+.3}")?;
+        match error.is_finite() {
+            true => write!(formatter, " with an error of {error:.3}")?,
+            false => write!(formatter, " in a single play")?,
+        }
+        match self.is_clear() {
+            true => write!(formatter, ": clear"),
+            false => write!(formatter, ": within chance"),
+        }
+    }
+}
--- /dev/null
+++ b/tools/compare/src/play_figures.rs
@@ -0,0 +1,49 @@
+use std::fmt;
+
+/// What came of one play, as shares of what was asked.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(crate) struct PlayFigures {
+    pub(crate) worth: f64,
+    pub(crate) served: f64,
+    pub(crate) refused: f64,
+    pub(crate) failed: f64,
+}
+
+impl PlayFigures {
+    /// Reads the figures from the output of a play: five after the column of machines, `72/143`.
+    pub(crate) fn read(output: &str) -> Option<Self> {
+        let mut lines = output.lines();
+        lines.find(|line| line.starts_with("day "))?;
+        let mut columns = lines.next()?.split_whitespace();
+        columns.find(|column| is_machines(column))?;
+        let mut next = || columns.next()?.parse::<f64>().ok();
+        let _score = next()?;
+        Some(Self {
+            worth: next()?,
+            served: next()?,
+            refused: next()?,
+            failed: next()?,
+        })
+    }
+}
+
+fn is_machines(column: &str) -> bool {
+    let is_number = |text: &str| !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_digit());
+    let parts = column.split_once('/');
+    parts.is_some_and(|(own, others)| is_number(own) && is_number(others))
+}
+
+impl fmt::Display for PlayFigures {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            worth,
+            served,
+            refused,
+            failed,
+        } = self;
+        write!(
+            formatter,
+            "worth {worth:.3}, served {served:.3}, refused {refused:.3}, failed {failed:.3}"
+        )
+    }
+}
