Show without threads that a new home grants for requests on their way

The model of two homes had requests arrive in the moment of their grant. With up to 0.2 s on the way, and reports half a second apart, the bound breaks: a report lacks what is on its way.

Test: requests_on_their_way_count_when_a_home_changes, known red.

--- a/crates/ragwortroad_routing/tests/bound.rs
+++ b/crates/ragwortroad_routing/tests/bound.rs
@@ -54,11 +54,30 @@
     table
 }
 
+/// Longest time in the model from a grant to the arrival of its request, in milliseconds, where
+/// requests take time.
+const FLIGHT_MS: u64 = 200;
+
+/// Least time between two reports of an engine then, in milliseconds.
+const REPORT_MS: u64 = 500;
+
+/// A request that a home has granted.
+struct GrantedRequest {
+    home: usize,
+    slot: SlotId,
+    /// When it arrives at its engine.
+    arrives_at: u64,
+}
+
 /// Several nodes, and what truly runs at each engine.
 struct Fleet {
     tables: Vec<RouteTable>,
-    /// Running requests of each engine: the home that granted it, and the slot.
-    running: Vec<Vec<(usize, SlotId)>>,
+    /// Requests of each engine, those on their way among them.
+    running: Vec<Vec<GrantedRequest>>,
+    /// Least time between two reports of an engine, in milliseconds.
+    report_every: u64,
+    /// When each engine may report next.
+    reports_at: Vec<u64>,
     homes: Vec<usize>,
     /// Homes that do not yet know that they are none, and until when.
     former: BTreeMap<usize, (usize, u64)>,
@@ -69,7 +88,9 @@
     fn new() -> Self {
         Self {
             tables: (0..NODES).map(new_table).collect(),
-            running: vec![Vec::new(); ENGINES],
+            running: (0..ENGINES).map(|_| Vec::new()).collect(),
+            report_every: 0,
+            reports_at: vec![0; ENGINES],
             homes: (0..ENGINES).map(|engine| engine % NODES).collect(),
             former: BTreeMap::new(),
             granted: 0,
@@ -77,7 +98,9 @@
     }
 
     /// Asks `home` for a slot and checks the true load against the bound by its knowledge.
-    fn ask(&mut self, engine: usize, home: usize, asker: usize, now: ClockTime) {
+    ///
+    /// The request arrives `flight` milliseconds later.
+    fn ask(&mut self, engine: usize, home: usize, asker: usize, now: ClockTime, flight: u64) {
         let table = &mut self.tables[home];
         let bound = table.settings().bound.of_mean(table.fleet_mean(FLEET));
         let id = engine_id(engine);
@@ -89,7 +112,11 @@
             now,
         );
         if let SlotAnswer::Granted { slot } = answer {
-            self.running[engine].push((home, slot));
+            self.running[engine].push(GrantedRequest {
+                home,
+                slot,
+                arrives_at: now.0 + flight,
+            });
             self.granted += 1;
             let load = self.running[engine].len() as u32;
             assert!(
@@ -100,7 +127,10 @@
     }
 
     fn finish(&mut self, engine: usize, index: usize, now: ClockTime) {
-        let (home, slot) = self.running[engine].swap_remove(index);
+        if self.running[engine][index].arrives_at > now.0 {
+            return;
+        }
+        let GrantedRequest { home, slot, .. } = self.running[engine].swap_remove(index);
         let outcome = SlotOutcome::Succeeded;
         self.tables[home].release(engine_id(engine), slot, outcome, now);
     }
@@ -136,8 +166,14 @@
     }
 
     fn report(&mut self, engine: usize, now: ClockTime) {
+        if now.0 < self.reports_at[engine] {
+            return;
+        }
+        self.reports_at[engine] = now.0 + self.report_every;
+        let requests = self.running[engine].iter();
+        let arrived = requests.filter(|request| request.arrives_at <= now.0);
         let report = LoadReport {
-            running: self.running[engine].len() as u32,
+            running: arrived.count() as u32,
             ..LoadReport::default()
         };
         let home = self.homes[engine];
@@ -160,10 +196,25 @@
 /// Guards against two homes that fill an engine beyond its bound together.
 #[test]
 fn two_homes_together_stay_within_the_bound() {
+    play_changes_of_home(0, 0);
+}
+
+/// Guards against two homes that grant for each other's requests on their way.
+#[test]
+fn requests_on_their_way_count_when_a_home_changes() {
+    play_changes_of_home(FLIGHT_MS, REPORT_MS);
+}
+
+/// Plays drawn schedules of requests that arrive up to `flight` milliseconds after their grant, and
+/// reports of an engine that are `report` apart at the least.
+fn play_changes_of_home(flight: u64, report: u64) {
     let (mut granted, mut changes) = (0, 0);
     for seed in 0..400 {
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        let mut fleet = Fleet::new();
+        let mut fleet = Fleet {
+            report_every: report,
+            ..Fleet::new()
+        };
         let mut now = 1;
         for _ in 0..500 {
             now += rng.random_range(0..20);
@@ -176,7 +227,8 @@
                     let home = fleet.homes[engine];
                     let former = fleet.former.get(&engine).map(|(old, _)| *old);
                     let home = former.filter(|_| rng.random::<bool>()).unwrap_or(home);
-                    fleet.ask(engine, home, asker, clock);
+                    let flight = rng.random_range(0..=flight);
+                    fleet.ask(engine, home, asker, clock, flight);
                 }
                 60..85 => {
                     let count = fleet.running[engine].len();
