Try engines that failed again, and hold the bound of all engines

An edge's share of an engine's failures moved with outcomes only; an engine above 0.3 got no request, so its share stayed, for good. The others carried its part, up to 1.6 times the mean of those that were chosen, which is more of the mean of all.

Change: the share halves every four seconds without an outcome; one failure more brings it back whole. Holders of a text take it up to the multiple of the mean of all engines, those that get nothing among them.

Tests: the_bound_is_that_of_all_engines (red before: eight at one engine at a mean of 2.4), an_endpoint_that_failed_is_tried_again.

--- a/crates/ragwortroad_dispatch/src/endpoint_load.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_load.rs
@@ -16,6 +16,12 @@
 /// Weight of one outcome in the moving share of failures: about the last ten count.
 const FAILURE_WEIGHT: f64 = 0.1;
 
+/// Time without an outcome in which the share of failures halves.
+///
+/// An endpoint that is left alone shows no more whether it fails. Were its share kept, it would get
+/// nothing for good, and the others would carry its part.
+const FAILING_HALF_LIFE: Duration = Duration::from_secs(4);
+
 /// What an endpoint said of its load with an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReading {
@@ -36,8 +42,8 @@
     failures: u32,
     /// No request goes there before this time.
     paused_until: ClockTime,
-    /// Moving share of requests that failed by the endpoint's fault, from 0 to 1.
-    failing: f64,
+    /// Moving share of requests that failed by the endpoint's fault, from 0 to 1, and when it was so.
+    failing: (f64, ClockTime),
 }
 
 impl EndpointLoad {
@@ -80,9 +86,9 @@
     }
 
     /// Notes an answer that shows the endpoint well.
-    pub fn succeed(&mut self) {
+    pub fn succeed(&mut self, now: ClockTime) {
         self.failures = 0;
-        self.failing *= 1.0 - FAILURE_WEIGHT;
+        self.failing = (self.failing(now) * (1.0 - FAILURE_WEIGHT), now);
     }
 
     /// Notes a failure that is the endpoint's own.
@@ -93,18 +99,27 @@
         let doublings = self.failures.min(4);
         let pause = (FIRST_PAUSE * (1 << doublings)).min(LONGEST_PAUSE);
         self.failures += 1;
-        self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+        self.note_failure(now);
         self.paused_until = now.after(pause);
     }
 
     /// Notes an answer that the endpoint spoiled while others are well.
-    pub fn stumble(&mut self) {
-        self.failing += FAILURE_WEIGHT * (1.0 - self.failing);
+    pub fn stumble(&mut self, now: ClockTime) {
+        self.note_failure(now);
     }
 
     /// Share of its requests that failed lately, from 0 to 1.
-    pub fn failing(&self) -> f64 {
-        self.failing
+    pub fn failing(&self, now: ClockTime) -> f64 {
+        let (share, noted_at) = self.failing;
+        let halvings = now.since(noted_at).as_secs_f64() / FAILING_HALF_LIFE.as_secs_f64();
+        share * 0.5_f64.powf(halvings)
+    }
+
+    /// Raises the share of failures, from what it was before it halved: one that is tried again and
+    /// fails is left alone at once.
+    fn note_failure(&mut self, now: ClockTime) {
+        let (share, _) = self.failing;
+        self.failing = (share + FAILURE_WEIGHT * (1.0 - share), now);
     }
 
     /// Whether requests may go there.
--- a/crates/ragwortroad_dispatch/src/place_choice.rs
+++ b/crates/ragwortroad_dispatch/src/place_choice.rs
@@ -103,12 +103,13 @@
     settings: &PlaceSettings,
 ) -> Option<EndpointKey> {
     let well = well_candidates(candidates);
-    let total: u32 = well.iter().map(|candidate| candidate.load).sum();
-    let mean = f64::from(total) / well.len().max(1) as f64;
+    let mean = mean_load(&well);
+    // The bound is a multiple of the mean of all, those among them that get nothing now.
+    let highest = mean_load(candidates) * settings.hold_multiple;
     let text = request.shared_text.unwrap_or(request.draw.to_bits());
     let rank = |candidate: &PlaceCandidate<'_>| xxh3_64_with_seed(candidate.name.as_bytes(), text);
     let is_below = |candidate: &PlaceCandidate<'_>, multiple: f64| {
-        f64::from(candidate.load) <= mean * multiple + settings.load_slack
+        f64::from(candidate.load) <= (mean * multiple).min(highest) + settings.load_slack
     };
     let holders = well.iter().filter(|candidate| candidate.holds_text);
     let open: Vec<_> = holders
@@ -127,6 +128,11 @@
     chosen.map(|candidate| candidate.key)
 }
 
+fn mean_load(candidates: &[PlaceCandidate<'_>]) -> f64 {
+    let total: u32 = candidates.iter().map(|candidate| candidate.load).sum();
+    f64::from(total) / candidates.len().max(1) as f64
+}
+
 /// The emptier of two drawn candidates.
 ///
 /// Edges know of each other's requests a quarter of a second late. If all took the emptiest holder
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -243,7 +243,7 @@
         load.fail(at(2000 + step));
     }
     assert!(!load.is_open(at(9000)) && load.is_open(at(10_100)));
-    load.succeed();
+    load.succeed(at(10_200));
     load.fail(at(20_000));
     assert!(
         load.is_open(at(20_600)),
@@ -251,6 +251,26 @@
     );
 }
 
+/// Guards against an endpoint that failed once and gets nothing for good.
+#[test]
+fn an_endpoint_that_failed_is_tried_again() {
+    let mut load = EndpointLoad::default();
+    for step in 0..40 {
+        load.stumble(at(step * 10));
+    }
+    let failing = load.failing(at(400));
+    assert!(failing > 0.9, "{failing}");
+    assert!(load.failing(at(1400)) > 0.7, "it is not tried at once");
+    assert!(load.failing(at(9000)) < 0.3, "it is tried again");
+    load.stumble(at(9000));
+    assert!(
+        load.failing(at(9000)) > failing * 0.9,
+        "one failure more shows it"
+    );
+    load.succeed(at(18_000));
+    assert!(load.failing(at(18_000)) < 0.3, "it is well again");
+}
+
 /// Guards against a load that is taken for current long after the endpoint told it.
 #[test]
 fn a_reading_moves_with_what_this_edge_did_since() {
--- a/crates/ragwortroad_dispatch/tests/places.rs
+++ b/crates/ragwortroad_dispatch/tests/places.rs
@@ -85,6 +85,29 @@
     );
 }
 
+/// Guards against engines above the bound while others that failed lately get nothing.
+#[test]
+fn the_bound_is_that_of_all_engines() {
+    let names = names(12);
+    let settings = PlaceSettings::within(2.0);
+    let mut loads = [0_u32; 12];
+    for _ in 0..120 {
+        let candidates: Vec<_> = (0..12)
+            .map(|key| PlaceCandidate {
+                failing: if key < 4 { 0.6 } else { 0.0 },
+                holds_text: key == 7,
+                ..candidate(key, &names[key as usize], loads[key as usize])
+            })
+            .collect();
+        let chosen = choose_engine(&candidates, request(7), &settings).expect("an engine");
+        assert!(chosen.0 >= 4, "it fails");
+        loads[chosen.0 as usize] += 1;
+        let mean = f64::from(loads.iter().sum::<u32>()) / 12.0;
+        let most = f64::from(loads.iter().copied().max().unwrap_or(0));
+        assert!(most <= mean * 2.0 + 3.0, "{loads:?}");
+    }
+}
+
 /// One text is asked for far more than all others. Its engine must not take all of it.
 #[test]
 fn a_text_overflows_at_the_bound() {
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -78,7 +78,7 @@
                 slots: usable_slots(record.slots, is_warming),
                 total: self.others_at(&record.name) + own,
                 own,
-                failing: load.map_or(0.0, EndpointLoad::failing),
+                failing: load.map_or(0.0, |load| load.failing(now)),
             }
         });
         let shares: Vec<EndpointShare> = shares.collect();
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -271,9 +271,9 @@
     let load = state.load_mut(chosen.key);
     match end {
         CallEnd::NotSent { .. } | CallEnd::Misdirected => load.fail(now),
-        CallEnd::Lost { .. } | CallEnd::TimedOut | CallEnd::Silent => load.stumble(),
-        CallEnd::Whole(answer) if answer.status.is_server_error() => load.stumble(),
-        CallEnd::Whole(_) | CallEnd::Events(_) => load.succeed(),
+        CallEnd::Lost { .. } | CallEnd::TimedOut | CallEnd::Silent => load.stumble(now),
+        CallEnd::Whole(answer) if answer.status.is_server_error() => load.stumble(now),
+        CallEnd::Whole(_) | CallEnd::Events(_) => load.succeed(now),
         CallEnd::NotRun => {}
     }
     drop(state);
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -199,7 +199,7 @@
 
     fn failing(&self, load: &EndpointLoad) -> f64 {
         match self.mechanisms.failing_share {
-            true => load.failing(),
+            true => load.failing(self.now),
             false => 0.0,
         }
     }
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -231,7 +231,7 @@
         let now = self.shared.now();
         if let Some(run) = self.run.take() {
             let mut state = self.shared.state.borrow_mut();
-            state.load_mut(run.guard.key()).stumble();
+            state.load_mut(run.guard.key()).stumble(now);
         }
         self.cutter.drop_half();
         let rule = self.plan.rule();
