Refuse streams that may outlast a stopping edge

An edge is told to stop at 1.0 s and takes a draft at 2.5 s, which takes 6.2 s; the edge ends at 8.7 s and cuts it, beside a change of the configuration. A stopping edge took streams that end within 4.6 s, which nearly all do.

Ruled out: the change of the configuration (the edge ended by its grace time); the directories (the edge's lines).

Change: a stopping edge takes a stream only if its deadline comes before the edge's end. What it refuses has not run, and is told to use another address.

--- a/crates/ragwortroad_edge/src/request_reading.rs
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -40,9 +40,6 @@
 /// Longest time for which a request without a deadline of its own is kept.
 const DEFAULT_TIME: Duration = Duration::from_secs(60);
 
-/// Time in which nearly all streams end: some hundred tokens at some ten milliseconds each.
-const STREAM_TIME: Duration = Duration::from_millis(4600);
-
 /// Time in which nearly all answers of plain services are there.
 const ANSWER_TIME: Duration = Duration::from_millis(1200);
 
@@ -138,11 +135,13 @@
     let Some(ends_at) = shared.state.borrow().ends_at else {
         return true;
     };
-    let needed = match rule.kind {
-        RequestKind::Stream => STREAM_TIME,
-        RequestKind::Safe | RequestKind::Unsafe => ANSWER_TIME,
-    };
-    ends_at >= deadline.min(Instant::now() + needed)
+    match rule.kind {
+        // How long a stream takes is known when it is over.
+        RequestKind::Stream => ends_at >= deadline,
+        RequestKind::Safe | RequestKind::Unsafe => {
+            ends_at >= deadline.min(Instant::now() + ANSWER_TIME)
+        }
+    }
 }
 
 async fn read_body(
