--- a/crates/ragwortroad_consensus/tests/by_hand/main.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/main.rs
@@ -23,9 +23,7 @@
     }
 }
 
-/// A leader loses its place before a command is on a quorum, gets it back, and brings the command
-/// to a quorum; then a leader that never had it is elected. Whoever had been told that the command
-/// was accepted would find it gone.
+/// A command of an old term comes to a quorum; then a leader that never had it is elected.
 fn commit_of_an_old_term(rule: Option<BrokenRule>) -> bool {
     let mut group = HandGroup::new(5, broken(rule));
     group.propose(0, b"old");
@@ -63,10 +61,7 @@
     assert!(commit_of_an_old_term(Some(BrokenRule::CommitOldTerms)));
 }
 
-/// A member acknowledges a command, and the answer is long on its way. Its VM is restored from a
-/// backup, and it is told by others that there is nothing it lacks. Were the late answer counted
-/// with one that another member gives afterwards, the command would count as accepted while the
-/// restored member helps elect a leader without it.
+/// A member's answer arrives after its VM was restored to a state before that answer.
 fn late_answer_of_an_old_start(rule: Option<BrokenRule>) -> bool {
     let mut group = HandGroup::new(5, broken(rule));
     let image = group.members[1].disk.image();
--- a/crates/ragwortroad_consensus/tests/schedules/main.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/main.rs
@@ -15,8 +15,7 @@
     SimWorld, //
 };
 
-/// Runs one plan after another, with the seeds from 0 on and those of earlier faults; the
-/// environment may ask for more seeds.
+/// Runs plans with the seeds from 0 on, as many as the environment asks for, and those of earlier faults.
 fn run_all(title: &str, count: u64, known: &[u64], make: impl Fn(u64) -> SimPlan) -> SimCounts {
     let wanted = std::env::var("SCHEDULES").ok();
     let count = wanted
--- a/crates/ragwortroad_demo/tests/failures/members.rs
+++ b/crates/ragwortroad_demo/tests/failures/members.rs
@@ -29,10 +29,7 @@
     }
 }
 
-/// Whether three members count in quorums and have the same entries.
-///
-/// The folder that was lost counts until its successor asks for a place, but it lacks the change
-/// that was made after its loss.
+/// Whether three members count in quorums and have the same entries, which a lost folder has not.
 fn is_whole(fleet: &SmallFleet, asked: &[usize]) -> bool {
     let operator = fleet.operator_at(asked);
     let Ok(answer) = operator.ask("show members where state = voter") else {
--- a/crates/ragwortroad_demo/tests/failures/pairs.rs
+++ b/crates/ragwortroad_demo/tests/failures/pairs.rs
@@ -31,8 +31,7 @@
     }, //
 };
 
-/// Books new keys one after the other until it is told to stop, each again and again through other
-/// nodes until its outcome does not change any more.
+/// Books new keys until it is told to stop, each through several nodes until its outcome is final.
 fn book_on(
     addresses: &[String],
     caller: &TestCaller,
--- a/crates/ragwortroad_dispatch/tests/starts.rs
+++ b/crates/ragwortroad_dispatch/tests/starts.rs
@@ -17,8 +17,7 @@
     assert!(start_left(ms(100)) > start_left(ms(700)));
 }
 
-/// How callers of one restart fare who come in each of its moments, with what they may do: they wait
-/// at the edge, come back once as told, and wait again.
+/// Callers served, of all, who wait through a restart, come back once as told, and wait again.
 fn served_through_a_restart(ready_ms: u64, deadline_ms: u64) -> (u32, u32) {
     let (mut served, mut all) = (0, 0);
     for came_ms in (0..ready_ms).step_by(20) {
--- a/crates/ragwortroad_log/tests/folder.rs
+++ b/crates/ragwortroad_log/tests/folder.rs
@@ -85,8 +85,7 @@
     }
 }
 
-/// Makes changes, syncing after some, until the disk stops; the states after each record, and the
-/// places of those that were acknowledged.
+/// Makes changes until the disk stops; the states after each record, and which were acknowledged.
 fn write(
     folder: &mut LogFolder,
     model: FolderModel,
--- a/crates/ragwortroad_routing/tests/bound.rs
+++ b/crates/ragwortroad_routing/tests/bound.rs
@@ -97,9 +97,7 @@
         }
     }
 
-    /// Asks `home` for a slot and checks the true load against the bound by its knowledge.
-    ///
-    /// The request arrives `flight` milliseconds later.
+    /// Asks `home` for a slot, whose request arrives `flight` ms later, and checks the bound.
     fn ask(&mut self, engine: usize, home: usize, asker: usize, now: ClockTime, flight: u64) {
         let table = &mut self.tables[home];
         let bound = table.settings().bound.of_mean(table.fleet_mean(FLEET));
