Start registries and directories by the same lines

Cause: the directory repeated the registry's runtime and metrics page; two names (told_edges, count_anew) were not the field's.

Change: run_to_end and serve_page serve both; sent_edges, recount_loads. No behaviour changes. Tests of registry, routing and platform pass, clippy too.

--- a/crates/ragwortroad_registry/src/directory_flow.rs
+++ b/crates/ragwortroad_registry/src/directory_flow.rs
@@ -42,17 +42,17 @@
         self.directories.insert(link);
         if let Some(queue) = self.links.get(&link) {
             queue.send(&self.fleet_message(now));
-            queue.send(&LinkMessage::EdgesKnown(self.told_edges.clone()));
+            queue.send(&LinkMessage::EdgesKnown(self.sent_edges.clone()));
         }
     }
 
     /// Tells directories which edges take callers, where that has changed.
     pub(crate) fn send_edges(&mut self) {
         let view = self.edge_view();
-        if self.told_edges != view {
+        if self.sent_edges != view {
             let message = LinkMessage::EdgesKnown(view.clone());
             self.send_to_links(self.directories.iter(), &message);
-            self.told_edges = view;
+            self.sent_edges = view;
         }
     }
 
--- a/crates/ragwortroad_registry/src/directory_process.rs
+++ b/crates/ragwortroad_registry/src/directory_process.rs
@@ -22,16 +22,9 @@
 use ragwortroad_settings::prelude::*;
 use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
-use snafu::{
-    OptionExt,
-    ResultExt, //
-};
+use snafu::OptionExt;
 use tokio::{
-    runtime::Builder,
-    task::{
-        LocalSet,
-        spawn_local, //
-    },
+    task::spawn_local,
     time::sleep, //
 };
 
@@ -48,14 +41,13 @@
         directory_reply, //
     },
     peer_dialer::keep_dialled,
-    registry_error::{
-        MissingSettingSnafu,
-        StartSnafu, //
-    },
+    registry_error::MissingSettingSnafu,
     registry_event::RegistryEvent,
     registry_process::{
         listen,
-        pass_signals, //
+        pass_signals,
+        run_to_end,
+        serve_page, //
     }, //
 };
 
@@ -82,12 +74,7 @@
     signals: Receiver<RegistrySignal>,
     page: Option<MetricsPage>,
 ) -> Result<(), RegistryError> {
-    let runtime = Builder::new_current_thread()
-        .enable_all()
-        .build()
-        .context(StartSnafu)?;
-    let local = LocalSet::new();
-    runtime.block_on(local.run_until(serve_directory(settings, port, signals, page)))
+    run_to_end(serve_directory(settings, port, signals, page))
 }
 
 async fn serve_directory(
@@ -100,12 +87,7 @@
     let directory = settings.directory.context(MissingSettingSnafu { key })?;
     let (events, queue) = flume::unbounded();
     spawn_local(serve_calls(listen(directory).await?, port, events.clone()));
-    if let Some(page) = page {
-        spawn_local(page.clone().keep_folded());
-        if let Some(address) = settings.metrics {
-            spawn_local(page.serve(listen(address).await?));
-        }
-    }
+    serve_page(page, &settings).await?;
     spawn_local(pass_signals(signals, events.clone()));
     let clock = RealClock::start();
     let mut state = DirectoryState {
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -104,13 +104,33 @@
     port: RegistryPort,
     signals: Receiver<RegistrySignal>,
     page: Option<MetricsPage>,
+) -> Result<(), RegistryError> {
+    run_to_end(serve_registry(settings, port, signals, page))
+}
+
+/// Runs a process's work to its end, on this thread.
+pub(crate) fn run_to_end(
+    work: impl Future<Output = Result<(), RegistryError>>,
 ) -> Result<(), RegistryError> {
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
         .context(StartSnafu)?;
-    let local = LocalSet::new();
-    runtime.block_on(local.run_until(serve_registry(settings, port, signals, page)))
+    runtime.block_on(LocalSet::new().run_until(work))
+}
+
+/// Serves the metrics, if any are kept, where the settings name an address.
+pub(crate) async fn serve_page(
+    page: Option<MetricsPage>,
+    settings: &ForwardSettings,
+) -> Result<(), RegistryError> {
+    if let Some(page) = page {
+        spawn_local(page.clone().keep_folded());
+        if let Some(address) = settings.metrics {
+            spawn_local(page.serve(listen(address).await?));
+        }
+    }
+    Ok(())
 }
 
 async fn serve_registry(
@@ -130,12 +150,7 @@
     if let Some(directory) = settings.directory.filter(|address| *address != control) {
         spawn_local(serve_calls(listen(directory).await?, port, events.clone()));
     }
-    if let Some(page) = page {
-        spawn_local(page.clone().keep_folded());
-        if let Some(address) = settings.metrics {
-            spawn_local(page.serve(listen(address).await?));
-        }
-    }
+    serve_page(page, &settings).await?;
     spawn_local(accept_links(links, events.clone()));
     spawn_local(pass_signals(signals, events.clone()));
     let clock = RealClock::start();
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -50,7 +50,7 @@
     /// Directories that are connected.
     pub(crate) directories: BTreeSet<LinkKey>,
     /// What they know of the edges.
-    pub(crate) told_edges: EdgeView,
+    pub(crate) sent_edges: EdgeView,
     /// Registries, by where they listen.
     pub(crate) peers: BTreeMap<SocketAddr, PeerEntry>,
     /// Registries that are still to be dialled.
@@ -113,7 +113,7 @@
             links: BTreeMap::new(),
             edges: BTreeMap::new(),
             directories: BTreeSet::new(),
-            told_edges: EdgeView::default(),
+            sent_edges: EdgeView::default(),
             peers: BTreeMap::new(),
             undialled: BTreeSet::new(),
             puts: BTreeMap::new(),
--- a/crates/ragwortroad_routing/src/table/table_inputs.rs
+++ b/crates/ragwortroad_routing/src/table/table_inputs.rs
@@ -117,18 +117,18 @@
     /// that went on by the higher mean would put their endpoints above the bound.
     pub fn note_silent(&mut self, node: NodeId) {
         if self.silent.insert(node) {
-            self.count_anew();
+            self.recount_loads();
         }
     }
 
     /// A node was heard.
     pub fn note_heard(&mut self, node: NodeId) {
         if self.silent.remove(&node) {
-            self.count_anew();
+            self.recount_loads();
         }
     }
 
-    fn count_anew(&mut self) {
+    fn recount_loads(&mut self) {
         for key in self.keys() {
             self.change(key, |_| ());
         }
