Log a digest of the content of requests whose endpoint broke off

No line told whether ended replicas had a request in common: each repeat has an id of its own, and lines named neither path, caller nor body. Lines of failed attempts that may have run, and of broken streams, now carry a digest of customer, host, method, path and body, and broken streams name their endpoint. It is computed only for these lines, so a request that goes well costs nothing more.

--- a/crates/ragwortroad_edge/src/request_plan.rs
+++ b/crates/ragwortroad_edge/src/request_plan.rs
@@ -1,4 +1,7 @@
-use std::rc::Rc;
+use std::{
+    cell::OnceCell,
+    rc::Rc, //
+};
 
 use bytes::Bytes;
 use hyper::{
@@ -13,6 +16,7 @@
     }, //
 };
 use ragwortroad_dispatch::prelude::*;
+use ragwortroad_types::prelude::*;
 use tokio::time::Instant;
 
 use crate::{
@@ -38,6 +42,8 @@
     pub(crate) received_at: Instant,
     /// Earlier of the client's deadline and the route's timeout.
     pub(crate) deadline: Instant,
+    /// Computed on first use, since few requests need it.
+    pub(crate) digest: OnceCell<RequestDigest>,
 }
 
 /// Headers that apply to a single connection.
@@ -111,4 +117,21 @@
     pub(crate) fn rule(&self) -> &RouteRule {
         self.map.route(self.route)
     }
+
+    /// Digest of the customer, the host, the path and the body.
+    pub(crate) fn digest(&self) -> RequestDigest {
+        let compute = || {
+            let customer = self.customer.and_then(|key| self.map.customer_name(key));
+            let host = self.headers.get(HOST).map_or(&b""[..], |value| value.as_bytes());
+            let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+            RequestDigest::from_parts([
+                customer.unwrap_or_default().as_bytes(),
+                host,
+                self.method.as_str().as_bytes(),
+                path.as_bytes(),
+                &self.body,
+            ])
+        };
+        *self.digest.get_or_init(compute)
+    }
 }
--- a/crates/ragwortroad_edge/src/request_progress.rs
+++ b/crates/ragwortroad_edge/src/request_progress.rs
@@ -136,6 +136,8 @@
     }
 
     fn log_failure(&self, plan: &RequestPlan, chosen: &ChosenEndpoint, reason: &str) {
+        // Tells repeats of one request from others; not needed for requests that were not run.
+        let content = self.may_have_run.then(|| plan.digest());
         tracing::info!(
             request = plan.id,
             endpoint = chosen.name,
@@ -145,6 +147,7 @@
             version = plan.map.config().version,
             attempts = self.attempts,
             reason,
+            content = content.map(tracing::field::display),
             "attempt failed"
         );
     }
--- a/crates/ragwortroad_edge/src/request_reading.rs
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -1,6 +1,7 @@
 //! Reads a client request and resolves its route.
 
 use std::{
+    cell::OnceCell,
     rc::Rc,
     time::Duration, //
 };
@@ -98,6 +99,7 @@
         body,
         received_at,
         deadline,
+        digest: OnceCell::new(),
         map,
     })
 }
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -234,10 +234,16 @@
     /// stream cannot be resumed.
     fn handle_break(&mut self, reason: &'static str) -> Option<Poll<NextEvents>> {
         let now = self.shared.now();
-        if let Some(upstream) = self.upstream.take() {
+        let key = self.upstream.take().map(|upstream| upstream.guard.key());
+        if let Some(key) = key {
             let mut state = self.shared.state.borrow_mut();
-            state.load_mut(upstream.guard.key()).note_bad_response(now);
+            state.load_mut(key).note_bad_response(now);
         }
+        let endpoint = key.and_then(|key| {
+            let state = self.shared.state.borrow();
+            let record = state.endpoints.record(key)?;
+            Some(record.name.clone())
+        });
         self.framer.discard_partial();
         let rule = self.plan.rule();
         let has_time = Instant::now() < self.plan.deadline;
@@ -255,6 +261,8 @@
             after_event = self.framer.last_event_id(),
             attempts = self.attempts,
             resumes = may_resume,
+            endpoint,
+            content = %self.plan.digest(),
             "stream broken"
         );
         if !may_resume {
--- a/crates/ragwortroad_types/src/lib.rs
+++ b/crates/ragwortroad_types/src/lib.rs
@@ -27,6 +27,7 @@
 mod prefix_key;
 mod refusal_code;
 mod refusal_wire;
+mod request_digest;
 mod request_id;
 mod request_outcome;
 
@@ -67,6 +68,7 @@
             RefusalDetail,
             RefusalWire, //
         },
+        request_digest::RequestDigest,
         request_id::RequestId,
         request_outcome::RequestOutcome, //
     };
