--- a/crates/ragwortroad_edge/src/request_plan.rs
+++ b/crates/ragwortroad_edge/src/request_plan.rs
@@ -122,7 +122,10 @@
     pub(crate) fn digest(&self) -> RequestDigest {
         let compute = || {
             let customer = self.customer.and_then(|key| self.map.customer_name(key));
-            let host = self.headers.get(HOST).map_or(&b""[..], |value| value.as_bytes());
+            let host = self
+                .headers
+                .get(HOST)
+                .map_or(&b""[..], |value| value.as_bytes());
             let path = self.uri.path_and_query().map_or("", |path| path.as_str());
             RequestDigest::from_parts([
                 customer.unwrap_or_default().as_bytes(),
