--- a/crates/ragwortroad_demo/tests/failures/main.rs
+++ b/crates/ragwortroad_demo/tests/failures/main.rs
@@ -6,6 +6,7 @@
 
 mod bookings;
 mod common;
+mod crashes;
 mod endpoints;
 mod members;
 mod operators;
--- a/crates/ragwortroad_edge/src/request_completion.rs
+++ b/crates/ragwortroad_edge/src/request_completion.rs
@@ -83,11 +83,13 @@
         RefusalReason::Overload => overload_retry_after(shared, plan),
         _ => short_retry_after(),
     });
+    let content = (reason == RefusalReason::Quarantined).then(|| plan.digest());
     tracing::info!(
         request = plan.id,
         outcome = "refused",
         route = plan.rule().name,
         ?reason,
+        content = content.map(tracing::field::display),
         version = plan.map.config().version,
         attempts = progress.attempts,
         dials = progress.failed_dials,
--- a/crates/ragwortroad_gateway/src/attempt_guard.rs
+++ b/crates/ragwortroad_gateway/src/attempt_guard.rs
@@ -136,6 +136,7 @@
         AttemptOutcome::NotSent => "not_sent",
         AttemptOutcome::Completed { .. } => "completed",
         AttemptOutcome::Broken => "broken",
+        AttemptOutcome::Crashed => "crashed",
         AttemptOutcome::Cancelled => "cancelled",
         AttemptOutcome::TimedOut => "timed_out",
     }
--- a/crates/ragwortroad_gateway/src/call/attempt_outcome.rs
+++ b/crates/ragwortroad_gateway/src/call/attempt_outcome.rs
@@ -16,6 +16,9 @@
     },
     /// Bytes were sent, and no valid, complete response came back.
     Broken,
+    /// Bytes were sent, no complete response came back, and the endpoint refuses connections since:
+    /// its process has ended.
+    Crashed,
     /// The client disconnected, and the attempt was cancelled.
     Cancelled,
     /// The deadline passed while the attempt was in flight.
--- a/crates/ragwortroad_gateway/src/engine_response.rs
+++ b/crates/ragwortroad_gateway/src/engine_response.rs
@@ -71,7 +71,8 @@
             Ok(response) => format!("the engine answered with status {}", response.status()),
             Err(reason) => reason,
         };
-        flow.fail_attempt(&attempt.grant, attempt.guard, &reason)?;
+        flow.fail_attempt(&attempt.grant, attempt.guard, &reason)
+            .await?;
     }
 }
 
@@ -106,7 +107,8 @@
             Ok(Some(text_response(status, "application/json", text)))
         }
         Err(reason) => {
-            flow.fail_attempt(&attempt.grant, attempt.guard, &reason)?;
+            flow.fail_attempt(&attempt.grant, attempt.guard, &reason)
+                .await?;
             Ok(None)
         }
     }
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -143,7 +143,8 @@
         let (bytes, wire) = match parsed {
             Ok(parsed) => parsed,
             Err(reason) => {
-                flow.fail_attempt(&attempt.grant, attempt.guard, &reason)?;
+                flow.fail_attempt(&attempt.grant, attempt.guard, &reason)
+                    .await?;
                 continue;
             }
         };
--- a/crates/ragwortroad_gateway/src/request_flow.rs
+++ b/crates/ragwortroad_gateway/src/request_flow.rs
@@ -1,4 +1,8 @@
-use std::sync::Arc;
+use std::{
+    io,
+    sync::Arc,
+    time::Duration, //
+};
 
 use hyper::{
     Request,
@@ -23,6 +27,12 @@
     request_context::RequestContext, //
 };
 
+/// Timeout for connecting to an endpoint that may have crashed.
+///
+/// A closed port answers within a round trip; a VM that doesn't answer has not crashed under a
+/// request.
+const CRASH_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// Processes one request over as many attempts as the control thread grants.
 pub(crate) struct RequestFlow {
     pub(crate) state: Arc<GatewayState>,
@@ -141,7 +151,7 @@
 
     /// Reports a broken attempt. Returns an error unless the request is idempotent and may be
     /// retried.
-    pub(crate) fn fail_attempt(
+    pub(crate) async fn fail_attempt(
         &mut self,
         grant: &AdmitGrant,
         guard: AttemptGuard,
@@ -152,7 +162,10 @@
             why = reason,
             "attempt failed with an invalid or incomplete response"
         );
-        guard.finish(AttemptOutcome::Broken);
+        guard.finish(match has_crashed(grant).await {
+            true => AttemptOutcome::Crashed,
+            false => AttemptOutcome::Broken,
+        });
         self.exclude(grant);
         match self.call.idempotent {
             true => Ok(()),
@@ -221,3 +234,9 @@
         }
     }
 }
+
+/// Whether an endpoint that sent no complete response has crashed: its port is closed.
+async fn has_crashed(grant: &AdmitGrant) -> bool {
+    let connected = EndpointLink::connect(grant.address, CRASH_CHECK_TIMEOUT).await;
+    connected.is_err_and(|error| error.kind() == io::ErrorKind::ConnectionRefused)
+}
--- a/crates/ragwortroad_gateway/src/service_relay.rs
+++ b/crates/ragwortroad_gateway/src/service_relay.rs
@@ -198,7 +198,8 @@
         let (status, headers, bytes) = match complete {
             Ok(complete) => complete,
             Err(reason) => {
-                flow.fail_attempt(&attempt.grant, attempt.guard, &reason)?;
+                flow.fail_attempt(&attempt.grant, attempt.guard, &reason)
+                    .await?;
                 continue;
             }
         };
--- a/crates/ragwortroad_gateway/src/stream_relay.rs
+++ b/crates/ragwortroad_gateway/src/stream_relay.rs
@@ -120,7 +120,7 @@
                 Err(reason) => reason,
             };
             drop(link);
-            let retry_result = self.flow.fail_attempt(&grant, guard, &reason);
+            let retry_result = self.flow.fail_attempt(&grant, guard, &reason).await;
             if !self.cursor.can_resume() {
                 return Err(self.incomplete_refusal(&reason));
             }
--- a/crates/ragwortroad_node/src/control/admit_flow.rs
+++ b/crates/ragwortroad_node/src/control/admit_flow.rs
@@ -111,6 +111,8 @@
         self.check_admits(now)?;
         let chat = self.chat_key(&call);
         let facts = self.resolve_target(&call, chat)?;
+        let digest = request_digest(&facts, &call);
+        self.check_quarantine(digest, now)?;
         self.check_retry(&call, facts.idempotent)?;
         let customer_key = CustomerKey::from_name(&facts.customer);
         let tokens = estimated_tokens(&call);
@@ -135,6 +137,7 @@
             hint,
             tokens,
             priority,
+            digest,
             claim,
             excluded: call.excluded.clone(),
             homes_asked: 0,
@@ -337,6 +340,16 @@
     prompt.saturating_add(call.max_output_tokens.unwrap_or(DEFAULT_OUTPUT_TOKENS))
 }
 
+/// Returns the digest of the customer, the target, the path and the body of a request.
+fn request_digest(facts: &ResolvedTarget, call: &AdmitCall) -> RequestDigest {
+    let service = facts.service.as_deref().unwrap_or_default();
+    RequestDigest::from_parts([
+        facts.customer.as_bytes(),
+        service.as_bytes(),
+        &call.body_hash,
+    ])
+}
+
 /// Returns the prefix keys of a model request's prompt; none for a service request.
 fn prompt_prefixes(facts: &ResolvedTarget, call: &AdmitCall) -> Vec<PrefixKey> {
     match &call.target {
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -80,6 +80,10 @@
     pub(crate) tickets: TicketTable,
     /// Attempts that ended recently.
     pub(crate) ended: EndedAttempts,
+    /// Crashes of endpoints by the requests that were running there.
+    pub(crate) crashes: CrashTable,
+    /// Number of nodes that this one has asked for the crashes known to them.
+    pub(crate) crash_sources: u32,
     /// Attempts that wait for a slot from another node, or for their hold to end.
     pub(crate) waits: WaitTable,
     /// Claim steps that the leader hasn't answered.
@@ -226,6 +230,7 @@
         self.tick_lines(now);
         self.send_claims(now);
         self.propose_claims(now);
+        self.send_crashes(now);
         self.tick_orders(now);
         self.record_currency(now);
         if now.since(self.last_slow_tick) >= SLOW_TICK_INTERVAL {
--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -142,6 +142,7 @@
     fn node_up(&mut self, node: NodeId, now: ClockTime) {
         self.record_node_event(EventKind::NodeUp, node);
         tracing::info!(node = self.node_name(node), "node is up");
+        self.exchange_crashes(node, now);
         self.refresh_nodes(now);
         // Endpoints whose home came back can be requested again.
         self.refresh_endpoints(now);
--- a/crates/ragwortroad_node/src/control/event_flow.rs
+++ b/crates/ragwortroad_node/src/control/event_flow.rs
@@ -111,6 +111,7 @@
             AttemptOutcome::Completed { status, .. } => format!("status {status}"),
             AttemptOutcome::NotSent => "not sent".to_owned(),
             AttemptOutcome::Broken => "broken".to_owned(),
+            AttemptOutcome::Crashed => "endpoint crashed".to_owned(),
             AttemptOutcome::Cancelled => "cancelled".to_owned(),
             AttemptOutcome::TimedOut => "timed out".to_owned(),
         };
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -134,6 +134,7 @@
             chat: attempt.chat,
             endpoint,
             slot,
+            digest: attempt.digest,
             tokens: attempt.tokens,
             attempts,
             claim: attempt.claim.clone(),
@@ -174,6 +175,7 @@
             return;
         };
         self.record_finish(&record, &call);
+        self.observe_end(&record, &call.outcome, now);
         tracing::debug!(
             request = %record.request,
             customer = record.customer_name,
@@ -230,8 +232,12 @@
     /// Places attempts whose hold has ended.
     pub(crate) fn place_due_attempts(&mut self, now: ClockTime) {
         for attempt in self.waits.take_due(now) {
-            match self.check_admits(now) {
-                // The node may have lost its right to admit while the attempt was held.
+            let checked = self
+                .check_admits(now)
+                .and_then(|()| self.check_quarantine(attempt.digest, now));
+            match checked {
+                // The node may have lost its right to admit while the attempt was held, or the
+                // request may have crashed another endpoint.
                 Ok(()) => self.place_attempt(attempt, now),
                 Err(refusal) => self.refuse_attempt(attempt, refusal),
             }
@@ -267,9 +273,10 @@
 fn slot_outcome(outcome: &AttemptOutcome) -> SlotOutcome {
     match outcome {
         AttemptOutcome::Completed { status, .. } if *status < 500 => SlotOutcome::Succeeded,
-        AttemptOutcome::Completed { .. } | AttemptOutcome::Broken | AttemptOutcome::NotSent => {
-            SlotOutcome::Failed
-        }
+        AttemptOutcome::Completed { .. }
+        | AttemptOutcome::Broken
+        | AttemptOutcome::Crashed
+        | AttemptOutcome::NotSent => SlotOutcome::Failed,
         AttemptOutcome::Cancelled | AttemptOutcome::TimedOut => SlotOutcome::Neutral,
     }
 }
@@ -279,9 +286,10 @@
     match outcome {
         AttemptOutcome::NotSent => RequestOutcome::NotRun,
         AttemptOutcome::Completed { .. } => RequestOutcome::Ran,
-        AttemptOutcome::Broken | AttemptOutcome::Cancelled | AttemptOutcome::TimedOut => {
-            RequestOutcome::Unknown
-        }
+        AttemptOutcome::Broken
+        | AttemptOutcome::Crashed
+        | AttemptOutcome::Cancelled
+        | AttemptOutcome::TimedOut => RequestOutcome::Unknown,
     }
 }
 
@@ -298,9 +306,10 @@
             body: response.body,
         })),
         AttemptOutcome::Completed { status, .. } => Some(ClaimResult::Ran { status }),
-        AttemptOutcome::Broken | AttemptOutcome::Cancelled | AttemptOutcome::TimedOut => {
-            Some(ClaimResult::Unknown)
-        }
+        AttemptOutcome::Broken
+        | AttemptOutcome::Crashed
+        | AttemptOutcome::Cancelled
+        | AttemptOutcome::TimedOut => Some(ClaimResult::Unknown),
     }
 }
 
--- a/crates/ragwortroad_node/src/control/mod.rs
+++ b/crates/ragwortroad_node/src/control/mod.rs
@@ -9,8 +9,10 @@
 pub(crate) mod config_follower;
 pub(crate) mod control_inbox;
 pub(crate) mod control_state;
+pub(crate) mod crash_flow;
 pub(crate) mod endpoint_flow;
-pub(crate) mod event_flow;
+
+mod event_flow;
 pub(crate) mod fleet_view;
 pub(crate) mod follow_flow;
 pub(crate) mod gauge_flow;
--- a/crates/ragwortroad_node/src/control/slot_flow.rs
+++ b/crates/ragwortroad_node/src/control/slot_flow.rs
@@ -83,6 +83,8 @@
                 let digest = demand_digest(entries);
                 self.limiter.merge_demand(from, &digest, now);
             }
+            SlotMessage::Crashes(reports) => self.crashes.merge(&reports, now),
+            SlotMessage::WantCrashes => self.send_all_crashes(from, now),
             SlotMessage::Share(entries) => {
                 let digest = share_digest(entries);
                 self.limiter.merge_share(&digest, now);
@@ -234,7 +236,7 @@
         }
     }
 
-    fn send_slots(&self, to: NodeId, message: &SlotMessage) {
+    pub(crate) fn send_slots(&self, to: NodeId, message: &SlotMessage) {
         self.send(to, PeerChannel::Slots, encode(message));
     }
 }
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -348,6 +348,8 @@
         replica,
         tickets: TicketTable::default(),
         ended: EndedAttempts::default(),
+        crashes: CrashTable::default(),
+        crash_sources: 0,
         waits: WaitTable::default(),
         claims: ClaimQueue::default(),
         grants: GrantTable::default(),
--- a/crates/ragwortroad_node/src/request/pending_attempt.rs
+++ b/crates/ragwortroad_node/src/request/pending_attempt.rs
@@ -27,6 +27,8 @@
     pub(crate) tokens: u32,
     /// The scheduling priority that is sent to the engine.
     pub(crate) priority: u8,
+    /// Content of the request.
+    pub(crate) digest: RequestDigest,
     /// The claim that a request which must not run twice needs before it is sent.
     pub(crate) claim: Option<HeldClaim>,
     /// Endpoints that failed the request or whose home rejected it.
--- a/crates/ragwortroad_node/src/request/ticket_table.rs
+++ b/crates/ragwortroad_node/src/request/ticket_table.rs
@@ -23,6 +23,8 @@
     pub(crate) chat: Option<ChatKey>,
     pub(crate) endpoint: EndpointId,
     pub(crate) slot: HeldSlot,
+    /// Content of the request.
+    pub(crate) digest: RequestDigest,
     /// Tokens charged to the customer's limit.
     pub(crate) tokens: u32,
     /// Attempts of the request, this one included.
--- a/crates/ragwortroad_node/src/wire/slot_message.rs
+++ b/crates/ragwortroad_node/src/wire/slot_message.rs
@@ -7,7 +7,8 @@
     Serialize, //
 };
 
-/// Messages between requesters and homes about slots, and between nodes about limit shares.
+/// Messages between requesters and homes about slots, and between nodes about limit shares and
+/// about requests that crash endpoints.
 ///
 /// The requester draws the question number, which identifies the slot from then on. This makes
 /// every message safe to resend: a repeated `Ask` returns the same slot, and a repeated `Release`
@@ -54,6 +55,10 @@
     /// Limit shares granted by the coordinator: customer, share of the rates in 65,535ths,
     /// concurrent requests.
     Share(Vec<(u64, u16, u16)>),
+    /// Requests under which endpoints have crashed.
+    Crashes(Vec<CrashReport>),
+    /// Asks for all known crashes, after a start.
+    WantCrashes,
 }
 
 /// An [`AdmissionClass`] on the wire.
--- a/crates/ragwortroad_standin/src/engine_handler.rs
+++ b/crates/ragwortroad_standin/src/engine_handler.rs
@@ -1,4 +1,5 @@
 use std::{
+    future::pending,
     io,
     sync::Arc, //
 };
@@ -92,6 +93,12 @@
         faults,
     };
     let run = begin_run(&state, &chat, parameters);
+    if run.faults.crashes_on(body) {
+        state.standin.end_run(run.run_index, RunStatus::Cut);
+        state.standin.crash();
+        // The connection closes with all others.
+        return pending().await;
+    }
     if run.faults.close_without_response {
         state.standin.end_run(run.run_index, RunStatus::Cut);
         return Err(io::ErrorKind::ConnectionReset.into());
--- a/crates/ragwortroad_standin/src/fault_plan.rs
+++ b/crates/ragwortroad_standin/src/fault_plan.rs
@@ -32,6 +32,9 @@
     pub response_delay: Duration,
     /// Refuses new connections and closes open ones.
     pub refuse_connections: bool,
+    /// Crashes the stand-in under a request whose body contains this text: its listener closes, then
+    /// all its connections.
+    pub crash_on: Option<String>,
     /// Accepts orders regardless of their fencing tokens.
     pub ignore_fencing: bool,
     /// Acknowledges orders without executing them.
@@ -39,3 +42,11 @@
     /// Delays the response to an accepted order by this time.
     pub order_response_delay: Duration,
 }
+
+impl FaultPlan {
+    /// Whether a request with this body crashes the stand-in.
+    pub(crate) fn crashes_on(&self, body: &[u8]) -> bool {
+        let contains = |text: &String| String::from_utf8_lossy(body).contains(text.as_str());
+        self.crash_on.as_ref().is_some_and(contains)
+    }
+}
--- a/crates/ragwortroad_standin/src/standin_engine.rs
+++ b/crates/ragwortroad_standin/src/standin_engine.rs
@@ -75,6 +75,11 @@
         self.state.standin.set_faults(plan);
     }
 
+    /// Whether a request has crashed it, as [`FaultPlan::crash_on`] says.
+    pub fn has_crashed(&self) -> bool {
+        self.state.standin.has_crashed()
+    }
+
     /// Marks all further announcements as leaving.
     pub fn announce_leaving(&self) {
         self.state.leaving.store(true, Ordering::Relaxed);
--- a/crates/ragwortroad_standin/src/standin_server.rs
+++ b/crates/ragwortroad_standin/src/standin_server.rs
@@ -5,7 +5,11 @@
     sync::{
         Arc,
         Mutex,
-        PoisonError, //
+        PoisonError,
+        atomic::{
+            AtomicBool,
+            Ordering, //
+        }, //
     },
     time::{
         Duration,
@@ -56,6 +60,7 @@
 pub(crate) struct StandinState {
     started: Instant,
     faults: Mutex<FaultPlan>,
+    has_crashed: AtomicBool,
     records: Mutex<Vec<RunRecord>>,
 }
 
@@ -64,6 +69,7 @@
         Self {
             started: Instant::now(),
             faults: Mutex::default(),
+            has_crashed: AtomicBool::new(false),
             records: Mutex::default(),
         }
     }
@@ -99,6 +105,20 @@
         plan.refuse_connections
     }
 
+    pub(crate) fn has_crashed(&self) -> bool {
+        self.has_crashed.load(Ordering::SeqCst)
+    }
+
+    /// Refuses all further connections and closes the open ones.
+    pub(crate) fn crash(&self) {
+        self.has_crashed.store(true, Ordering::SeqCst);
+        let mut plan = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        *plan = FaultPlan {
+            refuse_connections: true,
+            ..FaultPlan::default()
+        };
+    }
+
     pub(crate) fn records(&self) -> Vec<RunRecord> {
         let records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
         records.clone()
@@ -240,4 +260,6 @@
             () = sleep(LISTEN_POLL_INTERVAL) => {}
         }
     }
+    // The end of a process closes its listener before its connections, too.
+    drop(listener);
 }
--- a/crates/ragwortroad_standin/src/standin_service.rs
+++ b/crates/ragwortroad_standin/src/standin_service.rs
@@ -1,4 +1,5 @@
 use std::{
+    future::pending,
     io,
     net::SocketAddr,
     sync::{
@@ -108,6 +109,11 @@
         self.state.standin.set_faults(plan);
     }
 
+    /// Whether a request has crashed it, as [`FaultPlan::crash_on`] says.
+    pub fn has_crashed(&self) -> bool {
+        self.state.standin.has_crashed()
+    }
+
     /// Marks all further announcements as leaving.
     pub fn announce_leaving(&self) {
         self.state.leaving.store(true, Ordering::Relaxed);
@@ -183,6 +189,12 @@
         cached_tokens: 0,
         prompt_tokens: 0,
     });
+    if faults.crashes_on(&body) {
+        state.standin.end_run(run_index, RunStatus::Cut);
+        state.standin.crash();
+        // The connection closes with all others.
+        return pending().await;
+    }
     sleep(state.settings.work_time + faults.response_delay).await;
     let echoed_id = faults.echoed_request_id.as_deref().unwrap_or(&request_id);
     let response = json!({
--- a/crates/ragwortroad_types/src/refusal_code.rs
+++ b/crates/ragwortroad_types/src/refusal_code.rs
@@ -40,6 +40,8 @@
     KeyExpired,
     /// The endpoint ended its response early, or responded to another request.
     BrokenAnswer,
+    /// Endpoints crashed while they ran requests with the same content.
+    CrashesEndpoints,
     /// The deadline passed before the request finished.
     DeadlinePassed,
     /// An internal error of this node.
@@ -59,7 +61,7 @@
             Self::KeyReused => 422,
             Self::CustomerLimit => 429,
             Self::InternalFault => 500,
-            Self::BrokenAnswer => 502,
+            Self::BrokenAnswer | Self::CrashesEndpoints => 502,
             Self::NoEndpoint
             | Self::Overloaded
             | Self::NodeDraining
@@ -88,6 +90,7 @@
             Self::KeyInProgress => "ask again with the same key after the time given",
             Self::KeyExpired => "look up whether the request ran, then use a new idempotency key",
             Self::BrokenAnswer => "retry if the request is idempotent, else look up whether it ran",
+            Self::CrashesEndpoints => "don't send it again; send its id to the operator",
             Self::DeadlinePassed => "allow a longer deadline, or look up whether the request ran",
             Self::InternalFault => "send the request id to the operator",
         }
