Crash replicas under requests in the soak

A third service, whose three replicas crash under some requests and start again at their addresses, runs beside the others while edges and registries are killed, stopped and suspended, and the registries' links are cut, delayed and reset. One request is repeated at random edges, with another content every four seconds. After the last fault and three seconds of contact, a request that has crashed three replicas may crash three more at most and gets 502, and 40 requests that were cut are served.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -10,6 +10,7 @@
 mod caller;
 #[path = "../../platform/tests/whole_path/document.rs"]
 mod document;
+mod frail_pool;
 mod keep_alive_client;
 mod processes;
 mod proxy;
@@ -41,6 +42,7 @@
     open_document,
     version_of, //
 };
+use frail_pool::FrailPool;
 use keep_alive_client::{
     KeepAliveClient,
     RequestOutcome, //
@@ -67,6 +69,19 @@
 /// Time limit for the fleet to serve again after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time after the last fault in which all processes have heard from each other.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Sends of one request that may reach replicas after it has crashed three and the fleet is in
+/// contact.
+const ALLOWED_RETRIES: usize = 3;
+
+/// Interval between two requests that crash replicas and have different contents.
+const POISON_INTERVAL: Duration = Duration::from_secs(4);
+
+/// Most requests that were cut beside a crash and are repeated at the end.
+const MAX_CUT_REQUESTS: usize = 40;
+
 /// Seeds of runs that failed, with the cause.
 ///
 /// Runs of real processes are not reproducible exactly, so each cause also has a test of its own.
@@ -79,11 +94,17 @@
 /// State shared by the threads of one run.
 struct SoakRun {
     is_finished: AtomicBool,
+    /// Set after the last fault.
+    are_faults_over: AtomicBool,
     edges: Vec<SocketAddr>,
     registries: Vec<SocketAddr>,
     replicas: [Replica; 2],
     /// Proxy in front of each replica; its address is the announced one.
     replica_proxies: Vec<SoakProxy>,
+    /// Replicas of another service, which crash under some requests.
+    frail_pool: FrailPool,
+    /// Requests for the crashing replicas that were cut.
+    cut_paths: Mutex<Vec<String>>,
     /// Number of times that each edge was killed.
     edge_kills: Vec<AtomicU64>,
     /// Held during a network fault, and while no network fault may be injected.
@@ -171,6 +192,94 @@
         }
     }
 
+    /// Sends a request for the service `frail` to an edge, under an id of its own; returns the status
+    /// of a complete answer.
+    fn send_frail(&self, edge: usize, path: &str) -> Option<u16> {
+        let request = self.next_request.fetch_add(1, Ordering::SeqCst);
+        let id = format!("frail-{request}");
+        let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "3000")];
+        let answer = send(
+            self.edges[edge],
+            &format!("POST {path}"),
+            &headers,
+            b"words",
+        );
+        answer.is_whole.then_some(answer.status)
+    }
+
+    /// Repeats a request that crashes replicas, at random edges and with another content from time
+    /// to time, until the last fault is over.
+    fn send_poison(&self, rng: &mut Pcg64Mcg) {
+        let started_at = Instant::now();
+        while !self.are_faults_over.load(Ordering::SeqCst) {
+            let edge = rng.random_range(0..self.edges.len());
+            let number = started_at.elapsed().as_millis() / POISON_INTERVAL.as_millis();
+            self.send_frail(edge, &format!("/frail/{number}/crash"));
+            thread::sleep(Duration::from_millis(rng.random_range(50..250)));
+            self.frail_pool.restart_crashed();
+        }
+    }
+
+    /// Sends one request to the replicas that crash, and notes it if it is cut.
+    fn send_beside_poison(&self, rng: &mut Pcg64Mcg) {
+        let edge = rng.random_range(0..self.edges.len());
+        let request = self.next_request.fetch_add(1, Ordering::SeqCst);
+        let path = format!("/frail/{request}/stream");
+        if self.send_frail(edge, &path) != Some(200) {
+            let mut cut_paths = self.cut_paths.lock().expect("a thread panicked");
+            if cut_paths.len() < MAX_CUT_REQUESTS {
+                cut_paths.push(path);
+            }
+        }
+    }
+
+    /// Checks, once the fleet is in contact again, that the requests which have crashed replicas
+    /// reach few more, and that those beside them are served.
+    fn check_quarantine(&self, seed: u64) {
+        thread::sleep(CONTACT_TIME);
+        let mut quarantined = 0;
+        for number in 0.. {
+            let path = format!("/frail/{number}/crash");
+            let crashes = self.frail_pool.crashes(&path);
+            if crashes == 0 {
+                break;
+            }
+            if crashes < 3 {
+                continue;
+            }
+            quarantined += 1;
+            for step in 0..8 {
+                let status = self.send_frail(step % self.edges.len(), &path);
+                if self.frail_pool.crashes(&path) == crashes && status != Some(502) {
+                    self.record(format!("{path} was answered with {status:?}"));
+                }
+                self.frail_pool.restart_crashed();
+                thread::sleep(Duration::from_millis(100));
+            }
+            let retries = self.frail_pool.crashes(&path) - crashes;
+            if retries > ALLOWED_RETRIES {
+                self.record(format!(
+                    "{path} crashed {crashes} replicas and {retries} more"
+                ));
+            }
+        }
+        let cut_paths = self.cut_paths.lock().expect("a thread panicked");
+        println!(
+            "seed {seed}: {quarantined} requests crashed three replicas, {} were cut beside them",
+            cut_paths.len()
+        );
+        for path in cut_paths.iter() {
+            let started_at = Instant::now();
+            while self.send_frail(0, path) != Some(200) {
+                if started_at.elapsed() > RECOVERY_TIMEOUT {
+                    self.record(format!("{path}, cut once, is not served"));
+                    break;
+                }
+                thread::sleep(Duration::from_millis(100));
+            }
+        }
+    }
+
     /// Checks that requests answered as not run have not run later either.
     fn check_refused(&self) {
         let refused_paths = self
@@ -235,6 +344,7 @@
                 .iter()
                 .any(|registry| send(*registry, &line, &[], body.as_bytes()).status == 200);
         }
+        self.frail_pool.announce(&self.registries, sequence);
     }
 }
 
@@ -367,9 +477,12 @@
     let run = SoakRun {
         replica_proxies: replicas.iter().map(start_proxy).collect(),
         edge_kills: edges.iter().map(|_| AtomicU64::new(0)).collect(),
+        frail_pool: FrailPool::start(),
+        cut_paths: Mutex::default(),
         refused_paths: Mutex::default(),
         network_lock: Mutex::default(),
         is_finished: AtomicBool::new(false),
+        are_faults_over: AtomicBool::new(false),
         edges: edges.iter().map(|edge| edge.address).collect(),
         registries: registries.iter().map(|registry| registry.address).collect(),
         replicas,
@@ -405,6 +518,15 @@
                 }
             });
         }
+        let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 70);
+        scope.spawn(move || run.send_poison(&mut rng));
+        let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 80);
+        scope.spawn(move || {
+            while !run.are_faults_over.load(Ordering::SeqCst) {
+                run.send_beside_poison(&mut rng);
+                thread::sleep(Duration::from_millis(20));
+            }
+        });
         let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 50);
         scope.spawn(move || {
             let mut version = 0;
@@ -443,7 +565,9 @@
             inject_process_fault(run, &mut registries, &mut edges, &mut rng);
         }
         network.join().expect("network fault thread panicked");
+        run.are_faults_over.store(true, Ordering::SeqCst);
         check_recovery(run);
+        run.check_quarantine(seed);
         run.is_finished.store(true, Ordering::SeqCst);
     });
     run.check_refused();
