--- a/crates/ragwortroad_edge/src/edge_port.rs
+++ b/crates/ragwortroad_edge/src/edge_port.rs
@@ -103,6 +103,9 @@
     pub is_signed: bool,
     /// Whether the endpoint states that it did not run the request.
     pub is_not_run: bool,
+    /// Time for which a refusing endpoint wants no further request from this edge; `None` if it does
+    /// not ask for any.
+    pub rest: Option<Duration>,
     /// Whether another endpoint than the intended one responded.
     pub is_misdirected: bool,
     /// Whether the body is a stream of server-sent events.
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -48,8 +48,8 @@
 pub(crate) enum CallOutcome {
     /// The request did not reach the endpoint.
     NotSent { reason: String, is_timeout: bool },
-    /// The endpoint states that it did not run the request.
-    NotRun,
+    /// The endpoint states that it did not run the request, and may want no further one for a time.
+    NotRun { rest: Option<Duration> },
     /// Another endpoint has this address now, and it did not run the request.
     Misdirected,
     /// The endpoint may have run the request, but there is no usable response.
@@ -245,7 +245,8 @@
     };
     return_connection(shared, chosen.address, connection, &metadata);
     if metadata.is_not_run {
-        return CallOutcome::NotRun;
+        let rest = metadata.rest;
+        return CallOutcome::NotRun { rest };
     }
     CallOutcome::Full(FullResponse {
         status: head.status,
@@ -295,7 +296,7 @@
             load.note_bad_response(now)
         }
         CallOutcome::Full(_) | CallOutcome::Events(_) => load.note_success(now),
-        CallOutcome::NotRun => {}
+        CallOutcome::NotRun { .. } => {}
     }
     drop(state);
     record_reachability(shared, chosen, outcome);
@@ -310,7 +311,7 @@
                 false => shared.note_reached(&chosen.zone),
             };
         }
-        CallOutcome::NotRun
+        CallOutcome::NotRun { .. }
         | CallOutcome::Misdirected
         | CallOutcome::Full(_)
         | CallOutcome::Events(_) => {
@@ -332,7 +333,7 @@
     let target = plan.rule().target;
     let latency = match outcome {
         CallOutcome::Full(response) if !response.status.is_server_error() => latency,
-        CallOutcome::NotRun | CallOutcome::TimedOut => latency.max(target),
+        CallOutcome::NotRun { .. } | CallOutcome::TimedOut => latency.max(target),
         _ => return,
     };
     if !shared.settings.mechanisms.plain_limit {
--- a/crates/ragwortroad_edge/src/request_progress.rs
+++ b/crates/ragwortroad_edge/src/request_progress.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_telemetry::prelude::*;
 use tokio::time::Instant;
@@ -75,7 +77,7 @@
                 self.log_failure(plan, chosen, "silent");
                 return NextStep::Retry;
             }
-            CallOutcome::NotRun => ("not run".to_owned(), RefusalReason::NotRun),
+            CallOutcome::NotRun { rest } => (not_run_reason(rest), RefusalReason::NotRun),
             CallOutcome::Misdirected => (
                 "another endpoint has this address".to_owned(),
                 RefusalReason::NotRun,
@@ -152,3 +154,10 @@
         );
     }
 }
+
+fn not_run_reason(rest: Option<Duration>) -> String {
+    match rest {
+        Some(rest) => format!("not run, rest of {} ms", rest.as_millis()),
+        None => "not run".to_owned(),
+    }
+}
