Send nothing to replicas that asked for rest, or that said that they leave

Cause: an edge read neither Retry-After of a replica's refusal nor Server-Leaving of its answers, and took no note of a refusal. A replica that turns everything away has few requests, so the choice by load prefers it; the retries that this costs use up the budget.

Change: the rest is kept by the incarnation of the endpoint (RestTable), binds first attempts, retries and resumed streams alike, and takes the endpoint's slots out of the edge's limit. While all rest, a request is refused at once, before the gate, with the time until the first rest ends. An endpoint that says that it leaves counts as draining at that edge until it restarts, whatever it announces, also if the registries lose it and it is announced again.

--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -41,7 +41,8 @@
 /// switched to another registry.
 const LOST_TTL: Duration = Duration::from_millis(1500);
 
-/// How long a departed incarnation is remembered; later announcements of it are not expected.
+/// How long an incarnation that has left, or has said that it leaves, is remembered; later
+/// announcements of it are not expected.
 const GOODBYE_TTL: Duration = Duration::from_secs(60);
 
 /// Endpoints known to an edge, merged from all registries.
@@ -60,6 +61,10 @@
     holders: BTreeSet<SourceKey>,
     /// Since when no registry has reported the endpoint, or it has been known to be gone.
     unheld_since: Option<ClockTime>,
+    /// Whether the endpoint has said in a response that it leaves.
+    ///
+    /// Invariant: while true, the stage of `record` is not `Ready`.
+    is_leaving: bool,
     /// Whether the last registry that reported it has reported it lost since.
     is_lost: bool,
     /// When the endpoint is warm, according to its own announcement.
@@ -113,7 +118,13 @@
         entry.is_lost = false;
         entry.unheld_since = (record.stage == EndpointStage::Gone).then_some(now);
         entry.warm_at = warm_at(&record, now);
+        entry.is_leaving &= !restarted;
         entry.record = record;
+        if entry.is_leaving && entry.record.stage == EndpointStage::Ready {
+            // The announcement is older than the response, or comes from a process that is slow to
+            // change it. An endpoint that leaves does not come back in the same process.
+            entry.record.stage = EndpointStage::Draining;
+        }
         let ready = entry.record.stage == EndpointStage::Ready;
         match (before == EndpointStage::Ready, ready) {
             (true, false) => EndpointChange::Stopped(key),
@@ -141,6 +152,7 @@
             record,
             holders: BTreeSet::from([source]),
             unheld_since: gone.then_some(now),
+            is_leaving: false,
             is_lost: false,
             undrain_warmup_until: ClockTime::ZERO,
         };
@@ -169,6 +181,22 @@
         }
     }
 
+    /// Marks an endpoint as draining because it has said in a response that it leaves; returns whether
+    /// it was taken for ready.
+    ///
+    /// The registries may learn of it seconds later, or never.
+    pub fn mark_leaving(&mut self, key: EndpointKey) -> bool {
+        let Some(entry) = self.entries.get_mut(&key) else {
+            return false;
+        };
+        entry.is_leaving = true;
+        let was_ready = entry.record.stage == EndpointStage::Ready;
+        if was_ready {
+            entry.record.stage = EndpointStage::Draining;
+        }
+        was_ready
+    }
+
     /// Marks endpoints at the record's address that started earlier as gone.
     ///
     /// A crashed endpoint comes back at its address within a second or two under a new name. Its
@@ -236,6 +264,7 @@
         self.entries.retain(|&key, entry| {
             let limit = match entry.record.stage {
                 EndpointStage::Gone => GOODBYE_TTL,
+                _ if entry.is_leaving => GOODBYE_TTL,
                 _ if entry.is_lost => LOST_TTL,
                 _ => ORPHAN_TTL,
             };
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -336,3 +336,60 @@
     table.apply_record(first, announced(5), at(61_100));
     assert_eq!(table.ready("llm").count(), 0);
 }
+
+/// Guards against work for an endpoint that has said in a response that it leaves, caused by its
+/// later announcements.
+#[test]
+fn an_endpoint_that_leaves_by_its_responses_stays_out_until_it_restarts() {
+    let mut table = EndpointTable::default();
+    table.apply_record(HERE, record("e"), at(0));
+    let key = table.find(EndpointTag::of("e")).expect("unknown endpoint");
+    assert!(table.mark_leaving(key));
+    assert!(!table.mark_leaving(key), "it is known to leave");
+    let later = EndpointRecord {
+        sequence: 9,
+        ..record("e")
+    };
+    table.apply_record(HERE, later.clone(), at(10));
+    assert!(ready(&table).is_empty());
+    // Registries lose it, and a delayed announcement arrives.
+    table.mark_lost(HERE, "e", at(20));
+    table.expire(at(10_000));
+    let delayed = EndpointRecord {
+        sequence: 10,
+        ..later.clone()
+    };
+    table.apply_record(THERE, delayed, at(10_000));
+    assert!(ready(&table).is_empty());
+    let restarted = EndpointRecord {
+        started_ms: later.started_ms + 1,
+        sequence: 1,
+        ..later
+    };
+    table.apply_record(THERE, restarted, at(10_010));
+    assert_eq!(ready(&table), ["e"]);
+}
+
+/// Guards against a rest that is cut short by a shorter one, or kept by the next process.
+#[test]
+fn a_rest_lasts_as_long_as_was_asked_and_ends_with_the_process() {
+    let mut table = RestTable::default();
+    let endpoint = record("e");
+    table.note_rest(&endpoint, Duration::from_secs(3), at(0));
+    table.note_rest(&endpoint, Duration::from_secs(1), at(1000));
+    assert_eq!(
+        table.rest_left(&endpoint, at(2500)),
+        Some(Duration::from_millis(500))
+    );
+    let restarted = EndpointRecord {
+        started_ms: endpoint.started_ms + 1,
+        ..endpoint.clone()
+    };
+    assert_eq!(table.rest_left(&restarted, at(2500)), None);
+    assert_eq!(table.rest_left(&record("other"), at(2500)), None);
+    assert_eq!(table.resting_count(at(2500)), 1);
+    table.expire(at(3000));
+    assert_eq!(table.resting_count(at(0)), 0);
+    table.note_rest(&endpoint, Duration::from_secs(1_000_000), at(0));
+    assert!(table.rest_left(&endpoint, at(0)) < Some(Duration::from_secs(3600)));
+}
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -68,7 +68,8 @@
         let open = self.available_endpoints(service).filter(|(key, record)| {
             let load = self.loads.get(key);
             let is_open = load.is_none_or(|load| load.is_available(now));
-            is_open && self.reach.is_reachable(&record.zone)
+            let is_resting = self.rests.rest_left(record, now).is_some();
+            is_open && !is_resting && self.reach.is_reachable(&record.zone)
         });
         let usages = open.map(|(key, record)| {
             let own = self.reported_load(&record.name);
--- a/crates/ragwortroad_edge/src/edge_port.rs
+++ b/crates/ragwortroad_edge/src/edge_port.rs
@@ -106,6 +106,8 @@
     /// Time for which a refusing endpoint wants no further request from this edge; `None` if it does
     /// not ask for any.
     pub rest: Option<Duration>,
+    /// Whether the endpoint states that it leaves and takes no new request.
+    pub is_leaving: bool,
     /// Whether another endpoint than the intended one responded.
     pub is_misdirected: bool,
     /// Whether the body is a stream of server-sent events.
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -160,6 +160,7 @@
             state.prefixes.forget(key);
         }
         state.warmups.expire(now);
+        state.rests.expire(now);
         state.update_home(&shared.settings.name, shared.uptime());
         match shared.settings.mechanisms.told_places {
             true => state.send_locations(),
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -64,6 +64,8 @@
     pub(crate) full_config: Option<ConfigDelta>,
     pub(crate) endpoints: EndpointTable,
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
+    /// Endpoints that want no request from this edge for some time.
+    pub(crate) rests: RestTable,
     pub(crate) drains: DomainDrains,
     pub(crate) reach: DomainReach,
     /// Limits this edge's requests to endpoints that are warming up.
@@ -140,6 +142,17 @@
         ready.filter(|(_, record)| !self.drains.is_drained(&record.zone))
     }
 
+    /// Time until the first endpoint of a service takes requests again; `None` unless all of its
+    /// available endpoints want a rest.
+    pub(crate) fn rest_left(&self, service: &str, now: ClockTime) -> Option<Duration> {
+        let mut shortest = None;
+        for (_, record) in self.available_endpoints(service) {
+            let rest = self.rests.rest_left(record, now)?;
+            shortest = Some(shortest.map_or(rest, |shortest: Duration| shortest.min(rest)));
+        }
+        shortest
+    }
+
     /// Applies the set of drained failure domains unless a newer revision is known.
     ///
     /// Endpoints of a domain that is no longer drained count as warming up until `warm_at`.
@@ -197,6 +210,7 @@
         metrics::gauge!(metric_names::REQUESTS_IN_FLIGHT).set(self.in_flight as f64);
         metrics::gauge!(metric_names::REGISTRIES_CONNECTED).set(connected.count() as f64);
         metrics::gauge!(metric_names::ENDPOINTS_READY).set(self.endpoints.ready_count() as f64);
+        metrics::gauge!(metric_names::ENDPOINTS_RESTING).set(self.rests.resting_count(now) as f64);
         let quarantined = self.crashes.quarantined_count(now);
         metrics::gauge!(metric_names::REQUESTS_QUARANTINED).set(quarantined as f64);
         for (service, gate) in &self.gates {
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -30,7 +30,10 @@
         CrashCheck,
         observe_completion, //
     },
-    edge_state::EdgeShared,
+    edge_state::{
+        EdgeShared,
+        EdgeState, //
+    },
     endpoint_choice::ChosenEndpoint,
     endpoint_connection::{
         EndpointConnection,
@@ -217,6 +220,7 @@
         return_connection(shared, chosen.address, connection, &metadata);
         return CallOutcome::Misdirected;
     }
+    note_wishes(shared, chosen, &metadata);
     let is_success = head.status.is_success();
     if is_success && (!metadata.is_signed || metadata.is_encoded || metadata.id.is_none()) {
         return unusable_response("successful response is unsigned, encoded or without request id");
@@ -255,6 +259,25 @@
     })
 }
 
+/// Records what an endpoint wants of this edge: a rest, or no new request at all.
+fn note_wishes(shared: &EdgeShared, chosen: &ChosenEndpoint, metadata: &ResponseMetadata) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    let EdgeState {
+        endpoints, rests, ..
+    } = &mut *state;
+    let record = endpoints.record(chosen.key);
+    if let Some((record, rest)) = record.zip(metadata.rest) {
+        rests.note_rest(record, rest, now);
+    }
+    if metadata.is_leaving && endpoints.mark_leaving(chosen.key) {
+        tracing::info!(
+            endpoint = chosen.name,
+            "endpoint leaves, as it says in a response"
+        );
+    }
+}
+
 /// Outcome for a response that cannot be used.
 fn unusable_response(reason: &str) -> CallOutcome {
     CallOutcome::Lost {
--- a/crates/ragwortroad_edge/src/refusal_reason.rs
+++ b/crates/ragwortroad_edge/src/refusal_reason.rs
@@ -19,6 +19,8 @@
     CutBody,
     /// The service has no available endpoint.
     NoEndpoint,
+    /// All endpoints of the service want a rest.
+    Resting,
     /// The service has reached its concurrency limit.
     Overload,
     /// The endpoints rejected the request without running it.
@@ -42,9 +44,12 @@
             Self::NoIdentity | Self::CutBody => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::Starting | Self::NoEndpoint | Self::Overload | Self::NotRun | Self::Stopping => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::Starting
+            | Self::NoEndpoint
+            | Self::Resting
+            | Self::Overload
+            | Self::NotRun
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             // The content has run before, so a status that promises that it has not is ruled out.
             Self::Unknown | Self::Quarantined => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -62,6 +67,7 @@
             Self::SlowBody => "slow_body",
             Self::CutBody => "cut_body",
             Self::NoEndpoint => "no_endpoint",
+            Self::Resting => "resting",
             Self::Overload => "overload",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
@@ -82,6 +88,7 @@
             Self::SlowBody => "the body did not come in time; send it again",
             Self::CutBody => "the body ended early; send it again",
             Self::NoEndpoint => "no endpoint takes work now; come back after the time given",
+            Self::Resting => "all endpoints want a rest; come back after the time given",
             Self::Overload => "too many requests at once; come back after the time given",
             Self::NotRun => "the endpoints are full; come back after the time given",
             Self::Unknown => "an endpoint failed; whether the request ran is not known",
--- a/crates/ragwortroad_edge/src/request_completion.rs
+++ b/crates/ragwortroad_edge/src/request_completion.rs
@@ -68,7 +68,10 @@
     // A refusal that claims "not run" must hold for every attempt, not just the last one.
     let claims_not_run = matches!(
         reason,
-        RefusalReason::Overload | RefusalReason::NotRun | RefusalReason::NoEndpoint
+        RefusalReason::Overload
+            | RefusalReason::NotRun
+            | RefusalReason::NoEndpoint
+            | RefusalReason::Resting
     );
     let reason = match claims_not_run && progress.may_have_run {
         true => RefusalReason::Unknown,
@@ -81,7 +84,7 @@
     let retry_after = claims_not_run && !progress.may_have_run;
     let retry_after = retry_after.then(|| match reason {
         RefusalReason::Overload => overload_retry_after(shared, plan),
-        _ => short_retry_after(),
+        _ => rest_left(shared, plan).unwrap_or_default() + short_retry_after(),
     });
     let content = (reason == RefusalReason::Quarantined).then(|| plan.digest());
     tracing::info!(
@@ -165,6 +168,12 @@
     retry_after_delay(shedding, time_left, rand::random())
 }
 
+/// Time until the first endpoint takes requests again; `None` unless all of them want a rest.
+pub(crate) fn rest_left(shared: &EdgeShared, plan: &RequestPlan) -> Option<Duration> {
+    let state = shared.state.borrow();
+    state.rest_left(&plan.service, shared.now())
+}
+
 /// Short random delay, for clients refused for reasons other than load.
 pub(crate) fn short_retry_after() -> Duration {
     let (min, max) = RETRY_AFTER_RANGE_MS;
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -44,6 +44,7 @@
         kind_label,
         record_response,
         refuse,
+        rest_left,
         short_retry_after, //
     },
     request_plan::RequestPlan,
@@ -117,6 +118,9 @@
     if is_quarantined(shared, &plan) {
         return refuse(shared, &plan, &progress, RefusalReason::Quarantined);
     }
+    if rest_left(shared, &plan).is_some() {
+        return refuse(shared, &plan, &progress, RefusalReason::Resting);
+    }
     deposit_retry(shared, &plan);
     let Some(permit) = acquire_permit(shared, &plan).await else {
         return refuse(shared, &plan, &progress, RefusalReason::Overload);
@@ -139,6 +143,9 @@
             continue;
         }
         let Some(chosen) = choose_endpoint(shared, &plan, &progress.tried) else {
+            if rest_left(shared, &plan).is_some() {
+                return refuse(shared, &plan, &progress, RefusalReason::Resting);
+            }
             if may_wait {
                 sleep(STARTUP_POLL_INTERVAL).await;
                 continue;
--- a/crates/ragwortroad_telemetry/src/metric_names.rs
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -37,6 +37,8 @@
 pub const REGISTRIES_CONNECTED: &str = "ragwortroad_registries_connected";
 /// Endpoints that accept work according to this edge.
 pub const ENDPOINTS_READY: &str = "ragwortroad_endpoints_ready";
+/// Endpoints that have asked this edge for a rest that is not over.
+pub const ENDPOINTS_RESTING: &str = "ragwortroad_endpoints_resting";
 /// Control API calls at a registry, by `outcome`.
 pub const CONTROL_CALLS: &str = "ragwortroad_control_calls_total";
 /// Seconds from reading a control API call at a registry to sending its response, by `outcome`.
