Keep the rest that endpoints ask for in a fleet run by serve, too

A node ignored Retry-After of an endpoint's 503. What callers would see is less, since a failed request's slot stays counted there and failing engines are set aside; but while all engines rest, each caller waited for attempts that could only fail and was told to come back in half a second.

Change: the gateway reads the rest, the control thread keeps it by incarnation in the RestTable that it now shares with the edges (ragwortroad_routing), leaves resting endpoints out of each placement, and refuses at once, with the time until the first rest ends, when nothing else could take the request. An engine that answers with an error status isn't dialled as one that cut its answer off.

--- a/crates/ragwortroad_demo/tests/failures/common/client.rs
+++ b/crates/ragwortroad_demo/tests/failures/common/client.rs
@@ -25,8 +25,8 @@
     pub(crate) answered: Instant,
     /// The run that produced the response; `None` without a successful service response.
     pub(crate) run: Option<RunId>,
-    /// Whether a refusal says when to retry.
-    pub(crate) has_retry_delay: bool,
+    /// Time after which a refused client may retry; `None` if the refusal doesn't say.
+    pub(crate) retry_delay: Option<Duration>,
 }
 
 /// An endpoint's name and the index of a run in its records.
@@ -129,7 +129,7 @@
             code: None,
         };
         let mut run = None;
-        let mut has_retry_delay = false;
+        let mut retry_delay = None;
         let mut answer_hash = None;
         let end = match response {
             Err(error) => ClientOutcome::Broken(error.to_string()),
@@ -151,7 +151,8 @@
                     // Any response other than 2xx must be a machine-readable refusal.
                     _ => match serde_json::from_slice::<RefusalWire>(response.as_bytes()) {
                         Ok(refusal) => {
-                            has_retry_delay = refusal.error.retry_after_ms.is_some();
+                            let delay_ms = refusal.error.retry_after_ms;
+                            retry_delay = delay_ms.map(Duration::from_millis);
                             attempt.outcome = Some(refusal.error.outcome);
                             attempt.code = Some(refusal.error.code);
                             ClientOutcome::Refused(refusal.error.outcome, refusal.error.code)
@@ -178,7 +179,7 @@
             called,
             answered,
             run,
-            has_retry_delay,
+            retry_delay,
         }
     }
 }
--- a/crates/ragwortroad_demo/tests/failures/main.rs
+++ b/crates/ragwortroad_demo/tests/failures/main.rs
@@ -12,3 +12,4 @@
 mod operators;
 mod overload;
 mod pairs;
+mod rests;
--- a/crates/ragwortroad_demo/tests/failures/members.rs
+++ b/crates/ragwortroad_demo/tests/failures/members.rs
@@ -235,7 +235,7 @@
             call.record.end,
             ClientOutcome::Refused(RequestOutcome::NotRun, _)
         );
-        assert!(not_run && call.has_retry_delay, "{call:?}");
+        assert!(not_run && call.retry_delay.is_some(), "{call:?}");
         calls.push(call);
     }
     fleet.restart_node(third).unwrap();
--- a/crates/ragwortroad_demo/tests/failures/operators.rs
+++ b/crates/ragwortroad_demo/tests/failures/operators.rs
@@ -253,7 +253,7 @@
             "admitted after the change was in force: {call:?}"
         );
         assert_eq!(call.code(), Some(RefusalCode::NotCurrent));
-        assert!(call.has_retry_delay);
+        assert!(call.retry_delay.is_some());
     }
     assert_eq!(violations(calls, fleet), []);
 }
--- a/crates/ragwortroad_demo/tests/failures/overload.rs
+++ b/crates/ragwortroad_demo/tests/failures/overload.rs
@@ -81,7 +81,7 @@
             call.record.end,
             ClientOutcome::Refused(RequestOutcome::NotRun, _)
         );
-        assert!(not_run && call.has_retry_delay, "{call:?}");
+        assert!(not_run && call.retry_delay.is_some(), "{call:?}");
     }
     // 15 responses within at most 3 attempts each, against 40 competing clients.
     assert!(small.len() <= 45, "{} attempts", small.len());
--- a/crates/ragwortroad_dispatch/src/endpoint_record.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_record.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use ragwortroad_types::prelude::*;
 use serde::{
     Deserialize,
     Serialize, //
@@ -42,6 +43,11 @@
 }
 
 impl EndpointRecord {
+    /// Returns the key of this run of the endpoint's process.
+    pub fn incarnation(&self) -> IncarnationKey {
+        IncarnationKey::new(&self.name, self.started_ms)
+    }
+
     /// Returns the sort key of announcements under one name: a later start is newer, then a higher
     /// sequence number.
     pub fn freshness(&self) -> (u64, u64) {
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -36,7 +36,6 @@
 mod prefix_source;
 mod prefix_table;
 mod registry_table;
-mod rest_table;
 mod retry_after;
 mod retry_budget;
 mod route_map;
@@ -146,7 +145,6 @@
             RegistryTable,
             undrain_warmup, //
         },
-        rest_table::RestTable,
         retry_after::retry_after_delay,
         retry_budget::{
             BudgetSettings,
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -369,27 +369,3 @@
     table.apply_record(THERE, restarted, at(10_010));
     assert_eq!(ready(&table), ["e"]);
 }
-
-/// Guards against a rest that is cut short by a shorter one, or kept by the next process.
-#[test]
-fn a_rest_lasts_as_long_as_was_asked_and_ends_with_the_process() {
-    let mut table = RestTable::default();
-    let endpoint = record("e");
-    table.note_rest(&endpoint, Duration::from_secs(3), at(0));
-    table.note_rest(&endpoint, Duration::from_secs(1), at(1000));
-    assert_eq!(
-        table.rest_left(&endpoint, at(2500)),
-        Some(Duration::from_millis(500))
-    );
-    let restarted = EndpointRecord {
-        started_ms: endpoint.started_ms + 1,
-        ..endpoint.clone()
-    };
-    assert_eq!(table.rest_left(&restarted, at(2500)), None);
-    assert_eq!(table.rest_left(&record("other"), at(2500)), None);
-    assert_eq!(table.resting_count(at(2500)), 1);
-    table.expire(at(3000));
-    assert_eq!(table.resting_count(at(0)), 0);
-    table.note_rest(&endpoint, Duration::from_secs(1_000_000), at(0));
-    assert!(table.rest_left(&endpoint, at(0)) < Some(Duration::from_secs(3600)));
-}
--- a/crates/ragwortroad_edge/src/crash_watch.rs
+++ b/crates/ragwortroad_edge/src/crash_watch.rs
@@ -108,8 +108,7 @@
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
     state.load_mut(endpoint).note_failure(now);
-    let incarnation = IncarnationKey::new(&record.name, record.started_ms);
-    let crashed = RunEnd::Crashed(incarnation);
+    let crashed = RunEnd::Crashed(record.incarnation());
     if !state.crashes.observe(digest, crashed, now) {
         return;
     }
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -68,8 +68,7 @@
         let open = self.available_endpoints(service).filter(|(key, record)| {
             let load = self.loads.get(key);
             let is_open = load.is_none_or(|load| load.is_available(now));
-            let is_resting = self.rests.rest_left(record, now).is_some();
-            is_open && !is_resting && self.reach.is_reachable(&record.zone)
+            is_open && !self.is_resting(record, now) && self.reach.is_reachable(&record.zone)
         });
         let usages = open.map(|(key, record)| {
             let own = self.reported_load(&record.name);
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -12,7 +12,10 @@
 use ragwortroad_clock::prelude::*;
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
-use ragwortroad_routing::CrashTable;
+use ragwortroad_routing::{
+    CrashTable,
+    RestTable, //
+};
 use ragwortroad_settings::prelude::*;
 use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
@@ -142,12 +145,21 @@
         ready.filter(|(_, record)| !self.drains.is_drained(&record.zone))
     }
 
+    /// Whether an endpoint wants no request from this edge now.
+    pub(crate) fn is_resting(&self, record: &EndpointRecord, now: ClockTime) -> bool {
+        // Rests are rare, and the key is a hash of the name.
+        !self.rests.is_empty() && self.rests.rest_left(record.incarnation(), now).is_some()
+    }
+
     /// Time until the first endpoint of a service takes requests again; `None` unless all of its
     /// available endpoints want a rest.
     pub(crate) fn rest_left(&self, service: &str, now: ClockTime) -> Option<Duration> {
+        if self.rests.is_empty() {
+            return None;
+        }
         let mut shortest = None;
         for (_, record) in self.available_endpoints(service) {
-            let rest = self.rests.rest_left(record, now)?;
+            let rest = self.rests.rest_left(record.incarnation(), now)?;
             shortest = Some(shortest.map_or(rest, |shortest: Duration| shortest.min(rest)));
         }
         shortest
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -268,7 +268,7 @@
     } = &mut *state;
     let record = endpoints.record(chosen.key);
     if let Some((record, rest)) = record.zip(metadata.rest) {
-        rests.note_rest(record, rest, now);
+        rests.note_rest(record.incarnation(), rest, now);
     }
     if metadata.is_leaving && endpoints.mark_leaving(chosen.key) {
         tracing::info!(
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -157,7 +157,7 @@
     fn candidates(&self) -> Vec<SelectionCandidate<'a>> {
         let ready = self.state.available_endpoints(&self.plan.service);
         let untried = ready.filter(|(key, _)| !self.tried.contains(key));
-        let untried = untried.filter(|(_, record)| !self.is_resting(record));
+        let untried = untried.filter(|(_, record)| !self.state.is_resting(record, self.now));
         let untried = untried.filter(|(key, record)| self.may_send(*key, record));
         let is_open = |key, record: &EndpointRecord| {
             self.is_open(key) && self.state.reach.is_reachable(&record.zone)
@@ -201,10 +201,6 @@
         self.state.endpoints.is_warming(key, self.now)
     }
 
-    fn is_resting(&self, record: &EndpointRecord) -> bool {
-        self.state.rests.rest_left(record, self.now).is_some()
-    }
-
     fn is_open(&self, key: EndpointKey) -> bool {
         let load = self.state.loads.get(&key);
         !self.mechanisms.failure_pauses || load.is_none_or(|load| load.is_available(self.now))
--- a/crates/ragwortroad_gateway/src/admit_wait.rs
+++ b/crates/ragwortroad_gateway/src/admit_wait.rs
@@ -56,6 +56,7 @@
         match self.replies.try_recv() {
             Ok(AdmitReply::Granted(grant)) => {
                 let finish = FinishCall {
+                    rest: None,
                     ticket: grant.ticket,
                     outcome: AttemptOutcome::NotSent,
                     duration: std::time::Duration::ZERO,
--- a/crates/ragwortroad_gateway/src/attempt_guard.rs
+++ b/crates/ragwortroad_gateway/src/attempt_guard.rs
@@ -1,8 +1,14 @@
 use std::{
     net::SocketAddr,
-    sync::Arc, //
+    sync::Arc,
+    time::Duration, //
 };
 
+use hyper::{
+    Response,
+    StatusCode,
+    header::RETRY_AFTER, //
+};
 use ragwortroad_types::prelude::*;
 use tokio::time::Instant;
 
@@ -35,6 +41,8 @@
     sent: bool,
     /// Whether the endpoint supports `POST /v1/cancel`.
     supports_cancel: bool,
+    /// Time for which the endpoint wants no further request.
+    rest: Option<Duration>,
     /// Invariant: true once the [`FinishCall`] was sent.
     finished: bool,
 }
@@ -57,6 +65,7 @@
             deadline: context.deadline,
             sent: false,
             supports_cancel,
+            rest: None,
             finished: false,
         }
     }
@@ -69,6 +78,11 @@
         self.sent = true;
     }
 
+    /// Notes the rest that the endpoint asks for in its response.
+    pub(crate) fn note_rest<B>(&mut self, response: &Response<B>) {
+        self.rest = requested_rest(response);
+    }
+
     /// Reports the end of the attempt to the control thread.
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         self.report(outcome);
@@ -91,6 +105,7 @@
             ticket: self.ticket,
             outcome,
             duration,
+            rest: self.rest,
         };
         if self.state.calls.send(ControlCall::Finish(finish)).is_err() {
             tracing::error!(
@@ -131,6 +146,14 @@
     }
 }
 
+/// Returns the rest in `Retry-After` of a 503, in seconds.
+fn requested_rest<B>(response: &Response<B>) -> Option<Duration> {
+    let value = response.headers().get(RETRY_AFTER);
+    let value = value.filter(|_| response.status() == StatusCode::SERVICE_UNAVAILABLE)?;
+    let seconds: f64 = value.to_str().ok()?.trim().parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
+
 fn outcome_name(outcome: &AttemptOutcome) -> &'static str {
     match outcome {
         AttemptOutcome::NotSent => "not_sent",
--- a/crates/ragwortroad_gateway/src/call/finish_call.rs
+++ b/crates/ragwortroad_gateway/src/call/finish_call.rs
@@ -17,4 +17,6 @@
     pub outcome: AttemptOutcome,
     /// Time from dispatch to the end of the attempt.
     pub duration: Duration,
+    /// Time for which the endpoint wants no further request from this node.
+    pub rest: Option<Duration>,
 }
--- a/crates/ragwortroad_gateway/src/engine_response.rs
+++ b/crates/ragwortroad_gateway/src/engine_response.rs
@@ -68,7 +68,12 @@
                     None => continue,
                 }
             }
-            Ok(response) => format!("the engine answered with status {}", response.status()),
+            Ok(response) => {
+                attempt.guard.note_rest(&response);
+                let reason = format!("the engine answered with status {}", response.status());
+                flow.reject_attempt(&attempt.grant, attempt.guard, &reason)?;
+                continue;
+            }
             Err(reason) => reason,
         };
         flow.fail_attempt(&attempt.grant, attempt.guard, &reason)
--- a/crates/ragwortroad_gateway/src/request_flow.rs
+++ b/crates/ragwortroad_gateway/src/request_flow.rs
@@ -149,23 +149,45 @@
         }
     }
 
-    /// Reports a broken attempt. Returns an error unless the request is idempotent and may be
-    /// retried.
+    /// Reports an attempt without a complete response. Returns an error unless the request is
+    /// idempotent and may be retried.
     pub(crate) async fn fail_attempt(
         &mut self,
         grant: &AdmitGrant,
         guard: AttemptGuard,
         reason: &str,
+    ) -> Result<(), FlowEnd> {
+        let outcome = match has_crashed(grant).await {
+            true => AttemptOutcome::Crashed,
+            false => AttemptOutcome::Broken,
+        };
+        self.end_attempt(grant, guard, outcome, reason)
+    }
+
+    /// Reports an attempt that the endpoint answered with an error. Returns an error unless the
+    /// request is idempotent and may be retried.
+    pub(crate) fn reject_attempt(
+        &mut self,
+        grant: &AdmitGrant,
+        guard: AttemptGuard,
+        reason: &str,
+    ) -> Result<(), FlowEnd> {
+        self.end_attempt(grant, guard, AttemptOutcome::Broken, reason)
+    }
+
+    fn end_attempt(
+        &mut self,
+        grant: &AdmitGrant,
+        guard: AttemptGuard,
+        outcome: AttemptOutcome,
+        reason: &str,
     ) -> Result<(), FlowEnd> {
         tracing::warn!(
             endpoint = %grant.endpoint,
             why = reason,
             "attempt failed with an invalid or incomplete response"
         );
-        guard.finish(match has_crashed(grant).await {
-            true => AttemptOutcome::Crashed,
-            false => AttemptOutcome::Broken,
-        });
+        guard.finish(outcome);
         self.exclude(grant);
         match self.call.idempotent {
             true => Ok(()),
--- a/crates/ragwortroad_gateway/src/service_relay.rs
+++ b/crates/ragwortroad_gateway/src/service_relay.rs
@@ -188,6 +188,7 @@
         };
         let complete = match response {
             Ok(response) => {
+                attempt.guard.note_rest(&response);
                 let status = response.status();
                 let headers = forwarded_headers(response.headers());
                 let bytes = read_complete(&call.method, response, limit).await;
--- a/crates/ragwortroad_node/src/control/control_state.rs
+++ b/crates/ragwortroad_node/src/control/control_state.rs
@@ -80,6 +80,8 @@
     pub(crate) tickets: TicketTable,
     /// Attempts that ended recently.
     pub(crate) ended: EndedAttempts,
+    /// Endpoints that want no request from this node for some time.
+    pub(crate) rests: RestTable,
     /// Crashes of endpoints by the requests that were running there.
     pub(crate) crashes: CrashTable,
     /// Number of nodes that this one has asked for the crashes known to them.
@@ -242,6 +244,7 @@
     /// Runs the duties that are needed once a second.
     fn tick_second(&mut self, now: ClockTime) {
         self.route.tick(now);
+        self.rests.expire(now);
         self.refresh_remote_loads();
         self.grants.tick(now);
         self.send_shares(now);
--- a/crates/ragwortroad_node/src/control/endpoint_flow.rs
+++ b/crates/ragwortroad_node/src/control/endpoint_flow.rs
@@ -255,7 +255,7 @@
 }
 
 /// Returns everything an endpoint can serve.
-fn offers(record: &EndpointRecord) -> Vec<OfferKey> {
+pub(crate) fn offers(record: &EndpointRecord) -> Vec<OfferKey> {
     let models = record.models.iter().flat_map(OfferKey::of_offer);
     let service = record.service.as_deref().map(OfferKey::service);
     models.chain(service).collect()
--- a/crates/ragwortroad_node/src/control/grant_flow.rs
+++ b/crates/ragwortroad_node/src/control/grant_flow.rs
@@ -39,14 +39,21 @@
     /// Finds an endpoint for an attempt, asks its home for a slot, holds the attempt, or refuses
     /// it.
     pub(crate) fn place_attempt(&mut self, mut attempt: PendingAttempt, now: ClockTime) {
+        if let Some(rest) = self.rest_left(attempt.offer, now) {
+            let message = "every endpoint that could take the request wants a rest";
+            let refusal = AdmitRefusal::not_run(RefusalCode::NoEndpoint, message);
+            return self.refuse_attempt(attempt, refusal.with_retry_after(rest));
+        }
+        let resting = self.resting_endpoints(now);
         for _ in 0..MAX_ROUTE_CHOICES {
+            let excluded = [&attempt.excluded[..], &resting[..]].concat();
             let query = RouteQuery {
                 offer: attempt.offer,
                 customer: attempt.customer_key,
                 chat: attempt.chat,
                 prefixes: &attempt.prefixes,
                 hint: attempt.hint,
-                excluded: &attempt.excluded,
+                excluded: &excluded,
                 salt: attempt.call.request.0,
                 refusals: attempt.homes_full,
                 waited: now.since(attempt.started),
@@ -161,6 +168,7 @@
                     ticket,
                     outcome,
                     duration,
+                    rest: None,
                 },
                 now,
             );
@@ -176,6 +184,9 @@
         };
         self.record_finish(&record, &call);
         self.observe_end(&record, &call.outcome, now);
+        if let Some(rest) = call.rest {
+            self.note_rest(record.endpoint, rest, now);
+        }
         tracing::debug!(
             request = %record.request,
             customer = record.customer_name,
--- a/crates/ragwortroad_node/src/control/mod.rs
+++ b/crates/ragwortroad_node/src/control/mod.rs
@@ -23,5 +23,6 @@
 pub(crate) mod member_flow;
 pub(crate) mod order_flow;
 pub(crate) mod peer_flow;
+pub(crate) mod rest_flow;
 pub(crate) mod show_flow;
 pub(crate) mod slot_flow;
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -348,6 +348,7 @@
         replica,
         tickets: TicketTable::default(),
         ended: EndedAttempts::default(),
+        rests: RestTable::default(),
         crashes: CrashTable::default(),
         crash_sources: 0,
         waits: WaitTable::default(),
--- a/crates/ragwortroad_routing/src/lib.rs
+++ b/crates/ragwortroad_routing/src/lib.rs
@@ -86,6 +86,7 @@
             crash_table::CrashTable,
             outlier_settings::OutlierSettings,
             outlier_table::OutlierTable,
+            rest_table::RestTable,
             retry_budget::RetryBudget,
             retry_policy::{
                 FailedAttempt,
--- a/crates/ragwortroad_routing/src/retry/mod.rs
+++ b/crates/ragwortroad_routing/src/retry/mod.rs
@@ -5,5 +5,6 @@
 pub(crate) mod crash_table;
 pub(crate) mod outlier_settings;
 pub(crate) mod outlier_table;
+pub(crate) mod rest_table;
 pub(crate) mod retry_budget;
 pub(crate) mod retry_policy;
--- a/crates/ragwortroad_routing/tests/after_failure.rs
+++ b/crates/ragwortroad_routing/tests/after_failure.rs
@@ -225,3 +225,24 @@
     };
     assert_eq!(slow_link.cheaper_method(), MigrationMethod::Recompute);
 }
+
+/// Guards against a rest that is cut short by a shorter one, or kept by the next process.
+#[test]
+fn a_rest_lasts_as_long_as_was_asked_and_ends_with_the_process() {
+    let mut table = RestTable::default();
+    let (engine, restarted) = (IncarnationKey::new("e", 1), IncarnationKey::new("e", 2));
+    table.note_rest(engine, Duration::from_secs(3), ClockTime(0));
+    table.note_rest(engine, Duration::from_secs(1), ClockTime(1000));
+    let left = table.rest_left(engine, ClockTime(2500));
+    assert_eq!(left, Some(Duration::from_millis(500)));
+    assert_eq!(table.rest_left(restarted, ClockTime(2500)), None);
+    assert_eq!(table.resting_count(ClockTime(2500)), 1);
+    table.expire(ClockTime(3000));
+    assert!(table.is_empty());
+    table.note_rest(engine, Duration::from_secs(1_000_000), ClockTime(0));
+    let left = table.rest_left(engine, ClockTime(0));
+    assert!(
+        left < Some(Duration::from_secs(3600)),
+        "an absurd rest is kept"
+    );
+}
--- a/crates/ragwortroad_standin/src/engine_handler.rs
+++ b/crates/ragwortroad_standin/src/engine_handler.rs
@@ -40,6 +40,7 @@
     },
     standin_reply::{
         StandinReply,
+        fault_reply,
         header_text,
         json_reply,
         redirect_reply, //
@@ -68,8 +69,8 @@
     let text = |name| header_text(headers, name).unwrap_or_default().to_owned();
     let request_id = text("x-request-id");
     if let Some(status) = faults.status {
-        let error = json!({"error": {"message": "set as a fault"}});
-        return Ok(json_reply(status, &request_id, &error));
+        state.standin.record_rejection();
+        return Ok(fault_reply(status, faults.rest, &request_id));
     }
     let Ok(chat) = serde_json::from_slice::<ChatBody>(body) else {
         let error = json!({"error": {"message": "not a chat"}});
--- a/crates/ragwortroad_standin/src/fault_plan.rs
+++ b/crates/ragwortroad_standin/src/fault_plan.rs
@@ -28,6 +28,8 @@
     pub skip_token: Option<u32>,
     /// Responds with this status and an error body, without running the request.
     pub status: Option<u16>,
+    /// Rest that a response with [`Self::status`] asks for.
+    pub rest: Option<Duration>,
     /// Delays responses by this time.
     pub response_delay: Duration,
     /// Refuses new connections and closes open ones.
--- a/crates/ragwortroad_standin/src/standin_engine.rs
+++ b/crates/ragwortroad_standin/src/standin_engine.rs
@@ -80,6 +80,11 @@
         self.state.standin.has_crashed()
     }
 
+    /// When it responded with [`FaultPlan::status`], in order.
+    pub fn rejections(&self) -> Vec<Instant> {
+        self.state.standin.rejections()
+    }
+
     /// Marks all further announcements as leaving.
     pub fn announce_leaving(&self) {
         self.state.leaving.store(true, Ordering::Relaxed);
--- a/crates/ragwortroad_standin/src/standin_reply.rs
+++ b/crates/ragwortroad_standin/src/standin_reply.rs
@@ -1,6 +1,9 @@
 //! Responses of stand-ins.
 
-use std::io;
+use std::{
+    io,
+    time::Duration, //
+};
 
 use bytes::Bytes;
 use http_body_util::{
@@ -13,7 +16,10 @@
     Response,
     StatusCode, //
 };
-use serde_json::Value;
+use serde_json::{
+    Value,
+    json, //
+};
 
 /// A buffered body, or a channel body that can be aborted midway.
 pub(crate) type StandinBody = Either<Full<Bytes>, Channel<Bytes, io::Error>>;
@@ -29,6 +35,21 @@
     reply
 }
 
+/// Returns the response with the status of a fault, and the rest that it asks for.
+pub(crate) fn fault_reply(
+    status: u16,
+    rest: Option<Duration>,
+    request_id: &str,
+) -> Response<StandinBody> {
+    let error = json!({"error": {"message": "set as a fault"}});
+    let mut reply = json_reply(status, request_id, &error);
+    let seconds = rest.map(|rest| rest.as_secs_f64().to_string());
+    if let Some(Ok(value)) = seconds.map(|seconds| seconds.parse()) {
+        reply.headers_mut().insert("retry-after", value);
+    }
+    reply
+}
+
 /// Returns a response whose `Content-Length` exceeds its body by 10 bytes.
 pub(crate) fn truncated_reply(request_id: &str, value: &Value) -> Response<StandinBody> {
     let text = value.to_string();
--- a/crates/ragwortroad_standin/src/standin_server.rs
+++ b/crates/ragwortroad_standin/src/standin_server.rs
@@ -62,6 +62,8 @@
     faults: Mutex<FaultPlan>,
     has_crashed: AtomicBool,
     records: Mutex<Vec<RunRecord>>,
+    /// When it responded with [`FaultPlan::status`].
+    rejections: Mutex<Vec<Instant>>,
 }
 
 impl StandinState {
@@ -71,6 +73,7 @@
             faults: Mutex::default(),
             has_crashed: AtomicBool::new(false),
             records: Mutex::default(),
+            rejections: Mutex::default(),
         }
     }
 
@@ -124,6 +127,17 @@
         records.clone()
     }
 
+    pub(crate) fn rejections(&self) -> Vec<Instant> {
+        let rejections = self.rejections.lock();
+        rejections.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    pub(crate) fn record_rejection(&self) {
+        let rejections = self.rejections.lock();
+        let mut rejections = rejections.unwrap_or_else(PoisonError::into_inner);
+        rejections.push(Instant::now());
+    }
+
     /// Records the start of a run and returns the index of its record.
     pub(crate) fn begin_run(&self, record: RunRecord) -> usize {
         let mut records = self.records.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/ragwortroad_standin/src/standin_service.rs
+++ b/crates/ragwortroad_standin/src/standin_service.rs
@@ -36,6 +36,7 @@
     },
     standin_reply::{
         StandinReply,
+        fault_reply,
         header_text,
         json_reply,
         redirect_reply,
@@ -114,6 +115,11 @@
         self.state.standin.has_crashed()
     }
 
+    /// When it responded with [`FaultPlan::status`], in order.
+    pub fn rejections(&self) -> Vec<Instant> {
+        self.state.standin.rejections()
+    }
+
     /// Marks all further announcements as leaving.
     pub fn announce_leaving(&self) {
         self.state.leaving.store(true, Ordering::Relaxed);
@@ -165,11 +171,8 @@
     let text = |name| header_text(&parts.headers, name).map(str::to_owned);
     let request_id = text("x-request-id").unwrap_or_default();
     if let Some(status) = faults.status {
-        return Ok(json_reply(
-            status,
-            &request_id,
-            &json!({"error": "set as a fault"}),
-        ));
+        state.standin.record_rejection();
+        return Ok(fault_reply(status, faults.rest, &request_id));
     }
     let body_hash = xxhash_rust::xxh3::xxh3_64(&body);
     let path = parts.uri.path_and_query().map_or("/", |path| path.as_str());
