Let replicas ask for rest and leave in the soak

The replicas of the third service refuse everything for a time and ask for rest, or say in their answers that they leave while they are still announced as ready, and end 4.5 s later; beside the crashes and all faults. An edge may send two requests at most from half a second after a refusal to the end of its rest, and none later than 2 s after an answer that told it that the replica leaves; its restart or suspension excuses it.

--- a/tests/soak/frail_pool.rs
+++ b/tests/soak/frail_pool.rs
@@ -1,4 +1,4 @@
-//! Replicas that crash under some requests and start again.
+//! Replicas that crash under some requests, ask for rest, or leave, and start again.
 
 use std::{
     net::SocketAddr,
@@ -9,13 +9,30 @@
             Ordering, //
         }, //
     },
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+
 use crate::{
     caller::send,
     replica::Replica, //
 };
 
+/// Time after a refusal in which requests that are on their way may still arrive.
+const IN_FLIGHT_TIME: Duration = Duration::from_millis(500);
+
+/// Requests that may reach a replica during its rest.
+const ALLOWED_ARRIVALS: usize = 2;
+
+/// Time after which an edge that was told that a replica leaves sends it nothing.
+const DRAIN_TIME: Duration = Duration::from_secs(2);
+
 /// Replicas of the service.
 const REPLICAS: u64 = 3;
 
@@ -76,6 +93,104 @@
         }
     }
 
+    /// Lets a random replica refuse everything for `duration` and ask for rest.
+    pub(crate) fn rest_for(&self, rest: Duration, duration: Duration, rng: &mut Pcg64Mcg) {
+        let address = self.change_random(rng, |replica| {
+            let rest_ms = rest.as_millis() as u64;
+            replica.rest_ms.store(rest_ms, Ordering::SeqCst);
+            replica.is_full.store(true, Ordering::SeqCst);
+        });
+        thread::sleep(duration);
+        self.change_at(address, |replica| {
+            replica.is_full.store(false, Ordering::SeqCst)
+        });
+    }
+
+    /// Lets a random replica say in its answers that it leaves, and end after `duration`.
+    pub(crate) fn leave_after(&self, duration: Duration, rng: &mut Pcg64Mcg) {
+        let address = self.change_random(rng, |replica| {
+            replica.is_leaving.store(true, Ordering::SeqCst);
+        });
+        thread::sleep(duration);
+        self.change_at(address, |replica| {
+            // Another process may have started at the address meanwhile.
+            if replica.is_leaving.load(Ordering::SeqCst) {
+                replica.end();
+            }
+        });
+    }
+
+    fn change_random(&self, rng: &mut Pcg64Mcg, change: impl Fn(&Replica)) -> SocketAddr {
+        let replicas = self.replicas.lock().expect("a thread panicked");
+        let replica = &replicas.running[rng.random_range(0..replicas.running.len())];
+        change(replica);
+        replica.address
+    }
+
+    fn change_at(&self, address: SocketAddr, change: impl Fn(&Replica)) {
+        let replicas = self.replicas.lock().expect("a thread panicked");
+        let mut running = replicas.running.iter();
+        if let Some(replica) = running.find(|replica| replica.address == address) {
+            change(replica);
+        }
+    }
+
+    /// Returns the rests that an edge broke, and the requests that it sent to a leaving replica.
+    ///
+    /// `was_disturbed` tells whether the edge was restarted or suspended between two times, which
+    /// excuses it.
+    pub(crate) fn broken_wishes(
+        &self,
+        edge: usize,
+        was_disturbed: impl Fn(Instant, Instant) -> bool,
+    ) -> Vec<String> {
+        let via = edge.to_string();
+        let replicas = self.replicas.lock().expect("a thread panicked");
+        let all = replicas.running.iter().chain(&replicas.crashed);
+        let mut broken = Vec::new();
+        for replica in all {
+            let mut arrivals = replica.arrivals_below("/frail/");
+            arrivals.retain(|arrival| arrival.header("x-via") == Some(via.as_str()));
+            let name = &replica.name;
+            for told in &arrivals {
+                let rest = Duration::from_millis(told.rest_ms);
+                let resting = told.at + IN_FLIGHT_TIME..told.at + rest;
+                let during = arrivals.iter().filter(|later| resting.contains(&later.at));
+                let count = during.count();
+                if count > ALLOWED_ARRIVALS && !was_disturbed(told.at, told.at + rest) {
+                    broken.push(format!("{name} asked edge {edge} for rest and got {count}"));
+                }
+            }
+            let told = arrivals.iter().find(|arrival| arrival.is_told_of_leaving);
+            let told_at = told.map(|arrival| arrival.at);
+            let late = told_at.and_then(|told_at| {
+                let mut later = arrivals.iter();
+                let late = later.find(|later| {
+                    later.at > told_at + DRAIN_TIME && !was_disturbed(told_at, later.at)
+                })?;
+                Some(late.at - told_at)
+            });
+            if let Some(late) = late {
+                broken.push(format!("{name} left, edge {edge} sent more after {late:?}"));
+            }
+        }
+        broken
+    }
+
+    /// Number of answers that asked for rest, and of those that said that a replica leaves.
+    pub(crate) fn wish_counts(&self) -> (usize, usize) {
+        let replicas = self.replicas.lock().expect("a thread panicked");
+        let all = replicas.running.iter().chain(&replicas.crashed);
+        let arrivals = all.flat_map(|replica| replica.arrivals_below("/frail/"));
+        arrivals.fold((0, 0), |(rests, leaves), arrival| {
+            let rest = usize::from(arrival.rest_ms > 0);
+            (
+                rests + rest,
+                leaves + usize::from(arrival.is_told_of_leaving),
+            )
+        })
+    }
+
     /// Number of replicas that have crashed under requests for `path`.
     pub(crate) fn crashes(&self, path: &str) -> usize {
         let replicas = self.replicas.lock().expect("a thread panicked");
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -79,6 +79,12 @@
 /// Interval between two requests that crash replicas and have different contents.
 const POISON_INTERVAL: Duration = Duration::from_secs(4);
 
+/// Time of rest that replicas ask for.
+const REST: Duration = Duration::from_millis(1500);
+
+/// Time from the first answer that says that a replica leaves to its end.
+const LEAVING_TIME: Duration = Duration::from_millis(4500);
+
 /// Most requests that were cut beside a crash and are repeated at the end.
 const MAX_CUT_REQUESTS: usize = 40;
 
@@ -107,6 +113,8 @@
     cut_paths: Mutex<Vec<String>>,
     /// Number of times that each edge was killed.
     edge_kills: Vec<AtomicU64>,
+    /// Edges that were killed, stopped or suspended, from when and until when.
+    disturbances: Mutex<Vec<(usize, Instant, Instant)>>,
     /// Held during a network fault, and while no network fault may be injected.
     network_lock: Mutex<()>,
     /// Paths of requests that must run at most once and were answered as not run.
@@ -197,7 +205,12 @@
     fn send_frail(&self, edge: usize, path: &str) -> Option<u16> {
         let request = self.next_request.fetch_add(1, Ordering::SeqCst);
         let id = format!("frail-{request}");
-        let headers = [("X-Request-Id", id.as_str()), ("X-Deadline-Ms", "3000")];
+        let via = edge.to_string();
+        let headers = [
+            ("X-Request-Id", id.as_str()),
+            ("X-Deadline-Ms", "3000"),
+            ("X-Via", via.as_str()),
+        ];
         let answer = send(
             self.edges[edge],
             &format!("POST {path}"),
@@ -233,6 +246,44 @@
         }
     }
 
+    /// Lets replicas ask for rest or leave, in turn, until the last fault is over.
+    fn change_frail(&self, rng: &mut Pcg64Mcg) {
+        while !self.are_faults_over.load(Ordering::SeqCst) {
+            match rng.random_range(0..3) {
+                0 => self.frail_pool.leave_after(LEAVING_TIME, rng),
+                _ => self.frail_pool.rest_for(REST, REST * 2, rng),
+            }
+            thread::sleep(Duration::from_millis(rng.random_range(0..500)));
+        }
+    }
+
+    /// Records that an edge is disturbed while `disturb` runs.
+    fn disturb_edge(&self, edge: usize, disturb: impl FnOnce()) {
+        let started_at = Instant::now();
+        disturb();
+        let mut disturbances = self.disturbances.lock().expect("a thread panicked");
+        disturbances.push((edge, started_at, Instant::now()));
+    }
+
+    /// Checks that the edges kept the rests that replicas asked for, and sent nothing to replicas
+    /// that had said that they leave.
+    fn check_wishes(&self, seed: u64) {
+        let (rests, leaves) = self.frail_pool.wish_counts();
+        println!("seed {seed}: {rests} answers asked for rest, {leaves} told of leaving");
+        let disturbances = self.disturbances.lock().expect("a thread panicked");
+        for edge in 0..self.edges.len() {
+            let was_disturbed = |from: Instant, until: Instant| {
+                let mut own = disturbances.iter();
+                own.any(|&(disturbed, start, end)| {
+                    disturbed == edge && start <= until && end >= from
+                })
+            };
+            for broken in self.frail_pool.broken_wishes(edge, was_disturbed) {
+                self.record(broken);
+            }
+        }
+    }
+
     /// Checks, once the fleet is in contact again, that the requests which have crashed replicas
     /// reach few more, and that those beside them are served.
     fn check_quarantine(&self, seed: u64) {
@@ -377,11 +428,11 @@
         }
         2 => {
             run.edge_kills[edge].fetch_add(1, Ordering::SeqCst);
-            restart(&mut edges[edge], pause, SoakProcess::kill);
+            run.disturb_edge(edge, || restart(&mut edges[edge], pause, SoakProcess::kill));
         }
         3 => suspend(&registries[registry], pause * 2),
-        4 => suspend(&edges[edge], pause),
-        5 => restart(&mut edges[edge], pause, stop),
+        4 => run.disturb_edge(edge, || suspend(&edges[edge], pause)),
+        5 => run.disturb_edge(edge, || restart(&mut edges[edge], pause, stop)),
         6 => restart(&mut registries[registry], pause, |process| {
             process.kill();
             process.append_torn_write(&random_bytes);
@@ -479,6 +530,7 @@
         edge_kills: edges.iter().map(|_| AtomicU64::new(0)).collect(),
         frail_pool: FrailPool::start(),
         cut_paths: Mutex::default(),
+        disturbances: Mutex::default(),
         refused_paths: Mutex::default(),
         network_lock: Mutex::default(),
         is_finished: AtomicBool::new(false),
@@ -520,6 +572,8 @@
         }
         let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 70);
         scope.spawn(move || run.send_poison(&mut rng));
+        let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 90);
+        scope.spawn(move || run.change_frail(&mut rng));
         let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 80);
         scope.spawn(move || {
             while !run.are_faults_over.load(Ordering::SeqCst) {
@@ -567,6 +621,7 @@
         network.join().expect("network fault thread panicked");
         run.are_faults_over.store(true, Ordering::SeqCst);
         check_recovery(run);
+        run.check_wishes(seed);
         run.check_quarantine(seed);
         run.is_finished.store(true, Ordering::SeqCst);
     });
