Split the check of a crashed endpoint from the quarantine; pace the reports of crashes

A registry sends crash reports in batches that take its link for a tenth of a second at most, as it does with prefix locations: after the crash of a whole domain they would have delayed heartbeats. Only a response with a 2xx status clears a request, since an error may be returned in place of a run.

--- /dev/null
+++ b/crates/ragwortroad_edge/src/crash_check.rs
@@ -0,0 +1,96 @@
+use std::{
+    io,
+    rc::Rc,
+    time::Duration, //
+};
+
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_telemetry::prelude::*;
+use ragwortroad_types::prelude::*;
+use tokio::{
+    task::{
+        JoinHandle,
+        spawn_local, //
+    },
+    time::timeout, //
+};
+
+use crate::{
+    edge_state::EdgeShared,
+    endpoint_connection::EndpointConnection, //
+};
+
+/// Longest time for which another attempt waits for the check of an endpoint.
+///
+/// A closed port answers within a round trip; a VM that doesn't answer has not crashed under a
+/// request.
+const CHECK_WAIT: Duration = Duration::from_millis(100);
+
+/// Check of an endpoint that cut a response off.
+///
+/// A task of its own, so that it is made even if the client disconnects.
+pub(crate) struct CrashCheck(JoinHandle<()>);
+
+impl CrashCheck {
+    /// Checks whether the endpoint has crashed under the request, and records it if so.
+    pub(crate) fn start(
+        shared: &Rc<EdgeShared>,
+        digest: RequestDigest,
+        endpoint: EndpointKey,
+    ) -> Self {
+        Self(spawn_local(check_crash(
+            Rc::clone(shared),
+            digest,
+            endpoint,
+        )))
+    }
+
+    /// Waits for the result, which may rule out another attempt, but not for long.
+    pub(crate) async fn settle(self) {
+        match timeout(CHECK_WAIT, self.0).await {
+            Ok(Ok(())) => {}
+            Ok(Err(error)) => tracing::error!(%error, "the check of an endpoint failed"),
+            Err(_) => tracing::debug!("an endpoint neither accepts nor refuses connections"),
+        }
+    }
+}
+
+async fn check_crash(shared: Rc<EdgeShared>, digest: RequestDigest, endpoint: EndpointKey) {
+    let record = shared.state.borrow().endpoints.record(endpoint).cloned();
+    // An endpoint that drains or has left may end under its last requests.
+    let Some(record) = record.filter(|record| record.stage == EndpointStage::Ready) else {
+        return;
+    };
+    match EndpointConnection::open(record.address).await {
+        Ok(connection) => {
+            let now = shared.now();
+            shared.pool.keep(record.address, connection, None, now);
+        }
+        Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+            record_crash(&shared, digest, endpoint, &record);
+        }
+        Err(error) => tracing::debug!(%error, endpoint = record.name, "endpoint check failed"),
+    }
+}
+
+fn record_crash(
+    shared: &EdgeShared,
+    digest: RequestDigest,
+    endpoint: EndpointKey,
+    record: &EndpointRecord,
+) {
+    let now = shared.now();
+    let mut state = shared.state.borrow_mut();
+    state.load_mut(endpoint).note_failure(now);
+    let crashed = RunEnd::Crashed(record.incarnation());
+    if !state.crashes.observe(digest, crashed, now) {
+        return;
+    }
+    metrics::counter!(metric_names::REQUEST_CRASHES).increment(1);
+    tracing::warn!(
+        content = %digest,
+        endpoint = record.name,
+        quarantined = state.crashes.is_quarantined(digest, now),
+        "endpoint crashed under a request"
+    );
+}
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -26,10 +26,8 @@
 use crate::{
     ForwardMetadata,
     ResponseMetadata,
-    crash_watch::{
-        CrashCheck,
-        observe_completion, //
-    },
+    crash_check::CrashCheck,
+    crash_watch::observe_completion,
     edge_state::{
         EdgeShared,
         EdgeState, //
@@ -103,7 +101,10 @@
     record_outcome(shared, chosen, &outcome);
     record_latency(shared, plan, &outcome, started_at.elapsed());
     match &outcome {
-        CallOutcome::Full(_) => observe_completion(shared, plan),
+        // An error may have been returned in place of a run.
+        CallOutcome::Full(response) if response.status.is_success() => {
+            observe_completion(shared, plan);
+        }
         CallOutcome::Lost {
             is_timeout: false, ..
         } => {
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod config_exchange;
 mod config_update;
 mod connection_pool;
+mod crash_check;
 mod crash_watch;
 mod domain_probe;
 mod edge_body;
@@ -34,6 +35,7 @@
 mod request_reading;
 mod service_gate;
 mod stream_body;
+mod stream_break;
 #[cfg(test)]
 mod tests;
 
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -26,8 +26,8 @@
 
 use crate::{
     EventFramer,
+    crash_check::CrashCheck,
     crash_watch::{
-        CrashCheck,
         is_quarantined,
         observe_completion, //
     },
@@ -41,7 +41,8 @@
     endpoint_choice::choose_endpoint,
     endpoint_connection::is_timeout_error,
     gate_permit::GatePermit,
-    request_plan::RequestPlan, //
+    request_plan::RequestPlan,
+    stream_break::StreamBreak, //
 };
 
 /// Time without data after which a resumable stream continues at another endpoint.
@@ -366,26 +367,6 @@
     Broken(StreamBreak),
 }
 
-/// Why a stream cannot continue at its endpoint.
-#[derive(Clone, Copy, Debug)]
-struct StreamBreak {
-    reason: &'static str,
-    /// Whether the endpoint closed the connection; otherwise it fell silent.
-    is_cut: bool,
-}
-
-impl StreamBreak {
-    fn cut(reason: &'static str) -> Self {
-        let is_cut = true;
-        Self { reason, is_cut }
-    }
-
-    fn silent(reason: &'static str) -> Self {
-        let is_cut = false;
-        Self { reason, is_cut }
-    }
-}
-
 /// Finds an endpoint that resumes the stream after `last_event_id`.
 async fn resume(
     shared: Rc<EdgeShared>,
--- a/crates/ragwortroad_node/src/control/crash_flow.rs
+++ b/crates/ragwortroad_node/src/control/crash_flow.rs
@@ -13,7 +13,7 @@
     wire::slot_message::SlotMessage, //
 };
 
-/// Maximum number of reports sent at once to a node that has come up.
+/// Maximum number of reports sent to a node at once.
 const MAX_SENT_REPORTS: usize = 1000;
 
 /// Number of nodes that a started node asks for the known crashes.
@@ -46,7 +46,8 @@
         now: ClockTime,
     ) {
         let end = match outcome {
-            AttemptOutcome::Completed { .. } => RunEnd::Completed,
+            // An error may have been returned in place of a run.
+            AttemptOutcome::Completed { status, .. } if *status < 300 => RunEnd::Completed,
             AttemptOutcome::Crashed => {
                 let endpoint = self.membership.endpoint(record.endpoint);
                 // An endpoint that is leaving may end under its last requests.
@@ -73,7 +74,7 @@
     /// Sends new observations to all other nodes.
     pub(crate) fn send_crashes(&mut self, now: ClockTime) {
         self.crashes.expire(now);
-        let reports = self.crashes.take_news(now);
+        let reports = self.crashes.take_news(MAX_SENT_REPORTS, now);
         if reports.is_empty() {
             return;
         }
--- a/crates/ragwortroad_node/src/control/mod.rs
+++ b/crates/ragwortroad_node/src/control/mod.rs
@@ -11,8 +11,7 @@
 pub(crate) mod control_state;
 pub(crate) mod crash_flow;
 pub(crate) mod endpoint_flow;
-
-mod event_flow;
+pub(crate) mod event_flow;
 pub(crate) mod fleet_view;
 pub(crate) mod follow_flow;
 pub(crate) mod gauge_flow;
--- a/crates/ragwortroad_registry/src/crash_flow.rs
+++ b/crates/ragwortroad_registry/src/crash_flow.rs
@@ -7,7 +7,12 @@
 use crate::registry_state::RegistryState;
 
 /// Maximum number of reports sent at once to an edge or a registry that has just connected.
-const MAX_SENT_REPORTS: usize = 1000;
+///
+/// After a restart of all edges each of them gets as many.
+const MAX_SENT_REPORTS: usize = 200;
+
+/// Size of a report on a link in bytes.
+const ENCODED_REPORT_BYTES: f64 = 25.0;
 
 impl RegistryState {
     /// Handles reports of an edge or of another registry.
@@ -21,14 +26,16 @@
             return;
         }
         self.crashes.expire(now);
-        let reports = self.crashes.take_news(now);
+        let pace = SendPace::for_locations(self.link_bytes_per_second());
+        let receivers = self.peers.len() + self.subscribers.len();
+        let most = pace.max_batch_items(receivers, ENCODED_REPORT_BYTES);
+        let reports = self.crashes.take_news(most, now);
         if reports.is_empty() {
             return;
         }
         let message = LinkMessage::Crashes(reports);
         let bytes = self.broadcast_to_peers(&message)
             + self.send_to_links(self.subscribers.iter(), &message);
-        let pace = SendPace::for_locations(self.link_bytes_per_second());
         self.next_crashes_at = now.after(SPREAD_INTERVAL.max(pace.delay_after(bytes)));
     }
 
--- a/crates/ragwortroad_routing/src/retry/crash_table.rs
+++ b/crates/ragwortroad_routing/src/retry/crash_table.rs
@@ -129,9 +129,10 @@
         }
     }
 
-    /// Returns the observations that the other processes have yet to be told.
-    pub fn take_news(&mut self, now: ClockTime) -> Vec<CrashReport> {
-        let news = std::mem::take(&mut self.news).into_iter();
+    /// Removes and returns up to `most` observations that the other processes have yet to be told,
+    /// the oldest first.
+    pub fn take_news(&mut self, most: usize, now: ClockTime) -> Vec<CrashReport> {
+        let news = self.news.drain(..most.min(self.news.len()));
         news.map(|(digest, end, at)| new_report(digest, end, at, now))
             .collect()
     }
--- a/crates/ragwortroad_routing/tests/crashes.rs
+++ b/crates/ragwortroad_routing/tests/crashes.rs
@@ -113,7 +113,7 @@
     }
     assert_eq!(table.len(), 100);
     assert!(table.is_quarantined(POISON, START));
-    assert!(table.take_news(START).len() <= 100);
+    assert!(table.take_news(usize::MAX, START).len() <= 100);
     assert_eq!(table.reports(50, START)[0].digest, POISON);
 }
 
@@ -124,12 +124,12 @@
     let mut registry = CrashTable::default();
     let mut restarted = CrashTable::default();
     observe_crashes(&mut first, POISON, &[1, 2, 3]);
-    registry.relay(&first.take_news(START), START);
+    registry.relay(&first.take_news(10, START), START);
     let later = START.after(Duration::from_secs(60));
-    assert_eq!(registry.take_news(later).len(), 3);
+    assert_eq!(registry.take_news(10, later).len(), 3);
     registry.relay(&first.reports(10, later), later);
     assert!(
-        registry.take_news(later).is_empty(),
+        registry.take_news(10, later).is_empty(),
         "old news are passed on"
     );
     // The clocks of two processes have nothing in common.
