Send the known crashes to a new home registry only

By the code, each of 64 edges sent the restarted registry up to 200 reports of crashes, 5 kB each, on a link of 525 kB a second, at the moment when its group needed it. Only the edges whose home it is send theirs now, and the other registries, which is a seventh of it.

--- a/crates/ragwortroad_edge/src/crash_watch.rs
+++ b/crates/ragwortroad_edge/src/crash_watch.rs
@@ -47,11 +47,12 @@
         }
     }
 
-    /// Sends all known crashes to a registry that has just connected and may have restarted.
-    pub(crate) fn send_all_crashes(&self, queue: &LinkQueue, now: ClockTime) {
+    /// All known crashes for a new home registry, which may have restarted; `None` if there are none.
+    ///
+    /// Only the home gets them: if all edges sent theirs to a registry that has just started, they
+    /// would take its link when its group needs it most.
+    pub(crate) fn known_crashes(&self, now: ClockTime) -> Option<LinkMessage> {
         let reports = self.crashes.reports(MAX_SENT_REPORTS, now);
-        if !reports.is_empty() {
-            queue.send(&LinkMessage::Crashes(reports));
-        }
+        (!reports.is_empty()).then_some(LinkMessage::Crashes(reports))
     }
 }
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -84,7 +84,6 @@
             stage: state.stage,
         });
     }
-    state.send_all_crashes(queue, shared.now());
     if let Some(link) = state.links.get_mut(&source) {
         tracing::info!(registry = %link.address, "registry connected");
         link.reset(Some(queue.clone()));
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -161,7 +161,7 @@
         }
         state.warmups.expire(now);
         state.rests.expire(now);
-        state.update_home(&shared.settings.name, shared.uptime());
+        state.update_home(&shared.settings.name, shared.uptime(), now);
         match shared.settings.mechanisms.told_places {
             true => state.send_locations(),
             false => state.unsent_locations.clear(),
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -239,8 +239,9 @@
 
     /// Selects this edge's preferred registry among the connected ones as its home.
     ///
-    /// State exchanged with the previous home is discarded.
-    pub(crate) fn update_home(&mut self, edge: &str, uptime: Duration) {
+    /// State exchanged with the previous home is discarded, except for crashes: the new home is sent
+    /// all that are known.
+    pub(crate) fn update_home(&mut self, edge: &str, uptime: Duration, now: ClockTime) {
         // Right after a start, most edges reach the same registries first. If they selected these
         // as their homes, the registries would send all prefix locations to far more edges than
         // their share, moments before these edges move to another home.
@@ -249,8 +250,12 @@
         let links = self.links.values().filter(|link| is_candidate(link));
         let candidates: Vec<HomeCandidate> = links.map(RegistryLink::home_candidate).collect();
         let chosen = choose_home(edge, &candidates);
+        let is_chosen = |link: &RegistryLink| link.queue.is_some() && Some(link.address) == chosen;
+        let is_new_home = |link: &RegistryLink| is_chosen(link) && !link.is_home;
+        let has_new_home = self.links.values().any(is_new_home);
+        let known_crashes = has_new_home.then(|| self.known_crashes(now)).flatten();
         for link in self.links.values_mut() {
-            let is_home = link.queue.is_some() && Some(link.address) == chosen;
+            let is_home = is_chosen(link);
             if is_home == link.is_home {
                 continue;
             }
@@ -264,6 +269,9 @@
             if let Some(queue) = &link.queue {
                 tracing::info!(registry = %link.address, is_home, "home registry changed");
                 queue.send(&message);
+                if let Some(known_crashes) = known_crashes.as_ref().filter(|_| is_home) {
+                    queue.send(known_crashes);
+                }
             }
         }
     }
