--- a/tests/soak/frail_pool.rs
+++ b/tests/soak/frail_pool.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     caller::send,
+    document::service_announcement,
     replica::Replica, //
 };
 
@@ -200,16 +201,7 @@
 }
 
 fn announcement(replica: &Replica, sequence: u64) -> (String, String) {
-    let Replica {
-        name,
-        address,
-        started_ms,
-        ..
-    } = replica;
-    let body = format!(
-        "{{\"service\":\"frail\",\"address\":\"{address}\",\"zone\":\"a\",\"version\":\"v1\",\
-         \"slots\":8,\"state\":\"ready\",\"coldRemainingMs\":0,\"seq\":{sequence},\
-         \"born\":{started_ms}}}"
-    );
-    (format!("PUT /instances/{name}"), body)
+    let address = replica.address.to_string();
+    let start = (replica.started_ms, sequence);
+    service_announcement("frail", &replica.name, &address, start)
 }
