Report a complete run only if it clears crashes

Each complete run of a request that had once been cut by a crash was reported to all registries and by them to all edges, and plain reads with the same path are sent and complete all the time, so the reports took the registries' small processors and links. A complete run is news only if it clears a crash; a_complete_run_clears_a_request checks it.

--- a/crates/ragwortroad_routing/src/retry/crash_entry.rs
+++ b/crates/ragwortroad_routing/src/retry/crash_entry.rs
@@ -16,7 +16,7 @@
 }
 
 impl CrashEntry {
-    /// Records the end of a run; returns whether it was unknown.
+    /// Records the end of a run; returns whether it changes the crashes.
     pub(super) fn record(&mut self, end: RunEnd, ended_at: ClockTime) -> bool {
         // A request that completes doesn't crash its endpoints, so it was not to blame before.
         if self.completed_at >= Some(ended_at) {
@@ -25,8 +25,10 @@
         let incarnation = match end {
             RunEnd::Completed => {
                 self.completed_at = Some(ended_at);
+                let known_crashes = self.crashes.len();
                 self.crashes.retain(|(_, at)| *at > ended_at);
-                return true;
+                // A request that is sent all the time completes all the time.
+                return self.crashes.len() < known_crashes;
             }
             RunEnd::Crashed(incarnation) => incarnation,
         };
--- a/crates/ragwortroad_routing/tests/crashes.rs
+++ b/crates/ragwortroad_routing/tests/crashes.rs
@@ -65,6 +65,11 @@
     let completed_at = START.after(Duration::from_secs(1));
     assert!(table.observe(INNOCENT, RunEnd::Completed, completed_at));
     let later = START.after(Duration::from_secs(2));
+    assert!(
+        !table.observe(INNOCENT, RunEnd::Completed, later),
+        "each complete run is reported"
+    );
+    let later = START.after(Duration::from_secs(3));
     for endpoint in [3, 4] {
         table.observe(INNOCENT, crash_of(endpoint), later);
     }
@@ -73,7 +78,7 @@
     let late = CrashReport {
         digest: INNOCENT,
         end: crash_of(5),
-        age_ms: 1500,
+        age_ms: 2500,
     };
     table.merge(&[late], later);
     assert!(!table.is_quarantined(INNOCENT, later));
