--- a/crates/ragwortroad_demo/tests/failures/rests.rs
+++ b/crates/ragwortroad_demo/tests/failures/rests.rs
@@ -28,8 +28,7 @@
     });
 }
 
-/// Guards against requests to an engine that has asked for rest, and against clients that wait or
-/// are told a false time while all engines rest.
+/// Guards against requests to resting engines, and false times told while all of them rest.
 #[test]
 fn engines_that_ask_for_rest_get_it() {
     let fleet = TestFleet::start(FleetPlan {
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -337,8 +337,7 @@
     assert_eq!(table.ready("llm").count(), 0);
 }
 
-/// Guards against work for an endpoint that has said in a response that it leaves, caused by its
-/// later announcements.
+/// Guards against announcements that bring back an endpoint which has said that it leaves.
 #[test]
 fn an_endpoint_that_leaves_by_its_responses_stays_out_until_it_restarts() {
     let mut table = EndpointTable::default();
--- a/crates/ragwortroad_routing/tests/crashes.rs
+++ b/crates/ragwortroad_routing/tests/crashes.rs
@@ -86,8 +86,7 @@
     assert_eq!(table.len(), 1, "a request without a crash is remembered");
 }
 
-/// Guards against requests that are refused for good, and against a repeat that crashes three more
-/// endpoints after its quarantine.
+/// Guards against requests refused for good, and repeats that crash three more endpoints later.
 #[test]
 fn a_quarantine_ends_and_a_further_crash_doubles_it() {
     let mut table = CrashTable::default();
@@ -103,8 +102,7 @@
     assert!(table.is_empty(), "an old request is remembered");
 }
 
-/// Guards against memory that grows with the requests of crashed endpoints, and against a mass
-/// crash that displaces quarantined requests.
+/// Guards against unbounded memory, and a mass crash that displaces quarantined requests.
 #[test]
 fn a_mass_crash_displaces_no_quarantined_request() {
     let settings = CrashSettings {
