--- /dev/null
+++ b/crates/ragwortroad_dispatch/tests/growth.rs
@@ -0,0 +1,76 @@
+//! Processor time of an edge's tables in fleets of thousands of endpoints.
+
+mod common;
+
+use std::time::Duration;
+
+use common::at;
+use ragwortroad_dispatch::prelude::*;
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
+
+/// Endpoints, or prefixes, of a small and of a large fleet.
+const FLEETS: [u32; 2] = [2500, 20_000];
+
+/// Largest factor by which the time of one operation may differ between the two fleets, which
+/// leaves room for cache misses and for logarithms.
+const MAX_GROWTH: f64 = 3.0;
+
+/// Measurements of which the shortest counts.
+const ROUNDS: usize = 3;
+
+/// Returns the processor time that the calling thread has used.
+fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+fn shortest(mut operation: impl FnMut()) -> f64 {
+    let rounds = (0..ROUNDS).map(|_| {
+        let started = thread_time();
+        operation();
+        (thread_time() - started).as_secs_f64()
+    });
+    rounds.fold(f64::INFINITY, f64::min)
+}
+
+/// Guards against restarts of engines whose cost at each edge grows with the prefixes it knows.
+#[test]
+fn a_restarted_engine_costs_the_same_beside_many_prefixes() {
+    let [small, large] = FLEETS.map(|prefixes| {
+        let mut table = PrefixTable::default();
+        for prefix in 0..prefixes {
+            let engine = EndpointKey(prefix / 5);
+            table.note(prefix.into(), engine, at(0));
+        }
+        shortest(|| {
+            for engine in 0..200 {
+                table.forget(EndpointKey(engine));
+                for prefix in 5 * engine..5 * engine + 5 {
+                    table.note(prefix.into(), EndpointKey(engine), at(1));
+                }
+            }
+        })
+    });
+    let growth = large / small;
+    assert!(growth < MAX_GROWTH, "{growth:.1} times the time each");
+}
+
+/// Guards against prefixes in use that are evicted since an engine that held them has left.
+#[test]
+fn a_prefix_that_has_moved_is_kept_as_long_as_the_others() {
+    const LIMIT: u64 = 50_000;
+    let mut table = PrefixTable::default();
+    table.note(0, EndpointKey(1), at(0));
+    table.forget(EndpointKey(1));
+    table.note(0, EndpointKey(2), at(1));
+    for prefix in 1..LIMIT {
+        table.note(prefix, EndpointKey(3), at(2));
+    }
+    assert_eq!(
+        table.holders(0, at(3)).collect::<Vec<_>>(),
+        [EndpointKey(2)]
+    );
+}
