Index the endpoints of an edge by address, service and expiry

Cause: what grows faster than the fleet, at each of 986 edges: every announcement walked all known endpoints to find predecessors at its address (endpoints squared at a start: 50 million visits an edge), every tick of 0.1 s walked all of them three times to find what expires and once to count the ready ones, and every request compared the service's name and hashed the name of each. Change: indexes by address, by service (ready ones, with what a request reads of each), and of endpoints that no registry holds. Engines are ranked for a prefix by a hash of their tag, which is known, instead of their name; a mixed fleet of two versions ranks differently until it is upgraded, as while engines come and go.

--- a/crates/ragwortroad_dispatch/src/endpoint_selection.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_selection.rs
@@ -1,6 +1,11 @@
+use std::borrow::Cow;
+
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::EndpointKey;
+use crate::{
+    EndpointKey,
+    EndpointTag, //
+};
 
 /// Parameters of the selection of an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -55,11 +60,11 @@
 
 /// An endpoint that may be selected for a request.
 #[derive(Clone, Copy, Debug)]
-pub struct SelectionCandidate<'a> {
+pub struct SelectionCandidate {
     /// Key of the endpoint.
     pub key: EndpointKey,
-    /// Name of the endpoint, which is the same at all edges.
-    pub name: &'a str,
+    /// Tag of the endpoint's name, which is the same at all edges.
+    pub tag: EndpointTag,
     /// Estimated requests at the endpoint.
     pub load: u32,
     /// Requests that it processes concurrently; 0 if there is no known limit.
@@ -70,7 +75,7 @@
     pub holds_prefix: bool,
 }
 
-impl SelectionCandidate<'_> {
+impl SelectionCandidate {
     /// Returns whether the endpoint has a free slot, as far as this edge knows.
     ///
     /// Without one the request would queue there while other engines have free slots.
@@ -106,7 +111,7 @@
 ///
 /// Returns `None` if there are no candidates.
 pub fn choose_engine(
-    candidates: &[SelectionCandidate<'_>],
+    candidates: &[SelectionCandidate],
     request: SelectionRequest,
     settings: &SelectionSettings,
 ) -> Option<EndpointKey> {
@@ -116,9 +121,11 @@
     // now.
     let highest = mean_load(candidates) * settings.holder_load_multiple;
     let prefix = request.shared_prefix.unwrap_or(request.draw.to_bits());
-    let rank =
-        |candidate: &SelectionCandidate<'_>| xxh3_64_with_seed(candidate.name.as_bytes(), prefix);
-    let is_below = |candidate: &SelectionCandidate<'_>, multiple: f64| {
+    let rank = |candidate: &SelectionCandidate| {
+        let EndpointTag(tag) = candidate.tag;
+        xxh3_64_with_seed(&tag.to_le_bytes(), prefix)
+    };
+    let is_below = |candidate: &SelectionCandidate, multiple: f64| {
         f64::from(candidate.load) <= (mean * multiple).min(highest) + settings.load_slack
     };
     let holders = healthy.iter().filter(|candidate| candidate.holds_prefix);
@@ -138,7 +145,7 @@
     chosen.map(|candidate| candidate.key)
 }
 
-fn mean_load(candidates: &[SelectionCandidate<'_>]) -> f64 {
+fn mean_load(candidates: &[SelectionCandidate]) -> f64 {
     let total: u32 = candidates.iter().map(|candidate| candidate.load).sum();
     f64::from(total) / candidates.len().max(1) as f64
 }
@@ -148,10 +155,10 @@
 /// Edges learn of each other's requests a quarter of a second late. If all selected the least
 /// loaded holder of a busy prefix, it would be the most loaded by then; two random choices spread
 /// the burst.
-fn less_loaded_of_two<'a, 'b>(
-    open: &[&'a SelectionCandidate<'b>],
+fn less_loaded_of_two<'a>(
+    open: &[&'a SelectionCandidate],
     draw: f64,
-) -> Option<&'a SelectionCandidate<'b>> {
+) -> Option<&'a SelectionCandidate> {
     let count = open.len();
     let one = (draw * count as f64) as usize;
     let rest = (draw * count as f64).fract();
@@ -174,7 +181,7 @@
 ///
 /// Returns `None` if there are no candidates.
 pub fn choose_replica(
-    candidates: &[SelectionCandidate<'_>],
+    candidates: &[SelectionCandidate],
     request: SelectionRequest,
 ) -> Option<EndpointKey> {
     let healthy = healthy_candidates(candidates);
@@ -186,24 +193,24 @@
 }
 
 /// Returns the candidates that are not failing, or all of them if most are.
-fn healthy_candidates<'a>(candidates: &[SelectionCandidate<'a>]) -> Vec<SelectionCandidate<'a>> {
+fn healthy_candidates(candidates: &[SelectionCandidate]) -> Cow<'_, [SelectionCandidate]> {
     filter_healthy(candidates, |candidate| candidate.failure_rate)
 }
 
 /// Returns the items whose failure rate, given by `failing`, is below the threshold, or all of them
 /// if most exceed it.
-pub(crate) fn filter_healthy<T>(all: &[T], failing: impl Fn(&T) -> f64) -> Vec<T>
+pub(crate) fn filter_healthy<T>(all: &[T], failing: impl Fn(&T) -> f64) -> Cow<'_, [T]>
 where
     T: Copy,
 {
-    let healthy = all.iter().filter(|one| failing(one) < FAILING_THRESHOLD);
-    let healthy: Vec<T> = healthy.copied().collect();
+    let is_healthy = |item: &&T| failing(item) < FAILING_THRESHOLD;
+    let count = all.iter().filter(is_healthy).count();
     // If most endpoints of a service fail, the requests or the service as a whole are the cause,
     // and the few others would collapse under the whole load.
-    if healthy.len() * 2 < all.len() {
-        return all.to_vec();
+    if count == all.len() || count * 2 < all.len() {
+        return Cow::Borrowed(all);
     }
-    healthy
+    Cow::Owned(all.iter().filter(is_healthy).copied().collect())
 }
 
 /// Returns the key of the shared prefix of a prompt made of `parts`, of which all but the last are
--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -1,7 +1,8 @@
 use std::{
     collections::{
         BTreeMap,
-        BTreeSet, //
+        BTreeSet,
+        HashMap, //
     },
     net::SocketAddr,
     time::Duration, //
@@ -13,6 +14,14 @@
     EndpointRecord,
     EndpointStage,
     EndpointTag,
+    domain_set::{
+        DomainKey,
+        DomainSet, //
+    },
+    ready_index::{
+        ReadyEndpoint,
+        ReadyIndex, //
+    },
     registry_table::{
         is_outdated,
         warm_at, //
@@ -46,11 +55,24 @@
 const GOODBYE_TTL: Duration = Duration::from_secs(60);
 
 /// Endpoints known to an edge, merged from all registries.
+///
+/// An update, an expiry check and a look at the ready endpoints cost nothing for the endpoints that
+/// they do not concern: a fleet has thousands of them, which announce themselves within a second.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
-    names: BTreeMap<String, EndpointKey>,
-    tags: BTreeMap<EndpointTag, EndpointKey>,
+    names: HashMap<String, EndpointKey>,
+    tags: HashMap<EndpointTag, EndpointKey>,
     entries: BTreeMap<EndpointKey, EndpointEntry>,
+    /// Endpoints by the address of their record.
+    ///
+    /// Invariant: holds each entry once; no list is empty.
+    addresses: HashMap<SocketAddr, Vec<EndpointKey>>,
+    /// Invariant: holds exactly the entries whose stage is `Ready`.
+    ready: ReadyIndex,
+    /// Invariant: holds exactly the entries with `unheld_since`.
+    unheld: BTreeSet<EndpointKey>,
+    /// Names of failure domains, by `DomainKey`.
+    domains: Vec<String>,
     next_key: u32,
 }
 
@@ -109,11 +131,13 @@
         if is_outdated(&entry.record, &record) && !is_goodbye {
             if same_start {
                 entry.add_holder(source);
+                self.update_indexes(key);
             }
             return EndpointChange::Same;
         }
         let restarted = record.started_ms > entry.record.started_ms;
         let before = entry.record.stage;
+        let former = (entry.record.address, entry.record.service.clone());
         entry.holders.insert(source);
         entry.is_lost = false;
         entry.unheld_since = (record.stage == EndpointStage::Gone).then_some(now);
@@ -126,6 +150,14 @@
             entry.record.stage = EndpointStage::Draining;
         }
         let ready = entry.record.stage == EndpointStage::Ready;
+        let (address, service) = former;
+        if entry.record.address != address {
+            let address_now = entry.record.address;
+            self.remove_address(address, key);
+            self.addresses.entry(address_now).or_default().push(key);
+        }
+        self.ready.remove(&service, key);
+        self.update_indexes(key);
         match (before == EndpointStage::Ready, ready) {
             (true, false) => EndpointChange::Stopped(key),
             (false, true) => EndpointChange::Started(key),
@@ -156,7 +188,12 @@
             is_lost: false,
             undrain_warmup_until: ClockTime::ZERO,
         };
+        self.addresses
+            .entry(entry.record.address)
+            .or_default()
+            .push(key);
         self.entries.insert(key, entry);
+        self.update_indexes(key);
         match ready {
             true => EndpointChange::Started(key),
             false => EndpointChange::Same,
@@ -165,12 +202,15 @@
 
     /// Records that the registry `source` has reported an endpoint lost.
     pub fn mark_lost(&mut self, source: SourceKey, name: &str, now: ClockTime) {
-        let key = self.names.get(name);
-        if let Some(entry) = key.and_then(|key| self.entries.get_mut(key)) {
+        let Some(&key) = self.names.get(name) else {
+            return;
+        };
+        if let Some(entry) = self.entries.get_mut(&key) {
             entry.holders.remove(&source);
             entry.note_unheld(now);
             entry.is_lost = entry.holders.is_empty();
         }
+        self.update_indexes(key);
     }
 
     /// Marks an endpoint as gone because another one has responded at its address.
@@ -179,6 +219,7 @@
             entry.record.stage = EndpointStage::Gone;
             entry.unheld_since = Some(now);
         }
+        self.update_indexes(key);
     }
 
     /// Marks an endpoint as draining because it has said in a response that it leaves; returns whether
@@ -194,6 +235,7 @@
         if was_ready {
             entry.record.stage = EndpointStage::Draining;
         }
+        self.update_indexes(key);
         was_ready
     }
 
@@ -203,32 +245,45 @@
     /// former name is known until announcements are missed; each request sent to it in the meantime
     /// is rejected and costs its client one of few attempts.
     fn retire_predecessors(&mut self, record: &EndpointRecord, now: ClockTime) {
-        for entry in self.entries.values_mut() {
+        let mut predecessors = Vec::new();
+        for &key in self.addresses.get(&record.address).into_iter().flatten() {
+            let Some(entry) = self.entries.get_mut(&key) else {
+                continue;
+            };
             let predecessor = &entry.record;
-            let is_predecessor = predecessor.address == record.address
-                && predecessor.name != record.name
+            let is_predecessor = predecessor.name != record.name
                 && predecessor.started_ms < record.started_ms
                 && predecessor.stage != EndpointStage::Gone;
             if is_predecessor {
                 entry.record.stage = EndpointStage::Gone;
                 entry.unheld_since = Some(now);
+                predecessors.push(key);
             }
         }
+        for key in predecessors {
+            self.update_indexes(key);
+        }
     }
 
     /// Treats the endpoints of an undrained domain as warming up until `until`, since they may have
     /// become cold without work and not have announced it yet.
     pub fn undrain_domain(&mut self, domain: &str, until: ClockTime) {
-        let entries = self.entries.values_mut();
-        for entry in entries.filter(|entry| entry.record.zone == domain) {
-            entry.undrain_warmup_until = until;
+        let mut warming = Vec::new();
+        for (&key, entry) in &mut self.entries {
+            if entry.record.zone == domain {
+                entry.undrain_warmup_until = until;
+                warming.push(key);
+            }
+        }
+        for key in warming {
+            self.update_indexes(key);
         }
     }
 
     /// Returns whether an endpoint is warming up.
     pub fn is_warming(&self, key: EndpointKey, now: ClockTime) -> bool {
         let entry = self.entries.get(&key);
-        entry.is_some_and(|entry| now < entry.warm_at.max(entry.undrain_warmup_until))
+        entry.is_some_and(|entry| now < entry.warm_at())
     }
 
     /// Applies an endpoint's goodbye, received by any registry.
@@ -242,6 +297,7 @@
         let was_ready = entry.record.stage == EndpointStage::Ready;
         entry.record.stage = EndpointStage::Gone;
         entry.unheld_since = Some(now);
+        self.update_indexes(key);
         match was_ready {
             true => EndpointChange::Stopped(key),
             false => EndpointChange::Same,
@@ -251,35 +307,75 @@
     /// Records that the connection to the registry `source` was lost, so its reports no longer
     /// count.
     pub fn drop_source(&mut self, source: SourceKey, now: ClockTime) {
-        for entry in self.entries.values_mut() {
+        for (&key, entry) in &mut self.entries {
             if entry.holders.remove(&source) {
                 entry.note_unheld(now);
             }
+            if entry.unheld_since.is_some() {
+                self.unheld.insert(key);
+            }
         }
     }
 
     /// Removes endpoints that no registry has reported for long enough; returns their keys.
     pub fn expire(&mut self, now: ClockTime) -> Vec<EndpointKey> {
-        let mut forgotten = Vec::new();
-        self.entries.retain(|&key, entry| {
-            let limit = match entry.record.stage {
-                EndpointStage::Gone => GOODBYE_TTL,
-                _ if entry.is_leaving => GOODBYE_TTL,
-                _ if entry.is_lost => LOST_TTL,
-                _ => ORPHAN_TTL,
-            };
-            let keep = entry
-                .unheld_since
-                .is_none_or(|since| now.since(since) < limit);
-            if !keep {
-                forgotten.push(key);
-            }
-            keep
-        });
         let entries = &self.entries;
-        self.names.retain(|_, key| entries.contains_key(key));
-        self.tags.retain(|_, key| entries.contains_key(key));
-        forgotten
+        let is_due = |key: &EndpointKey| entries.get(key).is_some_and(|entry| entry.is_due(now));
+        let due: Vec<EndpointKey> = self.unheld.iter().copied().filter(is_due).collect();
+        for &key in &due {
+            self.remove(key);
+        }
+        due
+    }
+
+    fn remove(&mut self, key: EndpointKey) {
+        let Some(EndpointEntry { record, .. }) = self.entries.remove(&key) else {
+            return;
+        };
+        self.names.remove(&record.name);
+        // Another endpoint may have the same tag.
+        let tag = EndpointTag::of(&record.name);
+        if self.tags.get(&tag) == Some(&key) {
+            self.tags.remove(&tag);
+        }
+        self.remove_address(record.address, key);
+        self.ready.remove(&record.service, key);
+        self.unheld.remove(&key);
+    }
+
+    fn remove_address(&mut self, address: SocketAddr, key: EndpointKey) {
+        let Some(keys) = self.addresses.get_mut(&address) else {
+            return;
+        };
+        keys.retain(|known| *known != key);
+        if keys.is_empty() {
+            self.addresses.remove(&address);
+        }
+    }
+
+    /// Restores the invariants of `ready` and `unheld` for an entry that has changed.
+    fn update_indexes(&mut self, key: EndpointKey) {
+        let Some(entry) = self.entries.get(&key) else {
+            return;
+        };
+        match entry.unheld_since {
+            Some(_) => self.unheld.insert(key),
+            None => self.unheld.remove(&key),
+        };
+        let record = &entry.record;
+        if record.stage != EndpointStage::Ready {
+            self.ready.remove(&record.service, key);
+            return;
+        }
+        let endpoint = ReadyEndpoint {
+            key,
+            tag: EndpointTag::of(&record.name),
+            incarnation: record.incarnation(),
+            domain: intern_domain(&mut self.domains, &record.zone),
+            slots: record.slots,
+            warm_at: entry.warm_at(),
+        };
+        self.ready.insert(&record.service, endpoint);
     }
 
     /// Returns the endpoint with a tag.
@@ -302,21 +398,31 @@
 
     /// Returns the number of endpoints that accept new work.
     pub fn ready_count(&self) -> usize {
-        let entries = self.entries.values();
-        let ready = entries.filter(|entry| entry.record.stage == EndpointStage::Ready);
-        ready.count()
+        self.ready.count()
     }
 
     /// Returns the endpoints of a service that accept new work.
-    pub fn ready(&self, service: &str) -> impl Iterator<Item = (EndpointKey, &EndpointRecord)> {
-        let entries = self.entries.iter();
-        let records = entries.map(|(&key, entry)| (key, &entry.record));
-        records.filter(move |(_, record)| {
-            record.stage == EndpointStage::Ready && record.service == service
-        })
+    pub fn ready(&self, service: &str) -> impl Iterator<Item = &ReadyEndpoint> {
+        self.ready.endpoints(service)
+    }
+
+    /// Returns the failure domains whose name satisfies `is_member`.
+    pub fn domain_set(&self, is_member: impl Fn(&str) -> bool) -> DomainSet {
+        let domains = self.domains.iter();
+        DomainSet::new(domains.map(|domain| is_member(domain)).collect())
     }
 }
 
+/// Returns the key of a failure domain, adding it if it is new.
+fn intern_domain(domains: &mut Vec<String>, name: &str) -> DomainKey {
+    let known = domains.iter().position(|domain| domain == name);
+    let index = known.unwrap_or_else(|| {
+        domains.push(name.to_owned());
+        domains.len() - 1
+    });
+    DomainKey(index as u32)
+}
+
 impl EndpointEntry {
     /// Records that a registry hears from this incarnation, although its record is not newer than
     /// the known one.
@@ -334,6 +440,23 @@
         self.unheld_since = None;
     }
 
+    /// When the endpoint is warm, as announced or because its domain was undrained.
+    fn warm_at(&self) -> ClockTime {
+        self.warm_at.max(self.undrain_warmup_until)
+    }
+
+    /// Whether no registry has reported the endpoint for long enough to forget it.
+    fn is_due(&self, now: ClockTime) -> bool {
+        let limit = match self.record.stage {
+            EndpointStage::Gone => GOODBYE_TTL,
+            _ if self.is_leaving => GOODBYE_TTL,
+            _ if self.is_lost => LOST_TTL,
+            _ => ORPHAN_TTL,
+        };
+        self.unheld_since
+            .is_some_and(|since| now.since(since) >= limit)
+    }
+
     fn note_unheld(&mut self, now: ClockTime) {
         if self.holders.is_empty() && self.unheld_since.is_none() {
             self.unheld_since = Some(now);
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod deadline_estimate;
 mod domain_drains;
 mod domain_reach;
+mod domain_set;
 mod edge_directory;
 mod edge_discovery;
 mod edge_view;
@@ -35,6 +36,7 @@
 mod prefix_location;
 mod prefix_source;
 mod prefix_table;
+mod ready_index;
 mod registry_table;
 mod retry_after;
 mod retry_budget;
@@ -79,6 +81,10 @@
             DrainOutcome, //
         },
         domain_reach::DomainReach,
+        domain_set::{
+            DomainKey,
+            DomainSet, //
+        },
         edge_directory::EdgeDirectory,
         edge_discovery::{
             DirectoryError,
@@ -140,6 +146,7 @@
             choose_source, //
         },
         prefix_table::PrefixTable,
+        ready_index::ReadyEndpoint,
         registry_table::{
             RegistryChange,
             RegistryTable,
--- a/crates/ragwortroad_dispatch/tests/admission.rs
+++ b/crates/ragwortroad_dispatch/tests/admission.rs
@@ -327,7 +327,7 @@
 fn a_full_engine_is_not_selected_while_another_has_a_free_slot() {
     let engine = |key: u32, load, holds_prefix| SelectionCandidate {
         key: EndpointKey(key),
-        name: ["one", "two", "three"][key as usize],
+        tag: EndpointTag::of(["one", "two", "three"][key as usize]),
         load,
         slots: 12,
         failure_rate: 0.0,
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -15,10 +15,10 @@
 const THERE: SourceKey = SourceKey(2);
 
 fn ready(table: &EndpointTable) -> Vec<String> {
-    table
+    let records = table
         .ready("llm")
-        .map(|(_, record)| record.name.clone())
-        .collect()
+        .filter_map(|endpoint| table.record(endpoint.key));
+    records.map(|record| record.name.clone()).collect()
 }
 
 fn draining(name: &str, sequence: u64) -> EndpointRecord {
--- a/crates/ragwortroad_dispatch/tests/growth.rs
+++ b/crates/ragwortroad_dispatch/tests/growth.rs
@@ -2,16 +2,27 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    time::Duration, //
+};
 
-use common::at;
+use common::{
+    at,
+    record, //
+};
 use ragwortroad_dispatch::prelude::*;
 use rustix::time::{
     ClockId,
     clock_gettime, //
 };
 
-/// Endpoints, or prefixes, of a small and of a large fleet.
+const REGISTRY: SourceKey = SourceKey(1);
+
+/// Endpoints of a small and of a large fleet.
 const FLEETS: [u32; 2] = [2500, 20_000];
 
 /// Largest factor by which the time of one operation may differ between the two fleets, which
@@ -36,6 +47,51 @@
     rounds.fold(f64::INFINITY, f64::min)
 }
 
+fn announcement(index: u32) -> EndpointRecord {
+    EndpointRecord {
+        address: SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + index), 80)),
+        ..record(&format!("endpoint-{index}"))
+    }
+}
+
+fn fleet(endpoints: u32) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    for index in 0..endpoints {
+        table.apply_record(REGISTRY, announcement(index), at(0));
+    }
+    table
+}
+
+/// Guards against a start of the fleet whose cost at each edge grows with the square of the
+/// endpoints.
+#[test]
+fn an_announcement_costs_the_same_in_a_large_fleet() {
+    let [small, large] = FLEETS.map(|endpoints| {
+        let time = shortest(|| {
+            fleet(endpoints);
+        });
+        time / f64::from(endpoints)
+    });
+    let growth = large / small;
+    assert!(growth < MAX_GROWTH, "{growth:.1} times the time each");
+}
+
+/// Guards against idle edges that spend their processor time on endpoints nobody calls.
+#[test]
+fn a_calm_tick_costs_the_same_in_a_large_fleet() {
+    let [small, large] = FLEETS.map(|endpoints| {
+        let mut table = fleet(endpoints);
+        shortest(|| {
+            for tick in 0..200 {
+                assert!(table.expire(at(tick * 100)).is_empty());
+                assert_eq!(table.ready_count(), endpoints as usize);
+            }
+        })
+    });
+    let growth = large / small;
+    assert!(growth < MAX_GROWTH, "{growth:.1} times the time of a tick");
+}
+
 /// Guards against restarts of engines whose cost at each edge grows with the prefixes it knows.
 #[test]
 fn a_restarted_engine_costs_the_same_beside_many_prefixes() {
--- a/crates/ragwortroad_dispatch/tests/overload/model.rs
+++ b/crates/ragwortroad_dispatch/tests/overload/model.rs
@@ -344,7 +344,7 @@
         let candidates: Vec<_> = (0..self.scenario.engines)
             .map(|engine| SelectionCandidate {
                 key: EndpointKey(engine as u32),
-                name: &self.names[engine],
+                tag: EndpointTag::of(&self.names[engine]),
                 load: edge_state.own[engine] + edge_state.others[engine],
                 slots: self.scenario.slots,
                 failure_rate: 0.0,
--- a/crates/ragwortroad_dispatch/tests/selection.rs
+++ b/crates/ragwortroad_dispatch/tests/selection.rs
@@ -23,10 +23,10 @@
     SocketAddr::from(([10, 0, 0, host], 80))
 }
 
-fn candidate(key: u32, name: &str, load: u32) -> SelectionCandidate<'_> {
+fn candidate(key: u32, name: &str, load: u32) -> SelectionCandidate {
     SelectionCandidate {
         key: EndpointKey(key),
-        name,
+        tag: EndpointTag::of(name),
         load,
         slots: 128,
         failure_rate: 0.0,
@@ -297,7 +297,7 @@
 #[test]
 fn a_failing_endpoint_is_avoided_unless_most_fail() {
     let names = names(4);
-    let failing = |count: u32| -> Vec<SelectionCandidate<'_>> {
+    let failing = |count: u32| -> Vec<SelectionCandidate> {
         (0..4)
             .map(|key| SelectionCandidate {
                 failure_rate: if key < count { 0.5 } else { 0.05 },
--- a/crates/ragwortroad_dispatch/tests/warmups.rs
+++ b/crates/ragwortroad_dispatch/tests/warmups.rs
@@ -83,10 +83,10 @@
             let candidates = warming.iter().filter(|&&engine| {
                 rule == WarmupRule::Ignored || pace.may_send(tags[engine], at(now))
             });
-            let candidates: Vec<SelectionCandidate<'_>> = candidates
+            let candidates: Vec<SelectionCandidate> = candidates
                 .map(|&engine| SelectionCandidate {
                     key: EndpointKey(engine as u32),
-                    name: &names[engine],
+                    tag: EndpointTag::of(&names[engine]),
                     load: 0,
                     slots: SLOTS,
                     failure_rate: 0.0,
@@ -233,7 +233,7 @@
 
     let mut known = EndpointTable::default();
     known.apply_record(HERE, cold(1, 0), at(0));
-    let (key, _) = known.ready("llm").next().expect("a ready endpoint");
+    let key = known.ready("llm").next().expect("a ready endpoint").key;
     assert!(!known.is_warming(key, at(0)));
     known.undrain_domain("a", at(2500));
     assert!(known.is_warming(key, at(2400)));
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -65,19 +65,21 @@
     fn fleet_load(&self, service: &str, now: ClockTime) -> Option<FleetLoad> {
         let rule = self.map.as_ref()?.service(service)?;
         rule.engine.as_ref()?;
-        let open = self.available_endpoints(service).filter(|(key, record)| {
-            let load = self.loads.get(key);
+        let reachable = self.reachable_domains();
+        let home = self.home();
+        let open = self.available_endpoints(service).filter(|endpoint| {
+            let load = self.loads.get(&endpoint.key);
             let is_open = load.is_none_or(|load| load.is_available(now));
-            is_open && !self.is_resting(record, now) && self.reach.is_reachable(&record.zone)
+            is_open && !self.is_resting(endpoint, now) && reachable.contains(endpoint.domain)
         });
-        let usages = open.map(|(key, record)| {
-            let own = self.reported_load(&record.name);
-            let load = self.loads.get(&key);
-            let is_warming =
-                rule.warmup_per_second.is_some() && self.endpoints.is_warming(key, now);
+        let usages = open.map(|endpoint| {
+            let own = home.map_or(0, |home| home.report.count(endpoint.tag));
+            let other_edges = home.map_or(0, |home| home.other_edges_load(endpoint.tag));
+            let load = self.loads.get(&endpoint.key);
+            let is_warming = rule.warmup_per_second.is_some() && endpoint.is_warming(now);
             EndpointUsage {
-                slots: usable_slots(record.slots, is_warming),
-                total: self.other_edges_load(&record.name) + own,
+                slots: usable_slots(endpoint.slots, is_warming),
+                total: other_edges + own,
                 own,
                 failure_rate: load.map_or(0.0, |load| load.failure_rate(now)),
             }
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -140,15 +140,23 @@
     pub(crate) fn available_endpoints(
         &self,
         service: &str,
-    ) -> impl Iterator<Item = (EndpointKey, &EndpointRecord)> {
+    ) -> impl Iterator<Item = &ReadyEndpoint> {
+        let domains = self
+            .endpoints
+            .domain_set(|domain| !self.drains.is_drained(domain));
         let ready = self.endpoints.ready(service);
-        ready.filter(|(_, record)| !self.drains.is_drained(&record.zone))
+        ready.filter(move |endpoint| domains.contains(endpoint.domain))
+    }
+
+    /// Failure domains that this edge can reach.
+    pub(crate) fn reachable_domains(&self) -> DomainSet {
+        self.endpoints
+            .domain_set(|domain| self.reach.is_reachable(domain))
     }
 
     /// Whether an endpoint wants no request from this edge now.
-    pub(crate) fn is_resting(&self, record: &EndpointRecord, now: ClockTime) -> bool {
-        // Rests are rare, and the key is a hash of the name.
-        !self.rests.is_empty() && self.rests.rest_left(record.incarnation(), now).is_some()
+    pub(crate) fn is_resting(&self, endpoint: &ReadyEndpoint, now: ClockTime) -> bool {
+        self.rests.rest_left(endpoint.incarnation, now).is_some()
     }
 
     /// Time until the first endpoint of a service takes requests again; `None` unless all of its
@@ -158,8 +166,8 @@
             return None;
         }
         let mut shortest = None;
-        for (_, record) in self.available_endpoints(service) {
-            let rest = self.rests.rest_left(record.incarnation(), now)?;
+        for endpoint in self.available_endpoints(service) {
+            let rest = self.rests.rest_left(endpoint.incarnation, now)?;
             shortest = Some(shortest.map_or(rest, |shortest: Duration| shortest.min(rest)));
         }
         shortest
@@ -298,19 +306,8 @@
         }
     }
 
-    /// Number of requests that other edges have in flight at an endpoint.
-    pub(crate) fn other_edges_load(&self, name: &str) -> u32 {
-        let home = self.home();
-        home.map_or(0, |link| link.other_edges_load(EndpointTag::of(name)))
-    }
-
-    /// Number of requests at an endpoint that this edge last reported to its home.
-    pub(crate) fn reported_load(&self, name: &str) -> u32 {
-        let home = self.home();
-        home.map_or(0, |link| link.report.count(EndpointTag::of(name)))
-    }
-
-    fn home(&self) -> Option<&RegistryLink> {
+    /// Link to the home registry, which reports the loads of all edges.
+    pub(crate) fn home(&self) -> Option<&RegistryLink> {
         self.links.values().find(|link| link.is_home)
     }
 
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -14,6 +14,7 @@
         EdgeShared,
         EdgeState, //
     },
+    registry_link::RegistryLink,
     request_plan::RequestPlan, //
 };
 
@@ -61,7 +62,8 @@
     let choice = ChoiceContext::new(shared, &state, plan, tried);
     let chosen = choice.choose(shared.settings.load_multiple)?;
     let prefix = choice.engine.and(plan.metadata.shared_prefix());
-    let warmup_rate = choice.warmup_rate.filter(|_| choice.is_warming(chosen.key));
+    let is_warming = state.endpoints.is_warming(chosen.key, choice.now);
+    let warmup_rate = choice.warmup_rate.filter(|_| is_warming);
     drop(state);
     if let Some(rate) = warmup_rate {
         let tag = EndpointTag::of(&chosen.name);
@@ -86,6 +88,10 @@
     holders: Vec<EndpointKey>,
     /// Key of the request's shared prefix; `None` if prefix locations are disabled.
     prefix: Option<u64>,
+    /// The registry that reports the loads of the other edges.
+    home: Option<&'a RegistryLink>,
+    /// Failure domains that this edge can reach.
+    reachable: DomainSet,
     mechanisms: &'a MechanismSettings,
     tried: &'a [EndpointKey],
     now: ClockTime,
@@ -113,6 +119,8 @@
             warmup_rate: service.and_then(|service| service.warmup_per_second),
             holders: holders.unwrap_or_default(),
             prefix,
+            home: state.home(),
+            reachable: state.reachable_domains(),
             mechanisms,
             tried,
             now,
@@ -154,51 +162,41 @@
     }
 
     /// Endpoints that may take the request.
-    fn candidates(&self) -> Vec<SelectionCandidate<'a>> {
-        let ready = self.state.available_endpoints(&self.plan.service);
-        let untried = ready.filter(|(key, _)| !self.tried.contains(key));
-        let untried = untried.filter(|(_, record)| !self.state.is_resting(record, self.now));
-        let untried = untried.filter(|(key, record)| self.may_send(*key, record));
-        let is_open = |key, record: &EndpointRecord| {
-            self.is_open(key) && self.state.reach.is_reachable(&record.zone)
+    fn candidates(&self) -> Vec<SelectionCandidate> {
+        let available = self.state.available_endpoints(&self.plan.service);
+        let untried = available.filter(|endpoint| !self.tried.contains(&endpoint.key));
+        let untried = untried.filter(|endpoint| !self.state.is_resting(endpoint, self.now));
+        let untried = untried.filter(|endpoint| self.may_send(endpoint));
+        let is_open = |endpoint: &&ReadyEndpoint| {
+            self.is_open(endpoint.key) && self.reachable.contains(endpoint.domain)
         };
-        let (open, paused): (Vec<_>, Vec<_>) =
-            untried.partition(|(key, record)| is_open(*key, record));
+        let (open, paused): (Vec<_>, Vec<_>) = untried.partition(is_open);
         // If all of them failed recently, trying one is still better than a refusal.
         let usable = if open.is_empty() { paused } else { open };
         let usable = usable.into_iter();
-        usable
-            .map(|(key, record)| self.candidate(key, record))
-            .collect()
+        usable.map(|endpoint| self.candidate(endpoint)).collect()
     }
 
-    fn candidate(&self, key: EndpointKey, record: &'a EndpointRecord) -> SelectionCandidate<'a> {
-        let load = self.state.loads.get(&key);
-        let other_edges_load = match self.engine {
-            Some(_) => self.state.other_edges_load(&record.name),
-            None => 0,
-        };
+    fn candidate(&self, endpoint: &ReadyEndpoint) -> SelectionCandidate {
+        let load = self.state.loads.get(&endpoint.key);
+        let home = self.home.filter(|_| self.engine.is_some());
+        let other_edges_load = home.map_or(0, |home| home.other_edges_load(endpoint.tag));
         SelectionCandidate {
-            key,
-            name: &record.name,
+            key: endpoint.key,
+            tag: endpoint.tag,
             load: load.map_or(other_edges_load, |load| {
                 load.estimate(other_edges_load, self.now)
             }),
-            slots: record.slots,
+            slots: endpoint.slots,
             failure_rate: load.map_or(0.0, |load| self.failing(load)),
-            holds_prefix: self.holders.contains(&key),
+            holds_prefix: self.holders.contains(&endpoint.key),
         }
     }
 
     /// Whether the endpoint is warm, or its warm-up limit allows this edge another request.
-    fn may_send(&self, key: EndpointKey, record: &EndpointRecord) -> bool {
-        let is_bounded = self.warmup_rate.is_some() && self.is_warming(key);
-        let tag = || EndpointTag::of(&record.name);
-        !is_bounded || self.state.warmups.may_send(tag(), self.now)
-    }
-
-    fn is_warming(&self, key: EndpointKey) -> bool {
-        self.state.endpoints.is_warming(key, self.now)
+    fn may_send(&self, endpoint: &ReadyEndpoint) -> bool {
+        let is_bounded = self.warmup_rate.is_some() && endpoint.is_warming(self.now);
+        !is_bounded || self.state.warmups.may_send(endpoint.tag, self.now)
     }
 
     fn is_open(&self, key: EndpointKey) -> bool {
