Compute the limit of a service when a request needs it

Cause: each edge summed up the load of all engines ten times a second and with every message of loads, whether or not a request came; at 986 edges a request comes once a second. It kept a load entry for each endpoint that had ever started, too, and walked them five times a second for its report. Change: a change of the load marks the limits as outdated; they are computed with the next request, or at once while requests are queued. Load entries that say no more than a new one are dropped.

--- a/crates/ragwortroad_dispatch/src/admission_gate.rs
+++ b/crates/ragwortroad_dispatch/src/admission_gate.rs
@@ -299,7 +299,8 @@
         });
     }
 
-    fn update_completion_rate(&mut self, now: ClockTime) {
+    /// Updates the completion rate if its window has passed; to be called several times per second.
+    pub fn update_completion_rate(&mut self, now: ClockTime) {
         let elapsed = now.since(self.rate_updated_at);
         if elapsed < RATE_WINDOW {
             return;
--- a/crates/ragwortroad_dispatch/src/endpoint_load.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_load.rs
@@ -22,6 +22,9 @@
 /// requests again, and the other endpoints would carry its share.
 const FAILURE_RATE_HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// Failure rate that makes no difference to any decision.
+const NEGLIGIBLE_FAILURE_RATE: f64 = 0.001;
+
 /// Load that an endpoint reports along with a response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LoadReading {
@@ -130,6 +133,14 @@
         now >= self.paused_until
     }
 
+    /// Returns whether nothing is known that a new entry would not say, too.
+    pub fn is_idle(&self, now: ClockTime) -> bool {
+        let is_read = |read_at| now.since(read_at) <= READING_TTL;
+        let is_quiet = self.own == 0 && self.failures == 0 && self.is_available(now);
+        let has_reading = self.reading.is_some_and(|(_, read_at, _)| is_read(read_at));
+        is_quiet && !has_reading && self.failure_rate(now) < NEGLIGIBLE_FAILURE_RATE
+    }
+
     /// Clears everything but the requests in flight, for an endpoint that has restarted.
     pub fn reset(&mut self) {
         *self = Self {
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -28,20 +28,23 @@
         estimate.or_default().note(time_left)
     }
 
-    /// Returns the gate of a service. A new gate starts with the limit derived from the current
-    /// load.
+    /// Returns the gate of a service, with a limit derived from the current load.
     pub(crate) fn gate_mut(&mut self, service: &str, now: ClockTime) -> &mut ServiceGate {
-        let is_new = !self.gates.contains_key(service);
-        let fleet = is_new.then(|| self.fleet_load(service, now)).flatten();
+        let gate = self.gates.get(service);
+        let is_due = gate.is_none_or(ServiceGate::is_limit_outdated);
+        let fleet = is_due.then(|| self.fleet_load(service, now)).flatten();
         let gates = self.gates.entry(service.to_owned());
-        gates.or_insert_with(|| {
-            let mut gate = ServiceGate::new(now);
+        let gate = gates.or_insert_with(|| ServiceGate::new(now));
+        if is_due {
             gate.update_limit(fleet, now);
-            gate
-        })
+        }
+        gate
     }
 
     /// Updates the concurrency limit of each service from the load of the fleet.
+    ///
+    /// Computing a limit reads all endpoints of the service, so one without queued requests gets its
+    /// limit with its next request.
     pub(crate) fn set_limits(&mut self, now: ClockTime) {
         let map = self.map.clone();
         let is_known = |service: &str| {
@@ -51,13 +54,16 @@
         // Services come and go with configurations, while requests for them may still be in flight.
         self.gates
             .retain(|service, gate| gate.is_used() || is_known(service));
-        let services: Vec<String> = self.gates.keys().cloned().collect();
-        for service in services {
-            let fleet = self.fleet_load(&service, now);
-            if let Some(gate) = self.gates.get_mut(&service) {
-                gate.update_limit(fleet, now);
+        let mut queued = Vec::new();
+        for (service, gate) in &mut self.gates {
+            gate.mark_limit_outdated(now);
+            if gate.gate().waiting() > 0 {
+                queued.push(service.clone());
             }
         }
+        for service in queued {
+            self.gate_mut(&service, now);
+        }
     }
 
     /// Load of a service's engines; `None` for a service without engines, and if no engine is
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -155,12 +155,7 @@
         sleep(TICK_INTERVAL).await;
         let now = shared.now();
         let mut state = shared.state.borrow_mut();
-        for key in state.endpoints.expire(now) {
-            state.loads.remove(&key);
-            state.prefixes.forget(key);
-        }
-        state.warmups.expire(now);
-        state.rests.expire(now);
+        state.expire(now);
         state.update_home(&shared.settings.name, shared.uptime(), now);
         match shared.settings.mechanisms.told_places {
             true => state.send_locations(),
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -66,6 +66,7 @@
     /// The configuration in force as a full delta for other edges, created on demand.
     pub(crate) full_config: Option<ConfigDelta>,
     pub(crate) endpoints: EndpointTable,
+    /// Loads of the endpoints that this edge has recently sent requests to.
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     /// Endpoints that want no request from this edge for some time.
     pub(crate) rests: RestTable,
@@ -212,7 +213,9 @@
     pub(crate) fn apply_change(&mut self, change: EndpointChange, now: ClockTime) {
         match change {
             EndpointChange::Started(key) => {
-                self.load_mut(key).reset();
+                if let Some(load) = self.loads.get_mut(&key) {
+                    load.reset();
+                }
                 self.prefixes.forget(key);
                 let name = self.endpoints.record(key).map(|record| &record.name);
                 let tag = name.map(|name| EndpointTag::of(name));
@@ -224,6 +227,17 @@
         }
     }
 
+    /// Removes what is out of date.
+    pub(crate) fn expire(&mut self, now: ClockTime) {
+        for key in self.endpoints.expire(now) {
+            self.loads.remove(&key);
+            self.prefixes.forget(key);
+        }
+        self.loads.retain(|_, load| !load.is_idle(now));
+        self.warmups.expire(now);
+        self.rests.expire(now);
+    }
+
     /// Updates the gauges that reflect the current state.
     pub(crate) fn set_gauges(&self, now: ClockTime) {
         let connected = self.links.values().filter(|link| link.queue.is_some());
--- a/crates/ragwortroad_edge/src/service_gate.rs
+++ b/crates/ragwortroad_edge/src/service_gate.rs
@@ -15,6 +15,8 @@
     latency_limit: LatencyLimit,
     /// Whether the limit comes from the fleet's load.
     has_fleet_limit: bool,
+    /// Whether the fleet's load may have changed since the limit was set.
+    is_limit_outdated: bool,
     /// Wakes a queued task on admission; dropped if the request is shed.
     waiting: HashMap<QueueTicket, oneshot::Sender<()>>,
 }
@@ -31,6 +33,7 @@
             gate: AdmissionGate::new(now),
             latency_limit: LatencyLimit::default(),
             has_fleet_limit: false,
+            is_limit_outdated: false,
             waiting: HashMap::new(),
         }
     }
@@ -48,11 +51,23 @@
     /// Sets the limit from the load of the fleet, or else from the learned response times.
     pub(crate) fn update_limit(&mut self, fleet: Option<FleetLoad>, now: ClockTime) {
         self.has_fleet_limit = fleet.is_some();
+        self.is_limit_outdated = false;
         let limit = fleet.map_or(self.latency_limit.limit(), |fleet| fleet.own_limit());
         self.gate.set_limit(limit, now);
         self.wake_waiters(now);
     }
 
+    /// Records that the fleet's load may have changed.
+    pub(crate) fn mark_limit_outdated(&mut self, now: ClockTime) {
+        self.is_limit_outdated = true;
+        self.gate.update_completion_rate(now);
+    }
+
+    /// Whether [`Self::update_limit`] is due before the next decision.
+    pub(crate) fn is_limit_outdated(&self) -> bool {
+        self.is_limit_outdated
+    }
+
     /// Records the response time of a service without engines, and its target.
     pub(crate) fn record_response(&mut self, latency: Duration, target: Duration, now: ClockTime) {
         let in_flight = self.gate.in_flight();
--- a/crates/ragwortroad_edge/src/tests.rs
+++ b/crates/ragwortroad_edge/src/tests.rs
@@ -1,13 +1,28 @@
-//! Accounting of gate slots between admission decisions and the tasks that wait for them.
+//! Accounting of gate slots between admission decisions and the tasks that wait for them, and the
+//! processor time of an idle edge.
 
-use std::time::Duration;
+use std::{
+    net::{
+        Ipv4Addr,
+        SocketAddr, //
+    },
+    rc::Rc,
+    time::Duration, //
+};
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_types::prelude::*;
+use rustix::time::{
+    ClockId,
+    clock_gettime, //
+};
 
-use crate::service_gate::{
-    GateDecision,
-    ServiceGate, //
+use crate::{
+    edge_state::EdgeState,
+    service_gate::{
+        GateDecision,
+        ServiceGate, //
+    }, //
 };
 
 fn request() -> AdmissionRequest {
@@ -64,3 +79,76 @@
     assert_eq!(gate.gate().in_flight(), 0);
     assert!(!gate.is_used());
 }
+
+/// State of an edge that knows `endpoints` engines of one service and has served a request.
+fn edge_beside(endpoints: u32, now: ClockTime) -> EdgeState {
+    let service = ServiceRule {
+        name: "llm".to_owned(),
+        max_connections: 1000,
+        warmup_per_second: Some(4.0),
+        engine: Some(EngineRule {
+            slots: 12,
+            memory_tokens: 500_000,
+            event_tokens: 17,
+            token_bytes: 0.0,
+            link_mbps: 0.0,
+        }),
+    };
+    let config = SiteConfig {
+        services: vec![service],
+        ..SiteConfig::default()
+    };
+    let mut state = EdgeState::default();
+    state.map = Some(Rc::new(RouteMap::new(config)));
+    state.edges = endpoints / 10;
+    for index in 0..endpoints {
+        let record = EndpointRecord {
+            name: format!("engine-{index}"),
+            service: "llm".to_owned(),
+            address: SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + index), 80)),
+            zone: format!("domain-{}", index % 5),
+            slots: 12,
+            stage: EndpointStage::Ready,
+            started_ms: 1000,
+            sequence: 1,
+            warming_ms: 0,
+        };
+        let change = state.endpoints.apply_record(SourceKey(0), record, now);
+        state.apply_change(change, now);
+    }
+    let gate = state.gate_mut("llm", now);
+    assert!(matches!(gate.offer(request(), now), GateDecision::Admitted));
+    gate.release(now);
+    state
+}
+
+/// Returns the processor time that the calling thread has used.
+fn thread_time() -> Duration {
+    let time = clock_gettime(ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+/// Guards against edges that spend their processor time on engines to which they send nothing.
+#[test]
+fn an_idle_edge_costs_the_same_in_a_large_fleet() {
+    const MAX_GROWTH: f64 = 3.0;
+    const ROUNDS: usize = 3;
+    let [small, large] = [2500, 20_000].map(|endpoints| {
+        let mut now = ClockTime(3_600_000);
+        let mut state = edge_beside(endpoints, now);
+        let rounds = (0..ROUNDS).map(|_| {
+            let started = thread_time();
+            for _ in 0..100 {
+                now = now.after(Duration::from_millis(100));
+                state.expire(now);
+                state.set_limits(now);
+                state.set_gauges(now);
+                state.send_loads();
+            }
+            thread_time() - started
+        });
+        rounds.min().expect("a round").as_secs_f64()
+    });
+    let growth = large / small;
+    assert!(growth < MAX_GROWTH, "{growth:.1} times the time of a tick");
+}
