Log endpoint updates at an edge once a message, not once an endpoint

What operators saw: ten million lines at the start of 986 edges with 10,002 endpoints, each of which the registry that heard the endpoint had logged. Cause: a line for each endpoint at each edge: endpoints x edges, and part of the processor time of a start (formatting and writing log lines took about 1.5 of 14.7 parts in a hundred of the processes' time). Change: a line for each message, with the numbers of endpoints that started, stopped and changed, and of those that are ready; single endpoints at the level debug.

--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -25,7 +25,8 @@
         EdgeShared,
         EdgeState, //
     },
-    registry_link::RegistryLink, //
+    registry_link::RegistryLink,
+    update_counts::UpdateCounts, //
 };
 
 /// Connects to the registries listed in the settings.
@@ -154,44 +155,63 @@
         LinkMessage::WantPlaces => shared.state.borrow().send_all_locations(source),
         LinkMessage::EndpointsWhole(records) => {
             let mut state = shared.state.borrow_mut();
+            let mut counts = UpdateCounts::default();
             for record in records {
-                apply_record(&mut state, source, record, now);
+                counts.add(apply_record(&mut state, source, record, now));
             }
             if let Some(link) = state.links.get_mut(&source) {
                 link.has_sent_all = true;
             }
+            counts.log(&state, source);
         }
         LinkMessage::EndpointUpdates(updates) => {
             let mut state = shared.state.borrow_mut();
+            let mut counts = UpdateCounts::default();
             for change in updates {
-                apply_update(&mut state, source, change, now);
+                counts.add(apply_update(&mut state, source, change, now));
             }
+            counts.log(&state, source);
         }
         other => tracing::warn!(?other, "unexpected message from a registry"),
     }
     refresh_config(shared);
 }
 
-fn apply_update(state: &mut EdgeState, source: SourceKey, change: RegistryChange, now: ClockTime) {
+fn apply_update(
+    state: &mut EdgeState,
+    source: SourceKey,
+    change: RegistryChange,
+    now: ClockTime,
+) -> EndpointChange {
     match change {
         RegistryChange::Told(record) | RegistryChange::Cooled(record) => {
-            apply_record(state, source, record, now);
+            apply_record(state, source, record, now)
+        }
+        RegistryChange::Lost(name) => {
+            state.endpoints.mark_lost(source, &name, now);
+            EndpointChange::Same
         }
-        RegistryChange::Lost(name) => state.endpoints.mark_lost(source, &name, now),
         RegistryChange::Goodbye(name) => {
             let change = state.endpoints.apply_goodbye(&name, now);
-            tracing::info!(endpoint = name, ?change, "endpoint left");
+            tracing::debug!(endpoint = name, ?change, "endpoint left");
             state.apply_change(change, now);
+            change
         }
     }
 }
 
-fn apply_record(state: &mut EdgeState, source: SourceKey, record: EndpointRecord, now: ClockTime) {
-    let name = record.name.clone();
+fn apply_record(
+    state: &mut EdgeState,
+    source: SourceKey,
+    record: EndpointRecord,
+    now: ClockTime,
+) -> EndpointChange {
+    let name = tracing::enabled!(tracing::Level::DEBUG).then(|| record.name.clone());
     let stage = record.stage;
     let change = state.endpoints.apply_record(source, record, now);
     if change != EndpointChange::Same {
-        tracing::info!(endpoint = name, ?stage, ?change, "endpoint update");
+        tracing::debug!(endpoint = name, ?stage, ?change, "endpoint update");
     }
     state.apply_change(change, now);
+    change
 }
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod stream_break;
 #[cfg(test)]
 mod tests;
+mod update_counts;
 
 /// The items that dependent crates usually import.
 pub mod prelude {
