Log the bytes sent to other processes by message kind

Cause: on the deployment of 1,000 VMs 0.449 GB crossed domains in 8 s of traffic, and neither a log nor a page that is read later says which messages these were.

--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -119,6 +119,9 @@
     let clients = listen(clients).await?;
     let readiness = listen(readiness).await?;
     let inner = listen(settings.inner_bind.unwrap_or(settings.inner)).await?;
+    if let Some(page) = &page {
+        spawn_local(page.clone().log_traffic());
+    }
     if let Some((page, address)) = page.zip(settings.metrics) {
         spawn_local(page.serve(listen(address).await?));
     }
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -133,6 +133,9 @@
     page: Option<MetricsPage>,
     settings: &ForwardSettings,
 ) -> Result<(), RegistryError> {
+    if let Some(page) = &page {
+        spawn_local(page.clone().log_traffic());
+    }
     if let Some((page, address)) = page.zip(settings.metrics) {
         spawn_local(page.serve(listen(address).await?));
     }
--- a/crates/ragwortroad_telemetry/src/metrics_page.rs
+++ b/crates/ragwortroad_telemetry/src/metrics_page.rs
@@ -1,4 +1,5 @@
 use std::{
+    collections::BTreeMap,
     convert::Infallible,
     time::Duration, //
 };
@@ -22,7 +23,11 @@
     HistogramOpts,
     HistogramVec,
     Registry,
-    TextEncoder, //
+    TextEncoder,
+    proto::{
+        LabelPair,
+        MetricFamily, //
+    }, //
 };
 use snafu::{
     ResultExt,
@@ -39,6 +44,7 @@
     BELIEVED_LOAD,
     CONTROL_CALL_SECONDS,
     GATE_WAIT_SECONDS,
+    LINK_BYTES,
     LINK_WAIT_SECONDS,
     STREAM_PAUSE_SECONDS, //
 };
@@ -66,6 +72,9 @@
     (BELIEVED_LOAD, &LOAD_BUCKETS, &[]),
 ];
 
+/// Interval between two log lines about the traffic to other processes.
+const TRAFFIC_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Delay before accepting again after a failed accept.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(100);
 
@@ -117,6 +126,33 @@
         })
     }
 
+    /// Logs the bytes queued for other processes by message kind every ten seconds, for as long as the
+    /// process runs.
+    ///
+    /// A page that nobody reads cannot tell afterwards what filled a link.
+    pub async fn log_traffic(self) {
+        loop {
+            sleep(TRAFFIC_LOG_INTERVAL).await;
+            let kinds = self.link_bytes();
+            if !kinds.is_empty() {
+                tracing::info!(?kinds, "bytes sent to other processes");
+            }
+        }
+    }
+
+    /// Bytes queued for other processes since the start, by message kind.
+    fn link_bytes(&self) -> BTreeMap<String, u64> {
+        let families = self.registry.gather();
+        let family = families.iter().find(|family| family.name() == LINK_BYTES);
+        let metrics = family.into_iter().flat_map(MetricFamily::get_metric);
+        let kinds = metrics.map(|metric| {
+            let labels = metric.get_label().iter().map(LabelPair::value);
+            let bytes = metric.get_counter().get_value() as u64;
+            (labels.collect(), bytes)
+        });
+        kinds.collect()
+    }
+
     /// Serves the page over HTTP on any path, for as long as the process runs.
     pub async fn serve(self, listener: TcpListener) {
         loop {
