Bound the bytes of bodies that an edge holds

What callers would see: an edge of 160 MB that holds forty bodies of 4 MB for endpoints or callers that read slowly is killed for its memory, and all its callers lose their requests. Nothing bounded the bodies of all requests together, nor the body of a single response. Cause: each request's body was collected within the operator's limit for one, each full response without any. Weighed: reserving a body's announced length (a few callers that send nothing would block the others); waiting for room (bodies that are half received wait for each other until their deadlines); charging what has arrived and refusing what has no room, which was taken. The last quarter of the budget is for bodies up to 64 KiB. A refused body is answered 503 with a time to come back: it has not run. A response without room counts as lost. Change: ByteBudget, a quarter of [vm] memory_mb; the gauge ragwortroad_body_bytes. Result: two tests without a network: 100 bodies of 4 MiB beside small ones, and 2,000 callers at a byte each beside 200 at once.

--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -35,6 +35,7 @@
 use crate::{
     EdgeError,
     EdgePort,
+    byte_budget::ByteBudget,
     config_exchange::serve_configs,
     config_update::refresh_config,
     connection_pool::ConnectionPool,
@@ -126,12 +127,14 @@
         spawn_local(page.serve(listen(address).await?));
     }
     let seeds = settings.seeds.clone();
+    let bodies = ByteBudget::for_memory(settings.memory_bytes);
     let shared = Rc::new(EdgeShared {
         settings,
         port,
         clock: RealClock::start(),
         state: RefCell::new(EdgeState::default()),
         pool: ConnectionPool::default(),
+        bodies,
         stop: Notify::new(),
         shutdown_imminent: watch::Sender::new(false),
     });
@@ -173,6 +176,7 @@
             state.send_loads();
         }
         drop(state);
+        metrics::gauge!(metric_names::BODY_BYTES).set(shared.bodies.held() as f64);
         shared.pool.expire(now);
         refresh_config(&shared);
     }
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -29,6 +29,7 @@
 
 use crate::{
     EdgePort,
+    byte_budget::ByteBudget,
     connection_pool::ConnectionPool,
     registry_link::RegistryLink,
     service_gate::ServiceGate, //
@@ -47,6 +48,8 @@
     pub(crate) clock: RealClock,
     pub(crate) state: RefCell<EdgeState>,
     pub(crate) pool: ConnectionPool,
+    /// Limits the bytes of request and response bodies.
+    pub(crate) bodies: ByteBudget,
     /// Notified when the edge should stop.
     pub(crate) stop: Notify,
     /// Set to true shortly before a draining edge stops; pending requests then get an error
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -239,15 +239,25 @@
             guard,
         }));
     }
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => {
-            return CallOutcome::Lost {
-                reason: format!("response body incomplete: {error}"),
-                is_timeout: is_timeout_error(&error),
-            };
+    let mut body = body;
+    let mut held = shared.bodies.hold();
+    while let Some(frame) = body.frame().await {
+        let frame = match frame {
+            Ok(frame) => frame,
+            Err(error) => {
+                return CallOutcome::Lost {
+                    reason: format!("response body incomplete: {error}"),
+                    is_timeout: is_timeout_error(&error),
+                };
+            }
+        };
+        if let Ok(chunk) = frame.into_data()
+            && let Err(error) = held.push(chunk)
+        {
+            return unusable_response(&error.to_string());
         }
-    };
+    }
+    let body = held.into_bytes();
     return_connection(shared, chosen.address, connection, &metadata);
     if metadata.is_not_run {
         let rest = metadata.rest;
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! of clients and endpoints is not known here: an [`EdgePort`] parses their headers and writes the
 //! edge's own.
 
+mod byte_budget;
 mod config_exchange;
 mod config_update;
 mod connection_pool;
--- a/crates/ragwortroad_edge/src/refusal_reason.rs
+++ b/crates/ragwortroad_edge/src/refusal_reason.rs
@@ -33,6 +33,8 @@
     TimedOut,
     /// The edge stops before the response could be complete.
     Stopping,
+    /// The edge holds too many bytes of other bodies.
+    NoMemory,
 }
 
 impl RefusalReason {
@@ -49,7 +51,8 @@
             | Self::Resting
             | Self::Overload
             | Self::NotRun
-            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Stopping
+            | Self::NoMemory => StatusCode::SERVICE_UNAVAILABLE,
             // The content has run before, so a status that promises that it has not is ruled out.
             Self::Unknown | Self::Quarantined => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
@@ -74,6 +77,7 @@
             Self::Quarantined => "quarantined",
             Self::TimedOut => "timed_out",
             Self::Stopping => "stopping",
+            Self::NoMemory => "no_memory",
         }
     }
 
@@ -94,6 +98,7 @@
             Self::Unknown => "an endpoint failed; whether the request ran is not known",
             Self::Quarantined => "endpoints crashed under this request; do not send it again",
             Self::Stopping => "this address is about to close; use another one",
+            Self::NoMemory => "too many large bodies at once; come back after the time given",
             Self::TimedOut => "the time is over; whether the request ran is not known",
         }
     }
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -83,7 +83,7 @@
                 RefusalReason::Starting => {
                     Some(time_to_ready(shared.uptime()) + short_retry_after())
                 }
-                RefusalReason::Stopping => Some(short_retry_after()),
+                RefusalReason::Stopping | RefusalReason::NoMemory => Some(short_retry_after()),
                 _ => None,
             };
             refusal_response(reason, retry_after)
--- a/crates/ragwortroad_edge/src/request_reading.rs
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -26,6 +26,7 @@
 
 use crate::{
     RequestMetadata,
+    byte_budget::ByteBudget,
     edge_state::EdgeShared,
     refusal_reason::RefusalReason,
     request_plan::{
@@ -76,7 +77,7 @@
     let service = map.draw_target(target.route, rand::random()).to_owned();
     let limit = map.config().limits.max_body_bytes;
     let body = match body {
-        RequestBody::Unread(body) => read_body(body, limit, deadline).await,
+        RequestBody::Unread(body) => read_body(&shared.bodies, body, limit, deadline).await,
         RequestBody::Read(body) if body.len() > limit => Err(RefusalReason::TooLarge),
         RequestBody::Read(body) => Ok(body),
     };
@@ -122,7 +123,7 @@
     let time_left = metadata.time_left.unwrap_or(DEFAULT_TIMEOUT);
     let wait_until = received_at + shared.start_wait(time_left);
     let limit = ClientLimits::default().max_body_bytes;
-    let body = read_body(body, limit, received_at + time_left).await?;
+    let body = read_body(&shared.bodies, body, limit, received_at + time_left).await?;
     loop {
         let current_map = shared.state.borrow().map.clone();
         if let Some(map) = current_map {
@@ -154,17 +155,28 @@
 }
 
 async fn read_body(
+    budget: &ByteBudget,
     body: Incoming,
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, RefusalReason> {
-    match timeout_at(deadline, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(RefusalReason::TooLarge),
-        Ok(Err(error)) => {
-            tracing::debug!(%error, "request body incomplete");
-            Err(RefusalReason::CutBody)
+    let mut body = Limited::new(body, limit);
+    let mut held = budget.hold();
+    loop {
+        let frame = match timeout_at(deadline, body.frame()).await {
+            Ok(None) => return Ok(held.into_bytes()),
+            Ok(Some(Ok(frame))) => frame,
+            Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
+                return Err(RefusalReason::TooLarge);
+            }
+            Ok(Some(Err(error))) => {
+                tracing::debug!(%error, "request body incomplete");
+                return Err(RefusalReason::CutBody);
+            }
+            Err(_) => return Err(RefusalReason::SlowBody),
+        };
+        if let Ok(chunk) = frame.into_data() {
+            held.push(chunk).map_err(|_| RefusalReason::NoMemory)?;
         }
-        Err(_) => Err(RefusalReason::SlowBody),
     }
 }
--- a/crates/ragwortroad_edge/src/tests.rs
+++ b/crates/ragwortroad_edge/src/tests.rs
@@ -1,5 +1,5 @@
-//! Accounting of gate slots between admission decisions and the tasks that wait for them, and the
-//! processor time of an idle edge.
+//! Accounting of gate slots between admission decisions and the tasks that wait for them, the bytes of
+//! bodies, and the processor time of an idle edge.
 
 use std::{
     net::{
@@ -10,6 +10,7 @@
     time::Duration, //
 };
 
+use bytes::Bytes;
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_types::prelude::*;
 use rustix::time::{
@@ -18,6 +19,7 @@
 };
 
 use crate::{
+    byte_budget::ByteBudget,
     edge_state::EdgeState,
     service_gate::{
         GateDecision,
@@ -152,3 +154,54 @@
     let growth = large / small;
     assert!(growth < MAX_GROWTH, "{growth:.1} times the time of a tick");
 }
+
+/// Receives a body in chunks of 16 KiB; `None` if the budget refuses it.
+fn receive(budget: &ByteBudget, length: usize) -> Option<Bytes> {
+    const CHUNK_BYTES: usize = 16 << 10;
+    let mut held = budget.hold();
+    let mut left = length;
+    while left > 0 {
+        let chunk = vec![0; left.min(CHUNK_BYTES)];
+        left -= chunk.len();
+        held.push(Bytes::from(chunk)).ok()?;
+    }
+    Some(held.into_bytes())
+}
+
+/// Guards against an edge that is killed for its memory while slow readers hold large bodies.
+#[test]
+fn bodies_stay_within_the_budget_and_small_ones_get_through() {
+    const MEMORY: usize = 160 << 20;
+    const LARGE: usize = 4 << 20;
+    let budget = ByteBudget::for_memory(MEMORY);
+    let large: Vec<Bytes> = (0..100).map_while(|_| receive(&budget, LARGE)).collect();
+    assert!(large.len() * LARGE <= MEMORY / 4, "{} held", large.len());
+    assert!(receive(&budget, LARGE).is_none());
+    let small: Vec<Bytes> = (0..100).map_while(|_| receive(&budget, 60 << 10)).collect();
+    assert_eq!(small.len(), 100, "large bodies leave room for small ones");
+    drop(large);
+    assert!(
+        receive(&budget, LARGE).is_some(),
+        "dropped bodies are not charged"
+    );
+    drop(small);
+    assert_eq!(budget.held(), 0);
+}
+
+/// Guards against clients that send a byte a second and take the room of those that send at once.
+#[test]
+fn slow_uploads_are_charged_for_what_has_arrived() {
+    let budget = ByteBudget::for_memory(16 << 20);
+    let slow: Vec<_> = (0..2000)
+        .map(|_| {
+            let mut held = budget.hold();
+            held.push(Bytes::from_static(b"x"))
+                .expect("room for a byte");
+            held
+        })
+        .collect();
+    let quick: Vec<Bytes> = (0..200).map_while(|_| receive(&budget, 10_000)).collect();
+    assert_eq!(quick.len(), 200);
+    drop(slow);
+    assert_eq!(budget.held(), 200 * 10_000);
+}
--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -27,6 +27,8 @@
     settings_reader::SettingsReader, //
 };
 
+const BYTES_PER_MEGABYTE: f64 = 1_048_576.0;
+
 /// Settings of an edge or a registry: a process of a fleet that forwards requests by host and path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ForwardSettings {
@@ -54,6 +56,8 @@
     pub directory: Option<SocketAddr>,
     /// Capacity of the VM's link, in megabits per second.
     pub link_mbps: f64,
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: usize,
     /// Address on which the process serves its metrics.
     pub metrics: Option<SocketAddr>,
     /// Folder for a registry's durable data.
@@ -103,6 +107,7 @@
             directory: None,
             metrics: None,
             link_mbps: 100.0,
+            memory_bytes: 256 << 20,
             data_folder: None,
             data_quota: None,
             trust_disk: false,
@@ -146,6 +151,7 @@
         let inner = reader.required_value("vm", "inner", address);
         let first_start = reader.optional_value("vm", "first_start", "false");
         let link_mbps: Option<f64> = reader.optional_value("vm", "link_mbps", "100");
+        let memory_mb: Option<f64> = reader.optional_value("vm", "memory_mb", "256");
         let trust_disk = reader.optional_value("registry", "trust_disk", "false");
         let span = |reader: &mut SettingsReader<'_>, key, value| {
             reader.millis("bounds", key, value, (1, 3_600_000))
@@ -166,6 +172,11 @@
             link_mbps: link_mbps
                 .filter(|mbps| *mbps > 0.0)
                 .unwrap_or(default.link_mbps),
+            memory_bytes: memory_mb
+                .filter(|megabytes| *megabytes > 0.0)
+                .map_or(default.memory_bytes, |megabytes| {
+                    (megabytes * BYTES_PER_MEGABYTE) as usize
+                }),
             data_folder: reader
                 .text("registry", "data_folder")
                 .filter(|text| !text.is_empty())
--- a/crates/ragwortroad_telemetry/src/metric_names.rs
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -24,6 +24,8 @@
 pub const GATE_LIMIT: &str = "ragwortroad_gate_limit";
 /// Requests queued at the admission gate, by `service`.
 pub const GATE_WAITING: &str = "ragwortroad_gate_waiting";
+/// Bytes of request and response bodies that this edge holds.
+pub const BODY_BYTES: &str = "ragwortroad_body_bytes";
 /// Requests currently in flight.
 pub const REQUESTS_IN_FLIGHT: &str = "ragwortroad_requests_in_flight";
 /// Estimated number of requests at the chosen endpoint when this edge sent another one there.
