Read how fast an endpoint's VM works at this moment

What callers saw: nothing measured yet; on deployments whose replicas share their VMs, a request went to a replica that works at a fraction of its speed as readily as to another one. Cause: the fourth figure of a replica's load was dropped by the adapter. Change: it is read, counts for 300 ms and within a tenth and twenty times the usual, and weighs the load where replicas are compared: of a plain service, of two holders of a prefix, and of engines that are all busy. The bound on skew counts requests, as before. An absent or implausible figure counts as usual; three figures change nothing. Result: two tests without a network. An edge hears a given engine every few seconds, so the figure is mostly too old by then; nothing is probed for it.

--- a/crates/ragwortroad_dispatch/src/endpoint_load.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_load.rs
@@ -1,4 +1,7 @@
-use std::time::Duration;
+use std::{
+    ops::RangeInclusive,
+    time::Duration, //
+};
 
 use ragwortroad_types::prelude::*;
 
@@ -7,6 +10,15 @@
 /// The counts that edges exchange are at most that old and cover the same requests.
 const READING_TTL: Duration = Duration::from_millis(600);
 
+/// Age from which the speed in an endpoint's reading is ignored; it changes many times per second.
+const SPEED_TTL: Duration = Duration::from_millis(300);
+
+/// Time that work takes on a VM that is not slowed down by others, in percent.
+const USUAL_TIME_PERCENT: u32 = 100;
+
+/// Range of plausible times in percent; a reading outside counts as usual.
+const PLAUSIBLE_TIME_PERCENT: RangeInclusive<u32> = 10..=2000;
+
 /// Pause after an endpoint's first failure; it doubles with each further one.
 const INITIAL_PAUSE: Duration = Duration::from_millis(500);
 
@@ -32,6 +44,18 @@
     pub running: u32,
     /// Requests queued at the endpoint.
     pub waiting: u32,
+    /// How long work takes on its VM at this moment, in percent of the usual time.
+    pub time_percent: u32,
+}
+
+impl Default for LoadReading {
+    fn default() -> Self {
+        Self {
+            running: 0,
+            waiting: 0,
+            time_percent: USUAL_TIME_PERCENT,
+        }
+    }
 }
 
 /// Load and health of one endpoint, as seen by one edge.
@@ -89,6 +113,15 @@
         adjusted.max(counted)
     }
 
+    /// Returns how long work takes at the endpoint at this moment, as a multiple of the usual time.
+    pub fn time_factor(&self, now: ClockTime) -> f64 {
+        let fresh = self.reading;
+        let fresh = fresh.filter(|(_, read_at, _)| now.since(*read_at) <= SPEED_TTL);
+        let percent = fresh.map(|(reading, ..)| reading.time_percent);
+        let percent = percent.filter(|percent| PLAUSIBLE_TIME_PERCENT.contains(percent));
+        f64::from(percent.unwrap_or(USUAL_TIME_PERCENT)) / f64::from(USUAL_TIME_PERCENT)
+    }
+
     /// Records a response that shows the endpoint healthy.
     pub fn note_success(&mut self, now: ClockTime) {
         self.failures = 0;
--- a/crates/ragwortroad_dispatch/src/endpoint_selection.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_selection.rs
@@ -1,4 +1,7 @@
-use std::borrow::Cow;
+use std::{
+    borrow::Cow,
+    cmp::Ordering, //
+};
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -71,6 +74,8 @@
     pub slots: u32,
     /// Recent failure rate, from 0 to 1.
     pub failure_rate: f64,
+    /// How long work takes there at this moment, as a multiple of the usual time.
+    pub time_factor: f64,
     /// Whether it has the request's shared prefix in its cache.
     pub holds_prefix: bool,
 }
@@ -82,6 +87,11 @@
     fn has_free_slot(&self) -> bool {
         self.slots == 0 || self.load < self.slots
     }
+
+    /// Time that another request would take there, compared with that at other candidates.
+    fn expected_time(&self) -> f64 {
+        f64::from(self.load + 1) * self.time_factor
+    }
 }
 
 /// Properties of a request that its endpoint is selected by.
@@ -140,7 +150,11 @@
         let free = free.filter(|candidate| is_below(candidate, settings.load_multiple));
         free.max_by_key(|candidate| rank(candidate))
     };
-    let least = || healthy.iter().min_by_key(|candidate| candidate.load);
+    let least = || {
+        healthy
+            .iter()
+            .min_by(|one, other| compare_times(one, other))
+    };
     let chosen = holder.or_else(first).or_else(least);
     chosen.map(|candidate| candidate.key)
 }
@@ -165,7 +179,7 @@
     let step = 1 + (rest * count.saturating_sub(1) as f64) as usize;
     let first = open.get(one)?;
     let second = open.get((one + step) % count)?;
-    Some(match second.load < first.load {
+    Some(match second.expected_time() < first.expected_time() {
         true => second,
         false => first,
     })
@@ -188,10 +202,14 @@
     let offset = (request.draw * healthy.len() as f64) as usize;
     let turned = healthy.iter().cycle().skip(offset).take(healthy.len());
     turned
-        .min_by_key(|candidate| candidate.load)
+        .min_by(|one, other| compare_times(one, other))
         .map(|candidate| candidate.key)
 }
 
+fn compare_times(one: &SelectionCandidate, other: &SelectionCandidate) -> Ordering {
+    one.expected_time().total_cmp(&other.expected_time())
+}
+
 /// Returns the candidates that are not failing, or all of them if most are.
 fn healthy_candidates(candidates: &[SelectionCandidate]) -> Cow<'_, [SelectionCandidate]> {
     filter_healthy(candidates, |candidate| candidate.failure_rate)
--- a/crates/ragwortroad_dispatch/tests/admission.rs
+++ b/crates/ragwortroad_dispatch/tests/admission.rs
@@ -328,6 +328,7 @@
     let engine = |key: u32, load, holds_prefix| SelectionCandidate {
         key: EndpointKey(key),
         tag: EndpointTag::of(["one", "two", "three"][key as usize]),
+        time_factor: 1.0,
         load,
         slots: 12,
         failure_rate: 0.0,
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -295,6 +295,7 @@
     let reading = LoadReading {
         running: 5,
         waiting: 2,
+        ..LoadReading::default()
     };
     load.note_reading(reading, at(0));
     assert_eq!(load.estimate(0, at(10)), 7);
@@ -368,3 +369,23 @@
     table.apply_record(THERE, restarted, at(10_010));
     assert_eq!(ready(&table), ["e"]);
 }
+
+/// Guards against an old or implausible speed that makes an endpoint look fast or slow.
+#[test]
+fn a_speed_counts_only_while_it_is_fresh_and_plausible() {
+    let factor = |time_percent, ms| {
+        let mut load = EndpointLoad::default();
+        let reading = LoadReading {
+            time_percent,
+            ..LoadReading::default()
+        };
+        load.note_reading(reading, at(0));
+        load.time_factor(at(ms))
+    };
+    assert_eq!(factor(250, 0), 2.5);
+    assert_eq!(factor(250, 300), 2.5);
+    assert_eq!(factor(250, 301), 1.0);
+    assert_eq!(factor(0, 0), 1.0);
+    assert_eq!(factor(u32::MAX, 0), 1.0);
+    assert_eq!(EndpointLoad::default().time_factor(at(0)), 1.0);
+}
--- a/crates/ragwortroad_dispatch/tests/overload/model.rs
+++ b/crates/ragwortroad_dispatch/tests/overload/model.rs
@@ -345,6 +345,7 @@
             .map(|engine| SelectionCandidate {
                 key: EndpointKey(engine as u32),
                 tag: EndpointTag::of(&self.names[engine]),
+                time_factor: 1.0,
                 load: edge_state.own[engine] + edge_state.others[engine],
                 slots: self.scenario.slots,
                 failure_rate: 0.0,
--- a/crates/ragwortroad_dispatch/tests/selection.rs
+++ b/crates/ragwortroad_dispatch/tests/selection.rs
@@ -27,6 +27,7 @@
     SelectionCandidate {
         key: EndpointKey(key),
         tag: EndpointTag::of(name),
+        time_factor: 1.0,
         load,
         slots: 128,
         failure_rate: 0.0,
@@ -371,3 +372,26 @@
         "unused holders expire"
     );
 }
+
+/// Guards against requests that wait at a replica whose VM works at a fraction of its speed.
+#[test]
+fn a_slowed_replica_gets_requests_only_when_the_others_are_busier() {
+    let names = names(2);
+    let choose = |load, time_factor, draw| {
+        let candidates = [
+            candidate(0, &names[0], load),
+            SelectionCandidate {
+                time_factor,
+                ..candidate(1, &names[1], 0)
+            },
+        ];
+        let request = SelectionRequest { draw, ..request(7) };
+        choose_replica(&candidates, request)
+    };
+    for draw in [0.0, 0.6] {
+        assert_eq!(choose(0, 3.0, draw), Some(EndpointKey(0)));
+        assert_eq!(choose(1, 3.0, draw), Some(EndpointKey(0)));
+        assert_eq!(choose(3, 3.0, draw), Some(EndpointKey(1)));
+        assert_eq!(choose(1, 1.0, draw), Some(EndpointKey(1)));
+    }
+}
--- a/crates/ragwortroad_dispatch/tests/warmups.rs
+++ b/crates/ragwortroad_dispatch/tests/warmups.rs
@@ -87,6 +87,7 @@
                 .map(|&engine| SelectionCandidate {
                     key: EndpointKey(engine as u32),
                     tag: EndpointTag::of(&names[engine]),
+                    time_factor: 1.0,
                     load: 0,
                     slots: SLOTS,
                     failure_rate: 0.0,
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -189,6 +189,7 @@
             }),
             slots: endpoint.slots,
             failure_rate: load.map_or(0.0, |load| self.failing(load)),
+            time_factor: load.map_or(1.0, |load| load.time_factor(self.now)),
             holds_prefix: self.holders.contains(&endpoint.key),
         }
     }
