Do not blame an endpoint for a stream that its client did not read

What callers would see: a replica cuts a response that stays unread for some seconds. A few callers that do not read made healthy replicas count as failing, started a check whether they had crashed, and took repeats from the budget of all, each repeat to be cut again. Cause: a broken stream was the endpoint's fault, whoever had held it up; after a pause of the caller the endpoint's silence was measured from before it. Weighed: reading ahead for a caller that does not read (frees the endpoint's slot earlier, for as much memory as all their streams; a stream of these deployments is a few kilobytes and fits what a connection buffers) and resuming the stream elsewhere (a second slot for a caller that has not read the first). Taken: the stream ends there, truthfully cut; the caller can resume it after its last event. Change: ReadStall tells a caller that took nothing for a second from an endpoint that sent nothing; a break within a second after that is neither a failure of the endpoint nor resumed here. Result: one test without a network.

--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -26,6 +26,7 @@
 mod gate_permit;
 mod http_server;
 mod in_flight_guard;
+mod read_stall;
 mod refusal_reason;
 mod refusal_response;
 mod registry_link;
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -41,6 +41,7 @@
     endpoint_choice::choose_endpoint,
     endpoint_connection::is_timeout_error,
     gate_permit::GatePermit,
+    read_stall::ReadStall,
     request_plan::RequestPlan,
     stream_break::StreamBreak, //
 };
@@ -90,6 +91,7 @@
     /// Fires when the deadline or the idle timeout expires.
     timer: Pin<Box<Sleep>>,
     last_bytes_at: Instant,
+    stall: ReadStall,
     is_over: bool,
     /// Held until the client has received everything or has disconnected.
     _permit: GatePermit,
@@ -117,6 +119,7 @@
             longest_pause: Duration::ZERO,
             timer: Box::pin(sleep_until(now)),
             last_bytes_at: now,
+            stall: ReadStall::default(),
             is_over: false,
             _permit: permit,
         };
@@ -126,6 +129,11 @@
 
     /// Polls for the next complete events.
     pub(crate) fn poll_events(&mut self, context: &mut Context<'_>) -> Poll<NextEvents> {
+        if self.stall.note_wanted(self.shared.now()) {
+            // The endpoint could not send, so its silence says nothing.
+            self.last_bytes_at = Instant::now();
+            self.reset_timer();
+        }
         loop {
             if self.is_over {
                 return Poll::Ready(None);
@@ -154,6 +162,7 @@
                     return Poll::Pending;
                 }
                 Poll::Ready(UpstreamStep::Events(bytes)) => {
+                    self.stall.note_handed_over(self.shared.now());
                     return Poll::Ready(Some(Ok(Frame::data(bytes))));
                 }
                 Poll::Ready(UpstreamStep::Partial) => {}
@@ -248,13 +257,14 @@
     fn handle_break(&mut self, cause: StreamBreak) -> Option<Poll<NextEvents>> {
         let now = self.shared.now();
         let key = self.upstream.take().map(|upstream| upstream.guard.key());
-        if let Some(key) = key {
+        let is_stalled = self.stall.explains_break(now);
+        if let Some(key) = key.filter(|_| !is_stalled) {
             let mut state = self.shared.state.borrow_mut();
             state.load_mut(key).note_bad_response(now);
         }
         let reason = cause.reason;
         let check = key
-            .filter(|_| cause.is_cut)
+            .filter(|_| cause.is_cut && !is_stalled)
             .map(|key| CrashCheck::start(&self.shared, self.plan.digest(), key));
         let endpoint = key.and_then(|key| {
             let state = self.shared.state.borrow();
@@ -265,8 +275,11 @@
         let rule = self.plan.rule();
         let has_time = Instant::now() < self.plan.deadline;
         let is_enabled = self.shared.settings.mechanisms.resume;
-        let may_resume =
-            is_enabled && has_time && rule.is_repeatable() && self.attempts < rule.max_attempts;
+        let may_resume = is_enabled
+            && !is_stalled
+            && has_time
+            && rule.is_repeatable()
+            && self.attempts < rule.max_attempts;
         let may_resume = may_resume && {
             let mut state = self.shared.state.borrow_mut();
             let budget = state.budget_mut(&self.plan.service, &self.shared.settings, now);
@@ -278,6 +291,7 @@
             after_event = self.framer.last_event_id(),
             attempts = self.attempts,
             resumes = may_resume,
+            stalled = is_stalled,
             endpoint,
             content = %self.plan.digest(),
             "stream broken"
--- a/crates/ragwortroad_edge/src/tests.rs
+++ b/crates/ragwortroad_edge/src/tests.rs
@@ -1,5 +1,5 @@
 //! Accounting of gate slots between admission decisions and the tasks that wait for them, the bytes of
-//! bodies, and the processor time of an idle edge.
+//! bodies, clients that do not read, and the processor time of an idle edge.
 
 use std::{
     net::{
@@ -21,6 +21,7 @@
 use crate::{
     byte_budget::ByteBudget,
     edge_state::EdgeState,
+    read_stall::ReadStall,
     service_gate::{
         GateDecision,
         ServiceGate, //
@@ -205,3 +206,19 @@
     drop(slow);
     assert_eq!(budget.held(), 200 * 10_000);
 }
+
+/// Guards against healthy endpoints that are blamed for a response that its client did not read.
+#[test]
+fn a_break_after_a_stall_of_the_client_is_not_blamed_on_the_endpoint() {
+    let at = |ms: u64| ClockTime(3_600_000 + ms);
+    let mut stall = ReadStall::default();
+    assert!(!stall.note_wanted(at(0)));
+    stall.note_handed_over(at(10));
+    assert!(!stall.note_wanted(at(11)), "the client reads at once");
+    assert!(!stall.explains_break(at(4000)), "the endpoint was silent");
+    assert!(!stall.note_wanted(at(5000)), "the endpoint was awaited");
+    stall.note_handed_over(at(5000));
+    assert!(stall.note_wanted(at(9000)), "the client has not read");
+    assert!(stall.explains_break(at(9100)));
+    assert!(!stall.explains_break(at(11_000)), "the stall is long over");
+}
