--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -69,8 +69,10 @@
     addresses: HashMap<SocketAddr, Vec<EndpointKey>>,
     /// Invariant: holds exactly the entries whose stage is `Ready`.
     ready: ReadyIndex,
-    /// Invariant: holds exactly the entries with `unheld_since`.
-    unheld: BTreeSet<EndpointKey>,
+    /// When entries that no registry reports are forgotten.
+    ///
+    /// Invariant: holds each entry with its `forget_at`, if it has one.
+    expiries: BTreeSet<(ClockTime, EndpointKey)>,
     /// Names of failure domains, by `DomainKey`.
     domains: Vec<String>,
     next_key: u32,
@@ -83,6 +85,8 @@
     holders: BTreeSet<SourceKey>,
     /// Since when no registry has reported the endpoint, or it has been known to be gone.
     unheld_since: Option<ClockTime>,
+    /// When the endpoint is forgotten, as entered in the table's expiries.
+    forget_at: Option<ClockTime>,
     /// Whether the endpoint has said in a response that it leaves.
     ///
     /// Invariant: while true, the stage of `record` is not `Ready`.
@@ -184,6 +188,7 @@
             record,
             holders: BTreeSet::from([source]),
             unheld_since: gone.then_some(now),
+            forget_at: None,
             is_leaving: false,
             is_lost: false,
             undrain_warmup_until: ClockTime::ZERO,
@@ -307,29 +312,36 @@
     /// Records that the connection to the registry `source` was lost, so its reports no longer
     /// count.
     pub fn drop_source(&mut self, source: SourceKey, now: ClockTime) {
+        let mut unheld = Vec::new();
         for (&key, entry) in &mut self.entries {
             if entry.holders.remove(&source) {
                 entry.note_unheld(now);
-            }
-            if entry.unheld_since.is_some() {
-                self.unheld.insert(key);
+                unheld.push(key);
             }
         }
+        for key in unheld {
+            self.update_indexes(key);
+        }
     }
 
     /// Removes endpoints that no registry has reported for long enough; returns their keys.
     pub fn expire(&mut self, now: ClockTime) -> Vec<EndpointKey> {
-        let entries = &self.entries;
-        let is_due = |key: &EndpointKey| entries.get(key).is_some_and(|entry| entry.is_due(now));
-        let due: Vec<EndpointKey> = self.unheld.iter().copied().filter(is_due).collect();
-        for &key in &due {
+        let mut forgotten = Vec::new();
+        while let Some(&(forget_at, key)) = self.expiries.first()
+            && forget_at <= now
+        {
             self.remove(key);
+            forgotten.push(key);
         }
-        due
+        forgotten.sort_unstable();
+        forgotten
     }
 
     fn remove(&mut self, key: EndpointKey) {
-        let Some(EndpointEntry { record, .. }) = self.entries.remove(&key) else {
+        let Some(EndpointEntry {
+            record, forget_at, ..
+        }) = self.entries.remove(&key)
+        else {
             return;
         };
         self.names.remove(&record.name);
@@ -340,7 +352,9 @@
         }
         self.remove_address(record.address, key);
         self.ready.remove(&record.service, key);
-        self.unheld.remove(&key);
+        if let Some(forget_at) = forget_at {
+            self.expiries.remove(&(forget_at, key));
+        }
     }
 
     fn remove_address(&mut self, address: SocketAddr, key: EndpointKey) {
@@ -353,15 +367,18 @@
         }
     }
 
-    /// Restores the invariants of `ready` and `unheld` for an entry that has changed.
+    /// Restores the invariants of `ready` and `expiries` for an entry that has changed.
     fn update_indexes(&mut self, key: EndpointKey) {
-        let Some(entry) = self.entries.get(&key) else {
+        let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
-        match entry.unheld_since {
-            Some(_) => self.unheld.insert(key),
-            None => self.unheld.remove(&key),
-        };
+        let forget_at = entry.forget_time();
+        if entry.forget_at != forget_at {
+            if let Some(former) = std::mem::replace(&mut entry.forget_at, forget_at) {
+                self.expiries.remove(&(former, key));
+            }
+            self.expiries.extend(forget_at.map(|time| (time, key)));
+        }
         let record = &entry.record;
         if record.stage != EndpointStage::Ready {
             self.ready.remove(&record.service, key);
@@ -445,16 +462,15 @@
         self.warm_at.max(self.undrain_warmup_until)
     }
 
-    /// Whether no registry has reported the endpoint for long enough to forget it.
-    fn is_due(&self, now: ClockTime) -> bool {
+    /// When the endpoint is to be forgotten; `None` while a registry reports it.
+    fn forget_time(&self) -> Option<ClockTime> {
         let limit = match self.record.stage {
             EndpointStage::Gone => GOODBYE_TTL,
             _ if self.is_leaving => GOODBYE_TTL,
             _ if self.is_lost => LOST_TTL,
             _ => ORPHAN_TTL,
         };
-        self.unheld_since
-            .is_some_and(|since| now.since(since) >= limit)
+        self.unheld_since.map(|since| since.after(limit))
     }
 
     fn note_unheld(&mut self, now: ClockTime) {
--- a/crates/ragwortroad_dispatch/tests/growth.rs
+++ b/crates/ragwortroad_dispatch/tests/growth.rs
@@ -92,6 +92,24 @@
     assert!(growth < MAX_GROWTH, "{growth:.1} times the time of a tick");
 }
 
+/// Guards against edges that look through all endpoints that left within the last minute.
+#[test]
+fn a_tick_after_many_departures_costs_the_same_in_a_large_fleet() {
+    let [small, large] = FLEETS.map(|endpoints| {
+        let mut table = fleet(endpoints);
+        for index in 0..endpoints {
+            table.apply_goodbye(&format!("endpoint-{index}"), at(1));
+        }
+        shortest(|| {
+            for tick in 0..200 {
+                assert!(table.expire(at(tick * 100)).is_empty());
+            }
+        })
+    });
+    let growth = large / small;
+    assert!(growth < MAX_GROWTH, "{growth:.1} times the time of a tick");
+}
+
 /// Guards against restarts of engines whose cost at each edge grows with the prefixes it knows.
 #[test]
 fn a_restarted_engine_costs_the_same_beside_many_prefixes() {
