Merge the registries' edges when a view changes, not at each look-up

Cause: a directory merged the views of all registries, each of all edges, for each look-up (14 x 986 addresses into a set), and formatted and hashed a text for each edge: registries x edges x look-ups. Change: ready edges with the number of views that hold them, kept while views change; edges are ranked by a hash of the two addresses' bytes.

--- a/crates/ragwortroad_dispatch/src/address_choice.rs
+++ b/crates/ragwortroad_dispatch/src/address_choice.rs
@@ -6,7 +6,10 @@
     time::Duration, //
 };
 
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{
+    xxh3_64,
+    xxh3_64_with_seed, //
+};
 
 /// Selects up to `most` of the ready edges for one client to connect to.
 ///
@@ -16,13 +19,32 @@
 /// client's address and the edge's (rendezvous hashing) changes one client's response only when
 /// edges come or go, and names each edge about equally often over all clients.
 pub fn choose_addresses(asker: IpAddr, mut ready: Vec<SocketAddr>, most: usize) -> Vec<SocketAddr> {
-    if ready.len() > most {
-        ready.sort_by_cached_key(|edge| xxh3_64(format!("{asker} {edge}").as_bytes()));
-        ready.truncate(most);
+    if ready.len() <= most {
+        return ready;
     }
+    let seed = xxh3_64(&ip_bytes(asker));
+    let rank = |edge: &SocketAddr| {
+        let ip_rank = xxh3_64_with_seed(&ip_bytes(edge.ip()), seed);
+        xxh3_64_with_seed(&edge.port().to_le_bytes(), ip_rank)
+    };
+    let ranked = ready.iter().map(|edge| (rank(edge), *edge));
+    let mut ranked: Vec<(u64, SocketAddr)> = ranked.collect();
+    ranked.select_nth_unstable(most);
+    ranked.truncate(most);
+    ranked.sort_unstable();
+    ready.clear();
+    ready.extend(ranked.into_iter().map(|(_, edge)| edge));
     ready
 }
 
+/// Returns an address as IPv6, which also represents IPv4 addresses.
+fn ip_bytes(ip: IpAddr) -> [u8; 16] {
+    match ip {
+        IpAddr::V4(ip) => ip.to_ipv6_mapped().octets(),
+        IpAddr::V6(ip) => ip.octets(),
+    }
+}
+
 /// Multiple of the TTL for which some clients keep a response.
 const MAX_TTL_MULTIPLE: u32 = 3;
 
--- a/crates/ragwortroad_dispatch/src/edge_directory.rs
+++ b/crates/ragwortroad_dispatch/src/edge_directory.rs
@@ -1,8 +1,5 @@
 use std::{
-    collections::{
-        BTreeMap,
-        BTreeSet, //
-    },
+    collections::BTreeMap,
     net::{
         IpAddr,
         SocketAddr, //
@@ -33,6 +30,12 @@
     /// Invariant: views of disconnected registries are kept only while no connected registry has
     /// sent one.
     views: BTreeMap<SocketAddr, RegistryView>,
+    /// Ready edges with the number of views that contain them.
+    ///
+    /// Clients look up edges far more often than views change, and each registry knows all edges.
+    ///
+    /// Invariant: counts the edges of `views`; no count is zero.
+    ready: BTreeMap<SocketAddr, u32>,
 }
 
 #[derive(Debug)]
@@ -47,6 +50,7 @@
         Self {
             discovery: EdgeDiscovery::new(now),
             views: BTreeMap::new(),
+            ready: BTreeMap::new(),
         }
     }
 
@@ -55,13 +59,17 @@
         if view.edges > self.edges() {
             self.discovery.note_joined(now);
         }
+        for edge in &view.ready {
+            *self.ready.entry(*edge).or_default() += 1;
+        }
         let registry_view = RegistryView {
             view,
             is_connected: true,
         };
-        self.views.insert(registry, registry_view);
-        self.views
-            .retain(|_, registry_view| registry_view.is_connected);
+        if let Some(former) = self.views.insert(registry, registry_view) {
+            discount(&mut self.ready, &former.view);
+        }
+        self.drop_disconnected();
     }
 
     /// Records that the connection to a registry was lost.
@@ -69,16 +77,22 @@
         if let Some(registry_view) = self.views.get_mut(&registry) {
             registry_view.is_connected = false;
         }
-        if self
-            .views
-            .values()
-            .any(|registry_view| registry_view.is_connected)
-        {
-            self.views
-                .retain(|_, registry_view| registry_view.is_connected);
+        let mut views = self.views.values();
+        if views.any(|registry_view| registry_view.is_connected) {
+            self.drop_disconnected();
         }
     }
 
+    fn drop_disconnected(&mut self) {
+        let ready = &mut self.ready;
+        self.views.retain(|_, registry_view| {
+            if !registry_view.is_connected {
+                discount(ready, &registry_view.view);
+            }
+            registry_view.is_connected
+        });
+    }
+
     /// Returns at most `most` edges for the client at the address `client`.
     ///
     /// # Errors
@@ -90,17 +104,13 @@
         most: usize,
         now: ClockTime,
     ) -> Result<Vec<SocketAddr>, DirectoryError> {
-        let ready = self
-            .views
-            .values()
-            .flat_map(|registry_view| &registry_view.view.ready);
-        let ready: BTreeSet<SocketAddr> = ready.copied().collect();
-        match self
-            .discovery
-            .check_ready(ready.len(), self.edges() as usize, now)
-        {
+        let edges = self.edges() as usize;
+        match self.discovery.check_ready(self.ready.len(), edges, now) {
             Some(error) => Err(error),
-            None => Ok(choose_addresses(client, ready.into_iter().collect(), most)),
+            None => {
+                let ready = self.ready.keys().copied().collect();
+                Ok(choose_addresses(client, ready, most))
+            }
         }
     }
 
@@ -113,3 +123,16 @@
         counts.max().unwrap_or(0)
     }
 }
+
+/// Removes the edges of a view from the counts.
+fn discount(ready: &mut BTreeMap<SocketAddr, u32>, view: &EdgeView) {
+    for edge in &view.ready {
+        let Some(count) = ready.get_mut(edge) else {
+            continue;
+        };
+        *count -= 1;
+        if *count == 0 {
+            ready.remove(edge);
+        }
+    }
+}
--- a/crates/ragwortroad_dispatch/tests/growth.rs
+++ b/crates/ragwortroad_dispatch/tests/growth.rs
@@ -4,6 +4,7 @@
 
 use std::{
     net::{
+        IpAddr,
         Ipv4Addr,
         SocketAddr, //
     },
@@ -12,7 +13,8 @@
 
 use common::{
     at,
-    record, //
+    record,
+    registry, //
 };
 use ragwortroad_dispatch::prelude::*;
 use rustix::time::{
@@ -110,6 +112,36 @@
     assert!(growth < MAX_GROWTH, "{growth:.1} times the time of a tick");
 }
 
+/// Guards against look-ups that merge what all registries know, each about all edges.
+#[test]
+fn a_look_up_costs_the_same_with_many_registries() {
+    const EDGES: u32 = 1000;
+    const LOOK_UPS: u32 = 100;
+    let edges = (0..EDGES).map(|index| SocketAddr::from((Ipv4Addr::from(0x0a00_0000 + index), 80)));
+    let view = EdgeView {
+        ready: edges.collect(),
+        edges: EDGES,
+    };
+    let [small, large] = [2, 28].map(|registries| {
+        let mut directory = EdgeDirectory::new(at(0));
+        for index in 0..registries {
+            directory.note_view(registry(index), view.clone(), at(0));
+        }
+        shortest(|| {
+            for client in 0..LOOK_UPS {
+                let client = IpAddr::from(Ipv4Addr::from(0x0b00_0000 + client));
+                let found = directory.find(client, 64, at(60_000));
+                assert_eq!(found.map(|edges| edges.len()), Ok(64));
+            }
+        })
+    });
+    let growth = large / small;
+    assert!(
+        growth < MAX_GROWTH,
+        "{growth:.1} times the time of a look-up"
+    );
+}
+
 /// Guards against restarts of engines whose cost at each edge grows with the prefixes it knows.
 #[test]
 fn a_restarted_engine_costs_the_same_beside_many_prefixes() {
