Log endpoint updates at an edge once a second

What operators saw: 1,300 lines an edge (56,837 at 43 edges in one play) at a start of 1,000 VMs: each registry sends its updates in many small messages. Change: the counts are logged once a second, over all registries.

--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -25,8 +25,7 @@
         EdgeShared,
         EdgeState, //
     },
-    registry_link::RegistryLink,
-    update_counts::UpdateCounts, //
+    registry_link::RegistryLink, //
 };
 
 /// Connects to the registries listed in the settings.
@@ -155,22 +154,20 @@
         LinkMessage::WantPlaces => shared.state.borrow().send_all_locations(source),
         LinkMessage::EndpointsWhole(records) => {
             let mut state = shared.state.borrow_mut();
-            let mut counts = UpdateCounts::default();
             for record in records {
-                counts.add(apply_record(&mut state, source, record, now));
+                let change = apply_record(&mut state, source, record, now);
+                state.update_counts.add(change);
             }
             if let Some(link) = state.links.get_mut(&source) {
                 link.has_sent_all = true;
             }
-            counts.log(&state, source);
         }
         LinkMessage::EndpointUpdates(updates) => {
             let mut state = shared.state.borrow_mut();
-            let mut counts = UpdateCounts::default();
             for change in updates {
-                counts.add(apply_update(&mut state, source, change, now));
+                let change = apply_update(&mut state, source, change, now);
+                state.update_counts.add(change);
             }
-            counts.log(&state, source);
         }
         other => tracing::warn!(?other, "unexpected message from a registry"),
     }
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -59,6 +59,9 @@
 /// Interval of the periodic tasks.
 const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Number of ticks between two log lines about endpoint updates.
+const UPDATE_LOG_TICKS: u32 = 10;
+
 /// Minimum number of ticks between load reports to the home registry.
 const LOAD_REPORT_TICKS: u32 = 2;
 
@@ -168,6 +171,10 @@
         state.send_crashes(now);
         state.set_gauges(now);
         tick += 1;
+        if tick.is_multiple_of(UPDATE_LOG_TICKS) {
+            let ready = state.endpoints.ready_count();
+            state.update_counts.log(ready);
+        }
         // Each registry is the home of its share of the edges.
         let registries = state.registries.len().max(1) as u32;
         let pace = load_interval_factor(state.edges.div_ceil(registries));
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -32,7 +32,8 @@
     byte_budget::ByteBudget,
     connection_pool::ConnectionPool,
     registry_link::RegistryLink,
-    service_gate::ServiceGate, //
+    service_gate::ServiceGate,
+    update_counts::UpdateCounts, //
 };
 
 /// Maximum number of prefix locations sent to a registry at once; it stores as many.
@@ -69,6 +70,8 @@
     /// The configuration in force as a full delta for other edges, created on demand.
     pub(crate) full_config: Option<ConfigDelta>,
     pub(crate) endpoints: EndpointTable,
+    /// Effects of endpoint updates since they were last logged.
+    pub(crate) update_counts: UpdateCounts,
     /// Loads of the endpoints that this edge has recently sent requests to.
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     /// Endpoints that want no request from this edge for some time.
--- a/crates/ragwortroad_edge/src/update_counts.rs
+++ b/crates/ragwortroad_edge/src/update_counts.rs
@@ -1,8 +1,6 @@
 use ragwortroad_dispatch::prelude::*;
 
-use crate::edge_state::EdgeState;
-
-/// Effects of one message with endpoint updates, for its log line.
+/// Effects of endpoint updates since the last log line about them.
 ///
 /// The registry logs each endpoint; thousands of lines at each of hundreds of edges would only
 /// repeat that.
@@ -24,25 +22,15 @@
         }
     }
 
-    /// Logs the counts, unless nothing has changed.
-    pub(crate) fn log(&self, state: &EdgeState, source: SourceKey) {
+    /// Logs the counts, unless nothing has changed, and starts again from zero.
+    pub(crate) fn log(&mut self, ready: usize) {
         let Self {
             started,
             stopped,
             changed,
-        } = self;
-        if started + stopped + changed == 0 {
-            return;
+        } = std::mem::take(self);
+        if started + stopped + changed > 0 {
+            tracing::info!(started, stopped, changed, ready, "endpoints updated");
         }
-        let registry = state.links.get(&source).map(|link| link.address);
-        let ready = state.endpoints.ready_count();
-        tracing::info!(
-            ?registry,
-            started,
-            stopped,
-            changed,
-            ready,
-            "endpoints updated"
-        );
     }
 }
