--- a/crates/ragwortroad_dispatch/src/endpoint_load.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_load.rs
@@ -166,7 +166,7 @@
         now >= self.paused_until
     }
 
-    /// Returns whether nothing is known that a new entry would not say, too.
+    /// Returns whether no decision would differ if this were a new, empty entry.
     pub fn is_idle(&self, now: ClockTime) -> bool {
         let is_read = |read_at| now.since(read_at) <= READING_TTL;
         let is_quiet = self.own == 0 && self.failures == 0 && self.is_available(now);
--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -11,6 +11,7 @@
 use ragwortroad_types::prelude::*;
 
 use crate::{
+    EndpointKey,
     EndpointRecord,
     EndpointStage,
     EndpointTag,
@@ -32,10 +33,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct SourceKey(pub u32);
 
-/// Key of an endpoint within one edge's [`EndpointTable`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct EndpointKey(pub u32);
-
 /// How long an endpoint is kept after its last registry was disconnected.
 ///
 /// A lost registry takes its first-hand knowledge along, and its endpoints need a few announcements
@@ -330,6 +327,7 @@
         while let Some(&(forget_at, key)) = self.expiries.first()
             && forget_at <= now
         {
+            self.expiries.pop_first();
             self.remove(key);
             forgotten.push(key);
         }
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 mod edge_directory;
 mod edge_discovery;
 mod edge_view;
+mod endpoint_key;
 mod endpoint_load;
 mod endpoint_record;
 mod endpoint_selection;
@@ -91,6 +92,7 @@
             EdgeDiscovery, //
         },
         edge_view::EdgeView,
+        endpoint_key::EndpointKey,
         endpoint_load::{
             EndpointLoad,
             LoadReading, //
@@ -109,7 +111,6 @@
         },
         endpoint_table::{
             EndpointChange,
-            EndpointKey,
             EndpointTable,
             SourceKey, //
         },
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -3,13 +3,22 @@
 
 mod common;
 
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use common::{
     at,
     record, //
 };
 use ragwortroad_dispatch::prelude::*;
+use ragwortroad_types::prelude::*;
+use rand::{
+    RngExt,
+    SeedableRng, //
+};
+use rand_pcg::Pcg64Mcg;
 
 const HERE: SourceKey = SourceKey(1);
 const THERE: SourceKey = SourceKey(2);
@@ -389,3 +398,75 @@
     assert_eq!(factor(u32::MAX, 0), 1.0);
     assert_eq!(EndpointLoad::default().time_factor(at(0)), 1.0);
 }
+
+/// Applies one random change to a table.
+fn change_at_random(table: &mut EndpointTable, random: &mut Pcg64Mcg, now: ClockTime) {
+    let name = format!("e{}", random.random_range(0..8));
+    let source = SourceKey(random.random_range(0..3));
+    let key = EndpointKey(random.random_range(0..200));
+    match random.random_range(0..12) {
+        0 => table.mark_lost(source, &name, now),
+        1 => table.mark_replaced(key, now),
+        2 => {
+            table.mark_leaving(key);
+        }
+        3 => {
+            table.apply_goodbye(&name, now);
+        }
+        4 => table.drop_source(source, now),
+        5 => table.undrain_domain("a", now.after(Duration::from_secs(1))),
+        6 => {
+            table.expire(now);
+        }
+        _ => {
+            let stages = [
+                EndpointStage::Ready,
+                EndpointStage::Ready,
+                EndpointStage::Draining,
+                EndpointStage::Gone,
+            ];
+            let port = 80 + random.random_range(0..3);
+            let changed = EndpointRecord {
+                service: ["llm", "desk"][random.random_range(0..2)].to_owned(),
+                address: SocketAddr::from(([10, 0, 0, 1], port)),
+                stage: stages[random.random_range(0..4)],
+                started_ms: random.random_range(1000..1004),
+                sequence: random.random_range(0..5),
+                warming_ms: random.random_range(0..2) * 500,
+                ..record(&name)
+            };
+            table.apply_record(source, changed, now);
+        }
+    }
+}
+
+/// Guards against requests to endpoints that do not accept work, and against ready ones without
+/// requests.
+#[test]
+fn the_ready_endpoints_are_those_whose_records_say_so() {
+    for seed in 0..10 {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut table = EndpointTable::default();
+        for step in 0..2000 {
+            let now = at(step * 100);
+            change_at_random(&mut table, &mut random, now);
+            let mut count = 0;
+            for service in ["llm", "desk"] {
+                let is_ready = |key: &EndpointKey| {
+                    table.record(*key).is_some_and(|record| {
+                        record.stage == EndpointStage::Ready && record.service == service
+                    })
+                };
+                let expected: Vec<_> = (0..500).map(EndpointKey).filter(is_ready).collect();
+                let ready: Vec<_> = table.ready(service).map(|endpoint| endpoint.key).collect();
+                assert_eq!(ready, expected, "seed {seed}, step {step}");
+                for endpoint in table.ready(service) {
+                    let is_warming = table.is_warming(endpoint.key, now);
+                    assert_eq!(endpoint.is_warming(now), is_warming);
+                }
+                count += ready.len();
+            }
+            assert_eq!(table.ready_count(), count, "seed {seed}, step {step}");
+        }
+    }
+}
