--- a/crates/ragwortroad_edge/src/byte_budget.rs
+++ b/crates/ragwortroad_edge/src/byte_budget.rs
@@ -10,11 +10,12 @@
     Semaphore, //
 };
 
-/// Share of the process's memory for bodies; the rest is for connections, tables and buffers.
-const MEMORY_SHARE: usize = 4;
+/// The budget is the process's memory divided by this; the rest is for connections, tables and
+/// buffers.
+const MEMORY_DIVISOR: usize = 4;
 
-/// Share of the budget that only small bodies may use.
-const SMALL_BODY_SHARE: usize = 4;
+/// The part of the budget that only small bodies may use is the budget divided by this.
+const SMALL_BODY_DIVISOR: usize = 4;
 
 /// Largest size of a small body.
 const SMALL_BODY_BYTES: usize = 64 << 10;
@@ -43,11 +44,11 @@
 impl ByteBudget {
     /// Creates the budget of a process that may use `memory` bytes.
     pub(crate) fn for_memory(memory: usize) -> Self {
-        let limit = (memory / MEMORY_SHARE).min(Semaphore::MAX_PERMITS);
+        let limit = (memory / MEMORY_DIVISOR).min(Semaphore::MAX_PERMITS);
         Self {
             free: Arc::new(Semaphore::new(limit)),
             limit,
-            reserve: limit / SMALL_BODY_SHARE,
+            reserve: limit / SMALL_BODY_DIVISOR,
         }
     }
 
--- a/crates/ragwortroad_telemetry/tests/start.rs
+++ b/crates/ragwortroad_telemetry/tests/start.rs
@@ -8,7 +8,7 @@
     clock_gettime, //
 };
 
-/// A fiftieth of a second of a VM with a twentieth of a core.
+/// On a VM with a twentieth of a core this takes 20 ms.
 const MAX_PROCESSOR_TIME: Duration = Duration::from_millis(1);
 
 fn thread_time() -> Duration {
