--- a/crates/ragwortroad_clock/src/lib.rs
+++ b/crates/ragwortroad_clock/src/lib.rs
@@ -1,10 +1,15 @@
-//! The only crate that reads clocks, for the processes that drive state machines without I/O.
+//! The only crate that reads clocks, for the processes that drive state machines without I/O, and for
+//! measurements.
 
+mod processor_time;
 mod real_clock;
 
 /// Common items for dependent crates.
 pub mod prelude {
-    pub use crate::real_clock::RealClock;
+    pub use crate::{
+        processor_time::thread_processor_time,
+        real_clock::RealClock, //
+    };
 }
 
 pub use prelude::*;
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -440,8 +440,7 @@
     }
 }
 
-/// Guards against requests to endpoints that do not accept work, and against ready ones without
-/// requests.
+/// Guards against requests to endpoints that accept no work, and ready ones that get none.
 #[test]
 fn the_ready_endpoints_are_those_whose_records_say_so() {
     for seed in 0..10 {
--- a/crates/ragwortroad_dispatch/tests/growth.rs
+++ b/crates/ragwortroad_dispatch/tests/growth.rs
@@ -2,13 +2,10 @@
 
 mod common;
 
-use std::{
-    net::{
-        IpAddr,
-        Ipv4Addr,
-        SocketAddr, //
-    },
-    time::Duration, //
+use std::net::{
+    IpAddr,
+    Ipv4Addr,
+    SocketAddr, //
 };
 
 use common::{
@@ -16,11 +13,8 @@
     record,
     registry, //
 };
+use ragwortroad_clock::prelude::*;
 use ragwortroad_dispatch::prelude::*;
-use rustix::time::{
-    ClockId,
-    clock_gettime, //
-};
 
 const REGISTRY: SourceKey = SourceKey(1);
 
@@ -34,17 +28,11 @@
 /// Measurements of which the shortest counts.
 const ROUNDS: usize = 3;
 
-/// Returns the processor time that the calling thread has used.
-fn thread_time() -> Duration {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
-}
-
 fn shortest(mut operation: impl FnMut()) -> f64 {
     let rounds = (0..ROUNDS).map(|_| {
-        let started = thread_time();
+        let started = thread_processor_time();
         operation();
-        (thread_time() - started).as_secs_f64()
+        (thread_processor_time() - started).as_secs_f64()
     });
     rounds.fold(f64::INFINITY, f64::min)
 }
@@ -64,8 +52,7 @@
     table
 }
 
-/// Guards against a start of the fleet whose cost at each edge grows with the square of the
-/// endpoints.
+/// Guards against a start whose cost at each edge grows with the square of the endpoints.
 #[test]
 fn an_announcement_costs_the_same_in_a_large_fleet() {
     let [small, large] = FLEETS.map(|endpoints| {
--- a/crates/ragwortroad_edge/src/tests.rs
+++ b/crates/ragwortroad_edge/src/tests.rs
@@ -1,5 +1,5 @@
-//! Accounting of gate slots between admission decisions and the tasks that wait for them, the bytes of
-//! bodies, clients that do not read, and the processor time of an idle edge.
+//! Parts of an edge without a network: gate slots between admission decisions and the tasks that wait
+//! for them, bytes of bodies, clients that do not read, and the processor time of an idle edge.
 
 use std::{
     net::{
@@ -11,12 +11,9 @@
 };
 
 use bytes::Bytes;
+use ragwortroad_clock::prelude::*;
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_types::prelude::*;
-use rustix::time::{
-    ClockId,
-    clock_gettime, //
-};
 
 use crate::{
     byte_budget::ByteBudget,
@@ -125,12 +122,6 @@
     state
 }
 
-/// Returns the processor time that the calling thread has used.
-fn thread_time() -> Duration {
-    let time = clock_gettime(ClockId::ThreadCPUTime);
-    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
-}
-
 /// Guards against edges that spend their processor time on engines to which they send nothing.
 #[test]
 fn an_idle_edge_costs_the_same_in_a_large_fleet() {
@@ -140,7 +131,7 @@
         let mut now = ClockTime(3_600_000);
         let mut state = edge_beside(endpoints, now);
         let rounds = (0..ROUNDS).map(|_| {
-            let started = thread_time();
+            let started = thread_processor_time();
             for _ in 0..100 {
                 now = now.after(Duration::from_millis(100));
                 state.expire(now);
@@ -148,7 +139,7 @@
                 state.set_gauges(now);
                 state.send_loads();
             }
-            thread_time() - started
+            thread_processor_time() - started
         });
         rounds.min().expect("a round").as_secs_f64()
     });
