--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -5,10 +5,7 @@
         self,
         File, //
     },
-    io::{
-        self,
-        Write, //
-    },
+    io::Write,
     net::{
         IpAddr,
         Ipv4Addr,
@@ -109,12 +106,7 @@
         let Some(data) = &self.data else {
             return;
         };
-        let files = match fs::read_dir(data) {
-            Ok(files) => files,
-            // The process was killed again before it had replaced a lost disk.
-            Err(error) if error.kind() == io::ErrorKind::NotFound => return,
-            Err(error) => panic!("failed to list the data folder: {error}"),
-        };
+        let files = fs::read_dir(data).expect("failed to list the data folder");
         let names = files.filter_map(|file| file.ok()?.file_name().into_string().ok());
         let Some(newest) = names.filter(|name| name.starts_with("log-")).max() else {
             return;
