--- a/crates/ragwortroad_clock/src/lib.rs
+++ b/crates/ragwortroad_clock/src/lib.rs
@@ -1,5 +1,5 @@
-//! The only crate that reads clocks, for the processes that drive state machines without I/O, and for
-//! measurements.
+//! The only crate that reads clocks: the time for processes that drive state machines without I/O, and
+//! the processor time of a thread.
 
 mod processor_time;
 mod real_clock;
--- a/crates/ragwortroad_dispatch/src/address_choice.rs
+++ b/crates/ragwortroad_dispatch/src/address_choice.rs
@@ -18,11 +18,15 @@
 /// edges idle, and overload those that are named several times. Ranking edges by a hash of the
 /// client's address and the edge's (rendezvous hashing) changes one client's response only when
 /// edges come or go, and names each edge about equally often over all clients.
-pub fn choose_addresses(asker: IpAddr, mut ready: Vec<SocketAddr>, most: usize) -> Vec<SocketAddr> {
+pub fn choose_addresses(
+    client: IpAddr,
+    mut ready: Vec<SocketAddr>,
+    most: usize,
+) -> Vec<SocketAddr> {
     if ready.len() <= most {
         return ready;
     }
-    let seed = xxh3_64(&ip_bytes(asker));
+    let seed = xxh3_64(&ip_bytes(client));
     let rank = |edge: &SocketAddr| {
         let ip_rank = xxh3_64_with_seed(&ip_bytes(edge.ip()), seed);
         xxh3_64_with_seed(&edge.port().to_le_bytes(), ip_rank)
--- a/crates/ragwortroad_dispatch/src/endpoint_load.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_load.rs
@@ -10,8 +10,8 @@
 /// The counts that edges exchange are at most that old and cover the same requests.
 const READING_TTL: Duration = Duration::from_millis(600);
 
-/// Age from which the speed in an endpoint's reading is ignored; it changes many times per second.
-const SPEED_TTL: Duration = Duration::from_millis(300);
+/// Age from which the time factor in a reading is ignored; it changes many times per second.
+const TIME_FACTOR_TTL: Duration = Duration::from_millis(300);
 
 /// Time that work takes on a VM that is not slowed down by others, in percent.
 const USUAL_TIME_PERCENT: u32 = 100;
@@ -116,7 +116,7 @@
     /// Returns how long work takes at the endpoint at this moment, as a multiple of the usual time.
     pub fn time_factor(&self, now: ClockTime) -> f64 {
         let fresh = self.reading;
-        let fresh = fresh.filter(|(_, read_at, _)| now.since(*read_at) <= SPEED_TTL);
+        let fresh = fresh.filter(|(_, read_at, _)| now.since(*read_at) <= TIME_FACTOR_TTL);
         let percent = fresh.map(|(reading, ..)| reading.time_percent);
         let percent = percent.filter(|percent| PLAUSIBLE_TIME_PERCENT.contains(percent));
         f64::from(percent.unwrap_or(USUAL_TIME_PERCENT)) / f64::from(USUAL_TIME_PERCENT)
--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -53,8 +53,8 @@
 
 /// Endpoints known to an edge, merged from all registries.
 ///
-/// An update, an expiry check and a look at the ready endpoints cost nothing for the endpoints that
-/// they do not concern: a fleet has thousands of them, which announce themselves within a second.
+/// The cost of an update, an expiry check and a scan of the ready endpoints does not depend on the
+/// other endpoints: a fleet has thousands, which announce themselves within a second.
 #[derive(Debug, Default)]
 pub struct EndpointTable {
     names: HashMap<String, EndpointKey>,
@@ -66,9 +66,9 @@
     addresses: HashMap<SocketAddr, Vec<EndpointKey>>,
     /// Invariant: holds exactly the entries whose stage is `Ready`.
     ready: ReadyIndex,
-    /// When entries that no registry reports are forgotten.
+    /// When entries that no registry reports expire.
     ///
-    /// Invariant: holds each entry with its `forget_at`, if it has one.
+    /// Invariant: holds each entry with its `expires_at`, if it has one.
     expiries: BTreeSet<(ClockTime, EndpointKey)>,
     /// Names of failure domains, by `DomainKey`.
     domains: Vec<String>,
@@ -82,8 +82,8 @@
     holders: BTreeSet<SourceKey>,
     /// Since when no registry has reported the endpoint, or it has been known to be gone.
     unheld_since: Option<ClockTime>,
-    /// When the endpoint is forgotten, as entered in the table's expiries.
-    forget_at: Option<ClockTime>,
+    /// When the entry expires, as entered in the table's expiries.
+    expires_at: Option<ClockTime>,
     /// Whether the endpoint has said in a response that it leaves.
     ///
     /// Invariant: while true, the stage of `record` is not `Ready`.
@@ -185,7 +185,7 @@
             record,
             holders: BTreeSet::from([source]),
             unheld_since: gone.then_some(now),
-            forget_at: None,
+            expires_at: None,
             is_leaving: false,
             is_lost: false,
             undrain_warmup_until: ClockTime::ZERO,
@@ -323,21 +323,21 @@
 
     /// Removes endpoints that no registry has reported for long enough; returns their keys.
     pub fn expire(&mut self, now: ClockTime) -> Vec<EndpointKey> {
-        let mut forgotten = Vec::new();
-        while let Some(&(forget_at, key)) = self.expiries.first()
-            && forget_at <= now
+        let mut expired = Vec::new();
+        while let Some(&(expires_at, key)) = self.expiries.first()
+            && expires_at <= now
         {
             self.expiries.pop_first();
             self.remove(key);
-            forgotten.push(key);
+            expired.push(key);
         }
-        forgotten.sort_unstable();
-        forgotten
+        expired.sort_unstable();
+        expired
     }
 
     fn remove(&mut self, key: EndpointKey) {
         let Some(EndpointEntry {
-            record, forget_at, ..
+            record, expires_at, ..
         }) = self.entries.remove(&key)
         else {
             return;
@@ -350,8 +350,8 @@
         }
         self.remove_address(record.address, key);
         self.ready.remove(&record.service, key);
-        if let Some(forget_at) = forget_at {
-            self.expiries.remove(&(forget_at, key));
+        if let Some(expires_at) = expires_at {
+            self.expiries.remove(&(expires_at, key));
         }
     }
 
@@ -370,12 +370,12 @@
         let Some(entry) = self.entries.get_mut(&key) else {
             return;
         };
-        let forget_at = entry.forget_time();
-        if entry.forget_at != forget_at {
-            if let Some(former) = std::mem::replace(&mut entry.forget_at, forget_at) {
+        let expires_at = entry.expiry();
+        if entry.expires_at != expires_at {
+            if let Some(former) = std::mem::replace(&mut entry.expires_at, expires_at) {
                 self.expiries.remove(&(former, key));
             }
-            self.expiries.extend(forget_at.map(|time| (time, key)));
+            self.expiries.extend(expires_at.map(|time| (time, key)));
         }
         let record = &entry.record;
         if record.stage != EndpointStage::Ready {
@@ -460,8 +460,8 @@
         self.warm_at.max(self.undrain_warmup_until)
     }
 
-    /// When the endpoint is to be forgotten; `None` while a registry reports it.
-    fn forget_time(&self) -> Option<ClockTime> {
+    /// When the entry expires; `None` while a registry reports the endpoint.
+    fn expiry(&self) -> Option<ClockTime> {
         let limit = match self.record.stage {
             EndpointStage::Gone => GOODBYE_TTL,
             _ if self.is_leaving => GOODBYE_TTL,
--- a/crates/ragwortroad_state/src/order/managed_engine.rs
+++ b/crates/ragwortroad_state/src/order/managed_engine.rs
@@ -18,7 +18,7 @@
     /// The role and drain that the engine's current incarnation has confirmed.
     pub(crate) role: EngineRole,
     pub(crate) drain: bool,
-    /// Whether a former holder may have drained the engine. `drain` is then only a guess until this
+    /// Whether another holder may have drained the engine. `drain` is then only a guess until this
     /// holder's own order is acknowledged.
     pub(crate) drain_unknown: bool,
 }
--- a/tools/compare/src/bench_runner.rs
+++ b/tools/compare/src/bench_runner.rs
@@ -96,7 +96,7 @@
         fs::write(&path, text).context(FileSnafu { path })
     }
 
-    /// Runs the benchmark of a day; its journal entry in the clone names the variant.
+    /// Plays a day; its journal entry in the clone names the variant.
     pub(crate) fn run(
         &self,
         variant: &str,
--- a/tools/compare/src/command_line.rs
+++ b/tools/compare/src/command_line.rs
@@ -9,7 +9,7 @@
     /// Benchmark program that accepts `run SITE DAY`.
     #[arg(long)]
     pub(crate) bench: PathBuf,
-    /// Clone of the repository in which the benchmark runs; created if missing. The settings
+    /// Clone of the repository in which the days are played; created if missing. The settings
     /// template in it is changed, and its journal receives the entries.
     #[arg(long)]
     pub(crate) work: PathBuf,
