Let the test of resting engines wait until both rest anew

Trace: the old test, with the times of the rejections printed, failed 2 of 200 plays, 14 at once: rejections at 11.7 ms and 2.0134 s by the one engine, 2.0076 s by the other. So the rest of 2 s that the first engine had asked for ended at 2.0117 s, between the count of rejections and the request that follows, and that request was allowed to ask it.

Change: the test waits for a refusal while the last rejection of both engines is less than half a rest ago.

--- a/crates/ragwortroad_demo/tests/failures/rests.rs
+++ b/crates/ragwortroad_demo/tests/failures/rests.rs
@@ -55,13 +55,14 @@
     assert!(late <= 2, "{late} of {number} requests during the rest");
 
     ask_rest(engines[1]);
-    let mut call = chat("until both rest");
-    wait_until("a refusal", || {
-        call = chat("until both rest");
-        !call.is_answered()
+    let rejected_at = |engine: &StandinEngine| *engine.rejections().last().unwrap();
+    let rests = |engine: &StandinEngine| rejected_at(engine).elapsed() < REST / 2;
+    wait_until("refusals while both engines rest", || {
+        let call = chat("until both rest");
+        let both_rest = engines.iter().all(|engine| rests(engine));
+        !call.is_answered() && both_rest
     })
     .unwrap();
-    let rejected_at = |engine: &StandinEngine| *engine.rejections().last().unwrap();
     let before = engines[0].rejections().len() + engines[1].rejections().len();
     let call = chat("while both rest");
     let earliest = engines
