Reserve the ports of tests' fleets, so that nobody else takes them

Cause: the tests bound ports that the system chose, closed them, and started processes on them later. Until then, any connection or other test on the machine could be given such a port, and so could a node's port while the node was restarted.

Change: reserve_port gives out ports below those that the system assigns, in blocks; a process listens on the first port of its block for as long as it runs, so no other process of ours takes the block. A test takes 160 ports from four threads: all differ, can be bound, and lie below the one that the system assigns.

--- a/crates/ragwortroad_demo/src/small_fleet.rs
+++ b/crates/ragwortroad_demo/src/small_fleet.rs
@@ -1,9 +1,9 @@
 use std::{
     fs,
     net::{
-        SocketAddr,
-        TcpListener,
-        UdpSocket, //
+        IpAddr,
+        Ipv4Addr,
+        SocketAddr, //
     },
     path::Path,
     thread,
@@ -353,7 +353,7 @@
     fs::write(&join_secret_file, JOIN_SECRET).context(FolderSnafu)?;
     let operator_key_file = folder.join("operator.key");
     fs::write(&operator_key_file, OPERATOR_KEY).context(FolderSnafu)?;
-    let addresses = find_free_addresses(plan.nodes).context(FolderSnafu)?;
+    let addresses = reserve_addresses(plan.nodes).context(FolderSnafu)?;
     let seeds = names
         .iter()
         .zip(&addresses)
@@ -391,18 +391,15 @@
     Ok((0..plan.nodes).map(settings).collect())
 }
 
-/// Returns unused loopback addresses, all different: one TCP and one UDP address per node.
+/// Returns unused loopback addresses, all different: one for TCP and one for UDP per node.
 ///
 /// Nodes refer to each other's addresses in their settings, so all addresses must be known before
 /// the first node starts.
-fn find_free_addresses(count: usize) -> std::io::Result<Vec<(SocketAddr, SocketAddr)>> {
-    let mut sockets = Vec::with_capacity(count);
-    for _ in 0..count {
-        let tcp = TcpListener::bind(("127.0.0.1", 0))?;
-        let udp = UdpSocket::bind(("127.0.0.1", 0))?;
-        sockets.push((tcp, udp));
-    }
-    let address =
-        |(tcp, udp): &(TcpListener, UdpSocket)| Ok((tcp.local_addr()?, udp.local_addr()?));
-    sockets.iter().map(address).collect()
+fn reserve_addresses(count: usize) -> std::io::Result<Vec<(SocketAddr, SocketAddr)>> {
+    let ip = IpAddr::V4(Ipv4Addr::LOCALHOST);
+    let ports = (0..2 * count).map(|_| reserve_port(ip));
+    let ports: Vec<u16> = ports.collect::<std::io::Result<_>>()?;
+    let pairs = ports.chunks_exact(2);
+    let pairs = pairs.map(|pair| (SocketAddr::new(ip, pair[0]), SocketAddr::new(ip, pair[1])));
+    Ok(pairs.collect())
 }
--- a/crates/ragwortroad_standin/src/lib.rs
+++ b/crates/ragwortroad_standin/src/lib.rs
@@ -23,6 +23,7 @@
 mod expected_tokens;
 mod fault_plan;
 mod order_record;
+mod port_block;
 mod prefix_cache;
 mod run_record;
 mod service_settings;
@@ -40,6 +41,7 @@
         expected_tokens::expected_tokens,
         fault_plan::FaultPlan,
         order_record::OrderRecord,
+        port_block::reserve_port,
         run_record::{
             RunRecord,
             RunStatus, //
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -9,8 +9,7 @@
     net::{
         IpAddr,
         Ipv4Addr,
-        SocketAddr,
-        TcpListener, //
+        SocketAddr, //
     },
     path::{
         Path,
@@ -23,14 +22,15 @@
     },
 };
 
-use crate::proxy::SoakProxy;
-
+use ragwortroad_standin::prelude::*;
 use rustix::process::{
     Pid,
     Signal,
     kill_process, //
 };
 
+use crate::proxy::SoakProxy;
+
 /// One process of the fleet.
 pub(crate) struct SoakProcess {
     role: &'static str,
@@ -143,7 +143,9 @@
     let subnet = (std::process::id() % 100) as u8 + 20;
     let ip = |host| IpAddr::V4(Ipv4Addr::new(127, subnet, 200, host));
     let bind_ip = |host| IpAddr::V4(Ipv4Addr::new(127, subnet, 201, host));
-    let ports: Vec<u16> = (0..4).map(|_| free_port(ip(1))).collect();
+    let ports: Vec<u16> = (0..4)
+        .map(|_| reserve_port(ip(1)).expect("no free port"))
+        .collect();
     let at = |host, port: usize| SocketAddr::new(ip(host), ports[port]);
     let seeds: Vec<String> = (1..=3).map(|host| at(host, 1).to_string()).collect();
     let common_settings = |host, bind: Option<SocketAddr>| {
@@ -197,11 +199,3 @@
     };
     ((1..=3).map(registry).collect(), (4..=5).map(edge).collect())
 }
-
-fn free_port(ip: IpAddr) -> u16 {
-    let listener = TcpListener::bind(SocketAddr::new(ip, 0)).expect("failed to bind a listener");
-    listener
-        .local_addr()
-        .expect("listener has no local address")
-        .port()
-}
