Disconnect slow clients when the memory that they occupy is needed

Cause: the budget bounds what an edge holds, but whoever came first kept it as long as the connection lasted; nothing bounds how long a client may take to read a complete response.

Change: an edge knows of each client's transfer how much it holds and when it last moved 4 KiB. A chunk for which there is no room ends the largest transfers that have not moved that much for a second, if these free enough. Slow transfers are left alone while there is room.

--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod address_choice;
 mod admission_gate;
 mod admission_ratio;
+mod client_transfer;
 mod config_fault;
 mod config_fetch;
 mod config_request;
@@ -64,6 +65,10 @@
             QueueTicket,
             max_queue_time, //
         },
+        client_transfer::{
+            ClientTransfer,
+            choose_slow_clients, //
+        },
         config_fault::ConfigFault,
         config_fetch::{
             ConfigFetch,
--- a/crates/ragwortroad_edge/src/byte_budget.rs
+++ b/crates/ragwortroad_edge/src/byte_budget.rs
@@ -79,25 +79,31 @@
 }
 
 impl HeldBody {
+    /// Returns the bytes that must become free before a chunk can be added.
+    pub(crate) fn missing(&self, chunk_bytes: usize) -> usize {
+        let ByteBudget { free, reserve, .. } = &self.budget;
+        let is_small = self.length + chunk_bytes <= SMALL_BODY_BYTES;
+        let needed = chunk_bytes + if is_small { 0 } else { *reserve };
+        needed.saturating_sub(free.available_permits())
+    }
+
     /// Adds a chunk.
     ///
     /// # Errors
     ///
     /// Fails if the budget has no room for it; the body is then to be dropped.
     pub(crate) fn push(&mut self, chunk: Bytes) -> Result<(), BudgetExhausted> {
-        let ByteBudget { free, reserve, .. } = &self.budget;
-        let length = self.length + chunk.len();
-        if length > SMALL_BODY_BYTES && free.available_permits() < chunk.len() + reserve {
+        if self.missing(chunk.len()) > 0 {
             return Err(BudgetExhausted);
         }
         let count = u32::try_from(chunk.len()).map_err(|_| BudgetExhausted)?;
-        let permit = Arc::clone(free).try_acquire_many_owned(count);
+        let permit = Arc::clone(&self.budget.free).try_acquire_many_owned(count);
         let permit = permit.map_err(|_| BudgetExhausted)?;
         match &mut self.permit {
             Some(held) => held.merge(permit),
             None => self.permit = Some(permit),
         }
-        self.length = length;
+        self.length += chunk.len();
         self.chunks.push(chunk);
         Ok(())
     }
--- a/crates/ragwortroad_edge/src/edge_body.rs
+++ b/crates/ragwortroad_edge/src/edge_body.rs
@@ -31,6 +31,14 @@
     pub(crate) fn full(bytes: impl Into<Bytes>) -> Self {
         Self::Full(Some(bytes.into()).filter(|bytes: &Bytes| !bytes.is_empty()))
     }
+
+    /// Returns the bytes held until the client has read them; a stream holds none.
+    pub(crate) fn held_bytes(&self) -> usize {
+        match self {
+            Self::Full(bytes) => bytes.as_ref().map_or(0, Bytes::len),
+            Self::Stream(_) => 0,
+        }
+    }
 }
 
 impl Body for EdgeBody {
@@ -53,10 +61,7 @@
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Full(bytes) => {
-                let length = bytes.as_ref().map_or(0, Bytes::len);
-                SizeHint::with_exact(length as u64)
-            }
+            Self::Full(_) => SizeHint::with_exact(self.held_bytes() as u64),
             Self::Stream(_) => SizeHint::default(),
         }
     }
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -36,6 +36,7 @@
     EdgeError,
     EdgePort,
     byte_budget::ByteBudget,
+    client_session::ClientTable,
     config_exchange::serve_configs,
     config_update::refresh_config,
     connection_pool::ConnectionPool,
@@ -138,6 +139,7 @@
         state: RefCell::new(EdgeState::default()),
         pool: ConnectionPool::default(),
         bodies,
+        clients: Rc::new(ClientTable::default()),
         stop: Notify::new(),
         shutdown_imminent: watch::Sender::new(false),
     });
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -30,6 +30,7 @@
 use crate::{
     EdgePort,
     byte_budget::ByteBudget,
+    client_session::ClientTable,
     connection_pool::ConnectionPool,
     registry_link::RegistryLink,
     service_gate::ServiceGate,
@@ -51,6 +52,7 @@
     pub(crate) pool: ConnectionPool,
     /// Limits the bytes of request and response bodies.
     pub(crate) bodies: ByteBudget,
+    pub(crate) clients: Rc<ClientTable>,
     /// Notified when the edge should stop.
     pub(crate) stop: Notify,
     /// Set to true shortly before a draining edge stops; pending requests then get an error
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -26,6 +26,7 @@
 use crate::{
     ForwardMetadata,
     ResponseMetadata,
+    body_room::push_chunk,
     crash_check::CrashCheck,
     crash_watch::observe_completion,
     edge_state::{
@@ -252,7 +253,7 @@
             }
         };
         if let Ok(chunk) = frame.into_data()
-            && let Err(error) = held.push(chunk)
+            && let Err(error) = push_chunk(shared, &mut held, chunk, None).await
         {
             return unusable_response(&error.to_string());
         }
--- a/crates/ragwortroad_edge/src/http_server.rs
+++ b/crates/ragwortroad_edge/src/http_server.rs
@@ -30,6 +30,8 @@
 };
 
 use crate::{
+    client_session::ClientSession,
+    client_socket::ClientSocket,
     edge_state::EdgeShared,
     request_flow::handle_request, //
 };
@@ -62,17 +64,24 @@
     }
     let map = shared.state.borrow().map.clone();
     let limits = map.map_or_else(ClientLimits::default, |map| map.config().limits);
-    let service = service_fn(|request| handle_request(Rc::clone(&shared), request));
+    let session = Rc::new(ClientSession::open(&shared.clients));
+    let socket = ClientSocket::new(stream, Rc::clone(&session), Rc::clone(&shared));
+    let service =
+        service_fn(|request| handle_request(Rc::clone(&shared), Rc::clone(&session), request));
     // Hyper includes the idle time between two requests in the head timeout.
     let head_timeout = limits.idle_timeout + limits.head_timeout;
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(head_timeout)
         .max_buf_size(limits.max_head_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(stream), service)
-        .await;
-    if let Err(error) = served {
-        tracing::debug!(%error, "client connection failed");
+        .serve_connection(TokioIo::new(socket), service);
+    tokio::select! {
+        served = served => {
+            if let Err(error) = served {
+                tracing::debug!(%error, "client connection failed");
+            }
+        }
+        () = session.disconnect.notified() => {}
     }
 }
 
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -5,7 +5,10 @@
 //! of clients and endpoints is not known here: an [`EdgePort`] parses their headers and writes the
 //! edge's own.
 
+mod body_room;
 mod byte_budget;
+mod client_session;
+mod client_socket;
 mod config_exchange;
 mod config_update;
 mod connection_pool;
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -23,6 +23,7 @@
 };
 
 use crate::{
+    client_session::ClientSession,
     crash_watch::is_quarantined,
     edge_body::EdgeBody,
     edge_state::EdgeShared,
@@ -59,9 +60,10 @@
     stream_body::StreamBody, //
 };
 
-/// Handles one request.
+/// Handles one request of a client.
 pub(crate) async fn handle_request(
     shared: Rc<EdgeShared>,
+    session: Rc<ClientSession>,
     request: Request<Incoming>,
 ) -> Result<Response<EdgeBody>, Infallible> {
     {
@@ -74,7 +76,7 @@
         shared: Rc::clone(&shared),
         is_transferred: false,
     };
-    let mut response = match read_plan(&shared, request).await {
+    let mut response = match read_plan(&shared, &session, request).await {
         Ok(plan) => forward_request(&shared, Rc::new(plan)).await,
         Err((reason, id)) => {
             tracing::info!(request = id, outcome = "refused", ?reason, "request over");
@@ -90,6 +92,8 @@
         }
     };
     counter.is_transferred = matches!(response.body(), EdgeBody::Stream(_));
+    let held = response.body().held_bytes();
+    session.update(|transfer| transfer.begin_response(held, shared.now()));
     if shared.state.borrow().stage == EdgeStage::Draining {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(CONNECTION, close);
--- a/crates/ragwortroad_edge/src/request_reading.rs
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -26,7 +26,8 @@
 
 use crate::{
     RequestMetadata,
-    byte_budget::ByteBudget,
+    body_room::push_chunk,
+    client_session::ClientSession,
     edge_state::EdgeShared,
     refusal_reason::RefusalReason,
     request_plan::{
@@ -48,6 +49,7 @@
 /// Reads a request completely and resolves its route, customer and service.
 pub(crate) async fn read_plan(
     shared: &EdgeShared,
+    session: &ClientSession,
     request: Request<Incoming>,
 ) -> Result<RequestPlan, (RefusalReason, Option<String>)> {
     let received_at = Instant::now();
@@ -58,7 +60,7 @@
     let (map, body) = match current_map {
         Some(map) => (map, RequestBody::Unread(body)),
         None => {
-            let loaded = await_config(shared, &metadata, body, received_at).await;
+            let loaded = await_config(shared, session, &metadata, body, received_at).await;
             loaded.map_err(|reason| (reason, id.clone()))?
         }
     };
@@ -77,7 +79,7 @@
     let service = map.draw_target(target.route, rand::random()).to_owned();
     let limit = map.config().limits.max_body_bytes;
     let body = match body {
-        RequestBody::Unread(body) => read_body(&shared.bodies, body, limit, deadline).await,
+        RequestBody::Unread(body) => read_body(shared, session, body, limit, deadline).await,
         RequestBody::Read(body) if body.len() > limit => Err(RefusalReason::TooLarge),
         RequestBody::Read(body) => Ok(body),
     };
@@ -116,6 +118,7 @@
 /// The body is read first, because clients take an edge that does not read for a dead one.
 async fn await_config(
     shared: &EdgeShared,
+    session: &ClientSession,
     metadata: &RequestMetadata,
     body: Incoming,
     received_at: Instant,
@@ -123,7 +126,7 @@
     let time_left = metadata.time_left.unwrap_or(DEFAULT_TIMEOUT);
     let wait_until = received_at + shared.start_wait(time_left);
     let limit = ClientLimits::default().max_body_bytes;
-    let body = read_body(&shared.bodies, body, limit, received_at + time_left).await?;
+    let body = read_body(shared, session, body, limit, received_at + time_left).await?;
     loop {
         let current_map = shared.state.borrow().map.clone();
         if let Some(map) = current_map {
@@ -155,16 +158,21 @@
 }
 
 async fn read_body(
-    budget: &ByteBudget,
+    shared: &EdgeShared,
+    session: &ClientSession,
     body: Incoming,
     limit: usize,
     deadline: Instant,
 ) -> Result<Bytes, RefusalReason> {
     let mut body = Limited::new(body, limit);
-    let mut held = budget.hold();
+    let mut held = shared.bodies.hold();
+    session.update(|transfer| transfer.begin_request(shared.now()));
     loop {
         let frame = match timeout_at(deadline, body.frame()).await {
-            Ok(None) => return Ok(held.into_bytes()),
+            Ok(None) => {
+                session.update(ClientTransfer::finish_request);
+                return Ok(held.into_bytes());
+            }
             Ok(Some(Ok(frame))) => frame,
             Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
                 return Err(RefusalReason::TooLarge);
@@ -176,7 +184,10 @@
             Err(_) => return Err(RefusalReason::SlowBody),
         };
         if let Ok(chunk) = frame.into_data() {
-            held.push(chunk).map_err(|_| RefusalReason::NoMemory)?;
+            let length = chunk.len();
+            let pushed = push_chunk(shared, &mut held, chunk, Some(session.key)).await;
+            pushed.map_err(|_| RefusalReason::NoMemory)?;
+            session.update(|transfer| transfer.note_received(length, shared.now()));
         }
     }
 }
--- a/crates/ragwortroad_telemetry/src/metric_names.rs
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -26,6 +26,8 @@
 pub const GATE_WAITING: &str = "ragwortroad_gate_waiting";
 /// Bytes of request and response bodies that this edge holds.
 pub const BODY_BYTES: &str = "ragwortroad_body_bytes";
+/// Clients that this edge disconnected because their unfinished bodies took the room of others.
+pub const SLOW_CLIENTS_DISCONNECTED: &str = "ragwortroad_slow_clients_disconnected_total";
 /// Requests currently in flight.
 pub const REQUESTS_IN_FLIGHT: &str = "ragwortroad_requests_in_flight";
 /// Estimated number of requests at the chosen endpoint when this edge sent another one there.
