Let a stopping edge wait for clients that read their responses slowly

What callers saw: a client that reads nothing for 3.5 s while its edge stops gets 3.9 of 8 MB and a closed connection (whole_path, a_stopping_edge_lets_slow_readers_finish, on: failed), although the edge may take six seconds.

Cause: a request counted as in flight until its response was ready, not until the client's connection had taken it; so an edge without other work stopped after 2.5 s.

Change: an edge knows of each client whether a part of a response has yet to be passed to its connection, and stops before its limit only when there is none. Streams count as well: their last events may wait for the client like a body.

--- a/crates/ragwortroad_dispatch/src/client_transfer.rs
+++ b/crates/ragwortroad_dispatch/src/client_transfer.rs
@@ -19,6 +19,8 @@
     moved: usize,
     /// When the client had last moved enough bytes, or the transfer began.
     progressed_at: ClockTime,
+    /// Whether the client's connection takes no bytes until the client reads.
+    is_blocked: bool,
 }
 
 impl ClientTransfer {
@@ -46,13 +48,14 @@
         *self = Self {
             held: bytes,
             unread: bytes,
-            moved: 0,
             progressed_at: now,
+            ..Self::default()
         };
     }
 
     /// Records that the client's connection has taken bytes.
     pub fn note_sent(&mut self, bytes: usize, now: ClockTime) {
+        self.is_blocked = false;
         self.unread = self.unread.saturating_sub(bytes);
         if self.unread == 0 {
             self.held = 0;
@@ -60,6 +63,16 @@
         self.note_moved(bytes, now);
     }
 
+    /// Records that the client's connection takes no bytes now.
+    pub fn note_blocked(&mut self) {
+        self.is_blocked = true;
+    }
+
+    /// Returns whether part of a response has yet to be passed to the client's connection.
+    pub fn has_unsent(&self) -> bool {
+        self.unread > 0 || self.is_blocked
+    }
+
     fn note_moved(&mut self, bytes: usize, now: ClockTime) {
         self.moved += bytes;
         if self.moved >= PROGRESS_BYTES {
--- a/crates/ragwortroad_edge/src/client_session.rs
+++ b/crates/ragwortroad_edge/src/client_session.rs
@@ -30,6 +30,12 @@
 }
 
 impl ClientTable {
+    /// Returns whether part of a response has yet to be passed to a client's connection.
+    pub(crate) fn has_unsent(&self) -> bool {
+        let sessions = self.sessions.borrow();
+        sessions.values().any(|entry| entry.transfer.has_unsent())
+    }
+
     /// Disconnects slow clients other than `own` whose bodies occupy `missing` bytes together;
     /// returns whether there are any.
     ///
--- a/crates/ragwortroad_edge/src/client_socket.rs
+++ b/crates/ragwortroad_edge/src/client_socket.rs
@@ -7,11 +7,11 @@
     rc::Rc,
     task::{
         Context,
-        Poll,
-        ready, //
+        Poll, //
     }, //
 };
 
+use ragwortroad_dispatch::prelude::*;
 use tokio::{
     io::{
         AsyncRead,
@@ -46,12 +46,18 @@
         }
     }
 
-    fn note_sent(&self, sent: io::Result<usize>) -> io::Result<usize> {
-        let bytes = sent?;
-        let now = self.shared.now();
-        self.session
-            .update(|transfer| transfer.note_sent(bytes, now));
-        Ok(bytes)
+    /// Records the result of an attempt to write.
+    fn note_write(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
+        match &written {
+            Poll::Pending => self.session.update(ClientTransfer::note_blocked),
+            Poll::Ready(Ok(bytes)) => {
+                let now = self.shared.now();
+                self.session
+                    .update(|transfer| transfer.note_sent(*bytes, now));
+            }
+            Poll::Ready(Err(_)) => {}
+        }
+        written
     }
 }
 
@@ -71,8 +77,8 @@
         context: &mut Context<'_>,
         buffer: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let sent = ready!(Pin::new(&mut self.stream).poll_write(context, buffer));
-        Poll::Ready(self.note_sent(sent))
+        let written = Pin::new(&mut self.stream).poll_write(context, buffer);
+        self.note_write(written)
     }
 
     fn poll_write_vectored(
@@ -80,8 +86,8 @@
         context: &mut Context<'_>,
         buffers: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let sent = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, buffers));
-        Poll::Ready(self.note_sent(sent))
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.note_write(written)
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -219,7 +219,8 @@
         }
         let state = shared.state.borrow();
         let is_quiet = now.since(state.last_activity_at) > DRAIN_QUIET_PERIOD;
-        let is_done = state.in_flight == 0 && is_quiet && now.since(started_at) > MIN_DRAIN;
+        let is_idle = state.in_flight == 0 && !shared.clients.has_unsent();
+        let is_done = is_idle && is_quiet && now.since(started_at) > MIN_DRAIN;
         if is_done || now.since(started_at) >= limit {
             tracing::info!(in_flight = state.in_flight, "stopped");
             return;
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -7,8 +7,10 @@
 
 use bytes::Bytes;
 use hyper::{
+    Method,
     Request,
     Response,
+    StatusCode,
     body::Incoming,
     header::{
         CONNECTION,
@@ -60,6 +62,9 @@
     stream_body::StreamBody, //
 };
 
+/// Statuses of responses whose body is never sent.
+const BODILESS: [StatusCode; 2] = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+
 /// Handles one request of a client.
 pub(crate) async fn handle_request(
     shared: Rc<EdgeShared>,
@@ -76,6 +81,7 @@
         shared: Rc::clone(&shared),
         is_transferred: false,
     };
+    let is_head = request.method() == Method::HEAD;
     let mut response = match read_plan(&shared, &session, request).await {
         Ok(plan) => forward_request(&shared, Rc::new(plan)).await,
         Err((reason, id)) => {
@@ -92,7 +98,12 @@
         }
     };
     counter.is_transferred = matches!(response.body(), EdgeBody::Stream(_));
-    let held = response.body().held_bytes();
+    let has_body = !is_head && !BODILESS.contains(&response.status());
+    let held = if has_body {
+        response.body().held_bytes()
+    } else {
+        0
+    };
     session.update(|transfer| transfer.begin_response(held, shared.now()));
     if shared.state.borrow().stage == EdgeStage::Draining {
         let close = HeaderValue::from_static("close");
