Let clients of the soak stop reading and sending

Six clients stall again and again for up to six seconds: they read nothing of a response of 8 MB, or send half of a request. The processes may use 96 MB each. After the faults each edge has to deliver a large response beside them, and to have kept to its memory.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -17,6 +17,7 @@
 #[allow(dead_code, reason = "the tests in `whole_path` use more of it")]
 #[path = "../../platform/tests/whole_path/replica.rs"]
 mod replica;
+mod slow_clients;
 
 use std::{
     env,
@@ -561,6 +562,10 @@
             });
         }
         let run = &run;
+        for client in 0..6 {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 10 + client);
+            scope.spawn(move || run.stall(&mut rng));
+        }
         for edge in 0..run.edges.len() {
             scope.spawn(move || {
                 let mut client = KeepAliveClient::default();
@@ -621,6 +626,10 @@
         network.join().expect("network fault thread panicked");
         run.are_faults_over.store(true, Ordering::SeqCst);
         check_recovery(run);
+        run.check_beside_stalled_clients();
+        for edge in &edges {
+            run.check_memory(edge);
+        }
         run.check_wishes(seed);
         run.check_quarantine(seed);
         run.is_finished.store(true, Ordering::SeqCst);
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -31,6 +31,9 @@
 
 use crate::proxy::SoakProxy;
 
+/// Memory that each process may use.
+pub(crate) const MEMORY_MB: u64 = 96;
+
 /// One process of the fleet.
 pub(crate) struct SoakProcess {
     role: &'static str,
@@ -72,6 +75,14 @@
         }
     }
 
+    /// Largest resident memory of the process so far in KiB; `None` if it is not running.
+    pub(crate) fn peak_memory_kib(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        line?.trim().trim_end_matches(" kB").trim().parse().ok()
+    }
+
     /// Kills the process and waits until it has ended.
     pub(crate) fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
@@ -151,7 +162,8 @@
     let common_settings = |host, bind: Option<SocketAddr>| {
         let bind = bind.map_or_else(String::new, |bind| format!("inner_bind = {bind}\n"));
         format!(
-            "[vm]\nname = vm-{host}\nzone = a\ninner = {}\nseeds = {}\nfirst_start = true\n{bind}\
+            "[vm]\nname = vm-{host}\nzone = a\ninner = {}\nseeds = {}\nfirst_start = true\n\
+             memory_mb = {MEMORY_MB}\n{bind}\
              [bounds]\nannounce_every_ms = 500\ngrace_ms = 5000\nretry_slack = 400\n",
             at(host, 0),
             seeds.join(",")
