Look up only those engines of a service that have work or a history

Cause: each request for a model looked up every engine of the fleet in the edge's loads, in the totals of its home registry and in its own report, once for the limit and once for the choice. Nearly all engines had nothing to look up.

Change: ready endpoints of a service lie one after the other; the few with requests or outcomes are marked by position, and only these are looked up. The others count as idle. Limits and candidates stay the same, but for the order of candidates (ties between equally loaded endpoints go elsewhere).

--- a/crates/ragwortroad_dispatch/src/endpoint_selection.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_selection.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     EndpointKey,
-    EndpointTag, //
+    EndpointTag,
+    ReadyEndpoint, //
 };
 
 /// Parameters of the selection of an engine.
@@ -81,6 +82,19 @@
 }
 
 impl SelectionCandidate {
+    /// Returns an endpoint without requests and without failures that holds no prefix.
+    pub fn idle(endpoint: &ReadyEndpoint) -> Self {
+        Self {
+            key: endpoint.key,
+            tag: endpoint.tag,
+            load: 0,
+            slots: endpoint.slots,
+            failure_rate: 0.0,
+            time_factor: 1.0,
+            holds_prefix: false,
+        }
+    }
+
     /// Returns whether the endpoint has a free slot, as far as this edge knows.
     ///
     /// Without one the request would queue there while other engines have free slots.
--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -23,6 +23,7 @@
         ReadyEndpoint,
         ReadyIndex, //
     },
+    ready_set::ReadySet,
     registry_table::{
         is_outdated,
         warm_at, //
@@ -416,11 +417,16 @@
         self.ready.count()
     }
 
-    /// Returns the endpoints of a service that accept new work.
-    pub fn ready(&self, service: &str) -> impl Iterator<Item = &ReadyEndpoint> {
+    /// Returns the endpoints of a service that accept new work, in no particular order.
+    pub fn ready(&self, service: &str) -> &[ReadyEndpoint] {
         self.ready.endpoints(service)
     }
 
+    /// Returns the set of those endpoints in [`Self::ready`] that are among `keys`.
+    pub fn ready_among(&self, service: &str, keys: impl Iterator<Item = EndpointKey>) -> ReadySet {
+        self.ready.subset(service, keys)
+    }
+
     /// Returns the failure domains whose name satisfies `is_member`.
     pub fn domain_set(&self, is_member: impl Fn(&str) -> bool) -> DomainSet {
         let domains = self.domains.iter();
--- a/crates/ragwortroad_dispatch/src/fleet_load.rs
+++ b/crates/ragwortroad_dispatch/src/fleet_load.rs
@@ -13,6 +13,18 @@
     pub failure_rate: f64,
 }
 
+impl EndpointUsage {
+    /// Returns the usage of an endpoint without requests and without failures.
+    pub fn idle(slots: u32) -> Self {
+        Self {
+            slots,
+            total: 0,
+            own: 0,
+            failure_rate: 0.0,
+        }
+    }
+}
+
 /// Load of all edges on the endpoints of one service, as known to one edge.
 ///
 /// The counts are as old as the edges' reports, about 0.3 s.
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -39,6 +39,7 @@
 mod prefix_source;
 mod prefix_table;
 mod ready_index;
+mod ready_set;
 mod registry_table;
 mod retry_after;
 mod retry_budget;
@@ -153,6 +154,7 @@
         },
         prefix_table::PrefixTable,
         ready_index::ReadyEndpoint,
+        ready_set::ReadySet,
         registry_table::{
             RegistryChange,
             RegistryTable,
--- a/crates/ragwortroad_dispatch/src/load_totals.rs
+++ b/crates/ragwortroad_dispatch/src/load_totals.rs
@@ -84,6 +84,11 @@
         changes
     }
 
+    /// Returns the endpoints whose last reported count is not zero.
+    pub fn endpoints(&self) -> impl Iterator<Item = EndpointTag> {
+        self.published.keys().copied()
+    }
+
     /// Returns the count last reported for an endpoint.
     pub fn count(&self, endpoint: EndpointTag) -> u32 {
         self.published.get(&endpoint).copied().unwrap_or(0)
--- a/crates/ragwortroad_dispatch/tests/endpoints.rs
+++ b/crates/ragwortroad_dispatch/tests/endpoints.rs
@@ -23,11 +23,13 @@
 const HERE: SourceKey = SourceKey(1);
 const THERE: SourceKey = SourceKey(2);
 
+/// Names of the ready endpoints, sorted.
 fn ready(table: &EndpointTable) -> Vec<String> {
-    let records = table
-        .ready("llm")
-        .filter_map(|endpoint| table.record(endpoint.key));
-    records.map(|record| record.name.clone()).collect()
+    let endpoints = table.ready("llm").iter();
+    let records = endpoints.filter_map(|endpoint| table.record(endpoint.key));
+    let mut names: Vec<String> = records.map(|record| record.name.clone()).collect();
+    names.sort_unstable();
+    names
 }
 
 fn draining(name: &str, sequence: u64) -> EndpointRecord {
@@ -336,7 +338,7 @@
     );
     table.mark_lost(second, "i-1", at(4000));
     assert!(table.expire(at(60_000)).is_empty());
-    assert_eq!(table.ready("llm").count(), 1);
+    assert_eq!(table.ready("llm").len(), 1);
     // An older record does not bring back an endpoint that has left.
     let leaving = EndpointRecord {
         stage: EndpointStage::Draining,
@@ -344,7 +346,7 @@
     };
     table.apply_record(second, leaving, at(61_000));
     table.apply_record(first, announced(5), at(61_100));
-    assert_eq!(table.ready("llm").count(), 0);
+    assert_eq!(table.ready("llm").len(), 0);
 }
 
 /// Guards against announcements that bring back an endpoint which has said that it leaves.
@@ -457,11 +459,17 @@
                     })
                 };
                 let expected: Vec<_> = (0..500).map(EndpointKey).filter(is_ready).collect();
-                let ready: Vec<_> = table.ready(service).map(|endpoint| endpoint.key).collect();
+                let ready = table.ready(service).iter();
+                let mut ready: Vec<_> = ready.map(|endpoint| endpoint.key).collect();
+                ready.sort_unstable();
                 assert_eq!(ready, expected, "seed {seed}, step {step}");
-                for endpoint in table.ready(service) {
+                let is_chosen = |key: EndpointKey| key.0.is_multiple_of(3);
+                let chosen = (0..500).map(EndpointKey).filter(|key| is_chosen(*key));
+                let chosen = table.ready_among(service, chosen);
+                for (position, endpoint) in table.ready(service).iter().enumerate() {
                     let is_warming = table.is_warming(endpoint.key, now);
                     assert_eq!(endpoint.is_warming(now), is_warming);
+                    assert_eq!(chosen.contains(position), is_chosen(endpoint.key));
                 }
                 count += ready.len();
             }
--- a/crates/ragwortroad_dispatch/tests/warmups.rs
+++ b/crates/ragwortroad_dispatch/tests/warmups.rs
@@ -234,7 +234,7 @@
 
     let mut known = EndpointTable::default();
     known.apply_record(HERE, cold(1, 0), at(0));
-    let key = known.ready("llm").next().expect("a ready endpoint").key;
+    let key = known.ready("llm").first().expect("a ready endpoint").key;
     assert!(!known.is_warming(key, at(0)));
     known.undrain_domain("a", at(2500));
     assert!(known.is_warming(key, at(2400)));
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -73,18 +73,27 @@
         rule.engine.as_ref()?;
         let reachable = self.reachable_domains();
         let home = self.home();
-        let open = self.available_endpoints(service).filter(|endpoint| {
-            let load = self.loads.get(&endpoint.key);
-            let is_open = load.is_none_or(|load| load.is_available(now));
-            is_open && !self.is_resting(endpoint, now) && reachable.contains(endpoint.domain)
-        });
-        let usages = open.map(|endpoint| {
+        let active = self.active_endpoints(service);
+        let open = self
+            .available_endpoints(service)
+            .filter(|(position, endpoint)| {
+                let load = active
+                    .contains(*position)
+                    .then(|| self.loads.get(&endpoint.key));
+                let is_open = load.flatten().is_none_or(|load| load.is_available(now));
+                is_open && !self.is_resting(endpoint, now) && reachable.contains(endpoint.domain)
+            });
+        let usages = open.map(|(position, endpoint)| {
+            let is_warming = rule.warmup_per_second.is_some() && endpoint.is_warming(now);
+            let slots = usable_slots(endpoint.slots, is_warming);
+            if !active.contains(position) {
+                return EndpointUsage::idle(slots);
+            }
             let own = home.map_or(0, |home| home.report.count(endpoint.tag));
             let other_edges = home.map_or(0, |home| home.other_edges_load(endpoint.tag));
             let load = self.loads.get(&endpoint.key);
-            let is_warming = rule.warmup_per_second.is_some() && endpoint.is_warming(now);
             EndpointUsage {
-                slots: usable_slots(endpoint.slots, is_warming),
+                slots,
                 total: other_edges + own,
                 own,
                 failure_rate: load.map_or(0.0, |load| load.failure_rate(now)),
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -145,16 +145,30 @@
             .or_insert_with(|| RetryBudget::new(BudgetSettings::default(), edges, now))
     }
 
-    /// Ready endpoints of a service whose failure domain is not drained.
+    /// Ready endpoints of a service whose failure domain is not drained, with their positions in
+    /// [`EndpointTable::ready`].
     pub(crate) fn available_endpoints(
         &self,
         service: &str,
-    ) -> impl Iterator<Item = &ReadyEndpoint> {
+    ) -> impl Iterator<Item = (usize, &ReadyEndpoint)> {
         let domains = self
             .endpoints
             .domain_set(|domain| !self.drains.is_drained(domain));
-        let ready = self.endpoints.ready(service);
-        ready.filter(move |endpoint| domains.contains(endpoint.domain))
+        let ready = self.endpoints.ready(service).iter().enumerate();
+        ready.filter(move |(_, endpoint)| domains.contains(endpoint.domain))
+    }
+
+    /// Ready endpoints of a service with requests of any edge, or with outcomes that this edge
+    /// remembers.
+    ///
+    /// The others have no load and no failures. They are by far the most in a large fleet, and need
+    /// no look-up each.
+    pub(crate) fn active_endpoints(&self, service: &str) -> ReadySet {
+        let own = self.loads.keys().copied();
+        let home = self.home().into_iter();
+        let tags = home.flat_map(RegistryLink::loaded_endpoints);
+        let others = tags.filter_map(|tag| self.endpoints.find(tag));
+        self.endpoints.ready_among(service, own.chain(others))
     }
 
     /// Failure domains that this edge can reach.
@@ -175,7 +189,7 @@
             return None;
         }
         let mut shortest = None;
-        for endpoint in self.available_endpoints(service) {
+        for (_, endpoint) in self.available_endpoints(service) {
             let rest = self.rests.rest_left(endpoint.incarnation, now)?;
             shortest = Some(shortest.map_or(rest, |shortest: Duration| shortest.min(rest)));
         }
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -163,34 +163,43 @@
 
     /// Endpoints that may take the request.
     fn candidates(&self) -> Vec<SelectionCandidate> {
-        let available = self.state.available_endpoints(&self.plan.service);
-        let untried = available.filter(|endpoint| !self.tried.contains(&endpoint.key));
-        let untried = untried.filter(|endpoint| !self.state.is_resting(endpoint, self.now));
-        let untried = untried.filter(|endpoint| self.may_send(endpoint));
-        let is_open = |endpoint: &&ReadyEndpoint| {
-            self.is_open(endpoint.key) && self.reachable.contains(endpoint.domain)
+        let service = &self.plan.service;
+        let active = self.state.active_endpoints(service);
+        let holders = self.holders.iter().copied();
+        let holders = self.state.endpoints.ready_among(service, holders);
+        let available = self.state.available_endpoints(service);
+        let untried = available.filter(|(_, endpoint)| !self.tried.contains(&endpoint.key));
+        let untried = untried.filter(|(_, endpoint)| !self.state.is_resting(endpoint, self.now));
+        let untried = untried.filter(|(_, endpoint)| self.may_send(endpoint));
+        let is_open = |(position, endpoint): &(usize, &ReadyEndpoint)| {
+            let is_open = !active.contains(*position) || self.is_open(endpoint.key);
+            is_open && self.reachable.contains(endpoint.domain)
+        };
+        let candidate = |(position, endpoint): (usize, &ReadyEndpoint)| SelectionCandidate {
+            holds_prefix: holders.contains(position),
+            ..match active.contains(position) {
+                true => self.candidate(endpoint),
+                false => SelectionCandidate::idle(endpoint),
+            }
         };
         let (open, paused): (Vec<_>, Vec<_>) = untried.partition(is_open);
         // If all of them failed recently, trying one is still better than a refusal.
         let usable = if open.is_empty() { paused } else { open };
-        let usable = usable.into_iter();
-        usable.map(|endpoint| self.candidate(endpoint)).collect()
+        usable.into_iter().map(candidate).collect()
     }
 
+    /// A candidate with requests or outcomes, without regard to the prefixes that it holds.
     fn candidate(&self, endpoint: &ReadyEndpoint) -> SelectionCandidate {
         let load = self.state.loads.get(&endpoint.key);
         let home = self.home.filter(|_| self.engine.is_some());
         let other_edges_load = home.map_or(0, |home| home.other_edges_load(endpoint.tag));
         SelectionCandidate {
-            key: endpoint.key,
-            tag: endpoint.tag,
             load: load.map_or(other_edges_load, |load| {
                 load.estimate(other_edges_load, self.now)
             }),
-            slots: endpoint.slots,
             failure_rate: load.map_or(0.0, |load| self.failing(load)),
             time_factor: load.map_or(1.0, |load| load.time_factor(self.now)),
-            holds_prefix: self.holders.contains(&endpoint.key),
+            ..SelectionCandidate::idle(endpoint)
         }
     }
 
--- a/crates/ragwortroad_edge/src/registry_link.rs
+++ b/crates/ragwortroad_edge/src/registry_link.rs
@@ -64,6 +64,11 @@
         };
     }
 
+    /// Endpoints at which this registry reports requests, or this edge has reported some to it.
+    pub(crate) fn loaded_endpoints(&self) -> impl Iterator<Item = EndpointTag> {
+        self.totals.keys().copied().chain(self.report.endpoints())
+    }
+
     /// In-flight requests of other edges at an endpoint, as reported by this registry.
     pub(crate) fn other_edges_load(&self, endpoint: EndpointTag) -> u32 {
         let total = self.totals.get(&endpoint).copied().unwrap_or(0);
--- a/crates/ragwortroad_edge/src/tests.rs
+++ b/crates/ragwortroad_edge/src/tests.rs
@@ -19,6 +19,7 @@
     byte_budget::ByteBudget,
     edge_state::EdgeState,
     read_stall::ReadStall,
+    registry_link::RegistryLink,
     service_gate::{
         GateDecision,
         ServiceGate, //
@@ -147,6 +148,72 @@
     assert!(growth < MAX_GROWTH, "{growth:.1} times the time of a tick");
 }
 
+/// State of an edge whose home registry reports `loaded` of `endpoints` engines with a request each.
+fn edge_beside_loaded(endpoints: u32, loaded: u32, now: ClockTime) -> EdgeState {
+    let mut state = edge_beside(endpoints, now);
+    let mut home = RegistryLink::new(SocketAddr::from((Ipv4Addr::LOCALHOST, 80)));
+    home.is_home = true;
+    let tags = (0..loaded).map(|index| EndpointTag::of(&format!("engine-{index}")));
+    home.totals = tags.map(|tag| (tag, 1)).collect();
+    state.links.insert(SourceKey(0), home);
+    state
+}
+
+/// Guards against requests that look up each engine of a fleet of which few have work.
+#[test]
+fn a_request_costs_little_for_engines_without_work() {
+    const ENGINES: u32 = 20_000;
+    const MIN_RATIO: f64 = 2.5;
+    let now = ClockTime(3_600_000);
+    let [few, all] = [ENGINES / 50, ENGINES].map(|loaded| {
+        let mut state = edge_beside_loaded(ENGINES, loaded, now);
+        let rounds = (0..5).map(|_| {
+            let started = thread_processor_time();
+            for _ in 0..5 {
+                state.set_limits(now);
+                let gate = state.gate_mut("llm", now);
+                assert!(gate.gate().limit().is_finite());
+            }
+            thread_processor_time() - started
+        });
+        rounds.min().expect("a round").as_secs_f64()
+    });
+    let ratio = all / few;
+    assert!(
+        ratio > MIN_RATIO,
+        "only {ratio:.1} times the time with work at all"
+    );
+}
+
+/// Guards against limits from a part of the engines: those with work, failures and rests, or those
+/// without.
+#[test]
+fn a_limit_counts_all_engines_that_can_be_selected() {
+    let now = ClockTime(3_600_000);
+    let mut state = edge_beside_loaded(1000, 100, now);
+    let limit = |state: &mut EdgeState| {
+        state.set_limits(now);
+        state.gate_mut("llm", now).gate().limit()
+    };
+    let load = |capacity: u32, total: u32, own: u32| FleetLoad {
+        capacity: f64::from(capacity),
+        total,
+        own,
+        edges: 100,
+    };
+    assert_eq!(limit(&mut state), load(12_000, 100, 0).own_limit());
+    let home = state.links.values_mut().next().expect("the home");
+    let own = [
+        (EndpointTag::of("engine-7"), 2),
+        (EndpointTag::of("engine-700"), 3),
+    ];
+    home.report.changes(&own.into());
+    // The registry reports engine 7 with one request, but this edge alone has two there.
+    assert_eq!(limit(&mut state), load(12_000, 104, 5).own_limit());
+    state.load_mut(EndpointKey(900)).note_failure(now);
+    assert_eq!(limit(&mut state), load(11_988, 104, 5).own_limit());
+}
+
 /// Receives a body in chunks of 16 KiB; `None` if the budget refuses it.
 fn receive(budget: &ByteBudget, length: usize) -> Option<Bytes> {
     const CHUNK_BYTES: usize = 16 << 10;
