Shorten the doc of a test to a line; call bytes of a response unsent in one way

The doc of a_limit_counts_all_engines_that_can_be_selected had two lines. A private field was named unread beside has_unsent; a comment of the state crate is reworded. No change of behaviour; the tests of slow clients and of the edge passed.

--- a/crates/ragwortroad_dispatch/src/client_transfer.rs
+++ b/crates/ragwortroad_dispatch/src/client_transfer.rs
@@ -13,8 +13,8 @@
 pub struct ClientTransfer {
     /// Bytes held; 0 while nothing depends on the client.
     held: usize,
-    /// Bytes of a response that the client has yet to read.
-    unread: usize,
+    /// Bytes of a response that have yet to be passed to the client's connection.
+    unsent: usize,
     /// Bytes moved since `progressed_at`.
     moved: usize,
     /// When the client had last moved enough bytes, or the transfer began.
@@ -47,7 +47,7 @@
     pub fn begin_response(&mut self, bytes: usize, now: ClockTime) {
         *self = Self {
             held: bytes,
-            unread: bytes,
+            unsent: bytes,
             progressed_at: now,
             ..Self::default()
         };
@@ -56,8 +56,8 @@
     /// Records that the client's connection has taken bytes.
     pub fn note_sent(&mut self, bytes: usize, now: ClockTime) {
         self.is_blocked = false;
-        self.unread = self.unread.saturating_sub(bytes);
-        if self.unread == 0 {
+        self.unsent = self.unsent.saturating_sub(bytes);
+        if self.unsent == 0 {
             self.held = 0;
         }
         self.note_moved(bytes, now);
@@ -70,7 +70,7 @@
 
     /// Returns whether part of a response has yet to be passed to the client's connection.
     pub fn has_unsent(&self) -> bool {
-        self.unread > 0 || self.is_blocked
+        self.unsent > 0 || self.is_blocked
     }
 
     fn note_moved(&mut self, bytes: usize, now: ClockTime) {
--- a/crates/ragwortroad_edge/src/tests.rs
+++ b/crates/ragwortroad_edge/src/tests.rs
@@ -185,8 +185,7 @@
     );
 }
 
-/// Guards against limits from a part of the engines: those with work, failures and rests, or those
-/// without.
+/// Guards against limits from a part of the engines, such as those with work.
 #[test]
 fn a_limit_counts_all_engines_that_can_be_selected() {
     let now = ClockTime(3_600_000);
--- a/crates/ragwortroad_state/src/order/managed_engine.rs
+++ b/crates/ragwortroad_state/src/order/managed_engine.rs
@@ -18,8 +18,8 @@
     /// The role and drain that the engine's current incarnation has confirmed.
     pub(crate) role: EngineRole,
     pub(crate) drain: bool,
-    /// Whether another holder may have drained the engine. `drain` is then only a guess until this
-    /// holder's own order is acknowledged.
+    /// Whether another holder may have drained the engine, so that `drain` is unconfirmed. Cleared by
+    /// the acknowledgement of an order of this holder.
     pub(crate) drain_unknown: bool,
 }
 
