--- a/crates/ragwortroad_edge/src/crash_check.rs
+++ b/crates/ragwortroad_edge/src/crash_check.rs
@@ -61,7 +61,7 @@
     let Some(record) = record.filter(|record| record.stage == EndpointStage::Ready) else {
         return;
     };
-    match EndpointConnection::open(record.address).await {
+    match EndpointConnection::open(record.address, shared.settings.endpoint_source).await {
         Ok(connection) => {
             let now = shared.now();
             shared.pool.keep(record.address, connection, None, now);
--- a/crates/ragwortroad_edge/src/domain_probe.rs
+++ b/crates/ragwortroad_edge/src/domain_probe.rs
@@ -74,7 +74,7 @@
 
 /// A refused connection proves that the domain is reachable just as an accepted one does.
 async fn probe(shared: Rc<EdgeShared>, domain: String, address: SocketAddr) {
-    match EndpointConnection::open(address).await {
+    match EndpointConnection::open(address, shared.settings.endpoint_source).await {
         Ok(connection) => {
             let now = shared.now();
             shared.pool.keep(address, connection, None, now);
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -129,7 +129,9 @@
         let was_pooled = pooled_connection.is_some();
         let mut connection = match pooled_connection.take() {
             Some(connection) => connection,
-            None => match EndpointConnection::open(chosen.address).await {
+            None => match EndpointConnection::open(chosen.address, shared.settings.endpoint_source)
+                .await
+            {
                 Ok(connection) => connection,
                 Err(error) => {
                     return CallOutcome::NotSent {
--- a/crates/ragwortroad_edge/src/endpoint_connection.rs
+++ b/crates/ragwortroad_edge/src/endpoint_connection.rs
@@ -1,7 +1,10 @@
 use std::{
     error::Error,
     io,
-    net::SocketAddr,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     time::Duration, //
 };
 
@@ -19,7 +22,10 @@
     TcpKeepalive, //
 };
 use tokio::{
-    net::TcpStream,
+    net::{
+        TcpSocket,
+        TcpStream, //
+    },
     task::{
         AbortHandle,
         spawn_local, //
@@ -76,8 +82,9 @@
 }
 
 impl EndpointConnection {
-    pub(crate) async fn open(address: SocketAddr) -> io::Result<Self> {
-        let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    /// Connects from `source`, or from an address that the operating system selects.
+    pub(crate) async fn open(address: SocketAddr, source: Option<IpAddr>) -> io::Result<Self> {
+        let connected = timeout(CONNECT_TIMEOUT, connect(address, source)).await;
         let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
@@ -127,6 +134,18 @@
     }
 }
 
+async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 impl Drop for EndpointConnection {
     /// Closes the connection immediately, so that the endpoint stops working for a client that has
     /// disconnected.
--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -50,6 +50,8 @@
     pub callers: Option<SocketAddr>,
     /// Address on which an edge reports whether it is ready.
     pub readiness: Option<SocketAddr>,
+    /// IP address from which an edge connects to endpoints; the operating system selects one if unset.
+    pub endpoint_source: Option<IpAddr>,
     /// Address on which a registry listens for operators and endpoints.
     pub control: Option<SocketAddr>,
     /// Address on which a registry answers callers that look up edges.
@@ -103,6 +105,7 @@
             first_start: false,
             callers: None,
             readiness: None,
+            endpoint_source: None,
             control: None,
             directory: None,
             metrics: None,
@@ -166,6 +169,7 @@
             first_start: first_start.unwrap_or(false),
             callers: optional_address(reader, "edge", "callers"),
             readiness: optional_address(reader, "edge", "readiness"),
+            endpoint_source: reader.optional_value("edge", "endpoint_source", "10.0.0.7"),
             control: optional_address(reader, "registry", "control"),
             directory: optional_address(reader, "registry", "directory"),
             metrics: optional_address(reader, "vm", "metrics"),
