--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -41,10 +41,12 @@
 mod ready_index;
 mod ready_set;
 mod registry_table;
+mod relay_peer;
 mod retry_after;
 mod retry_budget;
 mod route_map;
 mod send_pace;
+mod service_reach;
 mod site_config;
 mod start_wait;
 mod update_queue;
@@ -160,6 +162,13 @@
             RegistryTable,
             undrain_warmup, //
         },
+        relay_peer::{
+            RelayCandidate,
+            RelayKey,
+            RelayPeer,
+            choose_relay_peers,
+            relay_limit, //
+        },
         retry_after::retry_after_delay,
         retry_budget::{
             BudgetSettings,
@@ -175,6 +184,7 @@
             SPREAD_INTERVAL,
             SendPace, //
         },
+        service_reach::ServiceReach,
         site_config::{
             ClientLimits,
             CustomerRule,
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -82,7 +82,15 @@
             address,
             inner: shared.settings.inner,
             stage: state.stage,
+            zone: shared.settings.zone.clone(),
+            relay_key: shared.relay_key,
         });
+        if state.is_cut_off() {
+            queue.send(&LinkMessage::EdgeReach {
+                is_cut_off: true,
+                wants_peers: false,
+            });
+        }
     }
     if let Some(link) = state.links.get_mut(&source) {
         tracing::info!(registry = %link.address, "registry connected");
@@ -109,9 +117,11 @@
             voters,
             hears,
             edges,
+            cut_off_edges,
         } => {
             let mut state = shared.state.borrow_mut();
             state.edges = edges;
+            state.cut_off_edges = cut_off_edges;
             if let Some(link) = state.links.get_mut(&source) {
                 link.voters = voters;
                 link.hears = hears;
@@ -151,6 +161,9 @@
             shared.state.borrow_mut().warmups.add_share(share, now);
         }
         LinkMessage::Crashes(reports) => shared.state.borrow_mut().crashes.merge(&reports, now),
+        LinkMessage::RelayPeers(peers) => {
+            shared.state.borrow_mut().relay_peers.set(peers, now);
+        }
         LinkMessage::WantPlaces => shared.state.borrow().send_all_locations(source),
         LinkMessage::EndpointsWhole(records) => {
             let mut state = shared.state.borrow_mut();
--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -54,7 +54,8 @@
     http_server::{
         serve_clients,
         serve_readiness, //
-    }, //
+    },
+    service_contact::probe_services, //
 };
 
 /// Interval of the periodic tasks.
@@ -140,6 +141,7 @@
         pool: ConnectionPool::default(),
         bodies,
         clients: Rc::new(ClientTable::default()),
+        relay_key: RelayKey(rand::random()),
         stop: Notify::new(),
         shutdown_imminent: watch::Sender::new(false),
     });
@@ -187,6 +189,7 @@
         drop(state);
         metrics::gauge!(metric_names::BODY_BYTES).set(shared.bodies.held() as f64);
         shared.pool.expire(now);
+        probe_services(&shared);
         refresh_config(&shared);
     }
 }
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -33,6 +33,7 @@
     client_table::ClientTable,
     connection_pool::ConnectionPool,
     registry_link::RegistryLink,
+    relay_peers::RelayPeers,
     service_gate::ServiceGate,
     update_counts::UpdateCounts, //
 };
@@ -53,6 +54,8 @@
     /// Limits the bytes of request and response bodies.
     pub(crate) bodies: ByteBudget,
     pub(crate) clients: Rc<ClientTable>,
+    /// Secret by which this edge recognizes requests that other edges relay to it.
+    pub(crate) relay_key: RelayKey,
     /// Notified when the edge should stop.
     pub(crate) stop: Notify,
     /// Set to true shortly before a draining edge stops; pending requests then get an error
@@ -80,6 +83,9 @@
     pub(crate) rests: RestTable,
     pub(crate) drains: DomainDrains,
     pub(crate) reach: DomainReach,
+    pub(crate) service_reach: ServiceReach,
+    /// Edges that take requests while this edge has lost contact with endpoints.
+    pub(crate) relay_peers: RelayPeers,
     /// Limits this edge's requests to endpoints that are warming up.
     pub(crate) warmups: WarmupPace,
     pub(crate) prefixes: PrefixTable,
@@ -99,6 +105,8 @@
     pub(crate) next_source: u32,
     /// Number of edges in the fleet, as last reported by a registry.
     pub(crate) edges: u32,
+    /// Number of edges that have lost contact with endpoints, as last reported by a registry.
+    pub(crate) cut_off_edges: u32,
     pub(crate) stage: EdgeStage,
     /// When a draining edge stops in any case.
     pub(crate) shutdown_at: Option<Instant>,
@@ -266,6 +274,8 @@
         metrics::gauge!(metric_names::REQUESTS_IN_FLIGHT).set(self.in_flight as f64);
         metrics::gauge!(metric_names::REGISTRIES_CONNECTED).set(connected.count() as f64);
         metrics::gauge!(metric_names::ENDPOINTS_READY).set(self.endpoints.ready_count() as f64);
+        let cut_off = self.service_reach.cut_off().count();
+        metrics::gauge!(metric_names::SERVICES_CUT_OFF).set(cut_off as f64);
         metrics::gauge!(metric_names::ENDPOINTS_RESTING).set(self.rests.resting_count(now) as f64);
         let quarantined = self.crashes.quarantined_count(now);
         metrics::gauge!(metric_names::REQUESTS_QUARANTINED).set(quarantined as f64);
@@ -374,6 +384,14 @@
         queue.send(&LinkMessage::PlacesKnown(locations.collect()));
     }
 
+    /// Whether this edge takes requests that others relay, besides those of its own clients.
+    pub(crate) fn takes_relayed(&self) -> bool {
+        let home = self.home();
+        let total = home.map_or(0, |home| home.totals.values().sum());
+        let limit = relay_limit(total, self.edges, self.cut_off_edges);
+        self.in_flight as f64 <= limit
+    }
+
     /// Changes this edge's lifecycle stage and reports it to all registries.
     pub(crate) fn set_stage(&mut self, stage: EdgeStage) {
         if self.stage == stage {
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -1,7 +1,10 @@
 //! A single attempt to send a request to an endpoint.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     rc::Rc,
     time::Duration, //
 };
@@ -18,6 +21,7 @@
     StatusCode,
     body::Incoming, //
 };
+use ragwortroad_dispatch::prelude::*;
 use tokio::time::{
     Instant,
     timeout_at, //
@@ -55,7 +59,7 @@
     /// Another endpoint has this address now, and it did not run the request.
     Misdirected,
     /// The endpoint may have run the request, but there is no usable response.
-    Lost { reason: String, is_timeout: bool },
+    Lost { reason: String, kind: LossKind },
     /// The deadline passed.
     TimedOut,
     /// The endpoint did not start to respond in time, and another one is tried.
@@ -66,6 +70,27 @@
     Events(Box<EventStream>),
 }
 
+/// How a request was lost at an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LossKind {
+    /// The endpoint's VM sent no packet at all in return.
+    Silent,
+    /// The connection was closed.
+    Closed,
+    /// The endpoint responded, but the response cannot be used.
+    Unusable,
+}
+
+impl LossKind {
+    fn of(error: &hyper::Error) -> Self {
+        match (is_timeout_error(error), error.is_parse()) {
+            (true, _) => Self::Silent,
+            (false, true) => Self::Unusable,
+            (false, false) => Self::Closed,
+        }
+    }
+}
+
 /// A response whose body was received completely.
 pub(crate) struct FullResponse {
     pub(crate) status: StatusCode,
@@ -81,7 +106,15 @@
     pub(crate) metadata: ResponseMetadata,
     pub(crate) connection: EndpointConnection,
     pub(crate) address: SocketAddr,
-    pub(crate) guard: InFlightGuard,
+    /// Counts the request at the endpoint; `None` if another edge relays the stream.
+    pub(crate) guard: Option<InFlightGuard>,
+}
+
+impl EventStream {
+    /// The endpoint that sends the stream; `None` if another edge relays it.
+    pub(crate) fn endpoint(&self) -> Option<EndpointKey> {
+        self.guard.as_ref().map(InFlightGuard::key)
+    }
 }
 
 /// Sends a request to an endpoint and waits for the complete response or for the head of an event
@@ -106,9 +139,7 @@
         CallOutcome::Full(response) if response.status.is_success() => {
             observe_completion(shared, plan);
         }
-        CallOutcome::Lost {
-            is_timeout: false, ..
-        } => {
+        CallOutcome::Lost { kind, .. } if *kind != LossKind::Silent => {
             let check = CrashCheck::start(shared, plan.digest(), chosen.key);
             check.settle().await;
         }
@@ -124,54 +155,71 @@
     last_event_id: Option<u64>,
     guard: InFlightGuard,
 ) -> CallOutcome {
-    let mut pooled_connection = shared.pool.take(chosen.address, shared.now());
+    let source = shared.settings.endpoint_source;
+    let build = || build_request(shared, plan, chosen, last_event_id);
+    match send_request(shared, chosen.address, source, build).await {
+        Ok((connection, response)) => {
+            read_response(shared, plan, chosen, connection, response, guard).await
+        }
+        Err(outcome) => outcome,
+    }
+}
+
+/// Sends a request on a pooled connection or a new one, and returns the head of the response.
+pub(crate) async fn send_request(
+    shared: &EdgeShared,
+    address: SocketAddr,
+    source: Option<IpAddr>,
+    build: impl Fn() -> Result<Request<Full<Bytes>>, hyper::http::Error>,
+) -> Result<(EndpointConnection, Response<Incoming>), CallOutcome> {
+    let not_sent = |reason: String, is_timeout| CallOutcome::NotSent { reason, is_timeout };
+    let mut pooled_connection = shared.pool.take(address, shared.now());
     loop {
         let was_pooled = pooled_connection.is_some();
         let mut connection = match pooled_connection.take() {
             Some(connection) => connection,
-            None => match EndpointConnection::open(chosen.address, shared.settings.endpoint_source)
+            None => EndpointConnection::open(address, source)
                 .await
-            {
-                Ok(connection) => connection,
-                Err(error) => {
-                    return CallOutcome::NotSent {
-                        reason: error.to_string(),
-                        is_timeout: is_timeout_error(&error),
-                    };
-                }
-            },
-        };
-        let request = match build_request(shared, plan, chosen, last_event_id) {
-            Ok(request) => request,
-            Err(error) => {
-                return CallOutcome::NotSent {
-                    reason: error.to_string(),
-                    is_timeout: false,
-                };
-            }
+                .map_err(|error| not_sent(error.to_string(), is_timeout_error(&error)))?,
         };
+        let request = build().map_err(|error| not_sent(error.to_string(), false))?;
         match connection.send(request).await {
-            Ok(response) => {
-                return read_response(shared, plan, chosen, connection, response, guard).await;
-            }
+            Ok(response) => return Ok((connection, response)),
             // The endpoint closed a pooled connection before the request was sent; opens a new one.
             Err(SendFailure::NotSent) if was_pooled => {}
             Err(SendFailure::NotSent) => {
-                return CallOutcome::NotSent {
-                    reason: "connection closed before the request was sent".to_owned(),
-                    is_timeout: false,
-                };
+                let reason = "connection closed before the request was sent";
+                return Err(not_sent(reason.to_owned(), false));
             }
             Err(SendFailure::Lost(error)) => {
-                return CallOutcome::Lost {
+                return Err(CallOutcome::Lost {
                     reason: format!("{error} (reused connection: {was_pooled})"),
-                    is_timeout: is_timeout_error(&error),
-                };
+                    kind: LossKind::of(&error),
+                });
             }
         }
     }
 }
 
+/// Reads the body of a response.
+pub(crate) async fn read_whole(
+    shared: &EdgeShared,
+    mut body: Incoming,
+) -> Result<Bytes, CallOutcome> {
+    let mut held = shared.bodies.hold();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| CallOutcome::Lost {
+            reason: format!("response body incomplete: {error}"),
+            kind: LossKind::of(&error),
+        })?;
+        if let Ok(chunk) = frame.into_data() {
+            let pushed = push_chunk(shared, &mut held, chunk, None).await;
+            pushed.map_err(|error| unusable_response(&error.to_string()))?;
+        }
+    }
+    Ok(held.into_bytes())
+}
+
 fn build_request(
     shared: &EdgeShared,
     plan: &RequestPlan,
@@ -239,28 +287,13 @@
             metadata,
             connection,
             address: chosen.address,
-            guard,
+            guard: Some(guard),
         }));
     }
-    let mut body = body;
-    let mut held = shared.bodies.hold();
-    while let Some(frame) = body.frame().await {
-        let frame = match frame {
-            Ok(frame) => frame,
-            Err(error) => {
-                return CallOutcome::Lost {
-                    reason: format!("response body incomplete: {error}"),
-                    is_timeout: is_timeout_error(&error),
-                };
-            }
-        };
-        if let Ok(chunk) = frame.into_data()
-            && let Err(error) = push_chunk(shared, &mut held, chunk, None).await
-        {
-            return unusable_response(&error.to_string());
-        }
-    }
-    let body = held.into_bytes();
+    let body = match read_whole(shared, body).await {
+        Ok(body) => body,
+        Err(outcome) => return outcome,
+    };
     return_connection(shared, chosen.address, connection, &metadata);
     if metadata.is_not_run {
         let rest = metadata.rest;
@@ -296,7 +329,7 @@
 fn unusable_response(reason: &str) -> CallOutcome {
     CallOutcome::Lost {
         reason: reason.to_owned(),
-        is_timeout: false,
+        kind: LossKind::Unusable,
     }
 }
 
@@ -339,22 +372,38 @@
     record_reachability(shared, chosen, outcome);
 }
 
-/// Records whether the endpoint's failure domain is reachable.
+/// Records whether the endpoint's failure domain and its service are reachable.
 fn record_reachability(shared: &EdgeShared, chosen: &ChosenEndpoint, outcome: &CallOutcome) {
     match outcome {
-        CallOutcome::NotSent { is_timeout, .. } | CallOutcome::Lost { is_timeout, .. } => {
+        CallOutcome::NotSent { is_timeout, .. } => {
             match is_timeout {
                 true => shared.note_silent(&chosen.zone, chosen.key),
                 false => shared.note_reached(&chosen.zone),
-            };
+            }
+            shared.note_lost(chosen.key);
         }
+        CallOutcome::Lost { kind, .. } => match kind {
+            LossKind::Silent => {
+                shared.note_silent(&chosen.zone, chosen.key);
+                shared.note_lost(chosen.key);
+            }
+            LossKind::Closed => {
+                shared.note_reached(&chosen.zone);
+                shared.note_suspected(chosen.key);
+            }
+            LossKind::Unusable => {
+                shared.note_reached(&chosen.zone);
+                shared.note_contact(&chosen.service);
+            }
+        },
+        CallOutcome::TimedOut | CallOutcome::NoResponse => shared.note_suspected(chosen.key),
         CallOutcome::NotRun { .. }
         | CallOutcome::Misdirected
         | CallOutcome::Full(_)
         | CallOutcome::Events(_) => {
             shared.note_reached(&chosen.zone);
+            shared.note_contact(&chosen.service);
         }
-        CallOutcome::TimedOut | CallOutcome::NoResponse => {}
     }
 }
 
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -23,6 +23,8 @@
 pub(crate) struct ChosenEndpoint {
     pub(crate) key: EndpointKey,
     pub(crate) name: String,
+    /// Service of the endpoint.
+    pub(crate) service: String,
     pub(crate) address: SocketAddr,
     /// Failure domain of the endpoint.
     pub(crate) zone: String,
@@ -151,6 +153,7 @@
         Some(ChosenEndpoint {
             key,
             name: record.name.clone(),
+            service: record.service.clone(),
             address: record.address,
             zone: record.zone.clone(),
             load: chosen.load,
--- /dev/null
+++ b/crates/ragwortroad_edge/src/relay_head.rs
@@ -0,0 +1,140 @@
+//! Headers between two edges, one of which relays requests to the other.
+
+use std::time::Duration;
+
+use hyper::{
+    HeaderMap,
+    header::HeaderValue, //
+};
+use ragwortroad_dispatch::prelude::*;
+use snafu::{
+    OptionExt,
+    Snafu, //
+};
+
+/// Header of a relayed request.
+const RELAY_HEADER: &str = "ragwortroad-relay";
+
+/// Header of the response to a relayed request.
+const VERDICT_HEADER: &str = "ragwortroad-relayed";
+
+/// Stands for the last event in a header of a request that does not resume a stream.
+const NO_EVENT: &str = "-";
+
+/// What an edge tells the edge to which it relays a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct RelayHead {
+    /// Secret of the receiving edge.
+    pub(crate) key: RelayKey,
+    /// Time left until the deadline.
+    pub(crate) time_left: Duration,
+    /// Version of the configuration by which the request was checked.
+    pub(crate) config_version: u64,
+    /// Id of the event after which the stream resumes.
+    pub(crate) last_event_id: Option<u64>,
+}
+
+/// A relay header that cannot be parsed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Snafu)]
+#[snafu(display("the relay header is invalid; relay only between edges of one version"))]
+pub(crate) struct RelayHeadError;
+
+impl From<&RelayHead> for HeaderValue {
+    fn from(head: &RelayHead) -> Self {
+        let RelayKey(key) = head.key;
+        let event = head.last_event_id.map(|event| event.to_string());
+        let text = format!(
+            "{key:032x} {} {} {}",
+            head.time_left.as_millis(),
+            head.config_version,
+            event.unwrap_or_else(|| NO_EVENT.to_owned())
+        );
+        Self::from_str(&text).unwrap_or_else(|_| Self::from_static(""))
+    }
+}
+
+impl TryFrom<&HeaderValue> for RelayHead {
+    type Error = RelayHeadError;
+
+    fn try_from(value: &HeaderValue) -> Result<Self, RelayHeadError> {
+        let text = value.to_str().ok().context(RelayHeadSnafu)?;
+        let mut fields = text.split(' ');
+        let mut next = || fields.next().context(RelayHeadSnafu);
+        let key = u128::from_str_radix(next()?, 16).ok();
+        let millis = next()?.parse().ok();
+        let config_version = next()?.parse().ok();
+        let last_event_id = match next()? {
+            NO_EVENT => None,
+            event => Some(event.parse().ok().context(RelayHeadSnafu)?),
+        };
+        Ok(Self {
+            key: RelayKey(key.context(RelayHeadSnafu)?),
+            time_left: Duration::from_millis(millis.context(RelayHeadSnafu)?),
+            config_version: config_version.context(RelayHeadSnafu)?,
+            last_event_id,
+        })
+    }
+}
+
+impl RelayHead {
+    /// Adds the header to a request for the edge that has the key.
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        headers.insert(RELAY_HEADER, self.into());
+    }
+
+    /// Removes the header from a request and returns it if another edge of the fleet has sent it.
+    ///
+    /// A client that sends the header without the key is served like any other client.
+    pub(crate) fn take(headers: &mut HeaderMap, key: RelayKey) -> Option<Self> {
+        let value = headers.remove(RELAY_HEADER)?;
+        let head = Self::try_from(&value).ok()?;
+        (head.key == key).then_some(head)
+    }
+}
+
+/// What became of a relayed request at the edge that received it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RelayVerdict {
+    /// The response is an endpoint's.
+    Answered,
+    /// The request was sent to no endpoint.
+    NotSent,
+    /// An endpoint rejected the request without running it.
+    NotRun,
+    /// The configuration does not allow the request.
+    Denied,
+    /// An endpoint may have run the request.
+    Unknown,
+}
+
+impl From<RelayVerdict> for HeaderValue {
+    fn from(verdict: RelayVerdict) -> Self {
+        Self::from_static(match verdict {
+            RelayVerdict::Answered => "answered",
+            RelayVerdict::NotSent => "not-sent",
+            RelayVerdict::NotRun => "not-run",
+            RelayVerdict::Denied => "denied",
+            RelayVerdict::Unknown => "unknown",
+        })
+    }
+}
+
+impl RelayVerdict {
+    /// Adds the header to a response for the edge that relayed the request.
+    pub(crate) fn write(self, headers: &mut HeaderMap) {
+        headers.insert(VERDICT_HEADER, self.into());
+    }
+
+    /// Removes the header from a response; without it, the request may have run.
+    pub(crate) fn take(headers: &mut HeaderMap) -> Self {
+        let value = headers.remove(VERDICT_HEADER);
+        match value.as_ref().map(HeaderValue::as_bytes) {
+            Some(b"answered") => Self::Answered,
+            Some(b"not-sent") => Self::NotSent,
+            Some(b"not-run") => Self::NotRun,
+            Some(b"denied") => Self::Denied,
+            _ => Self::Unknown,
+        }
+    }
+}
--- a/crates/ragwortroad_edge/src/request_completion.rs
+++ b/crates/ragwortroad_edge/src/request_completion.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-use hyper::Response;
+use hyper::{
+    Response,
+    StatusCode, //
+};
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_telemetry::prelude::*;
 use rand::RngExt;
@@ -12,9 +15,9 @@
     edge_state::EdgeShared,
     endpoint_call::FullResponse,
     endpoint_choice::ChosenEndpoint,
-    gate_permit::GatePermit,
     refusal_reason::RefusalReason,
     refusal_response::refusal_response,
+    relay_head::RelayVerdict,
     request_plan::RequestPlan,
     request_progress::RequestProgress, //
 };
@@ -24,12 +27,16 @@
 /// The delay is random, so that clients refused together do not retry together.
 const RETRY_AFTER_RANGE_MS: (u64, u64) = (80, 240);
 
+/// Delay for clients refused because no edge reaches an endpoint, within which the return of the
+/// endpoints is noticed.
+const CUT_OFF_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Forwards a complete response to the client.
 pub(crate) fn forward_response(
     plan: &RequestPlan,
     progress: &RequestProgress,
-    chosen: &ChosenEndpoint,
-    permit: &GatePermit,
+    chosen: Option<&ChosenEndpoint>,
+    waited: Duration,
     upstream: FullResponse,
 ) -> Response<EdgeBody> {
     let reason = match upstream.status.is_server_error() {
@@ -43,18 +50,20 @@
         outcome = "answered",
         route = plan.rule().name,
         status = upstream.status.as_u16(),
-        endpoint = chosen.name,
-        load = chosen.load,
-        load_age_ms = chosen.load_age_ms(),
+        endpoint = chosen.map(|chosen| chosen.name.as_str()),
+        load = chosen.map(|chosen| chosen.load),
+        load_age_ms = chosen.and_then(ChosenEndpoint::load_age_ms),
         version = plan.map.config().version,
         attempts = progress.attempts,
-        waited_ms = permit.waited.as_millis() as u64,
+        relayed = plan.relay.is_some(),
+        waited_ms = waited.as_millis() as u64,
         took_ms = plan.received_at.elapsed().as_millis() as u64,
         "request over"
     );
     let mut response = Response::new(EdgeBody::full(upstream.body));
     *response.status_mut() = upstream.status;
     *response.headers_mut() = upstream.headers;
+    response.extensions_mut().insert(RelayVerdict::Answered);
     response
 }
 
@@ -82,10 +91,12 @@
         log_overload(shared, plan);
     }
     let retry_after = claims_not_run && !progress.may_have_run;
-    let retry_after = retry_after.then(|| match reason {
+    let own_retry_after = || match reason {
         RefusalReason::Overload => overload_retry_after(shared, plan),
+        RefusalReason::NoEndpoint if progress.is_relaying => cut_off_retry_after(),
         _ => rest_left(shared, plan).unwrap_or_default() + short_retry_after(),
-    });
+    };
+    let retry_after = retry_after.then(|| progress.retry_after.unwrap_or_else(own_retry_after));
     let content = (reason == RefusalReason::Quarantined).then(|| plan.digest());
     tracing::info!(
         request = plan.id,
@@ -100,7 +111,14 @@
         took_ms = plan.received_at.elapsed().as_millis() as u64,
         "request over"
     );
-    refusal_response(reason, retry_after)
+    let verdict = match (reason.status(), progress.attempts) {
+        (StatusCode::SERVICE_UNAVAILABLE, 0) => RelayVerdict::NotSent,
+        (StatusCode::SERVICE_UNAVAILABLE, _) => RelayVerdict::NotRun,
+        _ => RelayVerdict::Unknown,
+    };
+    let mut response = refusal_response(reason, retry_after);
+    response.extensions_mut().insert(verdict);
+    response
 }
 
 /// Metric label for the kind of a request.
@@ -119,10 +137,13 @@
 }
 
 /// Records the response time, and the load and cache state that were assumed for the endpoint.
-pub(crate) fn record_response(plan: &RequestPlan, chosen: &ChosenEndpoint) {
+pub(crate) fn record_response(plan: &RequestPlan, chosen: Option<&ChosenEndpoint>) {
     let kind = kind_label(plan);
     let latency = plan.received_at.elapsed();
     metrics::histogram!(metric_names::ANSWER_SECONDS, "kind" => kind).record(latency);
+    let Some(chosen) = chosen else {
+        return;
+    };
     metrics::histogram!(metric_names::BELIEVED_LOAD).record(chosen.load);
     if !plan.metadata.prompt_parts.is_empty() {
         let held = if chosen.holds_prefix { "yes" } else { "no" };
@@ -174,6 +195,11 @@
     state.rest_left(&plan.service, shared.now())
 }
 
+/// Delay until the edge may reach endpoints again, for clients refused because no edge does.
+fn cut_off_retry_after() -> Duration {
+    CUT_OFF_RETRY_AFTER + short_retry_after()
+}
+
 /// Short random delay, for clients refused for reasons other than load.
 pub(crate) fn short_retry_after() -> Duration {
     let (min, max) = RETRY_AFTER_RANGE_MS;
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -2,7 +2,8 @@
 
 use std::{
     convert::Infallible,
-    rc::Rc, //
+    rc::Rc,
+    time::Duration, //
 };
 
 use bytes::Bytes;
@@ -41,6 +42,16 @@
     gate_permit::acquire_permit,
     refusal_reason::RefusalReason,
     refusal_response::refusal_response,
+    relay_call::{
+        call_peer,
+        may_relay,
+        needs_relay,
+        next_peer, //
+    },
+    relay_head::{
+        RelayHead,
+        RelayVerdict, //
+    },
     request_completion::{
         count_request,
         forward_response,
@@ -52,6 +63,7 @@
     },
     request_plan::RequestPlan,
     request_progress::{
+        AttemptTarget,
         NextStep,
         RequestProgress, //
     },
@@ -69,7 +81,7 @@
 pub(crate) async fn handle_request(
     shared: Rc<EdgeShared>,
     session: Rc<ClientSession>,
-    request: Request<Incoming>,
+    mut request: Request<Incoming>,
 ) -> Result<Response<EdgeBody>, Infallible> {
     {
         let now = shared.now();
@@ -82,21 +94,17 @@
         is_transferred: false,
     };
     let is_head = request.method() == Method::HEAD;
-    let mut response = match read_plan(&shared, &session, request).await {
+    let relay = RelayHead::take(request.headers_mut(), shared.relay_key);
+    let is_relayed = relay.is_some();
+    let mut response = match read_plan(&shared, &session, request, relay).await {
         Ok(plan) => forward_request(&shared, Rc::new(plan)).await,
-        Err((reason, id)) => {
-            tracing::info!(request = id, outcome = "refused", ?reason, "request over");
-            count_request("unread", "refused", reason.label());
-            let retry_after = match reason {
-                RefusalReason::Starting => {
-                    Some(time_to_ready(shared.uptime()) + short_retry_after())
-                }
-                RefusalReason::Stopping | RefusalReason::NoMemory => Some(short_retry_after()),
-                _ => None,
-            };
-            refusal_response(reason, retry_after)
-        }
+        Err((reason, id)) => refuse_unread(&shared, reason, id),
     };
+    if let Some(verdict) = response.extensions_mut().remove::<RelayVerdict>()
+        && is_relayed
+    {
+        verdict.write(response.headers_mut());
+    }
     counter.is_transferred = matches!(response.body(), EdgeBody::Stream(_));
     let has_body = !is_head && !BODILESS.contains(&response.status());
     let held = if has_body {
@@ -127,6 +135,30 @@
     }
 }
 
+/// Responds to a request that was not read completely or has no route.
+fn refuse_unread(
+    shared: &EdgeShared,
+    reason: RefusalReason,
+    id: Option<String>,
+) -> Response<EdgeBody> {
+    tracing::info!(request = id, outcome = "refused", ?reason, "request over");
+    count_request("unread", "refused", reason.label());
+    let retry_after = match reason {
+        RefusalReason::Starting => Some(time_to_ready(shared.uptime()) + short_retry_after()),
+        RefusalReason::Stopping | RefusalReason::NoMemory | RefusalReason::Overload => {
+            Some(short_retry_after())
+        }
+        _ => None,
+    };
+    let mut response = refusal_response(reason, retry_after);
+    let verdict = match reason.status() {
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::REQUEST_TIMEOUT => RelayVerdict::NotSent,
+        _ => RelayVerdict::Denied,
+    };
+    response.extensions_mut().insert(verdict);
+    response
+}
+
 /// Forwards a request until an endpoint responds or it must be refused.
 async fn forward_request(shared: &Rc<EdgeShared>, plan: Rc<RequestPlan>) -> Response<EdgeBody> {
     let mut progress = RequestProgress::default();
@@ -136,81 +168,54 @@
     if rest_left(shared, &plan).is_some() {
         return refuse(shared, &plan, &progress, RefusalReason::Resting);
     }
-    deposit_retry(shared, &plan);
-    let Some(permit) = acquire_permit(shared, &plan).await else {
-        return refuse(shared, &plan, &progress, RefusalReason::Overload);
-    };
-    // Endpoints announce themselves again once registries are up.
-    let time_left = plan.deadline.saturating_duration_since(plan.received_at);
-    let wait_until = plan.received_at + shared.start_wait(time_left);
+    if plan.relay.is_none() {
+        deposit_retry(shared, &plan);
+    }
+    let mut permit = None;
     loop {
         // An earlier attempt, or another edge, may have seen the last crash in the meantime.
         if is_quarantined(shared, &plan) {
             return refuse(shared, &plan, &progress, RefusalReason::Quarantined);
         }
-        let may_wait = progress.tried.is_empty() && Instant::now() < wait_until;
-        // If the clients of a whole second were all sent to the first engines that announced
-        // themselves, these would compute all prefixes again, and each client would wait two
-        // seconds.
-        let waits_for_holder = shared.settings.mechanisms.holder_wait && may_wait;
-        if waits_for_holder && awaits_holder(shared, &plan) {
-            sleep(STARTUP_POLL_INTERVAL).await;
-            continue;
-        }
-        let Some(chosen) = choose_endpoint(shared, &plan, &progress.tried) else {
-            if rest_left(shared, &plan).is_some() {
-                return refuse(shared, &plan, &progress, RefusalReason::Resting);
+        progress.is_relaying |= needs_relay(shared, &plan);
+        let next_step = if progress.is_relaying {
+            // The edge that takes the request counts it.
+            permit = None;
+            relay_request(shared, &plan, &mut progress).await
+        } else {
+            if permit.is_none() {
+                permit = acquire_permit(shared, &plan).await;
             }
-            if may_wait {
-                sleep(STARTUP_POLL_INTERVAL).await;
-                continue;
+            if permit.is_none() {
+                return refuse(shared, &plan, &progress, RefusalReason::Overload);
             }
-            return refuse(shared, &plan, &progress, RefusalReason::NoEndpoint);
+            try_endpoint(shared, &plan, &mut progress).await
         };
-        progress.tried.push(chosen.key);
-        let outcome = await_endpoint(shared, &plan, &progress, &chosen).await;
-        let next_step = progress.record(shared, &plan, &chosen, outcome);
+        let waited = permit
+            .as_ref()
+            .map_or(Duration::ZERO, |permit| permit.waited);
+        let chosen = progress.chosen.as_ref();
         match next_step {
             NextStep::Retry => {}
+            NextStep::Refuse(RefusalReason::NoEndpoint)
+                if !progress.is_relaying
+                    && progress.failed_dials > 0
+                    && may_relay(shared, &plan) =>
+            {
+                progress.is_relaying = true;
+            }
             NextStep::Refuse(reason) => return refuse(shared, &plan, &progress, reason),
             NextStep::Respond(response) => {
-                return forward_response(&plan, &progress, &chosen, &permit, response);
+                return forward_response(&plan, &progress, chosen, waited, response);
             }
             NextStep::Stream(upstream) => {
-                count_request(kind_label(&plan), "stream", "");
-                record_response(&plan, &chosen);
-                tracing::info!(
-                    request = plan.id,
-                    outcome = "stream",
-                    route = plan.rule().name,
-                    endpoint = chosen.name,
-                    load = chosen.load,
-                    load_age_ms = chosen.load_age_ms(),
-                    version = plan.map.config().version,
-                    among = chosen.candidate_count,
-                    text = plan.metadata.shared_prefix(),
-                    tokens = plan.metadata.shared_prefix_tokens(),
-                    holds_text = chosen.holds_prefix,
-                    text_from = chosen
-                        .prefix_source
-                        .as_ref()
-                        .map(|source| source.name.as_str()),
-                    attempts = progress.attempts,
-                    waited_ms = permit.waited.as_millis() as u64,
-                    took_ms = plan.received_at.elapsed().as_millis() as u64,
-                    "request answered"
-                );
+                log_stream(&plan, &progress, waited);
                 let mut response = Response::new(EdgeBody::full(Bytes::new()));
                 *response.status_mut() = upstream.status;
                 *response.headers_mut() = upstream.headers.clone();
-                let stream = StreamBody::new(
-                    shared,
-                    Rc::clone(&plan),
-                    upstream,
-                    progress.tried.clone(),
-                    progress.attempts,
-                    permit,
-                );
+                response.extensions_mut().insert(RelayVerdict::Answered);
+                let (tried, attempts) = (progress.tried, progress.attempts);
+                let stream = StreamBody::new(shared, plan, upstream, tried, attempts, permit);
                 *response.body_mut() = EdgeBody::Stream(Box::new(stream));
                 return response;
             }
@@ -218,6 +223,100 @@
     }
 }
 
+/// Sends a request to the next endpoint, and waits for one that has yet to announce itself.
+async fn try_endpoint(
+    shared: &Rc<EdgeShared>,
+    plan: &Rc<RequestPlan>,
+    progress: &mut RequestProgress,
+) -> NextStep {
+    // Endpoints announce themselves again once registries are up.
+    let time_left = plan.deadline.saturating_duration_since(plan.received_at);
+    let may_ever_wait = progress.tried.is_empty() && plan.relay.is_none();
+    let wait_until = plan.received_at + shared.start_wait(time_left);
+    loop {
+        let may_wait = may_ever_wait && Instant::now() < wait_until;
+        // If the clients of a whole second were all sent to the first engines that announced
+        // themselves, these would compute all prefixes again, and each client would wait two
+        // seconds.
+        let waits_for_holder = shared.settings.mechanisms.holder_wait && may_wait;
+        if waits_for_holder && awaits_holder(shared, plan) {
+            sleep(STARTUP_POLL_INTERVAL).await;
+            continue;
+        }
+        let Some(chosen) = choose_endpoint(shared, plan, &progress.tried) else {
+            if rest_left(shared, plan).is_some() {
+                return NextStep::Refuse(RefusalReason::Resting);
+            }
+            if may_wait {
+                sleep(STARTUP_POLL_INTERVAL).await;
+                continue;
+            }
+            return NextStep::Refuse(RefusalReason::NoEndpoint);
+        };
+        progress.tried.push(chosen.key);
+        let outcome = await_endpoint(shared, plan, progress, &chosen).await;
+        let next_step = progress.record(shared, plan, AttemptTarget::Endpoint(&chosen), outcome);
+        progress.chosen = Some(chosen);
+        return next_step;
+    }
+}
+
+/// Relays a request to another edge.
+async fn relay_request(
+    shared: &Rc<EdgeShared>,
+    plan: &Rc<RequestPlan>,
+    progress: &mut RequestProgress,
+) -> NextStep {
+    progress.chosen = None;
+    let Some(peer) = next_peer(shared, &progress.tried_peers).await else {
+        return NextStep::Refuse(RefusalReason::NoEndpoint);
+    };
+    progress.tried_peers.push(peer.address);
+    let mut shutdown_imminent = shared.shutdown_imminent.subscribe();
+    // The sender lives as long as the edge, so this completes only on shutdown.
+    let shutdown_notice = shutdown_imminent.wait_for(|is_imminent| *is_imminent);
+    let relayed = tokio::select! {
+        relayed = call_peer(shared, plan, &peer, plan.metadata.last_event_id) => relayed,
+        _ = shutdown_notice => CallOutcome::TimedOut.into(),
+    };
+    progress.retry_after = relayed.retry_after.or(progress.retry_after);
+    if matches!(relayed.outcome, CallOutcome::NotSent { .. }) {
+        return NextStep::Retry;
+    }
+    let target = AttemptTarget::Edge(peer.address);
+    let next_step = progress.record(shared, plan, target, relayed.outcome);
+    if matches!(next_step, NextStep::Retry) {
+        progress.tried_peers.clear();
+    }
+    next_step
+}
+
+fn log_stream(plan: &RequestPlan, progress: &RequestProgress, waited: Duration) {
+    let chosen = progress.chosen.as_ref();
+    let source = chosen.and_then(|chosen| chosen.prefix_source.as_ref());
+    count_request(kind_label(plan), "stream", "");
+    record_response(plan, chosen);
+    tracing::info!(
+        request = plan.id,
+        outcome = "stream",
+        route = plan.rule().name,
+        endpoint = chosen.map(|chosen| chosen.name.as_str()),
+        load = chosen.map(|chosen| chosen.load),
+        load_age_ms = chosen.and_then(ChosenEndpoint::load_age_ms),
+        version = plan.map.config().version,
+        among = chosen.map(|chosen| chosen.candidate_count),
+        text = plan.metadata.shared_prefix(),
+        tokens = plan.metadata.shared_prefix_tokens(),
+        holds_text = chosen.map(|chosen| chosen.holds_prefix),
+        text_from = source.map(|source| source.name.as_str()),
+        attempts = progress.attempts,
+        relayed = plan.relay.is_some(),
+        waited_ms = waited.as_millis() as u64,
+        took_ms = plan.received_at.elapsed().as_millis() as u64,
+        "request answered"
+    );
+}
+
 /// Waits for an endpoint's response, unless trying another endpoint is better for the client.
 async fn await_endpoint(
     shared: &Rc<EdgeShared>,
--- a/crates/ragwortroad_edge/src/request_plan.rs
+++ b/crates/ragwortroad_edge/src/request_plan.rs
@@ -21,7 +21,8 @@
 
 use crate::{
     RequestMetadata,
-    refusal_reason::RefusalReason, //
+    refusal_reason::RefusalReason,
+    relay_head::RelayHead, //
 };
 
 /// A parsed client request, ready to be sent to endpoints.
@@ -39,6 +40,8 @@
     /// Client headers without hop-by-hop headers.
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Present if another edge has relayed the request to this one.
+    pub(crate) relay: Option<RelayHead>,
     pub(crate) received_at: Instant,
     /// Earlier of the client's deadline and the route's timeout.
     pub(crate) deadline: Instant,
@@ -118,6 +121,16 @@
         self.map.route(self.route)
     }
 
+    /// Number of endpoints that this edge may send the request to.
+    ///
+    /// The edge that relays a request counts its attempts and pays for them from its retry budget.
+    pub(crate) fn max_attempts(&self) -> u32 {
+        match self.relay {
+            Some(_) => 1,
+            None => self.rule().max_attempts,
+        }
+    }
+
     /// Digest of the customer, the host, the path and the body.
     pub(crate) fn digest(&self) -> RequestDigest {
         let compute = || {
--- a/crates/ragwortroad_edge/src/request_progress.rs
+++ b/crates/ragwortroad_edge/src/request_progress.rs
@@ -1,4 +1,7 @@
-use std::time::Duration;
+use std::{
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_telemetry::prelude::*;
@@ -26,12 +29,28 @@
 #[derive(Default)]
 pub(crate) struct RequestProgress {
     pub(crate) tried: Vec<EndpointKey>,
+    /// The endpoint that was tried last; `None` if the request was relayed since.
+    pub(crate) chosen: Option<ChosenEndpoint>,
     /// Number of endpoints that were sent the request.
     pub(crate) attempts: u32,
     /// Number of endpoints that could not be reached.
     pub(crate) failed_dials: u32,
     /// Whether any endpoint may have run the request.
     pub(crate) may_have_run: bool,
+    /// Whether the request goes to another edge, since no endpoint could be reached.
+    pub(crate) is_relaying: bool,
+    /// Edges to which the request was relayed since the last attempt.
+    pub(crate) tried_peers: Vec<SocketAddr>,
+    /// When the client may come back, according to the edges that refused the request.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+/// Where an attempt was sent.
+#[derive(Clone, Copy)]
+pub(crate) enum AttemptTarget<'a> {
+    Endpoint(&'a ChosenEndpoint),
+    /// Another edge, which relays it to an endpoint.
+    Edge(SocketAddr),
 }
 
 /// Next step after an attempt.
@@ -48,12 +67,12 @@
         &mut self,
         shared: &EdgeShared,
         plan: &RequestPlan,
-        chosen: &ChosenEndpoint,
+        target: AttemptTarget<'_>,
         outcome: CallOutcome,
     ) -> NextStep {
         let (reason, refusal) = match outcome {
             CallOutcome::Full(response) => {
-                return self.handle_response(shared, plan, chosen, response);
+                return self.handle_response(shared, plan, target, response);
             }
             CallOutcome::Events(upstream) => {
                 self.attempts += 1;
@@ -61,8 +80,8 @@
             }
             CallOutcome::NotSent { reason, .. } => {
                 self.failed_dials += 1;
-                self.log_failure(plan, chosen, &reason);
-                return match self.failed_dials < MAX_FAILED_DIALS {
+                self.log_failure(plan, target, &reason);
+                return match self.failed_dials < max_failed_dials(plan) {
                     true => NextStep::Retry,
                     false => NextStep::Refuse(RefusalReason::NoEndpoint),
                 };
@@ -74,7 +93,7 @@
             CallOutcome::NoResponse => {
                 self.may_have_run = true;
                 self.attempts += 1;
-                self.log_failure(plan, chosen, "silent");
+                self.log_failure(plan, target, "silent");
                 return NextStep::Retry;
             }
             CallOutcome::NotRun { rest } => (not_run_reason(rest), RefusalReason::NotRun),
@@ -89,7 +108,7 @@
         };
         self.attempts += 1;
         metrics::counter!(metric_names::FAILED_ATTEMPTS, "reason" => refusal.label()).increment(1);
-        self.log_failure(plan, chosen, &reason);
+        self.log_failure(plan, target, &reason);
         let may_repeat = !self.may_have_run || plan.rule().is_repeatable();
         match may_repeat && self.try_retry(shared, plan) {
             true => NextStep::Retry,
@@ -103,7 +122,7 @@
         &mut self,
         shared: &EdgeShared,
         plan: &RequestPlan,
-        chosen: &ChosenEndpoint,
+        target: AttemptTarget<'_>,
         response: FullResponse,
     ) -> NextStep {
         self.attempts += 1;
@@ -112,19 +131,19 @@
             return NextStep::Respond(response);
         }
         self.may_have_run = true;
-        self.log_failure(plan, chosen, response.status.as_str());
+        self.log_failure(plan, target, response.status.as_str());
         NextStep::Retry
     }
 
     /// Whether an attempt in flight may be abandoned in favor of another endpoint.
     pub(crate) fn may_abandon(&self, shared: &EdgeShared, plan: &RequestPlan) -> bool {
-        let is_last = self.attempts + 1 >= plan.rule().max_attempts;
+        let is_last = self.attempts + 1 >= plan.max_attempts();
         plan.rule().is_repeatable() && !is_last && self.try_retry(shared, plan)
     }
 
     fn try_retry(&self, shared: &EdgeShared, plan: &RequestPlan) -> bool {
         let is_enabled = shared.settings.mechanisms.repeats;
-        let has_attempts_left = is_enabled && self.attempts < plan.rule().max_attempts;
+        let has_attempts_left = is_enabled && self.attempts < plan.max_attempts();
         let has_time = Instant::now() < plan.deadline;
         has_attempts_left && has_time && {
             let now = shared.now();
@@ -137,15 +156,19 @@
         }
     }
 
-    fn log_failure(&self, plan: &RequestPlan, chosen: &ChosenEndpoint, reason: &str) {
+    fn log_failure(&self, plan: &RequestPlan, target: AttemptTarget<'_>, reason: &str) {
         // Tells repeats of one request from others; not needed for requests that were not run.
         let content = self.may_have_run.then(|| plan.digest());
+        let (chosen, address) = match target {
+            AttemptTarget::Endpoint(chosen) => (Some(chosen), chosen.address),
+            AttemptTarget::Edge(address) => (None, address),
+        };
         tracing::info!(
             request = plan.id,
-            endpoint = chosen.name,
-            address = %chosen.address,
-            load = chosen.load,
-            load_age_ms = chosen.load_age_ms(),
+            endpoint = chosen.map(|chosen| chosen.name.as_str()),
+            %address,
+            load = chosen.map(|chosen| chosen.load),
+            load_age_ms = chosen.and_then(ChosenEndpoint::load_age_ms),
             version = plan.map.config().version,
             attempts = self.attempts,
             reason,
@@ -155,6 +178,14 @@
     }
 }
 
+/// An edge that relays a request has other edges to ask, and its client waits.
+fn max_failed_dials(plan: &RequestPlan) -> u32 {
+    match plan.relay {
+        Some(_) => 1,
+        None => MAX_FAILED_DIALS,
+    }
+}
+
 fn not_run_reason(rest: Option<Duration>) -> String {
     match rest {
         Some(rest) => format!("not run, rest of {} ms", rest.as_millis()),
--- a/crates/ragwortroad_edge/src/request_reading.rs
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -30,6 +30,7 @@
     client_session::ClientSession,
     edge_state::EdgeShared,
     refusal_reason::RefusalReason,
+    relay_head::RelayHead,
     request_plan::{
         RequestPlan,
         find_target,
@@ -51,19 +52,33 @@
     shared: &EdgeShared,
     session: &ClientSession,
     request: Request<Incoming>,
+    relay: Option<RelayHead>,
 ) -> Result<RequestPlan, (RefusalReason, Option<String>)> {
     let received_at = Instant::now();
-    let metadata = (shared.port.parse_request)(request.headers());
+    let mut metadata = (shared.port.parse_request)(request.headers());
+    if let Some(relay) = &relay {
+        metadata.time_left = Some(relay.time_left);
+        metadata.last_event_id = relay.last_event_id;
+    }
+    let metadata = metadata;
     let id = metadata.id.clone();
     let (head, body) = request.into_parts();
     let current_map = shared.state.borrow().map.clone();
     let (map, body) = match current_map {
         Some(map) => (map, RequestBody::Unread(body)),
+        None if relay.is_some() => return Err((RefusalReason::Starting, id)),
         None => {
             let loaded = await_config(shared, session, &metadata, body, received_at).await;
             loaded.map_err(|reason| (reason, id.clone()))?
         }
     };
+    let is_behind = |relay: &RelayHead| relay.config_version > map.config().version;
+    if relay.as_ref().is_some_and(is_behind) {
+        return Err((RefusalReason::Starting, id));
+    }
+    if relay.is_some() && !shared.state.borrow().takes_relayed() {
+        return Err((RefusalReason::Overload, id));
+    }
     // The request without its body.
     let request = Request::from_parts(head, ());
     let target = find_target(&map, &request, &metadata).map_err(|reason| (reason, id.clone()))?;
@@ -100,6 +115,7 @@
         uri: path.map_or(parts.uri, Uri::from),
         headers: parts.headers,
         body,
+        relay,
         received_at,
         deadline,
         digest: OnceCell::new(),
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -42,6 +42,11 @@
     endpoint_connection::is_timeout_error,
     gate_permit::GatePermit,
     read_stall::ReadStall,
+    relay_call::{
+        call_peer,
+        needs_relay,
+        next_peer, //
+    },
     request_plan::RequestPlan,
     stream_break::StreamBreak, //
 };
@@ -93,8 +98,9 @@
     last_bytes_at: Instant,
     stall: ReadStall,
     is_over: bool,
-    /// Held until the client has received everything or has disconnected.
-    _permit: GatePermit,
+    /// Held until the client has received everything or has disconnected; `None` if another edge
+    /// relays the stream.
+    _permit: Option<GatePermit>,
 }
 
 impl StreamBody {
@@ -104,7 +110,7 @@
         upstream: Box<EventStream>,
         tried: Vec<EndpointKey>,
         attempts: u32,
-        permit: GatePermit,
+        permit: Option<GatePermit>,
     ) -> Self {
         let now = Instant::now();
         let mut body = Self {
@@ -146,7 +152,7 @@
                 let Some(upstream) = upstream else {
                     return self.fail("no endpoint could resume the stream");
                 };
-                self.tried.push(upstream.guard.key());
+                self.tried.extend(upstream.endpoint());
                 self.upstream = Some(upstream);
                 self.last_bytes_at = Instant::now();
                 self.reset_timer();
@@ -215,6 +221,14 @@
         let pause = now - self.last_bytes_at;
         self.longest_pause = self.longest_pause.max(pause);
         self.last_bytes_at = now;
+        let shared = &self.shared;
+        if self
+            .upstream
+            .as_ref()
+            .is_some_and(|upstream| upstream.guard.is_some())
+        {
+            shared.note_contact(&self.plan.service);
+        }
         match self.framer.push(&bytes) {
             Some(events) => {
                 self.events += 1;
@@ -256,11 +270,16 @@
     /// stream cannot be resumed.
     fn handle_break(&mut self, cause: StreamBreak) -> Option<Poll<NextEvents>> {
         let now = self.shared.now();
-        let key = self.upstream.take().map(|upstream| upstream.guard.key());
+        let key = self
+            .upstream
+            .take()
+            .and_then(|upstream| upstream.endpoint());
         let is_stalled = self.stall.explains_break(now);
         if let Some(key) = key.filter(|_| !is_stalled) {
             let mut state = self.shared.state.borrow_mut();
             state.load_mut(key).note_bad_response(now);
+            drop(state);
+            self.shared.note_suspected(key);
         }
         let reason = cause.reason;
         let check = key
@@ -279,7 +298,7 @@
             && !is_stalled
             && has_time
             && rule.is_repeatable()
-            && self.attempts < rule.max_attempts;
+            && self.attempts < self.plan.max_attempts();
         let may_resume = may_resume && {
             let mut state = self.shared.state.borrow_mut();
             let budget = state.budget_mut(&self.plan.service, &self.shared.settings, now);
@@ -337,7 +356,8 @@
         let endpoint = self
             .upstream
             .as_ref()
-            .map(|upstream| upstream.guard.key().0);
+            .and_then(|upstream| upstream.endpoint())
+            .map(|key| key.0);
         tracing::info!(
             request = self.plan.id,
             outcome = "whole",
@@ -381,22 +401,32 @@
     Broken(StreamBreak),
 }
 
-/// Finds an endpoint that resumes the stream after `last_event_id`.
+/// Finds an endpoint, or an edge that reaches one, that resumes the stream after `last_event_id`.
 async fn resume(
     shared: Rc<EdgeShared>,
     plan: Rc<RequestPlan>,
     mut tried: Vec<EndpointKey>,
     last_event_id: Option<u64>,
 ) -> Option<Box<EventStream>> {
+    let mut tried_peers = Vec::new();
     loop {
         if is_quarantined(&shared, &plan) {
             return None;
         }
-        let chosen = choose_endpoint(&shared, &plan, &tried)?;
-        tried.push(chosen.key);
-        match call_endpoint(&shared, &plan, &chosen, last_event_id).await {
+        let outcome = if needs_relay(&shared, &plan) {
+            let peer = next_peer(&shared, &tried_peers).await?;
+            tried_peers.push(peer.address);
+            call_peer(&shared, &plan, &peer, last_event_id)
+                .await
+                .outcome
+        } else {
+            let chosen = choose_endpoint(&shared, &plan, &tried)?;
+            tried.push(chosen.key);
+            call_endpoint(&shared, &plan, &chosen, last_event_id).await
+        };
+        match outcome {
             CallOutcome::Events(upstream) => return Some(upstream),
-            // The request did not reach the endpoint, so this does not count as an attempt.
+            // The request did not reach an endpoint, so this does not count as an attempt.
             CallOutcome::NotSent { .. } => {}
             _ => return None,
         }
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -28,6 +28,10 @@
         inner: SocketAddr,
         /// Lifecycle stage of the edge.
         stage: EdgeStage,
+        /// Failure domain of the edge.
+        zone: String,
+        /// Secret by which the edge recognizes requests that other edges relay to it.
+        relay_key: RelayKey,
     },
     /// First message of a directory on a connection.
     DirectoryHello {
@@ -38,6 +42,15 @@
     EdgesKnown(EdgeView),
     /// The edge's lifecycle stage has changed.
     EdgeStaged(EdgeStage),
+    /// An edge has lost contact with endpoints, or has regained it; repeated while it lasts.
+    EdgeReach {
+        /// Whether it has lost contact with a service.
+        is_cut_off: bool,
+        /// Whether the registry must reply with edges that take its requests.
+        wants_peers: bool,
+    },
+    /// Edges that take the requests of an edge that has lost contact with endpoints.
+    RelayPeers(Vec<RelayPeer>),
     /// An edge requests the configuration if a newer one than its own is available.
     WantConfig {
         /// Version that the edge has; `None` if it has no configuration.
@@ -71,6 +84,8 @@
         hears: u32,
         /// Number of edges connected to the sender.
         edges: u32,
+        /// Number of these that have lost contact with endpoints.
+        cut_off_edges: u32,
     },
     /// Version of the configuration in force at a registry.
     ConfigVersion(u64),
@@ -141,6 +156,8 @@
             Self::DirectoryHello { .. } => "directory_hello",
             Self::EdgesKnown(_) => "edges_known",
             Self::EdgeStaged(_) => "edge_staged",
+            Self::EdgeReach { .. } => "edge_reach",
+            Self::RelayPeers(_) => "relay_peers",
             Self::WantConfig { .. } => "want_config",
             Self::Subscribe => "subscribe",
             Self::Unsubscribe => "unsubscribe",
--- a/crates/ragwortroad_registry/src/edge_entry.rs
+++ b/crates/ragwortroad_registry/src/edge_entry.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
 
 /// A connected edge.
@@ -11,4 +12,9 @@
     /// Address at which other edges request the configuration.
     pub(crate) inner: SocketAddr,
     pub(crate) stage: EdgeStage,
+    /// Failure domain of the edge.
+    pub(crate) zone: String,
+    pub(crate) relay_key: RelayKey,
+    /// Whether the edge has lost contact with endpoints.
+    pub(crate) is_cut_off: bool,
 }
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -79,6 +79,37 @@
         }
     }
 
+    /// Records whether an edge reaches endpoints, and tells it which edges take its requests.
+    pub(crate) fn handle_edge_reach(&mut self, link: LinkKey, is_cut_off: bool, wants_peers: bool) {
+        let Some(edge) = self.edges.get_mut(&link) else {
+            return;
+        };
+        if edge.is_cut_off != is_cut_off {
+            tracing::info!(
+                edge = edge.node,
+                is_cut_off,
+                "edge changed its reach of endpoints"
+            );
+            edge.is_cut_off = is_cut_off;
+        }
+        let edge = &self.edges[&link];
+        if let Some(queue) = self.links.get(&link).filter(|_| wants_peers) {
+            let ready = self.edges.values();
+            let ready = ready.filter(|edge| edge.stage == EdgeStage::Ready);
+            let candidates = ready.map(|edge| RelayCandidate {
+                peer: RelayPeer {
+                    address: edge.address,
+                    key: edge.relay_key,
+                },
+                zone: edge.zone.clone(),
+                is_cut_off: edge.is_cut_off,
+            });
+            let candidates: Vec<RelayCandidate> = candidates.collect();
+            let peers = choose_relay_peers(edge.address, &edge.zone, &candidates);
+            queue.send(&LinkMessage::RelayPeers(peers));
+        }
+    }
+
     pub(crate) fn handle_link_closed(&mut self, link: LinkKey) {
         self.links.remove(&link);
         self.unsubscribe(link);
@@ -141,6 +172,7 @@
             voters: self.voter_count(),
             hears: self.peer_links.len() as u32 + 1,
             edges: self.edges.len() as u32,
+            cut_off_edges: self.edges.values().filter(|edge| edge.is_cut_off).count() as u32,
         }
     }
 
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -122,17 +122,26 @@
                 address,
                 inner,
                 stage,
+                zone,
+                relay_key,
             } => {
                 let edge = EdgeEntry {
                     node,
                     address,
                     inner,
                     stage,
+                    zone,
+                    relay_key,
+                    is_cut_off: false,
                 };
                 self.handle_edge_hello(link, edge, now);
             }
             LinkMessage::DirectoryHello { node } => self.handle_directory_hello(link, &node, now),
             LinkMessage::EdgeStaged(stage) => self.set_edge_stage(link, stage),
+            LinkMessage::EdgeReach {
+                is_cut_off,
+                wants_peers,
+            } => self.handle_edge_reach(link, is_cut_off, wants_peers),
             LinkMessage::WantConfig { above, direct } => self.send_config(link, above, direct),
             LinkMessage::Subscribe => self.subscribe(link, now),
             LinkMessage::Unsubscribe => self.unsubscribe(link),
--- a/crates/ragwortroad_settings/src/mechanism_settings.rs
+++ b/crates/ragwortroad_settings/src/mechanism_settings.rs
@@ -36,6 +36,8 @@
     pub start_wait: bool,
     /// Requests wait for the engine that caches their text to announce itself.
     pub holder_wait: bool,
+    /// Other edges take the requests of an edge that has lost contact with endpoints.
+    pub relay: bool,
     /// Engines receive the ranks of requests.
     pub engine_ranks: bool,
 }
@@ -58,6 +60,7 @@
             resume: true,
             start_wait: true,
             holder_wait: true,
+            relay: true,
             engine_ranks: true,
         }
     }
@@ -85,6 +88,7 @@
             resume: is_enabled("resume"),
             start_wait: is_enabled("start_wait"),
             holder_wait: is_enabled("holder_wait"),
+            relay: is_enabled("relay"),
             engine_ranks: is_enabled("engine_ranks"),
         }
     }
--- a/crates/ragwortroad_telemetry/src/metric_names.rs
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -41,6 +41,11 @@
 pub const REGISTRIES_CONNECTED: &str = "ragwortroad_registries_connected";
 /// Endpoints that accept work according to this edge.
 pub const ENDPOINTS_READY: &str = "ragwortroad_endpoints_ready";
+/// Services of which this edge reaches no endpoint, so that other edges take its requests.
+pub const SERVICES_CUT_OFF: &str = "ragwortroad_services_cut_off";
+/// Requests that this edge relayed to another one, by `outcome`: `answered`, `not_sent`, `not_run`
+/// or `unknown`.
+pub const RELAYED_REQUESTS: &str = "ragwortroad_relayed_requests_total";
 /// Endpoints that have asked this edge for a rest that is not over.
 pub const ENDPOINTS_RESTING: &str = "ragwortroad_endpoints_resting";
 /// Control API calls at a registry, by `outcome`.
