Take no request for a crash when an edge loses all endpoints of a service at once

Callers whose requests were running when an edge lost a whole service got 502 for the rest of the quarantine: each endpoint whose connection was cut and whose port refused the next one counted as crashed under the request, and three of them quarantine it in the whole fleet.

Cause: a refused connection was taken for the endpoint's fault without regard to whether the edge reaches any other endpoint. The check now dials up to three others of the service; only if one accepts is it a crash. An endpoint without others of its service is judged as before.

--- a/crates/ragwortroad_edge/src/crash_check.rs
+++ b/crates/ragwortroad_edge/src/crash_check.rs
@@ -1,5 +1,6 @@
 use std::{
     io,
+    net::SocketAddr,
     rc::Rc,
     time::Duration, //
 };
@@ -7,6 +8,7 @@
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
+use rand::seq::IteratorRandom;
 use tokio::{
     task::{
         JoinHandle,
@@ -26,6 +28,9 @@
 /// request.
 const CHECK_WAIT: Duration = Duration::from_millis(100);
 
+/// Number of other endpoints that are dialled to tell a crash from the loss of the edge's own links.
+const MAX_OTHER_DIALS: usize = 3;
+
 /// Check of an endpoint that cut a response off.
 ///
 /// A task of its own, so that it is made even if the client disconnects.
@@ -61,18 +66,51 @@
     let Some(record) = record.filter(|record| record.stage == EndpointStage::Ready) else {
         return;
     };
-    match EndpointConnection::open(record.address, shared.settings.endpoint_source).await {
-        Ok(connection) => {
-            let now = shared.now();
-            shared.pool.keep(record.address, connection, None, now);
-        }
+    match dial(&shared, record.address).await {
+        Ok(()) => {}
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-            record_crash(&shared, digest, endpoint, &record);
+            if reaches_another(&shared, &record, endpoint).await {
+                record_crash(&shared, digest, endpoint, &record);
+            }
         }
         Err(error) => tracing::debug!(%error, endpoint = record.name, "endpoint check failed"),
     }
 }
 
+/// Opens a connection and keeps it for reuse.
+async fn dial(shared: &EdgeShared, address: SocketAddr) -> io::Result<()> {
+    let source = shared.settings.endpoint_source;
+    let connection = EndpointConnection::open(address, source).await?;
+    let now = shared.now();
+    shared.pool.keep(address, connection, None, now);
+    Ok(())
+}
+
+/// Whether this edge reaches another endpoint of the service, so that the refused connection is the
+/// endpoint's fault and not that of the edge's own links.
+async fn reaches_another(
+    shared: &EdgeShared,
+    record: &EndpointRecord,
+    endpoint: EndpointKey,
+) -> bool {
+    let addresses = {
+        let state = shared.state.borrow();
+        let others = state.available_endpoints(&record.service);
+        let others = others.filter(|(_, other)| other.key != endpoint);
+        let records = others.filter_map(|(_, other)| state.endpoints.record(other.key));
+        let addresses = records.map(|other| other.address);
+        let addresses = addresses.filter(|address| *address != record.address);
+        addresses.sample(&mut rand::rng(), MAX_OTHER_DIALS)
+    };
+    let has_other = !addresses.is_empty();
+    for address in addresses {
+        if dial(shared, address).await.is_ok() {
+            return true;
+        }
+    }
+    !has_other
+}
+
 fn record_crash(
     shared: &EdgeShared,
     digest: RequestDigest,
