Send new clients to edges that reach endpoints

Clients kept coming to an edge that has lost all endpoints; each request cost a hop to another edge, and bytes between domains where that edge is in another one.

The directory leaves out edges that report the loss of a service, unless none reaches endpoints. The requests that still come (directory answers live for 2 s, some clients keep them for 6 s) are relayed as before, so the two ways add up.

new_clients_are_sent_to_edges_that_reach_replicas failed before ([true, true, true] in place of [false, true, true]). Three more tests hold promises of relayed requests, and passed at once: refusals within 0.5 s while no edge reaches an endpoint, no request cut while either edge stops, and a client that sends the header of an edge is served as a client.

--- a/crates/ragwortroad_registry/src/directory_flow.rs
+++ b/crates/ragwortroad_registry/src/directory_flow.rs
@@ -66,10 +66,18 @@
         }
     }
 
+    /// Ready edges that reach endpoints, or all ready ones if none does.
+    ///
+    /// The others relay requests, which costs a hop, so new clients are better served elsewhere.
     fn ready_edges(&self) -> Vec<SocketAddr> {
         let edges = self.edges.values();
         let ready = edges.filter(|edge| edge.stage == EdgeStage::Ready);
-        ready.map(|edge| edge.address).collect()
+        let reaching = ready.clone().filter(|edge| !edge.is_cut_off);
+        let reaching: Vec<SocketAddr> = reaching.map(|edge| edge.address).collect();
+        match reaching.is_empty() {
+            true => ready.map(|edge| edge.address).collect(),
+            false => reaching,
+        }
     }
 }
 
