Send brittle endpoints only what surely finds room

Endpoints that say they are brittle (a bound on the requests that they reject in a second) fell over in a surge: all edges sent each of them what the learned limits allowed, and sent rejected requests on to the next.

Now an edge keeps what the endpoints of a service say in their last answer. While they are brittle, its gate has a share of 0.6 of their places, half of it equal for all edges and half by load, so that the shares add up to less than all places; a share below one request is drawn each time. An endpoint gets a request only if the counts of all edges leave room there, and none for a second after it had none. A fall is not taken for a crash under the requests that ran. Weighed: counts alone are some tenths of a second old, in which 27 edges fill 24 places several times; equal shares alone leave places unused where the load is uneven.

--- a/crates/ragwortroad_dispatch/src/endpoint_selection.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_selection.rs
@@ -98,7 +98,7 @@
     /// Returns whether the endpoint has a free slot, as far as this edge knows.
     ///
     /// Without one the request would queue there while other engines have free slots.
-    fn has_free_slot(&self) -> bool {
+    pub fn has_free_slot(&self) -> bool {
         self.slots == 0 || self.load < self.slots
     }
 
--- a/crates/ragwortroad_dispatch/src/fleet_load.rs
+++ b/crates/ragwortroad_dispatch/src/fleet_load.rs
@@ -47,6 +47,16 @@
 /// again.
 const TARGET_UTILIZATION: f64 = 0.95;
 
+/// Share of the capacity of brittle endpoints that the edges fill together.
+///
+/// The rest makes it unlikely that edges which do not know of each other's last requests fill one
+/// endpoint while another has room.
+const BRITTLE_UTILIZATION: f64 = 0.6;
+
+/// Share of a brittle service's capacity that is divided equally over the edges; the rest is
+/// proportional to their current load.
+const BRITTLE_EQUAL_RATIO: f64 = 0.5;
+
 /// Share of its slots that a warming endpoint can use.
 ///
 /// It gets requests at a limited rate, so requests admitted for its other slots would queue at the
@@ -89,6 +99,24 @@
         (load.capacity > 0.0).then_some(load)
     }
 
+    /// Returns the largest number of requests that this edge may have in flight at brittle
+    /// endpoints.
+    ///
+    /// The limits of all edges add up to less than the capacity, whatever they know of each other.
+    /// With more edges than slots the share is below one request; `draw`, from 0 to 1, then decides
+    /// whether the edge has one, so that the sum holds on average.
+    pub fn brittle_limit(&self, draw: f64) -> f64 {
+        let equal_ratio = 1.0 / f64::from(self.edges.max(1));
+        let own_ratio = match self.total {
+            0 => equal_ratio,
+            total => (f64::from(self.own) / f64::from(total)).min(1.0),
+        };
+        let ratio = equal_ratio * BRITTLE_EQUAL_RATIO + own_ratio * (1.0 - BRITTLE_EQUAL_RATIO);
+        let share = self.capacity * BRITTLE_UTILIZATION * ratio;
+        let extra = if draw < share.fract() { 1.0 } else { 0.0 };
+        share.floor() + extra
+    }
+
     /// Returns the largest number of requests that this edge may have in flight, so that all edges
     /// together fill the capacity.
     ///
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod address_choice;
 mod admission_gate;
 mod admission_ratio;
+mod brittle_services;
 mod client_transfer;
 mod config_fault;
 mod config_fetch;
@@ -68,6 +69,7 @@
             QueueTicket,
             max_queue_time, //
         },
+        brittle_services::BrittleServices,
         client_transfer::{
             ClientTransfer,
             choose_slow_clients, //
--- a/crates/ragwortroad_edge/src/crash_check.rs
+++ b/crates/ragwortroad_edge/src/crash_check.rs
@@ -66,6 +66,10 @@
     let Some(record) = record.filter(|record| record.stage == EndpointStage::Ready) else {
         return;
     };
+    // A brittle endpoint falls over because of rejections, not because of a request that it runs.
+    if shared.state.borrow().brittle.contains(&record.service) {
+        return;
+    }
     match dial(&shared, record.address).await {
         Ok(()) => {}
         Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
--- a/crates/ragwortroad_edge/src/edge_gates.rs
+++ b/crates/ragwortroad_edge/src/edge_gates.rs
@@ -33,10 +33,14 @@
         let gate = self.gates.get(service);
         let is_due = gate.is_none_or(ServiceGate::is_limit_outdated);
         let fleet = is_due.then(|| self.fleet_load(service, now)).flatten();
+        let limit = fleet.map(|fleet| match self.brittle.contains(service) {
+            true => fleet.brittle_limit(rand::random()),
+            false => fleet.own_limit(),
+        });
         let gates = self.gates.entry(service.to_owned());
         let gate = gates.or_insert_with(|| ServiceGate::new(now));
         if is_due {
-            gate.update_limit(fleet, now);
+            gate.update_limit(limit, now);
         }
         gate
     }
@@ -66,11 +70,13 @@
         }
     }
 
-    /// Load of a service's engines; `None` for a service without engines, and if no engine is
-    /// known.
+    /// Load of a service's endpoints; `None` for a service without engines, unless it is brittle, and
+    /// if no endpoint is known.
     fn fleet_load(&self, service: &str, now: ClockTime) -> Option<FleetLoad> {
         let rule = self.map.as_ref()?.service(service)?;
-        rule.engine.as_ref()?;
+        if rule.engine.is_none() && !self.brittle.contains(service) {
+            return None;
+        }
         let reachable = self.reachable_domains();
         let home = self.home();
         let active = self.active_endpoints(service);
--- a/crates/ragwortroad_edge/src/edge_port.rs
+++ b/crates/ragwortroad_edge/src/edge_port.rs
@@ -108,6 +108,8 @@
     pub rest: Option<Duration>,
     /// Whether the endpoint states that it leaves and takes no new request.
     pub is_leaving: bool,
+    /// Rejections in a second that the endpoint bears before it fails; `None` if it is not brittle.
+    pub brittle_limit: Option<u32>,
     /// Whether another endpoint than the intended one responded.
     pub is_misdirected: bool,
     /// Whether the body is a stream of server-sent events.
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -81,6 +81,8 @@
     pub(crate) loads: BTreeMap<EndpointKey, EndpointLoad>,
     /// Endpoints that want no request from this edge for some time.
     pub(crate) rests: RestTable,
+    /// Services whose endpoints fail if they have to reject too many requests.
+    pub(crate) brittle: BrittleServices,
     pub(crate) drains: DomainDrains,
     pub(crate) reach: DomainReach,
     pub(crate) service_reach: ServiceReach,
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -50,6 +50,11 @@
     }, //
 };
 
+/// Time for which a brittle endpoint that had no room gets no request from this edge.
+///
+/// The other edges may hit its bound in the same second.
+const BRITTLE_REST: Duration = Duration::from_secs(1);
+
 /// Outcome of an attempt at an endpoint.
 pub(crate) enum CallOutcome {
     /// The request did not reach the endpoint.
@@ -311,10 +316,23 @@
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
     let EdgeState {
-        endpoints, rests, ..
+        endpoints,
+        rests,
+        brittle,
+        ..
     } = &mut *state;
+    if brittle.note(&chosen.service, metadata.brittle_limit) {
+        let limit = metadata.brittle_limit;
+        tracing::info!(
+            service = chosen.service,
+            limit,
+            "endpoints changed how brittle they are"
+        );
+    }
     let record = endpoints.record(chosen.key);
-    if let Some((record, rest)) = record.zip(metadata.rest) {
+    let is_rejected = metadata.is_not_run && metadata.brittle_limit.is_some();
+    let rest = metadata.rest.or(is_rejected.then_some(BRITTLE_REST));
+    if let Some((record, rest)) = record.zip(rest) {
         rests.note_rest(record.incarnation(), rest, now);
     }
     if metadata.is_leaving && endpoints.mark_leaving(chosen.key) {
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -94,6 +94,8 @@
     home: Option<&'a RegistryLink>,
     /// Failure domains that this edge can reach.
     reachable: DomainSet,
+    /// Whether the service's endpoints fail if they have to reject too many requests.
+    is_brittle: bool,
     mechanisms: &'a MechanismSettings,
     tried: &'a [EndpointKey],
     now: ClockTime,
@@ -123,6 +125,7 @@
             prefix,
             home: state.home(),
             reachable: state.reachable_domains(),
+            is_brittle: state.brittle.contains(&plan.service),
             mechanisms,
             tried,
             now,
@@ -186,6 +189,11 @@
             }
         };
         let (open, paused): (Vec<_>, Vec<_>) = untried.partition(is_open);
+        if self.is_brittle {
+            // A request that finds no room brings such an endpoint closer to its fall.
+            let open = open.into_iter().map(candidate);
+            return open.filter(SelectionCandidate::has_free_slot).collect();
+        }
         // If all of them failed recently, trying one is still better than a refusal.
         let usable = if open.is_empty() { paused } else { open };
         usable.into_iter().map(candidate).collect()
@@ -194,7 +202,8 @@
     /// A candidate with requests or outcomes, without regard to the prefixes that it holds.
     fn candidate(&self, endpoint: &ReadyEndpoint) -> SelectionCandidate {
         let load = self.state.loads.get(&endpoint.key);
-        let home = self.home.filter(|_| self.engine.is_some());
+        let counts_others = self.engine.is_some() || self.is_brittle;
+        let home = self.home.filter(|_| counts_others);
         let other_edges_load = home.map_or(0, |home| home.other_edges_load(endpoint.tag));
         SelectionCandidate {
             load: load.map_or(other_edges_load, |load| {
--- a/crates/ragwortroad_edge/src/service_gate.rs
+++ b/crates/ragwortroad_edge/src/service_gate.rs
@@ -49,10 +49,10 @@
     }
 
     /// Sets the limit from the load of the fleet, or else from the learned response times.
-    pub(crate) fn update_limit(&mut self, fleet: Option<FleetLoad>, now: ClockTime) {
-        self.has_fleet_limit = fleet.is_some();
+    pub(crate) fn update_limit(&mut self, fleet_limit: Option<f64>, now: ClockTime) {
+        self.has_fleet_limit = fleet_limit.is_some();
         self.is_limit_outdated = false;
-        let limit = fleet.map_or(self.latency_limit.limit(), |fleet| fleet.own_limit());
+        let limit = fleet_limit.unwrap_or(self.latency_limit.limit());
         self.gate.set_limit(limit, now);
         self.wake_waiters(now);
     }
--- a/crates/ragwortroad_edge/src/tests.rs
+++ b/crates/ragwortroad_edge/src/tests.rs
@@ -44,7 +44,7 @@
         edges: 1,
         ..FleetLoad::default()
     };
-    gate.update_limit(Some(load), now);
+    gate.update_limit(Some(load.own_limit()), now);
     assert!(matches!(gate.offer(request(), now), GateDecision::Admitted));
     match gate.offer(request(), now) {
         GateDecision::Queued(ticket, admission) => (gate, ticket, admission),
