Outlast the silence of a sound endpoint, and check endpoints that do not respond apart from requests

An endpoint that stops for a second or so and goes on made callers lose bookings (502): TCP closed the connection after 1.5 s of unacknowledged data, and, since a user timeout that is set also decides when keepalive probes give up, after the second probe, two seconds after the last packet, however long the silence.

One timeout of 3.5 s now holds for both: the retransmission that reaches the endpoint after its silence comes up to three seconds after the data. So that an endpoint which is really gone is not waited for longer, an edge dials one that has not responded within the time its route allows, beside the request that waits, at most once a second. If it does not accept the connection either, it is avoided, and its pooled connections are closed, after 0.4 s.

--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -35,6 +35,7 @@
     registry_link::RegistryLink,
     relay_peers::RelayPeers,
     service_gate::ServiceGate,
+    silence_check::SilenceChecks,
     update_counts::UpdateCounts, //
 };
 
@@ -86,6 +87,7 @@
     pub(crate) drains: DomainDrains,
     pub(crate) reach: DomainReach,
     pub(crate) service_reach: ServiceReach,
+    pub(crate) silence_checks: SilenceChecks,
     /// Edges that take requests while this edge has lost contact with endpoints.
     pub(crate) relay_peers: RelayPeers,
     /// Limits this edge's requests to endpoints that are warming up.
--- a/crates/ragwortroad_edge/src/endpoint_connection.rs
+++ b/crates/ragwortroad_edge/src/endpoint_connection.rs
@@ -39,17 +39,20 @@
 /// second, and trying another endpoint is faster.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Time after which a connection with unacknowledged data is closed.
+/// Time without any packet after which a connection with unacknowledged data, or with unanswered
+/// keepalive probes, is closed.
 ///
-/// An endpoint that lost power or is partitioned sends nothing. Without this timeout a request
-/// there hangs until its deadline, and the endpoint is not detected as lost.
-const UNACKED_TIMEOUT: Duration = Duration::from_millis(1500);
+/// An endpoint that lost power or is partitioned sends nothing. A sound one may fall silent for a
+/// second or two; the retransmission that reaches it comes up to three seconds after the data.
+const SILENCE_TIMEOUT: Duration = Duration::from_millis(3500);
 
 /// Idle time before the first TCP keepalive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Number of unanswered keepalive probes after which a connection is closed.
-const KEEPALIVE_RETRIES: u32 = 2;
+///
+/// With a user timeout set, Linux goes by that timeout instead.
+const KEEPALIVE_RETRIES: u32 = 3;
 
 /// A connection to an endpoint; dropping it closes it.
 pub(crate) struct EndpointConnection {
@@ -88,7 +91,7 @@
         let stream = connected.map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         stream.set_nodelay(true)?;
         let socket = SockRef::from(&stream);
-        socket.set_tcp_user_timeout(Some(UNACKED_TIMEOUT))?;
+        socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT))?;
         let keepalive = TcpKeepalive::new()
             .with_time(KEEPALIVE_INTERVAL)
             .with_interval(KEEPALIVE_INTERVAL)
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -44,6 +44,7 @@
 mod request_reading;
 mod service_contact;
 mod service_gate;
+mod silence_check;
 mod stream_body;
 mod stream_break;
 #[cfg(test)]
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -71,6 +71,7 @@
         STARTUP_POLL_INTERVAL,
         read_plan, //
     },
+    silence_check::check_silence,
     stream_body::StreamBody, //
 };
 
@@ -336,6 +337,7 @@
         _ = &mut shutdown_notice => return CallOutcome::TimedOut,
         () = sleep(response_timeout) => {}
     }
+    check_silence(shared, chosen.key);
     let is_enabled = shared.settings.mechanisms.silence && !is_shedding(shared, plan);
     if is_enabled && progress.may_abandon(shared, plan) {
         record_outcome(shared, chosen, &CallOutcome::NoResponse);
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -48,6 +48,7 @@
         next_peer, //
     },
     request_plan::RequestPlan,
+    silence_check::check_silence,
     stream_break::StreamBreak, //
 };
 
@@ -280,6 +281,9 @@
             state.load_mut(key).note_bad_response(now);
             drop(state);
             self.shared.note_suspected(key);
+            if !cause.is_cut {
+                check_silence(&self.shared, key);
+            }
         }
         let reason = cause.reason;
         let check = key
