Cut edges off, lose power everywhere beside a lost disk, and make replicas brittle in the soak

The soak had no fault of one edge's links to endpoints, no loss of all VMs' power at the moment in which a disk is lost, and no endpoint that falls over when it has to reject too much. Edges connect from their own addresses there now, so that stand-ins and proxies lose the packets of one edge, or reset its connections; rests are attributed to the edge from which a request came, since an edge relays requests of another one's clients.

--- a/tests/soak/frail_pool.rs
+++ b/tests/soak/frail_pool.rs
@@ -1,7 +1,10 @@
 //! Replicas that crash under some requests, ask for rest, or leave, and start again.
 
 use std::{
-    net::SocketAddr,
+    net::{
+        IpAddr,
+        SocketAddr, //
+    },
     sync::{
         Mutex,
         atomic::{
@@ -22,7 +25,10 @@
 use crate::{
     caller::send,
     document::service_announcement,
-    replica::Replica, //
+    replica::{
+        CutKind,
+        Replica, //
+    }, //
 };
 
 /// Time after a refusal in which requests that are on their way may still arrive.
@@ -136,6 +142,35 @@
         }
     }
 
+    /// Lets all replicas say for `duration` that they are brittle; returns how many fell over.
+    pub(crate) fn be_brittle(&self, limit: u64, duration: Duration) -> usize {
+        let set = |limit| {
+            let replicas = self.replicas.lock().expect("a thread panicked");
+            for replica in &replicas.running {
+                replica.brittle_limit.store(limit, Ordering::SeqCst);
+            }
+            let all = replicas.running.iter().chain(&replicas.crashed);
+            all.filter(|replica| replica.has_fallen()).count()
+        };
+        let before = set(limit);
+        thread::sleep(duration);
+        set(0) - before
+    }
+
+    /// Cuts an edge off from all running replicas.
+    pub(crate) fn start_cut(&self, kind: CutKind, source: IpAddr) {
+        let replicas = self.replicas.lock().expect("a thread panicked");
+        for replica in &replicas.running {
+            replica.start_cut(kind, &[source]);
+        }
+    }
+
+    /// Lets all edges reach the running replicas again.
+    pub(crate) fn end_cut(&self) {
+        let replicas = self.replicas.lock().expect("a thread panicked");
+        replicas.running.iter().for_each(Replica::end_cut);
+    }
+
     /// Returns the rests that an edge broke, and the requests that it sent to a leaving replica.
     ///
     /// `was_disturbed` tells whether the edge was restarted or suspended between two times, which
@@ -143,15 +178,15 @@
     pub(crate) fn broken_wishes(
         &self,
         edge: usize,
+        source: IpAddr,
         was_disturbed: impl Fn(Instant, Instant) -> bool,
     ) -> Vec<String> {
-        let via = edge.to_string();
         let replicas = self.replicas.lock().expect("a thread panicked");
         let all = replicas.running.iter().chain(&replicas.crashed);
         let mut broken = Vec::new();
         for replica in all {
             let mut arrivals = replica.arrivals_below("/frail/");
-            arrivals.retain(|arrival| arrival.header("x-via") == Some(via.as_str()));
+            arrivals.retain(|arrival| arrival.peer == source);
             let name = &replica.name;
             for told in &arrivals {
                 let rest = Duration::from_millis(told.rest_ms);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -62,6 +62,7 @@
 };
 use rand_pcg::Pcg64Mcg;
 use replica::{
+    CutKind,
     EVENTS,
     Replica, //
 };
@@ -83,6 +84,15 @@
 /// Time of rest that replicas ask for.
 const REST: Duration = Duration::from_millis(1500);
 
+/// Rejections in a second that a brittle replica bears.
+const BORNE_REJECTIONS: u64 = 4;
+
+/// Time for which replicas are brittle.
+const BRITTLE_TIME: Duration = Duration::from_millis(2500);
+
+/// Brittle replicas that may fall over in one such time.
+const ALLOWED_FALLS: usize = 2;
+
 /// Time from the first answer that says that a replica leaves to its end.
 const LEAVING_TIME: Duration = Duration::from_millis(4500);
 
@@ -250,14 +260,51 @@
     /// Lets replicas ask for rest or leave, in turn, until the last fault is over.
     fn change_frail(&self, rng: &mut Pcg64Mcg) {
         while !self.are_faults_over.load(Ordering::SeqCst) {
-            match rng.random_range(0..3) {
+            match rng.random_range(0..4) {
                 0 => self.frail_pool.leave_after(LEAVING_TIME, rng),
+                1 => {
+                    let fallen = self.frail_pool.be_brittle(BORNE_REJECTIONS, BRITTLE_TIME);
+                    if fallen > ALLOWED_FALLS {
+                        self.record(format!("{fallen} brittle replicas fell over"));
+                    }
+                }
                 _ => self.frail_pool.rest_for(REST, REST * 2, rng),
             }
             thread::sleep(Duration::from_millis(rng.random_range(0..500)));
         }
     }
 
+    /// Cuts random edges off from all replicas for a while, until the last fault is over.
+    fn cut_edges(&self, rng: &mut Pcg64Mcg) {
+        while !self.are_faults_over.load(Ordering::SeqCst) {
+            let edge = rng.random_range(0..self.edges.len());
+            let kinds = [
+                CutKind::Silent,
+                CutKind::Reset,
+                CutKind::NewReset,
+                CutKind::OldSilent,
+            ];
+            let kind = kinds[rng.random_range(0..kinds.len())];
+            let source = self.edges[edge].ip();
+            self.disturb_edge(edge, || {
+                self.frail_pool.start_cut(kind, source);
+                for proxy in self
+                    .replica_proxies
+                    .iter()
+                    .filter(|_| kind == CutKind::Silent)
+                {
+                    proxy.cut_peer(Some(source));
+                }
+                thread::sleep(Duration::from_millis(rng.random_range(500..5000)));
+                self.frail_pool.end_cut();
+                for proxy in &self.replica_proxies {
+                    proxy.cut_peer(None);
+                }
+            });
+            thread::sleep(Duration::from_millis(rng.random_range(0..2000)));
+        }
+    }
+
     /// Records that an edge is disturbed while `disturb` runs.
     fn disturb_edge(&self, edge: usize, disturb: impl FnOnce()) {
         let started_at = Instant::now();
@@ -279,7 +326,8 @@
                     disturbed == edge && start <= until && end >= from
                 })
             };
-            for broken in self.frail_pool.broken_wishes(edge, was_disturbed) {
+            let source = self.edges[edge].ip();
+            for broken in self.frail_pool.broken_wishes(edge, source, was_disturbed) {
                 self.record(broken);
             }
         }
@@ -413,7 +461,7 @@
     let registry = rng.random_range(0..registries.len());
     let edge = rng.random_range(0..edges.len());
     let random_bytes: [u8; 40] = rng.random();
-    match rng.random_range(0..9) {
+    match rng.random_range(0..10) {
         0 => restart(&mut registries[registry], pause, SoakProcess::kill),
         1 => {
             // Only one disk may be lost at a time, and it counts as lost until its data has been
@@ -439,6 +487,14 @@
             process.append_torn_write(&random_bytes);
         }),
         7 => fill_disk(&mut registries[registry], pause * 2),
+        8 => {
+            // Only one disk may be lost at a time, as above.
+            let _network_guard = run
+                .network_lock
+                .lock()
+                .expect("thread panicked while holding the lock");
+            lose_power_and_disk(run, registries, edges, (registry, pause), &random_bytes);
+        }
         _ => {
             registries.iter_mut().for_each(SoakProcess::kill);
             thread::sleep(pause);
@@ -449,6 +505,40 @@
     }
 }
 
+/// Loses the power of all VMs at the same moment and the disk of one registry, and leaves a torn
+/// write on the disks of the others.
+fn lose_power_and_disk(
+    run: &SoakRun,
+    registries: &mut [SoakProcess],
+    edges: &mut [SoakProcess],
+    (lost, pause): (usize, Duration),
+    torn_bytes: &[u8],
+) {
+    let started_at = Instant::now();
+    for edge_kills in &run.edge_kills {
+        edge_kills.fetch_add(1, Ordering::SeqCst);
+    }
+    registries
+        .iter_mut()
+        .chain(&mut *edges)
+        .for_each(SoakProcess::kill);
+    for (number, registry) in registries.iter_mut().enumerate() {
+        match number == lost {
+            true => registry.erase_data(),
+            false => registry.append_torn_write(torn_bytes),
+        }
+    }
+    thread::sleep(pause);
+    registries
+        .iter_mut()
+        .chain(edges)
+        .for_each(SoakProcess::start);
+    thread::sleep(Duration::from_secs(4));
+    let mut disturbances = run.disturbances.lock().expect("a thread panicked");
+    let all = (0..run.edges.len()).map(|edge| (edge, started_at, Instant::now()));
+    disturbances.extend(all);
+}
+
 /// Sends SIGTERM to a process and waits until it has ended, which takes at most its grace period.
 fn stop(process: &mut SoakProcess) {
     process.signal(Signal::TERM);
@@ -579,6 +669,8 @@
         scope.spawn(move || run.send_poison(&mut rng));
         let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 90);
         scope.spawn(move || run.change_frail(&mut rng));
+        let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 95);
+        scope.spawn(move || run.cut_edges(&mut rng));
         let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 80);
         scope.spawn(move || {
             while !run.are_faults_over.load(Ordering::SeqCst) {
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -203,9 +203,10 @@
     };
     let edge = |host| {
         let role_settings = format!(
-            "[edge]\ncallers = {}\nreadiness = {}\n",
+            "[edge]\ncallers = {}\nreadiness = {}\nendpoint_source = {}\n",
             at(host, 2),
-            at(host, 3)
+            at(host, 3),
+            ip(host)
         );
         make(host, "edge", role_settings, None, at(host, 2))
     };
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -7,6 +7,7 @@
         Write, //
     },
     net::{
+        IpAddr,
         SocketAddr,
         TcpListener,
         TcpStream, //
@@ -29,6 +30,8 @@
 
 use socket2::SockRef;
 
+use crate::replica::drop_packets;
+
 /// Interval at which waiting threads check for a changed mode, a reset or the end.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -50,12 +53,15 @@
     /// Number of calls of [`SoakProxy::reset`]; each resets the connections that existed before.
     reset_count: AtomicU64,
     is_stopping: AtomicBool,
+    /// Peer whose packets are lost, in both directions.
+    cut_peer: Mutex<Option<IpAddr>>,
 }
 
 /// Forwards connections made to `address` to a target address.
 #[derive(Debug)]
 pub(crate) struct SoakProxy {
     pub(crate) address: SocketAddr,
+    listener: TcpListener,
     state: Arc<ProxyState>,
     thread: Option<JoinHandle<()>>,
 }
@@ -68,9 +74,11 @@
             .expect("listener has no local address");
         let state = Arc::new(ProxyState::default());
         let shared = Arc::clone(&state);
-        let thread = thread::spawn(move || accept(&listener, target, &shared));
+        let accepting = listener.try_clone().expect("failed to clone the listener");
+        let thread = thread::spawn(move || accept(&accepting, target, &shared));
         Self {
             address,
+            listener,
             state,
             thread: Some(thread),
         }
@@ -84,6 +92,19 @@
             .expect("thread panicked while holding the lock") = mode;
     }
 
+    /// Loses the packets of a peer, also those that open connections; `None` ends that.
+    pub(crate) fn cut_peer(&self, peer: Option<IpAddr>) {
+        let filters = drop_packets(peer.as_slice());
+        SockRef::from(&self.listener)
+            .attach_filter(&filters)
+            .expect("failed to attach a filter");
+        *self
+            .state
+            .cut_peer
+            .lock()
+            .expect("thread panicked while holding the lock") = peer;
+    }
+
     /// Resets all current connections.
     pub(crate) fn reset(&self) {
         self.state.reset_count.fetch_add(1, Ordering::SeqCst);
@@ -108,6 +129,11 @@
             break;
         }
         let downstream = downstream.expect("failed to accept a connection");
+        // Accepted sockets inherit the filter of the listener.
+        SockRef::from(&downstream)
+            .attach_filter(&drop_packets(&[]))
+            .expect("failed to attach a filter");
+        let peer = downstream.peer_addr().ok().map(|peer| peer.ip());
         // The target process may not be running; dropping the accepted connection closes it.
         let Ok(upstream) = TcpStream::connect(target) else {
             continue;
@@ -125,8 +151,8 @@
             };
             let state = Arc::clone(state);
             threads.push(thread::spawn(move || match is_forward {
-                true => copy(downstream, upstream, &state, true),
-                false => copy(upstream, downstream, &state, false),
+                true => copy(downstream, upstream, peer, &state, true),
+                false => copy(upstream, downstream, peer, &state, false),
             }));
         }
         threads.retain(|thread| !thread.is_finished());
@@ -137,7 +163,13 @@
 }
 
 /// Copies one direction until it ends or the connection is reset.
-fn copy(mut from: TcpStream, mut to: TcpStream, state: &ProxyState, is_forward: bool) {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    peer: Option<IpAddr>,
+    state: &ProxyState,
+    is_forward: bool,
+) {
     let reset_count = state.reset_count.load(Ordering::SeqCst);
     let mut buffer = vec![0; 16 << 10];
     loop {
@@ -151,7 +183,12 @@
             .mode
             .lock()
             .expect("thread panicked while holding the lock");
-        if is_forward && mode.blocks_forward || !is_forward && mode.blocks_backward {
+        let cut_peer = *state
+            .cut_peer
+            .lock()
+            .expect("thread panicked while holding the lock");
+        let is_cut = cut_peer.is_some() && cut_peer == peer;
+        if is_cut || is_forward && mode.blocks_forward || !is_forward && mode.blocks_backward {
             thread::sleep(POLL_INTERVAL);
             continue;
         }
