Test that acknowledged configurations outlast a loss of all power beside a lost disk

No test lost the power of all VMs, edges too, at the moment in which a registry loses its disk. Three times in a row, right after an acknowledgement, with another disk each: nothing is lost or older, and edges, which then know nothing by themselves, serve again.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod document;
 mod frail_pool;
 mod keep_alive_client;
+mod power_losses;
 mod processes;
 mod proxy;
 #[allow(dead_code, reason = "the tests in `whole_path` use more of it")]
