Give all paced messages of a registry one account of its link

Cause: each kind of paced message (configurations, endpoint updates, loads, prefix locations, crashes) had a share of the link of its own, and the shares add up to 2.2 of it, so that answers wait behind them after a common restart. LinkAccount now lets a kind send only while all kinds together have used less than 0.85; the kind that has been due for longest goes first, and one that is alone still gets its share, which smaller shares would not give it.

--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -33,6 +33,7 @@
 mod fleet_load;
 mod home_choice;
 mod latency_limit;
+mod link_account;
 mod load_totals;
 mod location_log;
 mod pending_locations;
@@ -136,6 +137,7 @@
             prefer_registry, //
         },
         latency_limit::LatencyLimit,
+        link_account::LinkAccount,
         load_totals::{
             CountReport,
             EndpointTag,
--- a/crates/ragwortroad_registry/src/config_flow.rs
+++ b/crates/ragwortroad_registry/src/config_flow.rs
@@ -72,6 +72,7 @@
         let direct: Vec<LinkKey> = plan.direct.iter().copied().map(LinkKey).collect();
         let message = LinkMessage::ConfigDeltas(vec![delta]);
         let bytes = self.send_to_links(direct.iter(), &message);
+        self.link_account.note_sent(bytes, now);
         self.next_copies_at = now.after(pace.delay_after(bytes).max(COPY_ROUND_INTERVAL));
         tracing::info!(
             edges = direct.len(),
--- a/crates/ragwortroad_registry/src/crash_flow.rs
+++ b/crates/ragwortroad_registry/src/crash_flow.rs
@@ -36,6 +36,7 @@
         let message = LinkMessage::Crashes(reports);
         let bytes = self.broadcast_to_peers(&message)
             + self.send_to_links(self.subscribers.iter(), &message);
+        self.link_account.note_sent(bytes, now);
         self.next_crashes_at = now.after(SPREAD_INTERVAL.max(pace.delay_after(bytes)));
     }
 
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -210,12 +210,16 @@
         self.updates.push(change);
     }
 
-    /// Sends the queued endpoint updates that are due to the edges.
-    pub(crate) fn send_updates(&mut self, now: ClockTime) {
+    /// Sends the queued urgent endpoint updates to the edges if they are due.
+    pub(crate) fn send_due_updates(&mut self, now: ClockTime) {
         if self.updates.has_urgent() && now >= self.next_urgent_updates_at {
             self.next_urgent_updates_at = now.after(UPDATE_INTERVAL);
             self.send_urgent_updates();
         }
+    }
+
+    /// Sends the other queued endpoint updates that are due.
+    pub(crate) fn send_deferrable_updates(&mut self, now: ClockTime) {
         if !self.updates.has_deferrable()
             || now < self.next_deferrable_updates_at
             || self.is_forming(now)
@@ -228,6 +232,7 @@
         let updates = self.updates.take_deferrable(count);
         let bytes = self.broadcast_to_edges(&LinkMessage::EndpointUpdates(updates));
         let delay = pace.delay_after(bytes);
+        self.link_account.note_sent(bytes, now);
         self.next_deferrable_updates_at = now.after(UPDATE_INTERVAL.max(delay));
     }
 
@@ -251,7 +256,7 @@
 
     /// Bandwidth of this VM's link in bytes per second.
     pub(crate) fn link_bytes_per_second(&self) -> f64 {
-        self.settings.link_mbps * 1e6 / 8.0
+        self.settings.link_bytes_per_second()
     }
 
     pub(crate) fn expire_endpoints(&mut self, now: ClockTime) {
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -86,6 +86,8 @@
     /// Requests in flight per endpoint, summed over the edges.
     pub(crate) totals: LoadTotals,
     pub(crate) next_loads_at: ClockTime,
+    /// Bytes of all kinds of paced messages together.
+    pub(crate) link_account: LinkAccount,
     /// Prefix locations that the edges reported recently.
     pub(crate) locations: LocationLog,
     pub(crate) location_store: LocationStore,
@@ -107,6 +109,7 @@
         location_store: LocationStore,
         now: ClockTime,
     ) -> Self {
+        let link_account = LinkAccount::new(settings.link_bytes_per_second());
         let mut state = Self {
             table: RegistryTable::new(settings.announce_every),
             settings,
@@ -138,6 +141,7 @@
             subscribers: BTreeSet::new(),
             totals: LoadTotals::default(),
             next_loads_at: now,
+            link_account,
             locations: LocationLog::new(now),
             location_store,
             next_locations_at: now,
@@ -207,15 +211,13 @@
         }
         self.send_hellos(now);
         self.plan_voters(now);
-        self.send_full_configs(now);
-        self.send_updates(now);
-        self.send_loads(now);
-        self.send_locations(now);
-        self.send_crashes(now);
+        self.send_due_updates(now);
+        self.send_paced(now);
+        let paced = |next_at: ClockTime| next_at.max(self.link_account.free_at());
         let updates_wake = match (self.updates.has_urgent(), self.updates.has_deferrable()) {
             (true, _) => self.next_urgent_updates_at,
-            (false, true) => self.next_deferrable_updates_at,
-            (false, false) => self.next_loads_at,
+            (false, true) => paced(self.next_deferrable_updates_at),
+            (false, false) => paced(self.next_loads_at),
         };
         let core_wake = self.driver.core().map(ConsensusCore::wake_at);
         let wake = core_wake
@@ -224,10 +226,10 @@
         let wake = wake.min(updates_wake);
         let wake = match self.copies.is_empty() {
             true => wake,
-            false => wake.min(self.next_copies_at),
+            false => wake.min(paced(self.next_copies_at)),
         };
         match self.has_no_queued_calls() {
-            true => wake.min(self.next_loads_at),
+            true => wake.min(paced(self.next_loads_at)),
             false => wake.min(self.next_maintenance_at),
         }
     }
--- a/crates/ragwortroad_registry/src/spread_flow.rs
+++ b/crates/ragwortroad_registry/src/spread_flow.rs
@@ -97,9 +97,32 @@
         self.locations.add_reader(LocationReader::Registry(peer));
     }
 
+    /// Sends paced messages, of the kind that has been due for longest first, as far as the link
+    /// has room for all kinds together.
+    pub(crate) fn send_paced(&mut self, now: ClockTime) {
+        type SendDue = fn(&mut RegistryState, ClockTime);
+        let mut kinds: [(ClockTime, SendDue); 5] = [
+            (self.next_copies_at, Self::send_full_configs),
+            (
+                self.next_deferrable_updates_at,
+                Self::send_deferrable_updates,
+            ),
+            (self.next_loads_at, Self::send_loads),
+            (self.next_locations_at, Self::send_locations),
+            (self.next_crashes_at, Self::send_crashes),
+        ];
+        kinds.sort_by_key(|(next_at, _)| *next_at);
+        for (_, send_due) in kinds {
+            if !self.link_account.is_free(now) {
+                return;
+            }
+            send_due(self, now);
+        }
+    }
+
     /// Sends the loads of this registry's edges to the other registries, and the totals to its
     /// edges.
-    pub(crate) fn send_loads(&mut self, now: ClockTime) {
+    fn send_loads(&mut self, now: ClockTime) {
         if now < self.next_loads_at {
             return;
         }
@@ -115,11 +138,12 @@
         }
         let every = SPREAD_INTERVAL * load_interval_factor(self.subscribers.len() as u32);
         let pace = SendPace::for_loads(self.link_bytes_per_second());
+        self.link_account.note_sent(bytes, now);
         self.next_loads_at = now.after(every.max(pace.delay_after(bytes)));
     }
 
     /// Sends prefix locations to edges and registries, each from its own position.
-    pub(crate) fn send_locations(&mut self, now: ClockTime) {
+    fn send_locations(&mut self, now: ClockTime) {
         if now < self.next_locations_at {
             return;
         }
@@ -130,6 +154,7 @@
         for batch in self.locations.next_batches(max_locations) {
             bytes += self.send_to_readers(&batch);
         }
+        self.link_account.note_sent(bytes, now);
         self.next_locations_at = now.after(SPREAD_INTERVAL.max(pace.delay_after(bytes)));
     }
 
--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -148,6 +148,11 @@
         parse_settings(bytes, Self::read)
     }
 
+    /// Returns the capacity of the VM's link in bytes per second.
+    pub fn link_bytes_per_second(&self) -> f64 {
+        self.link_mbps * 1e6 / 8.0
+    }
+
     fn read(reader: &mut SettingsReader<'_>) -> Self {
         let default = Self::default();
         let address = "10.0.0.7:8080";
