Tell a fall of a brittle endpoint from a crash; count crashes from the last loss of all power in the soak

Requests that crash endpoints were not counted at all while their service was brittle. A brittle endpoint now counts as fallen only if it has rejected a request of this edge in the second before.

--- a/crates/ragwortroad_edge/src/crash_check.rs
+++ b/crates/ragwortroad_edge/src/crash_check.rs
@@ -66,8 +66,7 @@
     let Some(record) = record.filter(|record| record.stage == EndpointStage::Ready) else {
         return;
     };
-    // A brittle endpoint falls over because of rejections, not because of a request that it runs.
-    if shared.state.borrow().brittle.contains(&record.service) {
+    if has_rejected(&shared, &record) {
         return;
     }
     match dial(&shared, record.address).await {
@@ -81,6 +80,14 @@
     }
 }
 
+/// Whether a brittle endpoint has rejected requests a moment ago, which makes it fall over whatever
+/// it runs.
+fn has_rejected(shared: &EdgeShared, record: &EndpointRecord) -> bool {
+    let state = shared.state.borrow();
+    let rest = state.rests.rest_left(record.incarnation(), shared.now());
+    state.brittle.contains(&record.service) && rest.is_some()
+}
+
 /// Opens a connection and keeps it for reuse.
 async fn dial(shared: &EdgeShared, address: SocketAddr) -> io::Result<()> {
     let source = shared.settings.endpoint_source;
--- a/tests/soak/frail_pool.rs
+++ b/tests/soak/frail_pool.rs
@@ -227,6 +227,18 @@
         })
     }
 
+    /// Number of replicas that have crashed under requests for `path` that arrived after a time.
+    pub(crate) fn crashes_after(&self, path: &str, after: Instant) -> usize {
+        let replicas = self.replicas.lock().expect("a thread panicked");
+        let all = replicas.running.iter().chain(&replicas.crashed);
+        let has_run = |replica: &&Replica| {
+            let arrivals = replica.arrivals(path);
+            let mut runs = arrivals.iter().filter(|arrival| arrival.has_run);
+            runs.any(|arrival| arrival.at > after)
+        };
+        all.filter(has_run).count()
+    }
+
     /// Number of replicas that have crashed under requests for `path`.
     pub(crate) fn crashes(&self, path: &str) -> usize {
         let replicas = self.replicas.lock().expect("a thread panicked");
