--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -35,7 +35,7 @@
     registry_link::RegistryLink,
     relay_peers::RelayPeers,
     service_gate::ServiceGate,
-    silence_check::SilenceChecks,
+    silence_checks::SilenceChecks,
     update_counts::UpdateCounts, //
 };
 
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -45,6 +45,7 @@
 mod service_contact;
 mod service_gate;
 mod silence_check;
+mod silence_checks;
 mod stream_body;
 mod stream_break;
 #[cfg(test)]
--- a/crates/ragwortroad_edge/src/silence_check.rs
+++ b/crates/ragwortroad_edge/src/silence_check.rs
@@ -1,11 +1,6 @@
-use std::{
-    collections::BTreeMap,
-    rc::Rc,
-    time::Duration, //
-};
+use std::rc::Rc;
 
 use ragwortroad_dispatch::prelude::*;
-use ragwortroad_types::prelude::*;
 use tokio::task::spawn_local;
 
 use crate::{
@@ -16,24 +11,6 @@
     }, //
 };
 
-/// Minimum time between two checks of one endpoint.
-const CHECK_INTERVAL: Duration = Duration::from_secs(1);
-
-/// When each endpoint was last checked because it did not respond in time.
-#[derive(Debug, Default)]
-pub(crate) struct SilenceChecks {
-    checked_at: BTreeMap<EndpointKey, ClockTime>,
-}
-
-impl SilenceChecks {
-    /// Returns whether a check is due, and records it.
-    fn take_due(&mut self, endpoint: EndpointKey, now: ClockTime) -> bool {
-        self.checked_at
-            .retain(|_, checked_at| now.since(*checked_at) < CHECK_INTERVAL);
-        self.checked_at.insert(endpoint, now).is_none()
-    }
-}
-
 /// Checks, beside the request that waits, whether the VM of an endpoint that has not responded in
 /// time accepts connections.
 ///
