List an edge again when the endpoints that it has lost leave

New clients were not sent to an edge for as long as it ran: when all endpoints of the service with which it had lost contact left, it dropped its record of the loss and told no registry, so that the directory left it out for good.

It now tells registries whenever the loss ends. An edge that only asks for peers, after a single failure, tells its home and not all registries. an_edge_is_listed_again_when_the_replicas_that_it_lost_leave failed before (30 s without the edge) and passes.

--- a/crates/ragwortroad_edge/src/service_contact.rs
+++ b/crates/ragwortroad_edge/src/service_contact.rs
@@ -100,20 +100,19 @@
         }
     }
 
-    /// Tells all registries whether this edge reaches endpoints; the home also replies with the
-    /// edges that take requests.
+    /// Tells registries whether this edge reaches endpoints; the home also replies with the edges that
+    /// take requests, if it is asked for them.
+    ///
+    /// An edge that only prepares for a loss tells none but the home.
     fn send_reach(&self, wants_peers: bool) {
         let is_cut_off = self.is_cut_off();
         let connected = self.links.values().filter(|link| link.queue.is_some());
         let home = self.home().map(|link| link.address);
         let replying = home.or_else(|| connected.clone().map(|link| link.address).next());
+        let tells_all = is_cut_off || !wants_peers;
         for link in connected {
             let wants_peers = wants_peers && Some(link.address) == replying;
-            if let Some(queue) = link
-                .queue
-                .as_ref()
-                .filter(|_| wants_peers || self.map.is_some())
-            {
+            if let Some(queue) = link.queue.as_ref().filter(|_| wants_peers || tells_all) {
                 queue.send(&LinkMessage::EdgeReach {
                     is_cut_off,
                     wants_peers,
@@ -134,7 +133,10 @@
         let available = state.available_endpoints(&service);
         let available: Vec<ReadyEndpoint> = available.map(|(_, endpoint)| *endpoint).collect();
         if available.is_empty() {
-            state.service_reach.note_contact(&service);
+            // There is nothing to reach, so nothing is cut off.
+            if state.service_reach.note_contact(&service) {
+                state.send_reach(false);
+            }
             continue;
         }
         let reach = &state.service_reach;
