Send the head of a stream whose endpoint breaks off before its first event

Clients of such a stream saw their connection close without a response, at times: the edge had answered with 200, and hyper discards a head that it has not written when the body fails. A stream that fails before its first event now ends with the poll after the one in which it failed, so that the head is sent first. 3 of 3 runs pass, beside the same load. docs/CAPACITY.md has the plays of the account of a registry's link.

--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -99,6 +99,8 @@
     last_bytes_at: Instant,
     stall: ReadStall,
     is_over: bool,
+    /// Why the stream fails, once its head has been sent.
+    failure: Option<&'static str>,
     /// Held until the client has received everything or has disconnected; `None` if another edge
     /// relays the stream.
     _permit: Option<GatePermit>,
@@ -128,6 +130,7 @@
             last_bytes_at: now,
             stall: ReadStall::default(),
             is_over: false,
+            failure: None,
             _permit: permit,
         };
         body.reset_timer();
@@ -141,6 +144,9 @@
             self.last_bytes_at = Instant::now();
             self.reset_timer();
         }
+        if let Some(reason) = self.failure.take() {
+            return self.end(reason);
+        }
         loop {
             if self.is_over {
                 return Poll::Ready(None);
@@ -151,7 +157,7 @@
                 };
                 self.resuming = None;
                 let Some(upstream) = upstream else {
-                    return self.fail("no endpoint could resume the stream");
+                    return self.fail("no endpoint could resume the stream", context);
                 };
                 self.tried.extend(upstream.endpoint());
                 self.upstream = Some(upstream);
@@ -161,7 +167,9 @@
             match self.poll_upstream(context) {
                 Poll::Pending => {
                     if let Some(reason) = self.poll_timer(context) {
-                        if let Some(failure) = self.handle_break(StreamBreak::silent(reason)) {
+                        if let Some(failure) =
+                            self.handle_break(StreamBreak::silent(reason), context)
+                        {
                             return failure;
                         }
                         continue;
@@ -178,7 +186,7 @@
                     return Poll::Ready(None);
                 }
                 Poll::Ready(UpstreamStep::Broken(cause)) => {
-                    if let Some(failure) = self.handle_break(cause) {
+                    if let Some(failure) = self.handle_break(cause, context) {
                         return failure;
                     }
                 }
@@ -269,7 +277,11 @@
 
     /// Drops the current upstream and starts the search for another one; returns the failure if the
     /// stream cannot be resumed.
-    fn handle_break(&mut self, cause: StreamBreak) -> Option<Poll<NextEvents>> {
+    fn handle_break(
+        &mut self,
+        cause: StreamBreak,
+        context: &mut Context<'_>,
+    ) -> Option<Poll<NextEvents>> {
         let now = self.shared.now();
         let key = self
             .upstream
@@ -320,7 +332,7 @@
             "stream broken"
         );
         if !may_resume {
-            return Some(self.fail(reason));
+            return Some(self.fail(reason, context));
         }
         self.attempts += 1;
         let last_event_id = self
@@ -339,7 +351,20 @@
         None
     }
 
-    fn fail(&mut self, reason: &'static str) -> Poll<NextEvents> {
+    /// Ends the stream with a failure, after its head has been sent.
+    ///
+    /// Hyper discards a head that it has not written when the body fails, and the client would see
+    /// its connection close without a response.
+    fn fail(&mut self, reason: &'static str, context: &mut Context<'_>) -> Poll<NextEvents> {
+        if self.events > 0 {
+            return self.end(reason);
+        }
+        self.failure = Some(reason);
+        context.waker().wake_by_ref();
+        Poll::Pending
+    }
+
+    fn end(&mut self, reason: &'static str) -> Poll<NextEvents> {
         self.is_over = true;
         metrics::counter!(metric_names::STREAMS, "outcome" => "broken").increment(1);
         tracing::info!(
