--- a/crates/ragwortroad_dispatch/tests/send_pace.rs
+++ b/crates/ragwortroad_dispatch/tests/send_pace.rs
@@ -44,8 +44,7 @@
     sent
 }
 
-/// Guards against paced messages of several kinds that fill a link together, so that answers to
-/// operators wait behind them.
+/// Guards against kinds of paced messages that fill a link together and delay answers.
 #[test]
 fn all_kinds_of_paced_messages_leave_room_on_the_link() {
     let paces = [
--- a/tests/soak/power_losses.rs
+++ b/tests/soak/power_losses.rs
@@ -38,8 +38,7 @@
     }
 }
 
-/// Guards against acknowledged configurations that are lost or older, and against edges that do not
-/// serve, after all VMs lose power and one its disk.
+/// Guards against configurations lost when all VMs lose power and one its disk.
 #[test]
 fn acknowledged_configurations_outlast_power_losses_with_a_lost_disk() {
     let folder = tempfile::tempdir().expect("failed to create a folder");
