Add a case of the review: goodbyes lost with the registry that acknowledged them

A registry acknowledges a goodbye that it keeps in memory only, up to 40 ms before the first message to an edge. Killed within 4 ms after the acknowledgement, it takes the goodbye along: the edges send streams to the replica for 8 s more, which its exit cuts.

The earlier case becomes the second one; both share their site.

--- a/review/lab/fleet.rs
+++ b/review/lab/fleet.rs
@@ -14,6 +14,13 @@
 }
 
 pub const SIGTERM: i32 = 15;
+const SIGKILL: i32 = 9;
+
+/// Kills a process that this one has started.
+pub fn kill_process(id: u32) {
+    // SAFETY: the id is that of a child that has not been waited for.
+    unsafe { kill(id as i32, SIGKILL) };
+}
 
 /// Bounds of the small deployment `splashmark-lagos`.
 pub const BOUNDS: [(&str, &str); 6] = [
@@ -82,6 +89,11 @@
         }
     }
 
+    /// Id of the running process; 0 if it doesn't run.
+    pub fn id(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Whether it still runs.
     pub fn is_running(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/review/lab/main.rs
+++ b/review/lab/main.rs
@@ -1,11 +1,13 @@
 //! Plays the cases of the review with real processes. Usage: `lab CASE FOLDER`.
 
+mod acked;
 mod client;
 mod fleet;
 mod http;
 mod leaving;
 mod record;
 mod replica;
+mod site;
 
 use std::{path::Path, process::ExitCode};
 
@@ -21,7 +23,8 @@
     let folder = folder.unwrap_or_else(|| ".".to_owned());
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let found = match case.as_deref() {
-        Some("leaving") => leaving::play(Path::new(&folder), has_trouble),
+        Some("leaving") => leaving::play_case(Path::new(&folder), has_trouble),
+        Some("acked") => acked::play_case(Path::new(&folder), has_trouble),
         _ => Err(std::io::Error::other("unknown case")),
     };
     match found {
--- a/review/lab/replica.rs
+++ b/review/lab/replica.rs
@@ -257,15 +257,14 @@
         self.tell(registries, home, "PUT", body.as_bytes())
     }
 
-    /// Says that it leaves, to a registry that it picks at random, and to the next ones until one
-    /// acknowledges.
-    pub fn leave(&self, registries: &[SocketAddr]) -> Option<usize> {
-        let first = self.pick(registries);
+    /// Says that it leaves, to the registry `first`, and to the next ones until one acknowledges.
+    pub fn leave(&self, registries: &[SocketAddr], first: usize) -> Option<usize> {
         self.is_leaving.store(true, Ordering::SeqCst);
         self.tell(registries, first, "DELETE", b"")
     }
 
-    fn pick(&self, registries: &[SocketAddr]) -> usize {
+    /// Picks a registry at random.
+    pub fn pick(&self, registries: &[SocketAddr]) -> usize {
         self.draw.lock().unwrap().below(registries.len())
     }
 
@@ -293,9 +292,10 @@
         None
     }
 
-    /// Sends heartbeats until `until`.
-    pub fn beat_until(&self, registries: &[SocketAddr], until: Instant) {
-        let mut home = self.pick(registries);
+    /// Sends heartbeats until `until`, the first to the registry `home`; returns the one that
+    /// acknowledged the last.
+    pub fn beat_until(&self, registries: &[SocketAddr], home: usize, until: Instant) -> usize {
+        let mut home = home;
         while Instant::now() < until && !self.is_over() {
             if let Some(index) = self.beat(registries, home) {
                 home = index;
@@ -305,6 +305,7 @@
             let next = (Instant::now() + BEAT).min(until);
             thread::sleep(next.saturating_duration_since(Instant::now()));
         }
+        home
     }
 }
 
