--- a/review/lab/versions.rs
+++ b/review/lab/versions.rs
@@ -24,13 +24,15 @@
     wire::name,
 };
 
-/// Replicas of each version.
-const REPLICAS: usize = 8;
+/// Replicas of the old version, of the new one from an earlier release, and those that the release starts.
+const OLD: usize = 7;
+const EARLIER: usize = 9;
+const NEW: usize = OLD;
 const CLIENTS: usize = 200;
 
 /// Time between two steps of the release: one replica of the new version starts, then one of the old
 /// version drains.
-const RELEASE_GAP: Duration = Duration::from_millis(500);
+const RELEASE_GAP: Duration = Duration::from_millis(1000);
 
 /// Time for which a draining replica serves after the acknowledgement: `drainMs` and some seconds.
 const SERVES: Duration = Duration::from_millis(6000);
@@ -72,13 +74,20 @@
     let release_at = Instant::now() + Duration::from_secs(9);
     let mut threads = Vec::new();
     let mut replicas = Vec::new();
-    for number in 1..=REPLICAS {
+    for number in 1..=OLD {
         let old = start_replica(plan, record, &runs, number, "v1")?;
         let steps_at = release_at + RELEASE_GAP * (number as u32 - 1);
         let (leaving, controls) = (Arc::clone(&old), site.controls.clone());
         threads.push(thread::spawn(move || leave(&leaving, &controls, steps_at)));
         replicas.push(old);
     }
+    let new_ends_at = release_at + Duration::from_secs(30);
+    for number in OLD + 1..=OLD + EARLIER {
+        let earlier = start_replica(plan, record, &runs, number, "v2")?;
+        threads.push(beat(&earlier, &site.controls, new_ends_at));
+        replicas.push(earlier);
+    }
+    let first_client = threads.len();
     await_edges(plan.directory(1))?;
     thread::sleep(Duration::from_secs(1));
     let streams: Arc<Mutex<Vec<Stream>>> = Arc::default();
@@ -104,19 +113,15 @@
         }));
     }
     // The release.
-    for number in 1..=REPLICAS {
+    for number in 1..=NEW {
         let starts_at = release_at + RELEASE_GAP * (number as u32 - 1);
         let starts_at = starts_at - RELEASE_GAP / 2;
         thread::sleep(starts_at.saturating_duration_since(Instant::now()));
-        let new = start_replica(plan, record, &runs, REPLICAS + number, "v2")?;
-        let (beating, controls) = (Arc::clone(&new), site.controls.clone());
-        threads.push(thread::spawn(move || {
-            let home = beating.pick(&controls);
-            beating.beat_until(&controls, home, release_at + Duration::from_secs(25));
-        }));
+        let new = start_replica(plan, record, &runs, OLD + EARLIER + number, "v2")?;
+        threads.push(beat(&new, &site.controls, new_ends_at));
         replicas.push(new);
     }
-    let killed_at = release_at + RELEASE_GAP * (REPLICAS as u32 - 1) + KILL_DELAY;
+    let killed_at = release_at + RELEASE_GAP * (NEW as u32 - 1) + KILL_DELAY;
     thread::sleep(killed_at.saturating_duration_since(Instant::now()));
     put_config(&site.controls, record, &document(2, true))?;
     if has_trouble {
@@ -135,7 +140,7 @@
     }
     thread::sleep(Duration::from_secs(9));
     is_over.store(true, Ordering::SeqCst);
-    for thread in threads.drain(REPLICAS..REPLICAS + CLIENTS) {
+    for thread in threads.drain(first_client..first_client + CLIENTS) {
         thread.join().unwrap();
     }
     for replica in &replicas {
@@ -168,6 +173,15 @@
     Ok(Replica::start(setup, record, runs)?.0)
 }
 
+/// Reports a replica ready until `until`, in a thread of its own.
+fn beat(replica: &Arc<Replica>, controls: &[SocketAddr], until: Instant) -> thread::JoinHandle<()> {
+    let (replica, controls) = (Arc::clone(replica), controls.to_vec());
+    thread::spawn(move || {
+        let home = replica.pick(&controls);
+        replica.beat_until(&controls, home, until);
+    })
+}
+
 /// Reports a replica ready until `leaves_at`, and draining from then on until it exits.
 fn leave(replica: &Replica, controls: &[SocketAddr], leaves_at: Instant) {
     let home = replica.pick(controls);
