Log on what basis an edge finds the version of a resumed stream

After a restart of all processes, streams went on at another software version, and no line told whether the edge had found a wrong record, none at all, or had taken the only version that it knew. It now writes the basis, the number of answers and the version.

--- a/crates/ragwortroad_edge/src/stream_origins.rs
+++ b/crates/ragwortroad_edge/src/stream_origins.rs
@@ -88,6 +88,7 @@
         let now = shared.now();
         let own = stream.and_then(|stream| shared.state.borrow().origins.find(stream, now));
         if let Some(origin) = own {
+            log_search(stream, "own record", &lookup, origin.version);
             return origin.version;
         }
         let asked = shared.state.borrow().ask_origin(token, stream, service);
@@ -99,8 +100,14 @@
             answered += 1;
             lookup.add(source, answer);
             match lookup.recorded() {
-                OriginFinding::Version(version) => return Some(version),
-                OriginFinding::Ambiguous => return None,
+                OriginFinding::Version(version) => {
+                    log_search(stream, "record", &lookup, Some(version));
+                    return Some(version);
+                }
+                OriginFinding::Ambiguous => {
+                    log_search(stream, "several records", &lookup, None);
+                    return None;
+                }
                 OriginFinding::Open => {}
             }
         }
@@ -109,16 +116,36 @@
             let own = state.versions.versions(service);
             let only = lookup.only_version(own, state.voters());
             if only.is_some() {
+                log_search(stream, "only version", &lookup, only);
                 return only;
             }
         }
         if Instant::now() >= give_up_at {
+            log_search(stream, "nothing", &lookup, None);
             return None;
         }
         sleep_until(round_ends_at).await;
     }
 }
 
+/// Logs on what basis the version of a resumed stream was found.
+fn log_search(
+    stream: Option<StreamKey>,
+    basis: &'static str,
+    lookup: &OriginLookup,
+    version: Option<VersionTag>,
+) {
+    let stream = stream.map(|stream| stream.0);
+    let answers = lookup.answer_count();
+    tracing::info!(
+        stream,
+        basis,
+        answers,
+        ?version,
+        "searched for the version of a resumed stream"
+    );
+}
+
 impl EdgeState {
     /// Records the software version of an endpoint that accepts work.
     ///
