Keep software versions on a majority of disks before streams begin there

What callers saw: all processes were killed as a release ended, and after the restart 22 to 26 of 200 streams that clients took up again went on at the other software version, joining two texts that do not fit together.

Cause: which versions serve was known in memory only. After a start, edges and registries read "nobody has told me of another version" as "there was no other", and OriginLookup::only_version took the version heard of for a second as the one that began streams of the last minute. Endpoints that drain were left out of the versions, so those of the old version did not speak against it.

Change: a registry writes each version that it hears of to a synced file, tells the other registries at once, and tells its edges when the version is on its disk. An edge begins streams that may come back only at versions that a majority of the voters keeps. A registry without its file says that it does not know, and does not count in the majority that a search needs, until a majority of the others has told it what they know or two minutes have passed. Endpoints that drain count. No time of day is stored: what is loaded counts as just seen.

Why it works: the majority that keeps a version and the majority that answers a search have a registry in common, and one that has lost its disk takes itself out of the second.

--- a/crates/ragwortroad_dispatch/src/endpoint_table.rs
+++ b/crates/ragwortroad_dispatch/src/endpoint_table.rs
@@ -412,9 +412,12 @@
         self.ready.insert(&record.service, endpoint);
     }
 
-    /// Returns the software versions of the endpoints that accept new work, one for each endpoint.
-    pub fn ready_versions(&self) -> impl Iterator<Item = VersionTag> {
-        self.ready.all().filter_map(|endpoint| endpoint.version)
+    /// Returns the software versions of the endpoints that are not known to be gone, one for each
+    /// endpoint.
+    pub fn versions(&self) -> impl Iterator<Item = VersionTag> {
+        let records = self.entries.values().map(|entry| &entry.record);
+        let there = records.filter(|record| record.stage != EndpointStage::Gone);
+        there.filter_map(|record| VersionTag::of(&record.service, &record.version))
     }
 
     /// Returns the endpoint with a tag.
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -46,6 +46,7 @@
 mod keeper_candidate;
 mod keeper_choice;
 mod keeper_table;
+mod known_version;
 mod latency_limit;
 mod learned_speed;
 mod link_account;
@@ -81,6 +82,8 @@
 mod stream_origin;
 mod time_figure;
 mod update_queue;
+mod version_ledger;
+mod version_quorum;
 mod version_tag;
 mod voter_plan;
 mod warmup_pace;
@@ -196,6 +199,7 @@
             LeadOrder,
             may_try_keeper, //
         },
+        known_version::KnownVersion,
         latency_limit::LatencyLimit,
         learned_speed::LearnedSpeed,
         link_account::LinkAccount,
@@ -291,6 +295,13 @@
         },
         time_figure::TimeFigure,
         update_queue::UpdateQueue,
+        version_ledger::{
+            LedgerContent,
+            VERSION_MEMORY,
+            VERSION_SHARE_INTERVAL,
+            VersionLedger, //
+        },
+        version_quorum::VersionQuorum,
         version_tag::{
             ServiceTag,
             VersionTag, //
--- a/crates/ragwortroad_dispatch/src/origin_lookup.rs
+++ b/crates/ragwortroad_dispatch/src/origin_lookup.rs
@@ -22,6 +22,9 @@
     pub origin: Option<StreamOrigin>,
     /// Versions that endpoints of the service have run recently.
     pub versions: Vec<VersionTag>,
+    /// Whether the registry counts in majorities and knows all versions that it ever had to keep and
+    /// that may have begun a stream which comes back.
+    pub is_complete: bool,
 }
 
 /// Search for the software version that began a stream, among what the registries know.
@@ -64,18 +67,25 @@
         }
     }
 
+    /// Number of registries that have answered, and know all versions that they had to keep.
+    pub fn complete_count(&self) -> usize {
+        let answers = self.answers.values();
+        answers.filter(|answer| answer.is_complete).count()
+    }
+
     /// Returns the only version that began any stream of the service recently; `None` if there are
-    /// several, or if less than a majority of `voters` has answered.
+    /// several, or if less than a majority of `voters` has answered completely.
     ///
-    /// No stream is recorded while there is one version. Edges that use a further one tell all
-    /// registries, so a majority contains one that knows of it.
+    /// No stream is recorded while there is one version. A stream begins at a version only once a
+    /// majority keeps it on disk (see [`VersionQuorum`](crate::VersionQuorum)), so any other
+    /// majority contains a registry that knows of it, or has lost its disk and says so.
     pub fn only_version(
         &self,
         own: impl Iterator<Item = VersionTag>,
         voters: u32,
     ) -> Option<VersionTag> {
         let majority = voters as usize / 2 + 1;
-        if self.answers.len() < majority {
+        if voters == 0 || self.complete_count() < majority {
             return None;
         }
         let told = self.answers.values().flat_map(|answer| &answer.versions);
--- a/crates/ragwortroad_dispatch/src/origin_table.rs
+++ b/crates/ragwortroad_dispatch/src/origin_table.rs
@@ -36,17 +36,18 @@
 }
 
 impl OriginTable {
-    /// Records which version began a stream.
+    /// Records which version began a stream; returns whether this was news.
     ///
     /// A second version for the same stream makes its origin uncertain: the client has used one id
     /// for two streams.
-    pub fn note(&mut self, origin: StreamOrigin, now: ClockTime) {
+    pub fn note(&mut self, origin: StreamOrigin, now: ClockTime) -> bool {
         self.expire(now);
         if let Some(entry) = self.entries.get_mut(&origin.stream) {
-            if entry.version != origin.version {
+            let is_news = entry.version.is_some() && entry.version != origin.version;
+            if is_news {
                 entry.version = None;
             }
-            return;
+            return is_news;
         }
         if self.entries.len() >= MAX_ORIGINS {
             self.remove_oldest();
@@ -57,6 +58,7 @@
         };
         self.entries.insert(origin.stream, entry);
         self.order.push_back((now, origin.stream));
+        true
     }
 
     /// Returns what is known of a stream.
--- a/crates/ragwortroad_dispatch/src/ready_index.rs
+++ b/crates/ragwortroad_dispatch/src/ready_index.rs
@@ -121,12 +121,6 @@
         ReadySet::new(members)
     }
 
-    /// Returns the endpoints of all services.
-    pub(crate) fn all(&self) -> impl Iterator<Item = &ReadyEndpoint> {
-        let services = self.services.values();
-        services.flat_map(|service| &service.endpoints)
-    }
-
     /// Returns the number of endpoints of all services.
     pub(crate) fn count(&self) -> usize {
         self.count
--- a/crates/ragwortroad_dispatch/tests/stream_origins.rs
+++ b/crates/ragwortroad_dispatch/tests/stream_origins.rs
@@ -22,6 +22,7 @@
     OriginAnswer {
         origin,
         versions: versions.iter().map(|version| tag(version)).collect(),
+        is_complete: true,
     }
 }
 
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -127,6 +127,7 @@
                 link.voters = voters;
                 link.hears = hears;
             }
+            state.version_quorum.set_voters(source, voters);
             drop(state);
             dial_registries(shared, registries);
         }
@@ -174,6 +175,11 @@
             let state = shared.state.borrow();
             state.origin_questions.add_answer(token, source, answer);
         }
+        LinkMessage::VersionsKept(versions) => {
+            let mut state = shared.state.borrow_mut();
+            state.version_quorum.set_kept(source, versions);
+            state.update_mixed_services(now);
+        }
         LinkMessage::RelayPeers(peers) => {
             shared.state.borrow_mut().relay_peers.set(peers, now);
         }
@@ -237,7 +243,8 @@
     let name = tracing::enabled!(tracing::Level::DEBUG).then(|| record.name.clone());
     let stage = record.stage;
     let version = VersionTag::of(&record.service, &record.version);
-    if let Some(version) = version.filter(|_| stage == EndpointStage::Ready) {
+    // An endpoint that drains has begun streams which may come back.
+    if let Some(version) = version.filter(|_| stage != EndpointStage::Gone) {
         state.note_version(version, now);
     }
     let change = state.endpoints.apply_record(source, record, now);
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -122,6 +122,10 @@
     pub(crate) origins: OriginTable,
     /// Software versions that endpoints have run recently.
     pub(crate) versions: ServiceVersions,
+    /// Software versions that registries keep.
+    pub(crate) version_quorum: VersionQuorum,
+    /// Services with several software versions, as last checked.
+    pub(crate) mixed_services: BTreeSet<ServiceTag>,
     /// Questions to registries about streams that clients take up again.
     pub(crate) origin_questions: OriginQuestions,
     /// Admission gates by service.
--- a/crates/ragwortroad_edge/src/endpoint_choice.rs
+++ b/crates/ragwortroad_edge/src/endpoint_choice.rs
@@ -106,6 +106,8 @@
     home: Option<&'a RegistryLink>,
     /// Failure domains that this edge can reach.
     reachable: DomainSet,
+    /// Software versions at which the request may begin; `None` if it may begin at any.
+    versions: Option<Vec<VersionTag>>,
     /// Whether another edge has led the request here, as the keeper of an endpoint.
     is_led: bool,
     /// Whether the service's endpoints fail if they have to reject too many requests.
@@ -139,6 +141,7 @@
             prefix,
             home: state.home(),
             reachable: state.reachable_domains(),
+            versions: begins_at(state, plan),
             is_led: led_to(shared, plan).is_some(),
             is_brittle: state.brittle.contains(&plan.service),
             mechanisms,
@@ -239,8 +242,7 @@
         let keeps_some = self.keeps_some();
         let untried =
             untried.filter(|(_, endpoint)| !keeps_some || self.state.keepers.keeps(endpoint.tag));
-        let bound = self.plan.version.get();
-        let untried = untried.filter(|(_, endpoint)| bound.is_none() || endpoint.version == bound);
+        let untried = untried.filter(|(_, endpoint)| self.may_run_at(endpoint.version));
         let is_open = |(position, endpoint): &(usize, &ReadyEndpoint)| {
             let is_open = !active.contains(*position) || self.is_open(endpoint.key);
             is_open && self.reachable.contains(endpoint.domain)
@@ -271,6 +273,17 @@
         usable.into_iter().map(candidate).collect()
     }
 
+    /// Whether the request may go to endpoints of a software version; `None` if it is unknown.
+    fn may_run_at(&self, version: Option<VersionTag>) -> bool {
+        let bound = self.plan.version.get();
+        if bound.is_some() {
+            return version == bound;
+        }
+        // A stream of an unknown version is never continued.
+        let kept = self.versions.as_ref().zip(version);
+        kept.is_none_or(|(kept, version)| kept.contains(&version))
+    }
+
     /// Whether the request goes only to endpoints that this edge keeps.
     fn keeps_some(&self) -> bool {
         let keepers = &self.state.keepers;
@@ -348,6 +361,16 @@
     }
 }
 
+/// Software versions at which a request may begin; `None` if it may begin at any.
+///
+/// A stream that may come back begins only at a version that a majority of the registries keeps, so
+/// that no loss of processes makes it go on at another one.
+fn begins_at(state: &EdgeState, plan: &RequestPlan) -> Option<Vec<VersionTag>> {
+    let service = ServiceTag::of(&plan.service);
+    let may_come_back = plan.rule().is_resumable && plan.version.get().is_none();
+    may_come_back.then(|| state.version_quorum.kept_versions(service))
+}
+
 /// Records that an engine caches a prefix, and queues it for the other edges if it is new.
 fn record_location(shared: &EdgeShared, text: u64, chosen: &ChosenEndpoint) {
     let now = shared.now();
--- a/crates/ragwortroad_edge/src/stream_origins.rs
+++ b/crates/ragwortroad_edge/src/stream_origins.rs
@@ -6,6 +6,7 @@
 
 use std::{
     cmp::Reverse,
+    collections::BTreeSet,
     net::SocketAddr,
     time::Duration, //
 };
@@ -63,7 +64,7 @@
     let now = shared.now();
     let mut state = shared.state.borrow_mut();
     state.origins.note(origin, now);
-    if state.versions.has_several(ServiceTag::of(&plan.service)) {
+    if state.has_several_versions(ServiceTag::of(&plan.service)) {
         state.send_origin(origin);
     }
 }
@@ -113,8 +114,8 @@
         }
         {
             let state = shared.state.borrow();
-            let own = state.versions.versions(service);
-            let only = lookup.only_version(own, state.voters());
+            let own = state.service_versions(service).into_iter();
+            let only = lookup.only_version(own, state.version_quorum.voters());
             if only.is_some() {
                 log_search(stream, "only version", &lookup, only);
                 return only;
@@ -136,43 +137,70 @@
     version: Option<VersionTag>,
 ) {
     let stream = stream.map(|stream| stream.0);
-    let answers = lookup.answer_count();
+    let (answers, complete) = (lookup.answer_count(), lookup.complete_count());
     tracing::info!(
         stream,
         basis,
         answers,
+        complete,
         ?version,
         "searched for the version of a resumed stream"
     );
 }
 
 impl EdgeState {
-    /// Records the software version of an endpoint that accepts work.
-    ///
-    /// If it is a further one of its service, registries are told of all streams that may come back.
+    /// Records the software version of an endpoint.
     pub(crate) fn note_version(&mut self, version: VersionTag, now: ClockTime) {
-        if !self.versions.note(version, now) {
-            return;
-        }
-        tracing::info!(?version, "endpoints of another software version serve");
-        let sources: Vec<SourceKey> = self.links.keys().copied().collect();
-        for source in sources {
-            self.send_origins(source, now);
+        if self.versions.note(version, now) {
+            self.update_mixed_services(now);
         }
     }
 
-    /// Keeps the versions of the endpoints that accept work among the recent ones.
+    /// Keeps the versions of the endpoints among the recent ones.
     pub(crate) fn refresh_versions(&mut self, now: ClockTime) {
-        for version in self.endpoints.ready_versions() {
+        for version in self.endpoints.versions() {
             self.versions.note(version, now);
         }
         self.versions.expire(now);
         self.origins.expire(now);
+        self.update_mixed_services(now);
+    }
+
+    /// Tells the registries of all streams that may come back if a service has several versions now.
+    pub(crate) fn update_mixed_services(&mut self, now: ClockTime) {
+        let known = self.versions.all().chain(self.version_quorum.all());
+        let known: BTreeSet<VersionTag> = known.collect();
+        let services: Vec<ServiceTag> = known.iter().map(|version| version.service).collect();
+        let mixed = services.windows(2).filter(|pair| pair[0] == pair[1]);
+        let mixed: BTreeSet<ServiceTag> = mixed.map(|pair| pair[0]).collect();
+        let is_further = mixed.difference(&self.mixed_services).next().is_some();
+        self.mixed_services = mixed;
+        if !is_further {
+            return;
+        }
+        tracing::info!(services = ?self.mixed_services, "services have several software versions");
+        let sources: Vec<SourceKey> = self.links.keys().copied().collect();
+        for source in sources {
+            self.send_origins(source, now);
+        }
+    }
+
+    /// Whether streams of a service may have begun at several versions.
+    fn has_several_versions(&self, service: ServiceTag) -> bool {
+        self.mixed_services.contains(&service)
+    }
+
+    /// Software versions of a service that this edge has seen, or that any registry keeps.
+    fn service_versions(&self, service: ServiceTag) -> BTreeSet<VersionTag> {
+        let kept = self.version_quorum.versions(service);
+        self.versions.versions(service).chain(kept).collect()
     }
 
     /// Tells a registry of the streams that it has to remember, if any service has several versions.
     pub(crate) fn send_origins(&self, source: SourceKey, now: ClockTime) {
-        let versions = self.versions.all_mixed();
+        let seen = self.versions.all();
+        let versions = seen.filter(|version| self.has_several_versions(version.service));
+        let versions: Vec<VersionTag> = versions.collect();
         let link = self.links.get(&source);
         let link = link.filter(|_| !versions.is_empty());
         let Some((address, queue)) =
@@ -183,7 +211,7 @@
         let recent = self.origins.recent(STREAM_MEMORY, now);
         let of_mixed = recent.filter(|origin| {
             let version = origin.version;
-            version.is_none_or(|version| self.versions.has_several(version.service))
+            version.is_none_or(|version| self.has_several_versions(version.service))
         });
         let own = of_mixed.filter(|origin| self.keepers(origin.stream).contains(&address));
         let origins = own.collect();
@@ -229,10 +257,4 @@
         }
         asked
     }
-
-    /// Number of voting registries, as far as any of them has told.
-    fn voters(&self) -> u32 {
-        let voters = self.links.values().map(|link| link.voters);
-        voters.max().unwrap_or(0)
-    }
 }
--- a/crates/ragwortroad_link/src/link_message.rs
+++ b/crates/ragwortroad_link/src/link_message.rs
@@ -208,6 +208,17 @@
         /// Token of the [`KeepNotices`](Self::KeepNotices).
         token: u64,
     },
+    /// All software versions that a voting registry has on disk, sent to edges whenever they change;
+    /// empty while it does not vote.
+    VersionsKept(Vec<VersionTag>),
+    /// Software versions that a registry knows, sent to the other registries: new ones, or all after
+    /// connecting and periodically.
+    KnownVersions {
+        /// The versions.
+        known: Vec<KnownVersion>,
+        /// Whether these are all versions of a voter that knows all that it ever had to keep.
+        is_complete: bool,
+    },
 }
 
 impl LinkMessage {
@@ -279,6 +290,8 @@
             Self::WantKeepers => "want_keepers",
             Self::KeepNotices { .. } => "keep_notices",
             Self::NoticesKept { .. } => "notices_kept",
+            Self::VersionsKept(_) => "versions_kept",
+            Self::KnownVersions { .. } => "known_versions",
         }
     }
 }
--- a/crates/ragwortroad_log/src/lib.rs
+++ b/crates/ragwortroad_log/src/lib.rs
@@ -43,6 +43,7 @@
 mod real_disk;
 mod record_frame;
 mod record_scan;
+mod rotating_journal;
 mod stored_entry;
 mod stored_snapshot;
 mod stored_state;
@@ -64,6 +65,7 @@
         log_folder::LogFolder,
         member_start::MemberStart,
         real_disk::RealDisk,
+        rotating_journal::RotatingJournal,
         stored_entry::StoredEntry,
         stored_snapshot::StoredSnapshot,
         stored_state::StoredState,
--- a/crates/ragwortroad_registry/src/edge_flow.rs
+++ b/crates/ragwortroad_registry/src/edge_flow.rs
@@ -68,6 +68,10 @@
         let drains = self.driver.drains().clone();
         queue.send(&LinkMessage::DomainDrains(drains));
         self.send_all_parts(queue, now);
+        // Before the endpoints, so that streams begin at them at once.
+        queue.send(&LinkMessage::VersionsKept(
+            self.counted_versions().into_iter().collect(),
+        ));
         let records = self.table.records(now).collect();
         queue.send(&LinkMessage::EndpointsWhole(records));
         if let Some(version) = self.announced_version() {
@@ -190,7 +194,7 @@
     }
 
     /// Number of voting members known here; 0 before this registry has joined the group.
-    fn voter_count(&self) -> u32 {
+    pub(crate) fn voter_count(&self) -> u32 {
         let core = self.driver.core();
         core.map_or(0, |core| core.members().voters().count() as u32)
     }
@@ -296,9 +300,8 @@
             return;
         }
         let version = VersionTag::of(&record.service, &record.version);
-        if let Some(version) = version.filter(|_| record.stage == EndpointStage::Ready) {
-            self.versions.note(version, now);
-        }
+        // An endpoint that drains has begun streams which may come back.
+        self.note_versions(version, now);
         if let Some(change) = self.table.announce(record.clone(), now) {
             self.enqueue_update(change);
         }
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -35,6 +35,7 @@
 mod notice_flow;
 mod open_calls;
 mod origin_flow;
+mod origin_store;
 mod peer_dialer;
 mod peer_entry;
 mod peer_flow;
@@ -56,8 +57,13 @@
 mod registry_stores;
 mod spread_flow;
 mod stop_stage;
+mod store_error;
 #[cfg(test)]
 mod tests;
+mod version_flow;
+mod version_record;
+mod version_report;
+mod version_store;
 mod warmup_flow;
 
 /// The items that a dependent crate usually needs.
--- a/crates/ragwortroad_registry/src/origin_flow.rs
+++ b/crates/ragwortroad_registry/src/origin_flow.rs
@@ -18,11 +18,24 @@
         now: ClockTime,
     ) {
         let begun = origins.iter().filter_map(|origin| origin.version);
-        for version in versions.iter().copied().chain(begun) {
-            self.versions.note(version, now);
+        self.note_versions(versions.iter().copied().chain(begun), now);
+        let news = origins.iter().copied();
+        let news: Vec<StreamOrigin> = news
+            .filter(|origin| self.origins.note(*origin, now))
+            .collect();
+        if !news.is_empty() {
+            self.has_saved_origins = true;
+            self.stores.origins.append(news);
         }
-        for &origin in origins {
-            self.origins.note(origin, now);
+    }
+
+    /// Removes streams that cannot come back any more.
+    pub(crate) fn expire_origins(&mut self, now: ClockTime) {
+        self.origins.expire(now);
+        let is_over = now.since(self.started_at) >= STREAM_MEMORY;
+        if self.has_saved_origins && is_over && self.origins.is_empty() {
+            self.has_saved_origins = false;
+            self.stores.origins.clear();
         }
     }
 
@@ -38,6 +51,7 @@
         let answer = OriginAnswer {
             origin: stream.and_then(|stream| self.origins.find(stream, now)),
             versions: self.versions.versions(service).collect(),
+            is_complete: self.versions.is_complete() && self.is_voter(),
         };
         if let Some(queue) = self.links.get(&link) {
             queue.send(&LinkMessage::OriginKnown { token, answer });
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -82,6 +82,7 @@
         let hello = self.own_hello(now);
         queue.send(&LinkMessage::MemberHello(hello));
         self.share_leaving(&queue, now);
+        queue.send(&self.known_versions_message(now));
         self.start_sharing_with(peer, &queue, now);
         let entry = self.peers.entry(peer).or_default();
         entry.queue = Some(queue);
@@ -206,6 +207,9 @@
             LinkMessage::KeepNotices { token, notices } => {
                 self.keep_notices(link, token, notices, now);
             }
+            LinkMessage::KnownVersions { known, is_complete } => {
+                self.add_known_versions(link, &known, is_complete, now);
+            }
             LinkMessage::PlacesKnown(locations) => self.locations.add_snapshot(locations, now),
             other => tracing::warn!(?other, "ignored an unexpected message"),
         }
--- a/crates/ragwortroad_registry/src/registry_event.rs
+++ b/crates/ragwortroad_registry/src/registry_event.rs
@@ -11,7 +11,8 @@
 use crate::{
     ControlCall,
     ControlReply,
-    folder_report::FolderReport, //
+    folder_report::FolderReport,
+    version_report::VersionReport, //
 };
 
 /// Identifies an accepted connection.
@@ -65,6 +66,10 @@
     PartsLoaded(Vec<PartReport>),
     /// Addresses of other registries saved by an earlier process were loaded.
     PeersLoaded(Vec<SocketAddr>),
+    /// The thread that keeps software versions reported.
+    Versions(VersionReport),
+    /// Origins of streams saved by an earlier process were loaded.
+    OriginsLoaded(Vec<StreamOrigin>),
     /// The seed addresses in the settings have changed.
     SeedsChanged(Vec<SocketAddr>),
     /// The process must stop.
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -48,6 +48,7 @@
     folder_worker::FolderWorker,
     hint_store::HintStore,
     open_calls::OpenCalls,
+    origin_store::OriginStore,
     peer_dialer::maintain_peer_link,
     put_flow::MAX_COMMAND_BYTES,
     registry_error::{
@@ -60,7 +61,8 @@
         RegistryEvent, //
     },
     registry_state::RegistryState,
-    registry_stores::RegistryStores, //
+    registry_stores::RegistryStores,
+    version_store::VersionStore, //
 };
 
 /// Time for a stopping leader to hand over leadership.
@@ -105,6 +107,12 @@
 /// Folder of the addresses of other registries, within the data folder.
 const PEERS_FOLDER: &str = "peers";
 
+/// Folder of the software versions that streams may begin at, within the data folder.
+const VERSIONS_FOLDER: &str = "versions";
+
+/// Folder of the software versions that began streams, within the data folder.
+const ORIGINS_FOLDER: &str = "origins";
+
 /// A signal to a running registry or directory.
 #[derive(Clone, Debug, PartialEq)]
 pub enum RegistrySignal {
@@ -220,7 +228,11 @@
         )
     };
     let peer_store = settings.mechanisms.recall.then(start_peer_store);
+    let version_store = VersionStore::start(folder.path.join(VERSIONS_FOLDER), events.clone());
+    let origin_store = OriginStore::start(folder.path.join(ORIGINS_FOLDER), events.clone());
     let stores = RegistryStores {
+        versions: version_store.context(StartSnafu)?,
+        origins: origin_store.context(StartSnafu)?,
         locations: location_store,
         parts: part_store,
         peers: peer_store.transpose().context(StartSnafu)?,
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -125,8 +125,16 @@
     pub(crate) next_crashes_at: ClockTime,
     /// Software versions that began the streams which edges have reported.
     pub(crate) origins: OriginTable,
-    /// Software versions that endpoints have run recently.
-    pub(crate) versions: ServiceVersions,
+    /// Whether the journal of `origins` may hold any.
+    pub(crate) has_saved_origins: bool,
+    /// Software versions that endpoints have run recently, and what of them is on disk.
+    pub(crate) versions: VersionLedger,
+    /// The versions that edges were last told to be kept here.
+    pub(crate) sent_kept: BTreeSet<VersionTag>,
+    /// Whether this registry voted and knew all versions that it had to keep, when last checked.
+    pub(crate) was_complete: bool,
+    /// When the other registries are told of all versions next.
+    pub(crate) next_version_share_at: ClockTime,
     /// Edges that may keep the places of scarce services, as last selected.
     pub(crate) keepers: Vec<KeeperCandidate>,
     /// When they may be selected again.
@@ -199,7 +207,11 @@
             has_unsaved_parts: false,
             next_crashes_at: now,
             origins: OriginTable::default(),
-            versions: ServiceVersions::default(),
+            has_saved_origins: true,
+            versions: VersionLedger::new(now),
+            sent_kept: BTreeSet::new(),
+            was_complete: false,
+            next_version_share_at: now,
             keepers: Vec::new(),
             next_keepers_at: now,
             sent_fleet: None,
@@ -249,6 +261,12 @@
             }
             RegistryEvent::PartsLoaded(reports) => self.restore_parts(&reports, now),
             RegistryEvent::PeersLoaded(peers) => self.recall_peers(peers),
+            RegistryEvent::Versions(report) => self.handle_version_report(report, now),
+            RegistryEvent::OriginsLoaded(origins) => {
+                for origin in origins {
+                    self.origins.note(origin, now);
+                }
+            }
             RegistryEvent::SeedsChanged(seeds) => {
                 self.settings.seeds = seeds;
                 self.track_seeds();
@@ -268,8 +286,8 @@
             self.retry_calls(now);
             self.start_announcing(now);
             self.expire_endpoints(now);
-            self.origins.expire(now);
-            self.versions.expire(now);
+            self.expire_origins(now);
+            self.expire_versions(now);
             self.broadcast_fleet(now);
             self.broadcast_edge_view();
             self.save_locations(now);
--- a/crates/ragwortroad_registry/src/registry_stores.rs
+++ b/crates/ragwortroad_registry/src/registry_stores.rs
@@ -3,7 +3,11 @@
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_types::prelude::*;
 
-use crate::hint_store::HintStore;
+use crate::{
+    hint_store::HintStore,
+    origin_store::OriginStore,
+    version_store::VersionStore, //
+};
 
 /// Files of what a registry has to remember over a loss of power, apart from the log.
 #[derive(Debug)]
@@ -14,6 +18,10 @@
     pub(crate) parts: HintStore<PartReport>,
     /// Addresses of the other registries; absent if recall is disabled.
     pub(crate) peers: Option<HintStore<SocketAddr>>,
+    /// Software versions that streams may begin at.
+    pub(crate) versions: VersionStore,
+    /// Software versions that began the streams of the last minute.
+    pub(crate) origins: OriginStore,
 }
 
 impl RegistryStores {
@@ -24,5 +32,7 @@
         if let Some(peers) = self.peers {
             peers.join();
         }
+        self.versions.join();
+        self.origins.join();
     }
 }
