Have the soak take up streams after kills of all processes

Four clients in place of one take up streams, and three in ten wait up to four seconds first, so that the loss of power of all VMs with a lost disk falls between a stream and its return. Streams joined from two versions are a violation, as before.

--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -78,6 +78,12 @@
 use rustix::process::Signal;
 use scarce_service::ScarceService;
 
+/// Clients that take streams up again.
+const STREAM_READERS: u64 = 4;
+
+/// Distance of the random seeds of these clients, so that they differ from those of other seeds.
+const READER_SEED_STEP: u64 = 1_000_000_000;
+
 /// Time limit for the fleet to serve again after the last fault.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -706,13 +712,15 @@
         scope.spawn(move || run.send_poison(&mut rng));
         let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 85);
         scope.spawn(move || run.send_deadly_parts(&mut rng));
-        let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 86);
-        scope.spawn(move || {
-            while !run.are_faults_over.load(Ordering::SeqCst) {
-                run.take_up_stream(&mut rng);
-                thread::sleep(Duration::from_millis(50));
-            }
-        });
+        for reader in 0..STREAM_READERS {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 86 + reader * READER_SEED_STEP);
+            scope.spawn(move || {
+                while !run.are_faults_over.load(Ordering::SeqCst) {
+                    run.take_up_stream(&mut rng);
+                    thread::sleep(Duration::from_millis(50));
+                }
+            });
+        }
         for client in 0..2 {
             let mut rng = Pcg64Mcg::seed_from_u64(seed * 100 + 87 + client);
             scope.spawn(move || run.compete(&mut rng));
--- a/tests/soak/resumed_streams.rs
+++ b/tests/soak/resumed_streams.rs
@@ -13,6 +13,7 @@
         AtomicUsize,
         Ordering, //
     },
+    thread,
     time::Duration, //
 };
 
@@ -30,6 +31,12 @@
 /// Time for which a client waits for bytes.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Share of the clients that come back late, when all processes may have been killed meanwhile.
+const LATE_SHARE: f64 = 0.3;
+
+/// Longest time after which a client comes back, in milliseconds.
+const MAX_RETURN_MS: u64 = 4000;
+
 /// What became of streams that were taken up again.
 #[derive(Debug, Default)]
 pub(crate) struct ResumeCounts {
@@ -56,6 +63,10 @@
             return;
         };
         self.resume_counts.taken_up.fetch_add(1, Ordering::SeqCst);
+        if rng.random_bool(LATE_SHARE) {
+            let pause = rng.random_range(0..MAX_RETURN_MS);
+            thread::sleep(Duration::from_millis(pause));
+        }
         let resumes = format!("Resumes: {began_as}\r\nLast-Event-Id: {last}\r\n");
         let id = format!("again-{request}");
         let rest = read_events(self.random_edge(rng), &path, &id, &resumes, usize::MAX);
