Bound the incomplete events that an edge holds of one endpoint

What callers saw: an endpoint in trouble that sends an event without end took each edge's memory by hundreds of megabytes within seconds, until the process and with it all its callers would have ended.

Cause: EventFramer keeps an incomplete event of any size until its end.

The stream whose bytes exceed that is broken off like one whose endpoint has cut it: the connection is closed, the endpoint counts as failing, and the stream goes on at another endpoint after its last whole event, at its version. One line with request, endpoint, form, bytes and limit, one counter by form. Each endpoint has its own account, so none takes the room of another's callers.

Interim responses without end, and the other forms, are not bounded by this.

--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -56,6 +56,7 @@
         serve_clients,
         serve_readiness, //
     },
+    partial_events::PartialEvents,
     scarce_services::may_lead,
     service_contact::probe_services, //
 };
@@ -138,6 +139,7 @@
     }
     let seeds = settings.seeds.clone();
     let bodies = ByteBudget::for_memory(settings.memory_bytes);
+    let partial_events = PartialEvents::for_memory(settings.memory_bytes);
     let mut state = EdgeState::default();
     state.fetch = ConfigFetch::new(settings.mechanisms.recall);
     let shared = Rc::new(EdgeShared {
@@ -147,6 +149,7 @@
         state: RefCell::new(state),
         pool: ConnectionPool::default(),
         bodies,
+        partial_events: RefCell::new(partial_events),
         clients: Rc::new(ClientTable::default()),
         relay_key: RelayKey(rand::random()),
         stop: Notify::new(),
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -34,6 +34,7 @@
     client_table::ClientTable,
     connection_pool::ConnectionPool,
     origin_questions::OriginQuestions,
+    partial_events::PartialEvents,
     registry_link::RegistryLink,
     relay_peers::RelayPeers,
     service_gate::ServiceGate,
@@ -56,6 +57,8 @@
     pub(crate) pool: ConnectionPool,
     /// Limits the bytes of request and response bodies.
     pub(crate) bodies: ByteBudget,
+    /// Limits the bytes of incomplete events.
+    pub(crate) partial_events: RefCell<PartialEvents>,
     pub(crate) clients: Rc<ClientTable>,
     /// Secret by which this edge recognizes requests that other edges relay to it.
     pub(crate) relay_key: RelayKey,
--- a/crates/ragwortroad_edge/src/event_framer.rs
+++ b/crates/ragwortroad_edge/src/event_framer.rs
@@ -40,9 +40,14 @@
         !self.buffer.is_empty()
     }
 
+    /// Length of the incomplete event in bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards a partial event before the stream resumes after the last complete one.
     pub fn discard_partial(&mut self) {
-        self.buffer.clear();
+        self.buffer = BytesMut::new();
     }
 }
 
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -40,6 +40,7 @@
 mod late_call;
 mod open_request;
 mod origin_questions;
+mod partial_events;
 mod read_stall;
 mod refusal_reason;
 mod refusal_response;
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -106,6 +106,8 @@
     /// Check of the endpoint after the end of a stream that ends with its connection.
     ending: Option<EndFuture>,
     framer: EventFramer,
+    /// Bytes of the incomplete event that count for an endpoint.
+    held_partial: (Option<EndpointKey>, usize),
     tried: Vec<EndpointKey>,
     /// Number of endpoints that were sent the request.
     attempts: Rc<Cell<u32>>,
@@ -146,6 +148,7 @@
             silence: None,
             ending: None,
             framer: EventFramer::default(),
+            held_partial: (None, 0),
             tried,
             attempts: Rc::new(Cell::new(attempts)),
             events: 0,
@@ -295,9 +298,14 @@
                 {
                     run.note_events();
                 }
+                self.hold_partial();
                 UpstreamStep::Events(events)
             }
-            None => UpstreamStep::Partial,
+            None if self.hold_partial() => UpstreamStep::Partial,
+            None => {
+                self.log_oversized_event();
+                UpstreamStep::Broken(StreamBreak::cut("an event exceeds the limit"))
+            }
         }
     }
 
@@ -314,6 +322,43 @@
         }
     }
 
+    /// Accounts for the incomplete event; returns whether the endpoint's events stay within the limit.
+    fn hold_partial(&mut self) -> bool {
+        let (endpoint, before) = self.held_partial;
+        let mut partial_events = self.shared.partial_events.borrow_mut();
+        let current = self.current_endpoint();
+        if current != endpoint {
+            partial_events.change(endpoint, before, 0);
+            self.held_partial = (current, 0);
+        }
+        let (_, before) = self.held_partial;
+        let after = self.framer.partial_bytes();
+        self.held_partial = (current, after);
+        partial_events.change(current, before, after)
+    }
+
+    /// Discards the incomplete event before another endpoint goes on after the last complete one.
+    fn discard_partial(&mut self) {
+        self.framer.discard_partial();
+        let (endpoint, before) = self.held_partial;
+        self.held_partial = (None, 0);
+        let mut partial_events = self.shared.partial_events.borrow_mut();
+        partial_events.change(endpoint, before, 0);
+    }
+
+    fn log_oversized_event(&self) {
+        let (endpoint, _) = self.describe_endpoint(self.current_endpoint()).unzip();
+        metrics::counter!(metric_names::OVERSIZED_RESPONSES, "form" => "event").increment(1);
+        tracing::warn!(
+            request = self.plan.id,
+            endpoint,
+            form = "event",
+            bytes = self.framer.partial_bytes(),
+            limit = self.shared.partial_events.borrow().limit(),
+            "an endpoint sent more than may be held"
+        );
+    }
+
     /// Binds the stream to the version that brings its first event.
     fn note_begun(&self) {
         let is_begun = self.events > 0 || self.plan.version.get().is_some();
@@ -360,7 +405,7 @@
 
     /// Takes the rest of the stream from another endpoint, and drops the current one.
     fn go_on_at(&mut self, upstream: Box<EventStream>) {
-        self.framer.discard_partial();
+        self.discard_partial();
         self.tried.extend(upstream.endpoint());
         self.upstream = Some(upstream);
         self.end_silence(SilenceEnd::Moved);
@@ -503,7 +548,7 @@
             .filter(|_| cause.is_cut && !is_stalled)
             .map(|key| CrashCheck::start(&self.shared, self.crashed_run(now), key));
         let (endpoint, software) = self.describe_endpoint(key).unzip();
-        self.framer.discard_partial();
+        self.discard_partial();
         let has_time = Instant::now() < self.plan.deadline;
         let attempts = self.attempts.get();
         // A search that began in a silence has taken its retry out of the budget.
@@ -600,6 +645,7 @@
 impl Drop for StreamBody {
     fn drop(&mut self) {
         self.end_silence(SilenceEnd::Left);
+        self.discard_partial();
         self.shared.state.borrow_mut().in_flight -= 1;
         if !self.is_over {
             metrics::counter!(metric_names::STREAMS, "outcome" => "left").increment(1);
--- a/crates/ragwortroad_telemetry/src/metric_names.rs
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -8,6 +8,8 @@
 pub const STREAM_PAUSE_SECONDS: &str = "ragwortroad_stream_pause_seconds";
 /// Completed streams, by `outcome`.
 pub const STREAMS: &str = "ragwortroad_streams_total";
+/// Responses that were cut off since their endpoints sent more than an edge holds of them, by `form`.
+pub const OVERSIZED_RESPONSES: &str = "ragwortroad_oversized_responses_total";
 /// Silences of endpoints in the middle of a stream, by `outcome`: `spoke_again`, `moved` to another
 /// endpoint, `broken` or `left` by the client.
 pub const STREAM_SILENCES: &str = "ragwortroad_stream_silences_total";
