--- a/crates/ragwortroad_dispatch/src/version_ledger.rs
+++ b/crates/ragwortroad_dispatch/src/version_ledger.rs
@@ -29,9 +29,9 @@
 
 /// The software versions that a registry remembers, and what of them its disk holds.
 ///
-/// What nobody has told is not taken for what is not so: after a start without the file of an
-/// earlier process, the ledger is incomplete until others have told of what may be missing, or no
-/// stream from before the start can come back any more.
+/// After a start without the file of an earlier process, the ledger is incomplete until a majority of
+/// the voters has told all that it knows, or no stream from before the start can come back any more.
+/// The answers of an incomplete ledger prove nothing about versions that they lack.
 #[derive(Debug)]
 pub struct VersionLedger {
     versions: ServiceVersions,
