Read how many disks a deployment may lose at the same time

The platform fills in what a deployment has to bear, and nothing read it. By default it is what the registries named as seeds bear. A number beyond what a group of nine voters bears is a fault that names the remedy. Nothing acts on it yet.

--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -30,6 +30,9 @@
 
 const BYTES_PER_MEGABYTE: f64 = 1_048_576.0;
 
+/// Most disks whose loss can be tolerated: each takes two more voters, and a group has nine at most.
+pub const MAX_DISK_LOSSES: usize = 4;
+
 /// Settings of an edge or a registry: a process of a fleet that forwards requests by host and path.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ForwardSettings {
@@ -73,6 +76,12 @@
     /// disk may have been restored from a backup. After a power failure of all members, each waits
     /// for a majority.
     pub trust_disk: bool,
+    /// Disks of registries that may be lost at the same time without losing what was acknowledged, or
+    /// the service; at most [`MAX_DISK_LOSSES`].
+    ///
+    /// Nothing is acknowledged before enough registries vote. If unset, the registries in `seeds` are
+    /// enough.
+    pub tolerated_disk_losses: usize,
     /// Interval between two announcements of an endpoint.
     pub announce_every: Duration,
     /// Time from the request to stop until the process is killed.
@@ -117,6 +126,7 @@
             data_folder: None,
             data_quota: None,
             trust_disk: false,
+            tolerated_disk_losses: 0,
             announce_every: Duration::from_secs(1),
             grace: Duration::from_secs(8),
             directory_life: Duration::from_secs(5),
@@ -168,13 +178,15 @@
         let span = |reader: &mut SettingsReader<'_>, key, value| {
             reader.millis("bounds", key, value, (1, 3_600_000))
         };
+        let seeds: Vec<SocketAddr> = reader.list("vm", "seeds", address);
         Self {
             name: reader.required_text("vm", "name"),
             zone: reader.required_text("vm", "zone"),
             domains: reader.list("vm", "domains", "a"),
             inner: inner.unwrap_or(default.inner),
             inner_bind: optional_address(reader, "vm", "inner_bind"),
-            seeds: reader.list("vm", "seeds", address),
+            tolerated_disk_losses: disk_losses(reader, seeds.len()),
+            seeds,
             first_start: first_start.unwrap_or(false),
             callers: optional_address(reader, "edge", "callers"),
             readiness: optional_address(reader, "edge", "readiness"),
@@ -224,6 +236,27 @@
     reader.optional_value(section, key, "10.0.0.7:8080")
 }
 
+/// Reads the number of disks that may be lost. By default a majority of `seed_count` registries is
+/// left.
+fn disk_losses(reader: &mut SettingsReader<'_>, seed_count: usize) -> usize {
+    let key = "tolerated_disk_losses";
+    let default = (seed_count.saturating_sub(1) / 2).min(MAX_DISK_LOSSES);
+    let text = reader.text("bounds", key);
+    if text.is_none_or(|text| text.is_empty()) {
+        return default;
+    }
+    let value: Option<usize> = reader.optional_value("bounds", key, "1");
+    match value {
+        Some(value) if value > MAX_DISK_LOSSES => {
+            let remedy = format!("give a number from 0 to {MAX_DISK_LOSSES}");
+            let fault = format!("{value} is too large: a group has nine voters at most");
+            reader.fault("bounds", key, fault, remedy);
+            default
+        }
+        value => value.unwrap_or(default),
+    }
+}
+
 fn non_negative(reader: &mut SettingsReader<'_>, key: &'static str, default: f64) -> f64 {
     let value: Option<f64> = reader.optional_value("bounds", key, "0.2");
     match value {
--- a/crates/ragwortroad_settings/src/lib.rs
+++ b/crates/ragwortroad_settings/src/lib.rs
@@ -32,7 +32,10 @@
         customer_weights::CustomerWeights,
         engine_order_settings::EngineOrderSettings,
         fleet_settings::FleetSettings,
-        forward_settings::ForwardSettings,
+        forward_settings::{
+            ForwardSettings,
+            MAX_DISK_LOSSES, //
+        },
         limit_settings::LimitSettings,
         log_settings::{
             LogFormat,
