Log why a read of the configuration is refused, and the state of the group

Callers saw: reads refused with a reason that is the same for a registry that knows in a moment and for one that never will. Nothing told a group with too few voters from one whose members ignore each other.

A refused read has the group's state as known there: leader, term, voters, voters heard of, voters needed. An acknowledged configuration has the voters at that moment. Gauges for voters heard of and needed and for the leader; a counter and a line for members that are ignored because a later start of theirs is known.

--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -33,6 +33,7 @@
     RecallCheck,
     RestartCheck,
     SnapshotAssembly,
+    StaleFrame,
     StartTable,
     persist_barrier::DeferredEffect, //
 };
@@ -74,6 +75,8 @@
     pub(crate) check: RestartCheck,
     pub(crate) recall: RecallCheck,
     pub(crate) starts: StartTable,
+    /// The frame ignored last because a later start of its sender is known.
+    pub(crate) stale_frame: Option<StaleFrame>,
     /// Whether the data folder has been confirmed, in this boot, to be no older than what this
     /// member acknowledged.
     pub(crate) is_confirmed: bool,
@@ -157,6 +160,11 @@
             return;
         }
         if !self.observe_start(frame.from, frame.start, now) {
+            self.stale_frame = Some(StaleFrame {
+                member: frame.from,
+                start: frame.start,
+                known_start: self.starts.latest(frame.from),
+            });
             return;
         }
         self.handle_message(frame.from, frame.message, now);
--- a/crates/ragwortroad_consensus/src/core_queries.rs
+++ b/crates/ragwortroad_consensus/src/core_queries.rs
@@ -11,7 +11,8 @@
     InjectedBug,
     LogPosition,
     MemberId,
-    MemberState, //
+    MemberState,
+    StaleFrame, //
 };
 
 /// Stands for this member's own acknowledgement, which is always the latest.
@@ -162,6 +163,14 @@
         self.has_failed
     }
 
+    /// Takes the frame that was ignored last because a later start of its sender is known.
+    ///
+    /// Frames of an earlier start arrive for a moment after a restart. A member that goes on being
+    /// ignored has started with a lower number than before.
+    pub fn take_stale_frame(&mut self) -> Option<StaleFrame> {
+        self.stale_frame.take()
+    }
+
     /// Time at which the next `Tick` is due; a later one delays heartbeats and elections.
     pub fn wake_at(&self) -> ClockTime {
         let interval = self.settings.heartbeat_interval;
--- a/crates/ragwortroad_consensus/src/core_startup.rs
+++ b/crates/ragwortroad_consensus/src/core_startup.rs
@@ -99,6 +99,7 @@
             check,
             recall,
             starts: StartTable::from_stored(&stored.starts),
+            stale_frame: None,
             is_confirmed: false,
             assembly: None,
             no_vote_until: votes_blocked_until,
--- a/crates/ragwortroad_consensus/src/lib.rs
+++ b/crates/ragwortroad_consensus/src/lib.rs
@@ -62,6 +62,7 @@
 mod restart_queries;
 mod snapshot_assembly;
 mod snapshotting;
+mod stale_frame;
 mod start_table;
 
 /// Common items for dependent crates.
@@ -104,7 +105,8 @@
             PeerMessage,
             SnapshotChunk,
             WireEntry, //
-        }, //
+        },
+        stale_frame::StaleFrame, //
     };
 }
 
--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -52,6 +52,7 @@
 mod link_account;
 mod load_totals;
 mod location_log;
+mod loss_tolerance;
 mod memory_bound;
 mod origin_lookup;
 mod origin_table;
@@ -217,6 +218,7 @@
             LocationOrigin,
             LocationReader, //
         },
+        loss_tolerance::LossTolerance,
         memory_bound::MemoryBound,
         origin_lookup::{
             OriginAnswer,
--- a/crates/ragwortroad_registry/src/consensus_driver.rs
+++ b/crates/ragwortroad_registry/src/consensus_driver.rs
@@ -68,6 +68,8 @@
     register: ConfigRegister,
     drains: DomainDrains,
     history: DeltaHistory,
+    /// The frame of an earlier start that was ignored last.
+    stale_frame: Option<StaleFrame>,
     start: u64,
     seed: u64,
 }
@@ -104,6 +106,7 @@
             register: ConfigRegister::default(),
             drains: DomainDrains::default(),
             history: DeltaHistory::default(),
+            stale_frame: None,
             start: options.start,
             seed: options.seed,
         }
@@ -286,6 +289,17 @@
         };
         let recalled = core.recalled_index();
         let actions = core.handle(input, now);
+        if let Some(stale) = core.take_stale_frame() {
+            metrics::counter!(metric_names::STALE_STARTS).increment(1);
+            if self.stale_frame.replace(stale) != Some(stale) {
+                tracing::warn!(
+                    member = stale.member.0,
+                    start = stale.start,
+                    known_start = stale.known_start,
+                    "ignored a member whose start number is lower than one known of it"
+                );
+            }
+        }
         if core.recalled_index() != recalled {
             let index = core.recalled_index();
             tracing::info!(index, "recalled the state that a quorum has on disk");
@@ -324,7 +338,6 @@
                 CoreAction::MembersChanged { index, members } => {
                     let voters = members.voters().count();
                     let all = members.records().len();
-                    metrics::gauge!(metric_names::VOTERS).set(voters as f64);
                     tracing::info!(index, voters, all, "members changed");
                 }
             }
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -28,6 +28,7 @@
 mod edge_flow;
 mod folder_report;
 mod folder_worker;
+mod group_status;
 mod hint_store;
 mod indexed_read;
 mod keeper_flow;
@@ -56,6 +57,7 @@
 mod registry_state;
 mod registry_stores;
 mod spread_flow;
+mod status_flow;
 mod stop_stage;
 mod store_error;
 #[cfg(test)]
--- a/crates/ragwortroad_registry/src/put_flow.rs
+++ b/crates/ragwortroad_registry/src/put_flow.rs
@@ -92,7 +92,7 @@
             attempted_at: None,
         };
         if self.queued_puts.len() >= MAX_QUEUED_CALLS {
-            self.reply_put(put, PutOutcome::NotTaken);
+            self.reply_put(put, PutOutcome::NotTaken, now);
             return;
         }
         self.queued_puts.insert(token, put);
@@ -222,7 +222,7 @@
             self.queued_puts.insert(token, put);
             return;
         }
-        self.reply_put(put, outcome);
+        self.reply_put(put, outcome, now);
     }
 
     /// Replies to queued configurations that the configuration in force supersedes.
@@ -236,11 +236,19 @@
         }
     }
 
-    fn reply_put(&self, put: QueuedPut, outcome: PutOutcome) {
+    fn reply_put(&self, put: QueuedPut, outcome: PutOutcome, now: ClockTime) {
         let version = put.delta.version;
         match put.origin {
             PutOrigin::Operator(reply) => {
-                tracing::info!(version, ?outcome, "replied to a configuration");
+                let status = self.group_status(now);
+                tracing::info!(
+                    version,
+                    ?outcome,
+                    voters = status.voters,
+                    heard_voters = status.heard_voters,
+                    needed_voters = status.needed_voters,
+                    "replied to a configuration"
+                );
                 send_reply(
                     reply,
                     match outcome {
@@ -275,7 +283,7 @@
             };
             if now >= put.deadline {
                 if let Some(put) = self.queued_puts.remove(&token) {
-                    self.reply_put(put, PutOutcome::Unknown);
+                    self.reply_put(put, PutOutcome::Unknown, now);
                 }
             } else if put.attempted_at.is_none() && !leads {
                 self.attempt_put(token, now);
--- a/crates/ragwortroad_registry/src/read_flow.rs
+++ b/crates/ragwortroad_registry/src/read_flow.rs
@@ -31,7 +31,7 @@
             attempted_at: None,
         };
         if self.queued_reads.len() >= MAX_QUEUED_CALLS {
-            self.refuse_read(read);
+            self.refuse_read(read, now);
             return;
         }
         self.queued_reads.insert(token, read);
@@ -107,6 +107,12 @@
             } else if now.since(read.received_at) < CALL_TIMEOUT {
                 self.indexed_reads.push(read);
             } else {
+                let status = self.group_status(now);
+                tracing::warn!(
+                    index = read.index,
+                    ?status,
+                    "refused a read of the configuration: its index is not applied here"
+                );
                 let reason = "this registry is behind; ask another";
                 send_reply(read.reply, ControlReply::Unavailable { reason });
             }
@@ -122,10 +128,19 @@
         }
     }
 
-    fn refuse_read(&self, read: QueuedRead) {
+    fn refuse_read(&self, read: QueuedRead, now: ClockTime) {
         match read.origin {
             ReadOrigin::Operator(reply) => {
                 let reason = "it is not certain here which configuration is the newest";
+                let waited_ms = now.since(read.received_at).as_millis() as u64;
+                let status = self.group_status(now);
+                tracing::warn!(
+                    waited_ms,
+                    version = self.driver.register().version(),
+                    obstacle = status.obstacle(),
+                    ?status,
+                    "refused a read of the configuration"
+                );
                 send_reply(reply, ControlReply::Unavailable { reason });
             }
             ReadOrigin::Asked { link, token } => {
@@ -146,7 +161,7 @@
             };
             if now.since(read.received_at) >= CALL_TIMEOUT {
                 if let Some(read) = self.queued_reads.remove(&token) {
-                    self.refuse_read(read);
+                    self.refuse_read(read, now);
                 }
             } else if is_due(read.attempted_at) {
                 self.attempt_read(token, now);
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -49,6 +49,8 @@
     pub(crate) driver: ConsensusDriver,
     pub(crate) table: RegistryTable,
     pub(crate) plan: VoterPlan,
+    /// Losses that the group must bear.
+    pub(crate) tolerance: LossTolerance,
     pub(crate) started_at: ClockTime,
     pub(crate) discovery: EdgeDiscovery,
     /// Whether edges are told the version of the configuration.
@@ -81,6 +83,10 @@
     pub(crate) next_hello_at: ClockTime,
     pub(crate) next_plan_at: ClockTime,
     pub(crate) next_maintenance_at: ClockTime,
+    /// When the state of the group is reported next.
+    pub(crate) next_status_at: ClockTime,
+    /// Since when no report has found a leader.
+    pub(crate) leaderless_since: Option<ClockTime>,
     /// Endpoint updates to be sent to the edges.
     pub(crate) updates: UpdateQueue,
     /// When urgent updates may be sent next.
@@ -154,12 +160,16 @@
         now: ClockTime,
     ) -> Self {
         let link_account = LinkAccount::new(settings.link_bytes_per_second());
+        let tolerance = LossTolerance {
+            disks: settings.tolerated_disk_losses,
+        };
         let mut state = Self {
             table: RegistryTable::new(settings.announce_every),
             announces_config: !settings.mechanisms.recall,
             settings,
             driver,
             plan: VoterPlan::default(),
+            tolerance,
             started_at: now,
             discovery: EdgeDiscovery::new(now),
             links: BTreeMap::new(),
@@ -180,6 +190,8 @@
             next_hello_at: now,
             next_plan_at: now,
             next_maintenance_at: now,
+            next_status_at: now,
+            leaderless_since: None,
             updates: UpdateQueue::default(),
             next_urgent_updates_at: now,
             next_deferrable_updates_at: now,
@@ -284,6 +296,7 @@
         if now >= self.next_maintenance_at {
             self.next_maintenance_at = now.after(MAINTENANCE_INTERVAL);
             self.retry_calls(now);
+            self.report_group(now);
             self.start_announcing(now);
             self.expire_endpoints(now);
             self.expire_origins(now);
--- a/crates/ragwortroad_telemetry/src/metric_names.rs
+++ b/crates/ragwortroad_telemetry/src/metric_names.rs
@@ -98,6 +98,14 @@
 pub const STATES_RECALLED: &str = "ragwortroad_states_recalled_total";
 /// Voters of the consensus group.
 pub const VOTERS: &str = "ragwortroad_voters";
+/// Voters that this registry has heard from recently, itself included.
+pub const VOTERS_HEARD: &str = "ragwortroad_voters_heard";
+/// Voters needed to bear the losses that the settings tolerate.
+pub const VOTERS_NEEDED: &str = "ragwortroad_voters_needed";
+/// 1 if this registry knows a leader, otherwise 0.
+pub const HAS_LEADER: &str = "ragwortroad_has_leader";
+/// Messages of members that were ignored because a later start of the member is known.
+pub const STALE_STARTS: &str = "ragwortroad_stale_starts_total";
 /// Edges connected to this registry.
 pub const EDGES_CONNECTED: &str = "ragwortroad_edges_connected";
 /// Dropped log lines, by `reason`: the reader was too slow (`unread`), or the rate limit applied
