--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -154,10 +154,35 @@
     }
 }
 
-/// Creates three registries and two edges with distinct addresses and with their files in `folder`.
+/// How many processes a fleet has, and what it is to bear.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FleetSize {
+    /// The first three registries are the seeds.
+    pub(crate) registries: u8,
+    pub(crate) edges: u8,
+    /// Disks of registries that may be lost at the same time.
+    pub(crate) tolerated_disk_losses: usize,
+}
+
+impl Default for FleetSize {
+    fn default() -> Self {
+        Self {
+            registries: 3,
+            edges: 2,
+            tolerated_disk_losses: 1,
+        }
+    }
+}
+
+/// Creates three registries and two edges; see [`make_fleet`].
+pub(crate) fn make_processes(folder: &Path) -> (Vec<SoakProcess>, Vec<SoakProcess>) {
+    make_fleet(folder, FleetSize::default())
+}
+
+/// Creates registries and edges with distinct addresses and with their files in `folder`.
 ///
 /// They are not started. The process id selects the loopback subnet.
-pub(crate) fn make_processes(folder: &Path) -> (Vec<SoakProcess>, Vec<SoakProcess>) {
+pub(crate) fn make_fleet(folder: &Path, size: FleetSize) -> (Vec<SoakProcess>, Vec<SoakProcess>) {
     let subnet = (std::process::id() % 100) as u8 + 20;
     let ip = |host| IpAddr::V4(Ipv4Addr::new(127, subnet, 200, host));
     let bind_ip = |host| IpAddr::V4(Ipv4Addr::new(127, subnet, 201, host));
@@ -171,9 +196,11 @@
         format!(
             "[vm]\nname = vm-{host}\nzone = a\ninner = {}\nseeds = {}\nfirst_start = true\n\
              memory_mb = {MEMORY_MB}\n{bind}\
-             [bounds]\nannounce_every_ms = 500\ngrace_ms = 5000\nretry_slack = 400\n",
+             [bounds]\nannounce_every_ms = 500\ngrace_ms = 5000\nretry_slack = 400\n\
+             tolerated_disk_losses = {}\n",
             at(host, 0),
-            seeds.join(",")
+            seeds.join(","),
+            size.tolerated_disk_losses
         )
     };
     let program = folder.join("ragwortroad");
@@ -219,5 +246,9 @@
         );
         make(host, "edge", role_settings, None, at(host, 2))
     };
-    ((1..=3).map(registry).collect(), (4..=5).map(edge).collect())
+    let edges = size.registries + 1..=size.registries + size.edges;
+    (
+        (1..=size.registries).map(registry).collect(),
+        edges.map(edge).collect(),
+    )
 }
