Acknowledge nothing before the group bears the loss of disks that is tolerated

Callers saw: a configuration was acknowledged and never read back after the loss of two disks, which the deployment is to bear.

Cause: the seeds found a group of three voters, and the leader took in the other registries one change each half second. All that time a command was acknowledged on two of three disks.

Change: a leader proposes configurations and drain orders only while any tolerated number of voters may be lost and a quorum is left, with the set of voters committed; an acknowledgement is held back by the same rule, also at the registry that passed the call on, and an operator is told why (503). A committed change of members is followed by the next one at once. A voter without a disk is removed before its successor is ready only if the group bears the losses without it. A member that a new leader has not heard from yet counts as absent from the leader's start on, not at once.

--- a/crates/ragwortroad_consensus/src/membership.rs
+++ b/crates/ragwortroad_consensus/src/membership.rs
@@ -40,10 +40,7 @@
         change: &MemberChange,
         now: ClockTime,
     ) -> Result<MemberSet, ChangeRefusal> {
-        let first_index = self
-            .leader_state()
-            .map_or(u64::MAX, |state| state.first_index);
-        if self.commit < first_index.max(self.members.latest_index()) {
+        if !self.accepts_member_changes() {
             return Err(ChangeRefusal::ChangeUnderWay);
         }
         let set = self.members().with_change(change)?;
@@ -56,6 +53,12 @@
         }
     }
 
+    /// Whether this member leads and no membership change is in progress.
+    pub fn accepts_member_changes(&self) -> bool {
+        let first_index = self.leader_state().map(|state| state.first_index);
+        first_index.is_some_and(|index| self.commit >= index.max(self.members.latest_index()))
+    }
+
     /// Whether `member` has nearly all entries and was heard from within the election timeout.
     /// Always `false` unless this member leads.
     ///
--- a/crates/ragwortroad_dispatch/src/voter_plan.rs
+++ b/crates/ragwortroad_dispatch/src/voter_plan.rs
@@ -3,6 +3,8 @@
 use ragwortroad_consensus::prelude::*;
 use ragwortroad_types::prelude::*;
 
+use crate::LossTolerance;
+
 /// Parameters of a [`VoterPlan`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct VoterSettings {
@@ -14,6 +16,9 @@
     /// Largest number of voters. More voters make each change more expensive and add no fault
     /// tolerance that a site asks for.
     pub max_voters: usize,
+    /// Losses that the group must bear; a voter without a disk is removed before its successor is
+    /// ready only if they are still borne then.
+    pub tolerance: LossTolerance,
 }
 
 impl Default for VoterSettings {
@@ -21,6 +26,7 @@
         Self {
             absence_timeout: Duration::from_secs(5),
             max_voters: 9,
+            tolerance: LossTolerance::default(),
         }
     }
 }
@@ -33,7 +39,7 @@
     /// Identity of the VM, derived from its address. A node that has lost its data folder comes
     /// back with another member identity.
     pub node: NodeId,
-    /// Time since the last message from it.
+    /// Time since the last message from it, or since the leader's process started if there was none.
     pub silent_for: Duration,
     /// Whether it has nearly all log entries.
     pub is_caught_up: bool,
@@ -48,11 +54,13 @@
 
 impl VoterPlan {
     /// Returns the next membership change, or `None` if none is needed. `holders` are the
-    /// registries that the leader has heard from; the leader itself may be omitted.
+    /// registries that the leader has heard from, by their latest identity, and the members that it
+    /// has not heard from yet; the leader itself may be omitted.
     ///
     /// Every reachable registry becomes a learner. A voter whose node has come back with another
-    /// identity has lost its disk, so it must no longer count and is removed first. A voter that
-    /// has been silent for too long is replaced by a learner that is ready. Otherwise learners are
+    /// identity has lost its disk, so it must no longer count. It is removed first if the group
+    /// bears the tolerated losses without it, and otherwise when a learner is ready to follow it. A
+    /// voter that has been silent for too long is replaced by a learner that is ready. Otherwise learners are
     /// promoted in pairs, so that the number of voters stays odd: a group of four tolerates no more
     /// failures than one of three, and a partition into halves leaves it without a majority.
     pub fn next_step(
@@ -73,27 +81,45 @@
         holders: &[MemberStatus],
     ) -> Option<MemberChange> {
         let is_replaced = |record: &&MemberRecord| {
-            let newer = |holder: &&MemberStatus| {
-                holder.node == record.node
-                    && holder.member != record.member
-                    && members.find(holder.member).is_none()
-            };
-            let heard = |holder: &MemberStatus| {
-                holder.member == record.member && holder.silent_for < self.settings.absence_timeout
+            let is_newer = |holder: &MemberStatus| {
+                holder.node == record.node && holder.member != record.member
             };
-            record.member != leader
-                && holders.iter().any(|holder| newer(&holder))
-                && !holders.iter().any(heard)
+            let is_heard =
+                |holder: &MemberStatus| holder.member == record.member && self.is_present(holder);
+            record.member != leader && holders.iter().any(is_newer) && !holders.iter().any(is_heard)
         };
         let record = members.records().iter().find(is_replaced)?;
         let member = record.member;
-        Some(MemberChange::Remove { member })
+        let voters = members.voters().count();
+        let is_borne = record.role == MemberRole::Learner || self.bears_losses(voters - 1);
+        let may_go = is_borne || self.ready_learners(members, holders).next().is_some();
+        may_go.then_some(MemberChange::Remove { member })
+    }
+
+    fn bears_losses(&self, voters: usize) -> bool {
+        voters >= self.settings.tolerance.needed_voters()
+    }
+
+    /// Learners that may be promoted.
+    fn ready_learners<'a>(
+        &'a self,
+        members: &'a MemberSet,
+        holders: &'a [MemberStatus],
+    ) -> impl Iterator<Item = MemberId> + 'a {
+        let is_ready = move |record: &&MemberRecord| {
+            let holder = holders.iter().find(|holder| holder.member == record.member);
+            record.role == MemberRole::Learner
+                && holder.is_some_and(|holder| holder.is_caught_up && self.is_present(holder))
+        };
+        let ready = members.records().iter().filter(is_ready);
+        ready.map(|record| record.member)
     }
 
     fn add_learner(&self, members: &MemberSet, holders: &[MemberStatus]) -> Option<MemberChange> {
-        let present = |holder: &&MemberStatus| holder.silent_for < self.settings.absence_timeout;
-        let unknown = |holder: &&MemberStatus| members.find(holder.member).is_none();
-        let holder = holders.iter().filter(present).find(unknown)?;
+        let is_new = |holder: &&MemberStatus| {
+            self.is_present(holder) && members.find(holder.member).is_none()
+        };
+        let holder = holders.iter().find(is_new)?;
         Some(MemberChange::AddLearner {
             member: holder.member,
             node: holder.node,
@@ -107,12 +133,8 @@
         holders: &[MemberStatus],
     ) -> Option<MemberChange> {
         let find = |member| holders.iter().find(|holder| holder.member == member);
-        let learners = members.records().iter();
-        let learners = learners.filter(|record| record.role == MemberRole::Learner);
-        let mut ready = learners.filter(|record| {
-            find(record.member).is_some_and(|holder| holder.is_caught_up && self.is_present(holder))
-        });
-        let successor = ready.next()?.member;
+        let mut ready = self.ready_learners(members, holders);
+        let successor = ready.next()?;
         let has_second = ready.next().is_some();
         let is_absent = |voter: &MemberId| {
             *voter != leader && !find(*voter).is_some_and(|holder| self.is_present(holder))
--- a/crates/ragwortroad_dispatch/tests/voters.rs
+++ b/crates/ragwortroad_dispatch/tests/voters.rs
@@ -26,10 +26,12 @@
 
     /// Applies membership changes until none is needed; returns them.
     fn settle(&mut self) -> Vec<MemberChange> {
+        self.settle_with(&VoterPlan::default())
+    }
+
+    fn settle_with(&mut self, plan: &VoterPlan) -> Vec<MemberChange> {
         let mut steps = Vec::new();
-        while let Some(step) =
-            VoterPlan::default().next_step(&self.members, self.leader, &self.holders)
-        {
+        while let Some(step) = plan.next_step(&self.members, self.leader, &self.holders) {
             self.apply(&step);
             steps.push(step);
             assert!(steps.len() < 40, "the plan does not terminate: {steps:?}");
@@ -159,3 +161,48 @@
     }
     assert_eq!(site.voters(), [1, 12, 13, 14, 15]);
 }
+
+/// Guards against a voter that is removed while too few are left to bear another loss.
+#[test]
+fn a_lost_voter_of_three_is_removed_only_once_its_successor_is_ready() {
+    let tolerance = LossTolerance { disks: 1 };
+    let plan = VoterPlan {
+        settings: VoterSettings {
+            tolerance,
+            ..VoterSettings::default()
+        },
+    };
+    let mut site = Site::bootstrapped(3);
+    site.holders.retain(|holder| holder.member != MemberId(2));
+    site.holders.push(MemberStatus {
+        is_caught_up: false,
+        ..holder(22, 2)
+    });
+    site.settle_with(&plan);
+    assert_eq!(site.voters(), [1, 2, 3]);
+    assert!(site.members.find(MemberId(22)).is_some());
+    site.holder_mut(22).is_caught_up = true;
+    site.settle_with(&plan);
+    assert_eq!(site.voters(), [1, 3, 22]);
+    assert!(tolerance.is_met_by(&site.members));
+}
+
+/// Guards against a group that counts as large enough although the tolerated losses end its quorum.
+#[test]
+fn a_group_bears_losses_that_leave_a_quorum() {
+    for voters in 1..=9 {
+        let records = (1..=voters).map(|id| (MemberId(id), NodeId(id)));
+        let members = MemberSet::from_voters(records);
+        for disks in 0..=4 {
+            let left = voters.saturating_sub(disks as u64) as usize;
+            let tolerance = LossTolerance { disks };
+            let bears = tolerance.is_met_by(&members);
+            assert_eq!(
+                bears,
+                left >= members.quorum(),
+                "{voters} voters, {disks} lost"
+            );
+            assert_eq!(bears, voters as usize >= tolerance.needed_voters());
+        }
+    }
+}
--- a/crates/ragwortroad_registry/src/consensus_driver.rs
+++ b/crates/ragwortroad_registry/src/consensus_driver.rs
@@ -34,6 +34,8 @@
     ReadAt { token: u64, index: u64 },
     /// This registry cannot confirm the read, for example because it does not lead.
     ReadFailed { token: u64 },
+    /// A membership change was committed.
+    MembersChanged,
     /// Another configuration came into force.
     ConfigChanged,
     /// A drain order was applied to the replicated state.
@@ -339,6 +341,7 @@
                     let voters = members.voters().count();
                     let all = members.records().len();
                     tracing::info!(index, voters, all, "members changed");
+                    effects.push(DriverEffect::MembersChanged);
                 }
             }
         }
--- a/crates/ragwortroad_registry/src/drain_flow.rs
+++ b/crates/ragwortroad_registry/src/drain_flow.rs
@@ -23,6 +23,7 @@
         MAX_QUEUED_CALLS,
         send_reply, //
     },
+    put_flow::TOO_FEW_VOTERS,
     queued_drain::QueuedDrain,
     registry_state::RegistryState, //
 };
@@ -87,8 +88,12 @@
         }
     }
 
-    /// Proposes an order to the log. It has no effect unless this registry leads.
+    /// Proposes an order to the log. It has no effect unless this registry leads a group that bears
+    /// the losses that the settings tolerate.
     pub(crate) fn propose_drain(&mut self, order: DrainOrder, now: ClockTime) {
+        if !self.bears_losses() {
+            return;
+        }
         let command = match postcard::to_stdvec(&RegisterCommand::Drain(order)) {
             Ok(command) => command,
             Err(error) => {
@@ -120,10 +125,21 @@
                 self.undrain_domain(domain, now);
             }
         }
+        let bears_losses = self.bears_losses();
         let Some(drain) = self.queued_drains.remove(&order.id) else {
             return;
         };
         match outcome {
+            // The order takes effect when it is applied, and is proposed again until the operator can
+            // be told that it lasts.
+            _ if !bears_losses => {
+                let attempted_at = None;
+                let drain = QueuedDrain {
+                    attempted_at,
+                    ..drain
+                };
+                self.queued_drains.insert(drain.order.id, drain);
+            }
             DrainOutcome::Changed | DrainOutcome::Unchanged => {
                 send_reply(drain.reply, ControlReply::Done);
             }
@@ -170,7 +186,10 @@
             if now.since(drain.received_at) < CALL_TIMEOUT {
                 self.attempt_drain(drain, now);
             } else {
-                let reason = "no quorum has taken the order in time; send it again";
+                let reason = match self.bears_losses() {
+                    true => "no quorum has taken the order in time; send it again",
+                    false => TOO_FEW_VOTERS,
+                };
                 send_reply(drain.reply, ControlReply::Unavailable { reason });
             }
         }
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -29,8 +29,9 @@
 /// waits for the group.
 const FORMING_HELLO_INTERVAL: Duration = Duration::from_millis(150);
 
-/// Minimum time between two voter changes, each of which is one log entry.
-const VOTER_PLAN_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two looks for a voter change. A change that was committed is followed by the
+/// next one at once: until the last of them, the group bears fewer losses.
+const VOTER_PLAN_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Time without a hello after which a registry is no longer reported to others.
 const PEER_EXPIRY: Duration = Duration::from_secs(30);
@@ -287,7 +288,7 @@
         let Some(core) = self.driver.core() else {
             return;
         };
-        if now < self.next_plan_at || !core.accepts_proposals(now) {
+        if now < self.next_plan_at || !core.accepts_member_changes() {
             return;
         }
         self.next_plan_at = now.after(VOTER_PLAN_INTERVAL);
@@ -307,6 +308,21 @@
         }
     }
 
+    /// Looks at once for the change that follows a committed one, and proposes what waited for the
+    /// group to bear the tolerated losses.
+    pub(crate) fn handle_members_changed(&mut self, now: ClockTime) {
+        self.next_plan_at = now;
+        self.is_proposal_due |= self.bears_losses();
+    }
+
+    /// Whether what is committed here outlasts the losses that the settings tolerate.
+    pub(crate) fn bears_losses(&self) -> bool {
+        self.driver.core().is_some_and(|core| {
+            let is_committed = core.commit_index() >= core.members_index();
+            is_committed && self.tolerance.is_met_by(core.members())
+        })
+    }
+
     fn member_statuses(&self, core: &ConsensusCore, now: ClockTime) -> Vec<MemberStatus> {
         let mut statuses = Vec::new();
         for (hello, heard_at) in self.peers.values().filter_map(|peer| peer.hello.as_ref()) {
@@ -320,6 +336,16 @@
                 is_caught_up: core.has_caught_up(member, now),
             });
         }
+        // Members that this process has not heard from yet may only be slow to come back.
+        let heard: BTreeSet<NodeId> = statuses.iter().map(|status| status.node).collect();
+        let records = core.members().records().iter();
+        let unheard = records.filter(|record| !heard.contains(&record.node));
+        statuses.extend(unheard.map(|record| MemberStatus {
+            member: record.member,
+            node: record.node,
+            silent_for: now.since(self.started_at),
+            is_caught_up: false,
+        }));
         statuses
     }
 }
--- a/crates/ragwortroad_registry/src/put_flow.rs
+++ b/crates/ragwortroad_registry/src/put_flow.rs
@@ -30,6 +30,10 @@
 /// Maximum size of a command of the log in bytes, which holds one compressed configuration.
 pub(crate) const MAX_COMMAND_BYTES: usize = 900 << 10;
 
+/// Why nothing is acknowledged yet, although there may be a leader.
+pub(crate) const TOO_FEW_VOTERS: &str = "too few registries vote, as known here, to keep this through \
+     the disk losses that are tolerated; send it again";
+
 /// Size in bytes of what a message carries beside a configuration, at most.
 const MESSAGE_OVERHEAD_BYTES: usize = 256;
 
@@ -41,7 +45,7 @@
         reply: oneshot::Sender<ControlReply>,
         now: ClockTime,
     ) {
-        if self.driver.register().supersedes(version) {
+        if self.driver.register().supersedes(version) && self.bears_losses() {
             tracing::info!(
                 version,
                 "ignored a configuration that is already superseded"
@@ -125,13 +129,14 @@
         }
     }
 
-    /// Proposes the queued configuration with the highest version, unless a proposal is in flight.
+    /// Proposes the queued configuration with the highest version, unless a proposal is in flight or
+    /// the group would not keep it through the losses that the settings tolerate.
     ///
     /// Each proposal is compressed against the configuration in force, so only one can be in
     /// flight. Queued configurations with lower versions need no entry of their own once it is in
     /// force.
     fn propose_next(&mut self, now: ClockTime) {
-        if self.proposed_put.is_some() {
+        if self.proposed_put.is_some() || !self.bears_losses() {
             return;
         }
         let queued = self.queued_puts.iter();
@@ -191,11 +196,12 @@
             );
         }
         let supersedes = version.is_some_and(|version| self.driver.register().supersedes(version));
-        match outcome == PutOutcome::Committed && !supersedes {
+        if outcome == PutOutcome::Committed && !supersedes {
             // The configuration that the proposal was compressed against was replaced in the
             // meantime.
-            true => self.finish_put(token, PutOutcome::NotTaken, now),
-            false => self.finish_put(token, outcome, now),
+            self.finish_put(token, PutOutcome::NotTaken, now);
+        } else if outcome != PutOutcome::Committed || self.bears_losses() {
+            self.finish_put(token, outcome, now);
         }
         self.finish_superseded(now);
         // The proposal may have been decided within the call that made it, so the next one is left
@@ -206,6 +212,9 @@
     /// Proposes the next configuration if the previous one was decided.
     pub(crate) fn propose_due(&mut self, now: ClockTime) {
         let is_due = std::mem::take(&mut self.is_proposal_due);
+        if is_due {
+            self.finish_superseded(now);
+        }
         if is_due && self.driver.core().is_some_and(ConsensusCore::is_leader) {
             self.propose_next(now);
         }
@@ -225,8 +234,12 @@
         self.reply_put(put, outcome, now);
     }
 
-    /// Replies to queued configurations that the configuration in force supersedes.
+    /// Replies to queued configurations that the configuration in force supersedes, once it outlasts
+    /// the losses that the settings tolerate.
     fn finish_superseded(&mut self, now: ClockTime) {
+        if !self.bears_losses() {
+            return;
+        }
         let register = self.driver.register();
         let queued_puts = self.queued_puts.iter();
         let superseded = queued_puts.filter(|(_, put)| register.supersedes(put.delta.version));
@@ -255,7 +268,10 @@
                         PutOutcome::Committed => ControlReply::Done,
                         PutOutcome::TooLarge => too_large_reply(MAX_COMMAND_BYTES),
                         PutOutcome::Unknown | PutOutcome::NotTaken => ControlReply::Unavailable {
-                            reason: "no quorum has taken the configuration in time",
+                            reason: match self.bears_losses() {
+                                true => "no quorum has taken the configuration in time",
+                                false => TOO_FEW_VOTERS,
+                            },
                         },
                     },
                 );
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -168,7 +168,12 @@
             announces_config: !settings.mechanisms.recall,
             settings,
             driver,
-            plan: VoterPlan::default(),
+            plan: VoterPlan {
+                settings: VoterSettings {
+                    tolerance,
+                    ..VoterSettings::default()
+                },
+            },
             tolerance,
             started_at: now,
             discovery: EdgeDiscovery::new(now),
@@ -353,6 +358,7 @@
                 DriverEffect::Decided { token, result } => self.handle_decision(token, result, now),
                 DriverEffect::ReadAt { token, index } => self.index_read(token, Some(index), now),
                 DriverEffect::ReadFailed { token } => self.index_read(token, None, now),
+                DriverEffect::MembersChanged => self.handle_members_changed(now),
                 DriverEffect::ConfigChanged => has_changed = true,
                 DriverEffect::DrainApplied { order, outcome } => {
                     self.handle_drain_applied(&order, outcome, now);
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -49,12 +49,18 @@
 
 impl LeadingRegistry {
     fn start() -> Self {
+        Self::start_with(0)
+    }
+
+    /// Starts a registry in whose group any `tolerated_disk_losses` disks may be lost.
+    fn start_with(tolerated_disk_losses: usize) -> Self {
         let folder = tempfile::tempdir().expect("failed to create a temporary directory");
         let inner = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1);
         let settings = ForwardSettings {
             inner,
             seeds: vec![inner],
             first_start: true,
+            tolerated_disk_losses,
             ..ForwardSettings::default()
         };
         let (sender, events) = flume::unbounded();
@@ -214,3 +220,16 @@
     let later = registry.put(3, b"later".to_vec());
     assert_eq!(registry.wait_for_reply(later), ControlReply::Done);
 }
+
+/// Guards against acknowledgements and changes in force that a tolerated loss of disks would undo.
+#[test]
+fn a_group_too_small_for_the_tolerated_losses_takes_no_configuration() {
+    let mut registry = LeadingRegistry::start_with(1);
+    let receiver = registry.put(1, b"{}".to_vec());
+    let reply = registry.wait_for_reply(receiver);
+    assert!(
+        matches!(reply, ControlReply::Unavailable { .. }),
+        "{reply:?}"
+    );
+    assert_eq!(registry.state.driver.register().version(), None);
+}
--- a/tests/soak/lost_disks.rs
+++ b/tests/soak/lost_disks.rs
@@ -89,7 +89,13 @@
         version = put_until_acknowledged(&registries[lost[0]], version);
         lose_power(&mut registries, &lost);
         let read = read_back(&registries);
-        let wanted = Some(version);
-        assert_eq!(read, wanted, "lost disks of {lost:?} {delay_ms} ms later");
+        if read != Some(version) {
+            let kept = folder.keep();
+            panic!(
+                "read {read:?} after version {version} and the loss of the disks of {lost:?} \
+                 {delay_ms} ms later; logs in {}",
+                kept.display()
+            );
+        }
     }
 }
--- a/tools/ci/src/known_red.rs
+++ b/tools/ci/src/known_red.rs
@@ -1,7 +1,7 @@
 use std::fs;
 
 /// The most tests that may be listed.
-const MAX_KNOWN_RED: usize = 6;
+const MAX_KNOWN_RED: usize = 5;
 
 /// A test that fails because of a known fault that is not fixed yet.
 pub(crate) struct KnownRed {
