Elect a leader although the disks are slow

Callers saw: no registry answered a read of the configuration, though all were up and heard each other. Nine processes on one machine beside other work, two of their disks lost: 7 of 9 voters heard of each other, terms rose from 2 to 30 in nine seconds, and there was no leader.

Cause: an election needs a sync at the candidate and then one at each voter, but a candidate starts over after 88 to 438 ms, and other members start an election of their own while it syncs. Above syncs of about 300 ms no election ends, however long the group waits. The class: a time limit that does not contain a step that it waits for.

Change: a member measures its syncs. A candidate starts over only once its own vote is durable and the others can have synced theirs; a voter waits for as long before an election of its own. A member that has said that it would elect one candidate does not say so to another while the first may win, unless the other has a more recent log; of two that ask at the same time one gives way. None of this is binding, so safety does not depend on it.

--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -35,9 +35,15 @@
     SnapshotAssembly,
     StaleFrame,
     StartTable,
+    SyncTime,
+    VotePromise,
     persist_barrier::DeferredEffect, //
 };
 
+/// Syncs to wait for the votes: a vote may queue behind a write that has just begun, and a candidate's
+/// own disk may be quicker than those of the voters.
+pub(crate) const VOTE_SYNCS: u32 = 3;
+
 /// One member of a Raft group, as a state machine without I/O.
 ///
 /// The driver passes inputs together with the current time, and the core returns actions; time,
@@ -72,6 +78,7 @@
     pub(crate) leader_match_index: u64,
     pub(crate) state: MemberState,
     pub(crate) barrier: PersistBarrier,
+    pub(crate) sync_time: SyncTime,
     pub(crate) check: RestartCheck,
     pub(crate) recall: RecallCheck,
     pub(crate) starts: StartTable,
@@ -83,6 +90,8 @@
     pub(crate) assembly: Option<SnapshotAssembly>,
     /// Time before which this member grants no vote, because a leader may rely on it for its lease.
     pub(crate) no_vote_until: ClockTime,
+    /// The candidate that this member supports, if one may win.
+    pub(crate) promise: Option<VotePromise>,
     /// Time at which an election starts unless the member hears from a leader or candidate first.
     pub(crate) election_deadline: ClockTime,
     /// Whether a write failed or an entry could not be read; a failed member promises nothing any
@@ -112,7 +121,10 @@
             CoreInput::Frame(frame) => self.handle_frame(frame, now),
             CoreInput::Propose { token, command } => self.propose(token, command, now),
             CoreInput::ReadRequest { token } => self.request_read(token, now),
-            CoreInput::Persisted { batch } => self.barrier.mark_persisted(batch),
+            CoreInput::Persisted { batch } => {
+                self.sync_time.finish(batch, now);
+                self.barrier.mark_persisted(batch);
+            }
             CoreInput::PersistFailed => self.handle_persist_failure(),
             CoreInput::SnapshotTaken { index, bytes } => self.compact_to_snapshot(index, bytes),
             CoreInput::ChangeMember { token, change } => self.change_member(token, &change, now),
@@ -134,6 +146,7 @@
                 if self.settings.has_bug(InjectedBug::SkipVoteWrite) {
                     change.vote = None;
                 }
+                self.sync_time.start(batch, now);
                 self.out.push(CoreAction::Persist { batch, change });
                 if self.settings.has_bug(InjectedBug::ActBeforeSync) {
                     self.barrier.mark_persisted(batch);
@@ -193,6 +206,7 @@
         self.step_down();
         self.leader = None;
         self.barrier.clear();
+        self.sync_time.clear();
         self.has_failed = true;
     }
 
@@ -232,10 +246,27 @@
     /// so the next attempt comes sooner and is spread over a wider range.
     pub(crate) fn reset_candidate_timer(&mut self, now: ClockTime) {
         let timeout = self.settings.election_timeout;
-        match self.settings.uses_leader_lease {
-            true => self.set_election_deadline(now, timeout / 2, timeout / 2),
-            false => self.set_election_deadline(now, timeout / 8, timeout / 2),
-        }
+        let (min_delay, spread) = match self.settings.uses_leader_lease {
+            true => (timeout / 2, timeout / 2),
+            false => (timeout / 8, timeout / 2),
+        };
+        let sync = self.sync_time.expected(now);
+        self.set_election_deadline(now, min_delay + sync * VOTE_SYNCS, spread + sync);
+    }
+
+    /// Restarts the timer of a member that would vote for another one, which first has to make its
+    /// own vote durable.
+    pub(crate) fn reset_support_timer(&mut self, now: ClockTime) {
+        let timeout = self.settings.election_timeout;
+        let sync = self.sync_time.expected(now);
+        self.set_election_deadline(now, timeout / 8 + sync * VOTE_SYNCS, timeout / 4);
+    }
+
+    /// Restarts the timer of a member that has voted for another one.
+    pub(crate) fn reset_vote_timer(&mut self, now: ClockTime) {
+        let timeout = self.settings.election_timeout;
+        let sync = self.sync_time.expected(now);
+        self.set_election_deadline(now, timeout + sync * VOTE_SYNCS, timeout / 2);
     }
 
     fn set_election_deadline(&mut self, now: ClockTime, min_delay: Duration, spread: Duration) {
--- a/crates/ragwortroad_consensus/src/core_startup.rs
+++ b/crates/ragwortroad_consensus/src/core_startup.rs
@@ -30,6 +30,7 @@
     RecallCheck,
     RestartCheck,
     StartTable,
+    SyncTime,
     core_error::{
         AlreadyBootstrappedSnafu,
         NotInitialMemberSnafu,
@@ -96,6 +97,8 @@
             leader_match_index: base.index,
             state: MemberState::Follower,
             barrier: PersistBarrier::default(),
+            sync_time: SyncTime::default(),
+            promise: None,
             check,
             recall,
             starts: StartTable::from_stored(&stored.starts),
--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -11,7 +11,9 @@
     MemberState,
     PeerMessage,
     ProposeResult,
+    VotePromise,
     VoteTally,
+    consensus_core::VOTE_SYNCS,
     persist_barrier::DeferredEffect, //
 };
 
@@ -31,7 +33,10 @@
 
     fn may_campaign(&self, now: ClockTime) -> bool {
         let is_late = now >= self.election_deadline && now >= self.no_vote_until;
-        is_late && self.is_electable() && self.log.last() >= self.check.log_floor
+        // The votes of a candidate are requested once its own vote is durable.
+        let is_voting =
+            matches!(self.state, MemberState::Candidate(_)) && !self.barrier.is_vote_durable();
+        is_late && !is_voting && self.is_electable() && self.log.last() >= self.check.log_floor
     }
 
     /// Starts a pre-vote before raising the term.
@@ -45,6 +50,12 @@
         tally.granted.insert(self.id);
         let is_alone = tally.has_quorum(self.members());
         self.state = MemberState::PreCandidate(tally);
+        // Nothing has been written for a pre-vote, so others are supported again when it is over.
+        self.promise = Some(VotePromise {
+            candidate: self.id,
+            last: self.log.last(),
+            until: self.election_deadline,
+        });
         if is_alone {
             return self.start_vote(false, now);
         }
@@ -81,10 +92,43 @@
 
     pub(crate) fn count_own_vote(&mut self, term: u64, now: ClockTime) {
         if term == self.vote.term {
+            if matches!(self.state, MemberState::Candidate(_)) {
+                self.reset_candidate_timer(now);
+                self.promise_vote(self.id, self.log.last(), now);
+            }
             self.count_vote(self.id, now);
         }
     }
 
+    /// Supports no candidate but this one for as long as its election may take.
+    fn promise_vote(&mut self, candidate: MemberId, last: LogPosition, now: ClockTime) {
+        let sync = self.sync_time.expected(now);
+        let until = now.after(self.settings.election_timeout / 8 + sync * VOTE_SYNCS);
+        self.promise = Some(VotePromise {
+            candidate,
+            last,
+            until,
+        });
+    }
+
+    /// Whether no other candidate that is supported may still win.
+    fn may_support(&self, candidate: MemberId, last: LogPosition, now: ClockTime) -> bool {
+        self.promise.as_ref().is_none_or(|promise| {
+            promise.candidate == candidate || last > promise.last || now >= promise.until
+        })
+    }
+
+    /// Supports a candidate in the election that follows its pre-vote.
+    ///
+    /// A candidate that asks again has failed before, so it is not supported for longer.
+    fn support(&mut self, candidate: MemberId, last: LogPosition, now: ClockTime) {
+        let is_new = |promise: &VotePromise| promise.candidate != candidate || now >= promise.until;
+        if self.promise.as_ref().is_none_or(is_new) {
+            self.promise_vote(candidate, last, now);
+            self.reset_support_timer(now);
+        }
+    }
+
     fn count_vote(&mut self, from: MemberId, now: ClockTime) {
         if let MemberState::Candidate(tally) = &mut self.state {
             tally.granted.insert(from);
@@ -102,7 +146,16 @@
         now: ClockTime,
     ) {
         let term = self.vote.term;
-        let granted = asked > term && self.is_free_to_vote(now) && self.is_log_up_to_date(last);
+        let is_electable =
+            asked > term && self.is_free_to_vote(now) && self.is_log_up_to_date(last);
+        if is_electable && self.is_outranked_by(from, last) {
+            self.state = MemberState::Follower;
+            self.promise = None;
+        }
+        let granted = is_electable && self.may_support(from, last, now);
+        if granted {
+            self.support(from, last, now);
+        }
         let reply = PeerMessage::PreVoteReply {
             asked,
             term,
@@ -111,6 +164,13 @@
         self.send(from, reply);
     }
 
+    /// Whether this member gives way to another that asks at the same time whether it would be
+    /// elected. The member with the more recent log, then with the higher identity, goes on.
+    fn is_outranked_by(&self, from: MemberId, last: LogPosition) -> bool {
+        let is_rival = matches!(self.state, MemberState::PreCandidate(_));
+        is_rival && (last, from) > (self.log.last(), self.id)
+    }
+
     pub(crate) fn handle_pre_vote_reply(
         &mut self,
         from: MemberId,
@@ -151,7 +211,8 @@
         let granted =
             term == self.vote.term && self.may_vote_for(from) && self.is_log_up_to_date(last);
         if granted {
-            self.reset_election_timer(now);
+            self.reset_vote_timer(now);
+            self.promise_vote(from, last, now);
             self.set_vote(VoteRecord {
                 term,
                 voted_for: Some(from.0),
--- a/crates/ragwortroad_consensus/src/lib.rs
+++ b/crates/ragwortroad_consensus/src/lib.rs
@@ -64,6 +64,8 @@
 mod snapshotting;
 mod stale_frame;
 mod start_table;
+mod sync_time;
+mod vote_promise;
 
 /// Common items for dependent crates.
 pub mod prelude {
@@ -134,3 +136,5 @@
 use restart_check::RestartCheck;
 use snapshot_assembly::SnapshotAssembly;
 use start_table::StartTable;
+use sync_time::SyncTime;
+use vote_promise::VotePromise;
--- a/crates/ragwortroad_consensus/tests/schedules/main.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/main.rs
@@ -1,6 +1,7 @@
 //! Runs the real consensus core and log in seeded schedules, with simulated disks, clocks and
 //! messages.
 
+mod slow_syncs;
 mod world;
 
 use ragwortroad_consensus::{
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_faults.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_faults.rs
@@ -65,12 +65,26 @@
         self.end(node);
     }
 
-    fn end(&mut self, node: usize) {
+    /// Crashes the machine, which stays down until it is started.
+    pub(crate) fn stop(&mut self, node: usize) {
+        let rng = &mut self.rng;
+        self.nodes[node]
+            .disk
+            .crash(|below| rng.random_range(0..below));
+        self.nodes[node].boot += 1;
+        self.end_process(node);
+    }
+
+    fn end_process(&mut self, node: usize) {
         let target = &mut self.nodes[node];
         target.process = None;
         target.epoch += 1;
         target.is_paused = false;
         target.backlog.clear();
+    }
+
+    fn end(&mut self, node: usize) {
+        self.end_process(node);
         let downtime_us = self.rng.random_range(20_000..2_000_000);
         self.schedule(downtime_us, SimEvent::Start(node));
     }
@@ -217,7 +231,8 @@
             self.nodes[node].disk.set_capacity(None);
             self.nodes[node].disk.fail_syncs(0);
             self.resume_node(node, epoch);
-            if self.nodes[node].disk.has_stopped() {
+            // A crash that is due later would be a fault beyond the end of all faults.
+            if self.nodes[node].disk.is_stopping() {
                 self.crash(node);
             }
         }
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
@@ -1,6 +1,9 @@
-use std::collections::{
-    BTreeMap,
-    BTreeSet, //
+use std::{
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
+    ops::Range, //
 };
 
 use rand::{
@@ -50,6 +53,8 @@
     pub(crate) counts: SimCounts,
     pub(crate) operator: SimOperator,
     pub(crate) is_fault_free: bool,
+    /// Time that each write takes; `None` for that of the plan.
+    pub(crate) sync_us: Option<Range<u64>>,
     events: BTreeMap<(u64, u64), SimEvent>,
     next_event: u64,
     pub(crate) next_token: u64,
@@ -88,6 +93,7 @@
             },
             operator: SimOperator::default(),
             is_fault_free: false,
+            sync_us: None,
             events: BTreeMap::new(),
             next_event: 0,
             next_token: 1,
@@ -334,7 +340,8 @@
     fn start_write(&mut self, node: usize) {
         let is_slow = self.chance(self.plan.slow_write_percent);
         let max_latency_us = if is_slow { 300_000 } else { 8000 };
-        let latency = self.rng.random_range(200..max_latency_us);
+        let range = self.sync_us.clone().unwrap_or(200..max_latency_us);
+        let latency = self.rng.random_range(range);
         let epoch = self.nodes[node].epoch;
         let Some(process) = &mut self.nodes[node].process else {
             return;
--- a/crates/ragwortroad_log/src/fake_disk.rs
+++ b/crates/ragwortroad_log/src/fake_disk.rs
@@ -42,6 +42,11 @@
         self.lock().stop_after = Some(count);
     }
 
+    /// Whether the machine has halted, or will after some more operations.
+    pub fn is_stopping(&self) -> bool {
+        self.lock().stop_after.is_some()
+    }
+
     /// Whether the machine has halted.
     pub fn has_stopped(&self) -> bool {
         self.lock().stop_after == Some(0)
