Found a group anew from one disk when its majority is lost for good

Callers saw: a group that lost two of three voters refused all reads and changes for ever, and there was no documented way back.

Nothing is reverted silently: the operator is told what may be lost.

--- a/crates/ragwortroad_consensus/src/entry_payload.rs
+++ b/crates/ragwortroad_consensus/src/entry_payload.rs
@@ -35,7 +35,7 @@
     }
 
     /// Encodes the payload; encoding plain types into memory does not fail.
-    pub(crate) fn encode(&self) -> Vec<u8> {
+    pub fn encode(&self) -> Vec<u8> {
         postcard::to_stdvec(self).unwrap_or_default()
     }
 }
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -28,6 +28,7 @@
 mod edge_flow;
 mod folder_report;
 mod folder_worker;
+mod group_recovery;
 mod group_status;
 mod hint_store;
 mod indexed_read;
@@ -80,6 +81,10 @@
             ControlReply, //
         },
         directory_process::run_directory,
+        group_recovery::{
+            GroupRecovery,
+            RecoveryError, //
+        },
         register_command::RegisterCommand,
         register_snapshot::RegisterSnapshot,
         registry_error::RegistryError,
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -366,7 +366,7 @@
 }
 
 /// Node identity of the registry that listens for links at `inner`.
-fn node_id_of(inner: SocketAddr) -> NodeId {
+pub(crate) fn node_id_of(inner: SocketAddr) -> NodeId {
     NodeId::from_name(&inner.to_string())
 }
 
--- a/src/command_line.rs
+++ b/src/command_line.rs
@@ -45,6 +45,8 @@
     Directory(SettingsFile),
     /// Report all errors in a settings file without starting anything.
     Check(SettingsFile),
+    /// Found a group of registries anew after a majority of its voters was lost for good.
+    Recover(RecoverOptions),
     /// Run three nodes with stand-in endpoints on loopback, and check what clients received.
     Demo(DemoOptions),
     /// Run stand-in engines and services that announce themselves to a fleet.
@@ -78,6 +80,23 @@
     pub(crate) settings: PathBuf,
 }
 
+/// Options of `recover`.
+#[derive(Debug)]
+#[derive(Args)]
+#[command(after_help = "\
+Without --found-group, only what the registry has on disk is printed. All registries must be stopped.
+
+Example:
+  ragwortroad recover --settings registry-2.ini --found-group")]
+pub(crate) struct RecoverOptions {
+    #[command(flatten)]
+    pub(crate) file: SettingsFile,
+    /// Make this registry the only voter. Configurations and drain orders that were acknowledged and
+    /// are not on its disk are lost.
+    #[arg(long)]
+    pub(crate) found_group: bool,
+}
+
 /// Options of `explain`.
 #[derive(Debug, Args)]
 pub(crate) struct ExplainOptions {
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -9,6 +9,7 @@
 mod keys;
 mod load;
 mod operator;
+mod recover;
 mod report;
 mod secret_file;
 mod serve;
@@ -29,6 +30,7 @@
         CommandKind::Directory(file) => forward::run_directory_process(&file.settings),
         CommandKind::Explain(options) => explain::run(&options),
         CommandKind::Check(file) => check::run(&file.settings),
+        CommandKind::Recover(options) => recover::run(&options),
         CommandKind::Demo(options) => demo::run(&options),
         CommandKind::Standin(options) => standin::run(&options),
         CommandKind::Load(options) => load::run(&options),
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -98,6 +98,19 @@
         }
     }
 
+    /// Runs a command of the program with this process's settings; returns its standard output if it
+    /// succeeds.
+    pub(crate) fn run_command(&self, command: &str, options: &[&str]) -> Option<String> {
+        let output = Command::new(&self.program)
+            .args([command, "--settings"])
+            .arg(&self.settings)
+            .args(options)
+            .output()
+            .expect("failed to run the program");
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        output.status.success().then_some(text)
+    }
+
     /// Returns whether the process has ended; if so, it can be started again.
     pub(crate) fn has_ended(&mut self) -> bool {
         let ended = self.child.as_mut().is_none_or(|child| {
