--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
@@ -55,6 +55,8 @@
     pub(crate) is_fault_free: bool,
     /// Time that each write takes; `None` for that of the plan.
     pub(crate) sync_us: Option<Range<u64>>,
+    /// Time that each write of a node takes; overrides `sync_us`.
+    pub(crate) node_sync_us: BTreeMap<usize, Range<u64>>,
     events: BTreeMap<(u64, u64), SimEvent>,
     next_event: u64,
     pub(crate) next_token: u64,
@@ -94,6 +96,7 @@
             operator: SimOperator::default(),
             is_fault_free: false,
             sync_us: None,
+            node_sync_us: BTreeMap::new(),
             events: BTreeMap::new(),
             next_event: 0,
             next_token: 1,
@@ -340,7 +343,8 @@
     fn start_write(&mut self, node: usize) {
         let is_slow = self.chance(self.plan.slow_write_percent);
         let max_latency_us = if is_slow { 300_000 } else { 8000 };
-        let range = self.sync_us.clone().unwrap_or(200..max_latency_us);
+        let own = self.node_sync_us.get(&node).or(self.sync_us.as_ref());
+        let range = own.cloned().unwrap_or(200..max_latency_us);
         let latency = self.rng.random_range(range);
         let epoch = self.nodes[node].epoch;
         let Some(process) = &mut self.nodes[node].process else {
