Test the reason given by a registry without a disk

Callers would see: a put refused because "too few registries vote", at a registry of a group that is large enough, while its data folder is not open or its log not known to be committed. Fails on this commit.

--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -24,7 +24,11 @@
     ControlCall,
     ControlReply,
     call_flow::CALL_TIMEOUT,
-    put_flow::MAX_COMMAND_BYTES,
+    folder_report::FolderReport,
+    put_flow::{
+        MAX_COMMAND_BYTES,
+        TOO_FEW_VOTERS, //
+    },
     registry_event::RegistryEvent,
     registry_process::start_state,
     registry_state::RegistryState, //
@@ -233,3 +237,25 @@
     );
     assert_eq!(registry.state.driver.register().version(), None);
 }
+
+/// Guards against a refusal that names too few registries while the own disk has failed.
+#[test]
+fn a_registry_without_a_disk_does_not_blame_the_number_of_voters() {
+    let mut registry = LeadingRegistry::start();
+    let report = FolderReport::Failed {
+        generation: 1,
+        reason: "the disk is full".to_owned(),
+    };
+    let event = RegistryEvent::Folder(report);
+    registry.state.handle(event, registry.now);
+    let mut receiver = registry.put(1, b"{}".to_vec());
+    let deadline = registry.now.after(CALL_TIMEOUT).after(TICK * 20);
+    while registry.now < deadline {
+        registry.tick();
+    }
+    let reply = receiver.try_recv();
+    let Ok(ControlReply::Unavailable { reason }) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_ne!(reason, TOO_FEW_VOTERS);
+}
