--- a/crates/ragwortroad_consensus/tests/schedules/slow_syncs.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/slow_syncs.rs
@@ -53,6 +53,7 @@
 fn time_to_leader(world: &mut SimWorld, limit_us: u64) -> Option<u64> {
     let started_at = world.now_us;
     while world.now_us < started_at + limit_us {
+        assert_eq!(world.checker.violation, None);
         if leading_node(world).is_some() {
             return Some(world.now_us - started_at);
         }
