Elect leaders among disks of different speed, and past a member that hears nobody

Causes: a candidate knows the speed of its own disk only, so a quick one among slow voters started over too soon; a member that is heard and hears nobody got the support of others again after each lapsed promise; a slow sync of long ago was remembered for as long as nothing was synced.

Change: a candidate waits twice as long after each election that it loses, until it knows a leader; a member whose promise lapsed without a leader supports that candidate again only beside others; a measured sync fades within ten seconds.

--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -44,6 +44,9 @@
 /// own disk may be quicker than those of the voters.
 pub(crate) const VOTE_SYNCS: u32 = 3;
 
+/// Limit on how often a candidate that goes on losing doubles its patience.
+const MAX_DOUBLINGS: u32 = 6;
+
 /// One member of a Raft group, as a state machine without I/O.
 ///
 /// The driver passes inputs together with the current time, and the core returns actions; time,
@@ -90,6 +93,8 @@
     pub(crate) assembly: Option<SnapshotAssembly>,
     /// Time before which this member grants no vote, because a leader may rely on it for its lease.
     pub(crate) no_vote_until: ClockTime,
+    /// Elections that this member has lost since it last knew a leader.
+    pub(crate) lost_elections: u32,
     /// The candidate that this member supports, if one may win.
     pub(crate) promise: Option<VotePromise>,
     /// Time at which an election starts unless the member hears from a leader or candidate first.
@@ -251,7 +256,10 @@
             false => (timeout / 8, timeout / 2),
         };
         let sync = self.sync_time.expected(now);
-        self.set_election_deadline(now, min_delay + sync * VOTE_SYNCS, spread + sync);
+        // The disks of the voters may be slower than this one's.
+        let doublings = self.lost_elections.saturating_sub(1).min(MAX_DOUBLINGS);
+        let min_delay = (min_delay + sync * VOTE_SYNCS) * 2_u32.pow(doublings);
+        self.set_election_deadline(now, min_delay, spread + sync);
     }
 
     /// Restarts the timer of a member that would vote for another one, which first has to make its
@@ -277,6 +285,9 @@
     pub(crate) fn set_leader(&mut self, leader: Option<MemberId>) {
         // From here on the leader's commit index counts.
         self.recall.is_done |= leader.is_some();
+        if leader.is_some() {
+            self.lost_elections = 0;
+        }
         if self.leader != leader {
             self.leader = leader;
             let term = self.vote.term;
--- a/crates/ragwortroad_consensus/src/core_startup.rs
+++ b/crates/ragwortroad_consensus/src/core_startup.rs
@@ -98,6 +98,7 @@
             state: MemberState::Follower,
             barrier: PersistBarrier::default(),
             sync_time: SyncTime::default(),
+            lost_elections: 0,
             promise: None,
             check,
             recall,
--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -49,6 +49,7 @@
         let mut tally = VoteTally::default();
         tally.granted.insert(self.id);
         let is_alone = tally.has_quorum(self.members());
+        self.lost_elections += u32::from(matches!(self.state, MemberState::Candidate(_)));
         self.state = MemberState::PreCandidate(tally);
         // Nothing has been written for a pre-vote, so others are supported again when it is over.
         self.promise = Some(VotePromise {
@@ -118,11 +119,18 @@
         })
     }
 
+    /// Whether the last promise was to `candidate`, which has not won with it. Perhaps it hears
+    /// nobody, so others come first.
+    fn has_lapsed(&self, candidate: MemberId, now: ClockTime) -> bool {
+        let promise = self.promise.as_ref();
+        promise.is_some_and(|promise| promise.candidate == candidate && now >= promise.until)
+    }
+
     /// Supports a candidate in the election that follows its pre-vote.
     ///
     /// A candidate that asks again has failed before, so it is not supported for longer.
     fn support(&mut self, candidate: MemberId, last: LogPosition, now: ClockTime) {
-        let is_new = |promise: &VotePromise| promise.candidate != candidate || now >= promise.until;
+        let is_new = |promise: &VotePromise| promise.candidate != candidate;
         if self.promise.as_ref().is_none_or(is_new) {
             self.promise_vote(candidate, last, now);
             self.reset_support_timer(now);
@@ -148,7 +156,7 @@
         let term = self.vote.term;
         let is_electable =
             asked > term && self.is_free_to_vote(now) && self.is_log_up_to_date(last);
-        if is_electable && self.is_outranked_by(from, last) {
+        if is_electable && self.is_outranked_by(from, last) && !self.has_lapsed(from, now) {
             self.state = MemberState::Follower;
             self.promise = None;
         }
@@ -273,6 +281,7 @@
     /// Returns to follower in the same term, and fails the pending proposals and reads of a leader.
     pub(crate) fn step_down(&mut self) {
         let state = std::mem::replace(&mut self.state, MemberState::Follower);
+        self.lost_elections += u32::from(matches!(state, MemberState::Candidate(_)));
         let MemberState::Leader(state) = state else {
             return;
         };
--- a/crates/ragwortroad_consensus/src/sync_time.rs
+++ b/crates/ragwortroad_consensus/src/sync_time.rs
@@ -9,6 +9,9 @@
 /// elections, and others go on without it.
 const MAX_SYNC: Duration = Duration::from_secs(2);
 
+/// Time after which a sync says nothing of the next one any more.
+const SYNC_MEMORY: Duration = Duration::from_secs(10);
+
 /// Estimates how long a sync of this member's disk takes.
 ///
 /// An election needs a sync at the candidate and then one at each voter. A candidate that starts
@@ -21,6 +24,8 @@
     pending: VecDeque<(u64, ClockTime)>,
     /// Rises at once with a longer sync, and falls slowly.
     estimate: Duration,
+    /// Time of the last sync.
+    measured_at: ClockTime,
 }
 
 impl SyncTime {
@@ -36,7 +41,8 @@
             }
             self.pending.pop_front();
             let taken = now.since(started_at);
-            self.estimate = taken.max((self.estimate * 3 + taken) / 4);
+            self.estimate = taken.max((self.remembered(now) * 3 + taken) / 4);
+            self.measured_at = now;
         }
     }
 
@@ -44,7 +50,14 @@
     pub(crate) fn expected(&self, now: ClockTime) -> Duration {
         let oldest = self.pending.front();
         let waited = oldest.map_or(Duration::ZERO, |(_, started_at)| now.since(*started_at));
-        self.estimate.max(waited).min(MAX_SYNC)
+        self.remembered(now).max(waited).min(MAX_SYNC)
+    }
+
+    /// The estimate, which fades while nothing is synced: the disk may have become quick again.
+    fn remembered(&self, now: ClockTime) -> Duration {
+        let age = now.since(self.measured_at).min(SYNC_MEMORY);
+        let left = (SYNC_MEMORY - age).as_millis() as u32;
+        self.estimate * left / SYNC_MEMORY.as_millis() as u32
     }
 
     /// Forgets batches that will not become durable.
