Give too few voters as a reason only to a group that has too few

Callers saw (found by review): a registry whose data folder is not open refused a configuration because too few registries vote. The test for it failed before; it and the others of the registry pass.

--- a/crates/ragwortroad_registry/src/drain_flow.rs
+++ b/crates/ragwortroad_registry/src/drain_flow.rs
@@ -186,9 +186,9 @@
             if now.since(drain.received_at) < CALL_TIMEOUT {
                 self.attempt_drain(drain, now);
             } else {
-                let reason = match self.bears_losses() {
-                    true => "no quorum has taken the order in time; send it again",
-                    false => TOO_FEW_VOTERS,
+                let reason = match self.has_too_few_voters() {
+                    true => TOO_FEW_VOTERS,
+                    false => "no quorum has taken the order in time; send it again",
                 };
                 send_reply(drain.reply, ControlReply::Unavailable { reason });
             }
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -323,6 +323,12 @@
         })
     }
 
+    /// Whether this registry knows its group, and that too few of its registries vote.
+    pub(crate) fn has_too_few_voters(&self) -> bool {
+        let members = self.driver.core().map(ConsensusCore::members);
+        members.is_some_and(|members| !members.is_empty() && !self.tolerance.is_met_by(members))
+    }
+
     fn member_statuses(&self, core: &ConsensusCore, now: ClockTime) -> Vec<MemberStatus> {
         let mut statuses = Vec::new();
         for (hello, heard_at) in self.peers.values().filter_map(|peer| peer.hello.as_ref()) {
--- a/crates/ragwortroad_registry/src/put_flow.rs
+++ b/crates/ragwortroad_registry/src/put_flow.rs
@@ -268,9 +268,9 @@
                         PutOutcome::Committed => ControlReply::Done,
                         PutOutcome::TooLarge => too_large_reply(MAX_COMMAND_BYTES),
                         PutOutcome::Unknown | PutOutcome::NotTaken => ControlReply::Unavailable {
-                            reason: match self.bears_losses() {
-                                true => "no quorum has taken the configuration in time",
-                                false => TOO_FEW_VOTERS,
+                            reason: match self.has_too_few_voters() {
+                                true => TOO_FEW_VOTERS,
+                                false => "no quorum has taken the configuration in time",
                             },
                         },
                     },
