Keep start numbers in the data folder, so that a clock set back silences no member

What callers would see: a registry that had started while its time of day was ahead, and again after the clock was set back, was ignored by its group for as long as it ran. With several of them and a lost disk there was no leader, and no answer to a read of the configuration.

Cause: the start number of a member was the time of day of its start, and StartTable::observe drops all frames with a lower number than the latest one known.

Evidence: a group of three whose second member restarts with its clock set back cannot commit with it. Both tests by_hand::a_member_whose_clock_was_set_back_is_heard (the folder knows the number) and a_member_that_forgot_its_last_start_is_heard (only the others do) failed before.

The format is unchanged: the number is a record of a start under the folder's own identity, which folders of earlier versions do not have. A member that drops a frame replies with the number it knows (StaleStart), and the sender raises its own above it. The registry's time of day is kept apart from it. serve opens its folder the same way.

--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -53,7 +53,12 @@
 pub struct ConsensusCore {
     pub(crate) settings: CoreSettings,
     pub(crate) id: MemberId,
+    /// Start number that the messages of this member carry.
+    ///
+    /// Invariant: durable.
     pub(crate) start: u64,
+    /// Highest start number of this member, which may not be durable yet.
+    pub(crate) raised_start: u64,
     pub(crate) rng: Pcg64Mcg,
     /// Invariant: `vote.term` never decreases, and `voted_for` changes only together with the term
     /// or from `None`.
@@ -165,6 +170,7 @@
             DeferredEffect::Send(to, message) => self.send(to, message),
             DeferredEffect::OwnVote(term) => self.count_own_vote(term, now),
             DeferredEffect::OwnMatch(term, index) => self.count_own_match(term, index, now),
+            DeferredEffect::OwnStart(start) => self.adopt_start(start, now),
         }
     }
 
@@ -172,12 +178,18 @@
         if frame.to != self.id || frame.from == self.id {
             return;
         }
+        // Each of two members may take the other's start for an earlier one.
+        if let PeerMessage::StaleStart { known } = frame.message {
+            return self.raise_start(known);
+        }
         if !self.observe_start(frame.from, frame.start, now) {
+            let known = self.starts.latest(frame.from);
             self.stale_frame = Some(StaleFrame {
                 member: frame.from,
                 start: frame.start,
-                known_start: self.starts.latest(frame.from),
+                known_start: known,
             });
+            self.send(frame.from, PeerMessage::StaleStart { known });
             return;
         }
         self.handle_message(frame.from, frame.message, now);
--- a/crates/ragwortroad_consensus/src/core_queries.rs
+++ b/crates/ragwortroad_consensus/src/core_queries.rs
@@ -163,10 +163,15 @@
         self.has_failed
     }
 
+    /// The start number that the messages of this member carry.
+    pub fn start(&self) -> u64 {
+        self.start
+    }
+
     /// Takes the frame that was ignored last because a later start of its sender is known.
     ///
-    /// Frames of an earlier start arrive for a moment after a restart. A member that goes on being
-    /// ignored has started with a lower number than before.
+    /// Frames of an earlier start arrive for a moment after a restart. A member that started with a
+    /// lower number than before is ignored until it has raised its number.
     pub fn take_stale_frame(&mut self) -> Option<StaleFrame> {
         self.stale_frame.take()
     }
--- a/crates/ragwortroad_consensus/src/core_startup.rs
+++ b/crates/ragwortroad_consensus/src/core_startup.rs
@@ -83,7 +83,8 @@
         let mut core = Self {
             settings,
             id: MemberId(stored.identity),
-            start: start.start,
+            start: stored.start,
+            raised_start: stored.start,
             rng: Self::seeded(seed),
             vote: stored.vote,
             leader: None,
--- a/crates/ragwortroad_consensus/src/lib.rs
+++ b/crates/ragwortroad_consensus/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! let stored = StoredState { identity: 17, is_new: true, ..StoredState::default() };
 //! let voters = MemberSet::from_voters([(MemberId(17), NodeId::from_name("rvk-1"))]);
-//! let start = CoreStart { stored, start: 1, initial_members: Some(voters) };
+//! let start = CoreStart { stored, initial_members: Some(voters) };
 //! let now = ClockTime(1000);
 //! let (mut core, mut actions) = ConsensusCore::new(CoreSettings::default(), start, now, 1)?;
 //! actions.extend(core.handle(CoreInput::Propose { token: 1, command: b"on".to_vec() }, now));
--- a/crates/ragwortroad_consensus/src/peer_message.rs
+++ b/crates/ragwortroad_consensus/src/peer_message.rs
@@ -125,6 +125,11 @@
         /// The latest start numbers that the sender knows.
         starts: Vec<MemberStart>,
     },
+    /// Reply to a message of an earlier start, which was ignored.
+    StaleStart {
+        /// The latest start number of the receiver that the sender knows.
+        known: u64,
+    },
 }
 
 impl PeerMessage {
@@ -141,7 +146,10 @@
             | Self::ChunkReply { term, .. }
             | Self::Handover { term } => Some(term),
             Self::Chunk(ref chunk) => Some(chunk.term),
-            Self::PreVote { .. } | Self::Hello | Self::HelloReply { .. } => None,
+            Self::PreVote { .. }
+            | Self::Hello
+            | Self::HelloReply { .. }
+            | Self::StaleStart { .. } => None,
         }
     }
 }
--- a/crates/ragwortroad_consensus/src/persist_barrier.rs
+++ b/crates/ragwortroad_consensus/src/persist_barrier.rs
@@ -16,6 +16,8 @@
     OwnVote(u64),
     /// In a term, count this member's own log as durable up to an index.
     OwnMatch(u64, u64),
+    /// Use a greater start number.
+    OwnStart(u64),
 }
 
 /// Collects changes into batches, and defers effects until the batches they depend on are durable.
--- a/crates/ragwortroad_consensus/src/restart_queries.rs
+++ b/crates/ragwortroad_consensus/src/restart_queries.rs
@@ -8,6 +8,8 @@
     ConsensusCore,
     MemberId,
     PeerMessage,
+    RestartCheck,
+    persist_barrier::DeferredEffect,
     recall_check::DiskReport, //
 };
 
@@ -121,6 +123,34 @@
         }
     }
 
+    /// Raises this member's start number above `known` if that is a later one, which this member has
+    /// forgotten.
+    ///
+    /// A rolled-back folder does not have it, and a folder written by a version that took the time of
+    /// day for a start number has none. A message of an earlier start that arrives late is answered
+    /// with the current number.
+    pub(crate) fn raise_start(&mut self, known: u64) {
+        if known <= self.raised_start {
+            return;
+        }
+        self.raised_start = known.saturating_add(1);
+        self.barrier.change().start = Some(self.raised_start);
+        self.barrier
+            .defer(DeferredEffect::OwnStart(self.raised_start));
+    }
+
+    /// Uses the durable number `start`. Members that replied to a query under an earlier number do not
+    /// know this one yet, so a check that is not finished begins again.
+    pub(crate) fn adopt_start(&mut self, start: u64, now: ClockTime) {
+        self.start = start;
+        if !self.check.is_done {
+            self.check = RestartCheck::new(self.log.last(), self.members().clone());
+        }
+        self.recall.asked_at = None;
+        self.send_hellos(now);
+        self.ask_disk_reports(now);
+    }
+
     /// Records once per boot that the data folder is no older than what was acknowledged, so that a
     /// restart of the process alone needs no check.
     pub(crate) fn confirm_boot(&mut self) {
--- a/crates/ragwortroad_consensus/tests/by_hand/main.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/main.rs
@@ -106,6 +106,47 @@
     assert!(commits_by_stale_ack(Some(InjectedBug::CountOldStarts)));
 }
 
+/// Steps of the time of day, larger than the number of starts in a test.
+const CLOCK_STEP: u64 = 1000;
+
+/// Restarts the machine of the second of three members, with its clock set back since the start before,
+/// and returns whether the first can commit a command with it alone.
+fn is_heard_after_clock_step(is_rolled_back: bool) -> bool {
+    let mut group = ScriptedGroup::new(3, CoreSettings::default());
+    let image = group.members[1].disk.image();
+    for step in [CLOCK_STEP as i64, -(CLOCK_STEP as i64)] {
+        group.wall_clock = group.wall_clock.saturating_add_signed(step);
+        group.stop(1, true);
+        if is_rolled_back {
+            group.members[1].disk.roll_back(&image);
+        }
+        group.start(1);
+        group.deliver(|_, _, _| true);
+        group.wait_for_leader(0, 4);
+    }
+    group.stop(2, false);
+    group.propose(0, b"heard");
+    for _ in 0..4 {
+        group.now = group.now.after(group.settings.heartbeat_interval);
+        group.input(0, CoreInput::Tick);
+        group.input(1, CoreInput::Tick);
+        group.deliver(|_, _, _| true);
+    }
+    group.members[0].applied == [b"heard".to_vec()]
+}
+
+/// Guards against a member that is ignored for as long as it runs since its clock was set back.
+#[test]
+fn a_member_whose_clock_was_set_back_is_heard() {
+    assert!(is_heard_after_clock_step(false));
+}
+
+/// Guards against a member that is ignored since only others know the number of its start before.
+#[test]
+fn a_member_that_forgot_its_last_start_is_heard() {
+    assert!(is_heard_after_clock_step(true));
+}
+
 /// Guards against members that apply a committed command only with the next heartbeat, because
 /// their acknowledgement came after those of the quorum.
 #[test]
--- a/crates/ragwortroad_consensus/tests/by_hand/scripted_group.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/scripted_group.rs
@@ -10,7 +10,8 @@
     pub(crate) members: Vec<ScriptedMember>,
     pub(crate) now: ClockTime,
     in_flight: VecDeque<PeerFrame>,
-    starts: u64,
+    /// Time of day, which advances with every start.
+    pub(crate) wall_clock: u64,
     initial_members: MemberSet,
 }
 
@@ -34,7 +35,7 @@
             members: (0..count).map(|_| ScriptedMember::default()).collect(),
             now: ClockTime(1000),
             in_flight: VecDeque::new(),
-            starts: 0,
+            wall_clock: 0,
             initial_members: MemberSet::from_voters(voters),
         };
         for at in 0..count {
@@ -51,11 +52,12 @@
     }
 
     pub(crate) fn start(&mut self, at: usize) {
-        self.starts += 1;
+        self.wall_clock += 1;
         let member = &mut self.members[at];
         let settings = FolderSettings {
             fresh_identity: member_id(at).0,
             boot_id: member.boot.to_string(),
+            min_start: self.wall_clock,
             ..FolderSettings::default()
         };
         let port = DiskPort::Fake(member.disk.clone());
@@ -64,7 +66,6 @@
             Some(self.initial_members.clone()).filter(|_| at == 0 && stored.is_new);
         let start = CoreStart {
             stored,
-            start: self.starts,
             initial_members,
         };
         let created = ConsensusCore::new(self.settings.clone(), start, self.now, at as u64);
--- a/crates/ragwortroad_consensus/tests/frames.rs
+++ b/crates/ragwortroad_consensus/tests/frames.rs
@@ -62,6 +62,7 @@
     let short = prop_oneof![
         Just(PeerMessage::Hello),
         any::<u64>().prop_map(|term| PeerMessage::Handover { term }),
+        any::<u64>().prop_map(|known| PeerMessage::StaleStart { known }),
         any::<[u64; 3]>().prop_map(|n| PeerMessage::Heartbeat {
             term: n[0],
             commit: n[1],
@@ -76,12 +77,12 @@
     let voters = (1..4).map(|at| (MemberId(at), NodeId(at)));
     let stored = ragwortroad_log::StoredState {
         identity: 1,
+        start: 1,
         is_new: true,
         ..ragwortroad_log::StoredState::default()
     };
     let start = CoreStart {
         stored,
-        start: 1,
         initial_members: is_bootstrapping.then(|| MemberSet::from_voters(voters)),
     };
     let created = ConsensusCore::new(CoreSettings::default(), start, ClockTime(1), 1);
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
@@ -176,6 +176,7 @@
         let settings = FolderSettings {
             fresh_identity,
             boot_id: self.nodes[node].boot.to_string(),
+            min_start: FIRST_START_NUMBER + self.now_us,
             ..FolderSettings::default()
         };
         let disk = self.nodes[node].disk.clone();
@@ -195,7 +196,6 @@
         let is_bootstrapping = node == 0 && stored.is_new && self.now_us <= 1000;
         let start = CoreStart {
             stored,
-            start: FIRST_START_NUMBER + self.now_us,
             initial_members: self.initial_members.clone().filter(|_| is_bootstrapping),
         };
         let now = self.local_time(node);
--- a/crates/ragwortroad_log/src/folder_generation.rs
+++ b/crates/ragwortroad_log/src/folder_generation.rs
@@ -89,6 +89,7 @@
             snapshot_index: self.snapshot_index,
         };
         self.append_record(LogRecord::Header(header))?;
+        self.append_record(self.own_start())?;
         for entry in entries {
             self.append_record(LogRecord::Entry(entry.clone()))?;
         }
--- a/crates/ragwortroad_log/src/folder_open.rs
+++ b/crates/ragwortroad_log/src/folder_open.rs
@@ -11,6 +11,7 @@
     FolderSettings,
     LogError,
     LogFolder,
+    MemberStart,
     RealDisk,
     StoredState,
     folder_files::{
@@ -37,6 +38,7 @@
         read_single,
         read_snapshot,
         replay_entries,
+        replay_own_start,
         replay_starts, //
     },
     log_error::{
@@ -131,8 +133,13 @@
         return false;
     };
     let is_whole = scan.intact_bytes == bytes.len();
+    let identity = scan.frames.iter().find_map(|frame| match &frame.record {
+        LogRecord::Header(header) => Some(header.identity),
+        _ => None,
+    });
     let is_unused = scan.frames.iter().all(|frame| match &frame.record {
         LogRecord::Header(header) => header.generation == 0 && header.vote.count == 0,
+        LogRecord::Start(start) => Some(start.member) == identity,
         record => *record == LogRecord::Durable,
     });
     is_whole && is_unused && !bytes.is_empty()
@@ -156,6 +163,7 @@
         buffer: Vec::new(),
         vote: CountedVote::default(),
         vote_file_count: 0,
+        start: settings.min_start,
         starts: Vec::new(),
         boot_id: settings.boot_id.clone(),
         confirms_boot: false,
@@ -171,6 +179,7 @@
     let state = StoredState {
         identity,
         is_new: true,
+        start: settings.min_start,
         ..StoredState::default()
     };
     Ok((folder, state))
@@ -219,12 +228,18 @@
     check_vote(vote, vote_copy)?;
     let snapshot = read_snapshot(&port, &header)?;
     let starts = replay_starts(&scan.frames, &header);
+    let stored_start = replay_own_start(&scan.frames, &header);
+    let start = settings.min_start.max(stored_start.saturating_add(1));
     let confirmed_boot_id = port.read(BOOT_NAME).unwrap_or_default();
     let entries = replay_entries(&scan.frames);
     check_entries(&entries, &header, &name)?;
 
     let truncated_bytes = (bytes.len() - scan.intact_bytes) as u64;
-    let next_sequence = rewrite_log(&mut port, &name, &bytes, &scan)?;
+    let own_start = MemberStart {
+        member: identity,
+        start,
+    };
+    let next_sequence = rewrite_log(&mut port, &name, &bytes, &scan, own_start)?;
     remove_stale_generations(&mut port, names, generation)?;
     let mut folder = LogFolder {
         port,
@@ -236,6 +251,7 @@
         buffer: Vec::new(),
         vote,
         vote_file_count: vote_copy.count,
+        start,
         starts: starts.clone(),
         boot_id: settings.boot_id.clone(),
         confirms_boot: false,
@@ -249,6 +265,7 @@
         is_new: false,
         is_same_boot: confirmed_boot_id == settings.boot_id.as_bytes()
             && !settings.boot_id.is_empty(),
+        start,
         starts,
         vote: vote.vote,
         snapshot,
@@ -258,8 +275,8 @@
     Ok((folder, state))
 }
 
-/// Rewrites the log file with its intact records, so that all of them are durable, and returns the
-/// sequence number of the next record.
+/// Rewrites the log file with its intact records and this member's start number, so that all of them
+/// are durable, and returns the sequence number of the next record.
 ///
 /// A sync may have failed in an earlier process, after which the operating system may count the
 /// pages as clean: they can be read, another sync reports success, and a crash loses them. Copied
@@ -269,14 +286,22 @@
     name: &str,
     bytes: &[u8],
     scan: &RecordScan,
+    own_start: MemberStart,
 ) -> Result<u64, LogError> {
-    let sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
+    let mut sequence = scan.frames.last().map_or(0, |last| last.sequence + 1);
+    let mut intact = bytes[..scan.intact_bytes].to_vec();
+    let start_frame = RecordFrame {
+        sequence,
+        synced: sequence,
+        record: LogRecord::Start(own_start),
+    };
+    write_frame(&start_frame, &mut intact)?;
+    sequence += 1;
     let durable_mark = RecordFrame {
         sequence,
         synced: sequence,
         record: LogRecord::Durable,
     };
-    let mut intact = bytes[..scan.intact_bytes].to_vec();
     write_frame(&durable_mark, &mut intact)?;
     write_atomically(port, name, &intact)?;
     Ok(sequence + 1)
--- a/crates/ragwortroad_log/src/folder_replay.rs
+++ b/crates/ragwortroad_log/src/folder_replay.rs
@@ -47,10 +47,26 @@
     entries
 }
 
+/// Returns the start number of this member, or 0 if none was written.
+pub(crate) fn replay_own_start(frames: &[RecordFrame], header: &LogHeader) -> u64 {
+    let in_records = frames.iter().filter_map(|frame| match &frame.record {
+        LogRecord::Start(start) => Some(start),
+        _ => None,
+    });
+    let own = in_records
+        .chain(&header.starts)
+        .filter(|known| known.member == header.identity);
+    own.map(|known| known.start).max().unwrap_or(0)
+}
+
+/// Returns the start numbers of the other members.
 pub(crate) fn replay_starts(frames: &[RecordFrame], header: &LogHeader) -> Vec<MemberStart> {
     let mut starts = header.starts.clone();
+    starts.retain(|known| known.member != header.identity);
     for frame in frames {
-        if let LogRecord::Start(start) = frame.record {
+        if let LogRecord::Start(start) = frame.record
+            && start.member != header.identity
+        {
             upsert_start(&mut starts, start);
         }
     }
--- a/crates/ragwortroad_log/src/log_change.rs
+++ b/crates/ragwortroad_log/src/log_change.rs
@@ -12,6 +12,8 @@
 pub struct LogChange {
     /// The new term and vote.
     pub vote: Option<VoteRecord>,
+    /// A greater start number of this member.
+    pub start: Option<u64>,
     /// Start numbers of other members that this member has reported to them.
     pub starts: Vec<MemberStart>,
     /// Index from which on all entries are removed.
@@ -35,6 +37,7 @@
             && self.truncate_from.is_none()
             && self.entries.is_empty()
             && self.snapshot.is_none()
+            && self.start.is_none()
             && self.starts.is_empty()
             && !self.confirms_boot
     }
--- a/crates/ragwortroad_log/src/log_folder.rs
+++ b/crates/ragwortroad_log/src/log_folder.rs
@@ -49,6 +49,9 @@
     /// Invariant: the count in the vote file; `vote.count` equals it, or is one more while a vote
     /// is not synced.
     pub(crate) vote_file_count: u64,
+    /// Start number of this member.
+    pub(crate) start: u64,
+    /// Start numbers of other members.
     pub(crate) starts: Vec<MemberStart>,
     /// ID of the current boot, empty if unknown.
     pub(crate) boot_id: String,
@@ -111,6 +114,12 @@
         if let Some(vote) = change.vote {
             self.append_vote(vote)?;
         }
+        if let Some(start) = change.start {
+            let detail = "the start number does not increase";
+            ensure!(start > self.start, InvalidChangeSnafu { detail });
+            self.start = start;
+            self.append_record(self.own_start())?;
+        }
         for &start in &change.starts {
             folder_replay::upsert_start(&mut self.starts, start);
             self.append_record(LogRecord::Start(start))?;
@@ -170,6 +179,14 @@
         self.append_record(LogRecord::Entry(entry.clone()))
     }
 
+    /// The record of this member's start number.
+    pub(crate) fn own_start(&self) -> LogRecord {
+        LogRecord::Start(MemberStart {
+            member: self.identity,
+            start: self.start,
+        })
+    }
+
     pub(crate) fn append_record(&mut self, record: LogRecord) -> Result<(), LogError> {
         let frame = RecordFrame {
             sequence: self.next_sequence,
--- a/crates/ragwortroad_log/src/log_record.rs
+++ b/crates/ragwortroad_log/src/log_record.rs
@@ -18,7 +18,7 @@
     Header(LogHeader),
     /// The member's term and vote.
     Vote(CountedVote),
-    /// A start number of another member.
+    /// A start number of another member, or of this one.
     Start(MemberStart),
     /// Removes all entries from this index on.
     Truncate(u64),
--- a/crates/ragwortroad_log/src/stored_state.rs
+++ b/crates/ragwortroad_log/src/stored_state.rs
@@ -17,6 +17,9 @@
     /// If so, only the process has restarted, and the disk cannot have gone back to an older state
     /// as a whole, as when a VM is restored.
     pub is_same_boot: bool,
+    /// The start number of this opening of the folder, which is durable, and greater than at every
+    /// earlier one.
+    pub start: u64,
     /// The last durable term and vote.
     pub vote: VoteRecord,
     /// The latest start number of each member that has queried this one after a restart.
--- a/crates/ragwortroad_log/tests/folder.rs
+++ b/crates/ragwortroad_log/tests/folder.rs
@@ -234,6 +234,135 @@
     }
 }
 
+/// Opens a folder at the time of day `wall_ms`.
+fn open_at(disk: &FakeDisk, wall_ms: u64) -> (LogFolder, StoredState) {
+    let settings = FolderSettings {
+        min_start: wall_ms,
+        ..settings()
+    };
+    let opened = LogFolder::open_on(DiskPort::Fake(disk.clone()), &settings);
+    opened.expect("opens")
+}
+
+/// Start numbers of more members than a folder keeps.
+fn many_starts() -> Vec<MemberStart> {
+    let members = 100..200;
+    let starts = members.map(|member| MemberStart { member, start: 7 });
+    starts.collect()
+}
+
+/// Guards against a member whose messages count as those of an earlier start.
+#[test]
+fn start_numbers_grow_although_the_clock_is_set_back() {
+    let disk = FakeDisk::default();
+    assert_eq!(open_at(&disk, 1000).1.start, 1000);
+    disk.crash(|_| 0);
+    assert_eq!(open_at(&disk, 5).1.start, 1001);
+    disk.crash(|_| 0);
+    let (mut folder, state) = open_at(&disk, 1001);
+    assert_eq!(state.start, 1002);
+    for raised in [2000, 2001] {
+        let change = LogChange {
+            start: Some(raised),
+            starts: many_starts(),
+            ..change(raised)
+        };
+        folder.append(&change).expect("appends");
+        folder.sync().expect("syncs");
+    }
+    drop(folder);
+    disk.crash(|_| 0);
+    let (mut folder, state) = open_at(&disk, 6);
+    assert_eq!(state.start, 2002);
+    assert!(state.starts.iter().all(|known| known.start == 7));
+    let snapshot = StoredSnapshot {
+        index: 1,
+        term: 1,
+        ..StoredSnapshot::default()
+    };
+    let change = LogChange {
+        snapshot: Some(snapshot),
+        ..LogChange::default()
+    };
+    folder.append(&change).expect("appends");
+    drop(folder);
+    disk.crash(|_| 0);
+    assert_eq!(open_at(&disk, 6).1.start, 2003);
+    assert_eq!(open_at(&disk, 3000).1.start, 3000);
+}
+
+/// Guards against a start number that is taken back.
+#[test]
+fn a_start_number_that_does_not_grow_is_refused() {
+    let (mut folder, _) = open_at(&FakeDisk::default(), 1000);
+    let change = LogChange {
+        start: Some(1000),
+        ..LogChange::default()
+    };
+    let outcome = folder.append(&change);
+    assert!(matches!(outcome, Err(LogError::InvalidChange { .. })));
+}
+
+/// Guards against folders that were created in part and are taken for ones that were in use.
+#[test]
+fn an_interrupted_creation_is_completed() {
+    for stop_after in 0..40 {
+        let disk = FakeDisk::default();
+        disk.stop_after(stop_after);
+        drop(open(&disk));
+        disk.crash(|below| below - 1);
+        let (_, state) = open_at(&disk, 1000);
+        assert_eq!(state.start, 1000, "after {stop_after} operations");
+    }
+}
+
+/// The files of a folder without a start number of its own, with two votes and two entries.
+const FOLDER_WITHOUT_START: [(&str, &str); 3] = [
+    (
+        "identity",
+        "1900000041c3444d00000000000000000000000000000000000111000000000000",
+    ),
+    (
+        "log-0000000000000000",
+        "1900000041c3444d0000000000000000000000000000000000011100000000000011000000767f8d7501000000\
+         00000000010000000000000005150000001762748102000000000000000200000000000000010101010118000000\
+         d134eb8a03000000000000000200000000000000021281d095ffbc3118000000dc30abbe04000000000000000200\
+         000000000000040101046b657074150000001aa21a1c050000000000000005000000000000000102020102180000\
+         007245a51906000000000000000500000000000000021282d095ffbc3118000000b20930ac070000000000000005\
+         00000000000000040202046b65707411000000f04d98b80800000000000000080000000000000005",
+    ),
+    (
+        "vote",
+        "150000005197d268020000000000000000000000000000000102020102",
+    ),
+];
+
+/// Reads pairs of hexadecimal digits.
+fn bytes_of(digits: &str) -> Vec<u8> {
+    let pairs = (0..digits.len()).step_by(2);
+    let bytes = pairs.map(|at| u8::from_str_radix(&digits[at..at + 2], 16));
+    bytes.map(|byte| byte.expect("two digits")).collect()
+}
+
+/// Guards against folders of earlier versions that do not open, or begin below the time of day.
+#[test]
+fn a_folder_without_a_start_number_opens() {
+    let disk = FakeDisk::default();
+    for (name, digits) in FOLDER_WITHOUT_START {
+        disk.put(name, bytes_of(digits));
+    }
+    let (_, state) = open_at(&disk, 1000);
+    assert_eq!(state.start, 1000);
+    assert_eq!(state.vote.term, 2);
+    assert_eq!(state.entries.len(), 2);
+    let known = MemberStart {
+        member: 18,
+        start: 1_700_000_000_002,
+    };
+    assert_eq!(state.starts, [known]);
+    assert_eq!(open_at(&disk, 5).1.start, 1001);
+}
+
 /// Guards against acknowledgements after a failed sync.
 #[test]
 fn a_failed_sync_refuses_further_writes() {
--- a/crates/ragwortroad_node/src/member/state_replica.rs
+++ b/crates/ragwortroad_node/src/member/state_replica.rs
@@ -55,7 +55,6 @@
     pub(crate) halted: bool,
     next_token: u64,
     settings: CoreSettings,
-    start: u64,
 }
 
 /// What a replica is created from.
@@ -65,7 +64,7 @@
     /// A random number; becomes the identity of an empty data folder.
     pub(crate) fresh_identity: u64,
     /// Wall clock time of this process's start, in milliseconds.
-    pub(crate) start: u64,
+    pub(crate) started_wall_ms: u64,
     /// The current time.
     pub(crate) now: ClockTime,
     /// Receives the reports of the disk thread.
@@ -82,6 +81,7 @@
             path,
             fresh_identity: start.fresh_identity,
             boot_id: current_boot_id(),
+            min_start: start.started_wall_ms,
             quota_bytes: start.settings.state.data_quota,
             ..FolderSettings::default()
         };
@@ -112,7 +112,6 @@
             halted: false,
             next_token: 0,
             settings: core_settings(&start.settings.state),
-            start: start.start,
         }))
     }
 
@@ -145,7 +144,6 @@
         };
         let start = CoreStart {
             stored,
-            start: self.start,
             initial_members,
         };
         match ConsensusCore::new(self.settings.clone(), start, now, seed) {
--- a/crates/ragwortroad_node/src/node_process.rs
+++ b/crates/ragwortroad_node/src/node_process.rs
@@ -317,7 +317,7 @@
         settings: &settings,
         node,
         fresh_identity: random.next_u64(),
-        start: incarnation,
+        started_wall_ms: incarnation,
         now,
         reports,
     })?;
--- a/crates/ragwortroad_registry/src/consensus_driver.rs
+++ b/crates/ragwortroad_registry/src/consensus_driver.rs
@@ -72,7 +72,6 @@
     history: DeltaHistory,
     /// The frame of an earlier start that was ignored last.
     stale_frame: Option<StaleFrame>,
-    start: u64,
     seed: u64,
 }
 
@@ -86,8 +85,6 @@
     pub(crate) settings: CoreSettings,
     /// Worker thread that owns the data folder.
     pub(crate) disk: FolderWorker,
-    /// Wall-clock time in Unix milliseconds, which distinguishes this start from earlier ones.
-    pub(crate) start: u64,
     /// Random seed of the consensus core.
     pub(crate) seed: u64,
 }
@@ -109,7 +106,6 @@
             drains: DomainDrains::default(),
             history: DeltaHistory::default(),
             stale_frame: None,
-            start: options.start,
             seed: options.seed,
         }
     }
@@ -207,6 +203,7 @@
             FolderReport::Opened { generation, stored } => {
                 tracing::info!(
                     identity = stored.identity,
+                    start = stored.start,
                     entries = stored.entries.len(),
                     has_snapshot = stored.snapshot.is_some(),
                     "data folder opened"
@@ -244,11 +241,6 @@
     }
 
     /// Creates the core once it is decided whether this registry bootstraps a group.
-    /// Wall-clock time in Unix milliseconds at which the process started.
-    pub(crate) fn start(&self) -> u64 {
-        self.start
-    }
-
     fn try_start(&mut self, now: ClockTime) -> Vec<DriverEffect> {
         if self.core.is_some() || self.stored.is_none() {
             return Vec::new();
@@ -264,11 +256,8 @@
         };
         self.bootstrap = None;
         self.seed = self.seed.wrapping_add(1);
-        // Acknowledgements from before the folder failed must not count for the reopened folder.
-        self.start += 1;
         let start = CoreStart {
             stored,
-            start: self.start,
             initial_members: members,
         };
         match ConsensusCore::new(self.settings.clone(), start, now, self.seed) {
@@ -290,6 +279,7 @@
             return Vec::new();
         };
         let recalled = core.recalled_index();
+        let start = core.start();
         let actions = core.handle(input, now);
         if let Some(stale) = core.take_stale_frame() {
             metrics::counter!(metric_names::STALE_STARTS).increment(1);
@@ -302,6 +292,14 @@
                 );
             }
         }
+        if core.start() != start {
+            let raised = core.start();
+            tracing::warn!(
+                start,
+                raised,
+                "raised the start number above one that others know"
+            );
+        }
         if core.recalled_index() != recalled {
             let index = core.recalled_index();
             tracing::info!(index, "recalled the state that a quorum has on disk");
--- a/crates/ragwortroad_registry/src/folder_worker.rs
+++ b/crates/ragwortroad_registry/src/folder_worker.rs
@@ -60,7 +60,7 @@
         let (requests, queue) = flume::unbounded();
         let thread = Builder::new()
             .name("disk".to_owned())
-            .spawn(move || serve_folder(&settings, &queue, &events))?;
+            .spawn(move || serve_folder(settings, &queue, &events))?;
         Ok(Self { requests, thread })
     }
 
@@ -81,15 +81,17 @@
 }
 
 fn serve_folder(
-    settings: &FolderSettings,
+    mut settings: FolderSettings,
     queue: &Receiver<PersistRequest>,
     events: &Sender<RegistryEvent>,
 ) {
     let mut generation = 0;
     while !queue.is_disconnected() {
         generation += 1;
-        match LogFolder::open(settings) {
+        match LogFolder::open(&settings) {
             Ok((folder, stored)) => {
+                // The folder may be an empty one by the time it is reopened.
+                settings.min_start = stored.start + 1;
                 let stored = Box::new(stored);
                 let report = FolderReport::Opened { generation, stored };
                 if events.send(RegistryEvent::Folder(report)).is_err() {
--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -57,6 +57,7 @@
 mod registry_state;
 mod registry_stores;
 mod spread_flow;
+mod start_time;
 mod status_flow;
 mod stop_stage;
 mod store_error;
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -62,6 +62,7 @@
     },
     registry_state::RegistryState,
     registry_stores::RegistryStores,
+    start_time::StartTime,
     version_store::VersionStore, //
 };
 
@@ -198,10 +199,15 @@
     events: &Sender<RegistryEvent>,
     clock: &RealClock,
 ) -> Result<RegistryState, RegistryError> {
+    let started = StartTime {
+        clock: clock.now(),
+        wall_ms: clock.wall_ms(),
+    };
     let folder = FolderSettings {
         path: folder,
         fresh_identity: random(),
         boot_id: current_boot_id(),
+        min_start: started.wall_ms,
         quota_bytes: settings.data_quota,
         ..FolderSettings::default()
     };
@@ -243,10 +249,9 @@
         initial_members: initial_members_of(&settings),
         settings: core_settings(&settings),
         disk,
-        start: clock.wall_ms(),
         seed: random(),
     });
-    Ok(RegistryState::new(settings, driver, stores, clock.now()))
+    Ok(RegistryState::new(settings, driver, stores, started))
 }
 
 async fn run_loop(
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -35,7 +35,8 @@
         LinkKey,
         RegistryEvent, //
     },
-    registry_stores::RegistryStores, //
+    registry_stores::RegistryStores,
+    start_time::StartTime, //
 };
 
 /// Time between two rounds of periodic maintenance.
@@ -52,6 +53,8 @@
     /// Losses that the group must bear.
     pub(crate) tolerance: LossTolerance,
     pub(crate) started_at: ClockTime,
+    /// Time of day at which the process started, in Unix milliseconds.
+    started_wall_ms: u64,
     pub(crate) discovery: EdgeDiscovery,
     /// Whether edges are told the version of the configuration.
     pub(crate) announces_config: bool,
@@ -157,8 +160,9 @@
         settings: ForwardSettings,
         driver: ConsensusDriver,
         stores: RegistryStores,
-        now: ClockTime,
+        started: StartTime,
     ) -> Self {
+        let now = started.clock;
         let link_account = LinkAccount::new(settings.link_bytes_per_second());
         let tolerance = LossTolerance {
             disks: settings.tolerated_disk_losses,
@@ -176,6 +180,7 @@
             },
             tolerance,
             started_at: now,
+            started_wall_ms: started.wall_ms,
             discovery: EdgeDiscovery::new(now),
             links: BTreeMap::new(),
             edges: BTreeMap::new(),
@@ -382,7 +387,7 @@
     /// Unix milliseconds according to the time of day at which this process started. Unlike the time
     /// of day it does not jump.
     pub(crate) fn wall_ms(&self, now: ClockTime) -> u64 {
-        self.driver.start() + now.since(self.started_at).as_millis() as u64
+        self.started_wall_ms + now.since(self.started_at).as_millis() as u64
     }
 
     pub(crate) fn new_token(&mut self) -> u64 {
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -12,6 +12,7 @@
 use flume::Receiver;
 use ragwortroad_clock::prelude::*;
 use ragwortroad_consensus::prelude::*;
+use ragwortroad_log::prelude::*;
 use ragwortroad_settings::prelude::*;
 use ragwortroad_types::prelude::*;
 use tempfile::TempDir;
@@ -55,6 +56,10 @@
     /// Starts a registry in whose group any `tolerated_disk_losses` disks may be lost.
     fn start_with(tolerated_disk_losses: usize) -> Self {
         let folder = tempfile::tempdir().expect("failed to create a temporary directory");
+        Self::start_in(folder, tolerated_disk_losses)
+    }
+
+    fn start_in(folder: TempDir, tolerated_disk_losses: usize) -> Self {
         let inner = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1);
         let settings = ForwardSettings {
             inner,
@@ -233,3 +238,23 @@
     );
     assert_eq!(registry.state.driver.register().version(), None);
 }
+
+/// Guards against a registry that is ignored by its group since its clock was set back.
+#[test]
+fn a_start_number_is_above_that_of_a_start_with_the_clock_ahead() {
+    let folder = tempfile::tempdir().expect("failed to create a temporary directory");
+    let wall_ms = RealClock::start().wall_ms();
+    let ahead = wall_ms + 3_600_000;
+    let settings = FolderSettings {
+        path: folder.path().join("data"),
+        fresh_identity: 17,
+        min_start: ahead,
+        ..FolderSettings::default()
+    };
+    drop(LogFolder::open(&settings).expect("failed to create the data folder"));
+    let registry = LeadingRegistry::start_in(folder, 0);
+    let start = registry.state.driver.core().map(ConsensusCore::start);
+    assert_eq!(start, Some(ahead + 1));
+    let time_of_day = registry.state.wall_ms(registry.now);
+    assert!((wall_ms..ahead).contains(&time_of_day), "{time_of_day}");
+}
