--- a/crates/ragwortroad_consensus/tests/schedules/main.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/main.rs
@@ -83,6 +83,18 @@
     assert!(counts.lost_disks > 20 && counts.torn_writes > 20);
 }
 
+/// Guards against members that are ignored, or whose old acknowledgements count, since their clocks
+/// were set back.
+#[test]
+fn steps_of_the_time_of_day_preserve_safety() {
+    let counts = run_all("clock steps", 28, &[], |seed| SimPlan {
+        wall_step_ms: 30_000,
+        rollback_percent: 0,
+        ..all_faults(seed)
+    });
+    assert!(counts.lost_disks > 20 && counts.torn_writes > 20);
+}
+
 /// Guards against lost commands after a VM was restored from a backup.
 #[test]
 fn disk_rollbacks_preserve_safety() {
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_plan.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_plan.rs
@@ -25,6 +25,8 @@
     pub(crate) slow_write_percent: u32,
     /// Drift of the clocks, in parts per million.
     pub(crate) drift_ppm: i64,
+    /// Largest step of the time of day, drawn anew at every start of a node.
+    pub(crate) wall_step_ms: u64,
     /// Kinds of faults to inject, with equal probability.
     pub(crate) kinds: Vec<FaultKind>,
     /// Probability of a disk rollback at each check of the operator, if the group can tolerate it.
@@ -47,6 +49,7 @@
             client_every_ms: 60,
             slow_write_percent: 2,
             drift_ppm: 10_000,
+            wall_step_ms: 0,
             kinds: FaultKind::ALL.to_vec(),
             rollback_percent: 1,
             core: Self::small_limits(),
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
@@ -176,7 +176,7 @@
         let settings = FolderSettings {
             fresh_identity,
             boot_id: self.nodes[node].boot.to_string(),
-            min_start: FIRST_START_NUMBER + self.now_us,
+            min_start: self.time_of_day(node),
             ..FolderSettings::default()
         };
         let disk = self.nodes[node].disk.clone();
@@ -209,6 +209,15 @@
         self.run_actions(node, actions);
     }
 
+    /// The time of day on a node, which its steps set back or ahead.
+    fn time_of_day(&self, node: usize) -> u64 {
+        let range = self.plan.wall_step_ms * 1000 + 1;
+        // Other draws stay the same without steps.
+        let mut rng = Pcg64Mcg::seed_from_u64(self.now_us ^ node as u64);
+        let step: u64 = rng.random_range(0..range);
+        FIRST_START_NUMBER + self.now_us + step
+    }
+
     pub(crate) fn local_time(&self, node: usize) -> ClockTime {
         self.nodes[node].clock.reading(self.now_us)
     }
