--- a/crates/ragwortroad_consensus/tests/schedules/slow_syncs.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/slow_syncs.rs
@@ -174,3 +174,16 @@
         time_to_leader(&mut world, 5_000_000).is_some()
     });
 }
+
+/// Guards against members that ignore each other after the time of day went back.
+#[test]
+fn a_group_whose_clocks_went_back_elects_a_leader() {
+    assert_elected(|seed| {
+        let mut world = settled(seed, VOTERS);
+        restart(&mut world, VOTERS);
+        world.run_until(SETTLE_US + 1_000_000);
+        world.clock_step_us = 3_000_000;
+        restart(&mut world, SURVIVORS);
+        time_to_leader(&mut world, RECOVERY_US).is_some()
+    });
+}
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
@@ -57,6 +57,8 @@
     pub(crate) sync_us: Option<Range<u64>>,
     /// Time that each write of a node takes; overrides `sync_us`.
     pub(crate) node_sync_us: BTreeMap<usize, Range<u64>>,
+    /// By how much the time of day has gone back on all nodes.
+    pub(crate) clock_step_us: u64,
     events: BTreeMap<(u64, u64), SimEvent>,
     next_event: u64,
     pub(crate) next_token: u64,
@@ -97,6 +99,7 @@
             is_fault_free: false,
             sync_us: None,
             node_sync_us: BTreeMap::new(),
+            clock_step_us: 0,
             events: BTreeMap::new(),
             next_event: 0,
             next_token: 1,
@@ -179,6 +182,7 @@
         let settings = FolderSettings {
             fresh_identity,
             boot_id: self.nodes[node].boot.to_string(),
+            min_start: self.time_of_day(node),
             ..FolderSettings::default()
         };
         let disk = self.nodes[node].disk.clone();
@@ -198,7 +202,6 @@
         let is_bootstrapping = node == 0 && stored.is_new && self.now_us <= 1000;
         let start = CoreStart {
             stored,
-            start: FIRST_START_NUMBER + self.now_us,
             initial_members: self.initial_members.clone().filter(|_| is_bootstrapping),
         };
         let now = self.local_time(node);
@@ -212,6 +215,15 @@
         self.run_actions(node, actions);
     }
 
+    /// The time of day on a node, which its steps set back or ahead.
+    fn time_of_day(&self, node: usize) -> u64 {
+        let range = self.plan.wall_step_ms * 1000 + 1;
+        // Other draws stay the same without steps.
+        let mut rng = Pcg64Mcg::seed_from_u64(self.now_us ^ node as u64);
+        let step: u64 = rng.random_range(0..range);
+        FIRST_START_NUMBER + self.now_us + step - self.clock_step_us
+    }
+
     pub(crate) fn local_time(&self, node: usize) -> ClockTime {
         self.nodes[node].clock.reading(self.now_us)
     }
