Acknowledge a goodbye once as many registries keep it as may be lost

Callers would see: an endpoint whose goodbye was acknowledged gets requests again after the loss of two registries, which the deployment is to bear. Found by reading, not seen in a run.

Cause: a report of an endpoint that leaves was acknowledged once one other registry kept it, in memory: two copies, whatever number may be lost.

Evidence: the new test failed on the logic before ("2 others": Done after the answer of the first one, two losses tolerated).

Change: as many other registries as losses are tolerated must keep a report, at least one, and no more than are known. One more than needed is asked at once, as before, and all after 200 ms. A registry that answers twice counts once. With one tolerated loss, the same messages are sent as before.

The time of a goodbye among real processes with two tolerated losses was not measured.

--- a/crates/ragwortroad_registry/src/notice_batch.rs
+++ b/crates/ragwortroad_registry/src/notice_batch.rs
@@ -1,3 +1,8 @@
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr, //
+};
+
 use ragwortroad_types::prelude::*;
 
 use crate::queued_notice::QueuedNotice;
@@ -6,6 +11,8 @@
 #[derive(Debug)]
 pub(crate) struct NoticeBatch {
     pub(crate) notices: Vec<QueuedNotice>,
+    /// Other registries that keep the notices.
+    pub(crate) keepers: BTreeSet<SocketAddr>,
     pub(crate) sent_at: ClockTime,
     /// Whether it was sent to all registries for publication.
     pub(crate) is_repeated: bool,
--- a/crates/ragwortroad_registry/src/notice_flow.rs
+++ b/crates/ragwortroad_registry/src/notice_flow.rs
@@ -1,9 +1,13 @@
 //! Handles reports of endpoints that leave: goodbyes, and announcements of draining endpoints.
 //!
-//! A report is acknowledged once another registry keeps it and publishes it to its edges, so that
-//! it survives the loss of any one registry and of its disk.
+//! A report is acknowledged once as many other registries as may be lost keep it and publish it to
+//! their edges, so that it survives their loss.
 
-use std::time::Duration;
+use std::{
+    collections::BTreeSet,
+    net::SocketAddr,
+    time::Duration, //
+};
 
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
@@ -19,10 +23,9 @@
     registry_state::RegistryState, //
 };
 
-/// Number of other registries that publish a notice to their edges.
-///
-/// With two, a frozen one does not delay the acknowledgement.
-const PUBLISHERS: usize = 2;
+/// Number of other registries that are asked for an acknowledgement beyond those that are needed, so
+/// that a frozen one does not delay it.
+const SPARE_PUBLISHERS: usize = 1;
 
 /// Time after which a notice is sent to all registries for publication.
 const NOTICE_RETRY_TIME: Duration = Duration::from_millis(200);
@@ -37,7 +40,7 @@
 const MAX_NOTICE_BATCHES: usize = 256;
 
 impl RegistryState {
-    /// Keeps a notice that this registry has applied, and replies once another registry has it.
+    /// Keeps a notice that this registry has applied, and replies once enough other registries have it.
     pub(crate) fn enqueue_notice(
         &mut self,
         change: RegistryChange,
@@ -45,7 +48,7 @@
         now: ClockTime,
     ) {
         let notice = QueuedNotice { change, reply };
-        if self.known_registries(now).len() == 1 {
+        if self.needed_keepers(now) == 0 {
             self.finish_notice(notice);
             return;
         }
@@ -59,6 +62,13 @@
         self.pending_notices.push(notice);
     }
 
+    /// Number of other registries that must keep a notice: as many as may be lost, and at least one,
+    /// as far as there are others.
+    fn needed_keepers(&self, now: ClockTime) -> usize {
+        let others = self.known_registries(now).len() - 1;
+        self.tolerance.disks.max(1).min(others)
+    }
+
     /// Sends the notices received since the last call to the other registries.
     pub(crate) fn send_notices(&mut self, now: ClockTime) {
         if self.pending_notices.is_empty() {
@@ -66,6 +76,7 @@
         }
         let notices = std::mem::take(&mut self.pending_notices);
         let token = self.new_token();
+        let publishers = self.needed_keepers(now) + SPARE_PUBLISHERS;
         let changes: Vec<_> = notices.iter().map(|notice| notice.change.clone()).collect();
         let queues = self.peers.values().filter_map(|peer| peer.queue.as_ref());
         let queues: Vec<&LinkQueue> = queues.collect();
@@ -73,25 +84,29 @@
             // Each batch has other publishers, which spreads their work.
             let rank = (index + token as usize) % queues.len();
             queue.send(&LinkMessage::KeepNotices {
-                token: (rank < PUBLISHERS).then_some(token),
+                token: (rank < publishers).then_some(token),
                 notices: changes.clone(),
             });
         }
         let batch = NoticeBatch {
             notices,
+            keepers: BTreeSet::new(),
             sent_at: now,
             is_repeated: false,
         };
         self.notice_batches.insert(token, batch);
     }
 
-    /// Repeats notices that no registry has acknowledged, and refuses those that are too late.
+    /// Repeats notices that too few registries have acknowledged, and refuses those that are too late.
     pub(crate) fn retry_notices(&mut self, now: ClockTime) {
         let batches = std::mem::take(&mut self.notice_batches);
         for (token, mut batch) in batches {
             let waited = now.since(batch.sent_at);
             if waited >= NOTICE_TIMEOUT {
-                let reason = "no other registry has taken the report in time; send it again";
+                let reason = match batch.keepers.is_empty() {
+                    true => "no other registry has taken the report in time; send it again",
+                    false => "too few registries have taken the report in time; send it again",
+                };
                 for notice in batch.notices {
                     send_reply(notice.reply, ControlReply::Unavailable { reason });
                 }
@@ -142,8 +157,16 @@
         }
     }
 
-    /// Acknowledges the notices of a batch, which another registry keeps now.
-    pub(crate) fn finish_notices(&mut self, token: u64) {
+    /// Records that another registry keeps the notices of a batch, and acknowledges them once enough do.
+    pub(crate) fn finish_notices(&mut self, keeper: SocketAddr, token: u64, now: ClockTime) {
+        let needed = self.needed_keepers(now);
+        let Some(batch) = self.notice_batches.get_mut(&token) else {
+            return;
+        };
+        batch.keepers.insert(keeper);
+        if batch.keepers.len() < needed {
+            return;
+        }
         let batch = self.notice_batches.remove(&token);
         for notice in batch.into_iter().flat_map(|batch| batch.notices) {
             self.finish_notice(notice);
--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -217,10 +217,15 @@
     }
 
     /// Handles a message that another registry sent on the link dialled to it.
-    pub(crate) fn handle_peer_message(&mut self, message: LinkMessage, now: ClockTime) {
+    pub(crate) fn handle_peer_message(
+        &mut self,
+        peer: SocketAddr,
+        message: LinkMessage,
+        now: ClockTime,
+    ) {
         match message {
             LinkMessage::ForwardDone { token, outcome } => self.finish_put(token, outcome, now),
-            LinkMessage::NoticesKept { token } => self.finish_notices(token),
+            LinkMessage::NoticesKept { token } => self.finish_notices(peer, token, now),
             LinkMessage::ReadDone { token, index } => self.index_read(token, index, now),
             other => tracing::warn!(?other, "ignored an unexpected message from a registry"),
         }
--- a/crates/ragwortroad_registry/src/registry_state.rs
+++ b/crates/ragwortroad_registry/src/registry_state.rs
@@ -75,7 +75,7 @@
     pub(crate) queued_drains: BTreeMap<u64, QueuedDrain>,
     /// Notices to be sent to the other registries.
     pub(crate) pending_notices: Vec<QueuedNotice>,
-    /// Notices that no other registry has acknowledged, keyed by token.
+    /// Notices that too few other registries have acknowledged, keyed by token.
     pub(crate) notice_batches: BTreeMap<u64, NoticeBatch>,
     pub(crate) queued_reads: BTreeMap<u64, QueuedRead>,
     pub(crate) indexed_reads: Vec<IndexedRead>,
@@ -252,7 +252,9 @@
             }
             RegistryEvent::PeerConnected { peer, queue } => self.attach_peer(peer, queue, now),
             RegistryEvent::Received { link, message } => self.handle_message(link, message, now),
-            RegistryEvent::PeerReceived { message, .. } => self.handle_peer_message(message, now),
+            RegistryEvent::PeerReceived { peer, message } => {
+                self.handle_peer_message(peer, message, now);
+            }
             RegistryEvent::LinkClosed { link } => self.handle_link_closed(link),
             RegistryEvent::PeerDisconnected { peer } => {
                 if let Some(entry) = self.peers.get_mut(&peer) {
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -12,6 +12,8 @@
 use flume::Receiver;
 use ragwortroad_clock::prelude::*;
 use ragwortroad_consensus::prelude::*;
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
 use ragwortroad_settings::prelude::*;
 use ragwortroad_types::prelude::*;
 use tempfile::TempDir;
@@ -25,7 +27,10 @@
     ControlReply,
     call_flow::CALL_TIMEOUT,
     put_flow::MAX_COMMAND_BYTES,
-    registry_event::RegistryEvent,
+    registry_event::{
+        LinkKey,
+        RegistryEvent, //
+    },
     registry_process::start_state,
     registry_state::RegistryState, //
 };
@@ -110,6 +115,59 @@
         receiver
     }
 
+    /// Connects an edge, without which no endpoint is heard.
+    fn connect_edge(&mut self) {
+        let link = LinkKey(1);
+        let address = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 2);
+        let (queue, _) = LinkQueue::new(&LinkSettings::default());
+        self.handle(RegistryEvent::LinkAccepted { link, queue });
+        let message = LinkMessage::EdgeHello {
+            node: "edge".to_owned(),
+            address,
+            inner: address,
+            stage: EdgeStage::Ready,
+            zone: "a".to_owned(),
+            relay_key: RelayKey::default(),
+        };
+        self.handle(RegistryEvent::Received { link, message });
+    }
+
+    /// Connects another registry, both ways; returns its address.
+    fn connect_peer(&mut self, host: u8) -> SocketAddr {
+        let link = LinkKey(host.into());
+        let address = SocketAddr::new(Ipv4Addr::new(127, 0, 0, host).into(), 1);
+        let (queue, _) = LinkQueue::new(&LinkSettings::default());
+        self.handle(RegistryEvent::LinkAccepted { link, queue });
+        let message = LinkMessage::MemberHello(MemberHello {
+            address,
+            member: None,
+            is_empty: true,
+            known: Vec::new(),
+        });
+        self.handle(RegistryEvent::Received { link, message });
+        let (queue, _) = LinkQueue::new(&LinkSettings::default());
+        let peer = address;
+        self.handle(RegistryEvent::PeerConnected { peer, queue });
+        peer
+    }
+
+    fn handle(&mut self, event: RegistryEvent) {
+        self.state.handle(event, self.now);
+    }
+
+    fn answer(&mut self, peer: SocketAddr, message: LinkMessage) {
+        self.handle(RegistryEvent::PeerReceived { peer, message });
+    }
+
+    fn say_goodbye(&mut self) -> ReplyReceiver {
+        let (reply, receiver) = oneshot::channel();
+        let name = "endpoint".to_owned();
+        let call = ControlCall::Goodbye { name };
+        let client = Ipv4Addr::LOCALHOST.into();
+        self.state.handle_call(call, client, reply, self.now);
+        receiver
+    }
+
     /// Decides the proposal in flight; the next one must wait for a tick.
     fn decide(&mut self, result: ProposeResult) {
         let token = self.state.proposed_put.expect("no proposal in flight");
@@ -233,3 +291,33 @@
     );
     assert_eq!(registry.state.driver.register().version(), None);
 }
+
+/// Guards against endpoints that are taken for running after a loss that is tolerated.
+#[test]
+fn a_goodbye_is_acknowledged_once_as_many_others_keep_it_as_may_be_lost() {
+    for (others, needed) in [(0, 0), (1, 1), (2, 2), (4, 2)] {
+        let mut registry = LeadingRegistry::start_with(2);
+        registry.connect_edge();
+        let peers: Vec<_> = (2..2 + others)
+            .map(|host| registry.connect_peer(host))
+            .collect();
+        let mut receiver = registry.say_goodbye();
+        registry.tick();
+        let token = registry.state.notice_batches.keys().next().copied();
+        for index in 0..needed {
+            let token = token.expect("the goodbye waits for other registries");
+            // A repeated request brings another answer of the same registry.
+            for peer in &peers[..index] {
+                registry.answer(*peer, LinkMessage::NoticesKept { token });
+            }
+            let reply = receiver.try_recv();
+            assert_eq!(reply, Err(TryRecvError::Empty), "{others} others");
+            registry.answer(peers[index], LinkMessage::NoticesKept { token });
+        }
+        assert_eq!(
+            receiver.try_recv(),
+            Ok(ControlReply::Done),
+            "{others} others"
+        );
+    }
+}
