Count registries that vote soon in the majorities of software versions

Callers would see: a stream that is taken up again goes on at another software version than the one that began it.

When the group has grown, a majority of it need not contain a registry that keeps the version, and is taken for a proof that there was no stream of it.

Evidence: the new test failed before ("2 keepers": streams begin, and the seven others count as a majority of nine that knows of one version).

Change: an edge counts with the number of voters that the registries known make, an odd number and nine at most, if it is larger than the number of voters. A stream then begins, and another majority counts, only with more than half of these.

Result: the tests of versions and of stream origins pass. The other tests of edges and of whole fleets were not run.

--- a/crates/ragwortroad_dispatch/src/version_quorum.rs
+++ b/crates/ragwortroad_dispatch/src/version_quorum.rs
@@ -6,7 +6,8 @@
 use crate::{
     ServiceTag,
     SourceKey,
-    VersionTag, //
+    VersionTag,
+    VoterSettings, //
 };
 
 /// Which registries keep which software versions on disk, as an edge knows it.
@@ -14,12 +15,15 @@
 /// A stream that may be taken up again begins only at a version that a majority of the voting
 /// registries keeps. Whatever stops afterwards, a majority that is asked for the versions of the
 /// service then contains a registry that knows this one.
+///
+/// Registries that do not vote yet count as if they did: a majority of a young group is no majority
+/// of the group that it grows to.
 #[derive(Debug, Default)]
 pub struct VersionQuorum {
     /// What each registry said last. It holds while the registry is unreachable: what is on a disk
     /// does not end with a connection.
     kept: BTreeMap<SourceKey, BTreeSet<VersionTag>>,
-    /// Number of voters that each registry said last; never 0.
+    /// Number of voters that the group of each registry has or grows to, as it said last; never 0.
     voters: BTreeMap<SourceKey, u32>,
 }
 
@@ -29,14 +33,16 @@
         self.kept.insert(source, versions.into_iter().collect());
     }
 
-    /// Records the number of voters that a registry knows; 0 if it has not joined the group yet.
-    pub fn set_voters(&mut self, source: SourceKey, voters: u32) {
+    /// Records the number of voters that a registry knows, 0 if it has not joined the group yet, and
+    /// the number of registries that it knows, which may become voters.
+    pub fn set_voters(&mut self, source: SourceKey, voters: u32, registries: u32) {
         if voters > 0 {
+            let voters = voters.max(largest_group(registries));
             self.voters.insert(source, voters);
         }
     }
 
-    /// Number of voting registries; 0 before any registry has told.
+    /// Number of registries that vote or may soon do; 0 before any registry has told.
     pub fn voters(&self) -> u32 {
         self.voters.values().copied().max().unwrap_or(0)
     }
@@ -64,3 +70,10 @@
         voters > 0 && keepers.count() > voters as usize / 2
     }
 }
+
+/// Number of voters that a group of this many registries grows to.
+fn largest_group(registries: u32) -> u32 {
+    let most = registries.min(VoterSettings::default().max_voters as u32);
+    // The number of voters stays odd.
+    most.saturating_sub(1) / 2 * 2 + 1
+}
--- a/crates/ragwortroad_dispatch/tests/version_ledger.rs
+++ b/crates/ragwortroad_dispatch/tests/version_ledger.rs
@@ -146,11 +146,11 @@
         quorum.kept_versions(service).is_empty(),
         "no voters are known"
     );
-    quorum.set_voters(SourceKey(1), 3);
+    quorum.set_voters(SourceKey(1), 3, 3);
     assert_eq!(quorum.kept_versions(service), [tag(1)]);
-    quorum.set_voters(SourceKey(2), 0);
+    quorum.set_voters(SourceKey(2), 0, 3);
     assert_eq!(quorum.kept_versions(service), [tag(1)]);
-    quorum.set_voters(SourceKey(2), 5);
+    quorum.set_voters(SourceKey(2), 5, 5);
     assert!(quorum.kept_versions(service).is_empty());
     quorum.set_kept(SourceKey(3), [tag(1), tag(2)]);
     assert_eq!(quorum.kept_versions(service), [tag(1)]);
@@ -160,6 +160,36 @@
     assert!(quorum.kept_versions(service).is_empty());
 }
 
+/// Guards against streams that continue at another version after the group has grown.
+#[test]
+fn a_majority_of_a_grown_group_knows_each_version_at_which_streams_began() {
+    let mut quorum = VersionQuorum::default();
+    let service = tag(1).service;
+    quorum.set_voters(SourceKey(1), 3, 9);
+    for keepers in 1..=9_u32 {
+        quorum.set_kept(SourceKey(keepers), [tag(2)]);
+        let has_begun = quorum.kept_versions(service) == [tag(2)];
+        // The others become voters and have not heard of the version.
+        let mut lookup = OriginLookup::default();
+        for source in keepers + 1..=9 {
+            let answer = OriginAnswer {
+                origin: None,
+                versions: vec![tag(1)],
+                is_complete: true,
+            };
+            lookup.add(SourceKey(source), answer);
+        }
+        let only = lookup.only_version([].into_iter(), 9);
+        assert!(!has_begun || only.is_none(), "{keepers} keepers");
+        assert_eq!(has_begun, keepers >= 5, "{keepers} keepers");
+    }
+    // A group has an odd number of voters, and nine at most.
+    for (registries, voters) in [(1, 3), (4, 3), (6, 5), (20, 9)] {
+        quorum.set_voters(SourceKey(1), 3, registries);
+        assert_eq!(quorum.voters(), voters, "{registries} registries");
+    }
+}
+
 /// A registry of the model.
 struct ModelRegistry {
     ledger: VersionLedger,
@@ -197,7 +227,7 @@
             writing: None,
         });
         let mut quorum = VersionQuorum::default();
-        quorum.set_voters(SourceKey(0), REGISTRIES as u32);
+        quorum.set_voters(SourceKey(0), REGISTRIES as u32, REGISTRIES as u32);
         Self {
             registries: registries.collect(),
             messages: Vec::new(),
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -127,7 +127,8 @@
                 link.voters = voters;
                 link.hears = hears;
             }
-            state.version_quorum.set_voters(source, voters);
+            let known = registries.len() as u32;
+            state.version_quorum.set_voters(source, voters, known);
             drop(state);
             dial_registries(shared, registries);
         }
