Sync origins of streams although further ones keep coming

While streams begin more often than that, nothing was synced until the file was full or a minute old.

Evidence: the new test failed before ("no sync in 5.01 s", a record each 10 ms).

Change: a sync is due 250 ms after the first record that is not synced, and goes before further records.

Also: the test of goodbyes does not wait for an election any more. On a machine with a load of 14 to 20 it timed out at the start of a registry in one of four runs.

--- a/crates/ragwortroad_registry/src/origin_store.rs
+++ b/crates/ragwortroad_registry/src/origin_store.rs
@@ -37,7 +37,7 @@
 ///
 /// The kill of all processes loses none of them; a loss of power loses those of this time, and the
 /// streams are refused when they come back.
-const SYNC_DELAY: Duration = Duration::from_millis(250);
+pub(crate) const SYNC_DELAY: Duration = Duration::from_millis(250);
 
 /// Size of one file of the journal in bytes.
 const MAX_JOURNAL_FILE_BYTES: usize = 1 << 20;
@@ -54,7 +54,7 @@
 
 /// Work for the thread.
 #[derive(Debug)]
-enum OriginRequest {
+pub(crate) enum OriginRequest {
     Append(Vec<StreamOrigin>),
     Clear,
 }
@@ -94,25 +94,39 @@
 }
 
 fn serve_requests(folder: &Path, queue: &Receiver<OriginRequest>, events: &Sender<RegistryEvent>) {
-    let Some((mut journal, records)) = open_journal(folder, queue) else {
+    let Some((journal, records)) = open_journal(folder, queue) else {
         return;
     };
     let origins: Vec<StreamOrigin> = records.iter().flat_map(|record| decode(record)).collect();
     if events.send(RegistryEvent::OriginsLoaded(origins)).is_err() {
         return;
     }
+    serve_journal(journal, queue);
+}
+
+/// Serves requests until the queue is disconnected.
+pub(crate) fn serve_journal(mut journal: RotatingJournal, queue: &Receiver<OriginRequest>) {
     let mut rotate_at = Instant::now() + STREAM_MEMORY;
+    let mut sync_at = Instant::now();
     loop {
         let wait = match journal.is_synced() {
             true => STREAM_MEMORY,
-            false => SYNC_DELAY,
+            false => sync_at.saturating_duration_since(Instant::now()),
         };
-        let done = match queue.recv_timeout(wait) {
+        // A queue that is never empty does not hold up a sync that is due.
+        let received = match wait.is_zero() {
+            true => Err(RecvTimeoutError::Timeout),
+            false => queue.recv_timeout(wait),
+        };
+        let done = match received {
             Ok(OriginRequest::Append(origins)) => {
                 if Instant::now() >= rotate_at {
                     rotate_at = Instant::now() + STREAM_MEMORY;
                     journal.rotate();
                 }
+                if journal.is_synced() {
+                    sync_at = Instant::now() + SYNC_DELAY;
+                }
                 append(&mut journal, &origins)
             }
             Ok(OriginRequest::Clear) => journal.clear().context(DiskSnafu),
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -5,7 +5,11 @@
         Ipv4Addr,
         SocketAddr, //
     },
-    time::Duration, //
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use bytes::Bytes;
@@ -14,6 +18,7 @@
 use ragwortroad_consensus::prelude::*;
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_link::prelude::*;
+use ragwortroad_log::prelude::*;
 use ragwortroad_settings::prelude::*;
 use ragwortroad_types::prelude::*;
 use tempfile::TempDir;
@@ -26,6 +31,11 @@
     ControlCall,
     ControlReply,
     call_flow::CALL_TIMEOUT,
+    origin_store::{
+        OriginRequest,
+        SYNC_DELAY,
+        serve_journal, //
+    },
     put_flow::MAX_COMMAND_BYTES,
     registry_event::{
         LinkKey,
@@ -59,6 +69,16 @@
 
     /// Starts a registry in whose group any `tolerated_disk_losses` disks may be lost.
     fn start_with(tolerated_disk_losses: usize) -> Self {
+        let mut registry = Self::open(tolerated_disk_losses);
+        registry.run_until(|registry| {
+            let core = registry.state.driver.core();
+            core.is_some_and(ConsensusCore::is_leader) && registry.state.driver.applied() > 0
+        });
+        registry
+    }
+
+    /// Starts a registry that does not lead yet.
+    fn open(tolerated_disk_losses: usize) -> Self {
         let folder = tempfile::tempdir().expect("failed to create a temporary directory");
         let inner = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1);
         let settings = ForwardSettings {
@@ -72,18 +92,13 @@
         let path = folder.path().join("data");
         let clock = RealClock::start();
         let state = start_state(settings, path, &sender, &clock);
-        let mut registry = Self {
+        Self {
             state: state.expect("failed to start the registry"),
             events,
             started_at: clock.now(),
             now: clock.now(),
             _folder: folder,
-        };
-        registry.run_until(|registry| {
-            let core = registry.state.driver.core();
-            core.is_some_and(ConsensusCore::is_leader) && registry.state.driver.applied() > 0
-        });
-        registry
+        }
     }
 
     /// Handles events of the disk threads and ticks until a condition is met.
@@ -296,7 +311,7 @@
 #[test]
 fn a_goodbye_is_acknowledged_once_as_many_others_keep_it_as_may_be_lost() {
     for (others, needed) in [(0, 0), (1, 1), (2, 2), (4, 2)] {
-        let mut registry = LeadingRegistry::start_with(2);
+        let mut registry = LeadingRegistry::open(2);
         registry.connect_edge();
         let peers: Vec<_> = (2..2 + others)
             .map(|host| registry.connect_peer(host))
@@ -321,3 +336,24 @@
         );
     }
 }
+
+/// Guards against records that are not synced while further ones keep coming.
+#[test]
+fn origins_are_synced_while_streams_keep_beginning() {
+    let disk = FakeDisk::default();
+    let opened = RotatingJournal::open(DiskPort::Fake(disk.clone()), 1 << 20);
+    let (journal, _) = opened.expect("the journal opens");
+    let (requests, queue) = flume::unbounded();
+    let server = thread::spawn(move || serve_journal(journal, &queue));
+    let started_at = Instant::now();
+    let mut is_synced = false;
+    while !is_synced && started_at.elapsed() < SYNC_DELAY * 20 {
+        let sent = requests.send(OriginRequest::Append(Vec::new()));
+        sent.expect("the journal is served");
+        thread::sleep(SYNC_DELAY / 25);
+        is_synced = disk.sync_counts().0 > 0;
+    }
+    drop(requests);
+    server.join().expect("the journal is served to the end");
+    assert!(is_synced, "no sync in {:?}", started_at.elapsed());
+}
