Acknowledge an order to drain that is in force without a commit of its own

Callers would see: orders to drain a domain are refused each time, although the domain is drained, where a commit takes longer than a call waits (900 ms: a slow sync at a quorum).

Cause: an order that comes again waited for an entry of its own, which takes as long as the one before. The class: a time limit that does not contain a step that it waits for.

Evidence: the new test failed before (the second call: refused).

Change: if the state here already is as ordered, the registry asks for a read index, which needs no disk, and replies once the state up to it is applied and still is so, under the same rule for tolerated losses as other acknowledgements. Otherwise the order goes on as before.

--- a/crates/ragwortroad_registry/src/drain_flow.rs
+++ b/crates/ragwortroad_registry/src/drain_flow.rs
@@ -25,6 +25,7 @@
     },
     put_flow::TOO_FEW_VOTERS,
     queued_drain::QueuedDrain,
+    read_origin::ReadOrigin,
     registry_state::RegistryState, //
 };
 
@@ -66,8 +67,61 @@
             reply,
             received_at: now,
             attempted_at: Some(now),
+            is_read: false,
+            read_index: None,
         };
+        let id = drain.order.id;
         self.attempt_drain(drain, now);
+        self.check_drain(id, now);
+    }
+
+    /// Asks whether an order that the state here already has is in force.
+    ///
+    /// An order may take longer to commit than its operator waits. One that is sent again would wait
+    /// as long for an entry of its own.
+    fn check_drain(&mut self, id: u64, now: ClockTime) {
+        let drains = self.driver.drains();
+        let Some(drain) = self.queued_drains.get_mut(&id) else {
+            return;
+        };
+        let is_known = drains.is_drained(&drain.order.domain) == drain.order.is_drained;
+        if is_known && !drain.is_read {
+            drain.is_read = true;
+            self.enqueue_read(ReadOrigin::Drain { order: id }, now);
+        }
+    }
+
+    /// Records the read index by which an order is checked.
+    pub(crate) fn read_drain(&mut self, id: u64, index: u64) {
+        if let Some(drain) = self.queued_drains.get_mut(&id) {
+            drain.read_index = Some(index);
+        }
+    }
+
+    /// Replies to orders that were in force when they were checked, once that outlasts the losses that
+    /// the settings tolerate.
+    pub(crate) fn finish_drains_in_force(&mut self) {
+        if self.queued_drains.is_empty() || !self.bears_losses() {
+            return;
+        }
+        let (applied, drains) = (self.driver.applied(), self.driver.drains());
+        let is_checked =
+            |drain: &QueuedDrain| drain.read_index.is_some_and(|index| index <= applied);
+        let checked = self.queued_drains.iter();
+        let checked = checked.filter(|(_, drain)| is_checked(drain));
+        let checked = checked.map(|(id, drain)| {
+            let is_drained = drains.is_drained(&drain.order.domain);
+            (*id, is_drained == drain.order.is_drained)
+        });
+        let checked: Vec<(u64, bool)> = checked.collect();
+        for (id, is_in_force) in checked {
+            if is_in_force && let Some(drain) = self.queued_drains.remove(&id) {
+                send_reply(drain.reply, ControlReply::Done);
+            } else if let Some(drain) = self.queued_drains.get_mut(&id) {
+                drain.is_read = false;
+                drain.read_index = None;
+            }
+        }
     }
 
     /// Proposes an order or forwards it to the leader, stamped with the drain revision known here.
@@ -150,10 +204,11 @@
                     id: rand::random(),
                     ..drain.order
                 };
-                let attempted_at = None;
                 let drain = QueuedDrain {
                     order,
-                    attempted_at,
+                    attempted_at: None,
+                    is_read: false,
+                    read_index: None,
                     ..drain
                 };
                 self.queued_drains.insert(drain.order.id, drain);
@@ -177,6 +232,10 @@
 
     /// Retries queued orders and ends those whose operators have switched to another registry.
     pub(crate) fn retry_drains(&mut self, now: ClockTime) {
+        let queued: Vec<u64> = self.queued_drains.keys().copied().collect();
+        for id in queued {
+            self.check_drain(id, now);
+        }
         let drains = std::mem::take(&mut self.queued_drains);
         let is_old = |attempted_at| now.since(attempted_at) >= DRAIN_RETRY_INTERVAL;
         let is_due = |drain: &QueuedDrain| drain.attempted_at.is_none_or(is_old);
--- a/crates/ragwortroad_registry/src/read_flow.rs
+++ b/crates/ragwortroad_registry/src/read_flow.rs
@@ -52,7 +52,7 @@
             self.apply_effects(effects, now);
             return;
         }
-        if !matches!(read.origin, ReadOrigin::Operator(_)) {
+        if matches!(read.origin, ReadOrigin::Asked { .. }) {
             self.index_read(token, None, now);
             return;
         }
@@ -79,7 +79,8 @@
                 reply,
                 received_at: read.received_at,
             }),
-            (origin @ ReadOrigin::Operator(_), None) => {
+            (ReadOrigin::Drain { order }, Some(index)) => self.read_drain(order, index),
+            (origin @ (ReadOrigin::Operator(_) | ReadOrigin::Drain { .. }), None) => {
                 read.origin = origin;
                 read.attempted_at = None;
                 self.queued_reads.insert(token, read);
@@ -90,6 +91,7 @@
 
     /// Replies to the reads whose read index has been applied.
     pub(crate) fn reply_to_applied_reads(&mut self, now: ClockTime) {
+        self.finish_drains_in_force();
         if self.indexed_reads.is_empty() {
             return;
         }
@@ -148,6 +150,8 @@
                     queue.send(&LinkMessage::ReadDone { token, index: None });
                 }
             }
+            // Its operator is told that the order was not taken in time.
+            ReadOrigin::Drain { .. } => {}
         }
     }
 
--- a/crates/ragwortroad_registry/src/read_origin.rs
+++ b/crates/ragwortroad_registry/src/read_origin.rs
@@ -12,4 +12,6 @@
     Operator(oneshot::Sender<ControlReply>),
     /// Another registry, on the link that it dialled.
     Asked { link: LinkKey, token: u64 },
+    /// A queued drain order that the state here already has.
+    Drain { order: u64 },
 }
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -183,6 +183,30 @@
         receiver
     }
 
+    /// Drains domain `a`, or undrains it.
+    fn order(&mut self, is_drained: bool) -> ReplyReceiver {
+        let (reply, receiver) = oneshot::channel();
+        let domain = "a".to_owned();
+        let call = ControlCall::DrainDomain { domain, is_drained };
+        let client = Ipv4Addr::LOCALHOST.into();
+        self.state.handle_call(call, client, reply, self.now);
+        receiver
+    }
+
+    /// Ticks without handling events until there is a reply; `None` if the call was refused as
+    /// unavailable.
+    fn tick_until_reply(&mut self, mut receiver: ReplyReceiver) -> Option<ControlReply> {
+        let give_up_at = self.now.after(CALL_TIMEOUT * 2);
+        loop {
+            match receiver.try_recv() {
+                Ok(ControlReply::Unavailable { .. }) => return None,
+                Ok(reply) => return Some(reply),
+                Err(_) => self.tick(),
+            }
+            assert!(self.now < give_up_at, "the call was not answered");
+        }
+    }
+
     /// Decides the proposal in flight; the next one must wait for a tick.
     fn decide(&mut self, result: ProposeResult) {
         let token = self.state.proposed_put.expect("no proposal in flight");
@@ -357,3 +381,18 @@
     server.join().expect("the journal is served to the end");
     assert!(is_synced, "no sync in {:?}", started_at.elapsed());
 }
+
+/// Guards against orders that are never acknowledged where a sync takes longer than a call waits.
+#[test]
+fn an_order_that_is_in_force_is_acknowledged_without_the_disk() {
+    let mut registry = LeadingRegistry::start();
+    for is_drained in [true, false] {
+        // No report of the disk is handled meanwhile.
+        let first = registry.order(is_drained);
+        assert_eq!(registry.tick_until_reply(first), None, "{is_drained}");
+        registry.run_until(|registry| registry.state.driver.drains().is_drained("a") == is_drained);
+        let second = registry.order(is_drained);
+        let reply = registry.tick_until_reply(second);
+        assert_eq!(reply, Some(ControlReply::Done), "{is_drained}");
+    }
+}
