--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -5,13 +5,19 @@
         Ipv4Addr,
         SocketAddr, //
     },
-    time::Duration, //
+    thread,
+    time::{
+        Duration,
+        Instant, //
+    }, //
 };
 
 use bytes::Bytes;
 use flume::Receiver;
 use ragwortroad_clock::prelude::*;
 use ragwortroad_consensus::prelude::*;
+use ragwortroad_dispatch::prelude::*;
+use ragwortroad_link::prelude::*;
 use ragwortroad_log::prelude::*;
 use ragwortroad_settings::prelude::*;
 use ragwortroad_types::prelude::*;
@@ -26,11 +32,19 @@
     ControlReply,
     call_flow::CALL_TIMEOUT,
     folder_report::FolderReport,
+    origin_store::{
+        OriginRequest,
+        SYNC_DELAY,
+        serve_journal, //
+    },
     put_flow::{
         MAX_COMMAND_BYTES,
         TOO_FEW_VOTERS, //
     },
-    registry_event::RegistryEvent,
+    registry_event::{
+        LinkKey,
+        RegistryEvent, //
+    },
     registry_process::start_state,
     registry_state::RegistryState, //
 };
@@ -59,11 +73,26 @@
 
     /// Starts a registry in whose group any `tolerated_disk_losses` disks may be lost.
     fn start_with(tolerated_disk_losses: usize) -> Self {
+        let mut registry = Self::open(tolerated_disk_losses);
+        registry.wait_until_leader();
+        registry
+    }
+
+    fn wait_until_leader(&mut self) {
+        self.run_until(|registry| {
+            let core = registry.state.driver.core();
+            core.is_some_and(ConsensusCore::is_leader) && registry.state.driver.applied() > 0
+        });
+    }
+
+    /// Starts a registry that does not lead yet.
+    fn open(tolerated_disk_losses: usize) -> Self {
         let folder = tempfile::tempdir().expect("failed to create a temporary directory");
-        Self::start_in(folder, tolerated_disk_losses)
+        Self::open_in(folder, tolerated_disk_losses)
     }
 
-    fn start_in(folder: TempDir, tolerated_disk_losses: usize) -> Self {
+    /// Starts a registry on a given folder; it does not lead yet.
+    fn open_in(folder: TempDir, tolerated_disk_losses: usize) -> Self {
         let inner = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 1);
         let settings = ForwardSettings {
             inner,
@@ -76,18 +105,13 @@
         let path = folder.path().join("data");
         let clock = RealClock::start();
         let state = start_state(settings, path, &sender, &clock);
-        let mut registry = Self {
+        Self {
             state: state.expect("failed to start the registry"),
             events,
             started_at: clock.now(),
             now: clock.now(),
             _folder: folder,
-        };
-        registry.run_until(|registry| {
-            let core = registry.state.driver.core();
-            core.is_some_and(ConsensusCore::is_leader) && registry.state.driver.applied() > 0
-        });
-        registry
+        }
     }
 
     /// Handles events of the disk threads and ticks until a condition is met.
@@ -119,6 +143,83 @@
         receiver
     }
 
+    /// Connects an edge, without which no endpoint is heard.
+    fn connect_edge(&mut self) {
+        let link = LinkKey(1);
+        let address = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), 2);
+        let (queue, _) = LinkQueue::new(&LinkSettings::default());
+        self.handle(RegistryEvent::LinkAccepted { link, queue });
+        let message = LinkMessage::EdgeHello {
+            node: "edge".to_owned(),
+            address,
+            inner: address,
+            stage: EdgeStage::Ready,
+            zone: "a".to_owned(),
+            relay_key: RelayKey::default(),
+        };
+        self.handle(RegistryEvent::Received { link, message });
+    }
+
+    /// Connects another registry, both ways; returns its address.
+    fn connect_peer(&mut self, host: u8) -> SocketAddr {
+        let link = LinkKey(host.into());
+        let address = SocketAddr::new(Ipv4Addr::new(127, 0, 0, host).into(), 1);
+        let (queue, _) = LinkQueue::new(&LinkSettings::default());
+        self.handle(RegistryEvent::LinkAccepted { link, queue });
+        let message = LinkMessage::MemberHello(MemberHello {
+            address,
+            member: None,
+            is_empty: true,
+            known: Vec::new(),
+        });
+        self.handle(RegistryEvent::Received { link, message });
+        let (queue, _) = LinkQueue::new(&LinkSettings::default());
+        let peer = address;
+        self.handle(RegistryEvent::PeerConnected { peer, queue });
+        peer
+    }
+
+    fn handle(&mut self, event: RegistryEvent) {
+        self.state.handle(event, self.now);
+    }
+
+    fn answer(&mut self, peer: SocketAddr, message: LinkMessage) {
+        self.handle(RegistryEvent::PeerReceived { peer, message });
+    }
+
+    fn say_goodbye(&mut self) -> ReplyReceiver {
+        let (reply, receiver) = oneshot::channel();
+        let name = "endpoint".to_owned();
+        let call = ControlCall::Goodbye { name };
+        let client = Ipv4Addr::LOCALHOST.into();
+        self.state.handle_call(call, client, reply, self.now);
+        receiver
+    }
+
+    /// Drains domain `a`, or undrains it.
+    fn order(&mut self, is_drained: bool) -> ReplyReceiver {
+        let (reply, receiver) = oneshot::channel();
+        let domain = "a".to_owned();
+        let call = ControlCall::DrainDomain { domain, is_drained };
+        let client = Ipv4Addr::LOCALHOST.into();
+        self.state.handle_call(call, client, reply, self.now);
+        receiver
+    }
+
+    /// Ticks without handling events until there is a reply; `None` if the call was refused as
+    /// unavailable.
+    fn tick_until_reply(&mut self, mut receiver: ReplyReceiver) -> Option<ControlReply> {
+        let give_up_at = self.now.after(CALL_TIMEOUT * 2);
+        loop {
+            match receiver.try_recv() {
+                Ok(ControlReply::Unavailable { .. }) => return None,
+                Ok(reply) => return Some(reply),
+                Err(_) => self.tick(),
+            }
+            assert!(self.now < give_up_at, "the call was not answered");
+        }
+    }
+
     /// Decides the proposal in flight; the next one must wait for a tick.
     fn decide(&mut self, result: ProposeResult) {
         let token = self.state.proposed_put.expect("no proposal in flight");
@@ -278,9 +379,76 @@
         ..FolderSettings::default()
     };
     drop(LogFolder::open(&settings).expect("failed to create the data folder"));
-    let registry = LeadingRegistry::start_in(folder, 0);
+    let mut registry = LeadingRegistry::open_in(folder, 0);
+    registry.wait_until_leader();
     let start = registry.state.driver.core().map(ConsensusCore::start);
     assert_eq!(start, Some(ahead + 1));
     let time_of_day = registry.state.wall_ms(registry.now);
     assert!((wall_ms..ahead).contains(&time_of_day), "{time_of_day}");
 }
+
+/// Guards against endpoints that are taken for running after a loss that is tolerated.
+#[test]
+fn a_goodbye_is_acknowledged_once_as_many_others_keep_it_as_may_be_lost() {
+    for (others, needed) in [(0, 0), (1, 1), (2, 2), (4, 2)] {
+        let mut registry = LeadingRegistry::open(2);
+        registry.connect_edge();
+        let peers: Vec<_> = (2..2 + others)
+            .map(|host| registry.connect_peer(host))
+            .collect();
+        let mut receiver = registry.say_goodbye();
+        registry.tick();
+        let token = registry.state.notice_batches.keys().next().copied();
+        for index in 0..needed {
+            let token = token.expect("the goodbye waits for other registries");
+            // A repeated request brings another answer of the same registry.
+            for peer in &peers[..index] {
+                registry.answer(*peer, LinkMessage::NoticesKept { token });
+            }
+            let reply = receiver.try_recv();
+            assert_eq!(reply, Err(TryRecvError::Empty), "{others} others");
+            registry.answer(peers[index], LinkMessage::NoticesKept { token });
+        }
+        assert_eq!(
+            receiver.try_recv(),
+            Ok(ControlReply::Done),
+            "{others} others"
+        );
+    }
+}
+
+/// Guards against records that are not synced while further ones keep coming.
+#[test]
+fn origins_are_synced_while_streams_keep_beginning() {
+    let disk = FakeDisk::default();
+    let opened = RotatingJournal::open(DiskPort::Fake(disk.clone()), 1 << 20);
+    let (journal, _) = opened.expect("the journal opens");
+    let (requests, queue) = flume::unbounded();
+    let server = thread::spawn(move || serve_journal(journal, &queue));
+    let started_at = Instant::now();
+    let mut is_synced = false;
+    while !is_synced && started_at.elapsed() < SYNC_DELAY * 20 {
+        let sent = requests.send(OriginRequest::Append(Vec::new()));
+        sent.expect("the journal is served");
+        thread::sleep(SYNC_DELAY / 25);
+        is_synced = disk.sync_counts().0 > 0;
+    }
+    drop(requests);
+    server.join().expect("the journal is served to the end");
+    assert!(is_synced, "no sync in {:?}", started_at.elapsed());
+}
+
+/// Guards against orders that are never acknowledged where a sync takes longer than a call waits.
+#[test]
+fn an_order_that_is_in_force_is_acknowledged_without_the_disk() {
+    let mut registry = LeadingRegistry::start();
+    for is_drained in [true, false] {
+        // No report of the disk is handled meanwhile.
+        let first = registry.order(is_drained);
+        assert_eq!(registry.tick_until_reply(first), None, "{is_drained}");
+        registry.run_until(|registry| registry.state.driver.drains().is_drained("a") == is_drained);
+        let second = registry.order(is_drained);
+        let reply = registry.tick_until_reply(second);
+        assert_eq!(reply, Some(ControlReply::Done), "{is_drained}");
+    }
+}
