Draw another identity for a folder that is reopened

What callers would see: a registry whose folder was emptied while it ran, and which then reopened it after a failed write, came back under its own identity without its vote, and could vote twice in one term.

Cause: the identity for an empty folder was drawn once a process.

Evidence: tests::an_emptied_folder_is_reopened_as_a_new_member failed before (identity 17 both times).

Change: the disk thread draws one for every opening.

--- a/crates/ragwortroad_registry/src/folder_worker.rs
+++ b/crates/ragwortroad_registry/src/folder_worker.rs
@@ -13,6 +13,7 @@
     Sender, //
 };
 use ragwortroad_log::prelude::*;
+use rand::random;
 
 use crate::{
     folder_report::FolderReport,
@@ -91,6 +92,7 @@
         match LogFolder::open(&settings) {
             Ok((folder, stored)) => {
                 // The folder may be an empty one by the time it is reopened.
+                settings.fresh_identity = random();
                 settings.min_start = stored.start + 1;
                 let stored = Box::new(stored);
                 let report = FolderReport::Opened { generation, stored };
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -25,6 +25,11 @@
     ControlCall,
     ControlReply,
     call_flow::CALL_TIMEOUT,
+    folder_report::FolderReport,
+    folder_worker::{
+        FolderWorker,
+        PersistRequest, //
+    },
     put_flow::MAX_COMMAND_BYTES,
     registry_event::RegistryEvent,
     registry_process::start_state,
@@ -258,3 +263,50 @@
     let time_of_day = registry.state.wall_ms(registry.now);
     assert!((wall_ms..ahead).contains(&time_of_day), "{time_of_day}");
 }
+
+/// Returns the content of a folder once it is open.
+fn wait_for_folder(events: &Receiver<RegistryEvent>) -> (u64, StoredState) {
+    loop {
+        let event = events.recv_timeout(DISK_TIMEOUT);
+        let event = event.expect("the folder did not open in time");
+        if let RegistryEvent::Folder(FolderReport::Opened { generation, stored }) = event {
+            return (generation, *stored);
+        }
+    }
+}
+
+/// Guards against a member that forgets its vote and keeps its identity, since its folder was emptied
+/// while the process ran.
+#[test]
+fn an_emptied_folder_is_reopened_as_a_new_member() {
+    let folder = tempfile::tempdir().expect("failed to create a temporary directory");
+    let settings = FolderSettings {
+        path: folder.path().join("data"),
+        fresh_identity: 17,
+        min_start: 1000,
+        ..FolderSettings::default()
+    };
+    let path = settings.path.clone();
+    let (sender, events) = flume::unbounded();
+    let worker = FolderWorker::start(settings, sender).expect("failed to start the thread");
+    let (generation, first) = wait_for_folder(&events);
+    std::fs::remove_dir_all(path).expect("failed to empty the folder");
+    let misplaced = StoredEntry {
+        index: 9,
+        term: 1,
+        bytes: Vec::new(),
+    };
+    worker.persist(PersistRequest {
+        generation,
+        batch: 1,
+        change: LogChange {
+            entries: vec![misplaced],
+            ..LogChange::default()
+        },
+    });
+    let (_, second) = wait_for_folder(&events);
+    worker.join();
+    assert!(second.is_new);
+    assert_ne!(second.identity, first.identity);
+    assert!(second.start > first.start);
+}
