--- a/crates/ragwortroad_registry/src/peer_flow.rs
+++ b/crates/ragwortroad_registry/src/peer_flow.rs
@@ -1,7 +1,10 @@
 //! Handles the links to other registries, and the messages that arrive on links.
 
 use std::{
-    collections::BTreeSet,
+    collections::{
+        BTreeMap,
+        BTreeSet, //
+    },
     net::SocketAddr,
     time::Duration, //
 };
@@ -334,16 +337,25 @@
         members.is_some_and(|members| !members.is_empty() && !self.tolerance.is_met_by(members))
     }
 
-    fn member_statuses(&self, core: &ConsensusCore, now: ClockTime) -> Vec<MemberStatus> {
+    pub(crate) fn member_statuses(
+        &self,
+        core: &ConsensusCore,
+        now: ClockTime,
+    ) -> Vec<MemberStatus> {
         let mut statuses = Vec::new();
+        // Registries that have not opened their folders yet do not know their own identity.
+        let mut opening = BTreeMap::new();
         for (hello, heard_at) in self.peers.values().filter_map(|peer| peer.hello.as_ref()) {
+            let node = NodeId::from_name(&hello.address.to_string());
+            let silent_for = now.since(*heard_at);
             let Some(member) = hello.member.map(MemberId) else {
+                opening.insert(node, silent_for);
                 continue;
             };
             statuses.push(MemberStatus {
                 member,
-                node: NodeId::from_name(&hello.address.to_string()),
-                silent_for: now.since(*heard_at),
+                node,
+                silent_for,
                 is_caught_up: core.has_caught_up(member, now),
             });
         }
@@ -351,10 +363,11 @@
         let heard: BTreeSet<NodeId> = statuses.iter().map(|status| status.node).collect();
         let records = core.members().records().iter();
         let unheard = records.filter(|record| !heard.contains(&record.node));
+        let uptime = now.since(self.started_at);
         statuses.extend(unheard.map(|record| MemberStatus {
             member: record.member,
             node: record.node,
-            silent_for: now.since(self.started_at),
+            silent_for: opening.get(&record.node).copied().unwrap_or(uptime),
             is_caught_up: false,
         }));
         statuses
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -32,6 +32,10 @@
     ControlReply,
     call_flow::CALL_TIMEOUT,
     folder_report::FolderReport,
+    folder_worker::{
+        FolderWorker,
+        PersistRequest, //
+    },
     origin_store::{
         OriginRequest,
         SYNC_DELAY,
@@ -160,19 +164,25 @@
         self.handle(RegistryEvent::Received { link, message });
     }
 
-    /// Connects another registry, both ways; returns its address.
-    fn connect_peer(&mut self, host: u8) -> SocketAddr {
+    /// Receives a hello of another registry; returns its address.
+    fn hear_hello(&mut self, host: u8, member: Option<u64>) -> SocketAddr {
         let link = LinkKey(host.into());
         let address = SocketAddr::new(Ipv4Addr::new(127, 0, 0, host).into(), 1);
         let (queue, _) = LinkQueue::new(&LinkSettings::default());
         self.handle(RegistryEvent::LinkAccepted { link, queue });
         let message = LinkMessage::MemberHello(MemberHello {
             address,
-            member: None,
+            member,
             is_empty: true,
             known: Vec::new(),
         });
         self.handle(RegistryEvent::Received { link, message });
+        address
+    }
+
+    /// Connects another registry, both ways; returns its address.
+    fn connect_peer(&mut self, host: u8) -> SocketAddr {
+        let address = self.hear_hello(host, None);
         let (queue, _) = LinkQueue::new(&LinkSettings::default());
         let peer = address;
         self.handle(RegistryEvent::PeerConnected { peer, queue });
@@ -452,3 +462,68 @@
         assert_eq!(reply, Some(ControlReply::Done), "{is_drained}");
     }
 }
+
+/// Returns the content of a folder once it is open.
+fn wait_for_folder(events: &Receiver<RegistryEvent>) -> (u64, StoredState) {
+    loop {
+        let event = events.recv_timeout(DISK_TIMEOUT);
+        let event = event.expect("the folder did not open in time");
+        if let RegistryEvent::Folder(FolderReport::Opened { generation, stored }) = event {
+            return (generation, *stored);
+        }
+    }
+}
+
+/// Guards against a member that forgets its vote and keeps its identity, since its folder was emptied
+/// while the process ran.
+#[test]
+fn an_emptied_folder_is_reopened_as_a_new_member() {
+    let folder = tempfile::tempdir().expect("failed to create a temporary directory");
+    let settings = FolderSettings {
+        path: folder.path().join("data"),
+        fresh_identity: 17,
+        min_start: 1000,
+        ..FolderSettings::default()
+    };
+    let path = settings.path.clone();
+    let (sender, events) = flume::unbounded();
+    let worker = FolderWorker::start(settings, sender).expect("failed to start the thread");
+    let (generation, first) = wait_for_folder(&events);
+    std::fs::remove_dir_all(path).expect("failed to empty the folder");
+    let misplaced = StoredEntry {
+        index: 9,
+        term: 1,
+        bytes: Vec::new(),
+    };
+    worker.persist(PersistRequest {
+        generation,
+        batch: 1,
+        change: LogChange {
+            entries: vec![misplaced],
+            ..LogChange::default()
+        },
+    });
+    let (_, second) = wait_for_folder(&events);
+    worker.join();
+    assert!(second.is_new);
+    assert_ne!(second.identity, first.identity);
+    assert!(second.start > first.start);
+}
+
+/// Guards against voters that are replaced while they restart and have not opened their folders yet.
+#[test]
+fn a_member_whose_folder_is_not_open_yet_is_present() {
+    let mut registry = LeadingRegistry::start();
+    registry.hear_hello(2, Some(22));
+    registry.run_until(|registry| {
+        registry.tick();
+        let core = registry.state.driver.core();
+        core.is_some_and(|core| core.members().find(MemberId(22)).is_some())
+    });
+    registry.now = registry.now.after(Duration::from_secs(20));
+    registry.hear_hello(2, None);
+    let core = registry.state.driver.core().expect("the registry leads");
+    let statuses = registry.state.member_statuses(core, registry.now);
+    let status = statuses.iter().find(|status| status.member == MemberId(22));
+    assert_eq!(status.map(|status| status.silent_for), Some(Duration::ZERO));
+}
