Replace a voter that is gone before another disk may be lost

Callers saw, in a model of the group: no leader any more, and what was acknowledged is gone, though never more disks were lost at a time than are tolerated.

Cause: a voter whose machine is removed for good is replaced once it has been silent for 5 s. A machine counts as lost for only 4 s after its successor has started, and a leader that was just elected counts the silence from its own start on. A site of three then loses a second voter of three before the first is replaced.

Change: the silence after which a voter is replaced is 3 s. It still needs a learner that is ready.

--- a/crates/ragwortroad_dispatch/src/voter_plan.rs
+++ b/crates/ragwortroad_dispatch/src/voter_plan.rs
@@ -10,8 +10,9 @@
 pub struct VoterSettings {
     /// Time without a message after which a voter is replaced by a learner that is ready.
     ///
-    /// Longer than a restart and than an election. A voter that is only partitioned for longer
-    /// becomes a learner when it is back, which costs one membership change and loses nothing.
+    /// Longer than a restart and than an election, and short enough that the change is made before
+    /// another disk may be lost. A voter that is only partitioned for longer becomes a learner when
+    /// it is back, which costs one membership change and loses nothing.
     pub absence_timeout: Duration,
     /// Largest number of voters. More voters make each change more expensive and add no fault
     /// tolerance that a site asks for.
@@ -24,7 +25,7 @@
 impl Default for VoterSettings {
     fn default() -> Self {
         Self {
-            absence_timeout: Duration::from_secs(5),
+            absence_timeout: Duration::from_secs(3),
             max_voters: 9,
             tolerance: LossTolerance::default(),
         }
--- a/crates/ragwortroad_dispatch/tests/voters.rs
+++ b/crates/ragwortroad_dispatch/tests/voters.rs
@@ -147,6 +147,17 @@
     assert!(site.settle().is_empty());
 }
 
+/// Guards against a voter that is gone for good and still counts when the next disk may be lost.
+#[test]
+fn a_voter_that_is_gone_is_replaced_within_the_time_to_catch_up() {
+    let mut site = Site::bootstrapped(3);
+    site.settle();
+    site.holder_mut(2).silent_for = Duration::from_secs(3);
+    site.holders.push(holder(4, 4));
+    site.settle();
+    assert_eq!(site.voters(), [1, 3, 4]);
+}
+
 /// Guards against groups that shrink while registries are replaced.
 #[test]
 fn a_series_of_replacements_keeps_the_number_of_voters() {
