Play lost disks at any moment of a group, with one seed for each run

Nine registries that are to bear the loss of two disks (some seeds five or three, and one), some with edges. Configurations are put until one is acknowledged, up to ten seconds after the start; then all processes are killed at that moment and up to the tolerated number of disks lost: of the registry that acknowledged, the leader, a seed, any. In some seeds three start once more within a second, members change, a configuration is on its way, or the same comes again four seconds after the start. Each registry must answer a read within twelve seconds, with the newest acknowledged version or a newer one that was sent, and no process may end by itself.

A folder that a process has not made yet when it is killed counts as lost.

--- a/tests/soak/lost_disks.rs
+++ b/tests/soak/lost_disks.rs
@@ -14,13 +14,19 @@
         open_document,
         version_of, //
     },
+    env_number,
+    loss_play::LossPlay,
     processes::{
         FleetSize,
         SoakProcess,
         make_fleet, //
-    }, //
+    },
+    selected_seeds, //
 };
 
+/// Seeds that are run unless others are selected.
+const DEFAULT_SEEDS: [u64; 3] = [11, 45, 70];
+
 /// Registries of the fleet, and how many of their disks it bears to lose.
 const FLEET: FleetSize = FleetSize {
     registries: 9,
@@ -99,3 +105,25 @@
         }
     }
 }
+
+/// Guards against acknowledged configurations that are lost, or read late or in an older version, when
+/// all processes are killed and as many disks as tolerated are lost.
+#[test]
+fn acknowledged_configurations_outlast_lost_disks_at_any_moment() {
+    let seeds = match env_number("SOAK_SEED") {
+        Some(_) => selected_seeds(),
+        None => DEFAULT_SEEDS.to_vec(),
+    };
+    let mut violations = Vec::new();
+    for seed in seeds {
+        let folder = tempfile::tempdir().expect("failed to create a folder");
+        let mut play = LossPlay::start(seed, folder.path());
+        if let Err(violation) = play.run() {
+            drop(play);
+            let kept = folder.keep();
+            println!("seed {seed}: {violation}; logs in {}", kept.display());
+            violations.push(format!("seed {seed}: {violation}"));
+        }
+    }
+    assert!(violations.is_empty(), "{violations:#?}");
+}
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod frail_pool;
 mod keep_alive_client;
 mod kept_connection;
+mod loss_play;
 mod lost_disks;
 mod planned_changes;
 mod power_losses;
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -137,7 +137,10 @@
     /// Deletes the data folder, as if the disk were lost, and clears `first_start`.
     pub(crate) fn erase_data(&mut self) {
         if let Some(data) = &self.data {
-            fs::remove_dir_all(data).expect("failed to delete the data folder");
+            // A process that was killed right after its start has not made its folder yet.
+            if data.exists() {
+                fs::remove_dir_all(data).expect("failed to delete the data folder");
+            }
             let text = fs::read_to_string(&self.settings).expect("failed to read the settings");
             let text = text.replace("first_start = true", "first_start = false");
             fs::write(&self.settings, text).expect("failed to write the settings");
