Let the soak lose power and a disk right after the first acknowledgement

The test of revoked keys began with 500 configurations, so that its first loss found a group that had settled. It now loses all power and one disk right after the first acknowledgement, too, as the test of acknowledged configurations does, and reads the configuration at each registry before it goes on. The other losses and checks are as before.

--- a/tests/soak/power_losses.rs
+++ b/tests/soak/power_losses.rs
@@ -26,7 +26,7 @@
     replica::Replica, //
 };
 
-/// Power losses in a run; each registry loses its disk once.
+/// Power losses, in each of which another registry loses its disk.
 const LOSSES: u64 = 3;
 
 /// Time that a registry has to copy what it lost before the next one loses its disk.
@@ -44,6 +44,28 @@
     }
 }
 
+/// Kills all processes, deletes the data of the registry `lost`, and starts all again.
+fn lose_power_and_disk(registries: &mut [SoakProcess], edges: &mut [SoakProcess], lost: usize) {
+    let all = registries.iter_mut().chain(&mut *edges);
+    all.for_each(SoakProcess::kill);
+    registries[lost].erase_data();
+    let all = registries.iter_mut().chain(edges);
+    all.for_each(SoakProcess::start);
+}
+
+/// Checks that each registry answers with this version of the configuration.
+fn check_reads(registries: &[SoakProcess], version: u64) {
+    for registry in registries {
+        let mut found = None;
+        wait_until("a read of the configuration", || {
+            let read = send(registry.address, "GET /config", &[], b"");
+            found = version_of(&read.text()).filter(|_| read.status == 200);
+            found.is_some()
+        });
+        assert_eq!(found, Some(version), "read at {}", registry.address);
+    }
+}
+
 /// Guards against configurations lost when all VMs lose power and one its disk.
 #[test]
 fn acknowledged_configurations_outlast_power_losses_with_a_lost_disk() {
@@ -62,24 +84,8 @@
             let document = open_document(version);
             send(accepting, "PUT /config", &[], document.as_bytes()).status == 200
         });
-        registries
-            .iter_mut()
-            .chain(&mut edges)
-            .for_each(SoakProcess::kill);
-        registries[loss as usize].erase_data();
-        registries
-            .iter_mut()
-            .chain(&mut edges)
-            .for_each(SoakProcess::start);
-        for registry in &registries {
-            let mut found = None;
-            wait_until("a read of the configuration", || {
-                let read = send(registry.address, "GET /config", &[], b"");
-                found = version_of(&read.text()).filter(|_| read.status == 200);
-                found.is_some()
-            });
-            assert_eq!(found, Some(version), "read at {}", registry.address);
-        }
+        lose_power_and_disk(&mut registries, &mut edges, loss as usize);
+        check_reads(&registries, version);
         for edge in &edges {
             wait_until("a served request", || {
                 sequence += 1;
@@ -119,6 +125,16 @@
     let (near, far) = (Replica::start("i-near"), Replica::start("i-far"));
     let (mut sequence, mut version) = (0, 0);
     let mut revoked = vec!["early".to_owned()];
+    // Right after the first acknowledgement, when the group has hardly been founded.
+    wait_until("the first acknowledged configuration", || {
+        version += 1;
+        let document = keyed_document(version, "\"kept\",\"early\"");
+        let address = registries[0].address;
+        send(address, "PUT /config", &[], document.as_bytes()).status == 200
+    });
+    lose_power_and_disk(&mut registries, &mut edges, 0);
+    check_reads(&registries, version);
+    thread::sleep(CATCH_UP_TIME);
     for _ in 0..SNAPSHOT_ENTRIES {
         wait_until("an acknowledged configuration", || {
             version += 1;
@@ -149,15 +165,7 @@
             });
         }
         revoked.push(key);
-        registries
-            .iter_mut()
-            .chain(&mut edges)
-            .for_each(SoakProcess::kill);
-        registries[loss as usize].erase_data();
-        registries
-            .iter_mut()
-            .chain(&mut edges)
-            .for_each(SoakProcess::start);
+        lose_power_and_disk(&mut registries, &mut edges, loss as usize);
         for edge in &edges {
             let call = |key: &str, path: &str| {
                 let token = format!("Token {key}");
