--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -15,6 +15,7 @@
 mod group_recovery;
 mod keep_alive_client;
 mod kept_connection;
+mod loss_play;
 mod lost_disks;
 mod planned_changes;
 mod power_losses;
