--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -12,6 +12,7 @@
 #[path = "../../platform/tests/whole_path/document.rs"]
 mod document;
 mod frail_pool;
+mod goodbyes;
 mod keep_alive_client;
 mod kept_connection;
 mod lost_disks;
