--- a/crates/ragwortroad_dispatch/tests/group/group_node.rs
+++ b/crates/ragwortroad_dispatch/tests/group/group_node.rs
@@ -118,7 +118,6 @@
     folder: LogFolder,
     stored: Option<StoredState>,
     bootstrap: Option<BootstrapTable>,
-    start: u64,
     seed: u64,
     plan: VoterPlan,
     writes: VecDeque<(u64, LogChange)>,
@@ -180,6 +179,7 @@
         let settings = FolderSettings {
             fresh_identity: start.fresh_identity,
             boot_id: start.boot.to_string(),
+            min_start: start.start,
             ..FolderSettings::default()
         };
         let (folder, stored) = LogFolder::open_on(DiskPort::Fake(start.disk), &settings)?;
@@ -204,7 +204,6 @@
             folder,
             stored: Some(stored),
             bootstrap: may_bootstrap.then(|| BootstrapTable::new(own, named)),
-            start: start.start,
             seed: start.seed,
             plan: VoterPlan {
                 settings: VoterSettings {
@@ -252,7 +251,6 @@
         self.bootstrap = None;
         let start = CoreStart {
             stored,
-            start: self.start,
             initial_members: members,
         };
         let created = ConsensusCore::new(core_settings(), start, now, self.seed);
