Wait for a moment for an address that is in use

Callers saw: a process that ends by itself at its start and is back a second later.

Cause: a process gave up at once when the one before it, or a connection of another process, still held an address.

The test with an address that is released after 300 ms failed with a plain bind; an address that stays in use is still an error.

--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -259,6 +259,6 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, EdgeError> {
-    let bound = TcpListener::bind(address).await;
+    let bound = bind_listener(address).await;
     bound.context(ListenSnafu { address })
 }
--- a/crates/ragwortroad_link/src/lib.rs
+++ b/crates/ragwortroad_link/src/lib.rs
@@ -4,6 +4,7 @@
 //! both directions, detects a peer that stops sending, and never blocks the sender: if the send
 //! queue overflows, the connection is closed and the caller is expected to reconnect.
 
+mod bound_listener;
 mod config_delta;
 mod dial_backoff;
 mod encoded_message;
@@ -16,6 +17,7 @@
 /// The items that dependent crates usually import.
 pub mod prelude {
     pub use crate::{
+        bound_listener::bind_listener,
         config_delta::ConfigDelta,
         dial_backoff::DialBackoff,
         encoded_message::{
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -366,7 +366,7 @@
 }
 
 pub(crate) async fn listen(address: SocketAddr) -> Result<TcpListener, RegistryError> {
-    let bound = TcpListener::bind(address).await;
+    let bound = bind_listener(address).await;
     bound.context(ListenSnafu { address })
 }
 
