--- a/crates/ragwortroad_consensus/tests/schedules/main.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/main.rs
@@ -83,8 +83,7 @@
     assert!(counts.lost_disks > 20 && counts.torn_writes > 20);
 }
 
-/// Guards against members that are ignored, or whose old acknowledgements count, since their clocks
-/// were set back.
+/// Guards against members that are ignored, or whose old votes count, after a step of the clock.
 #[test]
 fn steps_of_the_time_of_day_preserve_safety() {
     let counts = run_all("clock steps", 28, &[], |seed| SimPlan {
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -474,8 +474,7 @@
     }
 }
 
-/// Guards against a member that forgets its vote and keeps its identity, since its folder was emptied
-/// while the process ran.
+/// Guards against a member that forgets its vote and keeps its identity in an emptied folder.
 #[test]
 fn an_emptied_folder_is_reopened_as_a_new_member() {
     let folder = tempfile::tempdir().expect("failed to create a temporary directory");
--- a/tests/soak/lost_disks.rs
+++ b/tests/soak/lost_disks.rs
@@ -106,8 +106,7 @@
     }
 }
 
-/// Guards against acknowledged configurations that are lost, or read late or in an older version, when
-/// all processes are killed and as many disks as tolerated are lost.
+/// Guards against acknowledged configurations lost, late or older after tolerated losses of disks.
 #[test]
 fn acknowledged_configurations_outlast_lost_disks_at_any_moment() {
     let seeds = match env_number("SOAK_SEED") {
