--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -42,7 +42,7 @@
 /// One process of the fleet.
 pub(crate) struct SoakProcess {
     role: &'static str,
-    /// Copy of the program, since a build during the run would otherwise mix two versions.
+    /// A link to the program or a copy, since a build during the run would otherwise mix two versions.
     program: PathBuf,
     settings: PathBuf,
     /// Folder for durable state; only a registry has one.
@@ -161,6 +161,19 @@
     }
 }
 
+/// Keeps the program under test at `path`, as it is now.
+///
+/// A build replaces the file and leaves its links alone. Copies of a debug build for every fleet
+/// would keep the disk busy that the registries sync to.
+fn keep_program(path: &Path) {
+    let program = env!("CARGO_BIN_EXE_ragwortroad");
+    if fs::hard_link(program, path).is_err() {
+        let lock = PROGRAM_LOCK.lock();
+        fs::copy(program, path).expect("failed to copy the program");
+        drop(lock);
+    }
+}
+
 /// Settings key of the disk quota. [`SoakProcess::set_disk_quota`] appends it to the last section.
 const QUOTA_KEY: &str = "data_quota_bytes";
 
@@ -220,9 +233,7 @@
         )
     };
     let program = folder.join("ragwortroad");
-    let lock = PROGRAM_LOCK.lock();
-    fs::copy(env!("CARGO_BIN_EXE_ragwortroad"), &program).expect("failed to copy the program");
-    drop(lock);
+    keep_program(&program);
     let make = |host: u8, role, role_settings: String, data: Option<PathBuf>, address| {
         let bind = data
             .is_some()
