Count votes that arrive after a candidate has begun the next pre-vote

A candidate that asked anew whether it would be elected forgot the votes of its term. Those of slow disks were on their way then, so it had to wait for a further sync at itself and at each voter.

A vote holds for its term however late it arrives, as long as the candidate is in that term, so a pre-candidate keeps them and leads with the last one.

--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -46,11 +46,18 @@
     fn start_pre_vote(&mut self, now: ClockTime) {
         self.reset_pre_vote_timer(now);
         self.set_leader(None);
-        let mut tally = VoteTally::default();
-        tally.granted.insert(self.id);
-        let is_alone = tally.has_quorum(self.members());
-        self.lost_elections += u32::from(matches!(self.state, MemberState::Candidate(_)));
-        self.state = MemberState::PreCandidate(tally);
+        let mut supporters = VoteTally::default();
+        supporters.granted.insert(self.id);
+        let is_alone = supporters.has_quorum(self.members());
+        let votes = match std::mem::replace(&mut self.state, MemberState::Follower) {
+            MemberState::Candidate(votes) => {
+                self.lost_elections += 1;
+                votes
+            }
+            MemberState::PreCandidate { votes, .. } => votes,
+            _ => VoteTally::default(),
+        };
+        self.state = MemberState::PreCandidate { supporters, votes };
         // Nothing has been written for a pre-vote, so others are supported again when it is over.
         self.promise = Some(VotePromise {
             candidate: self.id,
@@ -138,9 +145,11 @@
     }
 
     fn count_vote(&mut self, from: MemberId, now: ClockTime) {
-        if let MemberState::Candidate(tally) = &mut self.state {
-            tally.granted.insert(from);
-            if tally.has_quorum(self.members.latest()) {
+        if let MemberState::Candidate(votes) | MemberState::PreCandidate { votes, .. } =
+            &mut self.state
+        {
+            votes.granted.insert(from);
+            if votes.has_quorum(self.members.latest()) {
                 self.become_leader(now);
             }
         }
@@ -175,7 +184,7 @@
     /// Whether this member gives way to another that asks at the same time whether it would be
     /// elected. The member with the more recent log, then with the higher identity, goes on.
     fn is_outranked_by(&self, from: MemberId, last: LogPosition) -> bool {
-        let is_rival = matches!(self.state, MemberState::PreCandidate(_));
+        let is_rival = matches!(self.state, MemberState::PreCandidate { .. });
         is_rival && (last, from) > (self.log.last(), self.id)
     }
 
@@ -189,9 +198,9 @@
         if !granted || asked != self.vote.term.saturating_add(1) {
             return;
         }
-        if let MemberState::PreCandidate(tally) = &mut self.state {
-            tally.granted.insert(from);
-            if tally.has_quorum(self.members.latest()) {
+        if let MemberState::PreCandidate { supporters, .. } = &mut self.state {
+            supporters.granted.insert(from);
+            if supporters.has_quorum(self.members.latest()) {
                 self.start_vote(false, now);
             }
         }
--- a/crates/ragwortroad_consensus/src/member_state.rs
+++ b/crates/ragwortroad_consensus/src/member_state.rs
@@ -12,7 +12,12 @@
     /// Follows a leader, or waits for one.
     Follower,
     /// Asks whether others would vote for it, without raising the term.
-    PreCandidate(VoteTally),
+    PreCandidate {
+        /// Those that would vote for it in the next term.
+        supporters: VoteTally,
+        /// Votes in the current term, if it was a candidate there: they may be late, and still count.
+        votes: VoteTally,
+    },
     /// Requests votes in a new term.
     Candidate(VoteTally),
     /// Leads its term; it may act only while its lease is valid.
--- a/crates/ragwortroad_consensus/src/message_handling.rs
+++ b/crates/ragwortroad_consensus/src/message_handling.rs
@@ -122,8 +122,12 @@
     fn discard_acks(&mut self, member: MemberId, now: ClockTime) {
         let next_index = self.log.last().index.saturating_add(1);
         match &mut self.state {
-            MemberState::PreCandidate(tally) | MemberState::Candidate(tally) => {
-                tally.granted.remove(&member);
+            MemberState::PreCandidate { supporters, votes } => {
+                supporters.granted.remove(&member);
+                votes.granted.remove(&member);
+            }
+            MemberState::Candidate(votes) => {
+                votes.granted.remove(&member);
             }
             MemberState::Leader(state) => {
                 if let Some(progress) = state.progress.get_mut(&member) {
--- a/crates/ragwortroad_consensus/tests/by_hand/main.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/main.rs
@@ -453,3 +453,26 @@
     assert_eq!(sent.filter(is_report).count(), 0);
     assert!(group.members.iter().all(|member| member.applied.is_empty()));
 }
+
+/// Guards against elections lost because a candidate has asked anew before the last votes arrive.
+#[test]
+fn votes_that_arrive_after_the_next_pre_vote_still_elect() {
+    let mut group = ScriptedGroup::new(5, recall_settings(true));
+    group.stop(0, false);
+    for voter in 2..5 {
+        group.members[voter].holds_writes = true;
+    }
+    group.now = group.now.after(group.settings.election_timeout * 2);
+    group.input(1, CoreInput::Tick);
+    group.deliver(|_, _, _| true);
+    let term = group.core(1).term();
+    group.now = group.now.after(group.settings.election_timeout * 20);
+    group.input(1, CoreInput::Tick);
+    group.deliver(|_, _, _| false);
+    for voter in 2..4 {
+        group.finish_writes(voter);
+    }
+    group.deliver(|_, _, _| true);
+    assert!(group.core(1).is_leader());
+    assert_eq!(group.core(1).term(), term);
+}
--- a/crates/ragwortroad_consensus/tests/by_hand/scripted_group.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/scripted_group.rs
@@ -4,7 +4,8 @@
 use ragwortroad_log::prelude::*;
 use ragwortroad_types::prelude::*;
 
-/// A group in which the test delivers or drops every message; disk writes complete at once.
+/// A group in which the test delivers or drops every message; disk writes complete at once unless
+/// the test holds them.
 pub(crate) struct ScriptedGroup {
     pub(crate) settings: CoreSettings,
     pub(crate) members: Vec<ScriptedMember>,
@@ -24,6 +25,9 @@
     pub(crate) boot: u64,
     pub(crate) applied: Vec<Vec<u8>>,
     pub(crate) results: Vec<ProposeResult>,
+    /// Whether the member is not told that its writes are durable.
+    pub(crate) holds_writes: bool,
+    held_batch: Option<u64>,
 }
 
 impl ScriptedGroup {
@@ -109,7 +113,21 @@
                 _ => {}
             }
         }
-        if let Some(batch) = written {
+        let Some(batch) = written else {
+            return;
+        };
+        if self.members[at].holds_writes {
+            self.members[at].held_batch = Some(batch);
+        } else {
+            self.input(at, CoreInput::Persisted { batch });
+        }
+    }
+
+    /// Tells a member that its writes are durable, also those that were held.
+    pub(crate) fn finish_writes(&mut self, at: usize) {
+        let member = &mut self.members[at];
+        member.holds_writes = false;
+        if let Some(batch) = member.held_batch.take() {
             self.input(at, CoreInput::Persisted { batch });
         }
     }
