Take part in no other election until one's vote is durable

Callers saw 503 to reads of the configuration for longer than 12 s after a common restart beside busy disks: a leader was elected after 4.2 s, lost its term to a rival at once, and the next one came 11 s after the start.

A voter counted the time for which it supports no other candidate from the moment at which it was asked, by syncs that it had measured before. When its disk became slower, that time was over while its vote was still written: it then supported a rival, or asked for votes itself, in the next term. Votes for the rival queued behind the first ones, and the rival's term deposed the leader that these elected.

A member whose vote is not durable now neither asks for votes nor says that it would vote, which could only queue behind that vote anyway; once it is durable, it waits for those of the others.

Evidence: a_member_whose_vote_is_not_durable_takes_part_in_no_other_election fails on the code before.

--- a/crates/ragwortroad_consensus/src/consensus_core.rs
+++ b/crates/ragwortroad_consensus/src/consensus_core.rs
@@ -174,6 +174,9 @@
         match effect {
             DeferredEffect::Send(to, message) => self.send(to, message),
             DeferredEffect::OwnVote(term) => self.count_own_vote(term, now),
+            DeferredEffect::VoteFor(candidate, term, last) => {
+                self.confirm_vote(candidate, term, last, now);
+            }
             DeferredEffect::OwnMatch(term, index) => self.count_own_match(term, index, now),
             DeferredEffect::OwnStart(start) => self.adopt_start(start, now),
         }
--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -33,9 +33,10 @@
 
     fn may_campaign(&self, now: ClockTime) -> bool {
         let is_late = now >= self.election_deadline && now >= self.no_vote_until;
-        // The votes of a candidate are requested once its own vote is durable.
-        let is_voting =
-            matches!(self.state, MemberState::Candidate(_)) && !self.barrier.is_vote_durable();
+        // The next vote would only queue behind this one. A founder has voted before anybody asks.
+        let is_candidate = matches!(self.state, MemberState::Candidate(_));
+        let is_for_other = self.vote.voted_for != Some(self.id.0);
+        let is_voting = (is_candidate || is_for_other) && !self.barrier.is_vote_durable();
         is_late && !is_voting && self.is_electable() && self.log.last() >= self.check.log_floor
     }
 
@@ -108,6 +109,21 @@
         }
     }
 
+    /// Gives a candidate time for the votes of others once this member's vote is durable.
+    pub(crate) fn confirm_vote(
+        &mut self,
+        candidate: MemberId,
+        term: u64,
+        last: LogPosition,
+        now: ClockTime,
+    ) {
+        let is_waiting = matches!(self.state, MemberState::Follower) && self.leader.is_none();
+        if term == self.vote.term && is_waiting {
+            self.reset_vote_timer(now);
+            self.promise_vote(candidate, last, now);
+        }
+    }
+
     /// Supports no candidate but this one for as long as its election may take.
     fn promise_vote(&mut self, candidate: MemberId, last: LogPosition, now: ClockTime) {
         let sync = self.sync_time.expected(now);
@@ -163,8 +179,10 @@
         now: ClockTime,
     ) {
         let term = self.vote.term;
-        let is_electable =
-            asked > term && self.is_free_to_vote(now) && self.is_log_up_to_date(last);
+        let is_electable = asked > term
+            && self.barrier.is_vote_durable()
+            && self.is_free_to_vote(now)
+            && self.is_log_up_to_date(last);
         if is_electable && self.is_outranked_by(from, last) && !self.has_lapsed(from, now) {
             self.state = MemberState::Follower;
             self.promise = None;
@@ -234,6 +252,8 @@
                 term,
                 voted_for: Some(from.0),
             });
+            self.barrier
+                .defer(DeferredEffect::VoteFor(from, term, last));
         }
         let reply = PeerMessage::VoteReply {
             term: self.vote.term,
--- a/crates/ragwortroad_consensus/src/persist_barrier.rs
+++ b/crates/ragwortroad_consensus/src/persist_barrier.rs
@@ -3,6 +3,7 @@
 use ragwortroad_log::LogChange;
 
 use crate::{
+    LogPosition,
     MemberId,
     PeerMessage, //
 };
@@ -14,6 +15,8 @@
     Send(MemberId, PeerMessage),
     /// Count this member's own vote in a term.
     OwnVote(u64),
+    /// Wait for the votes of others for a candidate in a term, whose log ends at a position.
+    VoteFor(MemberId, u64, LogPosition),
     /// In a term, count this member's own log as durable up to an index.
     OwnMatch(u64, u64),
     /// Use a greater start number.
--- a/crates/ragwortroad_consensus/tests/by_hand/main.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/main.rs
@@ -476,3 +476,39 @@
     assert!(group.core(1).is_leader());
     assert_eq!(group.core(1).term(), term);
 }
+
+/// Whether the second member says that it would elect `candidate`, which has not asked before.
+fn would_elect(group: &mut ScriptedGroup, candidate: usize) -> bool {
+    let is_granted = Cell::new(false);
+    let has_asked = Cell::new(false);
+    group.input(candidate, CoreInput::Tick);
+    group.deliver(|frame, from, to| {
+        if let PeerMessage::PreVoteReply { granted, .. } = frame.message {
+            is_granted.set(granted && from == 1);
+        }
+        has_asked.set(has_asked.get() || from == candidate);
+        from == candidate && to == 1
+    });
+    assert!(has_asked.get());
+    is_granted.get()
+}
+
+/// Guards against members that support another candidate while their vote for the first is synced.
+#[test]
+fn a_member_whose_vote_is_not_durable_takes_part_in_no_other_election() {
+    let mut group = ScriptedGroup::new(9, recall_settings(true));
+    group.stop(0, false);
+    group.members[1].holds_writes = true;
+    group.run_election(2, &[1, 2, 3, 4, 5]);
+    assert_eq!(group.core(1).term(), group.core(2).term());
+    let long = group.settings.election_timeout * 10;
+    group.now = group.now.after(long);
+    assert!(!would_elect(&mut group, 4));
+    group.input(1, CoreInput::Tick);
+    let asked = (0..9).flat_map(|to| group.intercept(1, to));
+    assert_eq!(asked.count(), 0);
+    group.finish_writes(1);
+    assert!(!would_elect(&mut group, 5), "it waits for the other votes");
+    group.now = group.now.after(long);
+    assert!(would_elect(&mut group, 3));
+}
--- a/crates/ragwortroad_consensus/tests/schedules/slow_syncs.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/slow_syncs.rs
@@ -187,3 +187,33 @@
         time_to_leader(&mut world, RECOVERY_US).is_some()
     });
 }
+
+/// Whether a leader has committed an entry of its own, after which it answers reads.
+fn has_committed_own(core: &ConsensusCore) -> bool {
+    let before = core.commit_index().saturating_sub(1);
+    let entries = core.committed_after(before, usize::MAX);
+    let last = entries.and_then(<[_]>::last);
+    core.is_leader() && last.is_some_and(|entry| entry.term == core.term())
+}
+
+/// Guards against leaders that lose their term to a rival before they have committed anything.
+#[test]
+fn a_leader_answers_reads_although_syncs_are_uneven() {
+    assert_elected(|seed| {
+        let mut world = settled(seed, VOTERS);
+        world.sync_us = Some(50_000..2_000_000);
+        world.is_sync_uneven = true;
+        restart(&mut world, SURVIVORS);
+        let restarted_at = world.now_us;
+        while world.now_us < restarted_at + RECOVERY_US {
+            let next = world.now_us + STEP_US;
+            world.run_until(next);
+            assert_eq!(world.checker.violation, None);
+            let mut cores = world.nodes.iter().filter_map(|node| node.core());
+            if cores.any(has_committed_own) {
+                return true;
+            }
+        }
+        false
+    });
+}
--- a/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
+++ b/crates/ragwortroad_consensus/tests/schedules/world/sim_world.rs
@@ -57,6 +57,8 @@
     pub(crate) sync_us: Option<Range<u64>>,
     /// Time that each write of a node takes; overrides `sync_us`.
     pub(crate) node_sync_us: BTreeMap<usize, Range<u64>>,
+    /// Whether most writes take little of the range and few take nearly all of it.
+    pub(crate) is_sync_uneven: bool,
     /// By how much the time of day has gone back on all nodes.
     pub(crate) clock_step_us: u64,
     events: BTreeMap<(u64, u64), SimEvent>,
@@ -99,6 +101,7 @@
             is_fault_free: false,
             sync_us: None,
             node_sync_us: BTreeMap::new(),
+            is_sync_uneven: false,
             clock_step_us: 0,
             events: BTreeMap::new(),
             next_event: 0,
@@ -357,7 +360,13 @@
         let max_latency_us = if is_slow { 300_000 } else { 8000 };
         let own = self.node_sync_us.get(&node).or(self.sync_us.as_ref());
         let range = own.cloned().unwrap_or(200..max_latency_us);
-        let latency = self.rng.random_range(range);
+        let latency = match self.is_sync_uneven {
+            true => {
+                let ratio = range.end as f64 / range.start as f64;
+                (range.start as f64 * ratio.powf(self.rng.random::<f64>())) as u64
+            }
+            false => self.rng.random_range(range),
+        };
         let epoch = self.nodes[node].epoch;
         let Some(process) = &mut self.nodes[node].process else {
             return;
