Bind listeners of tests while no process is being started

Evidence: a program that binds and closes an address in a loop beside three threads that start processes had 159,604 of 331,765 binds refused in 5 s, none of 331,810 without them.

Processes are started, and addresses that were just closed are bound, under one lock now; a start returns when the new program runs. No product code changes.

--- a/crates/ragwortroad_standin/src/lib.rs
+++ b/crates/ragwortroad_standin/src/lib.rs
@@ -25,6 +25,7 @@
 mod order_record;
 mod port_block;
 mod prefix_cache;
+mod process_start;
 mod run_record;
 mod service_settings;
 mod standin_engine;
@@ -42,6 +43,11 @@
         fault_plan::FaultPlan,
         order_record::OrderRecord,
         port_block::reserve_port,
+        process_start::{
+            bind_listener,
+            hold_process_starts,
+            start_process, //
+        },
         run_record::{
             RunRecord,
             RunStatus, //
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -19,8 +19,7 @@
         Child,
         Command,
         Stdio, //
-    },
-    sync::Mutex, //
+    }, //
 };
 
 use ragwortroad_standin::prelude::*;
@@ -35,10 +34,6 @@
 /// Memory that each process may use.
 pub(crate) const MEMORY_MB: u64 = 96;
 
-/// Held while the program is copied, and while a process is started: one that is forked while
-/// another test writes its copy keeps that file open, and the system then refuses to start it.
-static PROGRAM_LOCK: Mutex<()> = Mutex::new(());
-
 /// One process of the fleet.
 pub(crate) struct SoakProcess {
     role: &'static str,
@@ -62,14 +57,13 @@
             return;
         }
         let log = File::options().create(true).append(true).open(&self.log);
-        let lock = PROGRAM_LOCK.lock();
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        command
             .args([self.role, "--settings"])
             .arg(&self.settings)
             .stdout(Stdio::from(log.expect("failed to open the log file")))
-            .stderr(Stdio::null())
-            .spawn();
-        drop(lock);
+            .stderr(Stdio::null());
+        let child = start_process(&mut command);
         self.child = Some(child.expect("failed to start the process"));
     }
 
@@ -101,11 +95,15 @@
     /// Runs a command of the program with this process's settings; returns its standard output if it
     /// succeeds.
     pub(crate) fn run_command(&self, command: &str, options: &[&str]) -> Option<String> {
-        let output = Command::new(&self.program)
-            .args([command, "--settings"])
+        let mut run = Command::new(&self.program);
+        run.args([command, "--settings"])
             .arg(&self.settings)
             .args(options)
-            .output()
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .stderr(Stdio::null());
+        let output = start_process(&mut run)
+            .and_then(Child::wait_with_output)
             .expect("failed to run the program");
         let text = String::from_utf8_lossy(&output.stdout).into_owned();
         output.status.success().then_some(text)
@@ -168,9 +166,9 @@
 fn keep_program(path: &Path) {
     let program = env!("CARGO_BIN_EXE_ragwortroad");
     if fs::hard_link(program, path).is_err() {
-        let lock = PROGRAM_LOCK.lock();
+        let guard = hold_process_starts();
         fs::copy(program, path).expect("failed to copy the program");
-        drop(lock);
+        drop(guard);
     }
 }
 
--- a/tests/soak/proxy.rs
+++ b/tests/soak/proxy.rs
@@ -28,6 +28,7 @@
     time::Duration, //
 };
 
+use ragwortroad_standin::prelude::*;
 use socket2::SockRef;
 
 use crate::replica::drop_packets;
@@ -68,7 +69,7 @@
 
 impl SoakProxy {
     pub(crate) fn start(address: SocketAddr, target: SocketAddr) -> Self {
-        let listener = TcpListener::bind(address).expect("failed to bind a listener");
+        let listener = bind_listener(address).expect("failed to bind a listener");
         let address = listener
             .local_addr()
             .expect("listener has no local address");
