Count late votes only if this start has asked for them

An acknowledged command was lost and logs diverged. Found in the review by votes_for_an_earlier_start_do_not_elect_again_in_their_term: "leads term 3 again; second acknowledged: true; applied [["first"], ["other"], ["first"]]". It needs copies of frames, which links of registries do not make, as far as is known; the core promises to bear them.

A pre-candidate now keeps the votes of its term only if it comes from being a candidate there since its start.

--- a/crates/ragwortroad_consensus/src/election.rs
+++ b/crates/ragwortroad_consensus/src/election.rs
@@ -53,10 +53,10 @@
         let votes = match std::mem::replace(&mut self.state, MemberState::Follower) {
             MemberState::Candidate(votes) => {
                 self.lost_elections += 1;
-                votes
+                Some(votes)
             }
             MemberState::PreCandidate { votes, .. } => votes,
-            _ => VoteTally::default(),
+            _ => None,
         };
         self.state = MemberState::PreCandidate { supporters, votes };
         // Nothing has been written for a pre-vote, so others are supported again when it is over.
@@ -161,9 +161,12 @@
     }
 
     fn count_vote(&mut self, from: MemberId, now: ClockTime) {
-        if let MemberState::Candidate(votes) | MemberState::PreCandidate { votes, .. } =
-            &mut self.state
-        {
+        let votes = match &mut self.state {
+            MemberState::Candidate(votes) => Some(votes),
+            MemberState::PreCandidate { votes, .. } => votes.as_mut(),
+            _ => None,
+        };
+        if let Some(votes) = votes {
             votes.granted.insert(from);
             if votes.has_quorum(self.members.latest()) {
                 self.become_leader(now);
--- a/crates/ragwortroad_consensus/src/member_state.rs
+++ b/crates/ragwortroad_consensus/src/member_state.rs
@@ -15,8 +15,9 @@
     PreCandidate {
         /// Those that would vote for it in the next term.
         supporters: VoteTally,
-        /// Votes in the current term, if it was a candidate there: they may be late, and still count.
-        votes: VoteTally,
+        /// Votes in the current term, which may be late and still count. `None` unless it was a
+        /// candidate there since its start: votes that elected it before must not do so again.
+        votes: Option<VoteTally>,
     },
     /// Requests votes in a new term.
     Candidate(VoteTally),
--- a/crates/ragwortroad_consensus/src/message_handling.rs
+++ b/crates/ragwortroad_consensus/src/message_handling.rs
@@ -124,7 +124,9 @@
         match &mut self.state {
             MemberState::PreCandidate { supporters, votes } => {
                 supporters.granted.remove(&member);
-                votes.granted.remove(&member);
+                if let Some(votes) = votes {
+                    votes.granted.remove(&member);
+                }
             }
             MemberState::Candidate(votes) => {
                 votes.granted.remove(&member);
--- a/crates/ragwortroad_consensus/tests/by_hand/main.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/main.rs
@@ -512,3 +512,70 @@
     group.now = group.now.after(long);
     assert!(would_elect(&mut group, 3));
 }
+
+fn is_committed(result: &ProposeResult) -> bool {
+    matches!(result, ProposeResult::Committed { .. })
+}
+
+/// Guards against a second leadership in a term, by votes that were sent to an earlier start.
+#[test]
+fn votes_for_an_earlier_start_do_not_elect_again_in_their_term() {
+    let settings = CoreSettings {
+        uses_leader_lease: false,
+        ..recall_settings(true)
+    };
+    let mut group = ScriptedGroup::new_unchecked(3, settings);
+    group.stop(0, false);
+    group.start(0);
+    group.deliver(|_, _, _| false);
+    group.now = group.now.after(group.settings.election_timeout * 2);
+    group.input(1, CoreInput::Tick);
+    let votes = std::cell::RefCell::new(Vec::new());
+    group.deliver(|frame, from, to| {
+        let is_vote = matches!(frame.message, PeerMessage::VoteReply { granted: true, .. });
+        if is_vote && to == 1 {
+            votes.borrow_mut().push(frame.clone());
+        }
+        !is_vote && (from == 1 || to == 1)
+    });
+    let votes = votes.into_inner();
+    assert_eq!(votes.len(), 2, "both others voted");
+    let term = group.core(1).term();
+    // The disk of the candidate stalls after its vote; those of the others work.
+    group.members[1].loses_writes = true;
+    for vote in votes.clone() {
+        group.input(1, CoreInput::Frame(vote));
+    }
+    assert!(group.core(1).is_leader());
+    group.deliver(|_, _, _| true);
+    group.propose(1, b"first");
+    group.deliver(|_, _, _| true);
+    group.deliver(|_, _, _| true);
+    assert!(group.members[1].results.iter().any(is_committed));
+    // It starts again, and copies of the votes arrive.
+    group.stop(1, false);
+    group.members[1].loses_writes = false;
+    group.members[1].results.clear();
+    group.start(1);
+    group.deliver(|_, _, _| false);
+    assert_eq!(group.core(1).term(), term);
+    group.now = group.now.after(group.settings.election_timeout);
+    group.input(1, CoreInput::Tick);
+    group.deliver(|_, _, _| false);
+    for vote in votes {
+        group.input(1, CoreInput::Frame(vote));
+    }
+    let leads_again = group.core(1).is_leader() && group.core(1).term() == term;
+    group.propose(1, b"other");
+    group.deliver(|_, _, _| true);
+    group.deliver(|_, _, _| true);
+    let acknowledged = group.members[1].results.iter().any(is_committed);
+    let text = |bytes: &Vec<u8>| String::from_utf8_lossy(bytes).into_owned();
+    let applied: Vec<Vec<String>> = (group.members.iter())
+        .map(|member| member.applied.iter().map(text).collect())
+        .collect();
+    assert!(
+        !leads_again,
+        "leads term {term} again; second acknowledged: {acknowledged}; applied {applied:?}"
+    );
+}
--- a/crates/ragwortroad_consensus/tests/by_hand/scripted_group.rs
+++ b/crates/ragwortroad_consensus/tests/by_hand/scripted_group.rs
@@ -28,11 +28,19 @@
     /// Whether the member is not told that its writes are durable.
     pub(crate) holds_writes: bool,
     held_batch: Option<u64>,
+    /// Whether writes are neither made nor confirmed: they are lost when the process stops.
+    pub(crate) loses_writes: bool,
 }
 
 impl ScriptedGroup {
     /// Creates a group of `count` voters, of which all have elected the first.
     pub(crate) fn new(count: usize, settings: CoreSettings) -> Self {
+        let group = Self::new_unchecked(count, settings);
+        assert!(group.core(0).may_act_as_leader(group.now));
+        group
+    }
+
+    pub(crate) fn new_unchecked(count: usize, settings: CoreSettings) -> Self {
         let voters = (0..count).map(|at| (member_id(at), NodeId(at as u64)));
         let mut group = Self {
             settings,
@@ -47,7 +55,6 @@
         }
         group.deliver(|_, _, _| true);
         group.wait_for_leader(0, 2);
-        assert!(group.core(0).may_act_as_leader(group.now));
         group
     }
 
@@ -101,6 +108,7 @@
         let mut written = None;
         for action in actions {
             match action {
+                CoreAction::Persist { .. } if member.loses_writes => {}
                 CoreAction::Persist { batch, change } => {
                     let folder = member.folder.as_mut().expect("the folder is open");
                     folder.append(&change).expect("the disk works");
