Found the group although seeds start again before

What callers see: no configuration is ever taken or read, at any registry, although all are up and calm. The settings tell of the fleet's first start once. A seed that starts again before the group is founded was then taken for one that has lost its disk: it founds no group, and the others wait for it. If it is the one that the others leave the founding to, or all seeds start again, nobody founds the group, for good.

It fits the record of the incident: nine registries start within 0.16 s, as at a first start, three of them start again 0.8 to 1.0 s later, and no line tells of a leader or of members. Two of the three may be seeds; the seeds are not in the record, so this is not proved. Class: a state that is told once and kept in memory only.

A registry keeps the seeds of the first start in its data folder before it does anything else. While its log is empty it founds the group with these, also if its settings name others by then. A lost disk takes the file along, so what a registry without its disk may do does not change.

--- a/crates/ragwortroad_registry/src/lib.rs
+++ b/crates/ragwortroad_registry/src/lib.rs
@@ -26,6 +26,7 @@
 mod drain_flow;
 mod edge_entry;
 mod edge_flow;
+mod first_start;
 mod folder_report;
 mod folder_worker;
 mod group_recovery;
--- a/crates/ragwortroad_registry/src/registry_process.rs
+++ b/crates/ragwortroad_registry/src/registry_process.rs
@@ -1,7 +1,10 @@
 use std::{
     cell::Cell,
     net::SocketAddr,
-    path::PathBuf,
+    path::{
+        Path,
+        PathBuf, //
+    },
     pin::pin,
     rc::Rc,
     time::Duration, //
@@ -45,6 +48,10 @@
         ConsensusDriver,
         DriverOptions, //
     },
+    first_start::{
+        first_seeds,
+        keep_first_seeds, //
+    },
     folder_worker::FolderWorker,
     hint_store::HintStore,
     open_calls::OpenCalls,
@@ -175,6 +182,7 @@
     let key = "data_folder";
     let folder = settings.data_folder.clone();
     let folder = folder.context(MissingSettingSnafu { key })?;
+    keep_first_seeds(&settings, &folder);
     let (events, queue) = flume::unbounded();
     let links = listen(settings.inner_bind.unwrap_or(settings.inner)).await?;
     let calls = OpenCalls::new();
@@ -203,6 +211,7 @@
         clock: clock.now(),
         wall_ms: clock.wall_ms(),
     };
+    let initial_members = initial_members_of(&settings, &folder);
     let folder = FolderSettings {
         path: folder,
         fresh_identity: random(),
@@ -246,7 +255,7 @@
     let disk = FolderWorker::start(folder, events.clone()).context(StartSnafu)?;
     let driver = ConsensusDriver::new(DriverOptions {
         node: node_id_of(settings.inner),
-        initial_members: initial_members_of(&settings),
+        initial_members,
         settings: core_settings(&settings),
         disk,
         seed: random(),
@@ -375,15 +384,12 @@
     NodeId::from_name(&inner.to_string())
 }
 
-/// The nodes that bootstrap the group: the seeds from the settings at the fleet's first start,
-/// otherwise none.
-fn initial_members_of(settings: &ForwardSettings) -> Vec<NodeId> {
-    if !settings.first_start {
-        return Vec::new();
-    }
+/// The nodes that bootstrap the group: the seeds of the fleet's first start.
+fn initial_members_of(settings: &ForwardSettings, folder: &Path) -> Vec<NodeId> {
     let port = settings.inner.port();
-    let seeds = settings.seeds.iter();
+    let seeds = first_seeds(settings, folder);
     seeds
+        .iter()
         .map(|seed| node_id_of(SocketAddr::new(seed.ip(), port)))
         .collect()
 }
--- a/tests/soak/lost_disks.rs
+++ b/tests/soak/lost_disks.rs
@@ -1,6 +1,7 @@
 //! Loss of disks and power right after the first acknowledgement of a group that has just started.
 
 use std::{
+    fs,
     thread,
     time::{
         Duration,
@@ -106,6 +107,39 @@
     }
 }
 
+/// Waits until the process has opened its data folder or the time is over.
+fn wait_for_folder(registry: &SoakProcess, delay: Duration) {
+    let started_at = Instant::now();
+    let log = || fs::read_to_string(&registry.log).expect("failed to read a log");
+    while started_at.elapsed() < delay && !log().contains("data folder opened") {
+        thread::sleep(Duration::from_millis(1));
+    }
+}
+
+/// Guards against groups that nobody founds since seeds start again before that.
+#[test]
+fn a_group_is_founded_although_seeds_start_again_before() {
+    for again in [&[0, 1, 2][..], &[1, 2, 8], &[0, 2, 5], &[0], &[1], &[2]] {
+        let folder = tempfile::tempdir().expect("failed to create a folder");
+        let (mut registries, _) = make_fleet(folder.path(), FLEET);
+        // Without one of the seeds the group is not founded.
+        let (last, others) = again.split_last().expect("some start again");
+        let late = (*last + 1) % 3;
+        for (index, registry) in registries.iter_mut().enumerate() {
+            if index != late {
+                registry.start();
+            }
+        }
+        for index in others.iter().chain([last]).filter(|index| **index != late) {
+            wait_for_folder(&registries[*index], START_TIMEOUT);
+            registries[*index].kill();
+            registries[*index].clear_first_start();
+        }
+        registries.iter_mut().for_each(SoakProcess::start);
+        put_until_acknowledged(&registries[3], 0);
+    }
+}
+
 /// Guards against acknowledged configurations lost, late or older after tolerated losses of disks.
 #[test]
 fn acknowledged_configurations_outlast_lost_disks_at_any_moment() {
--- a/tests/soak/processes.rs
+++ b/tests/soak/processes.rs
@@ -152,11 +152,16 @@
             if data.exists() {
                 fs::remove_dir_all(data).expect("failed to delete the data folder");
             }
-            let text = fs::read_to_string(&self.settings).expect("failed to read the settings");
-            let text = text.replace("first_start = true", "first_start = false");
-            fs::write(&self.settings, text).expect("failed to write the settings");
+            self.clear_first_start();
         }
     }
+
+    /// Tells the process from its next start on that the fleet has been started before.
+    pub(crate) fn clear_first_start(&self) {
+        let text = fs::read_to_string(&self.settings).expect("failed to read the settings");
+        let text = text.replace("first_start = true", "first_start = false");
+        fs::write(&self.settings, text).expect("failed to write the settings");
+    }
 }
 
 /// Keeps the program under test at `path`, as it is now.
