Take a placeholder of the tolerated losses for an unset value

Processes did not start with a template whose placeholder for the tolerated losses was left as it is: "bounds.tolerated_disk_losses: '{{tolerate.machines}}' cannot be parsed". An empty value is unset already; so is a placeholder now, and the number follows from the seeds.

--- a/crates/ragwortroad_settings/src/forward_settings.rs
+++ b/crates/ragwortroad_settings/src/forward_settings.rs
@@ -242,7 +242,8 @@
     let key = "tolerated_disk_losses";
     let default = (seed_count.saturating_sub(1) / 2).min(MAX_DISK_LOSSES);
     let text = reader.text("bounds", key);
-    if text.is_none_or(|text| text.is_empty()) {
+    // Whoever fills in a template may not know the number, and leave the placeholder.
+    if text.is_none_or(|text| text.is_empty() || text.starts_with("{{")) {
         return default;
     }
     let value: Option<usize> = reader.optional_value("bounds", key, "1");
