--- a/tests/soak/lost_disks.rs
+++ b/tests/soak/lost_disks.rs
@@ -116,13 +116,13 @@
     }
 }
 
-/// Guards against groups that nobody founds since seeds start again before that.
+/// Guards against groups that never bootstrap since seeds start again before that.
 #[test]
-fn a_group_is_founded_although_seeds_start_again_before() {
+fn a_group_bootstraps_although_seeds_start_again_before() {
     for again in [&[0, 1, 2][..], &[1, 2, 8], &[0, 2, 5], &[0], &[1], &[2]] {
         let folder = tempfile::tempdir().expect("failed to create a folder");
         let (mut registries, _) = make_fleet(folder.path(), FLEET);
-        // Without one of the seeds the group is not founded.
+        // The group does not bootstrap before all seeds have been heard of.
         let (last, others) = again.split_last().expect("some start again");
         let late = (*last + 1) % 3;
         for (index, registry) in registries.iter_mut().enumerate() {
