Decide in one place where the body of a response ends, and frame it anew

Callers got a success with a body that was not the endpoint's. Measured on the code before, as release build: `Transfer-Encoding: chunked` beside `Content-Length: 5` gave 200 with the endpoint's `content-length: 5`, so that a client takes 5 bytes for the whole answer and the other 38 for the next answer on its connection; a coding such as `chunkex`, `gzip` or `chunked, gzip` gave 200 with the chunk framing as its body, on streams as well; `Content-Length: 43, 43` was sent on as it stands, and broke streams off. In debug builds the first and the last panicked in the HTTP library, which checks lengths there only.

Cause: the headers of the framing were sent on as the endpoint wrote them, and a body counted as framed if any coding was named, while the HTTP library reads an unknown coding until the connection closes.

`BodyFraming` reads the head of a response: a coding is `chunked`, once; a length is one number, however often it is repeated; both together are refused, since recipients may take either, and the connection is not used again. Edges use it for endpoints and for edges that relay. What goes to the client has the length of the body held, or chunks for a stream, never a header of the endpoint. A refused answer counts as unusable: the request goes on elsewhere if it may be repeated and ends with 502 otherwise, and the failed attempt is logged with its endpoint, request and reason.

--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -20,13 +20,10 @@
     Response,
     StatusCode,
     body::Incoming,
-    header::{
-        CONTENT_LENGTH,
-        TRANSFER_ENCODING, //
-    },
-    http::response, //
+    header::CONTENT_LENGTH, //
 };
 use ragwortroad_dispatch::prelude::*;
+use ragwortroad_http::prelude::*;
 use tokio::time::{
     Instant,
     timeout_at, //
@@ -56,10 +53,7 @@
         is_timeout_error, //
     },
     in_flight_guard::InFlightGuard,
-    request_plan::{
-        RequestPlan,
-        strip_hop_by_hop, //
-    },
+    request_plan::RequestPlan,
     run_clock::RunClock, //
 };
 
@@ -290,8 +284,12 @@
     guard: InFlightGuard,
 ) -> CallOutcome {
     let (head, body) = response.into_parts();
+    let framing = match BodyFraming::of_response(&plan.method, &head) {
+        Ok(framing) => framing,
+        Err(error) => return unusable_response(&error.to_string()),
+    };
     let mut metadata = (shared.port.parse_response)(head.status, &head.headers);
-    let ends_with_connection = has_no_framing(&head);
+    let ends_with_connection = !framing.marks_end();
     metadata.is_closing |= ends_with_connection;
     let metadata = metadata;
     if metadata.id.as_deref().is_some_and(|id| id != plan.id) {
@@ -320,8 +318,7 @@
     if is_success && (!metadata.is_signed || metadata.is_encoded || metadata.id.is_none()) {
         return unusable_response("successful response is unsigned, encoded or without request id");
     }
-    let mut headers = head.headers;
-    strip_hop_by_hop(&mut headers);
+    let headers = forwarded_headers(head.headers, framing);
     if is_success && metadata.is_event_stream {
         return CallOutcome::Events(Box::new(EventStream {
             status: head.status,
@@ -358,11 +355,14 @@
     })
 }
 
-/// Whether a response has neither a length nor chunks, so that its body ends with the connection.
-fn has_no_framing(head: &response::Parts) -> bool {
-    let has_body = !BODILESS.contains(&head.status);
-    let headers = &head.headers;
-    has_body && !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
+/// Headers of a response for the next hop, where it is framed anew by the body that is sent.
+pub(crate) fn forwarded_headers(mut headers: HeaderMap, framing: BodyFraming) -> HeaderMap {
+    strip_hop_by_hop(&mut headers);
+    headers.remove(CONTENT_LENGTH);
+    if let BodyFraming::Bodiless { described_length } = framing {
+        headers.extend(described_length.map(|length| (CONTENT_LENGTH, length.into())));
+    }
+    headers
 }
 
 /// Records what an endpoint wants of this edge: a rest, or no new request at all.
@@ -398,7 +398,7 @@
 }
 
 /// Outcome for a response that cannot be used.
-fn unusable_response(reason: &str) -> CallOutcome {
+pub(crate) fn unusable_response(reason: &str) -> CallOutcome {
     CallOutcome::Lost {
         reason: reason.to_owned(),
         kind: LossKind::Unusable,
--- a/crates/ragwortroad_edge/src/relay_call.rs
+++ b/crates/ragwortroad_edge/src/relay_call.rs
@@ -15,6 +15,7 @@
     header::RETRY_AFTER, //
 };
 use ragwortroad_dispatch::prelude::*;
+use ragwortroad_http::prelude::*;
 use ragwortroad_telemetry::prelude::*;
 use tokio::time::{
     Instant,
@@ -29,19 +30,18 @@
         EventStream,
         FullResponse,
         LossKind,
+        forwarded_headers,
         read_whole,
         return_connection,
-        send_request, //
+        send_request,
+        unusable_response, //
     },
     relay_head::{
         RelayHead,
         RelayVerdict,
         take_version, //
     },
-    request_plan::{
-        RequestPlan,
-        strip_hop_by_hop, //
-    },
+    request_plan::RequestPlan,
     request_reading::STARTUP_POLL_INTERVAL, //
 };
 
@@ -165,12 +165,17 @@
     let (mut head, body) = response.into_parts();
     let verdict = RelayVerdict::take(&mut head.headers);
     let version = take_version(&mut head.headers);
+    let framing = match BodyFraming::of_response(&plan.method, &head) {
+        // Edges frame what they relay.
+        Ok(framing) if framing.marks_end() => framing,
+        Ok(_) => return unusable_response("an edge does not mark the end of a body").into(),
+        Err(error) => return unusable_response(&error.to_string()).into(),
+    };
     let metadata = (shared.port.parse_response)(head.status, &head.headers);
     let retry_after = head.headers.get(RETRY_AFTER);
     let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
     let retry_after = retry_after.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
-    let mut headers = head.headers;
-    strip_hop_by_hop(&mut headers);
+    let headers = forwarded_headers(head.headers, framing);
     let is_stream = head.status.is_success() && metadata.is_event_stream;
     if verdict == RelayVerdict::Answered && is_stream {
         return CallOutcome::Events(Box::new(EventStream {
@@ -181,7 +186,6 @@
             connection,
             address: peer.address,
             version,
-            // Edges frame what they relay.
             ends_with_connection: false,
             run: None,
             guard: None,
--- a/crates/ragwortroad_edge/src/request_plan.rs
+++ b/crates/ragwortroad_edge/src/request_plan.rs
@@ -13,11 +13,7 @@
     Method,
     Request,
     Uri,
-    header::{
-        CONNECTION,
-        HOST,
-        HeaderName, //
-    }, //
+    header::HOST, //
 };
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_types::prelude::*;
@@ -58,38 +54,6 @@
     pub(crate) suspects: OnceCell<Vec<SuspectPart>>,
 }
 
-/// Headers that apply to a single connection.
-const HOP_BY_HOP_HEADERS: [&str; 9] = [
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// Removes hop-by-hop headers, including those listed in `Connection`.
-///
-/// If they were forwarded, the next hop could disagree with the edge on where the message ends.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP_HEADERS {
-        headers.remove(name);
-    }
-}
-
 /// Target of a request, known before its body has arrived.
 pub(crate) struct RequestTarget {
     pub(crate) route: RouteKey,
--- a/crates/ragwortroad_edge/src/request_reading.rs
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -21,6 +21,7 @@
     body::Incoming, //
 };
 use ragwortroad_dispatch::prelude::*;
+use ragwortroad_http::prelude::*;
 use tokio::time::{
     Instant,
     sleep,
@@ -39,8 +40,7 @@
     request_plan::{
         RequestPlan,
         RequestTarget,
-        find_target,
-        strip_hop_by_hop, //
+        find_target, //
     },
     scarce_services::may_lead,
     stream_origins::find_version, //
--- /dev/null
+++ b/crates/ragwortroad_http/src/connection_options.rs
@@ -0,0 +1,40 @@
+use hyper::{
+    HeaderMap,
+    header::{
+        CONNECTION,
+        HeaderName, //
+    }, //
+};
+
+/// Headers that apply to a single connection.
+const HOP_BY_HOP_HEADERS: [&str; 9] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Removes hop-by-hop headers, including those listed in `Connection`.
+///
+/// If they were forwarded, the next hop could disagree on where the message ends.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let options = connection_options(headers).filter_map(|name| name.parse().ok());
+    let named: Vec<HeaderName> = options.collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_HEADERS {
+        headers.remove(name);
+    }
+}
+
+fn connection_options(headers: &HeaderMap) -> impl Iterator<Item = &str> {
+    let values = headers.get_all(CONNECTION).iter();
+    let values = values.filter_map(|value| value.to_str().ok());
+    values.flat_map(|value| value.split(',')).map(str::trim)
+}
