Refuse responses whose status is not final or forbids their body

Callers got the statuses 600 and 999 with the endpoint's seal, and 101 as an answer after which the connection broke off; an answer with a body whose status was spoilt to 204 would come without it, as complete.

Cause: the HTTP library reads any three digits as a status, ends a 101 without a body as an upgrade that nobody asked for, and drops the body of a 204.

The head of a final response now has a status from 200 to 599, and none of those without a body announces one; others are unusable like any other damaged head.

--- a/crates/ragwortroad_http/src/body_framing.rs
+++ b/crates/ragwortroad_http/src/body_framing.rs
@@ -1,3 +1,5 @@
+use std::ops::RangeInclusive;
+
 use hyper::{
     HeaderMap,
     Method,
@@ -18,11 +20,16 @@
 use crate::framing_error::{
     CodingAndLengthSnafu,
     CodingInOldVersionSnafu,
+    ForbiddenBodySnafu,
     FramingError,
     InvalidLengthSnafu,
-    UnknownCodingSnafu, //
+    UnknownCodingSnafu,
+    UnknownStatusSnafu, //
 };
 
+/// Statuses of final responses.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// How the body of a response is delimited (RFC 9112, section 6.3).
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum BodyFraming {
@@ -46,14 +53,26 @@
     ///
     /// # Errors
     ///
-    /// Fails if the transfer coding is anything but `chunked`, if the length is invalid, or if there
-    /// are both.
+    /// Fails if the status is not final, if the transfer coding is anything but `chunked`, if the
+    /// length is invalid, if there are both, or if the status allows no body.
     pub fn of_response(method: &Method, head: &response::Parts) -> Result<Self, FramingError> {
         let headers = &head.headers;
+        let status = head.status.as_u16();
+        ensure!(
+            FINAL_STATUSES.contains(&status),
+            UnknownStatusSnafu { status }
+        );
         let is_chunked = parse_coding(head)?;
         let length = parse_length(headers)?;
         ensure!(!is_chunked || length.is_none(), CodingAndLengthSnafu);
-        let is_empty = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
+        let is_empty = match head.status {
+            StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT => {
+                let has_body = is_chunked || length.is_some_and(|length| length > 0);
+                ensure!(!has_body, ForbiddenBodySnafu { status });
+                head.status == StatusCode::NO_CONTENT
+            }
+            status => status == StatusCode::NOT_MODIFIED,
+        };
         if is_empty || *method == Method::HEAD {
             let is_described = head.status != StatusCode::NO_CONTENT;
             return Ok(Self::Bodiless {
--- a/crates/ragwortroad_http/src/framing_error.rs
+++ b/crates/ragwortroad_http/src/framing_error.rs
@@ -8,6 +8,12 @@
 #[snafu(visibility(pub(crate)))]
 #[non_exhaustive]
 pub enum FramingError {
+    /// The status is not that of a final response.
+    #[snafu(display("status {status} is not that of a final response; respond with 200 to 599"))]
+    UnknownStatus {
+        /// The status in the head.
+        status: u16,
+    },
     /// The body is encoded in a way that cannot be decoded.
     #[snafu(display("the transfer coding is unknown; send `chunked`, once, or none"))]
     UnknownCoding,
@@ -20,4 +26,10 @@
     /// The length is no number, or there are several.
     #[snafu(display("the length is invalid or ambiguous; send one number"))]
     InvalidLength,
+    /// A body where the status allows none.
+    #[snafu(display("status {status} allows no body; send another status or no body"))]
+    ForbiddenBody {
+        /// The status in the head.
+        status: u16,
+    },
 }
--- a/crates/ragwortroad_http/tests/framings.rs
+++ b/crates/ragwortroad_http/tests/framings.rs
@@ -129,6 +129,34 @@
     );
 }
 
+#[test]
+fn statuses_that_are_not_final_are_refused() {
+    let length: [(HeaderName, &[u8]); 1] = [(CONTENT_LENGTH, b"43")];
+    for status in [101, 103, 199, 600, 999] {
+        let refused = Err(FramingError::UnknownStatus { status });
+        assert_eq!(framing_for(&Method::GET, status, &length), refused);
+        assert_eq!(framing_for(&Method::HEAD, status, &length), refused);
+    }
+    for status in [200, 299, 404, 503, 599] {
+        let framing = framing_for(&Method::GET, status, &length);
+        assert_eq!(framing, Ok(BodyFraming::Length(43)), "{status}");
+    }
+}
+
+#[test]
+fn bodies_that_the_status_forbids_are_refused() {
+    for status in [204, 205] {
+        let refused = Err(FramingError::ForbiddenBody { status });
+        let bodies: [(HeaderName, &[u8]); 2] =
+            [(CONTENT_LENGTH, b"43"), (TRANSFER_ENCODING, b"chunked")];
+        for body in bodies {
+            assert_eq!(framing_for(&Method::GET, status, &[body]), refused);
+        }
+    }
+    let empty = framing_for(&Method::GET, 205, &[(CONTENT_LENGTH, b"0")]);
+    assert_eq!(empty, Ok(BodyFraming::Length(0)));
+}
+
 #[test]
 fn headers_that_connection_names_are_stripped() {
     let mut headers = HeaderMap::new();
