Take a close for the end of a body only if it was announced

Callers got bodies of the chunk framing, or all bytes up to a close, as complete answers where the name of the field that frames the body was spoilt to another name (`Transfer-Encodinj: chunked`, `Content-Lemgth: 43`): a response that tells nothing of its body was read until its connection closed.

A response without length and coding is refused unless it announces the close, in any line or case, or has the version 1.0 without `keep-alive`. The test failed on the code before in debug and in release builds.

Open: a response that announces its close and has a spoilt coding still cannot be told from one whose body looks like chunks.

--- a/crates/ragwortroad_http/src/body_framing.rs
+++ b/crates/ragwortroad_http/src/body_framing.rs
@@ -17,14 +17,18 @@
     ensure, //
 };
 
-use crate::framing_error::{
-    CodingAndLengthSnafu,
-    CodingInOldVersionSnafu,
-    ForbiddenBodySnafu,
-    FramingError,
-    InvalidLengthSnafu,
-    UnknownCodingSnafu,
-    UnknownStatusSnafu, //
+use crate::{
+    connection_options::has_option,
+    framing_error::{
+        CodingAndLengthSnafu,
+        CodingInOldVersionSnafu,
+        ForbiddenBodySnafu,
+        FramingError,
+        InvalidLengthSnafu,
+        NoFramingSnafu,
+        UnknownCodingSnafu,
+        UnknownStatusSnafu, //
+    },
 };
 
 /// Statuses of final responses.
@@ -42,7 +46,7 @@
     Length(u64),
     /// The body comes in chunks, the last of which is empty.
     Chunked,
-    /// The body ends with the connection.
+    /// The body ends with the connection, whose close was announced.
     CloseDelimited,
 }
 
@@ -54,7 +58,8 @@
     /// # Errors
     ///
     /// Fails if the status is not final, if the transfer coding is anything but `chunked`, if the
-    /// length is invalid, if there are both, or if the status allows no body.
+    /// length is invalid, if there are both or neither without an announced close, or if the status
+    /// allows no body.
     pub fn of_response(method: &Method, head: &response::Parts) -> Result<Self, FramingError> {
         let headers = &head.headers;
         let status = head.status.as_u16();
@@ -82,7 +87,10 @@
         match (is_chunked, length) {
             (true, _) => Ok(Self::Chunked),
             (false, Some(length)) => Ok(Self::Length(length)),
-            (false, None) => Ok(Self::CloseDelimited),
+            (false, None) => {
+                ensure!(closes_connection(head), NoFramingSnafu);
+                Ok(Self::CloseDelimited)
+            }
         }
     }
 
@@ -131,3 +139,10 @@
         elements.chain(text.is_none().then_some(None))
     })
 }
+
+/// Whether the sender closes the connection after the response.
+fn closes_connection(head: &response::Parts) -> bool {
+    let headers = &head.headers;
+    let is_old = head.version < Version::HTTP_11;
+    has_option(headers, "close") || (is_old && !has_option(headers, "keep-alive"))
+}
--- a/crates/ragwortroad_http/src/connection_options.rs
+++ b/crates/ragwortroad_http/src/connection_options.rs
@@ -19,6 +19,11 @@
     "upgrade",
 ];
 
+/// Whether `Connection` has an option, in any of its lines.
+pub(crate) fn has_option(headers: &HeaderMap, option: &str) -> bool {
+    connection_options(headers).any(|name| name.eq_ignore_ascii_case(option))
+}
+
 /// Removes hop-by-hop headers, including those listed in `Connection`.
 ///
 /// If they were forwarded, the next hop could disagree on where the message ends.
--- a/crates/ragwortroad_http/src/framing_error.rs
+++ b/crates/ragwortroad_http/src/framing_error.rs
@@ -32,4 +32,7 @@
         /// The status in the head.
         status: u16,
     },
+    /// There is neither a coding nor a length, and the connection may stay open after the body.
+    #[snafu(display("no length, no coding and no announced close; send one of them"))]
+    NoFraming,
 }
--- a/crates/ragwortroad_http/tests/framings.rs
+++ b/crates/ragwortroad_http/tests/framings.rs
@@ -7,6 +7,7 @@
     StatusCode,
     Version,
     header::{
+        CONNECTION,
         CONTENT_LENGTH,
         HeaderName,
         HeaderValue,
@@ -157,6 +158,25 @@
     assert_eq!(empty, Ok(BodyFraming::Length(0)));
 }
 
+#[test]
+fn only_an_announced_close_ends_a_body() {
+    let close_delimited = Ok(BodyFraming::CloseDelimited);
+    let connection = |value: &'static str| framing(&[(CONNECTION, value.as_bytes())]);
+    assert_eq!(framing(&[]), Err(FramingError::NoFraming));
+    assert_eq!(connection("keep-alive"), Err(FramingError::NoFraming));
+    assert_eq!(connection("close"), close_delimited);
+    assert_eq!(connection("X-Other, Close"), close_delimited);
+    let old = |value: Option<&'static str>| {
+        let mut response = Response::new(());
+        *response.version_mut() = Version::HTTP_10;
+        let value = value.map(|value| (CONNECTION, HeaderValue::from_static(value)));
+        response.headers_mut().extend(value);
+        BodyFraming::of_response(&Method::GET, &response.into_parts().0)
+    };
+    assert_eq!(old(None), close_delimited);
+    assert_eq!(old(Some("keep-alive")), Err(FramingError::NoFraming));
+}
+
 #[test]
 fn headers_that_connection_names_are_stripped() {
     let mut headers = HeaderMap::new();
