Refuse responses that name several requests or carry several signatures

Callers got 200 with two `X-Request-Id` lines, theirs first and another's behind it, or with two seals, of which a client may take either one.

Cause: only the first line was read. A response whose ids or signatures differ is now unusable, whatever its status; equal ones in two lines are still taken.

--- a/crates/ragwortroad_edge/src/edge_port.rs
+++ b/crates/ragwortroad_edge/src/edge_port.rs
@@ -118,6 +118,8 @@
     pub id: Option<String>,
     /// Whether it carries the endpoint's signature.
     pub is_signed: bool,
+    /// Whether it carries several ids or signatures that differ.
+    pub is_ambiguous: bool,
     /// Whether the endpoint states that it did not run the request.
     pub is_not_run: bool,
     /// Time for which a refusing endpoint wants no further request from this edge; `None` if it does
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -292,6 +292,9 @@
     let ends_with_connection = !framing.marks_end();
     metadata.is_closing |= ends_with_connection;
     let metadata = metadata;
+    if metadata.is_ambiguous {
+        return unusable_response("response carries several request ids or signatures");
+    }
     if metadata.id.as_deref().is_some_and(|id| id != plan.id) {
         // A late response to an earlier request on a reused connection. Forwarding it could expose
         // another customer's data.
