Check the heads of endpoints in `serve` as edges do

Clients of `serve` got a booking's answer out of a response with a coding beside a length, the chunk framing of an unreadable coding as its body, and an answer that named two requests, theirs first; chats took their text out of such streams.

Cause: any `Transfer-Encoding` counted as an end marker, streams were not checked at all, and only the first request id was read.

Every head of a service or an engine now goes through `BodyFraming`, and all its request ids have to be the request's.

--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -283,11 +283,11 @@
     run: RunClock,
     guard: InFlightGuard,
 ) -> CallOutcome {
-    let (head, body) = response.into_parts();
-    let framing = match BodyFraming::of_response(&plan.method, &head) {
+    let framing = match BodyFraming::of_response(&plan.method, &response) {
         Ok(framing) => framing,
         Err(error) => return unusable_response(&error.to_string()),
     };
+    let (head, body) = response.into_parts();
     let mut metadata = (shared.port.parse_response)(head.status, &head.headers);
     let ends_with_connection = !framing.marks_end();
     metadata.is_closing |= ends_with_connection;
--- a/crates/ragwortroad_edge/src/relay_call.rs
+++ b/crates/ragwortroad_edge/src/relay_call.rs
@@ -162,15 +162,15 @@
         Ok(sent) => sent,
         Err(outcome) => return outcome.into(),
     };
-    let (mut head, body) = response.into_parts();
-    let verdict = RelayVerdict::take(&mut head.headers);
-    let version = take_version(&mut head.headers);
-    let framing = match BodyFraming::of_response(&plan.method, &head) {
+    let framing = match BodyFraming::of_response(&plan.method, &response) {
         // Edges frame what they relay.
         Ok(framing) if framing.marks_end() => framing,
         Ok(_) => return unusable_response("an edge does not mark the end of a body").into(),
         Err(error) => return unusable_response(&error.to_string()).into(),
     };
+    let (mut head, body) = response.into_parts();
+    let verdict = RelayVerdict::take(&mut head.headers);
+    let version = take_version(&mut head.headers);
     let metadata = (shared.port.parse_response)(head.status, &head.headers);
     let retry_after = head.headers.get(RETRY_AFTER);
     let retry_after = retry_after.and_then(|value| value.to_str().ok()?.parse().ok());
--- a/crates/ragwortroad_gateway/src/engine_response.rs
+++ b/crates/ragwortroad_gateway/src/engine_response.rs
@@ -19,7 +19,7 @@
     response_body::ResponseBody,
     response_builder::text_response,
     response_check::{
-        check_request_id,
+        check_head,
         read_complete, //
     },
 };
@@ -52,7 +52,7 @@
         let must_echo = flow.state.settings.require_request_id_echo;
         let response = flow.exchange(&mut attempt, make_request).await;
         let response = response.and_then(|response| {
-            check_request_id(&response, context.request, must_echo)?;
+            check_head(&Method::POST, &response, context.request, must_echo)?;
             Ok(response)
         });
         let reason = match response {
--- a/crates/ragwortroad_gateway/src/response_check.rs
+++ b/crates/ragwortroad_gateway/src/response_check.rs
@@ -8,34 +8,32 @@
 use hyper::{
     Method,
     Response,
-    StatusCode,
-    body::Incoming,
-    header::{
-        CONTENT_LENGTH,
-        TRANSFER_ENCODING, //
-    }, //
+    body::Incoming, //
 };
+use ragwortroad_http::prelude::*;
 use ragwortroad_types::prelude::*;
 
 use crate::header_names::REQUEST_ID_HEADER;
 
-/// Checks that the response carries the identity of this request. A response without an identity is
-/// accepted unless `must_echo` is set.
-pub(crate) fn check_request_id(
+/// Checks that the response tells where its body ends, and carries the identity of this request and of
+/// no other. A response without an identity is accepted unless `must_echo` is set.
+pub(crate) fn check_head(
+    method: &Method,
     response: &Response<Incoming>,
     request: RequestId,
     must_echo: bool,
 ) -> Result<(), String> {
-    let Some(echoed_id) = response.headers().get(REQUEST_ID_HEADER) else {
-        return match must_echo {
-            true => Err("the answer does not name its request".to_owned()),
-            false => Ok(()),
-        };
-    };
-    if echoed_id.as_bytes() == request.to_string().as_bytes() {
-        return Ok(());
+    BodyFraming::of_response(method, response).map_err(|error| error.to_string())?;
+    let own_id = request.to_string();
+    let headers = response.headers();
+    if must_echo && !headers.contains_key(REQUEST_ID_HEADER) {
+        return Err("the answer does not name its request".to_owned());
+    }
+    let mut echoed_ids = headers.get_all(REQUEST_ID_HEADER).iter();
+    match echoed_ids.all(|id| id.as_bytes() == own_id.as_bytes()) {
+        true => Ok(()),
+        false => Err("the answer belongs to another request".to_owned()),
     }
-    Err("the answer belongs to another request".to_owned())
 }
 
 /// Completion identity that an engine must put into its response, if engines name the request.
@@ -55,15 +53,8 @@
     response: Response<Incoming>,
     limit: usize,
 ) -> Result<Bytes, String> {
-    let headers = response.headers();
-    let has_end_marker =
-        headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-    let is_bodiless = method == Method::HEAD
-        || matches!(
-            response.status(),
-            StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-        );
-    if !has_end_marker && !is_bodiless {
+    let framing = BodyFraming::of_response(method, &response).map_err(|error| error.to_string())?;
+    if !framing.marks_end() {
         return Err("the answer does not mark its end".to_owned());
     }
     let body = Limited::new(response.into_body(), limit);
--- a/crates/ragwortroad_gateway/src/service_relay.rs
+++ b/crates/ragwortroad_gateway/src/service_relay.rs
@@ -41,7 +41,7 @@
     response_body::ResponseBody,
     response_builder::recorded_response,
     response_check::{
-        check_request_id,
+        check_head,
         read_complete, //
     },
 };
@@ -184,7 +184,10 @@
         let make_request = |grant: &AdmitGrant, _| call.request(&context, grant);
         let limit = flow.state.settings.max_response_bytes;
         let response = match flow.exchange(&mut attempt, make_request).await {
-            Ok(response) => check_request_id(&response, context.request, false).map(|()| response),
+            Ok(response) => {
+                let checked = check_head(&call.method, &response, context.request, false);
+                checked.map(|()| response)
+            }
             Err(reason) => Err(reason),
         };
         let complete = match response {
--- a/crates/ragwortroad_http/src/body_framing.rs
+++ b/crates/ragwortroad_http/src/body_framing.rs
@@ -3,14 +3,14 @@
 use hyper::{
     HeaderMap,
     Method,
+    Response,
     StatusCode,
     Version,
     header::{
         CONTENT_LENGTH,
         HeaderName,
         TRANSFER_ENCODING, //
-    },
-    http::response, //
+    }, //
 };
 use snafu::{
     OptionExt,
@@ -60,26 +60,25 @@
     /// Fails if the status is not final, if the transfer coding is anything but `chunked`, if the
     /// length is invalid, if there are both or neither without an announced close, or if the status
     /// allows no body.
-    pub fn of_response(method: &Method, head: &response::Parts) -> Result<Self, FramingError> {
-        let headers = &head.headers;
-        let status = head.status.as_u16();
+    pub fn of_response<B>(method: &Method, response: &Response<B>) -> Result<Self, FramingError> {
+        let status = response.status().as_u16();
         ensure!(
             FINAL_STATUSES.contains(&status),
             UnknownStatusSnafu { status }
         );
-        let is_chunked = parse_coding(head)?;
-        let length = parse_length(headers)?;
+        let is_chunked = parse_coding(response)?;
+        let length = parse_length(response.headers())?;
         ensure!(!is_chunked || length.is_none(), CodingAndLengthSnafu);
-        let is_empty = match head.status {
+        let is_empty = match response.status() {
             StatusCode::NO_CONTENT | StatusCode::RESET_CONTENT => {
                 let has_body = is_chunked || length.is_some_and(|length| length > 0);
                 ensure!(!has_body, ForbiddenBodySnafu { status });
-                head.status == StatusCode::NO_CONTENT
+                response.status() == StatusCode::NO_CONTENT
             }
             status => status == StatusCode::NOT_MODIFIED,
         };
         if is_empty || *method == Method::HEAD {
-            let is_described = head.status != StatusCode::NO_CONTENT;
+            let is_described = response.status() != StatusCode::NO_CONTENT;
             return Ok(Self::Bodiless {
                 described_length: length.filter(|_| is_described),
             });
@@ -88,7 +87,7 @@
             (true, _) => Ok(Self::Chunked),
             (false, Some(length)) => Ok(Self::Length(length)),
             (false, None) => {
-                ensure!(closes_connection(head), NoFramingSnafu);
+                ensure!(closes_connection(response), NoFramingSnafu);
                 Ok(Self::CloseDelimited)
             }
         }
@@ -101,14 +100,15 @@
 }
 
 /// Returns whether the body is chunked.
-fn parse_coding(head: &response::Parts) -> Result<bool, FramingError> {
-    let mut codings = list_elements(&head.headers, TRANSFER_ENCODING);
+fn parse_coding<B>(response: &Response<B>) -> Result<bool, FramingError> {
+    let mut codings = list_elements(response.headers(), TRANSFER_ENCODING);
     let Some(coding) = codings.next() else {
         return Ok(false);
     };
     let is_chunked = coding.is_some_and(|coding| coding.eq_ignore_ascii_case("chunked"));
     ensure!(is_chunked && codings.next().is_none(), UnknownCodingSnafu);
-    ensure!(head.version >= Version::HTTP_11, CodingInOldVersionSnafu);
+    let is_old = response.version() < Version::HTTP_11;
+    ensure!(!is_old, CodingInOldVersionSnafu);
     Ok(true)
 }
 
@@ -141,8 +141,8 @@
 }
 
 /// Whether the sender closes the connection after the response.
-fn closes_connection(head: &response::Parts) -> bool {
-    let headers = &head.headers;
-    let is_old = head.version < Version::HTTP_11;
+fn closes_connection<B>(response: &Response<B>) -> bool {
+    let headers = response.headers();
+    let is_old = response.version() < Version::HTTP_11;
     has_option(headers, "close") || (is_old && !has_option(headers, "keep-alive"))
 }
--- a/crates/ragwortroad_http/tests/framings.rs
+++ b/crates/ragwortroad_http/tests/framings.rs
@@ -28,7 +28,7 @@
         let value = HeaderValue::from_bytes(value).expect("an invalid value");
         response.headers_mut().append(name, value);
     }
-    BodyFraming::of_response(method, &response.into_parts().0)
+    BodyFraming::of_response(method, &response)
 }
 
 fn framing(lines: &[(HeaderName, &[u8])]) -> Result<BodyFraming, FramingError> {
@@ -75,7 +75,7 @@
     *response.version_mut() = Version::HTTP_10;
     let value = HeaderValue::from_static("chunked");
     response.headers_mut().insert(TRANSFER_ENCODING, value);
-    let framing = BodyFraming::of_response(&Method::GET, &response.into_parts().0);
+    let framing = BodyFraming::of_response(&Method::GET, &response);
     assert_eq!(framing, Err(FramingError::CodingInOldVersion));
 }
 
@@ -171,7 +171,7 @@
         *response.version_mut() = Version::HTTP_10;
         let value = value.map(|value| (CONNECTION, HeaderValue::from_static(value)));
         response.headers_mut().extend(value);
-        BodyFraming::of_response(&Method::GET, &response.into_parts().0)
+        BodyFraming::of_response(&Method::GET, &response)
     };
     assert_eq!(old(None), close_delimited);
     assert_eq!(old(Some("keep-alive")), Err(FramingError::NoFraming));
