Confirm an order only by a response whose end is known

An engine's response counted as a confirmation with a coding beside a length, with an unreadable coding, and without a length when the connection broke off: nothing told that the response was damaged or cut.

The test failed on the code before in debug and in release builds: 200 with a coding and a length was `Confirmed`. The worker now asks `BodyFraming`, and a response that does not mark its end confirms nothing, like a truncated one before. The order is sent again, which is safe as orders state what is wanted.

--- a/crates/ragwortroad_node/src/order/mod.rs
+++ b/crates/ragwortroad_node/src/order/mod.rs
@@ -8,3 +8,5 @@
 pub(crate) mod target_plan;
 #[cfg(test)]
 mod tests;
+#[cfg(test)]
+mod worker_tests;
--- a/crates/ragwortroad_node/src/order/order_worker.rs
+++ b/crates/ragwortroad_node/src/order/order_worker.rs
@@ -20,6 +20,7 @@
     Limited, //
 };
 use hyper::{
+    Method,
     Request,
     client::conn::http1::handshake,
     header::{
@@ -29,6 +30,7 @@
 };
 use hyper_util::rt::TokioIo;
 use ragwortroad_clock::prelude::*;
+use ragwortroad_http::prelude::*;
 use ragwortroad_state::prelude::*;
 use ragwortroad_types::prelude::*;
 use snafu::ResultExt;
@@ -201,6 +203,11 @@
         let response = sender.send_request(request).await;
         let response = response.map_err(|error| failed(&error))?;
         let status = response.status().as_u16();
+        let framing = BodyFraming::of_response(&Method::POST, &response);
+        let framing = framing.map_err(|error| failed(&error))?;
+        if !framing.marks_end() {
+            return Err(failed(&"the answer does not mark its end"));
+        }
         let body = Limited::new(response.into_body(), MAX_RESPONSE_BYTES).collect();
         // A truncated response confirms nothing.
         body.await.map_err(|error| failed(&error))?;
