Count damaged responses as broken in the load tool

The load tool's client counted a response with a coding beside a length, an unreadable coding, two lengths, no framing at all, or the status 000 or 600 as an answer, so that a run could hide what its callers saw.

The test failed on the code before in debug and in release builds (`answered` for a coding beside a length). The client now asks `BodyFraming` about the head that its HTTP library has read, and takes only bodies whose end is marked.

--- a/crates/ragwortroad_load/src/http_client.rs
+++ b/crates/ragwortroad_load/src/http_client.rs
@@ -6,11 +6,20 @@
     }, //
 };
 
+use hyper::{
+    Response,
+    StatusCode,
+    header::{
+        HeaderName,
+        HeaderValue, //
+    }, //
+};
 use minreq::{
     Method,
     Request,
     ResponseLazy, //
 };
+use ragwortroad_http::prelude::*;
 use ragwortroad_types::prelude::*;
 use serde::Deserialize;
 
@@ -84,6 +93,10 @@
     match outgoing.send_lazy() {
         Ok(reader) => {
             response.attempt.status = Some(reader.status_code);
+            if let Err(why) = check_framing(request, &reader) {
+                response.end = ClientOutcome::Broken(why);
+                return Err(Box::new(response));
+            }
             response.attempt.request_id = header(&reader, "x-request-id");
             response.hint = header(&reader, "x-placement-hint");
             response.next_node = header(&reader, "x-next-node");
@@ -110,6 +123,28 @@
     found.map(|(_, value)| value.clone())
 }
 
+/// Checks that the head marks where the body ends, since `minreq` takes any head.
+fn check_framing(request: &ClientRequest<'_>, reader: &ResponseLazy) -> Result<(), String> {
+    let mut head = Response::new(());
+    let status = u16::try_from(reader.status_code).ok();
+    let status = status.and_then(|status| StatusCode::from_u16(status).ok());
+    *head.status_mut() = status.ok_or_else(|| format!("status {}", reader.status_code))?;
+    for (name, value) in &reader.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).map_err(|error| error.to_string())?;
+        let value = HeaderValue::from_str(value).map_err(|error| error.to_string())?;
+        head.headers_mut().append(name, value);
+    }
+    let method = match request.method {
+        Method::Head => hyper::Method::HEAD,
+        _ => hyper::Method::GET,
+    };
+    let framing = BodyFraming::of_response(&method, &head).map_err(|error| error.to_string())?;
+    match framing.marks_end() {
+        true => Ok(()),
+        false => Err("the answer does not mark its end".to_owned()),
+    }
+}
+
 /// Reads a body and compares its length with `Content-Length`, since `minreq` reports no error
 /// for a truncated body.
 fn read_full_body(reader: &mut ResponseLazy) -> Result<Vec<u8>, String> {
--- a/crates/ragwortroad_load/tests/checks_catch_faults.rs
+++ b/crates/ragwortroad_load/tests/checks_catch_faults.rs
@@ -1,7 +1,15 @@
 //! Tests of the run checks against records and fleets with known faults.
 #![allow(clippy::unwrap_used)]
 
-use std::time::Duration;
+use std::{
+    io::{
+        Read,
+        Write, //
+    },
+    net::TcpListener,
+    thread,
+    time::Duration, //
+};
 
 use ragwortroad_load::prelude::*;
 use ragwortroad_standin::prelude::*;
@@ -233,6 +241,53 @@
     service.stop();
 }
 
+/// Guards against damaged responses that count as answered. Clients send directly to a service that
+/// closes each connection after such a response.
+#[test]
+fn damaged_responses_are_not_answers() {
+    let damaged = [
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\ncontent-length: 2\r\n\r\n\
+         2\r\n{}\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ntransfer-encoding: chunkex\r\n\r\n2\r\n{}\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ncontent-length: 20\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\n\r\n{}",
+        "HTTP/1.1 000 OK\r\ncontent-length: 2\r\n\r\n{}",
+        "HTTP/1.1 600 OK\r\ncontent-length: 2\r\n\r\n{}",
+    ];
+    let ends = |response: &'static str| {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        // Ends with the process.
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.unwrap();
+                // Reads have no body, and one packet holds their heads.
+                stream.read(&mut [0; 4096]).unwrap_or_default();
+                stream.write_all(response.as_bytes()).unwrap_or_default();
+            }
+        });
+        let report = run_load(LoadSettings {
+            nodes: vec![address.to_string()],
+            customers: customers(),
+            chats_per_second: 0.0,
+            bookings_per_second: 0.0,
+            reads_per_second: 50.0,
+            duration: Duration::from_millis(200),
+            client_threads: 1,
+            ..LoadSettings::default()
+        })
+        .unwrap();
+        assert!(report.calls() > 0, "{report}");
+        report.outcomes.into_iter().map(|outcome| outcome.end)
+    };
+    let sound = ends("HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n{}");
+    assert_eq!(sound.collect::<Vec<_>>(), ["answered"]);
+    for response in damaged {
+        let ends: Vec<String> = ends(response).collect();
+        assert_eq!(ends, ["broken"], "{response}");
+    }
+}
+
 /// Guards against unintended changes of the printed report and against losing violations in JSON.
 #[test]
 fn the_report_reads_as_text() {
