--- a/crates/ragwortroad_load/src/http_client.rs
+++ b/crates/ragwortroad_load/src/http_client.rs
@@ -126,9 +126,8 @@
 /// Checks that the head marks where the body ends, since `minreq` takes any head.
 fn check_framing(request: &ClientRequest<'_>, reader: &ResponseLazy) -> Result<(), String> {
     let mut head = Response::new(());
-    let status = u16::try_from(reader.status_code).ok();
-    let status = status.and_then(|status| StatusCode::from_u16(status).ok());
-    *head.status_mut() = status.ok_or_else(|| format!("status {}", reader.status_code))?;
+    let status = StatusCode::from_u16(reader.status_code);
+    *head.status_mut() = status.map_err(|_| format!("status {}", reader.status_code))?;
     for (name, value) in &reader.headers {
         let name = HeaderName::from_bytes(name.as_bytes()).map_err(|error| error.to_string())?;
         let value = HeaderValue::from_str(value).map_err(|error| error.to_string())?;
