--- a/crates/ragwortroad_node/src/order/worker_tests.rs
+++ b/crates/ragwortroad_node/src/order/worker_tests.rs
@@ -3,7 +3,10 @@
         Read,
         Write, //
     },
-    net::TcpListener,
+    net::{
+        Shutdown,
+        TcpListener, //
+    },
     thread,
     time::{
         Duration,
@@ -31,12 +34,13 @@
     let address = listener.local_addr().unwrap();
     let engine = thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
+        let mut buffer = [0; 4096];
         // The order arrives in one or two packets, and its content does not matter.
-        stream.read(&mut [0; 4096]).unwrap();
+        assert!(stream.read(&mut buffer).unwrap() > 0);
         stream.write_all(response.as_bytes()).unwrap();
-        stream.shutdown(std::net::Shutdown::Write).unwrap();
+        stream.shutdown(Shutdown::Write).unwrap();
         // Ends when the worker closes the connection.
-        while stream.read(&mut [0; 4096]).is_ok_and(|count| count > 0) {}
+        while stream.read(&mut buffer).is_ok_and(|count| count > 0) {}
     });
     let clock = RealClock::start();
     let now = clock.now();
