Refuse requests late in the grace period that are known to outlast it

Report of another operator: requests that came late in the grace period of a planned stop were passed on and then cut with no answer. Here none is cut, but clients got 504 after their requests had run, among them requests that may not be repeated. With a grace period of 6 s and responses of 2.6 s, on the code before, 10 of 65 requests sent every 0.1 s from the stop on got 504 after they had run, those sent 1.5 to 4.3 s after it; the others were answered, refused as not run, or not read.

Cause: a plain request was taken if 1.2 s were left until the edge stops, whatever its route is known to take, and pending requests get their final response 0.6 s before that. A request that waited in a queue was not looked at again, and a repeat was begun although it could not end in time.

A plain request is now taken, sent for the first time, or repeated only if 1.5 times the learned mean of its route, 1.2 s at least, fit before the final responses, or its deadline does; otherwise it is refused at once as not run. The deadlines of streams are compared with the same moment.

--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -254,7 +254,8 @@
 
 fn begin_drain(state: &mut EdgeState, limit: Duration) {
     tracing::info!(in_flight = state.in_flight, "draining");
-    state.shutdown_at = Some(Instant::now() + limit);
+    let time_left = limit.saturating_sub(FINAL_RESPONSE_WINDOW);
+    state.final_responses_at = Some(Instant::now() + time_left);
     state.set_stage(EdgeStage::Draining);
 }
 
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -145,8 +145,8 @@
     /// Number of edges that have lost contact with endpoints, as last reported by a registry.
     pub(crate) cut_off_edges: u32,
     pub(crate) stage: EdgeStage,
-    /// When a draining edge stops in any case.
-    pub(crate) shutdown_at: Option<Instant>,
+    /// When a draining edge responds to the requests that are still pending; `None` before the drain.
+    pub(crate) final_responses_at: Option<Instant>,
     /// Progress of fetching the configuration in force.
     pub(crate) fetch: ConfigFetch,
     /// When a registry last reported the loads of all edges.
--- a/crates/ragwortroad_edge/src/lib.rs
+++ b/crates/ragwortroad_edge/src/lib.rs
@@ -59,6 +59,7 @@
 mod scarce_services;
 mod service_contact;
 mod service_gate;
+mod shutdown_time;
 mod silence_check;
 mod silence_checks;
 mod stream_body;
--- a/crates/ragwortroad_edge/src/request_completion.rs
+++ b/crates/ragwortroad_edge/src/request_completion.rs
@@ -87,6 +87,7 @@
             | RefusalReason::NoEndpoint
             | RefusalReason::Resting
             | RefusalReason::UnknownVersion
+            | RefusalReason::Stopping
     );
     let reason = match claims_not_run && progress.may_have_run {
         true => RefusalReason::Unknown,
--- a/crates/ragwortroad_edge/src/request_flow.rs
+++ b/crates/ragwortroad_edge/src/request_flow.rs
@@ -97,6 +97,7 @@
         accept_led,
         note_contended, //
     },
+    shutdown_time::outlasts_shutdown,
     silence_check::check_silence,
     stream_body::StreamBody, //
 };
@@ -184,6 +185,10 @@
         if is_quarantined(shared, &plan) || (is_repeat && is_doubtful(shared, &plan)) {
             return refuse(shared, &plan, &progress, RefusalReason::Quarantined);
         }
+        // It may have waited since it was read.
+        if progress.attempts == 0 && outlasts_shutdown(shared, plan.rule(), plan.deadline) {
+            return refuse(shared, &plan, &progress, RefusalReason::Stopping);
+        }
         progress.is_relaying |= needs_relay(shared, &plan);
         let lead = match progress.is_relaying {
             true => LeadStep::Here,
@@ -216,6 +221,9 @@
                 }
                 return refuse(shared, &plan, &progress, RefusalReason::Overload);
             }
+            if needs_permit && outlasts_shutdown(shared, plan.rule(), plan.deadline) {
+                return refuse(shared, &plan, &progress, RefusalReason::Stopping);
+            }
             let attempt = try_endpoint(shared, &plan, &mut progress);
             attempt_beside(&mut late_call, attempt).await
         };
--- a/crates/ragwortroad_edge/src/request_progress.rs
+++ b/crates/ragwortroad_edge/src/request_progress.rs
@@ -21,7 +21,8 @@
     },
     refusal_reason::RefusalReason,
     request_plan::RequestPlan,
-    scarce_services::note_contended, //
+    scarce_services::note_contended,
+    shutdown_time::outlasts_shutdown, //
 };
 
 /// Number of failed connection attempts after which a request is refused.
@@ -174,7 +175,8 @@
     fn try_retry(&self, shared: &EdgeShared, plan: &RequestPlan) -> bool {
         let is_enabled = shared.settings.mechanisms.repeats;
         let has_attempts_left = is_enabled && self.attempts < plan.max_attempts();
-        let has_time = Instant::now() < plan.deadline;
+        let has_time = Instant::now() < plan.deadline
+            && !outlasts_shutdown(shared, plan.rule(), plan.deadline);
         has_attempts_left && has_time && {
             let now = shared.now();
             let mut state = shared.state.borrow_mut();
--- a/crates/ragwortroad_edge/src/request_reading.rs
+++ b/crates/ragwortroad_edge/src/request_reading.rs
@@ -43,6 +43,7 @@
         find_target, //
     },
     scarce_services::may_lead,
+    shutdown_time::can_finish_before_shutdown,
     stream_origins::find_version, //
 };
 
@@ -52,9 +53,6 @@
 /// Timeout of a request without a deadline of its own.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Time within which nearly all responses of services without engines are complete.
-const TYPICAL_RESPONSE_TIME: Duration = Duration::from_millis(1200);
-
 /// Reads a request completely and resolves its route, customer and service.
 ///
 /// A refusal may leave a part of `body` unread.
@@ -203,24 +201,6 @@
     }
 }
 
-/// Whether the response can be complete before this edge stops; always true if it is not draining.
-///
-/// Clients that cache a directory response for long arrive seconds after the drain began. Requests
-/// that are accepted then and cannot finish are cut off; if refused immediately, the client tries
-/// another edge.
-fn can_finish_before_shutdown(shared: &EdgeShared, rule: &RouteRule, deadline: Instant) -> bool {
-    let Some(shutdown_at) = shared.state.borrow().shutdown_at else {
-        return true;
-    };
-    match rule.kind {
-        // The duration of a stream is not known in advance.
-        RequestKind::Stream => shutdown_at >= deadline,
-        RequestKind::Safe | RequestKind::Unsafe => {
-            shutdown_at >= deadline.min(Instant::now() + TYPICAL_RESPONSE_TIME)
-        }
-    }
-}
-
 async fn read_body(
     shared: &EdgeShared,
     session: &ClientSession,
