Refuse announcements that name no endpoint that can be used

Report of another operator: one odd entry among those of the endpoints ended the machines that read the list, or kept them from following it. Here no process ended, but registries acknowledged port 0, addresses without a host, 4,294,967,295 slots, sequence numbers and starts of 2^64 - 1, versions of 100 KB, names of 20 KB and an array in place of the object. Edges sent requests there: with six odd entries of port 0, or 60 long ones whose port was closed, beside two sound endpoints, callers got 503 "no endpoint takes work now" on the code before. Long entries of a large fleet go to an edge in one message, which has a limit.

`EndpointRecord::check` says which records name an endpoint: texts of 256 bytes at most, an address with a host and a port, numbers that an endpoint can mean. Registries ask it about announcements and about what other registries pass on, edges about what registries send. An announcement has to be a JSON object; serde takes a sequence for a struct as well. Reasons of refusals are cut, as they may quote what was announced.

--- a/crates/ragwortroad_dispatch/src/lib.rs
+++ b/crates/ragwortroad_dispatch/src/lib.rs
@@ -64,6 +64,7 @@
 mod queue_ticket;
 mod ready_index;
 mod ready_set;
+mod record_fault;
 mod registry_table;
 mod relay_peer;
 mod request_work;
@@ -243,6 +244,10 @@
         queue_ticket::QueueTicket,
         ready_index::ReadyEndpoint,
         ready_set::ReadySet,
+        record_fault::{
+            RecordFault,
+            check_name, //
+        },
         registry_table::{
             RegistryChange,
             RegistryTable,
--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -241,6 +241,10 @@
     record: EndpointRecord,
     now: ClockTime,
 ) -> EndpointChange {
+    if let Err(fault) = record.check() {
+        tracing::warn!(%fault, "a registry sent an invalid record");
+        return EndpointChange::Same;
+    }
     let name = tracing::enabled!(tracing::Level::DEBUG).then(|| record.name.clone());
     let stage = record.stage;
     let version = VersionTag::of(&record.service, &record.version);
--- a/crates/ragwortroad_registry/src/call_flow.rs
+++ b/crates/ragwortroad_registry/src/call_flow.rs
@@ -5,6 +5,7 @@
     time::Duration, //
 };
 
+use ragwortroad_dispatch::prelude::*;
 use ragwortroad_telemetry::prelude::*;
 use ragwortroad_types::prelude::*;
 use tokio::sync::oneshot;
@@ -25,6 +26,9 @@
 /// Maximum number of queued calls of each kind. Further calls are refused to bound memory.
 pub(crate) const MAX_QUEUED_CALLS: usize = 256;
 
+/// Longest reason for refusing an announcement that is logged and returned, in characters.
+const MAX_REASON_CHARS: usize = 512;
+
 impl RegistryState {
     pub(crate) fn handle_call(
         &mut self,
@@ -52,18 +56,21 @@
                     reason: fault.to_string(),
                 }
             }
-            ControlCall::Announce(record) => {
-                self.handle_announcement(*record, reply, now);
-                return;
-            }
-            ControlCall::BadAnnouncement { reason } => {
-                tracing::warn!(reason, "refused an invalid announcement");
-                ControlReply::Invalid { reason }
-            }
-            ControlCall::Goodbye { name } => {
-                self.handle_goodbye(&name, reply, now);
-                return;
-            }
+            ControlCall::Announce(record) => match record.check() {
+                Ok(()) => {
+                    self.handle_announcement(*record, reply, now);
+                    return;
+                }
+                Err(fault) => refuse_announcement(&format!("{fault} ({})", record.name)),
+            },
+            ControlCall::BadAnnouncement { reason } => refuse_announcement(&reason),
+            ControlCall::Goodbye { name } => match check_name(&name) {
+                Ok(()) => {
+                    self.handle_goodbye(&name, reply, now);
+                    return;
+                }
+                Err(fault) => refuse_announcement(&fault.to_string()),
+            },
             ControlCall::FindEdges => self.resolve_edges(client_ip, now),
             ControlCall::Unknown => ControlReply::NotFound,
         };
@@ -80,6 +87,14 @@
     }
 }
 
+/// Refuses an announcement or a goodbye that names no endpoint.
+fn refuse_announcement(reason: &str) -> ControlReply {
+    // It may quote what was announced.
+    let reason: String = reason.chars().take(MAX_REASON_CHARS).collect();
+    tracing::warn!(reason, "refused an invalid announcement");
+    ControlReply::Invalid { reason }
+}
+
 /// Sends the reply to a call, unless the client has disconnected.
 pub(crate) fn send_reply(reply: oneshot::Sender<ControlReply>, control_reply: ControlReply) {
     metrics::counter!(metric_names::CONTROL_CALLS, "outcome" => control_reply.outcome())
--- a/crates/ragwortroad_registry/src/notice_flow.rs
+++ b/crates/ragwortroad_registry/src/notice_flow.rs
@@ -137,6 +137,10 @@
     ) {
         for notice in notices {
             let change = match notice {
+                RegistryChange::Told(record) if record.check().is_err() => {
+                    tracing::warn!("another registry sent an invalid record");
+                    continue;
+                }
                 RegistryChange::Goodbye(departure) => self.table.apply_departure(departure, now),
                 RegistryChange::Told(record) => {
                     let change = self.table.announce(record.clone(), now);
