Close connections that bring much without any part of a response

Report of another operator: bytes that were no answer, without end, took the memory of the machine that had called, and the requests of its other clients with it.

Cause: the HTTP library reads both for as long as they come. It keeps nothing of them, but the edge's only thread does little else, so that deadlines pass unseen.

The socket of an endpoint now counts what it brings since the last head or part of a body, and fails past 1 MiB, more than the library reads ahead.

Close-delimited bodies without end stay open: they are held within the budget for bodies, and callers are served.

--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -50,6 +50,7 @@
     endpoint_connection::{
         EndpointConnection,
         SendFailure,
+        is_invalid_data,
         is_timeout_error, //
     },
     in_flight_guard::InFlightGuard,
@@ -98,7 +99,8 @@
 
 impl LossKind {
     fn of(error: &hyper::Error) -> Self {
-        match (is_timeout_error(error), error.is_parse()) {
+        let is_unusable = error.is_parse() || is_invalid_data(error);
+        match (is_timeout_error(error), is_unusable) {
             (true, _) => Self::Silent,
             (false, true) => Self::Unusable,
             (false, false) => Self::Closed,
@@ -230,6 +232,7 @@
 /// Reads the body of a response.
 pub(crate) async fn read_whole(
     shared: &EdgeShared,
+    connection: &EndpointConnection,
     mut body: Incoming,
 ) -> Result<Bytes, CallOutcome> {
     let mut held = shared.bodies.hold();
@@ -239,6 +242,7 @@
             kind: LossKind::of(&error),
         })?;
         if let Ok(chunk) = frame.into_data() {
+            connection.note_part();
             let pushed = push_chunk(shared, &mut held, chunk, None).await;
             pushed.map_err(|error| unusable_response(&error.to_string()))?;
         }
@@ -338,7 +342,7 @@
             guard: Some(guard),
         }));
     }
-    let body = match read_whole(shared, body).await {
+    let body = match read_whole(shared, &connection, body).await {
         Ok(body) => body,
         Err(outcome) => return outcome,
     };
--- a/crates/ragwortroad_edge/src/endpoint_connection.rs
+++ b/crates/ragwortroad_edge/src/endpoint_connection.rs
@@ -33,6 +33,11 @@
     time::timeout, //
 };
 
+use crate::{
+    endpoint_socket::EndpointSocket,
+    read_progress::ReadProgress, //
+};
+
 /// Timeout for connecting to an endpoint.
 ///
 /// Within a region connecting takes a few milliseconds. A lost packet is retransmitted only after a
@@ -58,6 +63,7 @@
 pub(crate) struct EndpointConnection {
     sender: http1::SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    progress: ReadProgress,
     /// Whether a request has been completed on this connection before.
     pub(crate) is_reused: bool,
 }
@@ -73,10 +79,20 @@
 
 /// Whether an error means that the endpoint's VM sent no packet at all in return.
 pub(crate) fn is_timeout_error(error: &(dyn Error + 'static)) -> bool {
+    has_kind(error, io::ErrorKind::TimedOut)
+}
+
+/// Whether an error means that the endpoint sent something that cannot be a response.
+pub(crate) fn is_invalid_data(error: &(dyn Error + 'static)) -> bool {
+    has_kind(error, io::ErrorKind::InvalidData)
+}
+
+/// Whether an error or one of its causes is of a kind.
+fn has_kind(error: &(dyn Error + 'static), kind: io::ErrorKind) -> bool {
     let mut cause = Some(error);
     while let Some(error) = cause {
-        let kind = error.downcast_ref::<io::Error>().map(io::Error::kind);
-        if kind == Some(io::ErrorKind::TimedOut) {
+        let found = error.downcast_ref::<io::Error>().map(io::Error::kind);
+        if found == Some(kind) {
             return true;
         }
         cause = error.source();
@@ -97,7 +113,9 @@
             .with_interval(KEEPALIVE_INTERVAL)
             .with_retries(KEEPALIVE_RETRIES);
         socket.set_tcp_keepalive(&keepalive)?;
-        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let progress = ReadProgress::default();
+        let socket = EndpointSocket::new(stream, progress.clone());
+        let handshake = http1::handshake(TokioIo::new(socket)).await;
         let (sender, connection) = handshake.map_err(io::Error::other)?;
         let task = spawn_local(async move {
             if let Err(error) = connection.await {
@@ -107,6 +125,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            progress,
             is_reused: false,
         })
     }
@@ -119,13 +138,20 @@
         if self.sender.ready().await.is_err() {
             return Err(SendFailure::NotSent);
         }
+        self.progress.note_part();
         let sent = self.sender.try_send_request(request).await;
+        self.progress.note_part();
         sent.map_err(|mut failure| match failure.take_message() {
             Some(_) => SendFailure::NotSent,
             None => SendFailure::Lost(failure.into_error()),
         })
     }
 
+    /// Records that a part of the body of the response has arrived.
+    pub(crate) fn note_part(&self) {
+        self.progress.note_part();
+    }
+
     /// Whether the connection can accept a request.
     pub(crate) fn is_ready(&self) -> bool {
         self.sender.is_ready()
--- a/crates/ragwortroad_edge/src/relay_call.rs
+++ b/crates/ragwortroad_edge/src/relay_call.rs
@@ -36,6 +36,7 @@
         send_request,
         unusable_response, //
     },
+    endpoint_connection::EndpointConnection,
     relay_head::{
         RelayHead,
         RelayVerdict,
@@ -192,7 +193,7 @@
         }))
         .into();
     }
-    let body: Result<Bytes, CallOutcome> = read_peer_body(shared, body, verdict).await;
+    let body: Result<Bytes, CallOutcome> = read_peer_body(shared, &connection, body, verdict).await;
     let body = match body {
         Ok(body) => body,
         Err(outcome) => return outcome.into(),
@@ -229,10 +230,11 @@
 /// A refusal that breaks off after its head has said what became of the request.
 async fn read_peer_body(
     shared: &EdgeShared,
+    connection: &EndpointConnection,
     body: Incoming,
     verdict: RelayVerdict,
 ) -> Result<Bytes, CallOutcome> {
-    match read_whole(shared, body).await {
+    match read_whole(shared, connection, body).await {
         Ok(body) => Ok(body),
         Err(_) if matches!(verdict, RelayVerdict::NotSent | RelayVerdict::NotRun) => {
             Ok(Bytes::new())
--- a/crates/ragwortroad_edge/src/stream_body.rs
+++ b/crates/ragwortroad_edge/src/stream_body.rs
@@ -279,12 +279,11 @@
         };
         self.note_data();
         let shared = &self.shared;
-        if self
-            .upstream
-            .as_ref()
-            .is_some_and(|upstream| upstream.guard.is_some())
-        {
-            shared.note_contact(&self.plan.service);
+        if let Some(upstream) = &self.upstream {
+            upstream.connection.note_part();
+            if upstream.guard.is_some() {
+                shared.note_contact(&self.plan.service);
+            }
         }
         match self.framer.push(&bytes) {
             Some(events) => {
