--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -323,10 +323,13 @@
     note_wishes(shared, chosen, &metadata);
     let is_success = head.status.is_success();
     let headers = forwarded_headers(head.headers, framing);
-    // `Connection` may have named headers that the client needs.
-    let forwarded = (shared.port.parse_response)(head.status, &headers);
-    if is_success && (!forwarded.is_signed || metadata.is_encoded || forwarded.id.is_none()) {
-        return unusable_response("successful response is unsigned, encoded or without request id");
+    if is_success {
+        // `Connection` may have named headers that the client needs.
+        let forwarded = (shared.port.parse_response)(head.status, &headers);
+        if !forwarded.is_signed || metadata.is_encoded || forwarded.id.is_none() {
+            let reason = "successful response is unsigned, encoded or without request id";
+            return unusable_response(reason);
+        }
     }
     if is_success && metadata.is_event_stream {
         return CallOutcome::Events(Box::new(EventStream {
--- a/crates/ragwortroad_edge/src/endpoint_connection.rs
+++ b/crates/ragwortroad_edge/src/endpoint_connection.rs
@@ -138,6 +138,7 @@
         if self.sender.ready().await.is_err() {
             return Err(SendFailure::NotSent);
         }
+        // Counts anew for each response.
         self.progress.note_part();
         let sent = self.sender.try_send_request(request).await;
         self.progress.note_part();
--- a/crates/ragwortroad_edge/src/endpoint_socket.rs
+++ b/crates/ragwortroad_edge/src/endpoint_socket.rs
@@ -47,8 +47,8 @@
         let count = buffer.filled().len() - filled;
         match self.progress.note_read(count) {
             Ok(()) => read,
-            Err(stall) => {
-                let error = io::Error::new(io::ErrorKind::InvalidData, stall);
+            Err(stray) => {
+                let error = io::Error::new(io::ErrorKind::InvalidData, stray);
                 Poll::Ready(Err(error))
             }
         }
--- a/crates/ragwortroad_edge/src/read_progress.rs
+++ b/crates/ragwortroad_edge/src/read_progress.rs
@@ -10,15 +10,15 @@
 
 /// Most bytes that may be read from a connection without a head or a part of a body; more than the
 /// HTTP library reads ahead.
-const MAX_STALLED_BYTES: usize = 1 << 20;
+const MAX_STRAY_BYTES: usize = 1 << 20;
 
 /// An endpoint sent too much that is no part of a response.
 #[derive(Clone, Copy, Debug)]
 #[derive(Snafu)]
 #[snafu(display(
-    "{MAX_STALLED_BYTES} bytes without a head or a part of a body; the connection is closed"
+    "{MAX_STRAY_BYTES} bytes without a head or a part of a body; the connection is closed"
 ))]
-pub(crate) struct ReadStalled;
+pub(crate) struct StrayBytes;
 
 /// Counts the bytes that a connection brings without a head or a part of a body.
 #[derive(Clone, Debug, Default)]
@@ -30,10 +30,10 @@
     /// # Errors
     ///
     /// Fails if too many have been read since the last head or part of a body.
-    pub(crate) fn note_read(&self, bytes: usize) -> Result<(), ReadStalled> {
-        let Self(stalled) = self;
-        stalled.set(stalled.get().saturating_add(bytes));
-        ensure!(stalled.get() <= MAX_STALLED_BYTES, ReadStalledSnafu);
+    pub(crate) fn note_read(&self, bytes: usize) -> Result<(), StrayBytes> {
+        let Self(stray) = self;
+        stray.set(stray.get().saturating_add(bytes));
+        ensure!(stray.get() <= MAX_STRAY_BYTES, StrayBytesSnafu);
         Ok(())
     }
 
