--- a/crates/ragwortroad_load/tests/checks_catch_faults.rs
+++ b/crates/ragwortroad_load/tests/checks_catch_faults.rs
@@ -241,8 +241,7 @@
     service.stop();
 }
 
-/// Guards against damaged responses that count as answered. Clients send directly to a service that
-/// closes each connection after such a response.
+/// Guards against damaged responses that count as answered.
 #[test]
 fn damaged_responses_are_not_answers() {
     let damaged = [
