Close connections of `serve` and of orders that bring stray bytes

Callers of `serve` whose service or engine sends interim responses, the size of a chunk or trailers without end waited for their deadlines: a chat got 504 although another engine was sound, and 50 MB of one answer were read. An order had no bound but its two minutes.

Cause: as at edges, the HTTP library reads these for as long as they come. The socket that counts what belongs to no response was the edge's own. It is now in `ragwortroad_http`, beside `BodyFraming`, and carries the links of `serve` and the connections of orders as well.

--- a/crates/ragwortroad_edge/src/endpoint_connection.rs
+++ b/crates/ragwortroad_edge/src/endpoint_connection.rs
@@ -17,6 +17,7 @@
     client::conn::http1, //
 };
 use hyper_util::rt::TokioIo;
+use ragwortroad_http::prelude::*;
 use socket2::{
     SockRef,
     TcpKeepalive, //
@@ -33,11 +34,6 @@
     time::timeout, //
 };
 
-use crate::{
-    endpoint_socket::EndpointSocket,
-    read_progress::ReadProgress, //
-};
-
 /// Timeout for connecting to an endpoint.
 ///
 /// Within a region connecting takes a few milliseconds. A lost packet is retransmitted only after a
--- a/crates/ragwortroad_gateway/src/endpoint_link.rs
+++ b/crates/ragwortroad_gateway/src/endpoint_link.rs
@@ -16,6 +16,7 @@
     }, //
 };
 use hyper_util::rt::TokioIo;
+use ragwortroad_http::prelude::*;
 use tokio::{
     net::TcpStream,
     task::JoinHandle,
@@ -28,6 +29,7 @@
     sender: SendRequest<Full<Bytes>>,
     /// Invariant: runs for the lifetime of the link; aborting it on drop closes the socket.
     driver: JoinHandle<()>,
+    progress: ReadProgress,
     /// Whether the link has carried an earlier exchange.
     is_reused: bool,
 }
@@ -37,7 +39,9 @@
     pub(crate) async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let stream = timeout(limit, TcpStream::connect(address)).await??;
         stream.set_nodelay(true)?;
-        let (sender, connection) = handshake(TokioIo::new(stream))
+        let progress = ReadProgress::default();
+        let socket = EndpointSocket::new(stream, progress.clone());
+        let (sender, connection) = handshake(TokioIo::new(socket))
             .await
             .map_err(io::Error::other)?;
         let driver = tokio::spawn(async move {
@@ -49,6 +53,7 @@
             address,
             sender,
             driver,
+            progress,
             is_reused: false,
         })
     }
@@ -59,7 +64,16 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> hyper::Result<Response<Incoming>> {
-        self.sender.send_request(request).await
+        // Counts anew for each response.
+        self.progress.note_part();
+        let sent = self.sender.send_request(request).await;
+        self.progress.note_part();
+        sent
+    }
+
+    /// Records that a part of the body of the response has arrived.
+    pub(crate) fn note_part(&self) {
+        self.progress.note_part();
     }
 
     pub(crate) fn address(&self) -> SocketAddr {
--- a/crates/ragwortroad_gateway/src/engine_response.rs
+++ b/crates/ragwortroad_gateway/src/engine_response.rs
@@ -101,7 +101,7 @@
 ) -> Result<Option<Response<ResponseBody>>, FlowEnd> {
     let status = response.status().as_u16();
     let limit = flow.state.settings.max_response_bytes;
-    match read_complete(&Method::POST, response, limit).await {
+    match read_complete(&Method::POST, &attempt.link, response, limit).await {
         Ok(bytes) => {
             attempt.guard.finish(AttemptOutcome::Completed {
                 status,
--- a/crates/ragwortroad_gateway/src/model_relay.rs
+++ b/crates/ragwortroad_gateway/src/model_relay.rs
@@ -134,7 +134,7 @@
             EngineResponse::Refusal(client_response) => return Ok(client_response),
         };
         let limit = flow.state.settings.max_response_bytes;
-        let complete = read_complete(&Method::POST, response, limit).await;
+        let complete = read_complete(&Method::POST, &attempt.link, response, limit).await;
         let parsed = complete.and_then(|bytes| {
             let wire = serde_json::from_slice::<CompletionWire>(&bytes)
                 .map_err(|error| format!("the answer is not JSON: {error}"))?;
--- a/crates/ragwortroad_gateway/src/response_check.rs
+++ b/crates/ragwortroad_gateway/src/response_check.rs
@@ -13,7 +13,10 @@
 use ragwortroad_http::prelude::*;
 use ragwortroad_types::prelude::*;
 
-use crate::header_names::REQUEST_ID_HEADER;
+use crate::{
+    endpoint_link::EndpointLink,
+    header_names::REQUEST_ID_HEADER, //
+};
 
 /// Checks that the response tells where its body ends, and carries the identity of this request and of
 /// no other. A response without an identity is accepted unless `must_echo` is set.
@@ -50,6 +53,7 @@
 /// as broken.
 pub(crate) async fn read_complete(
     method: &Method,
+    link: &EndpointLink,
     response: Response<Incoming>,
     limit: usize,
 ) -> Result<Bytes, String> {
@@ -57,7 +61,11 @@
     if !framing.marks_end() {
         return Err("the answer does not mark its end".to_owned());
     }
-    let body = Limited::new(response.into_body(), limit);
+    let body = response.into_body().map_frame(|frame| {
+        link.note_part();
+        frame
+    });
+    let body = Limited::new(body, limit);
     match body.collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) => Err(format!("the answer is not whole: {error}")),
--- a/crates/ragwortroad_gateway/src/service_relay.rs
+++ b/crates/ragwortroad_gateway/src/service_relay.rs
@@ -195,7 +195,7 @@
                 attempt.guard.note_rest(&response);
                 let status = response.status();
                 let headers = forwarded_headers(response.headers());
-                let bytes = read_complete(&call.method, response, limit).await;
+                let bytes = read_complete(&call.method, &attempt.link, response, limit).await;
                 bytes.map(|bytes| (status, headers, bytes))
             }
             Err(reason) => Err(reason),
--- a/crates/ragwortroad_gateway/src/stream_relay.rs
+++ b/crates/ragwortroad_gateway/src/stream_relay.rs
@@ -18,6 +18,7 @@
 
 use crate::{
     AttemptOutcome,
+    endpoint_link::EndpointLink,
     engine_request::resume_body,
     engine_response::{
         AcceptedResponse,
@@ -105,7 +106,7 @@
                 mut response,
             } = accepted;
             let OpenAttempt { grant, guard, link } = attempt;
-            let reason = match self.forward_events(response.body_mut()).await {
+            let reason = match self.forward_events(&link, response.body_mut()).await {
                 Ok(body_ended) => {
                     guard.finish(AttemptOutcome::Completed {
                         status: 200,
@@ -148,7 +149,11 @@
 
     /// Forwards events to the client up to the final marker. Returns whether the body ended right
     /// after it.
-    async fn forward_events(&mut self, body: &mut Incoming) -> Result<bool, String> {
+    async fn forward_events(
+        &mut self,
+        link: &EndpointLink,
+        body: &mut Incoming,
+    ) -> Result<bool, String> {
         let mut splitter = SseSplitter::default();
         let idle_timeout = self.flow.state.settings.stream_idle_timeout;
         loop {
@@ -170,10 +175,11 @@
                 Ok(None) => return Err("the stream ended without its final marker".to_owned()),
                 Err(_) => return Err("the stream fell silent".to_owned()),
             };
-            if let Ok(data) = frame.into_data()
-                && !splitter.push(&data)
-            {
-                return Err("an event is too long".to_owned());
+            if let Ok(data) = frame.into_data() {
+                link.note_part();
+                if !splitter.push(&data) {
+                    return Err("an event is too long".to_owned());
+                }
             }
         }
     }
--- a/crates/ragwortroad_edge/src/endpoint_socket.rs
+++ b/crates/ragwortroad_http/src/endpoint_socket.rs
@@ -23,15 +23,17 @@
 
 /// Connection to an endpoint that fails once the endpoint sends much that is no part of a response.
 ///
-/// The HTTP library reads interim responses and the size of a chunk for as long as they come, and all
-/// other work of the edge would wait for it.
-pub(crate) struct EndpointSocket {
+/// The HTTP library reads interim responses and the size of a chunk for as long as they come, and other
+/// work of its thread would wait for it.
+#[derive(Debug)]
+pub struct EndpointSocket {
     stream: TcpStream,
     progress: ReadProgress,
 }
 
 impl EndpointSocket {
-    pub(crate) fn new(stream: TcpStream, progress: ReadProgress) -> Self {
+    /// Creates the socket of a connection whose parts of responses are recorded in `progress`.
+    pub fn new(stream: TcpStream, progress: ReadProgress) -> Self {
         Self { stream, progress }
     }
 }
--- a/crates/ragwortroad_node/src/order/order_worker.rs
+++ b/crates/ragwortroad_node/src/order/order_worker.rs
@@ -190,7 +190,8 @@
         Ok(request) => request,
         Err(error) => return OrderEnd::Failed(error),
     };
-    let (mut sender, connection) = match handshake(TokioIo::new(stream)).await {
+    let socket = EndpointSocket::new(stream, ReadProgress::default());
+    let (mut sender, connection) = match handshake(TokioIo::new(socket)).await {
         Ok(parts) => parts,
         Err(error) => return OrderEnd::Failed(error.to_string()),
     };
