--- a/crates/ragwortroad_edge/src/edge_links.rs
+++ b/crates/ragwortroad_edge/src/edge_links.rs
@@ -211,7 +211,7 @@
     refresh_config(shared);
 }
 
-fn apply_update(
+pub(crate) fn apply_update(
     state: &mut EdgeState,
     source: SourceKey,
     change: RegistryChange,
--- a/crates/ragwortroad_edge/src/tests.rs
+++ b/crates/ragwortroad_edge/src/tests.rs
@@ -25,6 +25,7 @@
         customer_of_tag,
         unknown_customers, //
     },
+    edge_links::apply_update,
     edge_state::EdgeState,
     gate_permit::charged_customer,
     read_stall::ReadStall,
@@ -441,3 +442,34 @@
     assert_eq!(changed(&[(2, 6), (3, 7)]), at(8), "shorter, then longer");
     assert_eq!(changed(&[(2, 6), (30, 7)]), at(30), "shorter, then longest");
 }
+
+/// Guards against odd records that an edge takes from a registry.
+#[test]
+fn odd_records_of_a_registry_are_not_taken() {
+    let now = RealClock::start().now();
+    let mut state = EdgeState::default();
+    let record = |name: &str, port| EndpointRecord {
+        name: name.to_owned(),
+        service: "desk".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        zone: "a".to_owned(),
+        slots: 8,
+        stage: EndpointStage::Ready,
+        started_ms: 17,
+        sequence: 1,
+        warming_ms: 0,
+        version: String::new(),
+    };
+    let large = EndpointRecord {
+        slots: u32::MAX,
+        ..record("i-large", 80)
+    };
+    let records = [record("i-no-port", 0), large, record("i-sound", 80)];
+    for record in records {
+        apply_update(&mut state, SourceKey(0), RegistryChange::Told(record), now);
+    }
+    let ready = state.endpoints.ready("desk").iter();
+    let records = ready.filter_map(|endpoint| state.endpoints.record(endpoint.key));
+    let names: Vec<&str> = records.map(|record| record.name.as_str()).collect();
+    assert_eq!(names, ["i-sound"]);
+}
--- a/crates/ragwortroad_registry/src/tests.rs
+++ b/crates/ragwortroad_registry/src/tests.rs
@@ -427,6 +427,50 @@
     }
 }
 
+/// A record of an endpoint whose address has a port.
+fn endpoint_record(name: &str, port: u16) -> EndpointRecord {
+    EndpointRecord {
+        name: name.to_owned(),
+        service: "desk".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        zone: "a".to_owned(),
+        version: String::new(),
+        slots: 8,
+        stage: EndpointStage::Draining,
+        started_ms: 17,
+        sequence: 1,
+        warming_ms: 0,
+    }
+}
+
+/// Guards against odd records that one registry takes from another.
+#[test]
+fn odd_records_of_another_registry_are_not_kept() {
+    let mut registry = LeadingRegistry::open(2);
+    registry.connect_edge();
+    registry.connect_peer(2);
+    let large = EndpointRecord {
+        sequence: u64::MAX,
+        ..endpoint_record("i-large", 80)
+    };
+    let long = EndpointRecord {
+        version: "v".repeat(100_000),
+        ..endpoint_record("i-long", 80)
+    };
+    let records = [
+        endpoint_record("i-no-port", 0),
+        large,
+        long,
+        endpoint_record("i-sound", 80),
+    ];
+    let notices = records.map(RegistryChange::Told).to_vec();
+    let now = registry.now;
+    registry.state.keep_notices(LinkKey(9), None, notices, now);
+    let kept = registry.state.table.records(registry.now);
+    let names: Vec<String> = kept.map(|record| record.name).collect();
+    assert_eq!(names, ["i-sound"]);
+}
+
 /// Guards against records that are not synced while further ones keep coming.
 #[test]
 fn origins_are_synced_while_streams_keep_beginning() {
