Bound the incomplete bodies of an endpoint that announces no length

Callers whose bodies are more than 64 KB may be refused, and slow ones be disconnected, while an endpoint in trouble sends a body without end: it could fill the budget for bodies, a quarter of the memory. Callers of the troubled endpoint were served elsewhere.

Cause: only the sum of all bodies had a limit, so that one endpoint could take it from those of all others.

An endpoint's incomplete bodies without an announced length now have the limit of its incomplete events, a 64th of the memory; past it the response is unusable and its request goes on elsewhere. A sound body of 1 MB in chunks is taken.

--- a/crates/ragwortroad_edge/src/edge_process.rs
+++ b/crates/ragwortroad_edge/src/edge_process.rs
@@ -56,7 +56,7 @@
         serve_clients,
         serve_readiness, //
     },
-    partial_events::PartialEvents,
+    partial_bytes::PartialBytes,
     scarce_services::may_lead,
     service_contact::probe_services, //
 };
@@ -139,7 +139,8 @@
     }
     let seeds = settings.seeds.clone();
     let bodies = ByteBudget::for_memory(settings.memory_bytes);
-    let partial_events = PartialEvents::for_memory(settings.memory_bytes);
+    let partial_events = PartialBytes::for_memory(settings.memory_bytes);
+    let partial_bodies = PartialBytes::for_memory(settings.memory_bytes);
     let mut state = EdgeState::default();
     state.fetch = ConfigFetch::new(settings.mechanisms.recall);
     let shared = Rc::new(EdgeShared {
@@ -150,6 +151,7 @@
         pool: ConnectionPool::default(),
         bodies,
         partial_events: RefCell::new(partial_events),
+        partial_bodies: RefCell::new(partial_bodies),
         clients: Rc::new(ClientTable::default()),
         relay_key: RelayKey(rand::random()),
         stop: Notify::new(),
--- a/crates/ragwortroad_edge/src/edge_state.rs
+++ b/crates/ragwortroad_edge/src/edge_state.rs
@@ -34,7 +34,7 @@
     client_table::ClientTable,
     connection_pool::ConnectionPool,
     origin_questions::OriginQuestions,
-    partial_events::PartialEvents,
+    partial_bytes::PartialBytes,
     registry_link::RegistryLink,
     relay_peers::RelayPeers,
     service_gate::ServiceGate,
@@ -58,7 +58,9 @@
     /// Limits the bytes of request and response bodies.
     pub(crate) bodies: ByteBudget,
     /// Limits the bytes of incomplete events.
-    pub(crate) partial_events: RefCell<PartialEvents>,
+    pub(crate) partial_events: RefCell<PartialBytes>,
+    /// Limits the bytes of incomplete bodies without an announced length.
+    pub(crate) partial_bodies: RefCell<PartialBytes>,
     pub(crate) clients: Rc<ClientTable>,
     /// Secret by which this edge recognizes requests that other edges relay to it.
     pub(crate) relay_key: RelayKey,
--- a/crates/ragwortroad_edge/src/endpoint_call.rs
+++ b/crates/ragwortroad_edge/src/endpoint_call.rs
@@ -24,6 +24,7 @@
 };
 use ragwortroad_dispatch::prelude::*;
 use ragwortroad_http::prelude::*;
+use ragwortroad_telemetry::prelude::*;
 use tokio::time::{
     Instant,
     timeout_at, //
@@ -54,6 +55,7 @@
         is_timeout_error, //
     },
     in_flight_guard::InFlightGuard,
+    partial_body::PartialBody,
     request_plan::RequestPlan,
     run_clock::RunClock, //
 };
@@ -229,13 +231,16 @@
     }
 }
 
-/// Reads the body of a response.
+/// Reads the body of a response; its bytes count for `unsized_of`, an endpoint that has not announced
+/// the length.
 pub(crate) async fn read_whole(
     shared: &EdgeShared,
     connection: &EndpointConnection,
     mut body: Incoming,
+    unsized_of: Option<EndpointKey>,
 ) -> Result<Bytes, CallOutcome> {
     let mut held = shared.bodies.hold();
+    let mut partial = unsized_of.map(|endpoint| PartialBody::new(shared, endpoint));
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| CallOutcome::Lost {
             reason: format!("response body incomplete: {error}"),
@@ -243,6 +248,13 @@
         })?;
         if let Ok(chunk) = frame.into_data() {
             connection.note_part();
+            let fits = |partial: &mut PartialBody<'_>| partial.grow(chunk.len());
+            if !partial.as_mut().is_none_or(fits) {
+                metrics::counter!(metric_names::OVERSIZED_RESPONSES, "form" => "body").increment(1);
+                return Err(unusable_response(
+                    "a body without a length exceeds the limit",
+                ));
+            }
             let pushed = push_chunk(shared, &mut held, chunk, None).await;
             pushed.map_err(|error| unusable_response(&error.to_string()))?;
         }
@@ -345,7 +357,8 @@
             guard: Some(guard),
         }));
     }
-    let body = match read_whole(shared, &connection, body).await {
+    let unsized_of = (!framing.announces_length()).then_some(chosen.key);
+    let body = match read_whole(shared, &connection, body, unsized_of).await {
         Ok(body) => body,
         Err(outcome) => return outcome,
     };
--- a/crates/ragwortroad_edge/src/partial_events.rs
+++ b/crates/ragwortroad_edge/src/partial_bytes.rs
@@ -3,26 +3,26 @@
 use ragwortroad_dispatch::prelude::*;
 
 /// The bytes of incomplete events that an edge holds of one endpoint are at most the memory of the
-/// process divided by this.
+/// process divided by this; the same holds for its incomplete bodies without an announced length.
 ///
-/// An eighth of the memory then holds what eight endpoints send without end, and four events of a
-/// megabyte fit at once for each endpoint of a process with 256 MB.
+/// An eighth of the memory then holds what eight endpoints send without end, and four events or bodies
+/// of a megabyte fit at once for each endpoint of a process with 256 MB.
 const MEMORY_DIVISOR: usize = 64;
 
-/// Bytes of incomplete events that an edge holds, by endpoint; `None` for those that other edges
-/// relay.
+/// Bytes of incomplete events or bodies that an edge holds, by endpoint; `None` for those that other
+/// edges relay.
 ///
-/// An endpoint in trouble may send an event that does not end. Each endpoint has a limit of its own,
-/// so that it costs no caller of another one its room.
+/// An endpoint in trouble may send an event or a body that does not end. Each endpoint has a limit of
+/// its own, so that it costs no caller of another one its room.
 #[derive(Debug)]
-pub(crate) struct PartialEvents {
+pub(crate) struct PartialBytes {
     /// Invariant: no value is zero.
     held: HashMap<Option<EndpointKey>, usize>,
     /// Bytes that each endpoint may take.
     limit: usize,
 }
 
-impl PartialEvents {
+impl PartialBytes {
     /// Creates the account of a process that may use `memory` bytes.
     pub(crate) fn for_memory(memory: usize) -> Self {
         Self {
@@ -31,8 +31,8 @@
         }
     }
 
-    /// Changes the bytes that a stream of an endpoint holds from `before` to `after`; returns whether
-    /// all of the endpoint's streams together stay within the limit.
+    /// Changes the bytes that one response of an endpoint holds from `before` to `after`; returns
+    /// whether all of the endpoint's responses together stay within the limit.
     pub(crate) fn change(
         &mut self,
         endpoint: Option<EndpointKey>,
--- a/crates/ragwortroad_edge/src/relay_call.rs
+++ b/crates/ragwortroad_edge/src/relay_call.rs
@@ -234,7 +234,7 @@
     body: Incoming,
     verdict: RelayVerdict,
 ) -> Result<Bytes, CallOutcome> {
-    match read_whole(shared, connection, body).await {
+    match read_whole(shared, connection, body, None).await {
         Ok(body) => Ok(body),
         Err(_) if matches!(verdict, RelayVerdict::NotSent | RelayVerdict::NotRun) => {
             Ok(Bytes::new())
--- a/crates/ragwortroad_http/src/body_framing.rs
+++ b/crates/ragwortroad_http/src/body_framing.rs
@@ -93,6 +93,11 @@
         }
     }
 
+    /// Whether the head tells how long the body is.
+    pub fn announces_length(self) -> bool {
+        matches!(self, Self::Bodiless { .. } | Self::Length(_))
+    }
+
     /// Whether a body that was cut off can be told from a complete one.
     pub fn marks_end(self) -> bool {
         self != Self::CloseDelimited
